--- /dev/null
+++ b/crates/tansylead-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
