--- /dev/null
+++ b/crates/tansylead-types/src/error.rs
@@ -0,0 +1,36 @@
+//! Errors carry the step and the peer at which they arose.
+
+use std::fmt;
+
+/// The other side of a failed step, as an operator would look it up: an address or a file.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PeerAddress(pub String);
+
+impl fmt::Display for PeerAddress {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// A failure of one step towards one peer. Wraps naturally into `eyre::Report`.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{step} ({peer}): {cause}")]
+pub struct StepError {
+    /// What was being done, for example `connect to leaf`.
+    pub step: &'static str,
+    /// Towards whom.
+    pub peer: PeerAddress,
+    /// What went wrong, in the words of the library or the peer.
+    pub cause: String,
+}
+
+impl StepError {
+    /// Builds the error from anything printable.
+    pub fn new(step: &'static str, peer: impl fmt::Display, cause: impl fmt::Display) -> Self {
+        Self {
+            step,
+            peer: PeerAddress(peer.to_string()),
+            cause: cause.to_string(),
+        }
+    }
+}
