--- /dev/null
+++ b/crates/tansylead-cluster/src/membership/member.rs
@@ -0,0 +1,101 @@
+//! What daemons tell one another about a daemon, and which of two statements is newer.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
+
+/// State of a member. The order is the order of precedence between statements that carry the
+/// same instance and incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum MemberState {
+    /// In service.
+    Alive,
+    /// Did not answer probes; still treated as live until the suspicion times out.
+    Suspect,
+    /// Said itself that it is stopping; gets no new work.
+    Leaving,
+    /// Declared failed: a suspicion timed out.
+    Failed,
+    /// Said itself that it has stopped.
+    Left,
+}
+
+impl MemberState {
+    /// Whether the process is believed to run (alive, suspect or leaving).
+    pub fn is_running(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect | Self::Leaving)
+    }
+
+    /// Whether the member may be given new work (alive or suspect).
+    pub fn takes_work(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect)
+    }
+}
+
+/// One statement about one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The run of the daemon.
+    pub instance: InstanceId,
+    /// Raised only by the daemon itself, to refute a statement about it or to change its state.
+    pub incarnation: u64,
+    /// Place it runs in.
+    pub place: PlaceName,
+    /// Zone it runs in.
+    pub zone: ZoneName,
+    /// HTTP address for callers.
+    pub caller_address: SocketAddr,
+    /// State.
+    pub state: MemberState,
+}
+
+/// Precedence of a statement among those about the same node; the greater one holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Precedence {
+    boot: u64,
+    incarnation: u64,
+    state: MemberState,
+}
+
+impl MemberRecord {
+    /// Address of the daemon.
+    pub fn node(&self) -> NodeId {
+        self.instance.node
+    }
+
+    /// Precedence among statements about the same node.
+    pub fn precedence(&self) -> Precedence {
+        Precedence {
+            boot: self.instance.boot,
+            incarnation: self.incarnation,
+            state: self.state,
+        }
+    }
+}
+
+/// What a daemon knows of itself before it joins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LocalMember {
+    /// This run of this daemon.
+    pub instance: InstanceId,
+    /// Place.
+    pub place: PlaceName,
+    /// Zone.
+    pub zone: ZoneName,
+    /// HTTP address for callers.
+    pub caller_address: SocketAddr,
+}
+
+impl LocalMember {
+    /// The daemon's first statement about itself.
+    pub fn record(self) -> MemberRecord {
+        MemberRecord {
+            instance: self.instance,
+            incarnation: 0,
+            place: self.place,
+            zone: self.zone,
+            caller_address: self.caller_address,
+            state: MemberState::Alive,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-cluster/src/membership/packet.rs
@@ -0,0 +1,84 @@
+//! The UDP messages between daemons.
+
+use super::member::MemberRecord;
+use serde::{Deserialize, Serialize};
+use tansylead_types::{NodeId, PlaceName};
+
+/// Summary of the configuration a daemon holds. Travels on every packet.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct ConfigDigest {
+    /// Highest store revision up to which the daemon holds everything; 0 if it holds nothing.
+    pub revision: u64,
+    /// Hash over key, generation, revision and change of every object held.
+    pub hash: u64,
+}
+
+/// Matches an acknowledgement or reply to its request, within the daemon that asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Sequence(pub u32);
+
+/// Hash over the running members of one place, for comparing two member tables.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceSummary {
+    /// Place.
+    pub place: PlaceName,
+    /// Order-independent hash of the statements about its running members.
+    pub hash: u64,
+}
+
+/// Purpose of a packet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipMessage {
+    /// Are you running? Answered by `Ack`.
+    Ping(Sequence),
+    /// Answer to `Ping`, or relayed by the receiver of a `PingRequest`.
+    Ack(Sequence),
+    /// Asks the receiver to ping `target` and to relay its acknowledgement.
+    PingRequest {
+        /// Number the relayed `Ack` must carry.
+        sequence: Sequence,
+        /// Whom to ping.
+        target: NodeId,
+    },
+    /// Asks for a summary of the receiver's member table; also how a daemon joins.
+    SummaryRequest,
+    /// Summary of the sender's member table.
+    Summary(Vec<PlaceSummary>),
+    /// Asks for members of a place with addresses after `after`.
+    PageRequest {
+        /// Place.
+        place: PlaceName,
+        /// Last address already received.
+        after: Option<NodeId>,
+    },
+    /// Members of a place in order of address; the statements travel in `updates`.
+    Page {
+        /// Place.
+        place: PlaceName,
+        /// Where to go on; none if this was the last page.
+        next: Option<NodeId>,
+    },
+    /// The sender has just applied the configuration in its digest. Not answered.
+    Announce,
+    /// Which configuration do you hold? Answered by `RevisionReply`, whose digest tells.
+    RevisionQuery(Sequence),
+    /// Answer to `RevisionQuery`.
+    RevisionReply(Sequence),
+}
+
+/// One packet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipPacket {
+    /// The sender's statement about itself.
+    pub sender: MemberRecord,
+    /// Configuration the sender holds.
+    pub config: ConfigDigest,
+    /// Order-independent hash of the sender's table of running members.
+    pub members_hash: u64,
+    /// Purpose.
+    pub message: GossipMessage,
+    /// Statements about other members.
+    pub updates: Vec<MemberRecord>,
+}
--- /dev/null
+++ b/crates/tansylead-cluster/src/membership/settings.rs
@@ -0,0 +1,64 @@
+//! Periods and limits of membership.
+
+use std::time::Duration;
+
+/// Periods and limits of membership; the defaults are for 2,000 daemons.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MembershipSettings {
+    /// Period of probes within the place.
+    pub probe_period: Duration,
+    /// Time for a direct acknowledgement before helpers are asked.
+    pub direct_timeout: Duration,
+    /// Helpers asked to probe a silent member.
+    pub indirect_probes: usize,
+    /// A suspicion lasts this many probe periods, times the decimal logarithm of the place's size.
+    pub suspicion_multiplier: f64,
+    /// A statement is passed on this many times, times the decimal logarithm of the cluster size.
+    pub retransmit_multiplier: f64,
+    /// Period of probes to other places, each time the next place.
+    pub remote_probe_period: Duration,
+    /// A place that failed this many remote probes in a row counts as unreachable.
+    pub remote_failures: u32,
+    /// Longest period of probes to an unreachable place.
+    pub unreachable_probe_limit: Duration,
+    /// Period of probes to failed members, one at a time.
+    pub failed_probe_period: Duration,
+    /// Failed members are remembered and probed this long.
+    pub failed_retention: Duration,
+    /// Members that left are remembered this long, so that old statements do not revive them.
+    pub left_retention: Duration,
+    /// Members of an unreachable place are remembered this long after it was last heard.
+    pub unreachable_retention: Duration,
+    /// Member tables that differ this long are compared page by page.
+    pub mismatch_tolerance: Duration,
+    /// Time between page requests.
+    pub page_interval: Duration,
+    /// Pages and summaries served per second; surplus requests are dropped and retried elsewhere.
+    pub pages_served_per_second: u32,
+    /// Period of attempts to join, and of reminders to seeds that are not members.
+    pub join_period: Duration,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        const HOUR: Duration = Duration::from_secs(3_600);
+        Self {
+            probe_period: Duration::from_secs(1),
+            direct_timeout: Duration::from_millis(400),
+            indirect_probes: 3,
+            suspicion_multiplier: 2.0,
+            retransmit_multiplier: 4.0,
+            remote_probe_period: Duration::from_secs(2),
+            remote_failures: 3,
+            unreachable_probe_limit: Duration::from_secs(30),
+            failed_probe_period: Duration::from_secs(5),
+            failed_retention: 72 * HOUR,
+            left_retention: HOUR,
+            unreachable_retention: 72 * HOUR,
+            mismatch_tolerance: Duration::from_secs(10),
+            page_interval: Duration::from_millis(125),
+            pages_served_per_second: 20,
+            join_period: Duration::from_secs(1),
+        }
+    }
+}
