--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -1,1 +1,47 @@
-//! Placeholder.
+//! Stand-ins for the platform and the back ends, and the tools that exercise daemons against them.
+//!
+//! Each subcommand of `tansylead-lab` is one module with two functions: `command()` describes it
+//! to clap and `run(matches)` carries it out. [`SUBCOMMANDS`] is the only place that lists them.
+
+pub mod experiment;
+pub mod load;
+
+use clap::{ArgMatches, Command};
+
+/// One subcommand of the program.
+pub struct Subcommand {
+    /// Describes the subcommand; its name is the word on the command line.
+    pub command: fn() -> Command,
+    /// Carries it out and returns when it is over. An error makes the exit code non-zero.
+    pub run: fn(&ArgMatches) -> eyre::Result<()>,
+}
+
+/// All subcommands, in the order of the help text.
+pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
+    command: experiment::command,
+    run: experiment::run,
+}];
+
+/// The command line of the whole program.
+pub fn command() -> Command {
+    let program = Command::new("tansylead-lab")
+        .about("Stand-ins, sample deployments, demo and experiments for tansylead")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true);
+    SUBCOMMANDS.iter().fold(program, |program, subcommand| {
+        program.subcommand((subcommand.command)())
+    })
+}
+
+/// Runs the subcommand that the command line names.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let (name, arguments) = matches
+        .subcommand()
+        .ok_or_else(|| eyre::eyre!("no subcommand given"))?;
+    let subcommand = SUBCOMMANDS
+        .iter()
+        .find(|subcommand| (subcommand.command)().get_name() == name)
+        .ok_or_else(|| eyre::eyre!("unknown subcommand `{name}`"))?;
+    (subcommand.run)(arguments)
+}
--- /dev/null
+++ b/crates/tansylead-lab/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop load.
--- a/crates/tansylead-lab/src/main.rs
+++ b/crates/tansylead-lab/src/main.rs
@@ -1,2 +1,6 @@
-//! Placeholder.
-fn main() {}
+//! The `tansylead-lab` program.
+
+fn main() -> eyre::Result<()> {
+    let matches = tansylead_lab::command().get_matches();
+    tansylead_lab::run(&matches)
+}
