lab: stand-ins for leafs, the store and the machine list

Needed by every run of real daemons. Each is a subcommand, prints one JSON ready line with its address, and takes its faults over HTTP as typed JSON that refuses unknown keys, so that tests break things without a rebuild.

Not measured yet.

--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -4,7 +4,13 @@
 //! to clap and `run(matches)` carries it out. [`SUBCOMMANDS`] is the only place that lists them.
 
 pub mod experiment;
+pub mod http;
+pub mod leaf;
 pub mod load;
+pub mod logging;
+pub mod machines;
+pub mod standin;
+pub mod store;
 
 use clap::{ArgMatches, Command};
 
@@ -17,10 +23,24 @@
 }
 
 /// All subcommands, in the order of the help text.
-pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
-    command: experiment::command,
-    run: experiment::run,
-}];
+pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        command: leaf::command,
+        run: leaf::run,
+    },
+    Subcommand {
+        command: store::command,
+        run: store::run,
+    },
+    Subcommand {
+        command: machines::command,
+        run: machines::run,
+    },
+    Subcommand {
+        command: experiment::command,
+        run: experiment::run,
+    },
+];
 
 /// The command line of the whole program.
 pub fn command() -> Command {
