--- a/crates/tansylead-cluster/src/lib.rs
+++ b/crates/tansylead-cluster/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod codec;
 pub mod membership;
+pub mod routing;
 pub mod spread;
