--- a/crates/tansylead-lab/src/experiment/mod.rs
+++ b/crates/tansylead-lab/src/experiment/mod.rs
@@ -1,5 +1,9 @@
 //! Side-by-side experiments on tail latency, coverage and extra load.
 
+pub mod file;
+pub mod statistics;
+pub mod usage;
+
 use clap::{Arg, ArgMatches, Command};
 
 /// Describes the subcommand.
--- /dev/null
+++ b/crates/tansylead-lab/tests/experiment_file.rs
@@ -0,0 +1,62 @@
+//! Errors of experiment files, and the standard file itself.
+
+use std::path::Path;
+use tansylead_lab::experiment::file;
+
+const MINIMAL: &str = r#"
+seed = 1
+rounds = 1
+warm_up_seconds = 1
+measured_seconds = 4
+
+[[shape]]
+name = "small"
+places = ["muscat"]
+daemons_per_place = 2
+[[shape.service]]
+name = "lookup"
+leafs = 4
+slots = 5
+connections = 65
+shards = 4
+replicas = 2
+median_millis = 10.0
+p99_millis = 30.0
+deadline_millis = 500
+
+[[scenario]]
+name = "steady"
+title = "Steady load"
+shapes = ["small"]
+variants = ["product", "baseline"]
+load = 0.6
+fault = { kind = "freeze_leaf", at_seconds = 2 }
+"#;
+
+fn error_after(change: &str, to: &str) -> String {
+    assert!(MINIMAL.contains(change));
+    file::parse(&MINIMAL.replace(change, to)).unwrap_err()
+}
+
+#[test]
+fn errors_name_the_key_and_the_value() {
+    assert!(file::parse(MINIMAL).is_ok());
+    let errors = [
+        error_after("rounds = 1", "rounds = 0"),
+        error_after("rounds = 1", "rounds = 1\nrepeat = 2"),
+        error_after("replicas = 2", "replicas = 5"),
+        error_after("p99_millis = 30.0", "p99_millis = 3.0"),
+        error_after(r#"shapes = ["small"]"#, r#"shapes = ["large"]"#),
+        error_after("load = 0.6", "load = 0.0"),
+        error_after("at_seconds = 2", "at_seconds = 9"),
+        error_after("freeze_leaf", "melt_leaf"),
+        error_after(r#"places = ["muscat"]"#, r#"places = ["mus cat"]"#),
+    ];
+    insta::assert_snapshot!(errors.join("\n----\n"));
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = file::read(Path::new("no-such-file.toml")).unwrap_err();
+    assert_eq!(error.peer.0, "no-such-file.toml");
+}
