--- a/crates/tansylead-lab/src/experiment/mod.rs
+++ b/crates/tansylead-lab/src/experiment/mod.rs
@@ -1,6 +1,8 @@
 //! Side-by-side experiments on tail latency, coverage and extra load.
 
+pub mod figures;
 pub mod file;
+pub mod plot;
 pub mod statistics;
 pub mod usage;
 
--- a/crates/tansylead-lab/src/load/recorder.rs
+++ b/crates/tansylead-lab/src/load/recorder.rs
@@ -63,6 +63,13 @@
     Lost(String),
 }
 
+impl QueryResult {
+    /// Whether every shard answered.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Answered(figures) if figures.outcome == Outcome::Complete)
+    }
+}
+
 /// Figures of one correct answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerFigures {
@@ -209,6 +216,7 @@
     totals: Totals,
     by_second: BTreeMap<u64, Totals>,
     generator_lag: LatencyHistogram,
+    incomplete: Vec<Duration>,
     complaints: Vec<String>,
 }
 
@@ -223,6 +231,7 @@
             totals: Totals::default(),
             by_second: BTreeMap::new(),
             generator_lag: LatencyHistogram::default(),
+            incomplete: Vec::new(),
             complaints: Vec::new(),
         }
     }
@@ -230,6 +239,9 @@
     /// Adds one query.
     pub fn record(&mut self, sample: &Sample) {
         self.keep_complaint(sample);
+        if !sample.result.is_complete() {
+            self.incomplete.push(sample.planned);
+        }
         let second = self.by_second.entry(sample.planned.as_secs()).or_default();
         second.record(sample);
         if sample.planned >= self.warm_up {
@@ -268,6 +280,11 @@
         &self.generator_lag
     }
 
+    /// Planned arrivals of all queries without a complete answer, in no order.
+    pub fn incomplete(&self) -> &[Duration] {
+        &self.incomplete
+    }
+
     /// First few wrong, rejected and lost queries, in words.
     pub fn complaints(&self) -> &[String] {
         &self.complaints
