--- a/crates/tansylead-lab/src/experiment/file.rs
+++ b/crates/tansylead-lab/src/experiment/file.rs
@@ -28,6 +28,23 @@
     pub scenarios: Vec<Scenario>,
 }
 
+impl ExperimentFile {
+    /// Counted part of a run.
+    pub fn measured(&self, scenario: &Scenario) -> Duration {
+        Duration::from_secs(scenario.measured_seconds.unwrap_or(self.measured_seconds))
+    }
+
+    /// Part of every run that is not counted.
+    pub fn warm_up(&self) -> Duration {
+        Duration::from_secs(self.warm_up_seconds)
+    }
+
+    /// Whole length of a run.
+    pub fn run_length(&self, scenario: &Scenario) -> Duration {
+        self.warm_up() + self.measured(scenario)
+    }
+}
+
 /// A deployment at reduced scale.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -97,6 +114,9 @@
     pub shapes: Vec<String>,
     /// Variants that run interleaved on the same seeds.
     pub variants: Vec<Variant>,
+    /// Counted part of the run, if it differs from the file's.
+    #[serde(default)]
+    pub measured_seconds: Option<u64>,
     /// Offered load as a share of all slots.
     pub load: f64,
     /// Limit of the table as a share of all slots; no limit if absent.
@@ -244,9 +264,9 @@
         .map(|shape| shape.name.as_str())
         .collect();
     let mut names = BTreeSet::new();
-    let run_seconds = file.warm_up_seconds + file.measured_seconds;
     for scenario in &file.scenarios {
         let name = &scenario.name;
+        let run_seconds = file.run_length(scenario).as_secs();
         if !names.insert(name) {
             return Err(format!("scenario `{name}` stands twice"));
         }
--- a/crates/tansylead-lab/src/load/driver.rs
+++ b/crates/tansylead-lab/src/load/driver.rs
@@ -94,6 +94,7 @@
     let generator_lag = planned.elapsed();
     let result = send_with_failover(&shared, arrival).await;
     let sample = Sample {
+        stream: arrival.stream,
         planned: arrival.at,
         latency: planned.elapsed(),
         generator_lag,
--- a/crates/tansylead-lab/src/load/recorder.rs
+++ b/crates/tansylead-lab/src/load/recorder.rs
@@ -88,6 +88,8 @@
 /// One finished query.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Sample {
+    /// Index of its stream.
+    pub stream: usize,
     /// Planned arrival, from the start of the run.
     pub planned: Duration,
     /// Time from the planned arrival to the last byte of the answer.
@@ -214,6 +216,7 @@
 pub struct Recorder {
     warm_up: Duration,
     totals: Totals,
+    by_stream: BTreeMap<usize, Totals>,
     by_second: BTreeMap<u64, Totals>,
     generator_lag: LatencyHistogram,
     incomplete: Vec<Duration>,
@@ -229,6 +232,7 @@
         Self {
             warm_up,
             totals: Totals::default(),
+            by_stream: BTreeMap::new(),
             by_second: BTreeMap::new(),
             generator_lag: LatencyHistogram::default(),
             incomplete: Vec::new(),
@@ -246,6 +250,8 @@
         second.record(sample);
         if sample.planned >= self.warm_up {
             self.totals.record(sample);
+            let stream = self.by_stream.entry(sample.stream).or_default();
+            stream.record(sample);
             self.generator_lag.record(sample.generator_lag);
         }
     }
@@ -270,6 +276,11 @@
         &self.totals
     }
 
+    /// Everything after the warm-up, by index of the stream.
+    pub fn by_stream(&self) -> &BTreeMap<usize, Totals> {
+        &self.by_stream
+    }
+
     /// By second of the planned arrival, warm-up included.
     pub fn by_second(&self) -> &BTreeMap<u64, Totals> {
         &self.by_second
--- a/crates/tansylead-lab/tests/load.rs
+++ b/crates/tansylead-lab/tests/load.rs
@@ -71,6 +71,7 @@
 
 fn sample(planned_millis: u64, latency_millis: u64, result: QueryResult) -> Sample {
     Sample {
+        stream: 0,
         planned: Duration::from_millis(planned_millis),
         latency: Duration::from_millis(latency_millis),
         generator_lag: Duration::ZERO,
