--- a/crates/tansylead-lab/src/experiment/mod.rs
+++ b/crates/tansylead-lab/src/experiment/mod.rs
@@ -1,5 +1,11 @@
 //! Side-by-side experiments on tail latency, coverage and extra load.
 
+pub mod figures;
+pub mod file;
+pub mod plot;
+pub mod statistics;
+pub mod usage;
+
 use clap::{Arg, ArgMatches, Command};
 
 /// Describes the subcommand.
