--- /dev/null
+++ b/crates/tansylead-query/src/attempt_end.rs
@@ -0,0 +1,325 @@
+//! What follows the end of an attempt: matching of every echoed field, lessons about the leaf,
+//! and the next step for the shard.
+
+use crate::context::Context;
+use crate::event::AttemptResult;
+use crate::leaf_table::LeafIndex;
+use crate::leaving::LeavingSign;
+use crate::query::{Attempt, AttemptState, Query};
+use crate::shard_progress::{LastEnd, ShardPhase, TriedState};
+use crate::timers::Timer;
+use std::time::Duration;
+use tansylead_types::leaf::{LeafAnswer, LeafRefusal, RefusalReason};
+use tansylead_types::{AttemptId, MissingReason, Moment, QueryId};
+
+/// What an attempt that ended without an answer means for its shard.
+#[derive(Debug, Clone, Copy)]
+struct Ending {
+    /// Whether the attempt certainly did not run.
+    certainly_not_run: bool,
+    /// What the leaf is still good for.
+    leaf: TriedState,
+    /// What the next attempt costs.
+    next: LastEnd,
+    /// Reason to report if nothing is left to try.
+    reason: MissingReason,
+    /// Whether another attempt can be useful.
+    may_follow: bool,
+}
+
+const FAILED: Ending = Ending {
+    certainly_not_run: false,
+    leaf: TriedState::MayTryAgain,
+    next: LastEnd::NeedsBudget,
+    reason: MissingReason::Failed,
+    may_follow: true,
+};
+
+const NOT_SENT: Ending = Ending {
+    certainly_not_run: true,
+    next: LastEnd::Redirected,
+    ..FAILED
+};
+
+impl Query {
+    /// Handles the end of an attempt that has not been cancelled.
+    pub(crate) fn on_attempt_ended(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        id: AttemptId,
+        result: AttemptResult,
+    ) {
+        let index = id.0 as usize;
+        let Some(attempt) = self.attempts.get_mut(index) else {
+            context.counters.answers_mismatched += 1;
+            return;
+        };
+        match attempt.state {
+            AttemptState::Ended => {
+                context.counters.answers_duplicate += 1;
+                return;
+            }
+            AttemptState::Cancelled => {
+                context.counters.answers_late += 1;
+                return;
+            }
+            AttemptState::Running => attempt.state = AttemptState::Ended,
+        }
+        let attempt = *attempt;
+        self.shards[attempt.position].running -= 1;
+        context.free_slot(attempt.leaf);
+        match result {
+            AttemptResult::Answered(answer) if self.matches(context, id, &attempt, &answer) => {
+                self.on_answer(now, context, attempt, answer);
+            }
+            AttemptResult::Refused(refusal) if self.is_refusal_of(context, id, &refusal) => {
+                let ending = self.on_refusal(now, context, attempt, &refusal);
+                self.on_no_answer(now, context, attempt, ending);
+            }
+            AttemptResult::NotSent => {
+                context.counters.attempts_not_sent += 1;
+                learn_not_sent(now, context, attempt.leaf);
+                self.on_no_answer(now, context, attempt, NOT_SENT);
+            }
+            other => {
+                let mismatched = !matches!(other, AttemptResult::Failed);
+                context.counters.answers_mismatched += u64::from(mismatched);
+                context.counters.attempts_failed += 1;
+                learn_failed(now, context, attempt);
+                self.on_no_answer(now, context, attempt, FAILED);
+            }
+        }
+    }
+
+    fn matches(
+        &self,
+        context: &Context,
+        id: AttemptId,
+        attempt: &Attempt,
+        answer: &LeafAnswer,
+    ) -> bool {
+        let entry = self.entry(attempt.position);
+        answer.request == self.request.request
+            && is_own_root(context, &answer.root)
+            && answer.query == self.id
+            && answer.attempt == id
+            && answer.shard == entry.shard
+            && answer.snapshot == self.snapshot.version
+    }
+
+    fn is_refusal_of(&self, context: &Context, id: AttemptId, refusal: &LeafRefusal) -> bool {
+        refusal_matches(context, self.id, id, refusal)
+    }
+
+    fn on_answer(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        attempt: Attempt,
+        answer: LeafAnswer,
+    ) {
+        learn_answer(now, context, attempt, &answer);
+        self.cancel_other_attempts(now, context, attempt.position);
+        self.settle(attempt.position, ShardPhase::Answered(answer.result));
+    }
+
+    /// Ends the hedges that lost against an answer.
+    fn cancel_other_attempts(&mut self, now: Moment, context: &mut Context, position: usize) {
+        if self.shards[position].running == 0 {
+            return;
+        }
+        for index in 0..self.attempts.len() {
+            if self.attempts[index].position == position {
+                self.cancel_attempt(now, context, index);
+            }
+        }
+    }
+
+    fn on_no_answer(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        attempt: Attempt,
+        ending: Ending,
+    ) {
+        self.certainly_not_run += u32::from(ending.certainly_not_run);
+        self.result_unknown |= !ending.certainly_not_run;
+        let may_follow = ending.may_follow
+            && context.tuning.retries
+            && (self.request.is_repeatable() || ending.certainly_not_run);
+        let shard = &mut self.shards[attempt.position];
+        shard.set_tried(attempt.leaf, ending.leaf);
+        shard.last_end = ending.next;
+        shard.reason = ending.reason;
+        if shard.running > 0 {
+            return;
+        }
+        if may_follow {
+            self.dispatch(now, context, attempt.position);
+        } else {
+            self.give_up(attempt.position);
+        }
+    }
+
+    fn on_refusal(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        attempt: Attempt,
+        refusal: &LeafRefusal,
+    ) -> Ending {
+        if let Some(state) = context.leafs.get_mut(attempt.leaf) {
+            state.on_reply();
+        }
+        context.note_in_band_load(now, attempt.leaf, &refusal.load);
+        match refusal.reason {
+            RefusalReason::Overloaded => self.on_overloaded(now, context, attempt.leaf, refusal),
+            RefusalReason::Draining => {
+                context.counters.refused_draining += 1;
+                context.note_leaving(now, attempt.leaf, LeavingSign::InBand);
+                not_held(MissingReason::NoReplica)
+            }
+            RefusalReason::SnapshotNotHeld | RefusalReason::ShardNotHeld => {
+                self.on_not_held(now, context, attempt, refusal.reason)
+            }
+            RefusalReason::Expired => {
+                context.counters.refused_expired += 1;
+                Ending {
+                    certainly_not_run: true,
+                    leaf: TriedState::Excluded,
+                    next: LastEnd::NeedsBudget,
+                    reason: MissingReason::DeadlineExceeded,
+                    may_follow: self.request.is_repeatable(),
+                }
+            }
+        }
+    }
+
+    fn on_overloaded(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        leaf: LeafIndex,
+        refusal: &LeafRefusal,
+    ) -> Ending {
+        context.counters.refused_overloaded += 1;
+        let asked = refusal.retry_after_millis.map(Duration::from_millis);
+        self.retry_hint = self.retry_hint.max(asked);
+        let adaptive = context.tuning.adaptive_limit;
+        if let Some(state) = context.leafs.get_mut(leaf) {
+            let until = state.limit.on_overload(now, asked, adaptive);
+            context.timers.schedule(until, Timer::Leaf(leaf));
+        }
+        Ending {
+            certainly_not_run: true,
+            reason: MissingReason::Overloaded,
+            ..FAILED
+        }
+    }
+
+    fn on_not_held(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        attempt: Attempt,
+        reason: RefusalReason,
+    ) -> Ending {
+        context.counters.refused_not_held += 1;
+        let version = self.snapshot.version;
+        let shard = &self.entry(attempt.position).shard;
+        if let Some(state) = context.leafs.get_mut(attempt.leaf) {
+            match reason {
+                RefusalReason::ShardNotHeld => {
+                    state.snapshots.on_shard_not_held(now, version, shard);
+                }
+                _ => state.snapshots.on_snapshot_not_held(now, version),
+            }
+        }
+        context.leafs.touch();
+        context.displace_waiters(attempt.leaf);
+        not_held(MissingReason::SnapshotGone)
+    }
+}
+
+fn not_held(reason: MissingReason) -> Ending {
+    Ending {
+        certainly_not_run: true,
+        leaf: TriedState::Excluded,
+        next: LastEnd::Redirected,
+        reason,
+        may_follow: true,
+    }
+}
+
+/// Learns what an attempt that had been abandoned still tells about its leaf.
+pub(crate) fn learn_from_late_end(
+    now: Moment,
+    context: &mut Context,
+    leaf: LeafIndex,
+    query: QueryId,
+    attempt: AttemptId,
+    result: &AttemptResult,
+) {
+    match result {
+        AttemptResult::Answered(answer)
+            if answer.query == query
+                && answer.attempt == attempt
+                && is_own_root(context, &answer.root) =>
+        {
+            context.note_in_band_load(now, leaf, &answer.load);
+        }
+        AttemptResult::Refused(refusal) if refusal_matches(context, query, attempt, refusal) => {
+            context.note_in_band_load(now, leaf, &refusal.load);
+            if refusal.reason == RefusalReason::Draining {
+                context.note_leaving(now, leaf, LeavingSign::InBand);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn refusal_matches(
+    context: &Context,
+    query: QueryId,
+    attempt: AttemptId,
+    refusal: &LeafRefusal,
+) -> bool {
+    is_own_root(context, &refusal.root) && refusal.query == query && refusal.attempt == attempt
+}
+
+fn is_own_root(context: &Context, echoed: &str) -> bool {
+    let name = context.root_name.as_deref();
+    name.is_none_or(|name| name == echoed)
+}
+
+fn learn_answer(now: Moment, context: &mut Context, attempt: Attempt, answer: &LeafAnswer) {
+    let latency = now.since(attempt.sent_at);
+    context.hedge_delay.record(now, latency);
+    let mut belief_changed = false;
+    if let Some(state) = context.leafs.get_mut(attempt.leaf) {
+        state.on_reply();
+        state.latency.record(latency);
+        state.limit.on_success(now);
+        belief_changed = state.snapshots.on_answer(now, answer.snapshot);
+    }
+    if belief_changed {
+        context.leafs.touch();
+    }
+    context.note_in_band_load(now, attempt.leaf, &answer.load);
+    context.eject_stragglers(now);
+}
+
+fn learn_failed(now: Moment, context: &mut Context, attempt: Attempt) {
+    if let Some(state) = context.leafs.get_mut(attempt.leaf) {
+        state.latency.record_at_least(now.since(attempt.sent_at));
+    }
+    context.note_failure(now, attempt.leaf);
+}
+
+fn learn_not_sent(now: Moment, context: &mut Context, leaf: LeafIndex) {
+    if let Some(state) = context.leafs.get_mut(leaf) {
+        state.leaving.on_unreachable();
+    }
+    context.note_failure(now, leaf);
+}
--- /dev/null
+++ b/crates/tansylead-query/src/context.rs
@@ -0,0 +1,173 @@
+//! What all queries of one engine share: leafs, timers, budget, counters and the actions being
+//! collected. Queries never touch each other; they meet only here.
+
+use crate::admission::Admission;
+use crate::counters::EngineCounters;
+use crate::event::RootAction;
+use crate::hedge_delay::HedgeDelay;
+use crate::leaf_state::Waiter;
+use crate::leaf_table::{LeafIndex, LeafTable};
+use crate::retry_budget::RetryBudget;
+use crate::timers::{Timer, Timers};
+use crate::tuning::EngineTuning;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+use std::time::Duration;
+use tansylead_types::{AttemptId, Moment, QueryId, ServicePolicy};
+
+/// Answers "when to come back" are spread over this share above the computed time.
+const RETRY_AFTER_JITTER: f64 = 0.25;
+
+/// A slot of a cancelled attempt that the leaf may still be using.
+#[derive(Debug, Clone, Copy)]
+struct HeldSlot {
+    leaf: LeafIndex,
+    until: Moment,
+}
+
+/// State shared by the queries of one engine.
+#[derive(Debug)]
+pub(crate) struct Context {
+    /// Mechanisms and sizes.
+    pub(crate) tuning: EngineTuning,
+    /// Policy in force.
+    pub(crate) policy: ServicePolicy,
+    /// Name of this root as leafs echo it; unchecked if none.
+    pub(crate) root_name: Option<String>,
+    /// Leafs.
+    pub(crate) leafs: LeafTable,
+    /// Timers.
+    pub(crate) timers: Timers,
+    /// Budget of extra attempts.
+    pub(crate) budget: RetryBudget,
+    /// Learned delay of hedges.
+    pub(crate) hedge_delay: HedgeDelay,
+    /// Rate limit.
+    pub(crate) admission: Admission,
+    /// Counters.
+    pub(crate) counters: EngineCounters,
+    /// Random choices.
+    pub(crate) random: StdRng,
+    /// Actions of the event being handled.
+    pub(crate) actions: Vec<RootAction>,
+    /// Shards waiting for a slot, over all queries.
+    pub(crate) waiting_shards: usize,
+    held_slots: HashMap<(QueryId, AttemptId), HeldSlot>,
+    freed: Vec<LeafIndex>,
+    displaced: Vec<Waiter>,
+}
+
+impl Context {
+    /// Nothing configured.
+    pub(crate) fn new(seed: u64, tuning: EngineTuning) -> Self {
+        let policy = ServicePolicy::default();
+        let mut context = Self {
+            budget: RetryBudget::new(tuning.retry_budget_burst),
+            tuning,
+            policy: policy.clone(),
+            root_name: None,
+            leafs: LeafTable::new(),
+            timers: Timers::default(),
+            hedge_delay: HedgeDelay::new(),
+            admission: Admission::unlimited(),
+            counters: EngineCounters::default(),
+            random: StdRng::seed_from_u64(seed),
+            actions: Vec::new(),
+            waiting_shards: 0,
+            held_slots: HashMap::new(),
+            freed: Vec::new(),
+            displaced: Vec::new(),
+        };
+        context.set_policy(policy);
+        context
+    }
+
+    /// Puts a policy in force.
+    pub(crate) fn set_policy(&mut self, policy: ServicePolicy) {
+        self.budget.set_percent(policy.retry_budget_percent);
+        self.hedge_delay.set_quantile(policy.hedge_quantile);
+        self.policy = policy;
+    }
+
+    /// Counts an attempt as running.
+    pub(crate) fn take_slot(&mut self, leaf: LeafIndex) {
+        if let Some(state) = self.leafs.get_mut(leaf) {
+            state.in_flight += 1;
+        }
+    }
+
+    /// Counts an attempt as over and marks its leaf for [`Context::pop_freed`].
+    pub(crate) fn free_slot(&mut self, leaf: LeafIndex) {
+        if let Some(state) = self.leafs.get_mut(leaf) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+        self.freed.push(leaf);
+    }
+
+    /// Keeps the slot of a cancelled attempt until its end is reported or the hold has passed.
+    pub(crate) fn hold_slot(
+        &mut self,
+        now: Moment,
+        query: QueryId,
+        attempt: AttemptId,
+        leaf: LeafIndex,
+    ) {
+        let until = now + self.tuning.cancelled_slot_hold;
+        self.held_slots
+            .insert((query, attempt), HeldSlot { leaf, until });
+        self.timers
+            .schedule(until, Timer::CancelledSlot(query, attempt));
+    }
+
+    /// Ends the hold of a slot. Returns its leaf if there was a hold.
+    pub(crate) fn release_held_slot(
+        &mut self,
+        query: QueryId,
+        attempt: AttemptId,
+    ) -> Option<LeafIndex> {
+        let held = self.held_slots.remove(&(query, attempt))?;
+        self.timers
+            .cancel(held.until, Timer::CancelledSlot(query, attempt));
+        self.free_slot(held.leaf);
+        Some(held.leaf)
+    }
+
+    /// Marks a leaf whose waiting shards may now find room.
+    pub(crate) fn mark_freed(&mut self, leaf: LeafIndex) {
+        self.freed.push(leaf);
+    }
+
+    /// Next leaf whose waiting shards may find room.
+    pub(crate) fn pop_freed(&mut self) -> Option<LeafIndex> {
+        self.freed.pop()
+    }
+
+    /// Next waiting shard whose leaf may no longer be the right one.
+    pub(crate) fn pop_displaced(&mut self) -> Option<Waiter> {
+        self.displaced.pop()
+    }
+
+    /// Makes every shard that waits for the leaf look again.
+    pub(crate) fn displace_waiters(&mut self, leaf: LeafIndex) {
+        if let Some(state) = self.leafs.get(leaf) {
+            self.displaced.extend(state.waiting.iter().copied());
+        }
+    }
+
+    /// Expected time until a shard that starts waiting now gets a slot.
+    pub(crate) fn expected_wait(&self, now: Moment) -> Duration {
+        if self.waiting_shards == 0 {
+            return Duration::ZERO;
+        }
+        let at_once = f64::from(self.leafs.total_limit(now).max(1));
+        let rounds = self.waiting_shards as f64 / at_once;
+        self.leafs.typical_latency().mul_f64(rounds)
+    }
+
+    /// Spreads a time to come back, so that callers do not come back together.
+    pub(crate) fn jittered(&mut self, duration: Duration) -> Duration {
+        let factor = 1.0 + self.random.random_range(0.0..RETRY_AFTER_JITTER);
+        duration.mul_f64(factor)
+    }
+}
--- /dev/null
+++ b/crates/tansylead-query/src/counters.rs
@@ -0,0 +1,62 @@
+//! Counters of one engine. They only grow; the daemon turns them into metrics.
+
+/// Counters since the engine was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EngineCounters {
+    /// Queries started.
+    pub queries_started: u64,
+    /// Queries that ended complete.
+    pub queries_complete: u64,
+    /// Queries that ended partial.
+    pub queries_partial: u64,
+    /// Queries refused or given up without any leaf having run anything.
+    pub queries_not_run: u64,
+    /// Queries that may have run without a known result.
+    pub queries_unknown: u64,
+    /// Queries whose caller went away.
+    pub queries_abandoned: u64,
+    /// Queries refused by the rate limit (part of `queries_not_run`).
+    pub refused_rate: u64,
+    /// Queries refused because they could not get slots in time (part of `queries_not_run`).
+    pub refused_capacity: u64,
+    /// First attempts of a shard.
+    pub attempts_first: u64,
+    /// Hedges.
+    pub attempts_hedge: u64,
+    /// Attempts after one that may have run or was shed; paid from the retry budget.
+    pub attempts_retry: u64,
+    /// Attempts on another replica after one that certainly did not run.
+    pub attempts_redirect: u64,
+    /// First attempts of a shard after the query started over on another snapshot.
+    pub attempts_restart: u64,
+    /// Attempts cancelled.
+    pub attempts_cancelled: u64,
+    /// Queries that started over on another snapshot.
+    pub restarts: u64,
+    /// Extra attempts not made because the retry budget was empty.
+    pub budget_exhausted: u64,
+    /// Answers whose echoes did not match the attempt.
+    pub answers_mismatched: u64,
+    /// Answers to attempts that had been cancelled or whose query was over.
+    pub answers_late: u64,
+    /// Second answers to an attempt that had already ended.
+    pub answers_duplicate: u64,
+    /// Refusals for lack of capacity.
+    pub refused_overloaded: u64,
+    /// Refusals because the leaf is leaving.
+    pub refused_draining: u64,
+    /// Refusals because the leaf does not hold the snapshot or the shard.
+    pub refused_not_held: u64,
+    /// Refusals because the deadline or the expiry had passed.
+    pub refused_expired: u64,
+    /// Attempts that failed after bytes may have left.
+    pub attempts_failed: u64,
+    /// Attempts that were never sent.
+    pub attempts_not_sent: u64,
+    /// Ejections of leafs.
+    pub ejections: u64,
+    /// Times a leaf was found to be leaving.
+    pub leafs_leaving: u64,
+    /// Queries started under an id that was in use; ignored.
+    pub duplicate_query_ids: u64,
+}
--- /dev/null
+++ b/crates/tansylead-query/src/dispatch.rs
@@ -0,0 +1,273 @@
+//! Sending attempts: which replicas may serve a shard, which of them has room, what an attempt
+//! costs from the retry budget, and waiting for a slot.
+
+use crate::context::Context;
+use crate::event::{RootAction, SendAttempt};
+use crate::leaf_state::Waiter;
+use crate::leaf_table::LeafIndex;
+use crate::query::{Attempt, AttemptState, Query};
+use crate::replica_choice::choose_replica;
+use crate::shard_progress::{LastEnd, ShardPhase, TriedState};
+use tansylead_types::{MissingReason, Moment};
+
+/// Why an attempt is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptKind {
+    /// The first for the shard.
+    First,
+    /// The first for the shard after the query started over.
+    Restart,
+    /// Follows one that certainly did not run, on a replica not tried before.
+    Redirect,
+    /// Follows one that may have run or was shed.
+    Retry,
+    /// Runs beside a slow one.
+    Hedge,
+}
+
+/// Replicas of the best class that may serve a shard.
+#[derive(Debug)]
+pub(crate) struct Candidates {
+    /// Leafs of the class, with or without room.
+    pub(crate) leafs: Vec<LeafIndex>,
+    /// What they have in common.
+    pub(crate) class: CandidateClass,
+}
+
+/// Classes of replicas, best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CandidateClass {
+    /// Not tried for the shard, neither ejected nor unreachable.
+    GoodStanding,
+    /// Not tried for the shard, but ejected or unreachable.
+    LastResort,
+    /// Tried before.
+    TriedBefore,
+}
+
+impl Query {
+    /// Sends an attempt for a shard, or makes it wait for a slot, or gives it up.
+    pub(crate) fn dispatch(&mut self, now: Moment, context: &mut Context, position: usize) {
+        debug_assert_eq!(self.shards[position].running, 0);
+        if self.shards[position].attempts >= context.tuning.maximum_attempts_per_shard {
+            return self.give_up(position);
+        }
+        let candidates = self.candidates(now, context, position);
+        if candidates.leafs.is_empty() {
+            return self.give_up(position);
+        }
+        let kind = self.kind_of_next(position, candidates.class);
+        if kind == AttemptKind::Retry && !self.pay_for_retry(context, position) {
+            return self.give_up(position);
+        }
+        let with_room = leafs_with_room(now, context, &candidates.leafs);
+        let choice = context.tuning.replica_choice;
+        let chosen = choose_replica(choice, now, &context.leafs, &with_room, &mut context.random);
+        match chosen {
+            Some(leaf) => self.send(now, context, position, leaf, kind),
+            None => self.wait(context, position, candidates.leafs),
+        }
+    }
+
+    /// The best class of replicas that may serve a shard.
+    pub(crate) fn candidates(&self, now: Moment, context: &Context, position: usize) -> Candidates {
+        let shard = &self.shards[position];
+        let entry = self.entry(position);
+        let (mut good, mut last_resort, mut again) = (Vec::new(), Vec::new(), Vec::new());
+        for index in &entry.replicas {
+            let Some(leaf) = context.leafs.get(*index) else {
+                continue;
+            };
+            if !leaf.may_serve(now, self.snapshot.version, &entry.shard) {
+                continue;
+            }
+            match shard.tried_state(*index) {
+                None if leaf.is_last_resort(now) => last_resort.push(*index),
+                None => good.push(*index),
+                Some(TriedState::MayTryAgain) => again.push(*index),
+                Some(TriedState::Running | TriedState::Excluded) => {}
+            }
+        }
+        let (leafs, class) = if !good.is_empty() {
+            (good, CandidateClass::GoodStanding)
+        } else if !last_resort.is_empty() {
+            (last_resort, CandidateClass::LastResort)
+        } else {
+            (again, CandidateClass::TriedBefore)
+        };
+        Candidates { leafs, class }
+    }
+
+    /// Sends an attempt.
+    pub(crate) fn send(
+        &mut self,
+        now: Moment,
+        context: &mut Context,
+        position: usize,
+        leaf: LeafIndex,
+        kind: AttemptKind,
+    ) {
+        let Some(leaf_name) = context.leafs.get(leaf).map(|state| state.id().clone()) else {
+            return self.give_up(position);
+        };
+        let attempt = Self::attempt_id(self.attempts.len());
+        self.attempts.push(Attempt {
+            position,
+            leaf,
+            sent_at: now,
+            state: AttemptState::Running,
+        });
+        let shard = &mut self.shards[position];
+        shard.phase = ShardPhase::Running;
+        shard.running += 1;
+        shard.attempts += 1;
+        shard.retry_paid = false;
+        shard.hedged = kind == AttemptKind::Hedge;
+        if kind != AttemptKind::Hedge {
+            shard.sent_at = now;
+        }
+        shard.set_tried(leaf, TriedState::Running);
+        context.take_slot(leaf);
+        count_attempt(context, kind);
+        context.actions.push(RootAction::Send(SendAttempt {
+            query: self.id,
+            attempt,
+            leaf: leaf_name,
+            shard: self.entry(position).shard.clone(),
+            snapshot: self.snapshot.version,
+            deadline: self.deadline,
+        }));
+    }
+
+    /// Dispatches a shard that waited, because a slot is free or its leafs changed.
+    pub(crate) fn dispatch_waiting(&mut self, now: Moment, context: &mut Context, position: usize) {
+        let waiting = self
+            .shards
+            .get(position)
+            .is_some_and(|shard| shard.phase == ShardPhase::Waiting);
+        if !waiting {
+            return;
+        }
+        self.stop_waiting(context, position);
+        self.dispatch(now, context, position);
+    }
+
+    /// Takes a shard out of all waiting sets.
+    pub(crate) fn stop_waiting(&mut self, context: &mut Context, position: usize) {
+        let waiter = self.waiter(position);
+        let shard = &mut self.shards[position];
+        if shard.phase != ShardPhase::Waiting {
+            return;
+        }
+        shard.phase = ShardPhase::Open;
+        for leaf in std::mem::take(&mut shard.waiting_on) {
+            if let Some(state) = context.leafs.get_mut(leaf) {
+                state.waiting.remove(&waiter);
+            }
+        }
+        context.waiting_shards -= 1;
+    }
+
+    /// Abandons an attempt if it is in flight.
+    pub(crate) fn cancel_attempt(&mut self, now: Moment, context: &mut Context, index: usize) {
+        let attempt = &mut self.attempts[index];
+        if attempt.state != AttemptState::Running {
+            return;
+        }
+        attempt.state = AttemptState::Cancelled;
+        let (leaf, position, sent_at) = (attempt.leaf, attempt.position, attempt.sent_at);
+        self.shards[position].running -= 1;
+        self.result_unknown = true;
+        let elapsed = now.since(sent_at);
+        if let Some(state) = context.leafs.get_mut(leaf) {
+            state.latency.record_at_least(elapsed);
+        }
+        context.hedge_delay.record(now, elapsed);
+        context.counters.attempts_cancelled += 1;
+        let attempt = Self::attempt_id(index);
+        context.hold_slot(now, self.id, attempt, leaf);
+        context.actions.push(RootAction::Cancel {
+            query: self.id,
+            attempt,
+        });
+    }
+
+    /// Gives a shard up for the reason noted last.
+    pub(crate) fn give_up(&mut self, position: usize) {
+        let reason = self.shards[position].reason;
+        let lost = matches!(
+            reason,
+            MissingReason::NoReplica | MissingReason::SnapshotGone
+        );
+        self.snapshot_lost |= lost;
+        self.settle(position, ShardPhase::Missing(reason));
+    }
+
+    fn kind_of_next(&self, position: usize, class: CandidateClass) -> AttemptKind {
+        let shard = &self.shards[position];
+        let untried = class != CandidateClass::TriedBefore;
+        match shard.last_end {
+            LastEnd::None if self.pinned_versions.len() > 1 => AttemptKind::Restart,
+            LastEnd::None => AttemptKind::First,
+            LastEnd::Redirected if untried => AttemptKind::Redirect,
+            LastEnd::Redirected | LastEnd::NeedsBudget => AttemptKind::Retry,
+        }
+    }
+
+    fn pay_for_retry(&mut self, context: &mut Context, position: usize) -> bool {
+        let shard = &mut self.shards[position];
+        if !shard.retry_paid {
+            shard.retry_paid = context.budget.try_take();
+            context.counters.budget_exhausted += u64::from(!shard.retry_paid);
+        }
+        shard.retry_paid
+    }
+
+    fn wait(&mut self, context: &mut Context, position: usize, leafs: Vec<LeafIndex>) {
+        let waiter = self.waiter(position);
+        for leaf in &leafs {
+            if let Some(state) = context.leafs.get_mut(*leaf) {
+                state.waiting.insert(waiter);
+            }
+        }
+        let shard = &mut self.shards[position];
+        shard.phase = ShardPhase::Waiting;
+        shard.waiting_on = leafs;
+        context.waiting_shards += 1;
+    }
+
+    fn waiter(&self, position: usize) -> Waiter {
+        Waiter {
+            deadline: self.deadline,
+            query: self.id,
+            position,
+        }
+    }
+}
+
+/// The leafs that may start another attempt now.
+pub(crate) fn leafs_with_room(
+    now: Moment,
+    context: &Context,
+    leafs: &[LeafIndex],
+) -> Vec<LeafIndex> {
+    let has_room = |index: &LeafIndex| {
+        let leaf = context.leafs.get(*index);
+        leaf.is_some_and(|leaf| leaf.has_room(now))
+    };
+    leafs.iter().copied().filter(has_room).collect()
+}
+
+fn count_attempt(context: &mut Context, kind: AttemptKind) {
+    let counters = &mut context.counters;
+    match kind {
+        AttemptKind::First => {
+            counters.attempts_first += 1;
+            context.budget.deposit();
+        }
+        AttemptKind::Restart => counters.attempts_restart += 1,
+        AttemptKind::Redirect => counters.attempts_redirect += 1,
+        AttemptKind::Retry => counters.attempts_retry += 1,
+        AttemptKind::Hedge => counters.attempts_hedge += 1,
+    }
+}
--- a/crates/tansylead-query/src/engine.rs
+++ b/crates/tansylead-query/src/engine.rs
@@ -1,38 +1,367 @@
 //! The engine: runtime state of the leafs of one service in one place and all queries in progress.
+//!
+//! Every event first fires the timers that are due, so that nothing is sent for a query whose
+//! deadline has passed, however late the event comes. Then the event is handled, and at last the
+//! waiting shards of leafs that have room, in order of deadline.
 
-use crate::event::{RateShare, RootAction, RootEvent};
-use tansylead_types::{Moment, ServiceDefinition, ServicePlacement};
+use crate::attempt_end::learn_from_late_end;
+use crate::context::Context;
+use crate::counters::EngineCounters;
+use crate::event::{AttemptResult, RateShare, RootAction, RootEvent, StartQuery};
+use crate::finish::{RETRY_AFTER_WITHOUT_REPLICAS, refuse};
+use crate::leaf_table::LeafIndex;
+use crate::leaving::LeavingSign;
+use crate::query::Query;
+use crate::snapshot_choice::{SnapshotCatalog, SnapshotChoice};
+use crate::status::{EngineStatus, leaf_statuses};
+use crate::timers::Timer;
+use crate::tuning::EngineTuning;
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+use tansylead_types::leaf::LeafHealth;
+use tansylead_types::{AttemptId, LeafId, Moment, QueryId, ServiceDefinition, ServicePlacement};
+
+/// Told to callers whose deadline had passed on arrival.
+const RETRY_AFTER_LATE_ARRIVAL: Duration = Duration::from_millis(100);
 
 /// State machine of one root for one (service, place).
-#[derive(Debug, Default)]
-pub struct RootEngine {}
+#[derive(Debug)]
+pub struct RootEngine {
+    context: Context,
+    catalog: SnapshotCatalog,
+    queries: HashMap<QueryId, Box<Query>>,
+}
 
 impl RootEngine {
     /// An engine without leafs; `seed` feeds its random choices.
-    pub fn new(_seed: u64) -> Self {
-        Self::default()
+    pub fn new(seed: u64) -> Self {
+        Self::with_tuning(seed, EngineTuning::default())
+    }
+
+    /// An engine without leafs and with other mechanisms or sizes than the default.
+    pub fn with_tuning(seed: u64, tuning: EngineTuning) -> Self {
+        Self {
+            context: Context::new(seed, tuning),
+            catalog: SnapshotCatalog::default(),
+            queries: HashMap::new(),
+        }
+    }
+
+    /// Sets the name that leafs must echo as `root`. The transport fills `LeafRequest::root` with
+    /// the same text. While no name is set the echo is not checked here.
+    pub fn set_root_name(&mut self, name: impl Into<String>) {
+        self.context.root_name = Some(name.into());
     }
 
     /// Puts a definition and a placement in force. Queries in progress keep their snapshot.
     pub fn configure(
         &mut self,
-        _now: Moment,
-        _definition: &ServiceDefinition,
-        _placement: &ServicePlacement,
+        now: Moment,
+        definition: &ServiceDefinition,
+        placement: &ServicePlacement,
     ) -> Vec<RootAction> {
-        Vec::new()
+        self.fire_timers(now);
+        self.context.set_policy(definition.policy.clone());
+        let slow_start = self.context.tuning.slow_start;
+        let changes = self
+            .context
+            .leafs
+            .configure(now, &placement.leafs, slow_start);
+        self.catalog.configure(placement, &self.context.leafs);
+        let versions: BTreeSet<_> = self.catalog.versions().into_iter().collect();
+        self.context.leafs.retain_versions(&versions);
+        for query in self.queries.values_mut() {
+            query.refresh_replicas(self.catalog.get(query.snapshot.version));
+        }
+        for leaf in changes.displaced {
+            self.context.displace_waiters(leaf);
+        }
+        self.offer_all_leafs();
+        self.take_actions(now)
     }
 
     /// Sets this root's share of the table's limit.
-    pub fn set_rate_share(&mut self, _now: Moment, _share: RateShare) {}
+    pub fn set_rate_share(&mut self, now: Moment, share: RateShare) {
+        self.context.admission.set_share(now, share);
+    }
+
+    /// Sets how many roots, this one included, divide the slots of each leaf.
+    pub fn set_leaf_share(&mut self, now: Moment, roots: u32) -> Vec<RootAction> {
+        self.fire_timers(now);
+        self.context.leafs.set_roots(roots);
+        self.offer_all_leafs();
+        self.take_actions(now)
+    }
 
     /// Advances the machine.
-    pub fn on_event(&mut self, _now: Moment, _event: RootEvent) -> Vec<RootAction> {
-        Vec::new()
+    pub fn on_event(&mut self, now: Moment, event: RootEvent) -> Vec<RootAction> {
+        self.fire_timers(now);
+        match event {
+            RootEvent::Start(start) => self.on_start(now, *start),
+            RootEvent::AttemptEnded {
+                query,
+                attempt,
+                result,
+            } => self.on_attempt_ended(now, query, attempt, result),
+            RootEvent::LeafHealth { leaf, report } => self.on_health(now, &leaf, report),
+            RootEvent::LeafLeaving(leaf) => self.on_leaving(now, &leaf),
+            RootEvent::CallerGone(query) => self.on_caller_gone(now, query),
+            RootEvent::Wakeup => {}
+        }
+        self.take_actions(now)
     }
 
     /// When the engine wants [`RootEvent::Wakeup`] at the latest.
     pub fn next_wakeup(&self) -> Option<Moment> {
-        None
+        self.context.timers.next()
+    }
+
+    /// Counters since the engine was made.
+    pub fn counters(&self) -> EngineCounters {
+        self.context.counters
+    }
+
+    /// A view for operators and metrics.
+    pub fn status(&self, now: Moment) -> EngineStatus {
+        let leafs = &self.context.leafs;
+        let choice = self.catalog.choose_among(now, leafs, None, &[]);
+        EngineStatus {
+            queries_in_progress: self.queries.len(),
+            waiting_shards: self.context.waiting_shards,
+            snapshots: self.catalog.versions(),
+            snapshot_in_use: choice.as_ref().map(|choice| choice.snapshot.version),
+            whole: choice.is_some_and(|choice| choice.whole),
+            hedge_delay: self.context.hedge_delay.last_delay(),
+            retry_budget: self.context.budget.balance(),
+            leafs: leaf_statuses(&self.context, now),
+            counters: self.context.counters,
+        }
+    }
+
+    fn on_start(&mut self, now: Moment, start: StartQuery) {
+        if self.queries.contains_key(&start.query) {
+            self.context.counters.duplicate_query_ids += 1;
+            return;
+        }
+        self.context.counters.queries_started += 1;
+        match self.admit(now, &start) {
+            Ok(choice) => self.begin(now, start, choice),
+            Err(refusal) => {
+                let action = refuse(
+                    &mut self.context,
+                    start,
+                    refusal.retry_after,
+                    refusal.reason,
+                );
+                self.context.actions.push(action);
+            }
+        }
+    }
+
+    fn admit(&mut self, now: Moment, start: &StartQuery) -> Result<SnapshotChoice, Refusal> {
+        if start.deadline <= now {
+            return Err(Refusal {
+                retry_after: RETRY_AFTER_LATE_ARRIVAL,
+                reason: "the deadline had passed on arrival",
+            });
+        }
+        let routing_key = start.request.routing_key.as_deref();
+        let choice = self.catalog.choose(now, &self.context.leafs, routing_key);
+        let choice = choice.ok_or(Refusal {
+            retry_after: RETRY_AFTER_WITHOUT_REPLICAS,
+            reason: "no snapshot is configured",
+        })?;
+        let shards = choice.snapshot.addressed(routing_key).len();
+        self.check_capacity(now, start.deadline, shards)?;
+        let admitted = self.context.admission.admit(now);
+        admitted.map_err(|retry_after| {
+            self.context.counters.refused_rate += 1;
+            Refusal {
+                retry_after,
+                reason: "the limit of the table is reached",
+            }
+        })?;
+        Ok(choice)
+    }
+
+    /// Refuses early what would not get its slots in time.
+    fn check_capacity(
+        &mut self,
+        now: Moment,
+        deadline: Moment,
+        shards: usize,
+    ) -> Result<(), Refusal> {
+        let waiting = self.context.waiting_shards;
+        if waiting == 0 {
+            return Ok(());
+        }
+        let slots = self.context.leafs.total_slots() as usize;
+        let bound = slots * self.context.tuning.waiting_shards_per_slot as usize;
+        let wait = self.context.expected_wait(now);
+        let needed = wait + self.context.leafs.typical_latency();
+        if waiting + shards <= bound && needed <= deadline.since(now) {
+            return Ok(());
+        }
+        self.context.counters.refused_capacity += 1;
+        Err(Refusal {
+            retry_after: wait,
+            reason: "no slot will become free in time",
+        })
+    }
+
+    fn begin(&mut self, now: Moment, start: StartQuery, choice: SnapshotChoice) {
+        let id = start.query;
+        let query = Query::new(now, start, choice.snapshot, &self.context.policy);
+        query.schedule_timers(&mut self.context);
+        self.queries.insert(id, Box::new(query));
+        self.advance(now, id, |query, context| query.dispatch_all(now, context));
     }
+
+    fn on_attempt_ended(
+        &mut self,
+        now: Moment,
+        query: QueryId,
+        attempt: AttemptId,
+        result: AttemptResult,
+    ) {
+        let held = self.context.release_held_slot(query, attempt);
+        if let Some(leaf) = held {
+            self.context.counters.answers_late += 1;
+            learn_from_late_end(now, &mut self.context, leaf, query, attempt, &result);
+        } else if self.queries.contains_key(&query) {
+            self.advance(now, query, |query, context| {
+                query.on_attempt_ended(now, context, attempt, result);
+            });
+        } else {
+            self.context.counters.answers_late += 1;
+        }
+    }
+
+    fn on_health(&mut self, now: Moment, leaf: &LeafId, report: Option<LeafHealth>) {
+        let Some(index) = self.context.leafs.index(leaf) else {
+            return;
+        };
+        match report {
+            Some(report) if report.healthy => self.on_healthy(now, index, &report),
+            Some(report) => {
+                self.context.note_failed_poll(index);
+                if report.load.draining {
+                    self.context.note_leaving(now, index, LeavingSign::Polled);
+                }
+            }
+            None => {
+                self.context.note_failed_poll(index);
+                self.context.note_gone(index);
+            }
+        }
+    }
+
+    fn on_healthy(&mut self, now: Moment, index: LeafIndex, report: &LeafHealth) {
+        self.context.note_snapshots(index, &report.snapshots);
+        self.context.note_successful_poll(now, index, &report.load);
+        if report.load.draining {
+            self.context.note_leaving(now, index, LeavingSign::Polled);
+        } else {
+            self.context.note_not_draining(now, index);
+        }
+    }
+
+    fn on_leaving(&mut self, now: Moment, leaf: &LeafId) {
+        if let Some(index) = self.context.leafs.index(leaf) {
+            self.context
+                .note_leaving(now, index, LeavingSign::Announced);
+        }
+    }
+
+    fn on_caller_gone(&mut self, now: Moment, query: QueryId) {
+        let Some(mut query) = self.queries.remove(&query) else {
+            return;
+        };
+        self.context.counters.queries_abandoned += 1;
+        query.cancel_timers(&mut self.context);
+        query.cancel_everything(now, &mut self.context);
+    }
+
+    fn fire_timers(&mut self, now: Moment) {
+        while let Some(timer) = self.context.timers.pop_due(now) {
+            match timer {
+                Timer::Deadline(query) => self.finish(now, query),
+                Timer::EarlyPartial(query) => self.advance(now, query, |_, _| {}),
+                Timer::Hedge(query) => self.advance(now, query, |query, context| {
+                    query.hedge_slow_shards(now, context);
+                }),
+                Timer::CancelledSlot(query, attempt) => {
+                    self.context.release_held_slot(query, attempt);
+                }
+                Timer::Leaf(leaf) => self.context.on_leaf_timer(now, leaf),
+            }
+        }
+    }
+
+    /// Changes one query, then restarts, ends or goes on with it.
+    fn advance(&mut self, now: Moment, id: QueryId, change: impl FnOnce(&mut Query, &mut Context)) {
+        let Some(query) = self.queries.get_mut(&id) else {
+            return;
+        };
+        change(query, &mut self.context);
+        query.restart_if_useful(now, &mut self.context, &self.catalog);
+        if query.is_over(now) {
+            self.finish(now, id);
+        } else {
+            query.schedule_hedges(now, &mut self.context);
+        }
+    }
+
+    fn finish(&mut self, now: Moment, id: QueryId) {
+        if let Some(query) = self.queries.remove(&id) {
+            let action = query.finish(now, &mut self.context);
+            self.context.actions.push(action);
+        }
+    }
+
+    fn offer_all_leafs(&mut self) {
+        let leafs: Vec<LeafIndex> = self.context.leafs.iter().map(|(index, _)| index).collect();
+        for leaf in leafs {
+            self.context.mark_freed(leaf);
+        }
+    }
+
+    /// Moves waiting shards on until nothing more can move, and hands the actions out.
+    fn take_actions(&mut self, now: Moment) -> Vec<RootAction> {
+        loop {
+            if let Some(waiter) = self.context.pop_displaced() {
+                self.advance(now, waiter.query, |query, context| {
+                    query.dispatch_waiting(now, context, waiter.position);
+                });
+            } else if let Some(leaf) = self.context.pop_freed() {
+                self.serve_waiters(now, leaf);
+            } else {
+                return std::mem::take(&mut self.context.actions);
+            }
+        }
+    }
+
+    fn serve_waiters(&mut self, now: Moment, leaf: LeafIndex) {
+        loop {
+            let Some(state) = self.context.leafs.get_mut(leaf) else {
+                return;
+            };
+            if !state.has_room(now) {
+                return;
+            }
+            let Some(waiter) = state.waiting.pop_first() else {
+                return;
+            };
+            self.advance(now, waiter.query, |query, context| {
+                query.dispatch_waiting(now, context, waiter.position);
+            });
+        }
+    }
+}
+
+/// Why a query is refused before a snapshot is pinned.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    retry_after: Duration,
+    reason: &'static str,
 }
--- /dev/null
+++ b/crates/tansylead-query/src/leaf_signs.rs
@@ -0,0 +1,142 @@
+//! Signs about leafs that reach the engine: leaving, failures, polls, load.
+
+use crate::context::Context;
+use crate::ejection::EjectionCause;
+use crate::leaf_table::LeafIndex;
+use crate::leaving::LeavingSign;
+use crate::timers::Timer;
+use tansylead_types::leaf::LeafLoad;
+use tansylead_types::{Moment, SnapshotVersion};
+
+impl Context {
+    /// Notes a sign that the leaf is leaving.
+    pub(crate) fn note_leaving(&mut self, now: Moment, leaf: LeafIndex, sign: LeavingSign) {
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        if state.leaving.on_sign(now, sign) {
+            log::info!("leaf {}: leaving ({sign:?})", state.id());
+            self.counters.leafs_leaving += 1;
+            self.leafs.touch();
+            self.displace_waiters(leaf);
+        }
+    }
+
+    /// Notes a health report that is not a drain mark.
+    pub(crate) fn note_not_draining(&mut self, now: Moment, leaf: LeafIndex) {
+        let slow_start = self.tuning.slow_start;
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        if state.leaving.on_healthy_report(now) {
+            log::info!("leaf {}: back in service", state.id());
+            state.begin_new_life(now, slow_start);
+            self.leafs.touch();
+            self.mark_freed(leaf);
+        }
+    }
+
+    /// Notes load figures and a drain mark that came in-band.
+    pub(crate) fn note_in_band_load(&mut self, now: Moment, leaf: LeafIndex, load: &LeafLoad) {
+        if let Some(state) = self.leafs.get_mut(leaf) {
+            state.on_load(now, load);
+        }
+        if load.draining {
+            self.note_leaving(now, leaf, LeavingSign::InBand);
+        }
+    }
+
+    /// Notes that a poll failed or found the leaf unable to serve.
+    pub(crate) fn note_failed_poll(&mut self, leaf: LeafIndex) {
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        let was_unreachable = state.is_unreachable();
+        state.on_failed_poll();
+        if !was_unreachable && state.is_unreachable() {
+            log::info!("leaf {}: polls fail", state.id());
+            self.leafs.touch();
+            self.displace_waiters(leaf);
+        }
+    }
+
+    /// Notes that the leaf could not be reached at all.
+    pub(crate) fn note_gone(&mut self, leaf: LeafIndex) {
+        if let Some(state) = self.leafs.get_mut(leaf) {
+            state.leaving.on_unreachable();
+        }
+    }
+
+    /// Notes a poll that found the leaf healthy.
+    pub(crate) fn note_successful_poll(&mut self, now: Moment, leaf: LeafIndex, load: &LeafLoad) {
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        state.on_load(now, load);
+        if state.on_successful_poll() {
+            log::info!("leaf {}: polls succeed again", state.id());
+            self.leafs.touch();
+        }
+    }
+
+    /// Notes the snapshots that a health report lists.
+    pub(crate) fn note_snapshots(&mut self, leaf: LeafIndex, snapshots: &[SnapshotVersion]) {
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        if state.snapshots.on_report(snapshots) {
+            self.leafs.touch();
+            self.displace_waiters(leaf);
+        }
+    }
+
+    /// Notes that an attempt to the leaf failed or could not be sent.
+    pub(crate) fn note_failure(&mut self, now: Moment, leaf: LeafIndex) {
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        if state.ejection.on_failure(now) && self.tuning.ejection {
+            self.eject(now, leaf, EjectionCause::Failures);
+        }
+    }
+
+    /// Looks for stragglers when it is time, and ejects them.
+    pub(crate) fn eject_stragglers(&mut self, now: Moment) {
+        let stragglers = self.leafs.find_stragglers(now);
+        if !self.tuning.ejection {
+            return;
+        }
+        for leaf in stragglers {
+            self.eject(now, leaf, EjectionCause::Straggler);
+        }
+    }
+
+    /// Ends a pause or an ejection of a leaf that is due.
+    pub(crate) fn on_leaf_timer(&mut self, now: Moment, leaf: LeafIndex) {
+        let slow_start = self.tuning.slow_start;
+        let Some(state) = self.leafs.get_mut(leaf) else {
+            return;
+        };
+        if state.ejection.end_if_due(now) {
+            log::info!("leaf {}: ejection ended", state.id());
+            state.latency = Default::default();
+            if slow_start {
+                state.limit.begin_slow_start(now);
+            }
+            self.leafs.touch();
+        }
+        self.mark_freed(leaf);
+    }
+
+    fn eject(&mut self, now: Moment, leaf: LeafIndex, cause: EjectionCause) {
+        let Some(until) = self.leafs.eject(now, leaf, cause) else {
+            return;
+        };
+        if let Some(state) = self.leafs.get(leaf) {
+            log::info!("leaf {}: ejected ({cause:?})", state.id());
+        }
+        self.counters.ejections += 1;
+        self.timers.schedule(until, Timer::Leaf(leaf));
+        self.displace_waiters(leaf);
+    }
+}
--- /dev/null
+++ b/crates/tansylead-query/src/leaf_state.rs
@@ -0,0 +1,168 @@
+//! What this root knows about one leaf, and the shards that wait for one of its slots.
+
+use crate::concurrency_limit::ConcurrencyLimit;
+use crate::ejection::EjectionState;
+use crate::latency_average::LatencyAverage;
+use crate::leaving::LeavingState;
+use crate::snapshot_belief::SnapshotBelief;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tansylead_types::leaf::LeafLoad;
+use tansylead_types::{LeafDescriptor, LeafId, Moment, QueryId, ShardId, SnapshotVersion};
+
+/// Failed polls in a row after which a leaf counts as unreachable.
+const POLLS_TO_UNREACHABLE: u32 = 2;
+/// Load figures older than this no longer influence the choice of a replica.
+const LOAD_LIFETIME: Duration = Duration::from_millis(200);
+
+/// A shard of a query that waits for a slot, in order of deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Waiter {
+    /// Deadline of the query.
+    pub(crate) deadline: Moment,
+    /// Query.
+    pub(crate) query: QueryId,
+    /// Position of the shard in the query.
+    pub(crate) position: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ReportedLoad {
+    at: Moment,
+    outstanding: u32,
+}
+
+/// Runtime state of one leaf.
+#[derive(Debug)]
+pub(crate) struct LeafState {
+    /// Descriptor in force, or the last one if the leaf is no longer configured.
+    pub(crate) descriptor: LeafDescriptor,
+    /// Whether the configuration in force lists the leaf.
+    pub(crate) configured: bool,
+    /// Attempts that count as running, cancelled ones included until they end.
+    pub(crate) in_flight: u32,
+    /// Bound on `in_flight`.
+    pub(crate) limit: ConcurrencyLimit,
+    /// Average latency.
+    pub(crate) latency: LatencyAverage,
+    /// Snapshots held.
+    pub(crate) snapshots: SnapshotBelief,
+    /// Leaving mark.
+    pub(crate) leaving: LeavingState,
+    /// Ejection.
+    pub(crate) ejection: EjectionState,
+    /// Shards that wait for a slot of this leaf (and perhaps of other leafs).
+    pub(crate) waiting: BTreeSet<Waiter>,
+    failed_polls: u32,
+    load: Option<ReportedLoad>,
+}
+
+impl LeafState {
+    /// A warm leaf about which nothing is known.
+    pub(crate) fn new(descriptor: LeafDescriptor, slots: u32) -> Self {
+        Self {
+            descriptor,
+            configured: true,
+            in_flight: 0,
+            limit: ConcurrencyLimit::new(slots),
+            latency: LatencyAverage::default(),
+            snapshots: SnapshotBelief::default(),
+            leaving: LeavingState::default(),
+            ejection: EjectionState::default(),
+            waiting: BTreeSet::new(),
+            failed_polls: 0,
+            load: None,
+        }
+    }
+
+    /// Name.
+    pub(crate) fn id(&self) -> &LeafId {
+        &self.descriptor.leaf
+    }
+
+    /// Whether the leaf may get an attempt for the shard at the snapshot at all.
+    pub(crate) fn may_serve(&self, now: Moment, version: SnapshotVersion, shard: &ShardId) -> bool {
+        self.accepts_work() && self.snapshots.holds(now, version, shard)
+    }
+
+    /// Whether the leaf is configured and not leaving.
+    pub(crate) fn accepts_work(&self) -> bool {
+        self.configured && !self.leaving.is_leaving()
+    }
+
+    /// Whether attempts to the leaf are expected to end with an answer.
+    pub(crate) fn is_live(&self, now: Moment) -> bool {
+        self.accepts_work() && !self.is_unreachable() && !self.ejection.is_failing(now)
+    }
+
+    /// Whether the leaf is to be used only where no better replica is left.
+    pub(crate) fn is_last_resort(&self, now: Moment) -> bool {
+        self.is_unreachable() || self.ejection.is_ejected(now)
+    }
+
+    /// Whether polls failed in a row.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.failed_polls >= POLLS_TO_UNREACHABLE
+    }
+
+    /// Whether another attempt may start now.
+    pub(crate) fn has_room(&self, now: Moment) -> bool {
+        self.in_flight < self.limit.limit(now) && !self.limit.is_paused(now)
+    }
+
+    /// Expected cost of sending one more attempt, for comparison with other leafs.
+    pub(crate) fn cost(&self, now: Moment, typical_latency: Duration) -> f64 {
+        let latency = self.latency.average().unwrap_or(typical_latency);
+        let outstanding = self.in_flight.max(self.reported_outstanding(now));
+        let load = f64::from(outstanding + 1);
+        load * latency.as_secs_f64() / self.limit.warmth(now)
+    }
+
+    /// Notes a sign of life.
+    pub(crate) fn on_reply(&mut self) {
+        self.failed_polls = 0;
+        self.ejection.on_reply();
+    }
+
+    /// Notes load figures from an answer, a refusal or a poll.
+    pub(crate) fn on_load(&mut self, now: Moment, load: &LeafLoad) {
+        self.load = Some(ReportedLoad {
+            at: now,
+            outstanding: load.running.saturating_add(load.queued),
+        });
+    }
+
+    /// Notes a poll that failed or found the leaf unable to serve.
+    pub(crate) fn on_failed_poll(&mut self) {
+        self.failed_polls = self.failed_polls.saturating_add(1);
+    }
+
+    /// Notes a successful poll. Returns whether the leaf was unreachable.
+    pub(crate) fn on_successful_poll(&mut self) -> bool {
+        let was_unreachable = self.is_unreachable();
+        self.failed_polls = 0;
+        was_unreachable
+    }
+
+    /// Forgets everything but running attempts: another process took the leaf's place.
+    pub(crate) fn begin_new_life(&mut self, now: Moment, slow_start: bool) {
+        let slots = self.limit.slots();
+        self.limit = ConcurrencyLimit::new(slots);
+        if slow_start {
+            self.limit.begin_slow_start(now);
+        }
+        self.latency = LatencyAverage::default();
+        self.snapshots = SnapshotBelief::default();
+        self.leaving = LeavingState::default();
+        self.ejection = EjectionState::default();
+        self.failed_polls = 0;
+        self.load = None;
+    }
+
+    fn reported_outstanding(&self, now: Moment) -> u32 {
+        match self.load {
+            Some(load) if now.since(load.at) < LOAD_LIFETIME => load.outstanding,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-query/src/shard_progress.rs
@@ -0,0 +1,115 @@
+//! Progress of one addressed shard of one query on the pinned snapshot.
+
+use crate::leaf_table::LeafIndex;
+use tansylead_types::{MissingReason, Moment};
+
+/// Where the shard stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ShardPhase {
+    /// To be dispatched.
+    Open,
+    /// Waits for a slot.
+    Waiting,
+    /// At least one attempt is in flight.
+    Running,
+    /// Answered; JSON text.
+    Answered(String),
+    /// Given up.
+    Missing(MissingReason),
+}
+
+/// What a leaf that was tried is still good for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TriedState {
+    /// The attempt has not ended.
+    Running,
+    /// May be tried again when no untried replica is left.
+    MayTryAgain,
+    /// Never again for this shard on this snapshot.
+    Excluded,
+}
+
+/// One leaf that was tried.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TriedLeaf {
+    /// Leaf.
+    pub(crate) leaf: LeafIndex,
+    /// What it is still good for.
+    pub(crate) state: TriedState,
+}
+
+/// How the last attempt ended, as far as it matters for the next one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LastEnd {
+    /// No attempt has ended.
+    None,
+    /// It did not run, and another replica is likely to serve: no extra load.
+    Redirected,
+    /// It may have run, or was shed: the next one is extra load.
+    NeedsBudget,
+}
+
+/// Progress of one shard.
+#[derive(Debug, Clone)]
+pub(crate) struct ShardProgress {
+    /// Position in the pinned snapshot's shard list.
+    pub(crate) entry: usize,
+    /// Where the shard stands.
+    pub(crate) phase: ShardPhase,
+    /// Attempts in flight.
+    pub(crate) running: u32,
+    /// When the last attempt that was no hedge was sent.
+    pub(crate) sent_at: Moment,
+    /// Whether that attempt has been hedged.
+    pub(crate) hedged: bool,
+    /// Attempts sent on this snapshot.
+    pub(crate) attempts: u32,
+    /// Leafs tried on this snapshot.
+    pub(crate) tried: Vec<TriedLeaf>,
+    /// Leafs whose waiting sets contain the shard.
+    pub(crate) waiting_on: Vec<LeafIndex>,
+    /// How the last attempt ended.
+    pub(crate) last_end: LastEnd,
+    /// Whether a token of the retry budget has been taken for the next attempt.
+    pub(crate) retry_paid: bool,
+    /// Reason to report if the shard is given up now.
+    pub(crate) reason: MissingReason,
+}
+
+impl ShardProgress {
+    /// A shard that has not been asked.
+    pub(crate) fn new(entry: usize) -> Self {
+        Self {
+            entry,
+            phase: ShardPhase::Open,
+            running: 0,
+            sent_at: Moment::default(),
+            hedged: false,
+            attempts: 0,
+            tried: Vec::new(),
+            waiting_on: Vec::new(),
+            last_end: LastEnd::None,
+            retry_paid: false,
+            reason: MissingReason::NoReplica,
+        }
+    }
+
+    /// What the leaf is still good for; none if it has not been tried.
+    pub(crate) fn tried_state(&self, leaf: LeafIndex) -> Option<TriedState> {
+        let tried = self.tried.iter().rev().find(|tried| tried.leaf == leaf);
+        tried.map(|tried| tried.state)
+    }
+
+    /// Notes what became of the attempt on a leaf.
+    pub(crate) fn set_tried(&mut self, leaf: LeafIndex, state: TriedState) {
+        match self.tried.iter_mut().find(|tried| tried.leaf == leaf) {
+            Some(tried) => tried.state = state,
+            None => self.tried.push(TriedLeaf { leaf, state }),
+        }
+    }
+
+    /// Whether the shard needs nothing more.
+    pub(crate) fn is_settled(&self) -> bool {
+        matches!(self.phase, ShardPhase::Answered(_) | ShardPhase::Missing(_))
+    }
+}
--- /dev/null
+++ b/crates/tansylead-query/src/snapshot_belief.rs
@@ -0,0 +1,99 @@
+//! Which snapshots and shards one leaf is believed to hold.
+//!
+//! The configuration says which leafs should hold a shard. What the leaf said in-band (an answer
+//! or a refusal) outweighs its health report, and the health report outweighs the configuration.
+//! In-band refusals are forgotten after [`NOT_HELD_LIFETIME`], since a leaf may be loading.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tansylead_types::{Moment, ShardId, SnapshotVersion};
+
+/// An in-band "not held" is believed for this time.
+pub(crate) const NOT_HELD_LIFETIME: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone, Copy)]
+struct InBandSign {
+    at: Moment,
+    held: bool,
+}
+
+/// Beliefs about one leaf.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SnapshotBelief {
+    reported: Option<BTreeSet<SnapshotVersion>>,
+    in_band: BTreeMap<SnapshotVersion, InBandSign>,
+    shards_not_held: BTreeMap<SnapshotVersion, BTreeMap<ShardId, Moment>>,
+}
+
+impl SnapshotBelief {
+    /// Whether the leaf is believed to hold the shard at the snapshot.
+    pub(crate) fn holds(&self, now: Moment, version: SnapshotVersion, shard: &ShardId) -> bool {
+        self.holds_snapshot(now, version) && !self.lacks_shard(now, version, shard)
+    }
+
+    /// Notes an answer for the snapshot. Returns whether a belief changed.
+    pub(crate) fn on_answer(&mut self, now: Moment, version: SnapshotVersion) -> bool {
+        let sign = InBandSign {
+            at: now,
+            held: true,
+        };
+        let before = self.in_band.insert(version, sign);
+        before.is_none_or(|sign| !sign.held)
+    }
+
+    /// Notes that the leaf refused because it does not hold the snapshot.
+    pub(crate) fn on_snapshot_not_held(&mut self, now: Moment, version: SnapshotVersion) {
+        let sign = InBandSign {
+            at: now,
+            held: false,
+        };
+        self.in_band.insert(version, sign);
+    }
+
+    /// Notes that the leaf refused because it does not hold the shard at the snapshot.
+    pub(crate) fn on_shard_not_held(
+        &mut self,
+        now: Moment,
+        version: SnapshotVersion,
+        shard: &ShardId,
+    ) {
+        let shards = self.shards_not_held.entry(version).or_default();
+        shards.insert(shard.clone(), now);
+    }
+
+    /// Notes the snapshots of a health report. Returns whether they differ from the last one.
+    pub(crate) fn on_report(&mut self, snapshots: &[SnapshotVersion]) -> bool {
+        let snapshots: BTreeSet<SnapshotVersion> = snapshots.iter().copied().collect();
+        if self.reported.as_ref() == Some(&snapshots) {
+            return false;
+        }
+        self.reported = Some(snapshots);
+        true
+    }
+
+    /// Forgets signs about snapshots that are no longer configured.
+    pub(crate) fn retain_versions(&mut self, versions: &BTreeSet<SnapshotVersion>) {
+        self.in_band.retain(|version, _| versions.contains(version));
+        self.shards_not_held
+            .retain(|version, _| versions.contains(version));
+    }
+
+    fn holds_snapshot(&self, now: Moment, version: SnapshotVersion) -> bool {
+        if let Some(sign) = self.in_band.get(&version)
+            && now.since(sign.at) < NOT_HELD_LIFETIME
+        {
+            return sign.held;
+        }
+        self.reported
+            .as_ref()
+            .is_none_or(|reported| reported.contains(&version))
+    }
+
+    fn lacks_shard(&self, now: Moment, version: SnapshotVersion, shard: &ShardId) -> bool {
+        let Some(shards) = self.shards_not_held.get(&version) else {
+            return false;
+        };
+        let refused = shards.get(shard);
+        refused.is_some_and(|at| now.since(*at) < NOT_HELD_LIFETIME)
+    }
+}
--- /dev/null
+++ b/crates/tansylead-query/src/status.rs
@@ -0,0 +1,75 @@
+//! A view of one engine for operators and metrics.
+
+use crate::context::Context;
+use crate::counters::EngineCounters;
+use crate::leaf_state::LeafState;
+use std::time::Duration;
+use tansylead_types::{LeafId, Moment, SnapshotVersion};
+
+/// State of one leaf as this root sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LeafStatus {
+    /// Leaf.
+    pub leaf: LeafId,
+    /// Attempts that count as running.
+    pub in_flight: u32,
+    /// Bound on `in_flight` now.
+    pub limit: u32,
+    /// Slots of the leaf that belong to this root.
+    pub slots: u32,
+    /// Shards that wait for a slot of this leaf.
+    pub waiting: usize,
+    /// Average latency; none before the first answer.
+    pub latency: Option<Duration>,
+    /// Gets no new work because it is leaving.
+    pub leaving: bool,
+    /// Ejected as a straggler or for failures.
+    pub ejected: bool,
+    /// Polls failed in a row.
+    pub unreachable: bool,
+}
+
+/// State of one engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineStatus {
+    /// Queries in progress.
+    pub queries_in_progress: usize,
+    /// Shards that wait for a slot.
+    pub waiting_shards: usize,
+    /// Snapshots in force, newest first.
+    pub snapshots: Vec<SnapshotVersion>,
+    /// The snapshot that an unrouted query would be pinned to now.
+    pub snapshot_in_use: Option<SnapshotVersion>,
+    /// Whether every shard of that snapshot has a live replica.
+    pub whole: bool,
+    /// Learned delay of hedges; none while too little has been seen.
+    pub hedge_delay: Option<Duration>,
+    /// Tokens left in the retry budget.
+    pub retry_budget: f64,
+    /// Configured leafs, ordered by name.
+    pub leafs: Vec<LeafStatus>,
+    /// Counters.
+    pub counters: EngineCounters,
+}
+
+/// The status of every configured leaf.
+pub(crate) fn leaf_statuses(context: &Context, now: Moment) -> Vec<LeafStatus> {
+    let configured = context.leafs.iter().filter(|(_, leaf)| leaf.configured);
+    let mut leafs: Vec<LeafStatus> = configured.map(|(_, leaf)| leaf_status(leaf, now)).collect();
+    leafs.sort_by(|left, right| left.leaf.cmp(&right.leaf));
+    leafs
+}
+
+fn leaf_status(leaf: &LeafState, now: Moment) -> LeafStatus {
+    LeafStatus {
+        leaf: leaf.id().clone(),
+        in_flight: leaf.in_flight,
+        limit: leaf.limit.limit(now),
+        slots: leaf.limit.slots(),
+        waiting: leaf.waiting.len(),
+        latency: leaf.latency.average(),
+        leaving: leaf.leaving.is_leaving(),
+        ejected: leaf.ejection.is_ejected(now),
+        unreachable: leaf.is_unreachable(),
+    }
+}
