Prove the root engine by stateful fuzz and by a test for each mechanism

Found and mended on the way: - hedges emptied the budget that retries need: half of the burst is now kept for retries; - a leaf avoided for its latency got no samples and was avoided for ever: an average without samples for 5 s is forgotten; - a health report that lags made a shard look lost: it now only makes the leaf the last choice; - a hung leaf kept its old average: a silent leaf now counts as slow as it has been silent.

--- a/crates/tansylead-query/src/attempt_end.rs
+++ b/crates/tansylead-query/src/attempt_end.rs
@@ -62,7 +62,8 @@
             }
             AttemptState::Cancelled => {
                 context.counters.answers_late += 1;
-                return;
+                let leaf = attempt.leaf;
+                return learn_from_late_end(now, context, leaf, self.id, id, &result);
             }
             AttemptState::Running => attempt.state = AttemptState::Ended,
         }
@@ -170,7 +171,7 @@
         refusal: &LeafRefusal,
     ) -> Ending {
         if let Some(state) = context.leafs.get_mut(attempt.leaf) {
-            state.on_reply();
+            state.on_reply(now);
         }
         context.note_in_band_load(now, attempt.leaf, &refusal.load);
         match refusal.reason {
@@ -298,8 +299,8 @@
     context.hedge_delay.record(now, latency);
     let mut belief_changed = false;
     if let Some(state) = context.leafs.get_mut(attempt.leaf) {
-        state.on_reply();
-        state.latency.record(latency);
+        state.on_reply(now);
+        state.latency.record(now, latency);
         state.limit.on_success(now);
         belief_changed = state.snapshots.on_answer(now, answer.snapshot);
     }
@@ -312,7 +313,8 @@
 
 fn learn_failed(now: Moment, context: &mut Context, attempt: Attempt) {
     if let Some(state) = context.leafs.get_mut(attempt.leaf) {
-        state.latency.record_at_least(now.since(attempt.sent_at));
+        let elapsed = now.since(attempt.sent_at);
+        state.latency.record_at_least(now, elapsed);
     }
     context.note_failure(now, attempt.leaf);
 }
--- a/crates/tansylead-query/src/context.rs
+++ b/crates/tansylead-query/src/context.rs
@@ -91,16 +91,16 @@
     }
 
     /// Counts an attempt as running.
-    pub(crate) fn take_slot(&mut self, leaf: LeafIndex) {
+    pub(crate) fn take_slot(&mut self, now: Moment, leaf: LeafIndex) {
         if let Some(state) = self.leafs.get_mut(leaf) {
-            state.in_flight += 1;
+            state.take_slot(now);
         }
     }
 
     /// Counts an attempt as over and marks its leaf for [`Context::pop_freed`].
     pub(crate) fn free_slot(&mut self, leaf: LeafIndex) {
         if let Some(state) = self.leafs.get_mut(leaf) {
-            state.in_flight = state.in_flight.saturating_sub(1);
+            state.free_slot();
         }
         self.freed.push(leaf);
     }
@@ -155,13 +155,14 @@
         }
     }
 
-    /// Expected time until a shard that starts waiting now gets a slot.
-    pub(crate) fn expected_wait(&self, now: Moment) -> Duration {
-        if self.waiting_shards == 0 {
+    /// Expected time until the waiting shards, and that many more, have got their slots.
+    pub(crate) fn expected_wait(&self, now: Moment, more: usize) -> Duration {
+        let waiting = self.waiting_shards + more;
+        if waiting == 0 {
             return Duration::ZERO;
         }
         let at_once = f64::from(self.leafs.total_limit(now).max(1));
-        let rounds = self.waiting_shards as f64 / at_once;
+        let rounds = waiting as f64 / at_once;
         self.leafs.typical_latency().mul_f64(rounds)
     }
 
--- a/crates/tansylead-query/src/dispatch.rs
+++ b/crates/tansylead-query/src/dispatch.rs
@@ -37,9 +37,9 @@
 /// Classes of replicas, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CandidateClass {
-    /// Not tried for the shard, neither ejected nor unreachable.
+    /// Not tried for the shard, and expected to answer.
     GoodStanding,
-    /// Not tried for the shard, but ejected or unreachable.
+    /// Not tried for the shard, but ejected, unreachable, or without the snapshot by its health.
     LastResort,
     /// Tried before.
     TriedBefore,
@@ -73,16 +73,21 @@
     pub(crate) fn candidates(&self, now: Moment, context: &Context, position: usize) -> Candidates {
         let shard = &self.shards[position];
         let entry = self.entry(position);
+        let version = self.snapshot.version;
         let (mut good, mut last_resort, mut again) = (Vec::new(), Vec::new(), Vec::new());
         for index in &entry.replicas {
             let Some(leaf) = context.leafs.get(*index) else {
                 continue;
             };
-            if !leaf.may_serve(now, self.snapshot.version, &entry.shard) {
+            if !leaf.may_serve(now, version, &entry.shard) {
                 continue;
             }
             match shard.tried_state(*index) {
-                None if leaf.is_last_resort(now) => last_resort.push(*index),
+                None if leaf.is_last_resort(now)
+                    || !leaf.surely_holds(now, version, &entry.shard) =>
+                {
+                    last_resort.push(*index);
+                }
                 None => good.push(*index),
                 Some(TriedState::MayTryAgain) => again.push(*index),
                 Some(TriedState::Running | TriedState::Excluded) => {}
@@ -127,7 +132,7 @@
             shard.sent_at = now;
         }
         shard.set_tried(leaf, TriedState::Running);
-        context.take_slot(leaf);
+        context.take_slot(now, leaf);
         count_attempt(context, kind);
         context.actions.push(RootAction::Send(SendAttempt {
             query: self.id,
@@ -180,7 +185,7 @@
         self.result_unknown = true;
         let elapsed = now.since(sent_at);
         if let Some(state) = context.leafs.get_mut(leaf) {
-            state.latency.record_at_least(elapsed);
+            state.latency.record_at_least(now, elapsed);
         }
         context.hedge_delay.record(now, elapsed);
         context.counters.attempts_cancelled += 1;
@@ -217,7 +222,7 @@
     fn pay_for_retry(&mut self, context: &mut Context, position: usize) -> bool {
         let shard = &mut self.shards[position];
         if !shard.retry_paid {
-            shard.retry_paid = context.budget.try_take();
+            shard.retry_paid = context.budget.try_take_for_retry();
             context.counters.budget_exhausted += u64::from(!shard.retry_paid);
         }
         shard.retry_paid
--- a/crates/tansylead-query/src/engine.rs
+++ b/crates/tansylead-query/src/engine.rs
@@ -197,14 +197,13 @@
         }
         let slots = self.context.leafs.total_slots() as usize;
         let bound = slots * self.context.tuning.waiting_shards_per_slot as usize;
-        let wait = self.context.expected_wait(now);
-        let needed = wait + self.context.leafs.typical_latency();
+        let needed = self.context.expected_wait(now, shards);
         if waiting + shards <= bound && needed <= deadline.since(now) {
             return Ok(());
         }
         self.context.counters.refused_capacity += 1;
         Err(Refusal {
-            retry_after: wait,
+            retry_after: self.context.expected_wait(now, 0),
             reason: "no slot will become free in time",
         })
     }
--- a/crates/tansylead-query/src/finish.rs
+++ b/crates/tansylead-query/src/finish.rs
@@ -104,7 +104,7 @@
             DEFAULT_RETRY_AFTER
         };
         let hint = self.retry_hint.unwrap_or_default();
-        let wait = context.expected_wait(now);
+        let wait = context.expected_wait(now, 0);
         Some(context.jittered(least.max(hint).max(wait)))
     }
 }
--- a/crates/tansylead-query/src/hedge.rs
+++ b/crates/tansylead-query/src/hedge.rs
@@ -68,7 +68,7 @@
         let Some(leaf) = chosen else {
             return;
         };
-        if context.budget.try_take() {
+        if context.budget.try_take_for_hedge() {
             self.send(now, context, position, leaf, AttemptKind::Hedge);
         } else {
             context.counters.budget_exhausted += 1;
--- a/crates/tansylead-query/src/leaf_state.rs
+++ b/crates/tansylead-query/src/leaf_state.rs
@@ -4,7 +4,7 @@
 use crate::ejection::EjectionState;
 use crate::latency_average::LatencyAverage;
 use crate::leaving::LeavingState;
-use crate::snapshot_belief::SnapshotBelief;
+use crate::snapshot_belief::{Holding, SnapshotBelief};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tansylead_types::leaf::LeafLoad;
@@ -12,6 +12,8 @@
 
 /// Failed polls in a row after which a leaf counts as unreachable.
 const POLLS_TO_UNREACHABLE: u32 = 2;
+/// Latencies below this do not count, so that load decides among very fast leafs.
+const SHORTEST_LATENCY: Duration = Duration::from_micros(100);
 /// Load figures older than this no longer influence the choice of a replica.
 const LOAD_LIFETIME: Duration = Duration::from_millis(200);
 
@@ -41,6 +43,8 @@
     pub(crate) configured: bool,
     /// Attempts that count as running, cancelled ones included until they end.
     pub(crate) in_flight: u32,
+    /// Since when the leaf has work and has not replied.
+    silent_since: Moment,
     /// Bound on `in_flight`.
     pub(crate) limit: ConcurrencyLimit,
     /// Average latency.
@@ -64,6 +68,7 @@
             descriptor,
             configured: true,
             in_flight: 0,
+            silent_since: Moment::default(),
             limit: ConcurrencyLimit::new(slots),
             latency: LatencyAverage::default(),
             snapshots: SnapshotBelief::default(),
@@ -82,7 +87,17 @@
 
     /// Whether the leaf may get an attempt for the shard at the snapshot at all.
     pub(crate) fn may_serve(&self, now: Moment, version: SnapshotVersion, shard: &ShardId) -> bool {
-        self.accepts_work() && self.snapshots.holds(now, version, shard)
+        self.accepts_work() && self.snapshots.holding(now, version, shard) != Holding::NotHeld
+    }
+
+    /// Whether nothing speaks against the leaf holding the shard at the snapshot.
+    pub(crate) fn surely_holds(
+        &self,
+        now: Moment,
+        version: SnapshotVersion,
+        shard: &ShardId,
+    ) -> bool {
+        self.snapshots.holding(now, version, shard) == Holding::Held
     }
 
     /// Whether the leaf is configured and not leaving.
@@ -110,16 +125,38 @@
         self.in_flight < self.limit.limit(now) && !self.limit.is_paused(now)
     }
 
-    /// Expected cost of sending one more attempt, for comparison with other leafs.
+    /// Counts one more attempt.
+    pub(crate) fn take_slot(&mut self, now: Moment) {
+        if self.in_flight == 0 {
+            self.silent_since = now;
+        }
+        self.in_flight += 1;
+    }
+
+    /// Counts one attempt less.
+    pub(crate) fn free_slot(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Expected cost of sending one more attempt, for comparison with other leafs. A leaf that has
+    /// work and does not reply is as slow as it has been silent: a hung leaf is avoided before its
+    /// average shows it.
     pub(crate) fn cost(&self, now: Moment, typical_latency: Duration) -> f64 {
-        let latency = self.latency.average().unwrap_or(typical_latency);
+        let average = self.latency.average(now).unwrap_or(typical_latency);
+        let silent = if self.in_flight > 0 {
+            now.since(self.silent_since)
+        } else {
+            Duration::ZERO
+        };
+        let latency = average.max(silent).max(SHORTEST_LATENCY);
         let outstanding = self.in_flight.max(self.reported_outstanding(now));
         let load = f64::from(outstanding + 1);
         load * latency.as_secs_f64() / self.limit.warmth(now)
     }
 
     /// Notes a sign of life.
-    pub(crate) fn on_reply(&mut self) {
+    pub(crate) fn on_reply(&mut self, now: Moment) {
+        self.silent_since = now;
         self.failed_polls = 0;
         self.ejection.on_reply();
     }
--- a/crates/tansylead-query/src/leaf_table.rs
+++ b/crates/tansylead-query/src/leaf_table.rs
@@ -145,7 +145,7 @@
             return Vec::new();
         }
         self.checked_at = now;
-        let mut averages = self.averages();
+        let mut averages = self.averages(now);
         if averages.is_empty() {
             return Vec::new();
         }
@@ -174,10 +174,10 @@
         Some(leaf.ejection.eject(now, cause))
     }
 
-    fn averages(&self) -> Vec<(Duration, LeafIndex)> {
+    fn averages(&self, now: Moment) -> Vec<(Duration, LeafIndex)> {
         let accepting = self.leafs.iter().filter(|(_, leaf)| leaf.accepts_work());
         accepting
-            .filter_map(|(index, leaf)| Some((leaf.latency.average()?, *index)))
+            .filter_map(|(index, leaf)| Some((leaf.latency.average(now)?, *index)))
             .collect()
     }
 
--- a/crates/tansylead-query/src/snapshot_belief.rs
+++ b/crates/tansylead-query/src/snapshot_belief.rs
@@ -1,15 +1,26 @@
 //! Which snapshots and shards one leaf is believed to hold.
 //!
 //! The configuration says which leafs should hold a shard. What the leaf said in-band (an answer
-//! or a refusal) outweighs its health report, and the health report outweighs the configuration.
-//! In-band refusals are forgotten after [`NOT_HELD_LIFETIME`], since a leaf may be loading.
+//! or a refusal) outweighs its health report for [`IN_BAND_LIFETIME`]. A health report that does
+//! not list the snapshot only makes it doubtful: reports lag, and asking costs one refusal.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tansylead_types::{Moment, ShardId, SnapshotVersion};
 
-/// An in-band "not held" is believed for this time.
-pub(crate) const NOT_HELD_LIFETIME: Duration = Duration::from_secs(10);
+/// An in-band sign is believed for this time; a leaf that refused may have been loading.
+const IN_BAND_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Whether a leaf holds a shard at a snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Holding {
+    /// As far as is known.
+    Held,
+    /// Not by its last health report.
+    Doubtful,
+    /// Not by its own answer to an attempt.
+    NotHeld,
+}
 
 #[derive(Debug, Clone, Copy)]
 struct InBandSign {
@@ -27,8 +38,16 @@
 
 impl SnapshotBelief {
     /// Whether the leaf is believed to hold the shard at the snapshot.
-    pub(crate) fn holds(&self, now: Moment, version: SnapshotVersion, shard: &ShardId) -> bool {
-        self.holds_snapshot(now, version) && !self.lacks_shard(now, version, shard)
+    pub(crate) fn holding(
+        &self,
+        now: Moment,
+        version: SnapshotVersion,
+        shard: &ShardId,
+    ) -> Holding {
+        if self.lacks_shard(now, version, shard) {
+            return Holding::NotHeld;
+        }
+        self.holding_snapshot(now, version)
     }
 
     /// Notes an answer for the snapshot. Returns whether a belief changed.
@@ -78,15 +97,23 @@
             .retain(|version, _| versions.contains(version));
     }
 
-    fn holds_snapshot(&self, now: Moment, version: SnapshotVersion) -> bool {
-        if let Some(sign) = self.in_band.get(&version)
-            && now.since(sign.at) < NOT_HELD_LIFETIME
-        {
-            return sign.held;
+    fn holding_snapshot(&self, now: Moment, version: SnapshotVersion) -> Holding {
+        match self.in_band.get(&version) {
+            Some(sign) if now.since(sign.at) < IN_BAND_LIFETIME => {
+                if sign.held {
+                    Holding::Held
+                } else {
+                    Holding::NotHeld
+                }
+            }
+            _ if self.reports_snapshot(version) => Holding::Held,
+            _ => Holding::Doubtful,
         }
-        self.reported
-            .as_ref()
-            .is_none_or(|reported| reported.contains(&version))
+    }
+
+    fn reports_snapshot(&self, version: SnapshotVersion) -> bool {
+        let reported = self.reported.as_ref();
+        reported.is_none_or(|reported| reported.contains(&version))
     }
 
     fn lacks_shard(&self, now: Moment, version: SnapshotVersion, shard: &ShardId) -> bool {
@@ -94,6 +121,6 @@
             return false;
         };
         let refused = shards.get(shard);
-        refused.is_some_and(|at| now.since(*at) < NOT_HELD_LIFETIME)
+        refused.is_some_and(|at| now.since(*at) < IN_BAND_LIFETIME)
     }
 }
--- a/crates/tansylead-query/src/snapshot_choice.rs
+++ b/crates/tansylead-query/src/snapshot_choice.rs
@@ -227,7 +227,9 @@
                 .filter(|leaf| leaf.may_serve(now, snapshot.version, &entry.shard))
                 .peekable();
             askable += u32::from(serving.peek().is_some());
-            live += u32::from(serving.any(|leaf| leaf.is_live(now)));
+            live += u32::from(serving.any(|leaf| {
+                leaf.is_live(now) && leaf.surely_holds(now, snapshot.version, &entry.shard)
+            }));
         }
         Self {
             live: f64::from(live) / total,
--- a/crates/tansylead-query/src/status.rs
+++ b/crates/tansylead-query/src/status.rs
@@ -67,7 +67,7 @@
         limit: leaf.limit.limit(now),
         slots: leaf.limit.slots(),
         waiting: leaf.waiting.len(),
-        latency: leaf.latency.average(),
+        latency: leaf.latency.average(now),
         leaving: leaf.leaving.is_leaving(),
         ejected: leaf.ejection.is_ejected(now),
         unreachable: leaf.is_unreachable(),
--- /dev/null
+++ b/crates/tansylead-query/tests/engine/world.rs
@@ -0,0 +1,210 @@
+//! Drives the engine under virtual time, shows every event and action to the oracle, and can
+//! tamper with either on the way, to show that the oracle notices.
+
+use crate::builders::{ROOT, answer_to, definition, placement};
+use crate::oracle::{Fate, Oracle};
+use std::time::Duration;
+use tansylead_query::{
+    AttemptResult, EngineTuning, RateShare, RootAction, RootEngine, RootEvent, SendAttempt,
+    StartQuery,
+};
+use tansylead_types::*;
+
+/// More wakeups than this without progress are a livelock.
+const MOST_WAKEUPS: usize = 100_000;
+
+/// Changes events before the engine sees them, and actions before the oracle sees them.
+#[derive(Debug, Clone, Copy)]
+pub struct Tampering {
+    pub event: fn(&mut RootEvent) -> bool,
+    pub action: fn(&mut RootAction) -> bool,
+    pub policy: fn(&mut ServicePolicy),
+    pub leafs: fn(&mut Vec<LeafDescriptor>),
+    pub deliver_wakeups: bool,
+}
+
+impl Tampering {
+    pub fn none() -> Self {
+        Self {
+            event: |_| true,
+            action: |_| true,
+            policy: |_| {},
+            leafs: |_| {},
+            deliver_wakeups: true,
+        }
+    }
+}
+
+/// The engine between tampering and oracle.
+pub struct World {
+    pub engine: RootEngine,
+    pub oracle: Oracle,
+    pub now: Moment,
+    pub finished: Vec<QueryAnswer>,
+    pub policy: ServicePolicy,
+    pub leafs: Vec<LeafDescriptor>,
+    pub snapshots: Vec<Snapshot>,
+    tuning: EngineTuning,
+    tampering: Tampering,
+}
+
+impl World {
+    pub fn new(
+        tuning: EngineTuning,
+        policy: ServicePolicy,
+        leafs: Vec<LeafDescriptor>,
+        snapshots: Vec<Snapshot>,
+    ) -> Self {
+        Self::tampered(tuning, policy, leafs, snapshots, Tampering::none())
+    }
+
+    pub fn tampered(
+        tuning: EngineTuning,
+        policy: ServicePolicy,
+        leafs: Vec<LeafDescriptor>,
+        snapshots: Vec<Snapshot>,
+        tampering: Tampering,
+    ) -> Self {
+        let mut engine = RootEngine::with_tuning(1, tuning.clone());
+        engine.set_root_name(ROOT);
+        let mut world = Self {
+            engine,
+            oracle: Oracle::default(),
+            now: Moment::from_millis(1_000),
+            finished: Vec::new(),
+            policy,
+            leafs,
+            snapshots,
+            tuning,
+            tampering,
+        };
+        world.configure();
+        world
+    }
+
+    /// Puts `policy`, `leafs` and `snapshots` in force.
+    pub fn configure(&mut self) -> Vec<RootAction> {
+        let in_force = placement(self.leafs.clone(), self.snapshots.clone());
+        self.oracle.on_configure(&self.policy, &in_force);
+        let mut policy = self.policy.clone();
+        (self.tampering.policy)(&mut policy);
+        let mut leafs = self.leafs.clone();
+        (self.tampering.leafs)(&mut leafs);
+        let shown = placement(leafs, self.snapshots.clone());
+        let actions = self.engine.configure(self.now, &definition(policy), &shown);
+        self.take(actions)
+    }
+
+    pub fn set_roots(&mut self, roots: u32) -> Vec<RootAction> {
+        self.oracle.roots = roots;
+        let actions = self.engine.set_leaf_share(self.now, roots);
+        self.take(actions)
+    }
+
+    pub fn set_rate(&mut self, queries_per_second: f64) {
+        let share = RateShare {
+            queries_per_second,
+            burst: Duration::from_millis(100),
+        };
+        self.engine.set_rate_share(self.now, share);
+    }
+
+    pub fn start(&mut self, start: StartQuery) -> Vec<RootAction> {
+        self.deliver(RootEvent::Start(Box::new(start)))
+    }
+
+    pub fn end(&mut self, send: &SendAttempt, result: AttemptResult) -> Vec<RootAction> {
+        self.deliver(RootEvent::AttemptEnded {
+            query: send.query,
+            attempt: send.attempt,
+            result,
+        })
+    }
+
+    pub fn deliver(&mut self, mut event: RootEvent) -> Vec<RootAction> {
+        self.oracle.on_event(self.now, &event);
+        if !(self.tampering.event)(&mut event) {
+            return Vec::new();
+        }
+        let actions = self.engine.on_event(self.now, event);
+        self.take(actions)
+    }
+
+    /// Lets time pass, waking the engine whenever it asks.
+    pub fn advance(&mut self, duration: Duration) -> Vec<RootAction> {
+        let target = self.now + duration;
+        let mut actions = Vec::new();
+        for _ in 0..MOST_WAKEUPS {
+            match self.engine.next_wakeup() {
+                Some(at) if at <= target && self.tampering.deliver_wakeups => {
+                    self.now = self.now.max(at);
+                    actions.extend(self.deliver(RootEvent::Wakeup));
+                }
+                _ => {
+                    self.now = target;
+                    self.check();
+                    return actions;
+                }
+            }
+        }
+        self.oracle.violation("livelock of wakeups".to_owned());
+        actions
+    }
+
+    /// Attempts in flight, oldest query first.
+    pub fn running(&self) -> Vec<SendAttempt> {
+        self.entries(&[Fate::Running])
+    }
+
+    /// Attempts that ended or were cancelled.
+    pub fn past(&self) -> Vec<SendAttempt> {
+        self.entries(&[
+            Fate::Cancelled,
+            Fate::MayHaveRun,
+            Fate::Answered,
+            Fate::NotRun,
+            Fate::Shed,
+        ])
+    }
+
+    /// Answers every attempt in flight, also those that follow.
+    pub fn answer_all(&mut self) {
+        while let Some(send) = self.running().first().cloned() {
+            self.end(&send, AttemptResult::Answered(answer_to(&send)));
+        }
+    }
+
+    pub fn assert_clean(&self) {
+        let violations = &self.oracle.violations;
+        assert!(violations.is_empty(), "{violations:#?}");
+    }
+
+    fn entries(&self, fates: &[Fate]) -> Vec<SendAttempt> {
+        let cases = self.oracle.cases.values();
+        let entries = cases.flat_map(|case| &case.entries);
+        let wanted = entries.filter(|entry| fates.contains(&entry.fate));
+        wanted.map(|entry| entry.send.clone()).collect()
+    }
+
+    fn take(&mut self, actions: Vec<RootAction>) -> Vec<RootAction> {
+        let mut seen = Vec::new();
+        for mut action in actions {
+            if !(self.tampering.action)(&mut action) {
+                continue;
+            }
+            self.oracle.on_action(self.now, &self.tuning, &action);
+            if let RootAction::Finish { answer, .. } = &action {
+                self.finished.push(answer.clone());
+            }
+            seen.push(action);
+        }
+        self.check();
+        seen
+    }
+
+    fn check(&mut self) {
+        let waiting = self.engine.status(self.now).waiting_shards;
+        let wakeup = self.engine.next_wakeup();
+        self.oracle.check_open_queries(self.now, waiting, wakeup);
+    }
+}
