Fill in the membership state machine

SWIM probes within a place; a place is judged reachable or not as a whole from elsewhere, so that a cut between regions changes no member's state.

--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -1,17 +1,97 @@
-//! The membership state machine: dispatches events to its parts.
+//! The membership state machine: its state, its interface, and the one place where a statement
+//! is taken into the table.
 
 use super::event::{MembershipAction, MembershipEvent};
-use super::member::{LocalMember, MemberRecord};
+use super::member::{LocalMember, MemberRecord, MemberState};
+use super::packet::{ConfigDigest, GossipMessage, GossipPacket};
+use super::places::RemotePlaces;
+use super::probes::{ProbeOrder, ProbeTable};
 use super::settings::MembershipSettings;
-use tansylead_types::{Moment, NodeId};
+use super::sync::{ServeLimit, Sync};
+use super::table::{Comparison, MemberTable};
+use super::timers::TimerQueue;
+use super::updates::{UpdateQueue, record_bytes, update_budget};
+use rand::SeedableRng;
+use rand::rngs::Xoshiro256PlusPlus;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tansylead_types::store::{MachineList, MachineState};
+use tansylead_types::{Moment, NodeId, PlaceName};
+
+/// A wakeup later than this means that the process was suspended or starved.
+const PAUSE_TOLERANCE: Duration = Duration::from_secs(1);
+
+/// Members told directly when this daemon begins to leave or exits.
+const LEAVE_FAN_OUT: usize = 8;
+
+/// Reasons to wake up. Each is checked for relevance when it is due.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    Probe,
+    Gossip,
+    Sync,
+    FailedProbe,
+    RemoteProbe(PlaceName),
+    DirectTimeout(super::packet::Sequence),
+    ProbeEnd(super::packet::Sequence),
+    Suspicion {
+        node: NodeId,
+        boot: u64,
+        incarnation: u64,
+    },
+    Expiry {
+        node: NodeId,
+        boot: u64,
+        incarnation: u64,
+    },
+}
+
+/// Counters for metrics; all of them only grow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct MembershipCounters {
+    /// Packets handed to the driver.
+    pub packets_sent: u64,
+    /// Packets taken in.
+    pub packets_received: u64,
+    /// Packets dropped because their source address was not the sender's.
+    pub sender_mismatches: u64,
+    /// Packets dropped because a later run of the sender is known.
+    pub stale_instances: u64,
+    /// Suspicions raised by this daemon.
+    pub suspicions_raised: u64,
+    /// Statements about itself that this daemon refuted.
+    pub refutations: u64,
+    /// Suspensions of this process that were noticed.
+    pub pauses: u64,
+    /// Summaries and pages refused because too many were asked for.
+    pub sync_refused: u64,
+    /// Walks over a peer's table begun.
+    pub walks_started: u64,
+}
 
 /// Membership as one daemon sees it.
 #[derive(Debug)]
 pub struct Membership {
-    local: MemberRecord,
-    _seeds: Vec<NodeId>,
-    _settings: MembershipSettings,
-    next: Moment,
+    pub(super) settings: MembershipSettings,
+    pub(super) local: MemberRecord,
+    pub(super) seeds: Vec<NodeId>,
+    pub(super) hints: Vec<NodeId>,
+    leaving_hints: BTreeSet<NodeId>,
+    pub(super) table: MemberTable,
+    pub(super) updates: UpdateQueue,
+    pub(super) probes: ProbeTable,
+    pub(super) probe_order: ProbeOrder,
+    pub(super) places: RemotePlaces,
+    pub(super) sync: Sync,
+    pub(super) serve_limit: ServeLimit,
+    pub(super) timers: TimerQueue<Timer>,
+    pub(super) sync_due: Moment,
+    pub(super) gossip_scheduled: bool,
+    pub(super) gossip_bytes: usize,
+    pub(super) config: ConfigDigest,
+    pub(super) random: Xoshiro256PlusPlus,
+    pub(super) counters: MembershipCounters,
+    replaced: bool,
 }
 
 impl Membership {
@@ -21,29 +101,87 @@
         local: LocalMember,
         seeds: Vec<NodeId>,
         settings: MembershipSettings,
-        _seed: u64,
+        seed: u64,
     ) -> Self {
-        Self {
-            local: local.record(),
-            _seeds: seeds,
-            _settings: settings,
-            next: now,
-        }
+        let local = local.record();
+        let seeds: Vec<NodeId> = seeds
+            .into_iter()
+            .filter(|seed| *seed != local.node())
+            .collect();
+        let joined = seeds.is_empty() && !settings.expect_machine_list;
+        let mut table = MemberTable::default();
+        table.apply(&local);
+        let mut membership = Self {
+            local,
+            seeds,
+            hints: Vec::new(),
+            leaving_hints: BTreeSet::new(),
+            table,
+            updates: UpdateQueue::default(),
+            probes: ProbeTable::default(),
+            probe_order: ProbeOrder::default(),
+            places: RemotePlaces::default(),
+            sync: Sync::new(joined),
+            serve_limit: ServeLimit::default(),
+            timers: TimerQueue::new(),
+            sync_due: now,
+            gossip_scheduled: false,
+            gossip_bytes: 0,
+            config: ConfigDigest::default(),
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+            counters: MembershipCounters::default(),
+            replaced: false,
+            settings,
+        };
+        membership.schedule_first_timers(now);
+        membership
     }
 
     /// Handles one event.
-    pub fn on_event(&mut self, _now: Moment, _event: MembershipEvent) -> Vec<MembershipAction> {
-        Vec::new()
+    pub fn on_event(&mut self, now: Moment, event: MembershipEvent) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        self.notice_pause(now);
+        match event {
+            MembershipEvent::Packet { from, packet } => {
+                self.receive(now, from, *packet, &mut actions);
+            }
+            MembershipEvent::Wakeup => {}
+            MembershipEvent::Leave => self.leave(now, MemberState::Leaving, &mut actions),
+            MembershipEvent::Exit => self.leave(now, MemberState::Left, &mut actions),
+            MembershipEvent::MachineList(list) => self.take_hints(list),
+            MembershipEvent::Config(digest) => self.config = digest,
+            MembershipEvent::Announce { to } => {
+                for peer in to {
+                    self.send(peer, GossipMessage::Announce, &mut actions);
+                }
+            }
+            MembershipEvent::QueryRevision { to, sequence } => {
+                self.send(to, GossipMessage::RevisionQuery(sequence), &mut actions);
+            }
+        }
+        self.run_timers(now, &mut actions);
+        actions
     }
 
     /// When `Wakeup` is due.
     pub fn next_wakeup(&self) -> Option<Moment> {
-        Some(self.next)
+        self.timers.next()
     }
 
     /// All remembered members, this daemon included, ordered by address.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
-        std::iter::once(&self.local)
+        self.table.records()
+    }
+
+    /// Members that may be given new work: alive or suspect, in a place that answers.
+    pub fn live_members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members()
+            .filter(|member| member.state.takes_work() && self.is_reachable(&member.place))
+    }
+
+    /// The statement held about a node.
+    pub fn member(&self, node: NodeId) -> Option<&MemberRecord> {
+        self.table.get(node)
     }
 
     /// This daemon's statement about itself.
@@ -51,8 +189,220 @@
         &self.local
     }
 
+    /// Whether a place answers this daemon; its own always does.
+    pub fn is_reachable(&self, place: &PlaceName) -> bool {
+        self.places.is_reachable(place)
+    }
+
+    /// Whether the machine list says that the machine at this address is about to leave.
+    pub fn has_leaving_hint(&self, node: NodeId) -> bool {
+        self.leaving_hints.contains(&node)
+    }
+
     /// Whether the table was completed from a peer, or there is nobody to join.
     pub fn is_joined(&self) -> bool {
-        false
+        self.sync.joined
+    }
+
+    /// Counters for metrics.
+    pub fn counters(&self) -> MembershipCounters {
+        self.counters
+    }
+
+    /// Takes a statement into the table and arranges for what follows from it.
+    pub(super) fn adopt(
+        &mut self,
+        now: Moment,
+        record: &MemberRecord,
+        actions: &mut Vec<MembershipAction>,
+    ) -> Comparison {
+        if record.node() == self.local.node() {
+            self.hear_about_local(now, record, actions);
+            return Comparison::Same;
+        }
+        let comparison = self.table.apply(record);
+        if comparison == Comparison::Newer {
+            self.pass_on(now, record.node());
+            self.watch_place(now, &record.place);
+            self.schedule_state_timer(now, record);
+            actions.push(MembershipAction::Changed(record.clone()));
+        }
+        comparison
+    }
+
+    /// Queues the statement held about a node for gossip.
+    pub(super) fn pass_on(&mut self, now: Moment, node: NodeId) {
+        self.updates.push(node);
+        self.schedule_gossip(now);
+    }
+
+    /// Sends a message, with a statement about the receiver if it must refute that, and with
+    /// queued statements.
+    pub(super) fn send(
+        &mut self,
+        to: NodeId,
+        message: GossipMessage,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut budget = update_budget(&self.local, None);
+        let mut updates = Vec::new();
+        if let Some(record) = self.statement_to_refute(to) {
+            budget = budget.saturating_sub(record_bytes(record));
+            updates.push(record.clone());
+        }
+        let limit = self.transmission_limit();
+        updates.extend(self.updates.take(&self.table, budget, limit));
+        self.send_with(to, message, updates, actions);
+    }
+
+    /// Sends a message with exactly these statements.
+    pub(super) fn send_with(
+        &mut self,
+        to: NodeId,
+        message: GossipMessage,
+        updates: Vec<MemberRecord>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.counters.packets_sent += 1;
+        let packet = Box::new(GossipPacket {
+            sender: self.local.clone(),
+            config: self.config,
+            members_hash: self.table.hash(),
+            message,
+            updates,
+        });
+        actions.push(MembershipAction::Send { to, packet });
+    }
+
+    /// What is held against a node that it may want to refute.
+    pub(super) fn statement_to_refute(&self, node: NodeId) -> Option<&MemberRecord> {
+        let record = self.table.get(node)?;
+        let harmless = matches!(record.state, MemberState::Alive | MemberState::Leaving);
+        (!harmless).then_some(record)
+    }
+
+    fn transmission_limit(&self) -> u32 {
+        let size = self.table.running().len() as f64 + 1.0;
+        (self.settings.retransmit_multiplier * size.log10()).ceil() as u32 + 1
+    }
+
+    fn hear_about_local(
+        &mut self,
+        now: Moment,
+        record: &MemberRecord,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if record.instance.boot > self.local.instance.boot {
+            if !self.replaced {
+                self.replaced = true;
+                actions.push(MembershipAction::Replaced {
+                    by: record.instance,
+                });
+            }
+            return;
+        }
+        let about_this_run = record.instance == self.local.instance;
+        let harmful = record.precedence() > self.local.precedence();
+        if about_this_run && harmful && self.local.state != MemberState::Left {
+            self.counters.refutations += 1;
+            self.restate(now, record.incarnation + 1, self.local.state, actions);
+        }
+    }
+
+    /// Makes a new statement about this daemon.
+    fn restate(
+        &mut self,
+        now: Moment,
+        incarnation: u64,
+        state: MemberState,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.local.incarnation = incarnation;
+        self.local.state = state;
+        self.table.apply(&self.local);
+        self.pass_on(now, self.local.node());
+        actions.push(MembershipAction::Changed(self.local.clone()));
+    }
+
+    fn leave(&mut self, now: Moment, state: MemberState, actions: &mut Vec<MembershipAction>) {
+        if self.local.state >= state {
+            return;
+        }
+        self.restate(now, self.local.incarnation + 1, state, actions);
+        let local = [self.local.node()];
+        let peers = self
+            .table
+            .running()
+            .sample(&mut self.random, LEAVE_FAN_OUT, &local);
+        for peer in peers {
+            self.send(peer, GossipMessage::Gossip, actions);
+        }
+    }
+
+    fn take_hints(&mut self, list: MachineList) {
+        self.leaving_hints.clear();
+        self.hints.clear();
+        for machine in list.machines {
+            let node = NodeId(machine.address);
+            match machine.state {
+                MachineState::Leaving => {
+                    self.leaving_hints.insert(node);
+                }
+                MachineState::Live if node != self.local.node() => self.hints.push(node),
+                MachineState::Live => {}
+            }
+        }
+        if self.seeds.is_empty() && self.hints.is_empty() {
+            self.sync.joined = true;
+        }
+    }
+
+    fn notice_pause(&mut self, now: Moment) {
+        let Some(due) = self.timers.next() else {
+            return;
+        };
+        let late = now.since(due);
+        if late > PAUSE_TOLERANCE {
+            self.counters.pauses += 1;
+            self.timers.delay_all(late);
+        }
+    }
+
+    fn schedule_state_timer(&mut self, now: Moment, record: &MemberRecord) {
+        let node = record.node();
+        let boot = record.instance.boot;
+        let incarnation = record.incarnation;
+        let expiry = Timer::Expiry {
+            node,
+            boot,
+            incarnation,
+        };
+        match record.state {
+            MemberState::Suspect if record.place == self.local.place => {
+                let timer = Timer::Suspicion {
+                    node,
+                    boot,
+                    incarnation,
+                };
+                let timeout = self.suspicion_timeout();
+                self.timers.schedule(now + timeout, timer);
+            }
+            MemberState::Failed => {
+                let retention = self.settings.failed_retention;
+                self.timers.schedule(now + retention, expiry);
+            }
+            MemberState::Left => {
+                let retention = self.settings.left_retention;
+                self.timers.schedule(now + retention, expiry);
+            }
+            MemberState::Alive | MemberState::Suspect | MemberState::Leaving => {}
+        }
+    }
+
+    fn suspicion_timeout(&self) -> Duration {
+        let place = self.table.place(&self.local.place);
+        let size = place.map_or(1, |members| members.running.len()) as f64;
+        let periods = self.settings.suspicion_multiplier * size.log10().max(1.0);
+        self.settings.probe_period.mul_f64(periods)
     }
 }
--- a/crates/tansylead-cluster/src/membership/packet.rs
+++ b/crates/tansylead-cluster/src/membership/packet.rs
@@ -45,7 +45,12 @@
     /// Asks for a summary of the receiver's member table; also how a daemon joins.
     SummaryRequest,
     /// Summary of the sender's member table.
-    Summary(Vec<PlaceSummary>),
+    Summary {
+        /// Whether the sender has joined, so that its table may be taken as complete.
+        joined: bool,
+        /// Hash of each place.
+        places: Vec<PlaceSummary>,
+    },
     /// Asks for members of a place with addresses after `after`.
     PageRequest {
         /// Place.
@@ -60,6 +65,8 @@
         /// Where to go on; none if this was the last page.
         next: Option<NodeId>,
     },
+    /// Only carries statements. Not answered.
+    Gossip,
     /// The sender has just applied the configuration in its digest. Not answered.
     Announce,
     /// Which configuration do you hold? Answered by `RevisionReply`, whose digest tells.
--- /dev/null
+++ b/crates/tansylead-cluster/src/membership/probing.rs
@@ -0,0 +1,320 @@
+//! Timers: probes within the place, to other places and to failed members; suspicion; gossip of
+//! queued statements; retention.
+
+use super::event::MembershipAction;
+use super::machine::{Membership, Timer};
+use super::member::{MemberRecord, MemberState};
+use super::packet::{GossipMessage, Sequence};
+use super::probes::{Probe, ProbeKind};
+use super::updates::record_bytes;
+use rand::RngExt;
+use std::time::Duration;
+use tansylead_types::{InstanceId, Moment, NodeId, PlaceName};
+
+/// Period of gossip while statements are queued.
+const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
+
+/// Members of the own place told per gossip period.
+const GOSSIP_LOCAL_FAN_OUT: usize = 2;
+
+/// Members of any place told per gossip period.
+const GOSSIP_ANY_FAN_OUT: usize = 1;
+
+/// Bytes of statements gossiped per period at most; keeps storms of statements within 3 KB/s.
+const GOSSIP_BYTES_PER_PERIOD: usize = 600;
+
+/// Unused gossip bytes that may be saved up.
+const GOSSIP_BYTES_BURST: usize = 3_000;
+
+impl Membership {
+    pub(super) fn schedule_first_timers(&mut self, now: Moment) {
+        let probe = self.jittered(self.settings.probe_period);
+        self.timers.schedule(now + probe, Timer::Probe);
+        let failed_probe = self.jittered(self.settings.failed_probe_period);
+        self.timers.schedule(now + failed_probe, Timer::FailedProbe);
+        self.timers.schedule(now, Timer::Sync);
+    }
+
+    /// A random time between half and one and a half of a period.
+    pub(super) fn jittered(&mut self, period: Duration) -> Duration {
+        period.mul_f64(self.random.random_range(0.5..1.5))
+    }
+
+    pub(super) fn run_timers(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            self.run_timer(now, timer, actions);
+        }
+    }
+
+    fn run_timer(&mut self, now: Moment, timer: Timer, actions: &mut Vec<MembershipAction>) {
+        match timer {
+            Timer::Probe => self.probe_next(now, actions),
+            Timer::Gossip => self.gossip(now, actions),
+            Timer::Sync => self.run_sync(now, actions),
+            Timer::FailedProbe => self.probe_failed(now, actions),
+            Timer::RemoteProbe(place) => self.probe_place(now, place, actions),
+            Timer::DirectTimeout(sequence) => self.probe_indirectly(sequence, actions),
+            Timer::ProbeEnd(sequence) => self.end_probe(now, sequence, actions),
+            Timer::Suspicion {
+                node,
+                boot,
+                incarnation,
+            } => self.end_suspicion(now, node, (boot, incarnation), actions),
+            Timer::Expiry {
+                node,
+                boot,
+                incarnation,
+            } => self.expire(node, (boot, incarnation), actions),
+        }
+    }
+
+    /// Sends a ping and arranges for its end.
+    pub(super) fn start_probe(
+        &mut self,
+        now: Moment,
+        probe: Probe,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let target = probe.target.node;
+        let is_local = probe.kind == ProbeKind::Local;
+        let sequence = self.probes.start(probe);
+        if is_local {
+            let direct_end = now + self.settings.direct_timeout;
+            self.timers
+                .schedule(direct_end, Timer::DirectTimeout(sequence));
+        }
+        let end = now + self.settings.probe_period;
+        self.timers.schedule(end, Timer::ProbeEnd(sequence));
+        self.send(target, GossipMessage::Ping(sequence), actions);
+    }
+
+    fn probe_next(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
+        self.timers
+            .schedule(now + self.settings.probe_period, Timer::Probe);
+        let target = self.probe_order.next(
+            &self.table,
+            &self.local.place,
+            self.local.node(),
+            &mut self.random,
+        );
+        self.probe_node(now, target, ProbeKind::Local, actions);
+    }
+
+    fn probe_failed(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
+        let delay = self.jittered(self.settings.failed_probe_period);
+        self.timers.schedule(now + delay, Timer::FailedProbe);
+        let failed = self.table.failed(&self.local.place);
+        let target = failed.and_then(|nodes| nodes.random(&mut self.random));
+        self.probe_node(now, target, ProbeKind::Failed, actions);
+    }
+
+    fn probe_node(
+        &mut self,
+        now: Moment,
+        target: Option<NodeId>,
+        kind: ProbeKind,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let record = target.and_then(|node| self.table.get(node));
+        let Some(target) = record.map(|record| record.instance) else {
+            return;
+        };
+        self.start_probe(now, Probe { target, kind }, actions);
+    }
+
+    /// Begins to watch another place.
+    pub(super) fn watch_place(&mut self, now: Moment, place: &PlaceName) {
+        if *place != self.local.place && self.places.add(now, place) {
+            let due = now + self.jittered(self.settings.probe_period);
+            self.schedule_place_probe(place, due);
+        }
+    }
+
+    /// A packet from a place that does not answer: probe it at once.
+    pub(super) fn hear_from_place(&mut self, now: Moment, sender: &MemberRecord) {
+        if !self.places.is_reachable(&sender.place) {
+            let due = now + self.jittered(self.settings.direct_timeout);
+            self.schedule_place_probe(&sender.place, due);
+        }
+    }
+
+    fn schedule_place_probe(&mut self, place: &PlaceName, due: Moment) {
+        if self.places.bring_forward(place, due) {
+            self.timers.schedule(due, Timer::RemoteProbe(place.clone()));
+        }
+    }
+
+    fn probe_place(&mut self, now: Moment, place: PlaceName, actions: &mut Vec<MembershipAction>) {
+        if !self.places.take_due_probe(now, &place) {
+            return;
+        }
+        if self.places.is_expired(now, &place, &self.settings) {
+            self.forget_place(&place, actions);
+            return;
+        }
+        let delay = self.places.probe_delay(&place, &self.settings);
+        let delay = self.jittered(delay);
+        self.schedule_place_probe(&place, now + delay);
+        let members = self.table.place(&place);
+        let target = members.and_then(|members| members.running.random(&mut self.random));
+        self.probe_node(now, target, ProbeKind::Remote(place), actions);
+    }
+
+    fn forget_place(&mut self, place: &PlaceName, actions: &mut Vec<MembershipAction>) {
+        self.places.remove(place);
+        let members = self.table.place(place);
+        let nodes = members.map_or(Vec::new(), |members| members.running.as_slice().to_vec());
+        for node in nodes {
+            let forgotten = self.table.remove(node);
+            actions.extend(forgotten.map(MembershipAction::Forgotten));
+        }
+    }
+
+    fn probe_indirectly(&mut self, sequence: Sequence, actions: &mut Vec<MembershipAction>) {
+        let Some(probe) = self.probes.get(sequence) else {
+            return;
+        };
+        let target = probe.target.node;
+        for helper in self.helpers(target) {
+            let message = GossipMessage::PingRequest { sequence, target };
+            self.send(helper, message, actions);
+        }
+    }
+
+    /// Helpers for an indirect probe: of the own place, topped up from other places.
+    fn helpers(&mut self, target: NodeId) -> Vec<NodeId> {
+        let count = self.settings.indirect_probes;
+        let mut excluded = vec![target, self.local.node()];
+        let place = self.table.place(&self.local.place);
+        let mut helpers = place.map_or(Vec::new(), |members| {
+            members.running.sample(&mut self.random, count, &excluded)
+        });
+        excluded.extend(&helpers);
+        let lacking = count - helpers.len();
+        let running = self.table.running();
+        helpers.extend(running.sample(&mut self.random, lacking, &excluded));
+        helpers
+    }
+
+    fn end_probe(&mut self, now: Moment, sequence: Sequence, actions: &mut Vec<MembershipAction>) {
+        let Some(probe) = self.probes.finish(sequence) else {
+            return;
+        };
+        match probe.kind {
+            ProbeKind::Local => self.suspect(now, probe.target, actions),
+            ProbeKind::Remote(place) => {
+                if self.places.failed(&place, &self.settings) {
+                    actions.push(MembershipAction::PlaceReachability {
+                        place,
+                        reachable: false,
+                    });
+                }
+            }
+            ProbeKind::Failed | ProbeKind::Relayed { .. } => {}
+        }
+    }
+
+    /// A member of the own place did not answer. One that is leaving is declared failed at once:
+    /// it takes no new work anyway, and can still refute.
+    fn suspect(&mut self, now: Moment, target: InstanceId, actions: &mut Vec<MembershipAction>) {
+        let Some(held) = self.table.get(target.node) else {
+            return;
+        };
+        let state = match held.state {
+            MemberState::Alive => MemberState::Suspect,
+            MemberState::Leaving => MemberState::Failed,
+            MemberState::Suspect | MemberState::Failed | MemberState::Left => return,
+        };
+        if held.instance != target {
+            return;
+        }
+        let record = MemberRecord {
+            state,
+            ..held.clone()
+        };
+        self.counters.suspicions_raised += 1;
+        self.adopt(now, &record, actions);
+    }
+
+    fn end_suspicion(
+        &mut self,
+        now: Moment,
+        node: NodeId,
+        version: (u64, u64),
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let held = self.held_in_state(node, version, &[MemberState::Suspect]);
+        if let Some(held) = held {
+            let record = MemberRecord {
+                state: MemberState::Failed,
+                ..held.clone()
+            };
+            self.adopt(now, &record, actions);
+        }
+    }
+
+    fn expire(&mut self, node: NodeId, version: (u64, u64), actions: &mut Vec<MembershipAction>) {
+        let gone = [MemberState::Failed, MemberState::Left];
+        if self.held_in_state(node, version, &gone).is_some() {
+            let forgotten = self.table.remove(node);
+            actions.extend(forgotten.map(MembershipAction::Forgotten));
+        }
+    }
+
+    /// The statement held about a node, if it is still the one of this boot and incarnation.
+    fn held_in_state(
+        &self,
+        node: NodeId,
+        version: (u64, u64),
+        states: &[MemberState],
+    ) -> Option<&MemberRecord> {
+        self.table.get(node).filter(|held| {
+            (held.instance.boot, held.incarnation) == version && states.contains(&held.state)
+        })
+    }
+
+    pub(super) fn schedule_gossip(&mut self, now: Moment) {
+        if !self.gossip_scheduled {
+            self.gossip_scheduled = true;
+            self.timers.schedule(now + GOSSIP_PERIOD, Timer::Gossip);
+        }
+    }
+
+    fn gossip(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
+        self.gossip_scheduled = false;
+        if self.updates.is_empty() {
+            return;
+        }
+        self.schedule_gossip(now);
+        self.gossip_bytes = (self.gossip_bytes + GOSSIP_BYTES_PER_PERIOD).min(GOSSIP_BYTES_BURST);
+        for peer in self.gossip_peers() {
+            if self.gossip_bytes < GOSSIP_BYTES_PER_PERIOD || self.updates.is_empty() {
+                break;
+            }
+            self.send(peer, GossipMessage::Gossip, actions);
+            self.charge_gossip(actions.last());
+        }
+    }
+
+    fn gossip_peers(&mut self) -> Vec<NodeId> {
+        let mut excluded = vec![self.local.node()];
+        let place = self.table.place(&self.local.place);
+        let mut peers = place.map_or(Vec::new(), |members| {
+            members
+                .running
+                .sample(&mut self.random, GOSSIP_LOCAL_FAN_OUT, &excluded)
+        });
+        excluded.extend(&peers);
+        let running = self.table.running();
+        peers.extend(running.sample(&mut self.random, GOSSIP_ANY_FAN_OUT, &excluded));
+        peers
+    }
+
+    fn charge_gossip(&mut self, sent: Option<&MembershipAction>) {
+        if let Some(MembershipAction::Send { packet, .. }) = sent {
+            let statements: usize = packet.updates.iter().map(record_bytes).sum();
+            let bytes = statements + record_bytes(&self.local);
+            self.gossip_bytes = self.gossip_bytes.saturating_sub(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-cluster/src/membership/receive.rs
@@ -0,0 +1,200 @@
+//! Handling of packets from peers.
+
+use super::event::MembershipAction;
+use super::machine::Membership;
+use super::member::MemberRecord;
+use super::packet::{GossipMessage, GossipPacket, PlaceSummary, Sequence};
+use super::probes::{Probe, ProbeKind};
+use super::table::Comparison;
+use std::net::SocketAddr;
+use tansylead_types::{InstanceId, Moment, NodeId};
+
+/// Probes open at once, those relayed for others included; a bound on memory only.
+const MAXIMUM_OPEN_PROBES: usize = 256;
+
+impl Membership {
+    pub(super) fn receive(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        packet: GossipPacket,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let sender = &packet.sender;
+        let peer = sender.node();
+        if peer.0 != from || peer == self.local.node() {
+            self.counters.sender_mismatches += 1;
+            return;
+        }
+        if self.is_stale_instance(sender) {
+            self.counters.stale_instances += 1;
+            self.send_correction(peer, actions);
+            return;
+        }
+        self.counters.packets_received += 1;
+        self.adopt(now, sender, actions);
+        self.hear_from_place(now, sender);
+        let from_page = matches!(packet.message, GossipMessage::Page { .. });
+        for update in &packet.updates {
+            let comparison = self.adopt(now, update, actions);
+            if from_page && comparison == Comparison::Older {
+                self.pass_on(now, update.node());
+            }
+        }
+        if packet.config != self.config {
+            actions.push(MembershipAction::PeerConfig {
+                peer,
+                digest: packet.config,
+            });
+        }
+        self.compare_tables(now, peer, packet.members_hash, actions);
+        self.handle_message(now, packet, actions);
+    }
+
+    fn is_stale_instance(&self, sender: &MemberRecord) -> bool {
+        self.table
+            .get(sender.node())
+            .is_some_and(|held| held.instance.boot > sender.instance.boot)
+    }
+
+    /// Tells a node what is held about it.
+    fn send_correction(&mut self, node: NodeId, actions: &mut Vec<MembershipAction>) {
+        let updates: Vec<MemberRecord> = self.table.get(node).cloned().into_iter().collect();
+        self.send_with(node, GossipMessage::Gossip, updates, actions);
+    }
+
+    fn handle_message(
+        &mut self,
+        now: Moment,
+        packet: GossipPacket,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let peer = packet.sender.node();
+        match packet.message {
+            GossipMessage::Ping(sequence) => {
+                self.send(peer, GossipMessage::Ack(sequence), actions);
+            }
+            GossipMessage::Ack(sequence) => {
+                self.receive_ack(now, sequence, actions);
+                self.refuse_silently(peer, actions);
+            }
+            GossipMessage::PingRequest { sequence, target } => {
+                self.relay_probe(now, peer, sequence, target, actions);
+            }
+            GossipMessage::SummaryRequest => self.serve_summary(now, peer, actions),
+            GossipMessage::Summary { joined, places } => {
+                self.receive_summary(now, peer, joined, places, actions);
+            }
+            GossipMessage::PageRequest { place, after } => {
+                self.serve_page(now, peer, place, after, actions);
+            }
+            GossipMessage::Page { place, next } => self.receive_page(peer, &place, next),
+            GossipMessage::Gossip | GossipMessage::Announce => self.refuse_silently(peer, actions),
+            GossipMessage::RevisionQuery(sequence) => {
+                self.send(peer, GossipMessage::RevisionReply(sequence), actions);
+            }
+            GossipMessage::RevisionReply(sequence) => {
+                actions.push(MembershipAction::RevisionReply {
+                    sequence,
+                    peer: packet.sender.instance,
+                    digest: packet.config,
+                });
+            }
+        }
+    }
+
+    /// Messages without an answer still get one if the sender has something to refute.
+    fn refuse_silently(&mut self, peer: NodeId, actions: &mut Vec<MembershipAction>) {
+        if self.statement_to_refute(peer).is_some() {
+            self.send_correction(peer, actions);
+        }
+    }
+
+    fn receive_ack(
+        &mut self,
+        now: Moment,
+        sequence: Sequence,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(probe) = self.probes.finish(sequence) else {
+            return;
+        };
+        match probe.kind {
+            ProbeKind::Local | ProbeKind::Failed => {}
+            ProbeKind::Remote(place) => {
+                if self.places.answered(now, &place) {
+                    actions.push(MembershipAction::PlaceReachability {
+                        place,
+                        reachable: true,
+                    });
+                }
+            }
+            ProbeKind::Relayed {
+                requester,
+                sequence,
+            } => self.send(requester, GossipMessage::Ack(sequence), actions),
+        }
+    }
+
+    fn relay_probe(
+        &mut self,
+        now: Moment,
+        requester: NodeId,
+        sequence: Sequence,
+        target: NodeId,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if target == self.local.node() {
+            self.send(requester, GossipMessage::Ack(sequence), actions);
+            return;
+        }
+        if self.probes.len() >= MAXIMUM_OPEN_PROBES {
+            return;
+        }
+        let boot = self.table.get(target).map_or(0, |held| held.instance.boot);
+        let probe = Probe {
+            target: InstanceId { node: target, boot },
+            kind: ProbeKind::Relayed {
+                requester,
+                sequence,
+            },
+        };
+        self.start_probe(now, probe, actions);
+    }
+
+    fn serve_summary(&mut self, now: Moment, peer: NodeId, actions: &mut Vec<MembershipAction>) {
+        if !self.admit_serving(now) {
+            return;
+        }
+        let message = GossipMessage::Summary {
+            joined: self.sync.joined,
+            places: self.fitting_summaries(),
+        };
+        self.send_with(peer, message, Vec::new(), actions);
+    }
+
+    fn fitting_summaries(&self) -> Vec<PlaceSummary> {
+        const HASH_BYTES: usize = 10;
+        const LENGTH_BYTES: usize = 1;
+        let mut budget = super::updates::update_budget(&self.local, None);
+        let mut fitting = Vec::new();
+        for summary in self.table.summaries() {
+            let bytes = summary.place.as_str().len() + LENGTH_BYTES + HASH_BYTES;
+            if bytes > budget {
+                break;
+            }
+            budget -= bytes;
+            fitting.push(summary);
+        }
+        fitting
+    }
+
+    pub(super) fn admit_serving(&mut self, now: Moment) -> bool {
+        let limit = self.settings.pages_served_per_second;
+        let admitted = self.serve_limit.admit(now, limit);
+        if !admitted {
+            self.counters.sync_refused += 1;
+        }
+        admitted
+    }
+}
--- a/crates/tansylead-cluster/src/membership/settings.rs
+++ b/crates/tansylead-cluster/src/membership/settings.rs
@@ -15,7 +15,7 @@
     pub suspicion_multiplier: f64,
     /// A statement is passed on this many times, times the decimal logarithm of the cluster size.
     pub retransmit_multiplier: f64,
-    /// Period of probes to other places, each time the next place.
+    /// Period of probes to each other place.
     pub remote_probe_period: Duration,
     /// A place that failed this many remote probes in a row counts as unreachable.
     pub remote_failures: u32,
@@ -35,7 +35,9 @@
     pub page_interval: Duration,
     /// Pages and summaries served per second; surplus requests are dropped and retried elsewhere.
     pub pages_served_per_second: u32,
-    /// Period of attempts to join, and of reminders to seeds that are not members.
+    /// Without seeds, wait for a machine list before this daemon counts as alone.
+    pub expect_machine_list: bool,
+    /// Shortest period of attempts to join; also sets that of reminders to seeds that are not members.
     pub join_period: Duration,
 }
 
@@ -48,7 +50,7 @@
             indirect_probes: 3,
             suspicion_multiplier: 2.0,
             retransmit_multiplier: 4.0,
-            remote_probe_period: Duration::from_secs(2),
+            remote_probe_period: Duration::from_secs(5),
             remote_failures: 3,
             unreachable_probe_limit: Duration::from_secs(30),
             failed_probe_period: Duration::from_secs(5),
@@ -58,7 +60,8 @@
             mismatch_tolerance: Duration::from_secs(10),
             page_interval: Duration::from_millis(125),
             pages_served_per_second: 20,
-            join_period: Duration::from_secs(1),
+            expect_machine_list: false,
+            join_period: Duration::from_millis(500),
         }
     }
 }
--- /dev/null
+++ b/crates/tansylead-cluster/src/membership/updates.rs
@@ -0,0 +1,124 @@
+//! Statements waiting to be passed on, and the assembly of packets that stay within the size
+//! limit.
+//!
+//! Invariants: a statement is passed on a bounded number of times; the least passed on goes
+//! first; a newer statement about a node replaces the queued one and starts over.
+
+use super::member::MemberRecord;
+use super::table::MemberTable;
+use crate::codec::{FRAME_HEADER_BYTES, MAXIMUM_PACKET_BYTES};
+use std::collections::{BTreeMap, BTreeSet};
+use tansylead_types::{NodeId, PlaceName};
+
+/// No packet holds more statements than this.
+const MAXIMUM_UPDATES: usize = 32;
+
+const NODE_BYTES: usize = 20;
+const NUMBER_BYTES: usize = 10;
+const STATE_BYTES: usize = 1;
+const NAME_LENGTH_BYTES: usize = 1;
+
+/// Bytes of config digest, members hash, message without names, and the length of the updates.
+const FIXED_PACKET_BYTES: usize = 3 * NUMBER_BYTES + 2 * NODE_BYTES + 4;
+
+/// Upper bound of the encoded size of a statement.
+pub(super) fn record_bytes(record: &MemberRecord) -> usize {
+    let node_bytes = if record.node().0.is_ipv4() {
+        9
+    } else {
+        NODE_BYTES
+    };
+    let caller_bytes = if record.caller_address.is_ipv4() {
+        9
+    } else {
+        NODE_BYTES
+    };
+    let names = record.place.as_str().len() + record.zone.as_str().len() + 2 * NAME_LENGTH_BYTES;
+    node_bytes + caller_bytes + 2 * NUMBER_BYTES + names + STATE_BYTES
+}
+
+/// Bytes left for statements in a packet of this sender whose message carries these names.
+pub(super) fn update_budget(sender: &MemberRecord, place_in_message: Option<&PlaceName>) -> usize {
+    let message = place_in_message.map_or(0, |place| place.as_str().len() + NAME_LENGTH_BYTES);
+    let used = FRAME_HEADER_BYTES + FIXED_PACKET_BYTES + record_bytes(sender) + message;
+    MAXIMUM_PACKET_BYTES.saturating_sub(used)
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Priority {
+    transmissions: u32,
+    queued: u64,
+}
+
+/// Statements waiting to be passed on.
+#[derive(Debug, Default)]
+pub(super) struct UpdateQueue {
+    order: BTreeSet<(Priority, NodeId)>,
+    priorities: BTreeMap<NodeId, Priority>,
+    next_queued: u64,
+}
+
+impl UpdateQueue {
+    /// Queues the statement held about a node, or starts over with it.
+    pub(super) fn push(&mut self, node: NodeId) {
+        self.remove(node);
+        let priority = Priority {
+            transmissions: 0,
+            queued: self.next_queued,
+        };
+        self.next_queued += 1;
+        self.insert(node, priority);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Takes statements that fit the budget and counts them as passed on once more.
+    pub(super) fn take(
+        &mut self,
+        table: &MemberTable,
+        mut budget: usize,
+        transmission_limit: u32,
+    ) -> Vec<MemberRecord> {
+        let mut taken = Vec::new();
+        let first: Vec<_> = self.order.iter().take(MAXIMUM_UPDATES).copied().collect();
+        for (priority, node) in first {
+            let Some(record) = table.get(node) else {
+                self.remove(node);
+                continue;
+            };
+            let bytes = record_bytes(record);
+            if bytes > budget {
+                break;
+            }
+            budget -= bytes;
+            taken.push(record.clone());
+            self.count_transmission(node, priority, transmission_limit);
+        }
+        taken
+    }
+
+    fn count_transmission(&mut self, node: NodeId, priority: Priority, limit: u32) {
+        self.remove(node);
+        let transmissions = priority.transmissions + 1;
+        if transmissions < limit {
+            let priority = Priority {
+                transmissions,
+                ..priority
+            };
+            self.insert(node, priority);
+        }
+    }
+
+    fn insert(&mut self, node: NodeId, priority: Priority) {
+        self.order.insert((priority, node));
+        self.priorities.insert(node, priority);
+    }
+
+    fn remove(&mut self, node: NodeId) {
+        if let Some(priority) = self.priorities.remove(&node) {
+            self.order.remove(&(priority, node));
+        }
+    }
+}
