Fill in configuration spread and the in-force check

Readers of the store by rendezvous rank, announcements and pulls between peers, one paced query per daemon to learn where a revision is in force.

--- a/crates/tansylead-cluster/src/lib.rs
+++ b/crates/tansylead-cluster/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod codec;
 pub mod membership;
+mod node_set;
 pub mod spread;
--- a/crates/tansylead-cluster/src/membership/mod.rs
+++ b/crates/tansylead-cluster/src/membership/mod.rs
@@ -4,7 +4,6 @@
 mod joining;
 mod machine;
 mod member;
-mod node_set;
 mod packet;
 mod places;
 mod probes;
--- a/crates/tansylead-cluster/src/membership/table.rs
+++ b/crates/tansylead-cluster/src/membership/table.rs
@@ -4,8 +4,8 @@
 //! forgotten after its retention.
 
 use super::member::{MemberRecord, MemberState};
-use super::node_set::NodeSet;
 use super::packet::PlaceSummary;
+use crate::node_set::NodeSet;
 use std::collections::BTreeMap;
 use tansylead_types::{InstanceId, NodeId, PlaceName};
 use xxhash_rust::xxh3::Xxh3;
--- a/crates/tansylead-cluster/src/membership/node_set.rs
+++ b/crates/tansylead-cluster/src/node_set.rs
@@ -6,20 +6,20 @@
 
 /// A set of addresses. The order of `as_slice` depends only on the history of changes.
 #[derive(Debug, Default)]
-pub(super) struct NodeSet {
+pub(crate) struct NodeSet {
     nodes: Vec<NodeId>,
     positions: BTreeMap<NodeId, usize>,
 }
 
 impl NodeSet {
-    pub(super) fn insert(&mut self, node: NodeId) {
+    pub(crate) fn insert(&mut self, node: NodeId) {
         if !self.positions.contains_key(&node) {
             self.positions.insert(node, self.nodes.len());
             self.nodes.push(node);
         }
     }
 
-    pub(super) fn remove(&mut self, node: NodeId) {
+    pub(crate) fn remove(&mut self, node: NodeId) {
         let Some(position) = self.positions.remove(&node) else {
             return;
         };
@@ -29,24 +29,24 @@
         }
     }
 
-    pub(super) fn contains(&self, node: NodeId) -> bool {
+    pub(crate) fn contains(&self, node: NodeId) -> bool {
         self.positions.contains_key(&node)
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.nodes.len()
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.nodes.is_empty()
     }
 
-    pub(super) fn as_slice(&self) -> &[NodeId] {
+    pub(crate) fn as_slice(&self) -> &[NodeId] {
         &self.nodes
     }
 
     /// Nodes in order of address, starting after `after`.
-    pub(super) fn ordered_after(&self, after: Option<NodeId>) -> impl Iterator<Item = NodeId> {
+    pub(crate) fn ordered_after(&self, after: Option<NodeId>) -> impl Iterator<Item = NodeId> {
         use std::ops::Bound;
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
         self.positions
@@ -54,7 +54,7 @@
             .map(|(node, _)| *node)
     }
 
-    pub(super) fn random(&self, random: &mut impl Rng) -> Option<NodeId> {
+    pub(crate) fn random(&self, random: &mut impl Rng) -> Option<NodeId> {
         if self.nodes.is_empty() {
             return None;
         }
@@ -63,7 +63,7 @@
 
     /// Up to `count` different random nodes, none of them in `excluded`. Gives up after a bounded
     /// number of draws, so it may return fewer than there are.
-    pub(super) fn sample(
+    pub(crate) fn sample(
         &self,
         random: &mut impl Rng,
         count: usize,
--- a/crates/tansylead-cluster/src/spread/event.rs
+++ b/crates/tansylead-cluster/src/spread/event.rs
@@ -18,54 +18,59 @@
     PullFinished {
         /// Peer pulled from.
         peer: NodeId,
-        /// What it sent: everything after the revision that was asked for.
+        /// Revision the pull asked for.
+        after: u64,
+        /// What the peer sent: everything after that revision.
         result: Result<ObjectList, StepError>,
     },
-    /// The read asked for by `SpreadAction::WatchStore` ended.
-    StoreRead(Result<ObjectList, StepError>),
-    /// Members changed: all that take part in spreading (running, reachable or not), this daemon
-    /// included.
-    Members {
-        /// Running members.
-        running: Vec<MemberRecord>,
-        /// Whether joining is complete; before that this daemon does not read the store at once.
-        joined: bool,
+    /// The read asked for by `SpreadAction::ReadStore` ended.
+    StoreRead {
+        /// Revision the read asked for.
+        after: u64,
+        /// What the store sent: everything after that revision.
+        result: Result<ObjectList, StepError>,
     },
+    /// The statement held about a member changed (from `MembershipAction::Changed`).
+    Member(MemberRecord),
+    /// A member was forgotten (from `MembershipAction::Forgotten`).
+    MemberForgotten(NodeId),
+    /// Joining is complete (from `MembershipAction::Joined`).
+    Joined,
     /// The time given by `next_wakeup` has come.
     Wakeup,
 }
 
 /// What the driver must do.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SpreadAction {
     /// Ask a peer over TCP for everything after a revision and report `PullFinished`. At most one
-    /// is open at a time; a new one replaces an open one (its time is up): drop the old answer.
+    /// pull is wanted at a time: a new one replaces an open one, whose late answer does no harm.
     Pull {
         /// Peer.
         peer: NodeId,
         /// Revision; 0 for everything.
         after: u64,
     },
-    /// Read the store once (a watch held until something changes) and report `StoreRead`.
-    WatchStore {
+    /// Read the store once and report `StoreRead`, also when the read times out. At most one is
+    /// open at a time.
+    ReadStore {
         /// Revision; 0 for everything.
         after: u64,
+        /// Whether the store may hold its answer until something changes (a watch).
+        hold: bool,
     },
-    /// Drop an open read of the store; this daemon is no longer a reader.
-    StopWatching,
-    /// Tell these peers at once (as `MembershipEvent::Announce`).
-    Announce {
-        /// Peers.
-        to: Vec<NodeId>,
-        /// What this daemon holds now.
-        digest: ConfigDigest,
-    },
-    /// These objects changed in the replica. Also pass the digest on as
-    /// `MembershipEvent::Config`, before any `Announce` of the same batch.
+    /// Drop an open read of the store without reporting it: this daemon is no longer a reader.
+    StopReading,
+    /// These objects changed in the replica. Pass the digest on as `MembershipEvent::Config`.
     Applied {
         /// Changed objects.
         keys: Vec<ObjectKey>,
         /// What this daemon holds now.
         digest: ConfigDigest,
     },
+    /// Tell these peers at once (as `MembershipEvent::Announce`). Always follows an `Applied`.
+    Announce {
+        /// Peers.
+        to: Vec<NodeId>,
+    },
 }
--- a/crates/tansylead-cluster/src/spread/in_force.rs
+++ b/crates/tansylead-cluster/src/spread/in_force.rs
@@ -1,9 +1,13 @@
 //! Finds out on which live daemons a revision is in force, by asking each of them.
 
 use crate::membership::{ConfigDigest, MemberRecord, Sequence};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tansylead_types::{InstanceId, Moment, NodeId};
 
+/// Queries are sent in this many batches per second.
+const BATCHES_PER_SECOND: u32 = 20;
+
 /// Pace and limits of one check.
 #[derive(Debug, Clone, PartialEq)]
 pub struct InForceSettings {
@@ -68,39 +72,165 @@
     pub missing: Vec<NodeId>,
 }
 
+#[derive(Debug)]
+struct Target {
+    boot: u64,
+    confirmed: bool,
+}
+
 /// One check of one revision.
 #[derive(Debug)]
 pub struct InForceCheck {
-    report: InForceReport,
+    settings: InForceSettings,
+    revision: u64,
+    sequence: Sequence,
+    local: NodeId,
+    targets: BTreeMap<NodeId, Target>,
+    unconfirmed: usize,
+    /// When each unconfirmed daemon is to be asked; in order of time.
+    queue: VecDeque<(Moment, NodeId)>,
+    deadline: Moment,
+    next_batch: Moment,
+    finished: bool,
 }
 
 impl InForceCheck {
-    /// Starts a check of `revision` on `running` members; the asking daemon counts at once.
+    /// Starts a check of `revision` on the running members. The asking daemon is asked as well if
+    /// it is among them, by its driver handing in its own digest as a reply. `sequence` must not
+    /// be that of another check in progress.
     pub fn new(
-        _now: Moment,
-        _revision: u64,
-        _local: NodeId,
-        _running: Vec<MemberRecord>,
-        _settings: InForceSettings,
-        _first_sequence: Sequence,
+        now: Moment,
+        revision: u64,
+        local: NodeId,
+        running: impl IntoIterator<Item = MemberRecord>,
+        settings: InForceSettings,
+        sequence: Sequence,
     ) -> Self {
-        Self {
-            report: InForceReport::default(),
+        let deadline = now + settings.time_limit;
+        let mut check = Self {
+            settings,
+            revision,
+            sequence,
+            local,
+            targets: BTreeMap::new(),
+            unconfirmed: 0,
+            queue: VecDeque::new(),
+            deadline,
+            next_batch: now,
+            finished: false,
+        };
+        for member in running {
+            check.update_member(now, &member);
         }
+        check
     }
 
     /// Handles one event.
-    pub fn on_event(&mut self, _now: Moment, _event: InForceEvent) -> Vec<InForceAction> {
-        Vec::new()
+    pub fn on_event(&mut self, now: Moment, event: InForceEvent) -> Vec<InForceAction> {
+        if self.finished {
+            return Vec::new();
+        }
+        match event {
+            InForceEvent::Reply {
+                sequence,
+                peer,
+                digest,
+            } => self.take_reply(sequence, peer, digest),
+            InForceEvent::Member(member) => self.update_member(now, &member),
+            InForceEvent::Wakeup => {}
+        }
+        let mut actions = self.send_batch(now);
+        if self.unconfirmed == 0 || now >= self.deadline {
+            self.finished = true;
+            actions.push(InForceAction::Finished);
+        }
+        actions
     }
 
     /// When `Wakeup` is due; none once the check has ended.
     pub fn next_wakeup(&self) -> Option<Moment> {
-        None
+        if self.finished {
+            return None;
+        }
+        let next_query = self.queue.front().map(|(due, _)| *due);
+        let next_batch = next_query.map(|due| due.max(self.next_batch));
+        Some(next_batch.map_or(self.deadline, |batch| batch.min(self.deadline)))
     }
 
     /// What is known so far.
     pub fn report(&self) -> InForceReport {
-        self.report.clone()
+        let missing: Vec<NodeId> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| !target.confirmed)
+            .map(|(node, _)| *node)
+            .collect();
+        InForceReport {
+            confirmed: self.targets.len() - missing.len(),
+            total: self.targets.len(),
+            missing,
+        }
+    }
+
+    fn take_reply(&mut self, sequence: Sequence, peer: InstanceId, digest: ConfigDigest) {
+        let Some(target) = self.targets.get_mut(&peer.node) else {
+            return;
+        };
+        let counts = sequence == self.sequence && target.boot == peer.boot && !target.confirmed;
+        if counts && digest.revision >= self.revision {
+            target.confirmed = true;
+            self.unconfirmed -= 1;
+        }
+    }
+
+    /// A member that stops running leaves the check; a new run of a daemon is asked anew.
+    fn update_member(&mut self, now: Moment, member: &MemberRecord) {
+        let node = member.node();
+        let boot = member.instance.boot;
+        let known = self.targets.get(&node);
+        if member.state.is_running() && known.is_some_and(|target| target.boot == boot) {
+            return;
+        }
+        if let Some(target) = self.targets.remove(&node)
+            && !target.confirmed
+        {
+            self.unconfirmed -= 1;
+        }
+        if member.state.is_running() {
+            let confirmed = false;
+            self.targets.insert(node, Target { boot, confirmed });
+            self.unconfirmed += 1;
+            if node != self.local {
+                self.queue.push_front((now, node));
+            }
+        }
+    }
+
+    fn send_batch(&mut self, now: Moment) -> Vec<InForceAction> {
+        let mut actions = Vec::new();
+        if now < self.next_batch {
+            return actions;
+        }
+        let batch = (self.settings.queries_per_second / BATCHES_PER_SECOND).max(1) as usize;
+        while actions.len() < batch
+            && let Some((due, node)) = self.queue.front().copied()
+            && due <= now
+        {
+            self.queue.pop_front();
+            if self
+                .targets
+                .get(&node)
+                .is_some_and(|target| !target.confirmed)
+            {
+                let sequence = self.sequence;
+                actions.push(InForceAction::Query { to: node, sequence });
+                let again = now + self.settings.reply_timeout;
+                self.queue.push_back((again, node));
+            }
+        }
+        if !actions.is_empty() {
+            self.next_batch = now + Duration::from_secs(1) / BATCHES_PER_SECOND;
+        }
+        actions
     }
 }
--- /dev/null
+++ b/crates/tansylead-cluster/src/spread/readers.rs
@@ -0,0 +1,50 @@
+//! Which daemons of a place read the store: the first few by rank in rendezvous order over the
+//! members that may take work. No election: daemons that see different members may for a while
+//! choose a reader too many or too few, which does no harm.
+
+use crate::membership::MemberRecord;
+use std::collections::{BTreeMap, BTreeSet};
+use tansylead_types::{NodeId, PlaceName};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Members of one place in rendezvous order.
+#[derive(Debug)]
+pub(super) struct ReaderRanking {
+    place: PlaceName,
+    order: BTreeSet<(u64, NodeId)>,
+    scores: BTreeMap<NodeId, u64>,
+}
+
+impl ReaderRanking {
+    pub(super) fn new(place: PlaceName) -> Self {
+        Self {
+            place,
+            order: BTreeSet::new(),
+            scores: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn update(&mut self, record: &MemberRecord) {
+        let node = record.node();
+        self.remove(node);
+        if record.place == self.place && record.state.takes_work() {
+            let score = xxh3_64(format!("store-reader/{node}").as_bytes());
+            self.scores.insert(node, score);
+            self.order.insert((score, node));
+        }
+    }
+
+    pub(super) fn remove(&mut self, node: NodeId) {
+        if let Some(score) = self.scores.remove(&node) {
+            self.order.remove(&(score, node));
+        }
+    }
+
+    /// Whether a node is among the first `count`.
+    pub(super) fn is_reader(&self, node: NodeId, count: usize) -> bool {
+        self.order
+            .iter()
+            .take(count)
+            .any(|(_, ranked)| *ranked == node)
+    }
+}
