Prove membership and spread under simulated faults

A simulated network under virtual time drives the real machines through the real codec. It found that a difference between places was never noticed, because peers of the own place that agreed reset the clock: mismatches are now timed per place, and pages also carry members that are gone, so that a failure missed during a cut is learnt afterwards.

--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -2,6 +2,7 @@
 
 use super::event::MembershipAction;
 use super::machine::{Membership, Timer};
+use super::member::MemberRecord;
 use super::packet::{GossipMessage, PlaceSummary};
 use super::sync::{SyncStep, Walk};
 use super::updates::{record_bytes, update_budget};
@@ -40,7 +41,7 @@
                     self.begin_sync(now, actions)
                 }
             }
-            SyncStep::Pages(walk) => self.continue_walk(walk, actions),
+            SyncStep::Pages(walk) => self.continue_walk(now, walk, actions),
         };
         self.schedule_sync(now + delay);
     }
@@ -108,23 +109,24 @@
         Some(nodes[self.random.random_range(0..nodes.len())])
     }
 
-    /// Notices that a peer's table has differed for long, and then compares it.
+    /// Notices that the tables of a place's members have differed for long, and then compares.
     pub(super) fn compare_tables(
         &mut self,
         now: Moment,
-        peer: NodeId,
+        sender: &MemberRecord,
         hash: u64,
         actions: &mut Vec<MembershipAction>,
     ) {
+        let mismatches = &mut self.sync.mismatch_since;
         if hash == self.table.hash() {
-            self.sync.mismatch_since = None;
+            mismatches.remove(&sender.place);
             return;
         }
-        let since = *self.sync.mismatch_since.get_or_insert(now);
+        let since = *mismatches.entry(sender.place.clone()).or_insert(now);
         let idle = self.sync.step == SyncStep::Idle;
         if idle && self.sync.joined && now.since(since) > self.settings.mismatch_tolerance {
-            self.sync.mismatch_since = Some(now);
-            self.ask_summary(now, Some(peer), actions);
+            self.sync.mismatch_since.insert(sender.place.clone(), now);
+            self.ask_summary(now, Some(sender.node()), actions);
             self.schedule_sync(now + self.settings.join_period);
         }
     }
@@ -145,7 +147,7 @@
         let differs =
             |summary: &PlaceSummary| self.table.place_hash(&summary.place) != summary.hash;
         let walk = Walk::new(peer, peer_joined, places, &self.local.place, differs);
-        let delay = self.continue_walk(walk, actions);
+        let delay = self.continue_walk(now, walk, actions);
         self.schedule_sync(now + delay);
     }
 
@@ -158,9 +160,14 @@
     }
 
     /// Asks for the next page, or ends the walk; returns the time to the next step.
-    fn continue_walk(&mut self, mut walk: Walk, actions: &mut Vec<MembershipAction>) -> Duration {
+    fn continue_walk(
+        &mut self,
+        now: Moment,
+        mut walk: Walk,
+        actions: &mut Vec<MembershipAction>,
+    ) -> Duration {
         let Some(place) = walk.places.front().cloned() else {
-            return self.complete_walk(&walk, actions);
+            return self.complete_walk(now, &walk, actions);
         };
         if walk.attempts >= PAGE_ATTEMPTS {
             return self.jittered(self.settings.join_period);
@@ -174,15 +181,20 @@
         self.settings.page_interval
     }
 
-    fn complete_walk(&mut self, walk: &Walk, actions: &mut Vec<MembershipAction>) -> Duration {
+    fn complete_walk(
+        &mut self,
+        now: Moment,
+        walk: &Walk,
+        actions: &mut Vec<MembershipAction>,
+    ) -> Duration {
         self.sync.step = SyncStep::Idle;
-        self.sync.mismatch_since = None;
         if !walk.peer_joined {
             self.sync.walks_with_unjoined += 1;
         }
         let enough = walk.peer_joined || self.sync.walks_with_unjoined >= WALKS_WITH_UNJOINED;
         if enough && !self.sync.joined {
             self.sync.joined = true;
+            self.pass_on(now, self.local.node());
             actions.push(MembershipAction::Joined);
         }
         if self.sync.joined {
@@ -207,13 +219,13 @@
         let mut updates = Vec::new();
         let mut next = None;
         if let Some(members) = self.table.place(&place) {
-            for node in members.running.ordered_after(after) {
+            for node in members.known_after(after) {
                 let Some(record) = self.table.get(node) else {
                     continue;
                 };
                 let bytes = record_bytes(record);
                 if bytes > budget {
-                    next = updates.last().map(super::MemberRecord::node);
+                    next = updates.last().map(MemberRecord::node);
                     break;
                 }
                 budget -= bytes;
--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -222,7 +222,10 @@
         }
         let comparison = self.table.apply(record);
         if comparison == Comparison::Newer {
-            self.pass_on(now, record.node());
+            // What a joining daemon is told by others is news to itself only.
+            if self.sync.joined {
+                self.pass_on(now, record.node());
+            }
             self.watch_place(now, &record.place);
             self.schedule_state_timer(now, record);
             actions.push(MembershipAction::Changed(record.clone()));
--- a/crates/tansylead-cluster/src/membership/receive.rs
+++ b/crates/tansylead-cluster/src/membership/receive.rs
@@ -32,7 +32,9 @@
             return;
         }
         self.counters.packets_received += 1;
-        self.adopt(now, sender, actions);
+        if self.adopt(now, sender, actions) == Comparison::Newer {
+            self.pass_on(now, peer);
+        }
         self.hear_from_place(now, sender);
         let from_page = matches!(packet.message, GossipMessage::Page { .. });
         for update in &packet.updates {
@@ -47,7 +49,7 @@
                 digest: packet.config,
             });
         }
-        self.compare_tables(now, peer, packet.members_hash, actions);
+        self.compare_tables(now, sender, packet.members_hash, actions);
         self.handle_message(now, packet, actions);
     }
 
--- a/crates/tansylead-cluster/src/membership/sync.rs
+++ b/crates/tansylead-cluster/src/membership/sync.rs
@@ -5,7 +5,7 @@
 //! own place first. It only takes in; the peer does the same on its own account.
 
 use super::packet::PlaceSummary;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use tansylead_types::{Moment, NodeId, PlaceName};
 
 /// A walk in progress.
@@ -44,8 +44,8 @@
     pub(super) joined: bool,
     /// Walks completed with peers that have not joined themselves.
     pub(super) walks_with_unjoined: u32,
-    /// Since when peers show another table.
-    pub(super) mismatch_since: Option<Moment>,
+    /// Since when peers of a place have shown another table, without one that agrees.
+    pub(super) mismatch_since: BTreeMap<PlaceName, Moment>,
     /// Join attempts made.
     pub(super) join_attempts: u32,
 }
@@ -56,7 +56,7 @@
             step: SyncStep::Idle,
             joined,
             walks_with_unjoined: 0,
-            mismatch_since: None,
+            mismatch_since: BTreeMap::new(),
             join_attempts: 0,
         }
     }
--- a/crates/tansylead-cluster/src/membership/table.rs
+++ b/crates/tansylead-cluster/src/membership/table.rs
@@ -6,7 +6,8 @@
 use super::member::{MemberRecord, MemberState};
 use super::packet::PlaceSummary;
 use crate::node_set::NodeSet;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use tansylead_types::{InstanceId, NodeId, PlaceName};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -21,13 +22,23 @@
     Older,
 }
 
-/// Running members of one place.
+/// Members of one place.
 #[derive(Debug, Default)]
 pub(super) struct PlaceMembers {
     pub(super) running: NodeSet,
+    /// All members, in any state.
+    known: BTreeSet<NodeId>,
     hash: u64,
 }
 
+impl PlaceMembers {
+    /// All members with addresses after `after`, in order.
+    pub(super) fn known_after(&self, after: Option<NodeId>) -> impl Iterator<Item = NodeId> {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        self.known.range((start, Bound::Unbounded)).copied()
+    }
+}
+
 /// All statements held.
 #[derive(Debug, Default)]
 pub(super) struct MemberTable {
@@ -57,7 +68,7 @@
         &self.running
     }
 
-    /// Running members of a place, if any were ever known there.
+    /// Members of a place, if any were ever known there.
     pub(super) fn place(&self, place: &PlaceName) -> Option<&PlaceMembers> {
         self.places.get(place)
     }
@@ -107,9 +118,10 @@
 
     fn index(&mut self, record: &MemberRecord) {
         let node = record.node();
+        let place = self.places.entry(record.place.clone()).or_default();
+        place.known.insert(node);
         if record.state.is_running() {
             let hash = statement_hash(record);
-            let place = self.places.entry(record.place.clone()).or_default();
             place.running.insert(node);
             place.hash = place.hash.wrapping_add(hash);
             self.running.insert(node);
@@ -124,12 +136,14 @@
         let Some(record) = self.records.get(&node) else {
             return;
         };
+        let Some(place) = self.places.get_mut(&record.place) else {
+            return;
+        };
+        place.known.remove(&node);
         if record.state.is_running() {
             let hash = statement_hash(record);
-            if let Some(place) = self.places.get_mut(&record.place) {
-                place.running.remove(node);
-                place.hash = place.hash.wrapping_sub(hash);
-            }
+            place.running.remove(node);
+            place.hash = place.hash.wrapping_sub(hash);
             self.running.remove(node);
             self.hash = self.hash.wrapping_sub(hash);
         } else if let Some(failed) = self.failed.get_mut(&record.place) {
--- a/crates/tansylead-cluster/src/node_set.rs
+++ b/crates/tansylead-cluster/src/node_set.rs
@@ -45,15 +45,6 @@
         &self.nodes
     }
 
-    /// Nodes in order of address, starting after `after`.
-    pub(crate) fn ordered_after(&self, after: Option<NodeId>) -> impl Iterator<Item = NodeId> {
-        use std::ops::Bound;
-        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
-        self.positions
-            .range((start, Bound::Unbounded))
-            .map(|(node, _)| *node)
-    }
-
     pub(crate) fn random(&self, random: &mut impl Rng) -> Option<NodeId> {
         if self.nodes.is_empty() {
             return None;
--- /dev/null
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -0,0 +1,201 @@
+//! Membership under simulated faults.
+
+mod common;
+
+use common::{Simulation, seconds};
+use tansylead_cluster::membership::{MemberState, MembershipEvent};
+use tansylead_types::PlaceName;
+
+const PLACES: usize = 5;
+const SIZE: usize = 9;
+
+/// `PLACES` x `SIZE` daemons that see one another.
+fn settled(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, PLACES, SIZE);
+    simulation.run_until(seconds(60), "all join", Simulation::members_agree);
+    simulation
+}
+
+/// Whether all running daemons but the subject hold this state about it.
+fn all_see(simulation: &Simulation, subject: usize, state: MemberState) -> bool {
+    let viewers = 0..simulation.daemons.len();
+    viewers
+        .filter(|viewer| *viewer != subject && simulation.daemons[*viewer].running)
+        .all(|viewer| simulation.state_at(viewer, subject) == Some(state))
+}
+
+fn any_sees(simulation: &Simulation, subject: usize, state: MemberState) -> bool {
+    (0..simulation.daemons.len()).any(|viewer| simulation.state_at(viewer, subject) == Some(state))
+}
+
+fn count_seen(simulation: &Simulation, viewer: usize, state: MemberState) -> usize {
+    let members = simulation.daemons[viewer].membership.members();
+    members.filter(|member| member.state == state).count()
+}
+
+#[test]
+fn killed_member_is_declared_failed_everywhere_and_nobody_else_is() {
+    let mut simulation = settled(1);
+    simulation.kill(7);
+    simulation.run_until(seconds(30), "failure known", |simulation| {
+        all_see(simulation, 7, MemberState::Failed)
+    });
+    simulation.run(seconds(10));
+    assert!(simulation.members_agree());
+}
+
+#[test]
+fn suspected_member_refutes() {
+    let mut simulation = settled(2);
+    simulation.freeze(9);
+    simulation.run_until(seconds(10), "suspected", |simulation| {
+        any_sees(simulation, 9, MemberState::Suspect)
+    });
+    simulation.resume(9);
+    simulation.run_until(seconds(10), "refuted", |simulation| {
+        all_see(simulation, 9, MemberState::Alive)
+    });
+    assert!(simulation.daemons[9].membership.local().incarnation > 0);
+    assert!(simulation.daemons[9].membership.counters().refutations > 0);
+}
+
+#[test]
+fn leaving_member_says_so_itself() {
+    let mut simulation = settled(3);
+    simulation.event(11, MembershipEvent::Leave);
+    simulation.run_until(seconds(5), "leaving known", |simulation| {
+        all_see(simulation, 11, MemberState::Leaving)
+    });
+    simulation.event(11, MembershipEvent::Exit);
+    simulation.kill(11);
+    simulation.run_until(seconds(5), "left known", |simulation| {
+        all_see(simulation, 11, MemberState::Left)
+    });
+}
+
+#[test]
+fn restart_at_the_same_address_replaces_the_earlier_run() {
+    let mut simulation = settled(4);
+    simulation.restart(13);
+    simulation.run_until(seconds(30), "new run known", Simulation::members_agree);
+}
+
+#[test]
+fn frozen_member_that_resumes_is_alive_again_and_blames_nobody() {
+    let mut simulation = settled(5);
+    simulation.freeze(17);
+    simulation.run_until(seconds(30), "failure known", |simulation| {
+        all_see(simulation, 17, MemberState::Failed)
+    });
+    simulation.run(seconds(60));
+    simulation.resume(17);
+    assert_eq!(count_seen(&simulation, 17, MemberState::Failed), 0);
+    simulation.run_until(seconds(20), "alive again", Simulation::members_agree);
+    assert!(simulation.daemons[17].membership.counters().pauses > 0);
+}
+
+#[test]
+fn regions_parted_for_minutes_keep_their_members_and_rejoin() {
+    let mut simulation = settled(6);
+    for place in 1..PLACES {
+        simulation.cut(0, place);
+    }
+    simulation.run(seconds(60));
+    let other = PlaceName::new("place-1").unwrap();
+    assert!(!simulation.daemons[0].membership.is_reachable(&other));
+    assert_eq!(count_seen(&simulation, 0, MemberState::Failed), 0);
+    // Daemons 1 and 0 are of different places; each fails unseen by the other side.
+    simulation.kill(1 + PLACES);
+    simulation.kill(PLACES);
+    simulation.run(seconds(120));
+    assert_eq!(simulation.state_at(0, 1 + PLACES), Some(MemberState::Alive));
+    simulation.faults.cuts.clear();
+    simulation.run_until(seconds(90), "rejoined", |simulation| {
+        let reachable = |place: usize| {
+            let place = PlaceName::new(format!("place-{place}")).unwrap();
+            simulation.daemons[0].membership.is_reachable(&place)
+        };
+        simulation.members_agree() && (1..PLACES).all(reachable)
+    });
+}
+
+#[test]
+fn places_that_start_apart_find_each_other() {
+    let mut simulation = Simulation::new(7, 2, 1);
+    simulation.cut(0, 1);
+    simulation.restart(0);
+    simulation.restart(1);
+    simulation.run(seconds(60));
+    assert!(!simulation.members_agree());
+    simulation.faults.cuts.clear();
+    simulation.run_until(seconds(60), "joined", Simulation::members_agree);
+}
+
+#[test]
+fn third_of_a_place_lost_at_once() {
+    let mut simulation = settled(8);
+    for index in 0..SIZE / 3 {
+        simulation.kill(2 + index * PLACES);
+    }
+    simulation.run_until(seconds(60), "losses known", Simulation::members_agree);
+}
+
+#[test]
+fn lossy_slow_network_converges_after_it_heals() {
+    let mut simulation = settled(9);
+    simulation.faults.loss = 0.2;
+    simulation.faults.duplication = 0.2;
+    simulation.faults.extra_delay_micros = 300_000;
+    simulation.run(seconds(60));
+    simulation.faults = common::Faults::default();
+    simulation.run_until(seconds(60), "converged", Simulation::members_agree);
+}
+
+#[test]
+fn steady_state_stays_within_its_rate() {
+    const BYTES_PER_SECOND_LIMIT: u64 = 4_000;
+    const SAMPLE_SECONDS: u64 = 30;
+    let mut simulation = settled(10);
+    simulation.run(seconds(30));
+    let before: Vec<u64> = simulation.daemons.iter().map(|d| d.sent_bytes).collect();
+    simulation.run(seconds(SAMPLE_SECONDS));
+    for (daemon, before) in simulation.daemons.iter().zip(before) {
+        let rate = (daemon.sent_bytes - before) / SAMPLE_SECONDS;
+        assert!(
+            rate < BYTES_PER_SECOND_LIMIT,
+            "{} sends {rate} B/s",
+            daemon.node
+        );
+    }
+}
+
+#[test]
+fn foreign_packets_are_counted_and_dropped() {
+    use tansylead_cluster::codec::GossipCodec;
+    use tansylead_cluster::membership::{ConfigDigest, GossipMessage, GossipPacket};
+    let mut simulation = settled(11);
+    let mut sender = simulation.daemons[0].membership.local().clone();
+    sender.instance.node.0.set_port(9_999);
+    let from = sender.instance.node.0;
+    let packet = GossipPacket {
+        sender,
+        config: ConfigDigest::default(),
+        members_hash: 0,
+        message: GossipMessage::Gossip,
+        updates: Vec::new(),
+    };
+    let foreign = GossipCodec::new("another cluster").encode(&packet).unwrap();
+    simulation.inject(3, from, foreign);
+    assert_eq!(simulation.packet_errors, 1);
+    let own = GossipCodec::new("simulated").encode(&packet).unwrap();
+    let elsewhere = "10.9.9.9:1".parse().unwrap();
+    simulation.inject(3, elsewhere, own);
+    assert_eq!(
+        simulation.daemons[3]
+            .membership
+            .counters()
+            .sender_mismatches,
+        1
+    );
+    assert!(simulation.members_agree());
+}
--- /dev/null
+++ b/crates/tansylead-cluster/tests/spread.rs
@@ -0,0 +1,186 @@
+//! Spread of configuration under simulated faults. The simulation checks at every application
+//! that only accepted writes are applied and that no generation or revision goes down.
+
+mod common;
+
+use common::{Faults, Simulation, Store, seconds, table_write};
+use std::time::Duration;
+use tansylead_cluster::membership::Sequence;
+use tansylead_cluster::spread::*;
+
+const PLACES: usize = 5;
+const SIZE: usize = 9;
+
+/// Daemons that have joined and hold the first table.
+fn ready(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, PLACES, SIZE);
+    simulation.write(0);
+    simulation.run_until(seconds(60), "all ready", |simulation| {
+        simulation.members_agree() && simulation.all_hold(1)
+    });
+    simulation
+}
+
+#[test]
+fn change_reaches_every_daemon_within_three_seconds() {
+    let mut simulation = Simulation::new(1, PLACES, 24);
+    simulation.write(0);
+    simulation.run_until(seconds(60), "all ready", |simulation| {
+        simulation.members_agree() && simulation.all_hold(1)
+    });
+    for tag in 1..=5 {
+        simulation.write(tag);
+        let revision = simulation.store.revision;
+        let time = simulation.run_until(seconds(3), "in force", |s| s.all_hold(revision));
+        println!("change {tag} in force everywhere after {time:?}");
+    }
+}
+
+#[test]
+fn only_a_few_daemons_read_the_store() {
+    let simulation = ready(2);
+    let readers = simulation
+        .running()
+        .filter(|d| d.spread.is_reader())
+        .count();
+    assert_eq!(
+        readers,
+        PLACES * SpreadSettings::default().readers_per_place
+    );
+}
+
+#[test]
+fn restarted_daemon_gets_everything_from_peers_while_the_store_is_down() {
+    let mut simulation = ready(3);
+    simulation.store.down = true;
+    simulation.run(seconds(30));
+    for index in 0..simulation.daemons.len() {
+        simulation.restart(index);
+        simulation.run_until(seconds(30), "ready again", |s| s.all_hold(1));
+    }
+}
+
+#[test]
+fn daemon_with_neither_store_nor_peers_is_not_ready_and_says_why() {
+    let store = Store {
+        down: true,
+        ..Store::default()
+    };
+    let mut simulation = Simulation::with_store(4, 1, 2, store);
+    simulation.run(seconds(30));
+    let Readiness::NotReady(reason) = simulation.daemons[0].spread.readiness() else {
+        panic!("ready without any configuration");
+    };
+    assert_eq!(
+        reason.to_string(),
+        "no configuration: store: failing: read store (store): connection refused; \
+         peers: none of 1 holds a configuration"
+    );
+    simulation.store.down = false;
+    simulation.run_until(seconds(60), "ready", Simulation::digests_agree);
+}
+
+#[test]
+fn store_restored_to_an_older_state_never_lowers_anything() {
+    let mut simulation = ready(5);
+    let backup = simulation.store.clone();
+    for tag in 1..=4 {
+        simulation.write(tag);
+    }
+    simulation.run_until(seconds(10), "written", |s| s.all_hold(5));
+    simulation.store = backup;
+    simulation.restart(0);
+    simulation.run(seconds(30));
+    assert!(simulation.all_hold(5));
+    assert!(simulation.running().any(|daemon| {
+        *daemon.spread.store_state() == StoreState::Behind { store_revision: 1 }
+    }));
+    // Written again, the store first repeats generations and then overtakes them.
+    for tag in 10..=20 {
+        simulation.write(tag);
+        simulation.run(seconds(1));
+    }
+    simulation.run_until(seconds(30), "overtaken", |simulation| {
+        let newest = &simulation.store.objects[&tansylead_types::ObjectKey::Table];
+        let holds = |held: &tansylead_types::StoredObject| held == newest;
+        simulation
+            .running()
+            .all(|daemon| daemon.spread.replica().get(&newest.key).is_some_and(holds))
+    });
+    simulation.run_until(seconds(60), "digests agree", Simulation::digests_agree);
+}
+
+#[test]
+fn parted_region_without_store_catches_up_after_the_cut() {
+    let mut simulation = ready(6);
+    for place in 1..PLACES {
+        simulation.cut(0, place);
+    }
+    simulation.run(seconds(30));
+    simulation.store.down = true;
+    simulation.run(seconds(60));
+    simulation.store.down = false;
+    simulation.write(1);
+    simulation.faults = Faults::default();
+    simulation.run_until(seconds(30), "caught up", |s| s.all_hold(2));
+}
+
+#[test]
+fn in_force_check_names_the_missing_daemon() {
+    let mut simulation = ready(7);
+    simulation.freeze(8);
+    simulation.write(1);
+    simulation.run(seconds(2));
+    let members = simulation.daemons[0].membership.members();
+    let running: Vec<_> = members.filter(|m| m.state.is_running()).cloned().collect();
+    let own = simulation.daemons[0].membership.local().instance;
+    let sequence = Sequence(1);
+    let settings = InForceSettings {
+        time_limit: seconds(3),
+        ..InForceSettings::default()
+    };
+    let mut check = InForceCheck::new(simulation.now, 2, own.node, running, settings, sequence);
+    let digest = simulation.daemons[0].spread.replica().digest();
+    let mut event = InForceEvent::Reply {
+        sequence,
+        peer: own,
+        digest,
+    };
+    loop {
+        for action in check.on_event(simulation.now, event) {
+            if let InForceAction::Query { to, sequence } = action {
+                simulation.query(0, to, sequence);
+            }
+        }
+        let Some(next) = check.next_wakeup() else {
+            break;
+        };
+        simulation.run(next.since(simulation.now).max(Duration::from_millis(1)));
+        event = InForceEvent::Wakeup;
+        for (sequence, peer, digest) in std::mem::take(&mut simulation.daemons[0].replies) {
+            check.on_event(
+                simulation.now,
+                InForceEvent::Reply {
+                    sequence,
+                    peer,
+                    digest,
+                },
+            );
+        }
+    }
+    let report = check.report();
+    assert_eq!(report.total, PLACES * SIZE);
+    assert_eq!(report.confirmed, PLACES * SIZE - 1);
+    assert_eq!(report.missing, vec![simulation.daemons[8].node]);
+}
+
+/// The oracle must notice a write that was never accepted.
+#[test]
+#[should_panic(expected = "never accepted")]
+fn oracle_notices_an_object_nobody_wrote() {
+    let mut simulation = ready(8);
+    let forged = table_write(7, 7, 7);
+    simulation.store.revision = 7;
+    simulation.store.objects.insert(forged.key.clone(), forged);
+    simulation.run(seconds(10));
+}
