Name the earlier views in a claim view

A member of a new claim view must copy the claims of the views before it, and the store holds only the newest view. The view therefore carries the earlier views whose claims may still be in force. Additive: the field defaults to empty, which only the first view of all may use.

Ruled out: one object per epoch in the store (more objects to watch and to clean up), and members remembering earlier views (a daemon that joins in this epoch never saw them).

--- a/crates/tansylead-types/src/config.rs
+++ b/crates/tansylead-types/src/config.rs
@@ -128,6 +128,20 @@
     pub epoch: u64,
     /// Members with their zones.
     pub members: Vec<ClaimViewMember>,
+    /// Views whose claims the members must copy before they may grant: the last view that was
+    /// settled and every view after it, oldest first. Empty only in the first view of all.
+    #[serde(default)]
+    pub earlier: Vec<EarlierClaimView>,
+}
+
+/// A view that came before a [`ClaimView`] and whose claims may still be in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EarlierClaimView {
+    /// Its epoch.
+    pub epoch: u64,
+    /// Its members.
+    pub members: Vec<ClaimViewMember>,
 }
 
 /// One member of a [`ClaimView`].
--- a/crates/tansylead-types/src/lib.rs
+++ b/crates/tansylead-types/src/lib.rs
@@ -18,8 +18,9 @@
 pub use answer::{Coverage, MissingReason, MissingShard, Outcome, QueryAnswer, ShardResult};
 pub use cluster::{InstanceId, NodeId};
 pub use config::{
-    ClaimView, ConfigObject, LeafDescriptor, ObjectKey, ServiceDefinition, ServicePlacement,
-    ServicePolicy, ShardReplicas, Snapshot, StoredObject, WaitPolicy,
+    ClaimView, ClaimViewMember, ConfigObject, EarlierClaimView, LeafDescriptor, ObjectKey,
+    ServiceDefinition, ServicePlacement, ServicePolicy, ShardReplicas, Snapshot, StoredObject,
+    WaitPolicy,
 };
 pub use error::{PeerAddress, StepError};
 pub use ids::{
