--- /dev/null
+++ b/crates/tansylead-cluster/src/claims/lease.rs
@@ -0,0 +1,41 @@
+//! Quorum lease of one member in one epoch: recent heartbeat acknowledgements from a majority of
+//! the view. A member that has heard of a higher epoch acknowledges no lower one, so once a
+//! majority has, nobody can hold a lease in the lower epoch for longer than one lease time.
+
+use super::group::majority;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tansylead_types::{ClaimViewMember, InstanceId, Moment};
+
+/// When each member last acknowledged, counted from the sending of the heartbeat.
+#[derive(Debug, Clone, Default)]
+pub(super) struct QuorumLease {
+    acknowledged: BTreeMap<InstanceId, Moment>,
+}
+
+impl QuorumLease {
+    /// Records an acknowledgement of a heartbeat sent at `sent`.
+    pub(super) fn acknowledge(&mut self, member: InstanceId, sent: Moment) {
+        let latest = self.acknowledged.entry(member).or_insert(sent);
+        *latest = (*latest).max(sent);
+    }
+
+    /// Whether a majority, counting `me`, acknowledged within the lease time before `now`.
+    pub(super) fn is_valid(
+        &self,
+        me: InstanceId,
+        members: &[ClaimViewMember],
+        now: Moment,
+        lease: Duration,
+    ) -> bool {
+        let is_recent = |instance: InstanceId| {
+            let sent = self.acknowledged.get(&instance);
+            instance == me || sent.is_some_and(|sent| now < *sent + lease)
+        };
+        let recent = members
+            .iter()
+            .filter(|member| is_recent(member.instance))
+            .count();
+        recent >= majority(members.len())
+    }
+}
--- /dev/null
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -0,0 +1,445 @@
+//! A claim member: grants claims to roots, remembers them until they expire, and takes over the
+//! claims of earlier views when the view changes. Runs on every daemon; grants only in views that
+//! name this very instance.
+
+use super::expiry::is_expiry_too_long;
+use super::group::claim_group;
+use super::lease::QuorumLease;
+use super::message::{
+    ClaimHolder, ClaimId, ClaimKey, ClaimMemberStatus, ClaimRefusal, ClaimRequest,
+    ClaimRequestBody, ClaimResponse, ClaimResponseBody, CopiedPage,
+};
+use super::settings::ClaimSettings;
+use super::table::{ClaimTable, TableAnswer};
+use super::transfer::Transfer;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tansylead_types::{ClaimView, InstanceId, Moment, WallTime};
+
+/// Period of dropping expired claims from memory; grants look at the expiry itself.
+const SWEEP_PERIOD: Duration = Duration::from_secs(10);
+/// Epochs in which the member was complete that it remembers.
+const REMEMBERED_EPOCHS: usize = 16;
+
+/// Both clocks, read together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimTime {
+    /// Monotonic clock that counts suspended time.
+    pub now: Moment,
+    /// Wall clock.
+    pub wall: WallTime,
+}
+
+/// What happens to a member besides requests.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClaimMemberEvent {
+    /// The configuration holds this view at this generation of its object.
+    ViewLearned {
+        /// The view.
+        view: ClaimView,
+        /// Generation of the stored object; equals the epoch unless the object was deleted.
+        generation: u64,
+    },
+    /// A response to a request that this member sent to `asked`.
+    Response {
+        /// The instance that was asked.
+        asked: InstanceId,
+        /// What came back from its address.
+        response: ClaimResponse,
+    },
+    /// The time of [`ClaimMember::next_wakeup`] has come.
+    Wakeup,
+}
+
+/// A view the member has adopted and its progress in it.
+#[derive(Debug, Clone)]
+struct AdoptedView {
+    view: ClaimView,
+    lease: QuorumLease,
+    transfer: Transfer,
+    next_heartbeat: Moment,
+    next_copy: Moment,
+    /// Members of this view that have fetched all they need from this daemon.
+    handed_over: BTreeSet<InstanceId>,
+}
+
+impl AdoptedView {
+    fn has_member(&self, instance: InstanceId) -> bool {
+        self.view
+            .members
+            .iter()
+            .any(|member| member.instance == instance)
+    }
+}
+
+/// The state machine of one claim member.
+#[derive(Debug, Clone)]
+pub struct ClaimMember {
+    me: InstanceId,
+    settings: ClaimSettings,
+    /// Highest epoch heard of from anyone; the member grants in no lower one, ever.
+    highest_epoch: u64,
+    adopted: Option<AdoptedView>,
+    table: ClaimTable,
+    complete_epochs: BTreeSet<u64>,
+    next_sweep: Moment,
+}
+
+impl ClaimMember {
+    /// A member that has just started: it knows no view and holds nothing.
+    pub fn new(me: InstanceId, settings: ClaimSettings, now: Moment) -> Self {
+        Self {
+            me,
+            settings,
+            highest_epoch: 0,
+            adopted: None,
+            table: ClaimTable::default(),
+            complete_epochs: BTreeSet::new(),
+            next_sweep: now + SWEEP_PERIOD,
+        }
+    }
+
+    /// State for reports, metrics and the planner.
+    pub fn status(&self) -> ClaimMemberStatus {
+        let adopted = self.adopted.as_ref();
+        let is_complete =
+            |adopted: &AdoptedView| adopted.transfer.is_complete() && adopted.has_member(self.me);
+        ClaimMemberStatus {
+            epoch: adopted.map_or(0, |adopted| adopted.view.epoch),
+            complete: adopted.is_some_and(is_complete),
+            claims: self.table.len() as u64,
+        }
+    }
+
+    /// Highest epoch heard of. If it exceeds the adopted one, the daemon should fetch the view.
+    pub fn highest_epoch(&self) -> u64 {
+        self.highest_epoch
+    }
+
+    /// Whether a planned stop should wait: this daemon is a member of the view, or members of the
+    /// view have yet to copy claims from it. Ask the planner to replace leaving members.
+    pub fn is_needed(&self) -> bool {
+        let Some(adopted) = &self.adopted else {
+            return false;
+        };
+        let mut earlier = adopted.view.earlier.iter().flat_map(|view| &view.members);
+        let was_member = earlier.any(|member| member.instance == self.me);
+        let has_copied = |instance: InstanceId| adopted.handed_over.contains(&instance);
+        let all_copied = adopted
+            .view
+            .members
+            .iter()
+            .all(|member| has_copied(member.instance));
+        adopted.has_member(self.me) || (was_member && !all_copied)
+    }
+
+    /// When [`ClaimMemberEvent::Wakeup`] is due.
+    pub fn next_wakeup(&self) -> Moment {
+        let Some(adopted) = self
+            .adopted
+            .as_ref()
+            .filter(|adopted| adopted.has_member(self.me))
+        else {
+            return self.next_sweep;
+        };
+        let mut wakeup = self.next_sweep.min(adopted.next_heartbeat);
+        if !adopted.transfer.unfinished().is_empty() {
+            wakeup = wakeup.min(adopted.next_copy);
+        }
+        adopted
+            .transfer
+            .wait_until()
+            .map_or(wakeup, |until| wakeup.min(until))
+    }
+
+    /// Answers a request from another daemon or from this one. `time` must be read after the
+    /// request arrived.
+    pub fn on_request(&mut self, time: ClaimTime, request: &ClaimRequest) -> ClaimResponse {
+        let body = if request.to == self.me {
+            self.highest_epoch = self.highest_epoch.max(request.epoch);
+            self.answer(time, request)
+        } else {
+            ClaimResponseBody::AnotherInstance
+        };
+        ClaimResponse {
+            epoch: self.highest_epoch,
+            from: self.me,
+            body,
+        }
+    }
+
+    /// Handles an event; returns requests to send.
+    pub fn on_event(&mut self, time: ClaimTime, event: ClaimMemberEvent) -> Vec<ClaimRequest> {
+        match event {
+            ClaimMemberEvent::ViewLearned { view, generation } => {
+                self.adopt(time.now, view, generation);
+            }
+            ClaimMemberEvent::Response { asked, response } => {
+                self.on_response(time, asked, response);
+            }
+            ClaimMemberEvent::Wakeup => {}
+        }
+        self.advance(time)
+    }
+
+    fn adopt(&mut self, now: Moment, view: ClaimView, generation: u64) {
+        let adopted_epoch = self
+            .adopted
+            .as_ref()
+            .map_or(0, |adopted| adopted.view.epoch);
+        if view.epoch <= adopted_epoch {
+            return;
+        }
+        self.highest_epoch = self.highest_epoch.max(view.epoch);
+        let transfer = Transfer::new(self.me, &view, generation, &self.complete_epochs);
+        self.adopted = Some(AdoptedView {
+            view,
+            lease: QuorumLease::default(),
+            transfer,
+            next_heartbeat: now,
+            next_copy: now,
+            handed_over: BTreeSet::new(),
+        });
+    }
+
+    fn on_response(&mut self, time: ClaimTime, asked: InstanceId, response: ClaimResponse) {
+        self.highest_epoch = self.highest_epoch.max(response.epoch);
+        let Some(adopted) = self.adopted.as_mut() else {
+            return;
+        };
+        if response.from != asked {
+            adopted.transfer.on_successor(asked, response.from);
+            return;
+        }
+        match response.body {
+            ClaimResponseBody::HeartbeatAcknowledged { sent }
+                if response.epoch == adopted.view.epoch =>
+            {
+                adopted.lease.acknowledge(asked, sent);
+            }
+            ClaimResponseBody::Copied(page) => self.on_page(time, asked, &page),
+            _ => {}
+        }
+    }
+
+    fn on_page(&mut self, time: ClaimTime, from: InstanceId, page: &CopiedPage) {
+        let Some(adopted) = self.adopted.as_mut() else {
+            return;
+        };
+        if page.view_epoch != adopted.view.epoch || !adopted.transfer.on_page(from, page) {
+            return;
+        }
+        for claim in &page.claims {
+            self.table.insert_copied(claim, time.wall, &self.settings);
+        }
+        if page.next.is_some() {
+            adopted.next_copy = time.now;
+        }
+    }
+
+    /// Sends what is due and records progress.
+    fn advance(&mut self, time: ClaimTime) -> Vec<ClaimRequest> {
+        if time.now >= self.next_sweep {
+            self.table.drop_expired(time.wall, &self.settings);
+            self.next_sweep = time.now + SWEEP_PERIOD;
+        }
+        let mut requests = Vec::new();
+        let me = self.me;
+        let Some(adopted) = self
+            .adopted
+            .as_mut()
+            .filter(|adopted| adopted.has_member(me))
+        else {
+            return requests;
+        };
+        adopted.transfer.advance(time.now, &self.settings);
+        if adopted.transfer.is_complete() {
+            self.complete_epochs.insert(adopted.view.epoch);
+            while self.complete_epochs.len() > REMEMBERED_EPOCHS {
+                self.complete_epochs.pop_first();
+            }
+        }
+        if time.now >= adopted.next_heartbeat {
+            adopted.next_heartbeat = time.now + self.settings.heartbeat_period;
+            requests.extend(heartbeats(me, &adopted.view, time.now));
+        }
+        if time.now >= adopted.next_copy {
+            adopted.next_copy = time.now + self.settings.copy_retry;
+            requests.extend(copy_requests(me, adopted));
+        }
+        requests
+    }
+
+    fn answer(&mut self, time: ClaimTime, request: &ClaimRequest) -> ClaimResponseBody {
+        match &request.body {
+            ClaimRequestBody::Claim {
+                key,
+                claim,
+                expires,
+            } => self.answer_claim(time, request, key, *claim, *expires),
+            ClaimRequestBody::Release {
+                key,
+                claim,
+                expires,
+            } => {
+                let holder = ClaimHolder {
+                    owner: request.from,
+                    claim: *claim,
+                };
+                self.table
+                    .release(key, holder, *expires, time.wall, &self.settings);
+                ClaimResponseBody::Released
+            }
+            ClaimRequestBody::Heartbeat { sent } if request.epoch == self.highest_epoch => {
+                ClaimResponseBody::HeartbeatAcknowledged { sent: *sent }
+            }
+            ClaimRequestBody::Heartbeat { .. } => ClaimResponseBody::HeartbeatRefused,
+            ClaimRequestBody::Copy { view, after } => {
+                self.answer_copy(request.from, view, after.as_ref())
+            }
+            ClaimRequestBody::Status => ClaimResponseBody::Status(self.status()),
+        }
+    }
+
+    fn answer_claim(
+        &mut self,
+        time: ClaimTime,
+        request: &ClaimRequest,
+        key: &ClaimKey,
+        claim: ClaimId,
+        expires: WallTime,
+    ) -> ClaimResponseBody {
+        let holder = ClaimHolder {
+            owner: request.from,
+            claim,
+        };
+        let answer = match self.reason_not_to_grant(time, request.epoch, key, expires) {
+            Some(refusal) => {
+                // Whoever holds the key is worth knowing, also from a member that cannot grant.
+                let holders = self
+                    .table
+                    .other_holders(key, holder, time.wall, &self.settings);
+                if holders.is_empty() {
+                    TableAnswer::Refused(refusal)
+                } else {
+                    TableAnswer::Held(holders)
+                }
+            }
+            None => self
+                .table
+                .claim(key, holder, expires, time.wall, &self.settings),
+        };
+        let key = key.clone();
+        match answer {
+            TableAnswer::Granted => ClaimResponseBody::Granted { key, claim },
+            TableAnswer::Held(holders) => ClaimResponseBody::Held {
+                key,
+                claim,
+                holders,
+            },
+            TableAnswer::Refused(refusal) => ClaimResponseBody::ClaimRefused {
+                key,
+                claim,
+                refusal,
+            },
+        }
+    }
+
+    fn reason_not_to_grant(
+        &self,
+        time: ClaimTime,
+        epoch: u64,
+        key: &ClaimKey,
+        expires: WallTime,
+    ) -> Option<ClaimRefusal> {
+        if epoch != self.highest_epoch {
+            return Some(ClaimRefusal::EpochMismatch);
+        }
+        let Some(adopted) = self
+            .adopted
+            .as_ref()
+            .filter(|adopted| adopted.view.epoch == epoch)
+        else {
+            return Some(ClaimRefusal::EpochMismatch);
+        };
+        let members = &adopted.view.members;
+        if !claim_group(members, key)
+            .iter()
+            .any(|member| member.instance == self.me)
+        {
+            return Some(ClaimRefusal::NotMember);
+        }
+        if !adopted
+            .lease
+            .is_valid(self.me, members, time.now, self.settings.lease)
+        {
+            return Some(ClaimRefusal::NoLease);
+        }
+        if !adopted.transfer.covers(key) {
+            return Some(ClaimRefusal::NotCopied);
+        }
+        if expires <= time.wall {
+            return Some(ClaimRefusal::Expired);
+        }
+        is_expiry_too_long(expires, time.wall, &self.settings)
+            .then_some(ClaimRefusal::ExpiryTooLong)
+    }
+
+    /// Hands over claims. The request's epoch, already noted, seals this member for lower ones.
+    fn answer_copy(
+        &mut self,
+        asker: InstanceId,
+        view: &ClaimView,
+        after: Option<&ClaimKey>,
+    ) -> ClaimResponseBody {
+        let is_wanted = |key: &ClaimKey| {
+            claim_group(&view.members, key)
+                .iter()
+                .any(|member| member.instance == asker)
+        };
+        let (claims, next) = self
+            .table
+            .page(after, self.settings.copy_page_claims, is_wanted);
+        let adopted = self
+            .adopted
+            .as_mut()
+            .filter(|adopted| adopted.view.epoch == view.epoch);
+        if let Some(adopted) = adopted.filter(|_| next.is_none()) {
+            adopted.handed_over.insert(asker);
+        }
+        ClaimResponseBody::Copied(CopiedPage {
+            view_epoch: view.epoch,
+            after: after.cloned(),
+            claims,
+            next,
+            complete_epochs: self.complete_epochs.iter().copied().collect(),
+        })
+    }
+}
+
+fn heartbeats(me: InstanceId, view: &ClaimView, now: Moment) -> Vec<ClaimRequest> {
+    let others = view.members.iter().filter(|member| member.instance != me);
+    others
+        .map(|member| ClaimRequest {
+            epoch: view.epoch,
+            from: me,
+            to: member.instance,
+            body: ClaimRequestBody::Heartbeat { sent: now },
+        })
+        .collect()
+}
+
+fn copy_requests(me: InstanceId, adopted: &AdoptedView) -> Vec<ClaimRequest> {
+    let unfinished = adopted.transfer.unfinished().into_iter();
+    unfinished
+        .map(|(source, after)| ClaimRequest {
+            epoch: adopted.view.epoch,
+            from: me,
+            to: source,
+            body: ClaimRequestBody::Copy {
+                view: adopted.view.clone(),
+                after,
+            },
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/tansylead-cluster/src/claims/planner.rs
@@ -0,0 +1,217 @@
+//! Proposes the next claim view. Any daemon that reads the store may run a planner; the proposal is
+//! written by compare-and-set on the generation of the view it was made from, so of several
+//! proposals one wins.
+//!
+//! Invariant: a view names all views whose claims may be in force. Earlier views are left out only
+//! once the current view is settled: so many members hold all earlier claims that no group lacks
+//! them, which also means that no member of an older view can grant any more.
+
+use super::group::{GROUP_SIZE, hash_instance, majority, seal_quorum};
+use super::message::ClaimMemberStatus;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tansylead_types::{ClaimView, ClaimViewMember, EarlierClaimView, InstanceId, Moment};
+
+/// Most members of a view.
+pub const MAXIMUM_VIEW_MEMBERS: usize = 15;
+/// Most earlier views in a view; at this number it changes only once it is settled.
+const MAXIMUM_EARLIER_VIEWS: usize = 4;
+/// A member is replaced after being absent for this long.
+const ABSENCE_BEFORE_REPLACEMENT: Duration = Duration::from_secs(10);
+/// Least time between two changes, and before the first view.
+const CHANGE_INTERVAL: Duration = Duration::from_secs(5);
+/// Ranks daemons for the choice of new members.
+const RANK_SEED: u64 = 0x7461_6e73;
+
+/// A daemon that the membership holds to be alive.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveDaemon {
+    /// The daemon.
+    pub member: ClaimViewMember,
+    /// Whether it has announced that it leaves.
+    pub is_leaving: bool,
+}
+
+/// Proposes views over time: waits before it replaces a member and limits the rate of changes.
+#[derive(Debug, Clone)]
+pub struct ClaimViewPlanner {
+    absent_since: BTreeMap<InstanceId, Moment>,
+    epoch: u64,
+    epoch_since: Moment,
+}
+
+impl ClaimViewPlanner {
+    /// A planner that has seen nothing.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            absent_since: BTreeMap::new(),
+            epoch: 0,
+            epoch_since: now,
+        }
+    }
+
+    /// The next view, if one is due. `current` is the view in the store; pass none only if the
+    /// store says that the object never existed, and then write with expected generation 0.
+    /// `statuses` are recent answers of the current view's members. Call it about once a second.
+    pub fn plan(
+        &mut self,
+        now: Moment,
+        current: Option<&ClaimView>,
+        live: &[LiveDaemon],
+        statuses: &BTreeMap<InstanceId, ClaimMemberStatus>,
+    ) -> Option<ClaimView> {
+        let epoch = current.map_or(0, |view| view.epoch);
+        if epoch != self.epoch {
+            self.epoch = epoch;
+            self.epoch_since = now;
+        }
+        let gone = self.gone(now, current, live);
+        if now.since(self.epoch_since) < CHANGE_INTERVAL {
+            return None;
+        }
+        next_claim_view(current, live, &gone, statuses)
+    }
+
+    /// Members absent for long enough, or leaving.
+    fn gone(
+        &mut self,
+        now: Moment,
+        current: Option<&ClaimView>,
+        live: &[LiveDaemon],
+    ) -> BTreeSet<InstanceId> {
+        let members = current.map_or(&[][..], |view| &view.members);
+        let find = |instance: InstanceId| live.iter().find(|d| d.member.instance == instance);
+        let is_absent = |instance: &InstanceId| find(*instance).is_none();
+        let absent: BTreeSet<InstanceId> = members
+            .iter()
+            .map(|member| member.instance)
+            .filter(is_absent)
+            .collect();
+        self.absent_since
+            .retain(|instance, _| absent.contains(instance));
+        for instance in &absent {
+            self.absent_since.entry(*instance).or_insert(now);
+        }
+        let is_leaving = |instance: InstanceId| find(instance).is_some_and(|d| d.is_leaving);
+        let leaving = members
+            .iter()
+            .map(|m| m.instance)
+            .filter(|instance| is_leaving(*instance));
+        let long_absent = self
+            .absent_since
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= ABSENCE_BEFORE_REPLACEMENT)
+            .map(|(instance, _)| *instance);
+        leaving.chain(long_absent).collect()
+    }
+}
+
+/// The view that should follow, or none if nothing should change: members that are gone are
+/// replaced, and a view smaller than it could be grows; all other members stay.
+pub fn next_claim_view(
+    current: Option<&ClaimView>,
+    live: &[LiveDaemon],
+    gone: &BTreeSet<InstanceId>,
+    statuses: &BTreeMap<InstanceId, ClaimMemberStatus>,
+) -> Option<ClaimView> {
+    let Some(current) = current else {
+        let members = fill(Vec::new(), live);
+        return (!members.is_empty()).then_some(ClaimView {
+            epoch: 1,
+            members,
+            earlier: vec![],
+        });
+    };
+    if !can_seal_majority(current, live) {
+        return None;
+    }
+    let kept: Vec<ClaimViewMember> = current
+        .members
+        .iter()
+        .filter(|member| !gone.contains(&member.instance))
+        .cloned()
+        .collect();
+    let members = fill(kept, live);
+    if members.is_empty() || is_same_set(&members, &current.members) {
+        return None;
+    }
+    let mut earlier = if is_settled(current, statuses) {
+        vec![]
+    } else {
+        current.earlier.clone()
+    };
+    earlier.push(EarlierClaimView {
+        epoch: current.epoch,
+        members: current.members.clone(),
+    });
+    let is_allowed = earlier.len() <= MAXIMUM_EARLIER_VIEWS;
+    is_allowed.then_some(ClaimView {
+        epoch: current.epoch + 1,
+        members,
+        earlier,
+    })
+}
+
+/// Whether a majority of the view is alive, or known to be dead because another run answers at its
+/// address. Otherwise a new view could not become ready and would only stop the current one; a
+/// daemon cut off with a minority must not propose.
+fn can_seal_majority(current: &ClaimView, live: &[LiveDaemon]) -> bool {
+    let is_reachable = |member: &&ClaimViewMember| {
+        live.iter().any(|daemon| {
+            let instance = daemon.member.instance;
+            instance.node == member.instance.node && instance.boot >= member.instance.boot
+        })
+    };
+    let reachable = current.members.iter().filter(is_reachable).count();
+    reachable >= majority(current.members.len())
+}
+
+/// Whether so many members report to hold all earlier claims that every possible group of the view
+/// has enough of them.
+fn is_settled(current: &ClaimView, statuses: &BTreeMap<InstanceId, ClaimMemberStatus>) -> bool {
+    let is_complete = |member: &&ClaimViewMember| {
+        let status = statuses.get(&member.instance);
+        status.is_some_and(|status| status.complete && status.epoch == current.epoch)
+    };
+    let complete = current.members.iter().filter(is_complete).count();
+    let group = current.members.len().min(GROUP_SIZE);
+    current.members.len() - complete + seal_quorum(group) <= group
+}
+
+/// Adds live daemons up to the maximum, each time from the place, then the zone, with the fewest
+/// members. Equal candidates are ranked by hash, so that all planners propose the same.
+fn fill(mut members: Vec<ClaimViewMember>, live: &[LiveDaemon]) -> Vec<ClaimViewMember> {
+    let mut candidates: Vec<&ClaimViewMember> = live
+        .iter()
+        .filter(|daemon| !daemon.is_leaving && !members.contains(&daemon.member))
+        .map(|daemon| &daemon.member)
+        .collect();
+    while members.len() < MAXIMUM_VIEW_MEMBERS && !candidates.is_empty() {
+        let cost = |candidate: &ClaimViewMember| {
+            let in_place = members
+                .iter()
+                .filter(|member| member.place == candidate.place);
+            let in_zone = in_place
+                .clone()
+                .filter(|member| member.zone == candidate.zone);
+            let rank = hash_instance(candidate.instance, RANK_SEED);
+            (in_place.count(), in_zone.count(), rank)
+        };
+        let costs = candidates
+            .iter()
+            .map(|candidate| cost(candidate))
+            .enumerate();
+        let Some((cheapest, _)) = costs.min_by_key(|(_, cost)| *cost) else {
+            break;
+        };
+        members.push(candidates.remove(cheapest).clone());
+    }
+    members
+}
+
+fn is_same_set(left: &[ClaimViewMember], right: &[ClaimViewMember]) -> bool {
+    let set = |members: &[ClaimViewMember]| -> BTreeSet<InstanceId> {
+        members.iter().map(|member| member.instance).collect()
+    };
+    set(left) == set(right)
+}
--- /dev/null
+++ b/crates/tansylead-cluster/src/claims/requester.rs
@@ -0,0 +1,397 @@
+//! A root's side of one claim: asks the key's group, decides once, and never uses a grant that
+//! arrives after the decision. Ballots that split are released and tried again after a random
+//! pause.
+
+use super::group::{claim_group, majority};
+use super::member::ClaimTime;
+use super::message::{
+    ClaimHolder, ClaimId, ClaimKey, ClaimRefusal, ClaimRequest, ClaimRequestBody, ClaimResponse,
+    ClaimResponseBody,
+};
+use super::settings::ClaimSettings;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tansylead_types::{ClaimView, InstanceId, Moment, WallTime};
+
+/// What a requester asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimTerms {
+    /// Key.
+    pub key: ClaimKey,
+    /// First attempt, from [`super::AnswerCache::begin`].
+    pub claim: ClaimId,
+    /// Expiry of the request; must have passed [`super::check_before_dispatch`].
+    pub expires: WallTime,
+}
+
+/// Permission to dispatch one request once. Dispatching still needs
+/// [`super::check_before_dispatch`] right before the bytes leave.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimGrant {
+    /// Key.
+    pub key: ClaimKey,
+    /// This root and its claim.
+    pub holder: ClaimHolder,
+    /// Expiry of the request.
+    pub expires: WallTime,
+    /// Members that were asked.
+    pub group: Vec<InstanceId>,
+}
+
+/// The one decision of a requester.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimDecision {
+    /// A majority granted the claim.
+    Granted(ClaimGrant),
+    /// Not granted, and others are known to hold the key. Ask them what became of it; unless all
+    /// of them say it never ran, the outcome is not `not_run`.
+    HeldBy {
+        /// All holders heard of.
+        holders: Vec<ClaimHolder>,
+    },
+    /// Not granted, and nobody is known to hold the key: `not_run`.
+    Refused {
+        /// The most frequent reason.
+        reason: ClaimRefusal,
+        /// When to come back.
+        retry_after: Duration,
+        /// Highest epoch heard of; if above the requester's view, fetch the newer view.
+        highest_epoch: u64,
+    },
+}
+
+/// What happens to a requester.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClaimRequesterEvent {
+    /// A response to a request sent to `asked`.
+    Response {
+        /// The instance that was asked.
+        asked: InstanceId,
+        /// What came back.
+        response: ClaimResponse,
+    },
+    /// The request could not be delivered or got no response.
+    Failed {
+        /// The instance that was asked.
+        asked: InstanceId,
+    },
+    /// The time of [`ClaimRequester::next_wakeup`] has come.
+    Wakeup,
+}
+
+/// What the daemon does for a requester.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClaimRequesterAction {
+    /// Send a request. Responses to releases need not be awaited.
+    Send(ClaimRequest),
+    /// The decision; comes exactly once.
+    Decide(ClaimDecision),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Vote {
+    Granted,
+    Held,
+    Refused(ClaimRefusal),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Asking { until: Moment },
+    Pausing { until: Moment },
+    Decided,
+}
+
+/// The state machine of one claim at the root.
+#[derive(Debug, Clone)]
+pub struct ClaimRequester {
+    me: InstanceId,
+    settings: ClaimSettings,
+    epoch: u64,
+    highest_epoch: u64,
+    key: ClaimKey,
+    claim: ClaimId,
+    attempts_left: u32,
+    expires: WallTime,
+    group: Vec<InstanceId>,
+    votes: BTreeMap<InstanceId, Vote>,
+    holders: BTreeMap<ClaimHolder, BTreeSet<InstanceId>>,
+    phase: Phase,
+    random: SmallRng,
+}
+
+impl ClaimRequester {
+    /// Starts asking the key's group in the view. `seed` spreads the pauses of requesters that race
+    /// one another; it must differ between them.
+    pub fn start(
+        me: InstanceId,
+        settings: ClaimSettings,
+        view: &ClaimView,
+        terms: ClaimTerms,
+        seed: u64,
+        time: ClaimTime,
+    ) -> (Self, Vec<ClaimRequesterAction>) {
+        let group = claim_group(&view.members, &terms.key);
+        let mut requester = Self {
+            me,
+            epoch: view.epoch,
+            highest_epoch: view.epoch,
+            claim: terms.claim,
+            attempts_left: settings.maximum_attempts,
+            expires: terms.expires,
+            group: group.iter().map(|member| member.instance).collect(),
+            votes: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            phase: Phase::Decided,
+            random: SmallRng::seed_from_u64(seed),
+            settings,
+            key: terms.key,
+        };
+        let actions = requester.ask(time.now);
+        (requester, actions)
+    }
+
+    /// The attempt that is under way or was decided.
+    pub fn claim(&self) -> ClaimId {
+        self.claim
+    }
+
+    /// When [`ClaimRequesterEvent::Wakeup`] is due; none once decided.
+    pub fn next_wakeup(&self) -> Option<Moment> {
+        match self.phase {
+            Phase::Asking { until } | Phase::Pausing { until } => Some(until),
+            Phase::Decided => None,
+        }
+    }
+
+    /// Handles an event. After the decision every event is ignored.
+    pub fn on_event(
+        &mut self,
+        time: ClaimTime,
+        event: ClaimRequesterEvent,
+    ) -> Vec<ClaimRequesterAction> {
+        match (self.phase, event) {
+            (Phase::Asking { until }, _) if time.now >= until => self.on_vote_timeout(time.now),
+            (Phase::Asking { .. }, ClaimRequesterEvent::Response { asked, response }) => {
+                self.on_response(asked, response);
+                self.count_votes(time.now)
+            }
+            (Phase::Asking { .. }, ClaimRequesterEvent::Failed { asked }) => {
+                self.vote(asked, Vote::Refused(ClaimRefusal::Silent));
+                self.count_votes(time.now)
+            }
+            (Phase::Pausing { until }, _) if time.now >= until => self.ask(time.now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn ask(&mut self, now: Moment) -> Vec<ClaimRequesterAction> {
+        self.votes.clear();
+        self.holders.clear();
+        self.attempts_left = self.attempts_left.saturating_sub(1);
+        self.phase = Phase::Asking {
+            until: now + self.settings.vote_timeout,
+        };
+        if self.group.is_empty() {
+            return self.refuse();
+        }
+        let body = ClaimRequestBody::Claim {
+            key: self.key.clone(),
+            claim: self.claim,
+            expires: self.expires,
+        };
+        self.send_to_group(&body)
+    }
+
+    fn on_vote_timeout(&mut self, now: Moment) -> Vec<ClaimRequesterAction> {
+        for member in self.group.clone() {
+            self.vote(member, Vote::Refused(ClaimRefusal::Silent));
+        }
+        self.count_votes(now)
+    }
+
+    fn on_response(&mut self, asked: InstanceId, response: ClaimResponse) {
+        self.highest_epoch = self.highest_epoch.max(response.epoch);
+        if response.from != asked {
+            self.vote(asked, Vote::Refused(ClaimRefusal::NotMember));
+            return;
+        }
+        let is_mine = |key: &ClaimKey, claim: ClaimId| *key == self.key && claim == self.claim;
+        match response.body {
+            ClaimResponseBody::Granted { key, claim } if is_mine(&key, claim) => {
+                self.vote(asked, Vote::Granted);
+            }
+            ClaimResponseBody::Held {
+                key,
+                claim,
+                holders,
+            } if is_mine(&key, claim) => {
+                self.vote(asked, Vote::Held);
+                for holder in holders {
+                    self.holders.entry(holder).or_default().insert(asked);
+                }
+            }
+            ClaimResponseBody::ClaimRefused {
+                key,
+                claim,
+                refusal,
+            } if is_mine(&key, claim) => {
+                self.vote(asked, Vote::Refused(refusal));
+            }
+            _ => {}
+        }
+    }
+
+    /// Records the first vote of a member of the group.
+    fn vote(&mut self, member: InstanceId, vote: Vote) {
+        if self.group.contains(&member) {
+            self.votes.entry(member).or_insert(vote);
+        }
+    }
+
+    fn count_votes(&mut self, now: Moment) -> Vec<ClaimRequesterAction> {
+        let needed = majority(self.group.len());
+        let granted = self
+            .votes
+            .values()
+            .filter(|vote| **vote == Vote::Granted)
+            .count();
+        let open = self.group.len() - self.votes.len();
+        if granted >= needed {
+            return self.grant();
+        }
+        if granted + open >= needed {
+            return Vec::new();
+        }
+        let is_held_by_majority = self.holders.values().any(|members| members.len() >= needed);
+        let is_held = !self.holders.is_empty();
+        // Whoever is held off by a majority need not try again, and so need not wait for others.
+        if is_held && !is_held_by_majority && self.attempts_left > 0 {
+            return self.pause(now);
+        }
+        if is_held {
+            self.report_holders()
+        } else {
+            self.refuse()
+        }
+    }
+
+    fn grant(&mut self) -> Vec<ClaimRequesterAction> {
+        self.phase = Phase::Decided;
+        let grant = ClaimGrant {
+            key: self.key.clone(),
+            holder: ClaimHolder {
+                owner: self.me,
+                claim: self.claim,
+            },
+            expires: self.expires,
+            group: self.group.clone(),
+        };
+        vec![ClaimRequesterAction::Decide(ClaimDecision::Granted(grant))]
+    }
+
+    /// Gives the ballot up, so that another may win it, and tries again later.
+    fn pause(&mut self, now: Moment) -> Vec<ClaimRequesterAction> {
+        let actions = self.release();
+        let attempt = self.settings.maximum_attempts - self.attempts_left;
+        let longest = self.settings.split_backoff * 2_u32.saturating_pow(attempt.min(8));
+        let micros = u64::try_from(longest.as_micros())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        let pause = Duration::from_micros(self.random.random_range(0..micros));
+        self.claim.attempt += 1;
+        self.phase = Phase::Pausing { until: now + pause };
+        actions
+    }
+
+    fn report_holders(&mut self) -> Vec<ClaimRequesterAction> {
+        let holders = self.holders.keys().copied().collect();
+        self.give_up(ClaimDecision::HeldBy { holders })
+    }
+
+    fn refuse(&mut self) -> Vec<ClaimRequesterAction> {
+        let reason = self.main_reason();
+        self.give_up(ClaimDecision::Refused {
+            reason,
+            retry_after: self.retry_after(reason),
+            highest_epoch: self.highest_epoch,
+        })
+    }
+
+    fn give_up(&mut self, decision: ClaimDecision) -> Vec<ClaimRequesterAction> {
+        self.phase = Phase::Decided;
+        let mut actions = self.release();
+        actions.push(ClaimRequesterAction::Decide(decision));
+        actions
+    }
+
+    /// Releases go to the whole group: a claim message may still be under way to a silent member.
+    fn release(&self) -> Vec<ClaimRequesterAction> {
+        let body = ClaimRequestBody::Release {
+            key: self.key.clone(),
+            claim: self.claim,
+            expires: self.expires,
+        };
+        self.send_to_group(&body)
+    }
+
+    fn send_to_group(&self, body: &ClaimRequestBody) -> Vec<ClaimRequesterAction> {
+        requests(self.me, self.epoch, &self.group, body)
+            .into_iter()
+            .map(ClaimRequesterAction::Send)
+            .collect()
+    }
+
+    fn main_reason(&self) -> ClaimRefusal {
+        let mut counts: BTreeMap<ClaimRefusal, usize> = BTreeMap::new();
+        for vote in self.votes.values() {
+            if let Vote::Refused(refusal) = vote {
+                *counts.entry(*refusal).or_default() += 1;
+            }
+        }
+        let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        most.map_or(ClaimRefusal::NotMember, |(refusal, _)| refusal)
+    }
+
+    fn retry_after(&self, reason: ClaimRefusal) -> Duration {
+        match reason {
+            ClaimRefusal::NoLease | ClaimRefusal::TooManyClaims => self.settings.lease,
+            ClaimRefusal::NotCopied => self.settings.copy_retry * 2,
+            _ => self.settings.copy_retry,
+        }
+    }
+}
+
+/// Requests that release a grant whose request truthfully ended as `not_run`. `view` is the newest
+/// view known: claims move to its group when the view changes. Losing these requests is harmless:
+/// the key stays claimed until its expiry.
+pub fn release_requests(view: &ClaimView, grant: &ClaimGrant) -> Vec<ClaimRequest> {
+    let current = claim_group(&view.members, &grant.key);
+    let mut members: BTreeSet<InstanceId> = grant.group.iter().copied().collect();
+    members.extend(current.iter().map(|member| member.instance));
+    let body = ClaimRequestBody::Release {
+        key: grant.key.clone(),
+        claim: grant.holder.claim,
+        expires: grant.expires,
+    };
+    let members: Vec<InstanceId> = members.into_iter().collect();
+    requests(grant.holder.owner, view.epoch, &members, &body)
+}
+
+fn requests(
+    from: InstanceId,
+    epoch: u64,
+    to: &[InstanceId],
+    body: &ClaimRequestBody,
+) -> Vec<ClaimRequest> {
+    to.iter()
+        .map(|to| ClaimRequest {
+            epoch,
+            from,
+            to: *to,
+            body: body.clone(),
+        })
+        .collect()
+}
