Serve callers over HTTP and ask leafs through pooled connections

Need: the thin path from a caller to the leafs, as one process.

Change: the daemon library (settings, clocks, metrics, store reader, roots, frontend, callers' HTTP, planned stop) and the program (serve, check, query, status) with numbered exit codes. One task a (service, place) owns the root engine and its connections, so nothing is locked on the way of a query but one lookup of the root. An attempt counts as not sent only if the HTTP library hands the whole request back untouched.

Ruled out: hyper's pooled client towards leafs, because a connection closed while idle and a request half written look alike there.

--- a/crates/tansylead-cli/src/main.rs
+++ b/crates/tansylead-cli/src/main.rs
@@ -1,2 +1,24 @@
-//! Placeholder.
-fn main() {}
+//! The `tansylead` program: daemon and operators' tool in one.
+
+mod check_command;
+mod commands;
+mod exit_code;
+mod http_client;
+mod query_command;
+mod serve_command;
+mod settings_flags;
+mod status_command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = commands::program().get_matches();
+    let status = match commands::run(&matches) {
+        Ok(status) => status,
+        Err(error) => {
+            eprintln!("tansylead: {error:#}");
+            exit_code::status_of(&error)
+        }
+    };
+    status.into()
+}
--- /dev/null
+++ b/crates/tansylead-cli/src/status_command.rs
@@ -0,0 +1,146 @@
+//! `tansylead status`: prints the state of a daemon and of the cluster as it sees it.
+
+use crate::commands::Subcommand;
+use crate::exit_code::ExitStatus;
+use crate::http_client::exchange;
+use bytes::Bytes;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use eyre::WrapErr;
+use hyper::{Method, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tabled::settings::Style;
+use tabled::{Table, Tabled};
+use tansylead_daemon::status::{DaemonStatus, PlaceStatus};
+use tansylead_types::{PlaceName, ServiceName};
+
+/// The subcommand.
+pub const SUBCOMMAND: Subcommand = Subcommand { command, run };
+
+const LIMIT: Duration = Duration::from_secs(10);
+const NONE: &str = "-";
+
+const EXAMPLES: &str = "\
+Examples:
+  tansylead status --daemon 10.0.0.7:8080
+  tansylead status --daemon 10.0.0.7:8080 --json
+
+Exits with 9 if the daemon is not ready.";
+
+fn command() -> Command {
+    Command::new("status")
+        .about("Show serving sets, snapshots, limits, leaving back ends and generations")
+        .after_help(EXAMPLES)
+        .arg(
+            Arg::new("daemon")
+                .long("daemon")
+                .value_name("IP:PORT")
+                .value_parser(value_parser!(SocketAddr))
+                .default_value("127.0.0.1:8080")
+                .help("Caller address of a daemon"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print the daemon's JSON unchanged"),
+        )
+}
+
+fn run(matches: &ArgMatches) -> eyre::Result<ExitStatus> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("start the runtime")?;
+    runtime.block_on(status(matches))
+}
+
+async fn status(matches: &ArgMatches) -> eyre::Result<ExitStatus> {
+    let daemon = matches
+        .get_one::<SocketAddr>("daemon")
+        .ok_or_else(|| eyre::eyre!("no daemon given"))?;
+    let reply = exchange(*daemon, Method::GET, "/v1/status", &[], Bytes::new(), LIMIT).await?;
+    let shown = String::from_utf8_lossy(&reply.body);
+    if reply.status != StatusCode::OK {
+        eyre::bail!("{daemon}: unexpected status {}: {shown}", reply.status);
+    }
+    let parsed: DaemonStatus = serde_json::from_slice(&reply.body)
+        .wrap_err_with(|| format!("{daemon}: unexpected answer"))?;
+    if matches.get_flag("json") {
+        println!("{shown}");
+    } else {
+        print_status(&parsed);
+    }
+    Ok(match parsed.readiness.ready {
+        true => ExitStatus::Success,
+        false => ExitStatus::NotReady,
+    })
+}
+
+/// One line of the table of services.
+#[derive(Tabled)]
+struct ServiceLine {
+    service: String,
+    place: String,
+    generation: u64,
+    weight: String,
+    limit: String,
+    snapshots: String,
+    #[tabled(rename = "serving set")]
+    serving_set: String,
+    leafs: String,
+    draining: String,
+    unreachable: String,
+}
+
+impl ServiceLine {
+    fn new(service: &ServiceName, place: &PlaceName, status: &PlaceStatus) -> Self {
+        let root = status.root.as_ref();
+        Self {
+            service: service.to_string(),
+            place: place.to_string(),
+            generation: status.generation,
+            weight: optional(status.weight),
+            limit: optional(status.limit),
+            snapshots: root.map_or(NONE.to_owned(), |root| joined(&root.snapshots)),
+            serving_set: joined(&status.serving_set),
+            leafs: optional(root.map(|root| root.leafs)),
+            draining: root.map_or(NONE.to_owned(), |root| joined(&root.draining)),
+            unreachable: root.map_or(NONE.to_owned(), |root| joined(&root.unreachable)),
+        }
+    }
+}
+
+fn print_status(status: &DaemonStatus) {
+    let ready = match status.readiness.ready {
+        true => "ready".to_owned(),
+        false => format!("not ready: {}", status.readiness.reasons.join("; ")),
+    };
+    println!(
+        "daemon {} ({} {}/{}), version {}: {ready}",
+        status.peer_address, status.cluster, status.place, status.zone, status.version
+    );
+    println!(
+        "configuration: store revision {}, table generation {}",
+        status.revision, status.table_generation
+    );
+    let lines = status.services.iter().flat_map(|(service, state)| {
+        let places = state.places.iter();
+        places.map(move |(place, state)| ServiceLine::new(service, place, state))
+    });
+    let mut table = Table::new(lines);
+    table.with(Style::sharp());
+    println!("{table}");
+}
+
+fn optional(value: Option<impl ToString>) -> String {
+    value.map_or(NONE.to_owned(), |value| value.to_string())
+}
+
+fn joined<T: ToString>(values: &[T]) -> String {
+    if values.is_empty() {
+        return NONE.to_owned();
+    }
+    let texts: Vec<String> = values.iter().map(T::to_string).collect();
+    texts.join(" ")
+}
--- /dev/null
+++ b/crates/tansylead-daemon/src/configuration/view.rs
@@ -0,0 +1,131 @@
+//! The configuration in force: an immutable view that is replaced as a whole.
+//!
+//! Invariant: the generation of an object never falls, whatever a store or a peer shows later.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tansylead_types::{
+    ClaimView, ConfigObject, ObjectKey, PlaceName, ServiceDefinition, ServiceName,
+    ServicePlacement, StoredObject, TrafficTable,
+};
+
+/// A service in a place.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PlacementKey {
+    /// Service.
+    pub service: ServiceName,
+    /// Place.
+    pub place: PlaceName,
+}
+
+/// All configuration objects in force, by kind.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigurationView {
+    generations: BTreeMap<ObjectKey, u64>,
+    revision: u64,
+    services: BTreeMap<ServiceName, Arc<ServiceDefinition>>,
+    placements: BTreeMap<PlacementKey, Arc<ServicePlacement>>,
+    table: Arc<TrafficTable>,
+    claim_view: Option<Arc<ClaimView>>,
+}
+
+impl ConfigurationView {
+    /// Puts an object in force if its generation exceeds the one in force; true if it did.
+    pub fn apply(&mut self, stored: &StoredObject) -> bool {
+        let in_force = self.generation(&stored.key);
+        if stored.generation <= in_force {
+            return false;
+        }
+        self.generations
+            .insert(stored.key.clone(), stored.generation);
+        self.revision = self.revision.max(stored.revision);
+        self.replace(&stored.key, stored.object.as_ref());
+        true
+    }
+
+    fn replace(&mut self, key: &ObjectKey, object: Option<&ConfigObject>) {
+        match key {
+            ObjectKey::Service(service) => match object {
+                Some(ConfigObject::Service(definition)) => {
+                    self.services
+                        .insert(service.clone(), Arc::new(definition.clone()));
+                }
+                _ => drop(self.services.remove(service)),
+            },
+            ObjectKey::Placement(service, place) => {
+                let key = PlacementKey {
+                    service: service.clone(),
+                    place: place.clone(),
+                };
+                match object {
+                    Some(ConfigObject::Placement(placement)) => {
+                        self.placements.insert(key, Arc::new(placement.clone()));
+                    }
+                    _ => drop(self.placements.remove(&key)),
+                }
+            }
+            ObjectKey::Table => {
+                self.table = match object {
+                    Some(ConfigObject::Table(table)) => Arc::new(table.clone()),
+                    _ => Arc::default(),
+                };
+            }
+            ObjectKey::ClaimView => {
+                self.claim_view = match object {
+                    Some(ConfigObject::ClaimView(view)) => Some(Arc::new(view.clone())),
+                    _ => None,
+                };
+            }
+        }
+    }
+
+    /// Whether nothing was ever put in force.
+    pub fn is_empty(&self) -> bool {
+        self.generations.is_empty()
+    }
+
+    /// Objects in force, deleted ones included.
+    pub fn len(&self) -> usize {
+        self.generations.len()
+    }
+
+    /// Generation of an object; 0 if it was never seen.
+    pub fn generation(&self, key: &ObjectKey) -> u64 {
+        self.generations.get(key).copied().unwrap_or(0)
+    }
+
+    /// Highest store revision of any object in force.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Definition of a service.
+    pub fn service(&self, service: &ServiceName) -> Option<&Arc<ServiceDefinition>> {
+        self.services.get(service)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceDefinition>> {
+        self.services.values()
+    }
+
+    /// Leafs and snapshots of a service in a place.
+    pub fn placement(&self, key: &PlacementKey) -> Option<&Arc<ServicePlacement>> {
+        self.placements.get(key)
+    }
+
+    /// All placements.
+    pub fn placements(&self) -> impl Iterator<Item = (&PlacementKey, &Arc<ServicePlacement>)> {
+        self.placements.iter()
+    }
+
+    /// The operators' table.
+    pub fn table(&self) -> &Arc<TrafficTable> {
+        &self.table
+    }
+
+    /// Claim members.
+    pub fn claim_view(&self) -> Option<&Arc<ClaimView>> {
+        self.claim_view.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/tansylead-daemon/src/http/error.rs
@@ -0,0 +1,229 @@
+//! Requests refused before a query was made of them.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{ALLOW, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tansylead_types::{Outcome, PlaceName, ServiceName};
+
+/// Why a request was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ApiError {
+    /// No such path.
+    #[error("there is nothing at {path}")]
+    UnknownPath {
+        /// The path asked for.
+        path: String,
+    },
+    /// The path does not take this method.
+    #[error("{path} takes {allowed} only")]
+    MethodNotAllowed {
+        /// The path asked for.
+        path: String,
+        /// The method it takes.
+        allowed: &'static str,
+    },
+    /// No such service in the configuration in force.
+    #[error("there is no service `{service}`")]
+    UnknownService {
+        /// The name asked for.
+        service: String,
+    },
+    /// The body is not of the documented form.
+    #[error("the body is not a query: {cause}")]
+    MalformedBody {
+        /// In the words of the JSON library.
+        cause: String,
+    },
+    /// The body did not arrive whole.
+    #[error("the body did not arrive whole: {cause}")]
+    BodyIncomplete {
+        /// In the words of the HTTP library.
+        cause: String,
+    },
+    /// The body is too large.
+    #[error("the body is larger than the {limit} bytes that `{service}` takes")]
+    BodyTooLarge {
+        /// The service.
+        service: ServiceName,
+        /// Its limit.
+        limit: usize,
+    },
+    /// A header has a value that cannot be used.
+    #[error("header {header}: {cause}")]
+    MalformedHeader {
+        /// The header.
+        header: &'static str,
+        /// What is wrong with it.
+        cause: String,
+    },
+    /// The deadline is out of range.
+    #[error("header {header}: {value} ms is not between 1 and the {limit} ms `{service}` allows")]
+    DeadlineOutOfRange {
+        /// The header.
+        header: &'static str,
+        /// The value given.
+        value: u64,
+        /// The service.
+        service: ServiceName,
+        /// Its limit.
+        limit: u64,
+    },
+    /// A request with a key states no expiry.
+    #[error("{key_header} needs {expires_header}: unix milliseconds, the same on each repetition")]
+    ExpiresMissing {
+        /// Header of the key.
+        key_header: &'static str,
+        /// Header of the expiry.
+        expires_header: &'static str,
+    },
+    /// The expiry lies too far ahead.
+    #[error("header {header}: more than {limit} ms ahead")]
+    ExpiresTooLate {
+        /// The header.
+        header: &'static str,
+        /// The most allowed.
+        limit: u64,
+    },
+    /// The expiry has passed. Nothing runs now; an earlier request with the key may have run.
+    #[error("header {header}: has passed; an earlier request with this key may have run")]
+    Expired {
+        /// The header.
+        header: &'static str,
+    },
+    /// This daemon has no configuration yet.
+    #[error("this daemon has no configuration yet")]
+    NotConfigured {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The service has no leafs that this daemon can reach.
+    #[error("no place of `{service}` can take the query from {place} now")]
+    NoPlace {
+        /// The service.
+        service: ServiceName,
+        /// Where this daemon runs.
+        place: PlaceName,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Something that should not happen, after the query may have begun.
+    #[error("{cause}")]
+    Internal {
+        /// What.
+        cause: String,
+    },
+}
+
+/// Body of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// What is wrong.
+    pub error: ErrorDetail,
+    /// `not_run`, or `unknown` where an earlier request with the same key may have run.
+    pub outcome: Outcome,
+    /// When to come back, in milliseconds; absent if the same request can never succeed.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// What is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorDetail {
+    /// One of a closed set, for programs.
+    pub code: String,
+    /// For people.
+    pub message: String,
+}
+
+impl ApiError {
+    /// Code for programs and for metrics.
+    pub fn code(&self) -> &'static str {
+        match self {
+            ApiError::UnknownPath { .. } => "unknown_path",
+            ApiError::MethodNotAllowed { .. } => "method_not_allowed",
+            ApiError::UnknownService { .. } => "unknown_service",
+            ApiError::MalformedBody { .. } => "malformed_body",
+            ApiError::BodyIncomplete { .. } => "body_incomplete",
+            ApiError::BodyTooLarge { .. } => "body_too_large",
+            ApiError::MalformedHeader { .. } => "malformed_header",
+            ApiError::DeadlineOutOfRange { .. } => "deadline_out_of_range",
+            ApiError::ExpiresMissing { .. } => "expires_missing",
+            ApiError::ExpiresTooLate { .. } => "expires_too_late",
+            ApiError::Expired { .. } => "expired",
+            ApiError::NotConfigured { .. } => "not_configured",
+            ApiError::NoPlace { .. } => "no_place",
+            ApiError::Internal { .. } => "internal",
+        }
+    }
+
+    /// HTTP status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            ApiError::UnknownPath { .. } | ApiError::UnknownService { .. } => StatusCode::NOT_FOUND,
+            ApiError::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            ApiError::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            ApiError::Expired { .. } => StatusCode::GONE,
+            ApiError::NotConfigured { .. } | ApiError::NoPlace { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            ApiError::Internal { .. } => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        match self {
+            ApiError::Expired { .. } | ApiError::Internal { .. } => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            ApiError::NotConfigured { retry_after } | ApiError::NoPlace { retry_after, .. } => {
+                Some(*retry_after)
+            }
+            _ => None,
+        }
+    }
+
+    /// The refusal as an HTTP response.
+    pub fn response(&self) -> Response<Full<Bytes>> {
+        let body = ErrorBody {
+            error: ErrorDetail {
+                code: self.code().to_owned(),
+                message: self.to_string(),
+            },
+            outcome: self.outcome(),
+            retry_after_ms: self.retry_after().map(whole_millis),
+        };
+        let mut builder = Response::builder()
+            .status(self.status())
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(retry_after) = self.retry_after() {
+            builder = builder.header(RETRY_AFTER, whole_seconds(retry_after));
+        }
+        if let ApiError::MethodNotAllowed { allowed, .. } = self {
+            builder = builder.header(ALLOW, *allowed);
+        }
+        let text = serde_json::to_vec(&body).unwrap_or_default();
+        builder
+            .body(Full::new(Bytes::from(text)))
+            .unwrap_or_default()
+    }
+}
+
+/// Milliseconds, rounded up, at least 1.
+pub(super) fn whole_millis(duration: Duration) -> u64 {
+    let millis = duration.as_micros().div_ceil(1_000).max(1);
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
+/// Seconds for `Retry-After`, rounded up, at least 1.
+pub(super) fn whole_seconds(duration: Duration) -> u64 {
+    let seconds = duration.as_millis().div_ceil(1_000).max(1);
+    u64::try_from(seconds).unwrap_or(u64::MAX)
+}
--- a/crates/tansylead-daemon/src/lib.rs
+++ b/crates/tansylead-daemon/src/lib.rs
@@ -1,4 +1,21 @@
 //! The I/O shell of the daemon. Decisions live in the sans-I/O crates; this crate owns sockets,
 //! clocks, timers and metrics, and drives the state machines of the others.
 
+pub mod clock;
+pub mod configuration;
+pub mod daemon;
+pub mod frontend;
+pub mod http;
+pub mod leaf;
+pub mod logging;
+pub mod metrics;
 pub mod platform;
+pub mod root;
+pub mod settings;
+pub mod state;
+pub mod status;
+pub mod tuning;
+
+pub use daemon::{Daemon, DrainResult, StopRequests, run};
+pub use settings::{SettingsError, SettingsOverrides, load_settings};
+pub use tuning::Tuning;
--- /dev/null
+++ b/crates/tansylead-daemon/src/status.rs
@@ -0,0 +1,63 @@
+//! What `GET /v1/status` answers.
+
+use crate::root::RootStatus;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tansylead_types::{PlaceName, ServiceName, ZoneName};
+
+/// State of one daemon and of the cluster as it sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonStatus {
+    /// Program version.
+    pub version: String,
+    /// Cluster name.
+    pub cluster: String,
+    /// Place.
+    pub place: PlaceName,
+    /// Zone.
+    pub zone: ZoneName,
+    /// Peer address.
+    pub peer_address: SocketAddr,
+    /// Whether it takes callers.
+    pub readiness: Readiness,
+    /// Highest store revision in force.
+    pub revision: u64,
+    /// Generation of the table in force; 0 if there is none.
+    pub table_generation: u64,
+    /// Services.
+    pub services: BTreeMap<ServiceName, ServiceStatus>,
+}
+
+/// Whether a daemon takes callers.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Readiness {
+    /// Whether it is ready.
+    pub ready: bool,
+    /// Why not; empty if it is.
+    pub reasons: Vec<String>,
+}
+
+/// State of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Generation of its definition.
+    pub generation: u64,
+    /// Places that have leafs of it.
+    pub places: BTreeMap<PlaceName, PlaceStatus>,
+}
+
+/// State of one service in one place.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PlaceStatus {
+    /// Generation of the placement.
+    pub generation: u64,
+    /// Weight of the table row of this hour; none without a row.
+    pub weight: Option<u32>,
+    /// Limit of the table row of this hour, queries per second; none without a row.
+    pub limit: Option<u32>,
+    /// Daemons that are roots.
+    pub serving_set: Vec<SocketAddr>,
+    /// State of this daemon's own root, if it is one.
+    pub root: Option<RootStatus>,
+}
