--- a/crates/tansylead-daemon/src/settings.rs
+++ b/crates/tansylead-daemon/src/settings.rs
@@ -206,7 +206,7 @@
     if settings.cluster.trim().is_empty() {
         return Err(impossible(
             "cluster",
-            "\"\"".to_owned(),
+            format!("{:?}", settings.cluster),
             "must not be empty",
         ));
     }
--- a/crates/tansylead-daemon/src/state.rs
+++ b/crates/tansylead-daemon/src/state.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Whether this daemon is root for some service.
+    pub fn has_root(&self) -> bool {
+        !self.roots.all().is_empty()
+    }
+
     /// Brings gauges that are read rather than counted up to date.
     pub fn refresh_metrics(&self) {
         let view = self.view.borrow();
