--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -3,12 +3,14 @@
 //! Each subcommand of `tansylead-lab` is one module with two functions: `command()` describes it
 //! to clap and `run(matches)` carries it out. [`SUBCOMMANDS`] is the only place that lists them.
 
+pub mod caller;
 pub mod experiment;
 pub mod http;
 pub mod leaf;
 pub mod load;
 pub mod logging;
 pub mod machines;
+pub mod process;
 pub mod standin;
 pub mod store;
 
