lab: sample deployments, planned as leafs and configuration objects

Not added: 12 ms between regions; daemons address each other directly, so nothing of the lab stands between them.

--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! to clap and `run(matches)` carries it out. [`SUBCOMMANDS`] is the only place that lists them.
 
 pub mod caller;
+pub mod deployment;
 pub mod experiment;
 pub mod http;
 pub mod leaf;
@@ -38,6 +39,10 @@
         command: machines::command,
         run: machines::run,
     },
+    Subcommand {
+        command: deployment::seed::command,
+        run: deployment::seed::run,
+    },
     Subcommand {
         command: experiment::command,
         run: experiment::run,
