--- a/crates/tansylead-lab/src/http.rs
+++ b/crates/tansylead-lab/src/http.rs
@@ -167,15 +167,16 @@
         self.parse(step, path, status, &bytes)
     }
 
-    /// Puts a JSON value; the status is left to the caller to judge.
-    pub async fn put(
+    /// Sends a JSON value; the status is left to the caller to judge.
+    pub async fn exchange(
         &self,
+        method: Method,
         path: &str,
         value: &impl Serialize,
     ) -> Result<(StatusCode, Bytes), StepError> {
-        let step = "write to a stand-in";
+        let step = "ask a stand-in";
         let body = self.encode(step, value)?;
-        self.send(step, Method::PUT, path, body).await
+        self.send(step, method, path, body).await
     }
 
     fn encode(&self, step: &'static str, value: &impl Serialize) -> Result<Bytes, StepError> {
--- a/crates/tansylead-lab/src/process/program.rs
+++ b/crates/tansylead-lab/src/process/program.rs
@@ -56,7 +56,7 @@
             }
             None => self.lab_command("daemon"),
         };
-        command.arg("--settings").arg(settings);
+        command.arg("--config").arg(settings);
         command
     }
 }
--- a/crates/tansylead-lab/src/store/client.rs
+++ b/crates/tansylead-lab/src/store/client.rs
@@ -4,7 +4,7 @@
 use super::readers::ReadCounts;
 use super::server::{FAULTS_PATH, READERS_PATH, RESTORE_PATH};
 use crate::http::JsonClient;
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 use tansylead_types::store::{ObjectList, STORE_OBJECTS_PATH, WriteConflict, WriteRequest};
 use tansylead_types::{ChangeId, ConfigObject, ObjectKey, StepError, StoredObject};
@@ -64,7 +64,7 @@
                 change: change.clone(),
                 object: object.clone(),
             };
-            let (status, bytes) = self.http.put(&path, &write).await?;
+            let (status, bytes) = self.http.exchange(Method::PUT, &path, &write).await?;
             let broken = |cause: serde_json::Error| StepError::new(step, self.address(), cause);
             if status == StatusCode::OK {
                 return serde_json::from_slice(&bytes).map_err(broken);
