lab: demo under traffic with every answer held against the leafs' logs

Callers send Poisson traffic from all places, posts carry keys of which every fifth is sent again through another daemon; one daemon and one leaf are killed midway. Replies are checked one by one, and against the leafs' execution logs: a key runs at most once, not_run is true, complete has run.

--- a/crates/tansylead-lab/src/caller/client.rs
+++ b/crates/tansylead-lab/src/caller/client.rs
@@ -5,6 +5,7 @@
 
 use super::answer::{CallerReply, parse_body};
 use crate::http::chain;
+use crate::wall_clock::unix_micros;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
@@ -83,6 +84,13 @@
     NoReply(StepError),
 }
 
+impl ExchangeFailure {
+    /// Whether nothing was sent.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+}
+
 /// A caller's HTTP client.
 #[derive(Debug, Clone)]
 pub struct CallerClient {
@@ -93,6 +101,8 @@
 /// How asking went, over all daemons tried.
 #[derive(Debug, Clone)]
 pub struct Asked {
+    /// When the request was last sent, in microseconds since the Unix epoch.
+    pub last_sent_unix_micros: u64,
     /// The last reply; none if no daemon gave one.
     pub reply: Option<CallerReply>,
     /// Failures on the way to it.
@@ -154,6 +164,7 @@
     pub async fn ask(&self, daemons: &[SocketAddr], request: &CallerRequest) -> Asked {
         let began = Instant::now();
         let mut asked = Asked {
+            last_sent_unix_micros: 0,
             reply: None,
             failures: Vec::new(),
             latency: Duration::ZERO,
@@ -162,6 +173,7 @@
             if index > 0 {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
+            asked.last_sent_unix_micros = unix_micros();
             match self.send(*daemon, request).await {
                 Ok(reply) => {
                     let is_final = reply.outcome() != Outcome::NotRun;
--- a/crates/tansylead-lab/src/caller/mod.rs
+++ b/crates/tansylead-lab/src/caller/mod.rs
@@ -8,8 +8,14 @@
 pub mod check;
 pub mod client;
 pub mod shards;
+pub mod statistics;
+pub mod traffic;
+pub mod verify;
 
 pub use answer::{CallerAnswer, CallerRefusal, CallerReply, CallerResult};
 pub use check::{AnswerFault, check_reply};
-pub use client::{CallerClient, CallerRequest, ExchangeFailure, NonRepeatableKey};
+pub use client::{Asked, CallerClient, CallerRequest, ExchangeFailure, NonRepeatableKey};
 pub use shards::ShardLists;
+pub use statistics::{FigureCollector, Figures};
+pub use traffic::{DaemonAddress, QueryRecord, Traffic, TrafficPlan};
+pub use verify::{ExecutionCounts, Violation, violations};
--- a/crates/tansylead-lab/src/deployment/description.rs
+++ b/crates/tansylead-lab/src/deployment/description.rs
@@ -160,6 +160,20 @@
         Ok(())
     }
 
+    /// Daemons in all places.
+    pub fn daemon_count(&self) -> usize {
+        let of_place =
+            |place: &PlaceDescription| place.zones.len() * place.daemons_per_zone as usize;
+        self.places.iter().map(of_place).sum()
+    }
+
+    /// Leafs in all places.
+    pub fn leaf_count(&self) -> usize {
+        let of_group = |group: &ServiceGroup| group.names.len() * group.leafs_per_place as usize;
+        let in_one_place: usize = self.services.iter().map(of_group).sum();
+        in_one_place * self.places.len()
+    }
+
     /// The group a service belongs to.
     pub fn group_of(&self, service: &ServiceName) -> Option<&ServiceGroup> {
         self.services
--- a/crates/tansylead-lab/src/leaf/execution_log.rs
+++ b/crates/tansylead-lab/src/leaf/execution_log.rs
@@ -3,9 +3,9 @@
 //! Invariants: entries are only appended and numbered from 1 without gaps; a request that got a
 //! slot has exactly one `started` entry and at most one end. A refused request has none.
 
+use crate::wall_clock::unix_micros;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use std::time::Instant;
 use tansylead_types::{
     AttemptId, IdempotencyKey, LeafId, QueryId, RequestId, ServiceName, ShardId, SnapshotVersion,
 };
@@ -65,8 +65,8 @@
 pub struct ExecutionEntry {
     /// Position in the log, from 1.
     pub sequence: u64,
-    /// Microseconds since the process started.
-    pub at_micros: u64,
+    /// When, in microseconds since the Unix epoch.
+    pub at_unix_micros: u64,
     /// What happened.
     pub event: ExecutionEvent,
 }
@@ -83,7 +83,6 @@
 /// Append-only log in memory.
 #[derive(Debug)]
 pub struct ExecutionLog {
-    origin: Instant,
     enabled: bool,
     entries: Mutex<Vec<ExecutionEntry>>,
 }
@@ -92,7 +91,6 @@
     /// An empty log; a log that is not enabled stays empty.
     pub fn new(enabled: bool) -> Self {
         Self {
-            origin: Instant::now(),
             enabled,
             entries: Mutex::new(Vec::new()),
         }
@@ -126,10 +124,10 @@
         }
         let mut entries = self.entries.lock();
         let sequence = u64::try_from(entries.len()).unwrap_or(u64::MAX) + 1;
-        let at_micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let at_unix_micros = unix_micros();
         entries.push(ExecutionEntry {
             sequence,
-            at_micros,
+            at_unix_micros,
             event,
         });
         sequence
--- a/crates/tansylead-lab/src/leaf/standin_leaf.rs
+++ b/crates/tansylead-lab/src/leaf/standin_leaf.rs
@@ -10,11 +10,12 @@
 use super::latency::LatencySampler;
 use super::result::result_json;
 use super::spec::{Holding, LeafSpec};
+use crate::wall_clock;
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tansylead_types::leaf::{LeafAnswer, LeafHealth, LeafLoad, LeafRefusal, LeafRequest};
 use tansylead_types::leaf::{RefusalReason, RefusalReason as Reason};
 use tansylead_types::{ShardId, SnapshotVersion, WallTime};
@@ -297,10 +298,8 @@
 }
 
 fn is_expired(request: &LeafRequest) -> bool {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let now = WallTime(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX));
+    let now_millis = wall_clock::since_epoch().as_millis();
+    let now = WallTime(u64::try_from(now_millis).unwrap_or(u64::MAX));
     request.expires.is_some_and(|expires| now >= expires)
 }
 
--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! to clap and `run(matches)` carries it out. [`SUBCOMMANDS`] is the only place that lists them.
 
 pub mod caller;
+pub mod demo;
 pub mod deployment;
 pub mod experiment;
 pub mod http;
@@ -14,6 +15,7 @@
 pub mod process;
 pub mod standin;
 pub mod store;
+pub mod wall_clock;
 
 use clap::{ArgMatches, Command};
 
@@ -43,6 +45,10 @@
         command: deployment::seed::command,
         run: deployment::seed::run,
     },
+    Subcommand {
+        command: demo::command,
+        run: demo::run,
+    },
     Subcommand {
         command: experiment::command,
         run: experiment::run,
--- a/crates/tansylead-lab/src/standin.rs
+++ b/crates/tansylead-lab/src/standin.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 /// Worker threads of one stand-in process.
@@ -90,14 +90,36 @@
 }
 
 fn watch_signals(stop: CancellationToken) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listen for SIGINT")?;
+    let signals = StopSignals::listen()?;
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        signals.next().await;
         stop.cancel();
     });
     Ok(())
 }
+
+/// Waits for SIGTERM or SIGINT and returns its name.
+pub async fn told_to_end() -> eyre::Result<&'static str> {
+    Ok(StopSignals::listen()?.next().await)
+}
+
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> eyre::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).wrap_err("listen for SIGTERM")?,
+            interrupt: signal(SignalKind::interrupt()).wrap_err("listen for SIGINT")?,
+        })
+    }
+
+    async fn next(mut self) -> &'static str {
+        tokio::select! {
+            _ = self.terminate.recv() => "SIGTERM",
+            _ = self.interrupt.recv() => "SIGINT",
+        }
+    }
+}
