--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -3,14 +3,19 @@
 //! Each subcommand of `tansylead-lab` is one module with two functions: `command()` describes it
 //! to clap and `run(matches)` carries it out. [`SUBCOMMANDS`] is the only place that lists them.
 
+pub mod caller;
+pub mod demo;
+pub mod deployment;
 pub mod experiment;
 pub mod http;
 pub mod leaf;
 pub mod load;
 pub mod logging;
 pub mod machines;
+pub mod process;
 pub mod standin;
 pub mod store;
+pub mod wall_clock;
 
 use clap::{ArgMatches, Command};
 
@@ -36,6 +41,14 @@
         command: machines::command,
         run: machines::run,
     },
+    Subcommand {
+        command: deployment::seed::command,
+        run: deployment::seed::run,
+    },
+    Subcommand {
+        command: demo::command,
+        run: demo::run,
+    },
     Subcommand {
         command: experiment::command,
         run: experiment::run,
