Record recent changes in the operators' table

An author whose answer was lost must find its change in the store even if somebody else has changed the table since. The store keeps only the last change id of an object, so the table itself carries its last 64 changes. Ruled out: a companion object (not written in the same compare-and-set).

TrafficTable::from_rows replaces struct literals.

--- a/crates/tansylead-cluster/tests/place_choice.rs
+++ b/crates/tansylead-cluster/tests/place_choice.rs
@@ -94,9 +94,8 @@
         seed in any::<u64>(),
     ) {
         let rows_of_table = PLACES.iter().zip(&rows);
-        let table = TrafficTable {
-            rows: rows_of_table.map(|(name, &(weight, limit))| row(name, "0-24", weight, limit)).collect(),
-        };
+        let rows_of_table = rows_of_table.map(|(name, &(weight, limit))| row(name, "0-24", weight, limit));
+        let table = TrafficTable::from_rows(rows_of_table.collect());
         let mut places = ServicePlaces::default();
         for (number, name) in PLACES.iter().enumerate() {
             let (name, root) = (place(name), root(number, 1));
@@ -144,13 +143,11 @@
 
 #[test]
 fn spilled_traffic_is_split_by_weight() {
-    let table = TrafficTable {
-        rows: vec![
-            row("bangkok", "0-24", 0, 100),
-            row("chiang-mai", "0-24", 30, 100),
-            row("phuket", "0-24", 10, 100),
-        ],
-    };
+    let table = TrafficTable::from_rows(vec![
+        row("bangkok", "0-24", 0, 100),
+        row("chiang-mai", "0-24", 30, 100),
+        row("phuket", "0-24", 10, 100),
+    ]);
     let places = all_reachable();
     let mut random = StdRng::seed_from_u64(1);
     let mut draws: BTreeMap<String, u32> = BTreeMap::new();
@@ -169,14 +166,12 @@
 
 #[test]
 fn a_day_of_traffic_stays_within_every_limit_and_follows_the_hours() {
-    let table = TrafficTable {
-        rows: vec![
-            row("bangkok", "0-12", 2, 40),
-            row("bangkok", "12-0", 0, 40),
-            row("chiang-mai", "6-18", 1, 30),
-            row("phuket", "18-6", 1, 20),
-        ],
-    };
+    let table = TrafficTable::from_rows(vec![
+        row("bangkok", "0-12", 2, 40),
+        row("bangkok", "12-0", 0, 40),
+        row("chiang-mai", "6-18", 1, 30),
+        row("phuket", "18-6", 1, 20),
+    ]);
     assert_eq!(largest_limit(&table, &service(), &place("bangkok")), 40);
     let mut random = StdRng::seed_from_u64(2);
     let mut admitted_at: Vec<BTreeMap<PlaceName, u32>> = Vec::new();
@@ -223,9 +218,7 @@
 
 #[test]
 fn refusals_say_when_to_come_back() {
-    let table = TrafficTable {
-        rows: vec![row("bangkok", "6-18", 1, 10)],
-    };
+    let table = TrafficTable::from_rows(vec![row("bangkok", "6-18", 1, 10)]);
     let mut places = all_reachable();
     for root in [root(0, 1), root(0, 2)] {
         places.on_refusal(NOW, &place("bangkok"), root, Duration::from_millis(700));
--- a/crates/tansylead-lab/src/experiment/shape.rs
+++ b/crates/tansylead-lab/src/experiment/shape.rs
@@ -211,7 +211,7 @@
             });
         }
     }
-    ConfigObject::Table(TrafficTable { rows })
+    ConfigObject::Table(TrafficTable::from_rows(rows))
 }
 
 /// Limit of one place for a service, in queries per second.
--- a/crates/tansylead-types/src/lib.rs
+++ b/crates/tansylead-types/src/lib.rs
@@ -29,4 +29,4 @@
 pub use moment::{Moment, WallTime};
 pub use request::{QueryRequest, Repeatability};
 pub use settings::Settings;
-pub use table::{HourRange, TableRow, TrafficTable};
+pub use table::{HourRange, TableChange, TableRow, TrafficTable};
--- a/crates/tansylead-types/src/table.rs
+++ b/crates/tansylead-types/src/table.rs
@@ -1,7 +1,7 @@
 //! The operators' table: for each service, place and hours, how much traffic to take (weight) and
 //! how much to bear (limit).
 
-use crate::{PlaceName, ServiceName};
+use crate::{ChangeId, PlaceName, ServiceName, WallTime};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -85,14 +85,44 @@
     pub limit: u32,
 }
 
+/// Most entries of [`TrafficTable::recent_changes`].
+pub const RECENT_CHANGES: usize = 64;
+
+/// One accepted change of the table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableChange {
+    /// Generation of the table that the change made.
+    pub generation: u64,
+    /// Identifies the change.
+    pub change: ChangeId,
+    /// When it was proposed, by the author's clock.
+    pub proposed_at: WallTime,
+    /// Who proposed it.
+    pub author: String,
+    /// Why, in one line.
+    pub comment: String,
+}
+
 /// The whole table, accepted as one change.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct TrafficTable {
     /// Rows; at most one applies to each (service, place, hour).
     pub rows: Vec<TableRow>,
+    /// The last accepted changes, oldest first, at most [`RECENT_CHANGES`]. An author whose answer
+    /// was lost finds its change here even if others have changed the table since.
+    #[serde(default)]
+    pub recent_changes: Vec<TableChange>,
 }
 
 impl TrafficTable {
+    /// A table without recorded changes.
+    pub fn from_rows(rows: Vec<TableRow>) -> Self {
+        Self {
+            rows,
+            recent_changes: Vec::new(),
+        }
+    }
+
     /// The row in force for a service, place and hour of the day (UTC, 0 to 23).
     pub fn row(&self, service: &ServiceName, place: &PlaceName, hour: u8) -> Option<&TableRow> {
         self.rows
