--- /dev/null
+++ b/crates/tansylead-table/src/check.rs
@@ -0,0 +1,140 @@
+//! Checks of a table as a whole: rows against each other and against the configuration.
+//!
+//! Errors: two rows for the same service, place and hour; all weights of a service zero at an hour;
+//! a service or placement that the configuration does not know. Warnings: hours of a service that
+//! no row covers, a service without rows, and limits that will refuse what the weight invites.
+
+use crate::csv_form::NumberedRow;
+use crate::finding::{Column, Finding};
+use crate::hours::ranges_text;
+use std::collections::{BTreeMap, BTreeSet};
+use tansylead_types::table::HOURS_PER_DAY;
+use tansylead_types::{PlaceName, ServiceName};
+
+/// A limit is shared by at least two roots; below this one of them gets less than a query a
+/// second.
+pub const LOWEST_USEFUL_LIMIT: u32 = 2;
+
+/// A service that has leafs in a place.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KnownPlacement {
+    /// Service.
+    pub service: ServiceName,
+    /// Place.
+    pub place: PlaceName,
+}
+
+/// What the configuration knows.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct KnownServices {
+    /// Defined services.
+    pub services: BTreeSet<ServiceName>,
+    /// Services and places with leafs.
+    pub placements: BTreeSet<KnownPlacement>,
+}
+
+/// Checks rows; against the configuration too if it is given. Findings are ordered by line.
+pub fn check_rows(rows: &[NumberedRow], known: Option<&KnownServices>) -> Vec<Finding> {
+    let mut findings = overlaps(rows);
+    findings.extend(limits(rows));
+    let mut services: BTreeSet<&ServiceName> = rows.iter().map(|row| &row.row.service).collect();
+    if let Some(known) = known {
+        findings.extend(unknown_names(rows, known));
+        services.extend(&known.services);
+    }
+    for service in services {
+        findings.extend(hours_of_service(service, rows));
+    }
+    findings.sort();
+    findings
+}
+
+/// One error for each row that shares an hour with an earlier one.
+fn overlaps(rows: &[NumberedRow]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (index, later) in rows.iter().enumerate() {
+        let same_target = |earlier: &&NumberedRow| {
+            earlier.row.service == later.row.service && earlier.row.place == later.row.place
+        };
+        for earlier in rows[..index].iter().filter(same_target) {
+            let shared: Vec<u8> = (0..HOURS_PER_DAY)
+                .filter(|&hour| earlier.row.hours.contains(hour) && later.row.hours.contains(hour))
+                .collect();
+            if !shared.is_empty() {
+                let message = format!(
+                    "{} in {} has hours {} on line {} already",
+                    later.row.service,
+                    later.row.place,
+                    ranges_text(&shared),
+                    earlier.line
+                );
+                findings.push(Finding::cell(later.line, Column::Hours, message));
+            }
+        }
+    }
+    findings
+}
+
+fn limits(rows: &[NumberedRow]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let taking = rows.iter().filter(|numbered| numbered.row.weight > 0);
+    for NumberedRow { line, row } in taking {
+        let message = match row.limit {
+            0 => "the limit is 0, so the place takes nothing whatever its weight".to_owned(),
+            limit if limit < LOWEST_USEFUL_LIMIT => format!(
+                "the limit {limit} is below {LOWEST_USEFUL_LIMIT}: its roots share it and get \
+                 less than 1 query per second each"
+            ),
+            _ => continue,
+        };
+        findings.push(Finding::cell(*line, Column::Limit, message).as_warning());
+    }
+    findings
+}
+
+fn unknown_names(rows: &[NumberedRow], known: &KnownServices) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for NumberedRow { line, row } in rows {
+        let placement = KnownPlacement {
+            service: row.service.clone(),
+            place: row.place.clone(),
+        };
+        if !known.services.contains(&row.service) {
+            let message = format!("no service is named {}", row.service);
+            findings.push(Finding::cell(*line, Column::Service, message));
+        } else if !known.placements.contains(&placement) {
+            let message = format!("{} has no leafs in {}", row.service, row.place);
+            findings.push(Finding::cell(*line, Column::Place, message));
+        }
+    }
+    findings
+}
+
+fn hours_of_service(service: &ServiceName, rows: &[NumberedRow]) -> Vec<Finding> {
+    let of_service = || rows.iter().filter(|row| row.row.service == *service);
+    let mut uncovered = Vec::new();
+    // Hours without weight, by the line of the last row that covers them.
+    let mut weightless: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
+    for hour in 0..HOURS_PER_DAY {
+        let covering = || of_service().filter(|row| row.row.hours.contains(hour));
+        match covering().map(|row| row.line).max() {
+            None => uncovered.push(hour),
+            Some(line) if covering().all(|row| row.row.weight == 0) => {
+                weightless.entry(line).or_default().push(hour);
+            }
+            Some(_) => {}
+        }
+    }
+    let mut findings = Vec::new();
+    for (line, hours) in weightless {
+        let hours = ranges_text(&hours);
+        let message = format!("{service}: all weights are 0 in hours {hours}");
+        findings.push(Finding::cell(line, Column::Weight, message));
+    }
+    if !uncovered.is_empty() {
+        let hours = ranges_text(&uncovered);
+        let message = format!("{service}: no row covers hours {hours}; queries are refused then");
+        findings.push(Finding::table(message).as_warning());
+    }
+    findings
+}
--- /dev/null
+++ b/crates/tansylead-table/src/csv_form.rs
@@ -0,0 +1,200 @@
+//! The CSV form `service,place,hours,weight,limit`.
+//!
+//! Reading reports every error, each with line and column, and forgives what spreadsheets do to a
+//! file: a byte order mark, blank lines, spaces around cells, columns in another order. Writing is
+//! canonical (sorted rows, one spelling of each range of hours), so that reading and writing again
+//! changes nothing and a version control system shows only real changes.
+
+use crate::finding::{Column, Finding};
+use crate::hours::canonical;
+use csv::StringRecord;
+use std::fmt::Display;
+use std::str::FromStr;
+use tansylead_types::TableRow;
+
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
+/// A row with the line it came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NumberedRow {
+    /// Line of the file, from 1.
+    pub line: u64,
+    /// The row.
+    pub row: TableRow,
+}
+
+/// Reads a CSV text; the errors of all rows if there are any.
+pub fn parse_rows(text: &str) -> Result<Vec<NumberedRow>, Vec<Finding>> {
+    let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
+    // The reader counts lines wrongly if they end in both characters.
+    let text = text.replace("\r\n", "\n");
+    let mut reader = csv::ReaderBuilder::new()
+        .trim(csv::Trim::All)
+        .flexible(true)
+        .from_reader(text.as_bytes());
+    let header = reader
+        .headers()
+        .map_err(|cause| vec![Finding::line(1, cause)])?;
+    let positions = column_positions(header).map_err(|finding| vec![finding])?;
+    let mut rows = Vec::new();
+    let mut findings = Vec::new();
+    for record in reader.records() {
+        match record {
+            Ok(record) if record.iter().all(str::is_empty) => {}
+            Ok(record) => match parse_record(&record, &positions) {
+                Ok(row) => rows.push(row),
+                Err(errors) => findings.extend(errors),
+            },
+            Err(cause) => findings.push(unreadable_record(&cause)),
+        }
+    }
+    if findings.is_empty() {
+        Ok(rows)
+    } else {
+        Err(findings)
+    }
+}
+
+/// Rows sorted and with one spelling of each range of hours.
+pub(crate) fn canonical_rows(rows: &[TableRow]) -> Vec<TableRow> {
+    let canonical_row = |row: &TableRow| TableRow {
+        hours: canonical(row.hours),
+        ..row.clone()
+    };
+    let mut rows: Vec<TableRow> = rows.iter().map(canonical_row).collect();
+    rows.sort();
+    rows
+}
+
+/// Writes rows in canonical form.
+pub fn write_rows(rows: &[TableRow]) -> String {
+    let mut text = Column::ALL.map(Column::name).join(",");
+    text.push('\n');
+    for row in canonical_rows(rows) {
+        // Names and ranges hold neither commas nor quotes, so no cell needs quoting.
+        let TableRow {
+            service,
+            place,
+            hours,
+            weight,
+            limit,
+        } = row;
+        text.push_str(&format!("{service},{place},{hours},{weight},{limit}\n"));
+    }
+    text
+}
+
+/// Position of each column, in the order of [`Column::ALL`].
+fn column_positions(header: &StringRecord) -> Result<[usize; 5], Finding> {
+    let expected = Column::ALL.map(Column::name);
+    let used = header.iter().filter(|name| !name.is_empty());
+    let mut names: Vec<String> = used.map(str::to_ascii_lowercase).collect();
+    names.sort_unstable();
+    let mut wanted = expected.to_vec();
+    wanted.sort_unstable();
+    if names != wanted {
+        let found: Vec<&str> = header.iter().collect();
+        let message = format!(
+            "the header must name the columns {}, separated by commas; found {}",
+            expected.join(","),
+            found.join(",")
+        );
+        return Err(Finding::line(1, message));
+    }
+    let position = |name: &str| {
+        let mut cells = header.iter();
+        cells.position(|cell| cell.eq_ignore_ascii_case(name))
+    };
+    Ok(expected.map(|name| position(name).unwrap_or_default()))
+}
+
+fn parse_record(
+    record: &StringRecord,
+    positions: &[usize; 5],
+) -> Result<NumberedRow, Vec<Finding>> {
+    let line = record.position().map_or(0, csv::Position::line);
+    let mut findings = Vec::new();
+    let beyond = record.iter().skip(positions.len());
+    if beyond.filter(|cell| !cell.is_empty()).count() > 0 {
+        findings.push(Finding::line(line, "more cells than columns"));
+    }
+    let mut cells = Cells {
+        record,
+        positions,
+        line,
+        findings,
+    };
+    let service = cells.parse(Column::Service);
+    let place = cells.parse(Column::Place);
+    let hours = cells.parse(Column::Hours);
+    let weight = cells.parse_number(Column::Weight);
+    let limit = cells.parse_number(Column::Limit);
+    match (service, place, hours, weight, limit) {
+        (Some(service), Some(place), Some(hours), Some(weight), Some(limit))
+            if cells.findings.is_empty() =>
+        {
+            let row = TableRow {
+                service,
+                place,
+                hours: canonical(hours),
+                weight,
+                limit,
+            };
+            Ok(NumberedRow { line, row })
+        }
+        _ => Err(cells.findings),
+    }
+}
+
+/// Cells of one record; collects what is wrong with them.
+struct Cells<'a> {
+    record: &'a StringRecord,
+    positions: &'a [usize; 5],
+    line: u64,
+    findings: Vec<Finding>,
+}
+
+impl Cells<'_> {
+    fn parse<T: FromStr<Err: Display>>(&mut self, column: Column) -> Option<T> {
+        let parsed = self.text(column)?.parse::<T>();
+        match parsed {
+            Ok(value) => Some(value),
+            Err(cause) => {
+                self.findings.push(Finding::cell(self.line, column, cause));
+                None
+            }
+        }
+    }
+
+    fn parse_number(&mut self, column: Column) -> Option<u32> {
+        let text = self.text(column)?;
+        match text.parse() {
+            Ok(number) => Some(number),
+            Err(_) => {
+                let message = format!("`{text}` is not a whole number from 0 to {}", u32::MAX);
+                self.findings
+                    .push(Finding::cell(self.line, column, message));
+                None
+            }
+        }
+    }
+
+    fn text(&mut self, column: Column) -> Option<String> {
+        let text = self.record.get(self.positions[column as usize]);
+        match text {
+            Some(text) if !text.is_empty() => Some(text.to_owned()),
+            _ => {
+                self.findings
+                    .push(Finding::cell(self.line, column, "is empty"));
+                None
+            }
+        }
+    }
+}
+
+fn unreadable_record(cause: &csv::Error) -> Finding {
+    match cause.position() {
+        Some(position) => Finding::line(position.line(), cause),
+        None => Finding::table(cause),
+    }
+}
