Bind a proposal's change id to its contents

One change id must never stand for two contents: accepting an edited document again would find the earlier contents in the store and report them accepted. The id now ends in a digest, and an edited document is refused. Accepted also tells the store revision, which daemons report as in force.

--- a/crates/tansylead-table/src/accept/judgement.rs
+++ b/crates/tansylead-table/src/accept/judgement.rs
@@ -9,7 +9,7 @@
     /// The store holds the base: the change has not taken effect so far.
     AtBase,
     /// The change made the generation after the base.
-    Accepted { generation: u64 },
+    Accepted { generation: u64, revision: u64 },
     /// Another change made the generation after the base, so this one never will.
     Overtaken,
     /// The store holds an older generation than the base or than daemons have in force.
@@ -46,6 +46,7 @@
     match change_at(current, base.generation + 1) {
         Some(change) if *change == proposal.change => Judgement::Accepted {
             generation: base.generation + 1,
+            revision: current.map_or(0, |stored| stored.revision),
         },
         Some(_) => Judgement::Overtaken,
         None => Judgement::Untraceable { generation },
--- a/crates/tansylead-table/src/accept/mod.rs
+++ b/crates/tansylead-table/src/accept/mod.rs
@@ -216,7 +216,13 @@
         current: Option<&StoredObject>,
     ) -> Vec<AcceptAction> {
         let outcome = match judgement {
-            Judgement::Accepted { generation } => AcceptOutcome::Accepted { generation },
+            Judgement::Accepted {
+                generation,
+                revision,
+            } => AcceptOutcome::Accepted {
+                generation,
+                revision,
+            },
             Judgement::Overtaken => conflict(&self.proposal, current),
             Judgement::Behind { store, known } => AcceptOutcome::StoreBehind {
                 store_generation: store,
--- a/crates/tansylead-table/src/accept/outcome.rs
+++ b/crates/tansylead-table/src/accept/outcome.rs
@@ -14,6 +14,9 @@
     Accepted {
         /// Generation that the change made.
         generation: u64,
+        /// Store revision at which the change is in the store; daemons that have this revision in
+        /// force have the change in force.
+        revision: u64,
     },
     /// Another change came first. This one is not applied and never will be.
     Conflict {
@@ -82,7 +85,7 @@
 impl fmt::Display for AcceptOutcome {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            AcceptOutcome::Accepted { generation } => {
+            AcceptOutcome::Accepted { generation, .. } => {
                 writeln!(formatter, "accepted as generation {generation}")
             }
             AcceptOutcome::Conflict {
--- a/crates/tansylead-table/src/lib.rs
+++ b/crates/tansylead-table/src/lib.rs
@@ -18,4 +18,4 @@
 pub use csv_form::{NumberedRow, parse_rows, write_rows};
 pub use difference::{RowChange, RowKey, TableDifference, TotalChange};
 pub use finding::{Column, Finding, Severity, has_errors};
-pub use proposal::{Base, Proposal, ProposalError, STARTING_GENERATION};
+pub use proposal::{Base, Draft, Proposal, ProposalError, STARTING_GENERATION};
--- a/crates/tansylead-table/src/proposal.rs
+++ b/crates/tansylead-table/src/proposal.rs
@@ -3,12 +3,15 @@
 //!
 //! The document holds both tables as CSV text, so a review needs nothing else, and the change id,
 //! so accepting the same document again finds out what became of an earlier try and never applies
-//! it twice.
+//! it twice. The change id ends in a digest of the contents: a document that was edited is
+//! refused, because one change id must never stand for two contents.
 
 use crate::csv_form::{canonical_rows, parse_rows, write_rows};
 use crate::finding::Finding;
 use serde::{Deserialize, Serialize};
+use tansylead_types::ids::InvalidName;
 use tansylead_types::{ChangeId, ConfigObject, StoredObject, TableRow, WallTime};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Generation of a table that was never written.
 pub const STARTING_GENERATION: u64 = 0;
@@ -41,12 +44,33 @@
     pub rows: Vec<TableRow>,
 }
 
+/// What a new proposal is made of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Draft {
+    /// Who proposes it.
+    pub author: String,
+    /// Why, in one line.
+    pub comment: String,
+    /// When, by the author's clock.
+    pub proposed_at: WallTime,
+    /// What it is made from.
+    pub base: Base,
+    /// The proposed rows.
+    pub rows: Vec<TableRow>,
+}
+
 /// Why a document cannot be read or written.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ProposalError {
     /// Not a document of the expected form.
     #[error("{0}")]
     Document(String),
+    /// The contents do not belong to the change id.
+    #[error("it was edited after it was made; edit the table and propose again")]
+    Edited,
+    /// No change id could be made.
+    #[error(transparent)]
+    ChangeId(#[from] InvalidName),
     /// A table inside the document is wrong.
     #[error("{table}: {}", joined(.findings))]
     Table {
@@ -114,6 +138,26 @@
 }
 
 impl Proposal {
+    /// Makes a proposal; `random` tells two proposals of the same contents apart.
+    pub fn new(random: u64, draft: Draft) -> Result<Self, ProposalError> {
+        let change = ChangeId::new(format!("{random:016x}-{:016x}", digest(&draft)))?;
+        let Draft {
+            author,
+            comment,
+            proposed_at,
+            base,
+            rows,
+        } = draft;
+        Ok(Self {
+            change,
+            author,
+            comment,
+            proposed_at,
+            base,
+            rows,
+        })
+    }
+
     /// The document.
     pub fn to_document(&self) -> Result<String, ProposalError> {
         serialize(&ProposalDocument {
@@ -129,14 +173,20 @@
     /// Reads a document.
     pub fn from_document(text: &str) -> Result<Self, ProposalError> {
         let document: ProposalDocument = deserialize(text)?;
-        Ok(Self {
-            change: document.change,
+        let draft = Draft {
             author: document.author,
             comment: document.comment,
             proposed_at: document.proposed_at,
             base: document.base.read()?,
             rows: read_table("proposed table", &document.table)?,
-        })
+        };
+        let random = document.change.as_str().split('-').next();
+        let random = random.and_then(|text| u64::from_str_radix(text, 16).ok());
+        let proposal = Self::new(random.ok_or(ProposalError::Edited)?, draft)?;
+        if proposal.change != document.change {
+            return Err(ProposalError::Edited);
+        }
+        Ok(proposal)
     }
 }
 
@@ -158,6 +208,21 @@
     }
 }
 
+fn digest(draft: &Draft) -> u64 {
+    let base_change = draft.base.change.as_ref().map_or("", ChangeId::as_str);
+    // No part holds a zero byte unescaped by the debug form, so the text is unambiguous.
+    let text = format!(
+        "{:?}\0{:?}\0{}\0{}\0{base_change}\0{}\0{}",
+        draft.author,
+        draft.comment,
+        draft.proposed_at.0,
+        draft.base.generation,
+        write_rows(&draft.base.rows),
+        write_rows(&draft.rows),
+    );
+    xxh3_64(text.as_bytes())
+}
+
 fn read_table(table: &'static str, text: &str) -> Result<Vec<TableRow>, ProposalError> {
     let rows = parse_rows(text).map_err(|findings| ProposalError::Table { table, findings })?;
     Ok(rows.into_iter().map(|numbered| numbered.row).collect())
--- a/crates/tansylead-table/tests/accept/main.rs
+++ b/crates/tansylead-table/tests/accept/main.rs
@@ -177,7 +177,13 @@
 fn an_own_change_is_found_after_others_have_overwritten_it() {
     // The proposal's change made generation 8; 3 others have followed, or 70.
     let outcome = finished(read(&mut start("change-8", 0), stored(11, vec![])));
-    assert_eq!(outcome, AcceptOutcome::Accepted { generation: 8 });
+    assert_eq!(
+        outcome,
+        AcceptOutcome::Accepted {
+            generation: 8,
+            revision: 11
+        }
+    );
     let outcome = finished(read(&mut start("change-8", 0), stored(78, vec![])));
     insta::assert_snapshot!(outcome);
 }
--- a/crates/tansylead-table/tests/accept/world.rs
+++ b/crates/tansylead-table/tests/accept/world.rs
@@ -208,7 +208,7 @@
         let proposal = self.operators[operator].proposal.as_ref();
         let change = proposal.expect("has proposed").change.clone();
         match outcome {
-            AcceptOutcome::Accepted { generation } => {
+            AcceptOutcome::Accepted { generation, .. } => {
                 self.accepted.insert(change, generation);
             }
             AcceptOutcome::Conflict { .. } => {
--- a/crates/tansylead-table/tests/difference_and_proposal.rs
+++ b/crates/tansylead-table/tests/difference_and_proposal.rs
@@ -1,6 +1,6 @@
 //! Differences in words and numbers, and the proposal document.
 
-use tansylead_table::{Base, Proposal, TableDifference, parse_rows};
+use tansylead_table::{Base, Draft, Proposal, TableDifference, parse_rows};
 use tansylead_types::{ChangeId, TableRow, WallTime};
 
 fn rows(text: &str) -> Vec<TableRow> {
@@ -24,8 +24,7 @@
 }
 
 fn proposal() -> Proposal {
-    Proposal {
-        change: ChangeId::new("change-1").expect("name"),
+    let draft = Draft {
         author: "somchai".to_owned(),
         comment: "holiday \"rush\" in Bangkok".to_owned(),
         proposed_at: WallTime(1_796_197_200_000),
@@ -35,7 +34,8 @@
             rows: rows(BEFORE),
         },
         rows: rows(AFTER),
-    }
+    };
+    Proposal::new(0x5eed, draft).expect("makes a change id")
 }
 
 #[test]
@@ -56,7 +56,8 @@
     let document = proposal().to_document().expect("writes");
     let unknown_key = document.replace("author", "autor");
     let wrong_cell = document.replace("6-18,20,250", "6-18,twenty,250");
-    for document in [unknown_key, wrong_cell] {
+    let other_cell = document.replace("6-18,20,250", "6-18,20,260");
+    for document in [unknown_key, wrong_cell, other_cell] {
         let error = Proposal::from_document(&document).expect_err("refused");
         insta::assert_snapshot!(error);
     }
