--- a/crates/tansylead-lab/src/deployment/traffic_table.rs
+++ b/crates/tansylead-lab/src/deployment/traffic_table.rs
@@ -14,5 +14,8 @@
         csv::Reader::from_path(&file).wrap_err_with(|| format!("read {}", file.display()))?;
     let rows: Result<Vec<TableRow>, csv::Error> = reader.deserialize().collect();
     let rows = rows.wrap_err_with(|| format!("read {}", file.display()))?;
-    Ok(TrafficTable { rows })
+    Ok(TrafficTable {
+        rows,
+        recent_changes: Vec::new(),
+    })
 }
