--- a/crates/tansylead-query/src/engine.rs
+++ b/crates/tansylead-query/src/engine.rs
@@ -95,6 +95,10 @@
 
     /// Advances the machine.
     pub fn on_event(&mut self, now: Moment, event: RootEvent) -> Vec<RootAction> {
+        // Before the timers: a caller that went away gets no answer, also when its deadline is due.
+        if let RootEvent::CallerGone(query) = event {
+            self.on_caller_gone(now, query);
+        }
         self.fire_timers(now);
         match event {
             RootEvent::Start(start) => self.on_start(now, *start),
@@ -105,8 +109,7 @@
             } => self.on_attempt_ended(now, query, attempt, result),
             RootEvent::LeafHealth { leaf, report } => self.on_health(now, &leaf, report),
             RootEvent::LeafLeaving(leaf) => self.on_leaving(now, &leaf),
-            RootEvent::CallerGone(query) => self.on_caller_gone(now, query),
-            RootEvent::Wakeup => {}
+            RootEvent::CallerGone(_) | RootEvent::Wakeup => {}
         }
         self.take_actions(now)
     }
--- a/crates/tansylead-query/tests/engine/load_mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/load_mechanisms.rs
@@ -312,6 +312,18 @@
     world.assert_clean();
 }
 
+/// Found by the fuzz: the deadline was due when the paused root learned that the caller had gone.
+#[test]
+fn caller_gone_at_a_root_paused_past_the_deadline_gets_no_answer() {
+    let mut world = world();
+    let start = lookup(&world, 0);
+    world.start(start);
+    world.now = world.now + DEADLINE;
+    world.deliver(RootEvent::CallerGone(QueryId(0)));
+    assert!(world.finished.is_empty());
+    world.assert_clean();
+}
+
 #[test]
 fn caller_gone_cancels_everything_without_an_answer() {
     let mut world = world();
