Back off before asking a shard again where it failed, up to the deadline

A service that waits the whole deadline gave a shard up after a few milliseconds when both replicas were restarting, with 29 of 30 seconds left. The retry is paid for from the budget before the backoff, so a query is held open only for an attempt that will go out; without a token the shard is given up at once, as before. Ruled out: waiting for a token, which would hold a refusal back.

--- a/crates/tansylead-query/src/context.rs
+++ b/crates/tansylead-query/src/context.rs
@@ -53,6 +53,8 @@
     pub(crate) actions: Vec<RootAction>,
     /// Shards waiting for a slot, over all queries.
     pub(crate) waiting_shards: usize,
+    /// Shards backing off, over all queries.
+    pub(crate) backing_off_shards: usize,
     held_slots: HashMap<(QueryId, AttemptId), HeldSlot>,
     freed: Vec<LeafIndex>,
     displaced: Vec<Waiter>,
@@ -75,6 +77,7 @@
             random: StdRng::seed_from_u64(seed),
             actions: Vec::new(),
             waiting_shards: 0,
+            backing_off_shards: 0,
             held_slots: HashMap::new(),
             freed: Vec::new(),
             displaced: Vec::new(),
--- a/crates/tansylead-query/src/dispatch.rs
+++ b/crates/tansylead-query/src/dispatch.rs
@@ -45,6 +45,14 @@
     TriedBefore,
 }
 
+/// What comes before the next attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Backoff {
+    None,
+    Until(Moment),
+    ComesTooLate,
+}
+
 impl Query {
     /// Sends an attempt for a shard, or makes it wait for a slot, or gives it up.
     pub(crate) fn dispatch(&mut self, now: Moment, context: &mut Context, position: usize) {
@@ -57,9 +65,16 @@
             return self.give_up(position);
         }
         let kind = self.kind_of_next(position, candidates.class);
+        let backoff = self.backoff_before(now, position, candidates.class);
+        if backoff == Backoff::ComesTooLate {
+            return self.give_up(position);
+        }
         if kind == AttemptKind::Retry && !self.pay_for_retry(context, position) {
             return self.give_up(position);
         }
+        if let Backoff::Until(until) = backoff {
+            return self.back_off(context, position, until);
+        }
         let with_room = leafs_with_room(now, context, &candidates.leafs);
         let choice = context.tuning.replica_choice;
         let chosen = choose_replica(choice, now, &context.leafs, &with_room, &mut context.random);
@@ -127,6 +142,7 @@
         shard.running += 1;
         shard.attempts += 1;
         shard.retry_paid = false;
+        shard.backed_off = false;
         shard.hedged = kind == AttemptKind::Hedge;
         if kind != AttemptKind::Hedge {
             shard.sent_at = now;
@@ -219,6 +235,14 @@
         }
     }
 
+    fn backoff_before(&self, now: Moment, position: usize, class: CandidateClass) -> Backoff {
+        if class != CandidateClass::TriedBefore || self.shards[position].backed_off {
+            return Backoff::None;
+        }
+        let until = self.retry_at(now);
+        until.map_or(Backoff::ComesTooLate, Backoff::Until)
+    }
+
     fn pay_for_retry(&mut self, context: &mut Context, position: usize) -> bool {
         let shard = &mut self.shards[position];
         if !shard.retry_paid {
--- a/crates/tansylead-query/src/engine.rs
+++ b/crates/tansylead-query/src/engine.rs
@@ -131,6 +131,7 @@
         EngineStatus {
             queries_in_progress: self.queries.len(),
             waiting_shards: self.context.waiting_shards,
+            backing_off_shards: self.context.backing_off_shards,
             snapshots: self.catalog.versions(),
             snapshot_in_use: choice.as_ref().map(|choice| choice.snapshot.version),
             whole: choice.is_some_and(|choice| choice.whole),
@@ -292,6 +293,9 @@
                 Timer::Hedge(query) => self.advance(now, query, |query, context| {
                     query.hedge_slow_shards(now, context);
                 }),
+                Timer::Retry(query, position) => self.advance(now, query, |query, context| {
+                    query.dispatch_after_backoff(now, context, position);
+                }),
                 Timer::CancelledSlot(query, attempt) => {
                     self.context.release_held_slot(query, attempt);
                 }
--- a/crates/tansylead-query/src/finish.rs
+++ b/crates/tansylead-query/src/finish.rs
@@ -137,6 +137,7 @@
     match &shard.phase {
         ShardPhase::Answered(_) => None,
         ShardPhase::Missing(reason) => Some(*reason),
+        ShardPhase::BackingOff(_) => Some(shard.reason),
         ShardPhase::Open | ShardPhase::Waiting | ShardPhase::Running => {
             let never_asked = shard.attempts == 0 && outcome == Outcome::NotRun;
             Some(if never_asked {
--- a/crates/tansylead-query/src/lib.rs
+++ b/crates/tansylead-query/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod attempt_end;
+mod backoff;
 mod concurrency_limit;
 mod context;
 mod dispatch;
--- a/crates/tansylead-query/src/query.rs
+++ b/crates/tansylead-query/src/query.rs
@@ -149,6 +149,7 @@
         }
         for position in 0..self.shards.len() {
             self.stop_waiting(context, position);
+            self.stop_backing_off(context, position);
         }
     }
 
--- a/crates/tansylead-query/src/shard_progress.rs
+++ b/crates/tansylead-query/src/shard_progress.rs
@@ -10,6 +10,8 @@
     Open,
     /// Waits for a slot.
     Waiting,
+    /// Will be asked again at this moment.
+    BackingOff(Moment),
     /// At least one attempt is in flight.
     Running,
     /// Answered; JSON text.
@@ -72,6 +74,8 @@
     pub(crate) last_end: LastEnd,
     /// Whether a token of the retry budget has been taken for the next attempt.
     pub(crate) retry_paid: bool,
+    /// Whether the backoff before the next attempt has been taken.
+    pub(crate) backed_off: bool,
     /// Reason to report if the shard is given up now.
     pub(crate) reason: MissingReason,
 }
@@ -90,6 +94,7 @@
             waiting_on: Vec::new(),
             last_end: LastEnd::None,
             retry_paid: false,
+            backed_off: false,
             reason: MissingReason::NoReplica,
         }
     }
--- a/crates/tansylead-query/src/status.rs
+++ b/crates/tansylead-query/src/status.rs
@@ -36,6 +36,8 @@
     pub queries_in_progress: usize,
     /// Shards that wait for a slot.
     pub waiting_shards: usize,
+    /// Shards that will be asked again after a backoff.
+    pub backing_off_shards: usize,
     /// Snapshots in force, newest first.
     pub snapshots: Vec<SnapshotVersion>,
     /// The snapshot that an unrouted query would be pinned to now.
--- a/crates/tansylead-query/src/timers.rs
+++ b/crates/tansylead-query/src/timers.rs
@@ -14,6 +14,8 @@
     EarlyPartial(QueryId),
     /// Look for slow attempts of a query.
     Hedge(QueryId),
+    /// The backoff of a shard, by its position in the query, has passed.
+    Retry(QueryId, usize),
     /// A cancelled attempt no longer counts as running.
     CancelledSlot(QueryId, AttemptId),
     /// A pause or an ejection of a leaf has ended.
--- a/crates/tansylead-query/src/tuning.rs
+++ b/crates/tansylead-query/src/tuning.rs
@@ -55,7 +55,7 @@
             adaptive_limit: true,
             restarts: true,
             retry_budget_burst: 10,
-            maximum_attempts_per_shard: 4,
+            maximum_attempts_per_shard: 8,
             maximum_restarts: 2,
             waiting_shards_per_slot: 64,
             cancelled_slot_hold: Duration::from_millis(100),
--- a/crates/tansylead-query/tests/engine/fuzz.rs
+++ b/crates/tansylead-query/tests/engine/fuzz.rs
@@ -95,7 +95,10 @@
 
 fn nothing_left_behind(world: &World) -> Result<(), String> {
     let status = world.engine.status(world.now);
-    let left = (status.queries_in_progress, status.waiting_shards);
+    let left = (
+        status.queries_in_progress,
+        status.waiting_shards + status.backing_off_shards,
+    );
     let busy = status.leafs.iter().any(|leaf| leaf.in_flight > 0);
     if left == (0, 0) && !busy {
         return Ok(());
--- a/crates/tansylead-query/tests/engine/load_mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/load_mechanisms.rs
@@ -263,6 +263,29 @@
     world.assert_clean();
 }
 
+#[test]
+fn long_deadline_outlasts_a_restart_of_both_replicas() {
+    let mut world = world_with(ServicePolicy::default(), 5, vec![snapshot(1, 1, 4)]);
+    let down_until = world.now + Duration::from_secs(3);
+    let query = start(0, world.now, Duration::from_secs(30));
+    world.start(query);
+    while world.finished.is_empty() {
+        for send in world.running() {
+            let down = world.now < down_until;
+            let result = if down {
+                AttemptResult::NotSent
+            } else {
+                answered(&send)
+            };
+            world.end(&send, result);
+        }
+        world.advance(millis(100));
+    }
+    assert_eq!(last(&world).outcome, Outcome::Complete);
+    assert!(last(&world).attempts <= 8);
+    world.assert_clean();
+}
+
 #[test]
 fn hedges_leave_half_of_the_burst_to_retries() {
     let mut world = world();
--- a/crates/tansylead-query/tests/engine/world.rs
+++ b/crates/tansylead-query/tests/engine/world.rs
@@ -203,7 +203,8 @@
     }
 
     fn check(&mut self) {
-        let waiting = self.engine.status(self.now).waiting_shards;
+        let status = self.engine.status(self.now);
+        let waiting = status.waiting_shards + status.backing_off_shards;
         let wakeup = self.engine.next_wakeup();
         self.oracle.check_open_queries(self.now, waiting, wakeup);
     }
