--- a/crates/tansylead-query/tests/engine/load_mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/load_mechanisms.rs
@@ -263,6 +263,29 @@
     world.assert_clean();
 }
 
+#[test]
+fn long_deadline_outlasts_a_restart_of_both_replicas() {
+    let mut world = world_with(ServicePolicy::default(), 5, vec![snapshot(1, 1, 4)]);
+    let down_until = world.now + Duration::from_secs(3);
+    let query = start(0, world.now, Duration::from_secs(30));
+    world.start(query);
+    while world.finished.is_empty() {
+        for send in world.running() {
+            let down = world.now < down_until;
+            let result = if down {
+                AttemptResult::NotSent
+            } else {
+                answered(&send)
+            };
+            world.end(&send, result);
+        }
+        world.advance(millis(100));
+    }
+    assert_eq!(last(&world).outcome, Outcome::Complete);
+    assert!(last(&world).attempts <= 8);
+    world.assert_clean();
+}
+
 #[test]
 fn hedges_leave_half_of_the_burst_to_retries() {
     let mut world = world();
@@ -312,6 +335,18 @@
     world.assert_clean();
 }
 
+/// Found by the fuzz: the deadline was due when the paused root learned that the caller had gone.
+#[test]
+fn caller_gone_at_a_root_paused_past_the_deadline_gets_no_answer() {
+    let mut world = world();
+    let start = lookup(&world, 0);
+    world.start(start);
+    world.now = world.now + DEADLINE;
+    world.deliver(RootEvent::CallerGone(QueryId(0)));
+    assert!(world.finished.is_empty());
+    world.assert_clean();
+}
+
 #[test]
 fn caller_gone_cancels_everything_without_an_answer() {
     let mut world = world();
