Send member pages without repeated names and fill packets exactly

Pages now name each zone once, sizes are computed exactly instead of bounded, and one daemon serves at most eight pages a second. Also tested: an earlier run at an address finds itself replaced, and the longest names fit.

--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -3,9 +3,11 @@
 use super::event::MembershipAction;
 use super::machine::{Membership, Timer};
 use super::member::MemberRecord;
-use super::packet::{GossipMessage, PlaceSummary};
+use super::packet::{GossipMessage, MemberPage, PlaceSummary};
+use super::pages::{build_page, page_records};
+use super::sizes::{name_bytes, packet_budget};
 use super::sync::{SyncStep, Walk};
-use super::updates::{record_bytes, update_budget};
+use super::table::Comparison;
 use rand::RngExt;
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId, PlaceName};
@@ -151,11 +153,23 @@
         self.schedule_sync(now + delay);
     }
 
-    pub(super) fn receive_page(&mut self, peer: NodeId, place: &PlaceName, next: Option<NodeId>) {
+    /// Takes a page in. Statements of the peer that are out of date are answered by gossip.
+    pub(super) fn receive_page(
+        &mut self,
+        now: Moment,
+        peer: NodeId,
+        page: &MemberPage,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        for record in page_records(page) {
+            if self.adopt(now, &record, actions) == Comparison::Older {
+                self.pass_on(now, record.node());
+            }
+        }
         if let SyncStep::Pages(walk) = &mut self.sync.step
             && walk.peer == peer
         {
-            walk.advance(place, next);
+            walk.advance(&page.place, page.next);
         }
     }
 
@@ -204,6 +218,39 @@
         }
     }
 
+    pub(super) fn serve_summary(
+        &mut self,
+        now: Moment,
+        peer: NodeId,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let limit = self.settings.summaries_served_per_second;
+        if !self.summary_limit.admit(now, limit) {
+            self.counters.sync_refused += 1;
+            return;
+        }
+        let message = GossipMessage::Summary {
+            joined: self.sync.joined,
+            places: self.fitting_summaries(),
+        };
+        self.send_with(peer, message, Vec::new(), actions);
+    }
+
+    fn fitting_summaries(&self) -> Vec<PlaceSummary> {
+        const HASH_BYTES: usize = 10;
+        let mut budget = packet_budget(&self.local);
+        let mut fitting = Vec::new();
+        for summary in self.table.summaries() {
+            let bytes = name_bytes(summary.place.as_str()) + HASH_BYTES;
+            if bytes > budget {
+                break;
+            }
+            budget -= bytes;
+            fitting.push(summary);
+        }
+        fitting
+    }
+
     pub(super) fn serve_page(
         &mut self,
         now: Moment,
@@ -212,27 +259,12 @@
         after: Option<NodeId>,
         actions: &mut Vec<MembershipAction>,
     ) {
-        if !self.admit_serving(now) {
+        let limit = self.settings.pages_served_per_second;
+        if !self.page_limit.admit(now, limit) {
+            self.counters.sync_refused += 1;
             return;
         }
-        let mut budget = update_budget(&self.local, Some(&place));
-        let mut updates = Vec::new();
-        let mut next = None;
-        if let Some(members) = self.table.place(&place) {
-            for node in members.known_after(after) {
-                let Some(record) = self.table.get(node) else {
-                    continue;
-                };
-                let bytes = record_bytes(record);
-                if bytes > budget {
-                    next = updates.last().map(MemberRecord::node);
-                    break;
-                }
-                budget -= bytes;
-                updates.push(record.clone());
-            }
-        }
-        let message = GossipMessage::Page { place, next };
-        self.send_with(peer, message, updates, actions);
+        let page = build_page(&self.table, &self.local, place, after);
+        self.send_with(peer, GossipMessage::Page(page), Vec::new(), actions);
     }
 }
--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -7,10 +7,11 @@
 use super::places::RemotePlaces;
 use super::probes::{ProbeOrder, ProbeTable};
 use super::settings::MembershipSettings;
+use super::sizes::{packet_budget, record_bytes};
 use super::sync::{ServeLimit, Sync};
 use super::table::{Comparison, MemberTable};
 use super::timers::TimerQueue;
-use super::updates::{UpdateQueue, record_bytes, update_budget};
+use super::updates::UpdateQueue;
 use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
 use std::collections::BTreeSet;
@@ -83,7 +84,8 @@
     pub(super) probe_order: ProbeOrder,
     pub(super) places: RemotePlaces,
     pub(super) sync: Sync,
-    pub(super) serve_limit: ServeLimit,
+    pub(super) summary_limit: ServeLimit,
+    pub(super) page_limit: ServeLimit,
     pub(super) timers: TimerQueue<Timer>,
     pub(super) sync_due: Moment,
     pub(super) gossip_scheduled: bool,
@@ -122,7 +124,8 @@
             probe_order: ProbeOrder::default(),
             places: RemotePlaces::default(),
             sync: Sync::new(joined),
-            serve_limit: ServeLimit::default(),
+            summary_limit: ServeLimit::default(),
+            page_limit: ServeLimit::default(),
             timers: TimerQueue::new(),
             sync_due: now,
             gossip_scheduled: false,
@@ -247,7 +250,7 @@
         message: GossipMessage,
         actions: &mut Vec<MembershipAction>,
     ) {
-        let mut budget = update_budget(&self.local, None);
+        let mut budget = packet_budget(&self.local);
         let mut updates = Vec::new();
         if let Some(record) = self.statement_to_refute(to) {
             budget = budget.saturating_sub(record_bytes(record));
--- a/crates/tansylead-cluster/src/membership/mod.rs
+++ b/crates/tansylead-cluster/src/membership/mod.rs
@@ -5,11 +5,13 @@
 mod machine;
 mod member;
 mod packet;
+mod pages;
 mod places;
 mod probes;
 mod probing;
 mod receive;
 mod settings;
+mod sizes;
 mod sync;
 mod table;
 mod timers;
@@ -18,5 +20,7 @@
 pub use event::{MembershipAction, MembershipEvent};
 pub use machine::{Membership, MembershipCounters};
 pub use member::{LocalMember, MemberRecord, MemberState, Precedence};
-pub use packet::{ConfigDigest, GossipMessage, GossipPacket, PlaceSummary, Sequence};
+pub use packet::{
+    ConfigDigest, GossipMessage, GossipPacket, MemberPage, PageMember, PlaceSummary, Sequence,
+};
 pub use settings::MembershipSettings;
--- a/crates/tansylead-cluster/src/membership/packet.rs
+++ b/crates/tansylead-cluster/src/membership/packet.rs
@@ -1,8 +1,9 @@
 //! The UDP messages between daemons.
 
-use super::member::MemberRecord;
+use super::member::{MemberRecord, MemberState};
 use serde::{Deserialize, Serialize};
-use tansylead_types::{NodeId, PlaceName};
+use std::net::SocketAddr;
+use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
 
 /// Summary of the configuration a daemon holds. Travels on every packet.
 #[derive(
@@ -28,6 +29,34 @@
     pub hash: u64,
 }
 
+/// One member of a page.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PageMember {
+    /// The run of the daemon.
+    pub instance: InstanceId,
+    /// As in [`MemberRecord`].
+    pub incarnation: u64,
+    /// Position of its zone in the page.
+    pub zone: u8,
+    /// HTTP address for callers.
+    pub caller_address: SocketAddr,
+    /// State.
+    pub state: MemberState,
+}
+
+/// Members of one place in order of address.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPage {
+    /// Place.
+    pub place: PlaceName,
+    /// Zones of the members.
+    pub zones: Vec<ZoneName>,
+    /// Members.
+    pub members: Vec<PageMember>,
+    /// Where to go on; none if this is the last page.
+    pub next: Option<NodeId>,
+}
+
 /// Purpose of a packet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GossipMessage {
@@ -58,13 +87,8 @@
         /// Last address already received.
         after: Option<NodeId>,
     },
-    /// Members of a place in order of address; the statements travel in `updates`.
-    Page {
-        /// Place.
-        place: PlaceName,
-        /// Where to go on; none if this was the last page.
-        next: Option<NodeId>,
-    },
+    /// Answer to `PageRequest`.
+    Page(MemberPage),
     /// Only carries statements. Not answered.
     Gossip,
     /// The sender has just applied the configuration in its digest. Not answered.
--- a/crates/tansylead-cluster/src/membership/probing.rs
+++ b/crates/tansylead-cluster/src/membership/probing.rs
@@ -6,7 +6,7 @@
 use super::member::{MemberRecord, MemberState};
 use super::packet::{GossipMessage, Sequence};
 use super::probes::{Probe, ProbeKind};
-use super::updates::record_bytes;
+use super::sizes::record_bytes;
 use rand::RngExt;
 use std::time::Duration;
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName};
--- a/crates/tansylead-cluster/src/membership/receive.rs
+++ b/crates/tansylead-cluster/src/membership/receive.rs
@@ -3,7 +3,7 @@
 use super::event::MembershipAction;
 use super::machine::Membership;
 use super::member::MemberRecord;
-use super::packet::{GossipMessage, GossipPacket, PlaceSummary, Sequence};
+use super::packet::{GossipMessage, GossipPacket, Sequence};
 use super::probes::{Probe, ProbeKind};
 use super::table::Comparison;
 use std::net::SocketAddr;
@@ -36,12 +36,8 @@
             self.pass_on(now, peer);
         }
         self.hear_from_place(now, sender);
-        let from_page = matches!(packet.message, GossipMessage::Page { .. });
         for update in &packet.updates {
-            let comparison = self.adopt(now, update, actions);
-            if from_page && comparison == Comparison::Older {
-                self.pass_on(now, update.node());
-            }
+            self.adopt(now, update, actions);
         }
         if packet.config != self.config {
             actions.push(MembershipAction::PeerConfig {
@@ -90,7 +86,7 @@
             GossipMessage::PageRequest { place, after } => {
                 self.serve_page(now, peer, place, after, actions);
             }
-            GossipMessage::Page { place, next } => self.receive_page(peer, &place, next),
+            GossipMessage::Page(page) => self.receive_page(now, peer, &page, actions),
             GossipMessage::Gossip | GossipMessage::Announce => self.refuse_silently(peer, actions),
             GossipMessage::RevisionQuery(sequence) => {
                 self.send(peer, GossipMessage::RevisionReply(sequence), actions);
@@ -163,40 +159,4 @@
         };
         self.start_probe(now, probe, actions);
     }
-
-    fn serve_summary(&mut self, now: Moment, peer: NodeId, actions: &mut Vec<MembershipAction>) {
-        if !self.admit_serving(now) {
-            return;
-        }
-        let message = GossipMessage::Summary {
-            joined: self.sync.joined,
-            places: self.fitting_summaries(),
-        };
-        self.send_with(peer, message, Vec::new(), actions);
-    }
-
-    fn fitting_summaries(&self) -> Vec<PlaceSummary> {
-        const HASH_BYTES: usize = 10;
-        const LENGTH_BYTES: usize = 1;
-        let mut budget = super::updates::update_budget(&self.local, None);
-        let mut fitting = Vec::new();
-        for summary in self.table.summaries() {
-            let bytes = summary.place.as_str().len() + LENGTH_BYTES + HASH_BYTES;
-            if bytes > budget {
-                break;
-            }
-            budget -= bytes;
-            fitting.push(summary);
-        }
-        fitting
-    }
-
-    pub(super) fn admit_serving(&mut self, now: Moment) -> bool {
-        let limit = self.settings.pages_served_per_second;
-        let admitted = self.serve_limit.admit(now, limit);
-        if !admitted {
-            self.counters.sync_refused += 1;
-        }
-        admitted
-    }
 }
--- a/crates/tansylead-cluster/src/membership/settings.rs
+++ b/crates/tansylead-cluster/src/membership/settings.rs
@@ -33,8 +33,10 @@
     pub mismatch_tolerance: Duration,
     /// Time between page requests.
     pub page_interval: Duration,
-    /// Pages and summaries served per second; surplus requests are dropped and retried elsewhere.
+    /// Pages served per second; surplus requests are dropped, and asked again or elsewhere.
     pub pages_served_per_second: u32,
+    /// Summaries served per second; surplus requests are dropped, and asked again or elsewhere.
+    pub summaries_served_per_second: u32,
     /// Without seeds, wait for a machine list before this daemon counts as alone.
     pub expect_machine_list: bool,
     /// Shortest period of attempts to join; also sets that of reminders to seeds that are not members.
@@ -59,7 +61,8 @@
             unreachable_retention: 72 * HOUR,
             mismatch_tolerance: Duration::from_secs(10),
             page_interval: Duration::from_millis(125),
-            pages_served_per_second: 20,
+            pages_served_per_second: 8,
+            summaries_served_per_second: 20,
             expect_machine_list: false,
             join_period: Duration::from_millis(500),
         }
--- a/crates/tansylead-cluster/src/membership/updates.rs
+++ b/crates/tansylead-cluster/src/membership/updates.rs
@@ -1,49 +1,17 @@
-//! Statements waiting to be passed on, and the assembly of packets that stay within the size
-//! limit.
+//! Statements waiting to be passed on.
 //!
 //! Invariants: a statement is passed on a bounded number of times; the least passed on goes
 //! first; a newer statement about a node replaces the queued one and starts over.
 
 use super::member::MemberRecord;
+use super::sizes::record_bytes;
 use super::table::MemberTable;
-use crate::codec::{FRAME_HEADER_BYTES, MAXIMUM_PACKET_BYTES};
 use std::collections::{BTreeMap, BTreeSet};
-use tansylead_types::{NodeId, PlaceName};
+use tansylead_types::NodeId;
 
 /// No packet holds more statements than this.
 const MAXIMUM_UPDATES: usize = 32;
 
-const NODE_BYTES: usize = 20;
-const NUMBER_BYTES: usize = 10;
-const STATE_BYTES: usize = 1;
-const NAME_LENGTH_BYTES: usize = 1;
-
-/// Bytes of config digest, members hash, message without names, and the length of the updates.
-const FIXED_PACKET_BYTES: usize = 3 * NUMBER_BYTES + 2 * NODE_BYTES + 4;
-
-/// Upper bound of the encoded size of a statement.
-pub(super) fn record_bytes(record: &MemberRecord) -> usize {
-    let node_bytes = if record.node().0.is_ipv4() {
-        9
-    } else {
-        NODE_BYTES
-    };
-    let caller_bytes = if record.caller_address.is_ipv4() {
-        9
-    } else {
-        NODE_BYTES
-    };
-    let names = record.place.as_str().len() + record.zone.as_str().len() + 2 * NAME_LENGTH_BYTES;
-    node_bytes + caller_bytes + 2 * NUMBER_BYTES + names + STATE_BYTES
-}
-
-/// Bytes left for statements in a packet of this sender whose message carries these names.
-pub(super) fn update_budget(sender: &MemberRecord, place_in_message: Option<&PlaceName>) -> usize {
-    let message = place_in_message.map_or(0, |place| place.as_str().len() + NAME_LENGTH_BYTES);
-    let used = FRAME_HEADER_BYTES + FIXED_PACKET_BYTES + record_bytes(sender) + message;
-    MAXIMUM_PACKET_BYTES.saturating_sub(used)
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Priority {
     transmissions: u32,
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{Simulation, seconds};
-use tansylead_cluster::membership::{MemberState, MembershipEvent};
-use tansylead_types::PlaceName;
+use tansylead_cluster::codec::GossipCodec;
+use tansylead_cluster::membership::*;
+use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, ZoneName};
 
 const PLACES: usize = 5;
 const SIZE: usize = 9;
@@ -171,8 +172,6 @@
 
 #[test]
 fn foreign_packets_are_counted_and_dropped() {
-    use tansylead_cluster::codec::GossipCodec;
-    use tansylead_cluster::membership::{ConfigDigest, GossipMessage, GossipPacket};
     let mut simulation = settled(11);
     let mut sender = simulation.daemons[0].membership.local().clone();
     sender.instance.node.0.set_port(9_999);
@@ -199,3 +198,98 @@
     );
     assert!(simulation.members_agree());
 }
+
+/// Two runs at one address, as after a clock that went back or an address that moved: the one
+/// with the lower boot is told and must stop.
+#[test]
+fn earlier_run_finds_itself_replaced() {
+    let local = |port: u16, boot: u64| LocalMember {
+        instance: InstanceId {
+            node: NodeId(([10, 0, 0, 1], port).into()),
+            boot,
+        },
+        place: PlaceName::new("bangkok").unwrap(),
+        zone: ZoneName::new("bangkok-1").unwrap(),
+        caller_address: ([10, 0, 0, 1], port).into(),
+    };
+    let now = Moment::from_millis(1);
+    let machine = |local: LocalMember, seeds: Vec<NodeId>| {
+        Membership::new(now, local, seeds, MembershipSettings::default(), 1)
+    };
+    let observer_node = local(1, 5).instance.node;
+    let mut observer = machine(local(1, 5), Vec::new());
+    let mut later = machine(local(2, 9), vec![observer_node]);
+    let mut earlier = machine(local(2, 8), vec![observer_node]);
+    for sender in [&mut later, &mut earlier] {
+        for packet in sent(sender.on_event(now, MembershipEvent::Wakeup)) {
+            let from = packet.sender.node().0;
+            let packet = Box::new(packet);
+            let answers = sent(observer.on_event(now, MembershipEvent::Packet { from, packet }));
+            for packet in answers {
+                let from = observer_node.0;
+                let packet = Box::new(packet);
+                let actions = sender.on_event(now, MembershipEvent::Packet { from, packet });
+                let by = local(2, 9).instance;
+                let replaced = actions.contains(&MembershipAction::Replaced { by });
+                assert_eq!(replaced, sender.local().instance.boot == 8);
+            }
+        }
+    }
+    assert_eq!(observer.counters().stale_instances, 1);
+}
+
+fn sent(actions: Vec<MembershipAction>) -> Vec<GossipPacket> {
+    let packets = actions.into_iter().filter_map(|action| match action {
+        MembershipAction::Send { packet, .. } => Some(*packet),
+        _ => None,
+    });
+    packets.collect()
+}
+
+/// Packets stay within the size limit also with the longest names and addresses.
+#[test]
+fn longest_names_fit_into_packets() {
+    let long = |text: &str, number: u16| format!("{}{number:04}", text.repeat(60));
+    let member = |number: u16| LocalMember {
+        instance: InstanceId {
+            node: NodeId(([0xfd00, 0, 0, 0, 0, 0, 0, number], 65_000).into()),
+            boot: u64::MAX - 1,
+        },
+        place: PlaceName::new(long("p", number % 7)).unwrap(),
+        zone: ZoneName::new(long("z", number)).unwrap(),
+        caller_address: ([0xfd00, 0, 0, 0, 0, 0, 0, number], 65_001).into(),
+    };
+    let codec = GossipCodec::new("simulated");
+    let settings = MembershipSettings::default();
+    let now = Moment::from_millis(1);
+    let mut machine = Membership::new(now, member(0), Vec::new(), settings, 1);
+    let place = member(0).place;
+    for number in 1..200 {
+        for message in [
+            GossipMessage::Gossip,
+            GossipMessage::SummaryRequest,
+            GossipMessage::PageRequest {
+                place: place.clone(),
+                after: None,
+            },
+            GossipMessage::Ping(Sequence(u32::MAX)),
+        ] {
+            let sender = member(number).record();
+            let from = sender.node().0;
+            let packet = Box::new(GossipPacket {
+                sender,
+                config: ConfigDigest {
+                    revision: u64::MAX,
+                    hash: u64::MAX,
+                },
+                members_hash: u64::MAX,
+                message,
+                updates: Vec::new(),
+            });
+            let time = Moment::from_millis(u64::from(number) * 250);
+            for packet in sent(machine.on_event(time, MembershipEvent::Packet { from, packet })) {
+                codec.encode(&packet).expect("packet fits");
+            }
+        }
+    }
+}
