Bound what a daemon sends in a storm, and end corrections that never end

Trying the tests without refutation showed two daemons that hold something against each other and refute nothing correct each other at the speed of the network; two exiting daemons would do so for real. Having left is no longer answered, corrections are limited, queued statements share one token bucket of 3 KB/s over all packets, and summaries and pages served are limited to five a second.

--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -78,7 +78,7 @@
             return;
         };
         self.sync.step = SyncStep::Summary { peer, asked: now };
-        self.send(peer, GossipMessage::SummaryRequest, actions);
+        self.send(now, peer, GossipMessage::SummaryRequest, actions);
     }
 
     fn missing_seed(&mut self) -> Option<NodeId> {
@@ -191,7 +191,12 @@
         let peer = walk.peer;
         let after = walk.after;
         self.sync.step = SyncStep::Pages(walk);
-        self.send(peer, GossipMessage::PageRequest { place, after }, actions);
+        self.send(
+            now,
+            peer,
+            GossipMessage::PageRequest { place, after },
+            actions,
+        );
         self.settings.page_interval
     }
 
--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -2,13 +2,14 @@
 //! is taken into the table.
 
 use super::event::{MembershipAction, MembershipEvent};
+use super::limits::{ByteLimit, EventLimit};
 use super::member::{LocalMember, MemberRecord, MemberState};
 use super::packet::{ConfigDigest, GossipMessage, GossipPacket};
 use super::places::RemotePlaces;
 use super::probes::{ProbeOrder, ProbeTable};
 use super::settings::MembershipSettings;
 use super::sizes::{packet_budget, record_bytes};
-use super::sync::{ServeLimit, Sync};
+use super::sync::Sync;
 use super::table::{Comparison, MemberTable};
 use super::timers::TimerQueue;
 use super::updates::UpdateQueue;
@@ -84,12 +85,13 @@
     pub(super) probe_order: ProbeOrder,
     pub(super) places: RemotePlaces,
     pub(super) sync: Sync,
-    pub(super) summary_limit: ServeLimit,
-    pub(super) page_limit: ServeLimit,
+    pub(super) summary_limit: EventLimit,
+    pub(super) page_limit: EventLimit,
+    pub(super) correction_limit: EventLimit,
+    pub(super) update_limit: ByteLimit,
     pub(super) timers: TimerQueue<Timer>,
     pub(super) sync_due: Moment,
     pub(super) gossip_scheduled: bool,
-    pub(super) gossip_bytes: usize,
     pub(super) config: ConfigDigest,
     pub(super) random: Xoshiro256PlusPlus,
     pub(super) counters: MembershipCounters,
@@ -124,12 +126,13 @@
             probe_order: ProbeOrder::default(),
             places: RemotePlaces::default(),
             sync: Sync::new(joined),
-            summary_limit: ServeLimit::default(),
-            page_limit: ServeLimit::default(),
+            summary_limit: EventLimit::default(),
+            page_limit: EventLimit::default(),
+            correction_limit: EventLimit::default(),
+            update_limit: ByteLimit::new(now, settings.update_bytes_per_second),
             timers: TimerQueue::new(),
             sync_due: now,
             gossip_scheduled: false,
-            gossip_bytes: 0,
             config: ConfigDigest::default(),
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             counters: MembershipCounters::default(),
@@ -155,11 +158,16 @@
             MembershipEvent::Config(digest) => self.config = digest,
             MembershipEvent::Announce { to } => {
                 for peer in to {
-                    self.send(peer, GossipMessage::Announce, &mut actions);
+                    self.send(now, peer, GossipMessage::Announce, &mut actions);
                 }
             }
             MembershipEvent::QueryRevision { to, sequence } => {
-                self.send(to, GossipMessage::RevisionQuery(sequence), &mut actions);
+                self.send(
+                    now,
+                    to,
+                    GossipMessage::RevisionQuery(sequence),
+                    &mut actions,
+                );
             }
         }
         self.run_timers(now, &mut actions);
@@ -246,6 +254,7 @@
     /// queued statements.
     pub(super) fn send(
         &mut self,
+        now: Moment,
         to: NodeId,
         message: GossipMessage,
         actions: &mut Vec<MembershipAction>,
@@ -256,8 +265,12 @@
             budget = budget.saturating_sub(record_bytes(record));
             updates.push(record.clone());
         }
+        budget = budget.min(self.update_limit.available(now));
         let limit = self.transmission_limit();
-        updates.extend(self.updates.take(&self.table, budget, limit));
+        let queued = self.updates.take(&self.table, budget, limit);
+        self.update_limit
+            .spend(queued.iter().map(record_bytes).sum());
+        updates.extend(queued);
         self.send_with(to, message, updates, actions);
     }
 
@@ -283,8 +296,8 @@
     /// What is held against a node that it may want to refute.
     pub(super) fn statement_to_refute(&self, node: NodeId) -> Option<&MemberRecord> {
         let record = self.table.get(node)?;
-        let harmless = matches!(record.state, MemberState::Alive | MemberState::Leaving);
-        (!harmless).then_some(record)
+        let refutable = matches!(record.state, MemberState::Suspect | MemberState::Failed);
+        refutable.then_some(record)
     }
 
     fn transmission_limit(&self) -> u32 {
@@ -341,7 +354,7 @@
             .running()
             .sample(&mut self.random, LEAVE_FAN_OUT, &local);
         for peer in peers {
-            self.send(peer, GossipMessage::Gossip, actions);
+            self.send(now, peer, GossipMessage::Gossip, actions);
         }
     }
 
--- a/crates/tansylead-cluster/src/membership/mod.rs
+++ b/crates/tansylead-cluster/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod joining;
+mod limits;
 mod machine;
 mod member;
 mod packet;
--- a/crates/tansylead-cluster/src/membership/probing.rs
+++ b/crates/tansylead-cluster/src/membership/probing.rs
@@ -6,7 +6,6 @@
 use super::member::{MemberRecord, MemberState};
 use super::packet::{GossipMessage, Sequence};
 use super::probes::{Probe, ProbeKind};
-use super::sizes::record_bytes;
 use rand::RngExt;
 use std::time::Duration;
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName};
@@ -20,11 +19,8 @@
 /// Members of any place told per gossip period.
 const GOSSIP_ANY_FAN_OUT: usize = 1;
 
-/// Bytes of statements gossiped per period at most; keeps storms of statements within 3 KB/s.
-const GOSSIP_BYTES_PER_PERIOD: usize = 600;
-
-/// Unused gossip bytes that may be saved up.
-const GOSSIP_BYTES_BURST: usize = 3_000;
+/// Less room than this for statements is not worth a packet of its own.
+const LEAST_GOSSIP_BYTES: usize = 200;
 
 impl Membership {
     pub(super) fn schedule_first_timers(&mut self, now: Moment) {
@@ -53,7 +49,7 @@
             Timer::Sync => self.run_sync(now, actions),
             Timer::FailedProbe => self.probe_failed(now, actions),
             Timer::RemoteProbe(place) => self.probe_place(now, place, actions),
-            Timer::DirectTimeout(sequence) => self.probe_indirectly(sequence, actions),
+            Timer::DirectTimeout(sequence) => self.probe_indirectly(now, sequence, actions),
             Timer::ProbeEnd(sequence) => self.end_probe(now, sequence, actions),
             Timer::Suspicion {
                 node,
@@ -85,7 +81,7 @@
         }
         let end = now + self.settings.probe_period;
         self.timers.schedule(end, Timer::ProbeEnd(sequence));
-        self.send(target, GossipMessage::Ping(sequence), actions);
+        self.send(now, target, GossipMessage::Ping(sequence), actions);
     }
 
     fn probe_next(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
@@ -170,14 +166,19 @@
         }
     }
 
-    fn probe_indirectly(&mut self, sequence: Sequence, actions: &mut Vec<MembershipAction>) {
+    fn probe_indirectly(
+        &mut self,
+        now: Moment,
+        sequence: Sequence,
+        actions: &mut Vec<MembershipAction>,
+    ) {
         let Some(probe) = self.probes.get(sequence) else {
             return;
         };
         let target = probe.target.node;
         for helper in self.helpers(target) {
             let message = GossipMessage::PingRequest { sequence, target };
-            self.send(helper, message, actions);
+            self.send(now, helper, message, actions);
         }
     }
 
@@ -286,13 +287,12 @@
             return;
         }
         self.schedule_gossip(now);
-        self.gossip_bytes = (self.gossip_bytes + GOSSIP_BYTES_PER_PERIOD).min(GOSSIP_BYTES_BURST);
         for peer in self.gossip_peers() {
-            if self.gossip_bytes < GOSSIP_BYTES_PER_PERIOD || self.updates.is_empty() {
+            let room = self.update_limit.available(now);
+            if room < LEAST_GOSSIP_BYTES || self.updates.is_empty() {
                 break;
             }
-            self.send(peer, GossipMessage::Gossip, actions);
-            self.charge_gossip(actions.last());
+            self.send(now, peer, GossipMessage::Gossip, actions);
         }
     }
 
@@ -309,12 +309,4 @@
         peers.extend(running.sample(&mut self.random, GOSSIP_ANY_FAN_OUT, &excluded));
         peers
     }
-
-    fn charge_gossip(&mut self, sent: Option<&MembershipAction>) {
-        if let Some(MembershipAction::Send { packet, .. }) = sent {
-            let statements: usize = packet.updates.iter().map(record_bytes).sum();
-            let bytes = statements + record_bytes(&self.local);
-            self.gossip_bytes = self.gossip_bytes.saturating_sub(bytes);
-        }
-    }
 }
--- a/crates/tansylead-cluster/src/membership/receive.rs
+++ b/crates/tansylead-cluster/src/membership/receive.rs
@@ -12,6 +12,9 @@
 /// Probes open at once, those relayed for others included; a bound on memory only.
 const MAXIMUM_OPEN_PROBES: usize = 256;
 
+/// Packets per second sent only to tell their receivers what is held about them.
+const CORRECTIONS_PER_SECOND: u32 = 10;
+
 impl Membership {
     pub(super) fn receive(
         &mut self,
@@ -28,7 +31,7 @@
         }
         if self.is_stale_instance(sender) {
             self.counters.stale_instances += 1;
-            self.send_correction(peer, actions);
+            self.send_correction(now, peer, actions);
             return;
         }
         self.counters.packets_received += 1;
@@ -55,10 +58,13 @@
             .is_some_and(|held| held.instance.boot > sender.instance.boot)
     }
 
-    /// Tells a node what is held about it.
-    fn send_correction(&mut self, node: NodeId, actions: &mut Vec<MembershipAction>) {
-        let updates: Vec<MemberRecord> = self.table.get(node).cloned().into_iter().collect();
-        self.send_with(node, GossipMessage::Gossip, updates, actions);
+    /// Tells a node what is held about it. Limited, so that no pair of daemons can keep
+    /// correcting each other at the speed of the network.
+    fn send_correction(&mut self, now: Moment, node: NodeId, actions: &mut Vec<MembershipAction>) {
+        if self.correction_limit.admit(now, CORRECTIONS_PER_SECOND) {
+            let updates: Vec<MemberRecord> = self.table.get(node).cloned().into_iter().collect();
+            self.send_with(node, GossipMessage::Gossip, updates, actions);
+        }
     }
 
     fn handle_message(
@@ -70,11 +76,11 @@
         let peer = packet.sender.node();
         match packet.message {
             GossipMessage::Ping(sequence) => {
-                self.send(peer, GossipMessage::Ack(sequence), actions);
+                self.send(now, peer, GossipMessage::Ack(sequence), actions);
             }
             GossipMessage::Ack(sequence) => {
                 self.receive_ack(now, sequence, actions);
-                self.refuse_silently(peer, actions);
+                self.correct_sender(now, peer, actions);
             }
             GossipMessage::PingRequest { sequence, target } => {
                 self.relay_probe(now, peer, sequence, target, actions);
@@ -87,9 +93,11 @@
                 self.serve_page(now, peer, place, after, actions);
             }
             GossipMessage::Page(page) => self.receive_page(now, peer, &page, actions),
-            GossipMessage::Gossip | GossipMessage::Announce => self.refuse_silently(peer, actions),
+            GossipMessage::Gossip | GossipMessage::Announce => {
+                self.correct_sender(now, peer, actions)
+            }
             GossipMessage::RevisionQuery(sequence) => {
-                self.send(peer, GossipMessage::RevisionReply(sequence), actions);
+                self.send(now, peer, GossipMessage::RevisionReply(sequence), actions);
             }
             GossipMessage::RevisionReply(sequence) => {
                 actions.push(MembershipAction::RevisionReply {
@@ -102,9 +110,9 @@
     }
 
     /// Messages without an answer still get one if the sender has something to refute.
-    fn refuse_silently(&mut self, peer: NodeId, actions: &mut Vec<MembershipAction>) {
+    fn correct_sender(&mut self, now: Moment, peer: NodeId, actions: &mut Vec<MembershipAction>) {
         if self.statement_to_refute(peer).is_some() {
-            self.send_correction(peer, actions);
+            self.send_correction(now, peer, actions);
         }
     }
 
@@ -130,7 +138,7 @@
             ProbeKind::Relayed {
                 requester,
                 sequence,
-            } => self.send(requester, GossipMessage::Ack(sequence), actions),
+            } => self.send(now, requester, GossipMessage::Ack(sequence), actions),
         }
     }
 
@@ -143,7 +151,7 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         if target == self.local.node() {
-            self.send(requester, GossipMessage::Ack(sequence), actions);
+            self.send(now, requester, GossipMessage::Ack(sequence), actions);
             return;
         }
         if self.probes.len() >= MAXIMUM_OPEN_PROBES {
--- a/crates/tansylead-cluster/src/membership/settings.rs
+++ b/crates/tansylead-cluster/src/membership/settings.rs
@@ -37,6 +37,8 @@
     pub pages_served_per_second: u32,
     /// Summaries served per second; surplus requests are dropped, and asked again or elsewhere.
     pub summaries_served_per_second: u32,
+    /// Bytes of queued statements passed on per second.
+    pub update_bytes_per_second: u64,
     /// Without seeds, wait for a machine list before this daemon counts as alone.
     pub expect_machine_list: bool,
     /// Shortest period of attempts to join; also sets that of reminders to seeds that are not members.
@@ -61,8 +63,9 @@
             unreachable_retention: 72 * HOUR,
             mismatch_tolerance: Duration::from_secs(10),
             page_interval: Duration::from_millis(125),
-            pages_served_per_second: 8,
-            summaries_served_per_second: 20,
+            pages_served_per_second: 5,
+            summaries_served_per_second: 5,
+            update_bytes_per_second: 3_000,
             expect_machine_list: false,
             join_period: Duration::from_millis(500),
         }
--- a/crates/tansylead-cluster/src/membership/sync.rs
+++ b/crates/tansylead-cluster/src/membership/sync.rs
@@ -102,24 +102,3 @@
         }
     }
 }
-
-/// Limits how many summaries and pages are served per second.
-#[derive(Debug, Default)]
-pub(super) struct ServeLimit {
-    second: u64,
-    served: u32,
-}
-
-impl ServeLimit {
-    /// Whether one more may be served now.
-    pub(super) fn admit(&mut self, now: Moment, limit: u32) -> bool {
-        const MICROS_PER_SECOND: u64 = 1_000_000;
-        let second = now.0 / MICROS_PER_SECOND;
-        if second != self.second {
-            self.second = second;
-            self.served = 0;
-        }
-        self.served += 1;
-        self.served <= limit
-    }
-}
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -293,3 +293,18 @@
         }
     }
 }
+
+/// Nobody refutes having left: telling one another about it must not go on for ever.
+#[test]
+fn members_that_have_left_but_still_run_do_not_flood_each_other() {
+    const SAMPLE_SECONDS: u64 = 10;
+    const BYTES_PER_SECOND_LIMIT: u64 = 4_000;
+    let mut simulation = settled(12);
+    simulation.event(3, MembershipEvent::Exit);
+    simulation.event(3 + PLACES, MembershipEvent::Exit);
+    let before: u64 = simulation.daemons.iter().map(|d| d.sent_bytes).sum();
+    simulation.run(seconds(SAMPLE_SECONDS));
+    let after: u64 = simulation.daemons.iter().map(|d| d.sent_bytes).sum();
+    let rate = (after - before) / SAMPLE_SECONDS / (PLACES * SIZE) as u64;
+    assert!(rate < BYTES_PER_SECOND_LIMIT, "{rate} B/s per daemon");
+}
