--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -2,15 +2,17 @@
 //! is taken into the table.
 
 use super::event::{MembershipAction, MembershipEvent};
+use super::limits::{ByteLimit, EventLimit};
 use super::member::{LocalMember, MemberRecord, MemberState};
 use super::packet::{ConfigDigest, GossipMessage, GossipPacket};
 use super::places::RemotePlaces;
 use super::probes::{ProbeOrder, ProbeTable};
 use super::settings::MembershipSettings;
-use super::sync::{ServeLimit, Sync};
+use super::sizes::{packet_budget, record_bytes};
+use super::sync::Sync;
 use super::table::{Comparison, MemberTable};
 use super::timers::TimerQueue;
-use super::updates::{UpdateQueue, record_bytes, update_budget};
+use super::updates::UpdateQueue;
 use rand::SeedableRng;
 use rand::rngs::Xoshiro256PlusPlus;
 use std::collections::BTreeSet;
@@ -83,11 +85,13 @@
     pub(super) probe_order: ProbeOrder,
     pub(super) places: RemotePlaces,
     pub(super) sync: Sync,
-    pub(super) serve_limit: ServeLimit,
+    pub(super) summary_limit: EventLimit,
+    pub(super) page_limit: EventLimit,
+    pub(super) correction_limit: EventLimit,
+    pub(super) update_limit: ByteLimit,
     pub(super) timers: TimerQueue<Timer>,
     pub(super) sync_due: Moment,
     pub(super) gossip_scheduled: bool,
-    pub(super) gossip_bytes: usize,
     pub(super) config: ConfigDigest,
     pub(super) random: Xoshiro256PlusPlus,
     pub(super) counters: MembershipCounters,
@@ -122,11 +126,13 @@
             probe_order: ProbeOrder::default(),
             places: RemotePlaces::default(),
             sync: Sync::new(joined),
-            serve_limit: ServeLimit::default(),
+            summary_limit: EventLimit::default(),
+            page_limit: EventLimit::default(),
+            correction_limit: EventLimit::default(),
+            update_limit: ByteLimit::new(now, settings.update_bytes_per_second),
             timers: TimerQueue::new(),
             sync_due: now,
             gossip_scheduled: false,
-            gossip_bytes: 0,
             config: ConfigDigest::default(),
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             counters: MembershipCounters::default(),
@@ -152,11 +158,16 @@
             MembershipEvent::Config(digest) => self.config = digest,
             MembershipEvent::Announce { to } => {
                 for peer in to {
-                    self.send(peer, GossipMessage::Announce, &mut actions);
+                    self.send(now, peer, GossipMessage::Announce, &mut actions);
                 }
             }
             MembershipEvent::QueryRevision { to, sequence } => {
-                self.send(to, GossipMessage::RevisionQuery(sequence), &mut actions);
+                self.send(
+                    now,
+                    to,
+                    GossipMessage::RevisionQuery(sequence),
+                    &mut actions,
+                );
             }
         }
         self.run_timers(now, &mut actions);
@@ -243,18 +254,23 @@
     /// queued statements.
     pub(super) fn send(
         &mut self,
+        now: Moment,
         to: NodeId,
         message: GossipMessage,
         actions: &mut Vec<MembershipAction>,
     ) {
-        let mut budget = update_budget(&self.local, None);
+        let mut budget = packet_budget(&self.local);
         let mut updates = Vec::new();
         if let Some(record) = self.statement_to_refute(to) {
             budget = budget.saturating_sub(record_bytes(record));
             updates.push(record.clone());
         }
+        budget = budget.min(self.update_limit.available(now));
         let limit = self.transmission_limit();
-        updates.extend(self.updates.take(&self.table, budget, limit));
+        let queued = self.updates.take(&self.table, budget, limit);
+        self.update_limit
+            .spend(queued.iter().map(record_bytes).sum());
+        updates.extend(queued);
         self.send_with(to, message, updates, actions);
     }
 
@@ -280,8 +296,8 @@
     /// What is held against a node that it may want to refute.
     pub(super) fn statement_to_refute(&self, node: NodeId) -> Option<&MemberRecord> {
         let record = self.table.get(node)?;
-        let harmless = matches!(record.state, MemberState::Alive | MemberState::Leaving);
-        (!harmless).then_some(record)
+        let refutable = matches!(record.state, MemberState::Suspect | MemberState::Failed);
+        refutable.then_some(record)
     }
 
     fn transmission_limit(&self) -> u32 {
@@ -338,7 +354,7 @@
             .running()
             .sample(&mut self.random, LEAVE_FAN_OUT, &local);
         for peer in peers {
-            self.send(peer, GossipMessage::Gossip, actions);
+            self.send(now, peer, GossipMessage::Gossip, actions);
         }
     }
 
--- a/crates/tansylead-cluster/src/membership/receive.rs
+++ b/crates/tansylead-cluster/src/membership/receive.rs
@@ -3,7 +3,7 @@
 use super::event::MembershipAction;
 use super::machine::Membership;
 use super::member::MemberRecord;
-use super::packet::{GossipMessage, GossipPacket, PlaceSummary, Sequence};
+use super::packet::{GossipMessage, GossipPacket, Sequence};
 use super::probes::{Probe, ProbeKind};
 use super::table::Comparison;
 use std::net::SocketAddr;
@@ -12,6 +12,9 @@
 /// Probes open at once, those relayed for others included; a bound on memory only.
 const MAXIMUM_OPEN_PROBES: usize = 256;
 
+/// Packets per second sent only to tell their receivers what is held about them.
+const CORRECTIONS_PER_SECOND: u32 = 10;
+
 impl Membership {
     pub(super) fn receive(
         &mut self,
@@ -28,7 +31,7 @@
         }
         if self.is_stale_instance(sender) {
             self.counters.stale_instances += 1;
-            self.send_correction(peer, actions);
+            self.send_correction(now, peer, actions);
             return;
         }
         self.counters.packets_received += 1;
@@ -36,12 +39,8 @@
             self.pass_on(now, peer);
         }
         self.hear_from_place(now, sender);
-        let from_page = matches!(packet.message, GossipMessage::Page { .. });
         for update in &packet.updates {
-            let comparison = self.adopt(now, update, actions);
-            if from_page && comparison == Comparison::Older {
-                self.pass_on(now, update.node());
-            }
+            self.adopt(now, update, actions);
         }
         if packet.config != self.config {
             actions.push(MembershipAction::PeerConfig {
@@ -59,10 +58,13 @@
             .is_some_and(|held| held.instance.boot > sender.instance.boot)
     }
 
-    /// Tells a node what is held about it.
-    fn send_correction(&mut self, node: NodeId, actions: &mut Vec<MembershipAction>) {
-        let updates: Vec<MemberRecord> = self.table.get(node).cloned().into_iter().collect();
-        self.send_with(node, GossipMessage::Gossip, updates, actions);
+    /// Tells a node what is held about it. Limited, so that no pair of daemons can keep
+    /// correcting each other at the speed of the network.
+    fn send_correction(&mut self, now: Moment, node: NodeId, actions: &mut Vec<MembershipAction>) {
+        if self.correction_limit.admit(now, CORRECTIONS_PER_SECOND) {
+            let updates: Vec<MemberRecord> = self.table.get(node).cloned().into_iter().collect();
+            self.send_with(node, GossipMessage::Gossip, updates, actions);
+        }
     }
 
     fn handle_message(
@@ -74,11 +76,11 @@
         let peer = packet.sender.node();
         match packet.message {
             GossipMessage::Ping(sequence) => {
-                self.send(peer, GossipMessage::Ack(sequence), actions);
+                self.send(now, peer, GossipMessage::Ack(sequence), actions);
             }
             GossipMessage::Ack(sequence) => {
                 self.receive_ack(now, sequence, actions);
-                self.refuse_silently(peer, actions);
+                self.correct_sender(now, peer, actions);
             }
             GossipMessage::PingRequest { sequence, target } => {
                 self.relay_probe(now, peer, sequence, target, actions);
@@ -90,10 +92,12 @@
             GossipMessage::PageRequest { place, after } => {
                 self.serve_page(now, peer, place, after, actions);
             }
-            GossipMessage::Page { place, next } => self.receive_page(peer, &place, next),
-            GossipMessage::Gossip | GossipMessage::Announce => self.refuse_silently(peer, actions),
+            GossipMessage::Page(page) => self.receive_page(now, peer, &page, actions),
+            GossipMessage::Gossip | GossipMessage::Announce => {
+                self.correct_sender(now, peer, actions)
+            }
             GossipMessage::RevisionQuery(sequence) => {
-                self.send(peer, GossipMessage::RevisionReply(sequence), actions);
+                self.send(now, peer, GossipMessage::RevisionReply(sequence), actions);
             }
             GossipMessage::RevisionReply(sequence) => {
                 actions.push(MembershipAction::RevisionReply {
@@ -106,9 +110,9 @@
     }
 
     /// Messages without an answer still get one if the sender has something to refute.
-    fn refuse_silently(&mut self, peer: NodeId, actions: &mut Vec<MembershipAction>) {
+    fn correct_sender(&mut self, now: Moment, peer: NodeId, actions: &mut Vec<MembershipAction>) {
         if self.statement_to_refute(peer).is_some() {
-            self.send_correction(peer, actions);
+            self.send_correction(now, peer, actions);
         }
     }
 
@@ -134,7 +138,7 @@
             ProbeKind::Relayed {
                 requester,
                 sequence,
-            } => self.send(requester, GossipMessage::Ack(sequence), actions),
+            } => self.send(now, requester, GossipMessage::Ack(sequence), actions),
         }
     }
 
@@ -147,7 +151,7 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         if target == self.local.node() {
-            self.send(requester, GossipMessage::Ack(sequence), actions);
+            self.send(now, requester, GossipMessage::Ack(sequence), actions);
             return;
         }
         if self.probes.len() >= MAXIMUM_OPEN_PROBES {
@@ -163,40 +167,4 @@
         };
         self.start_probe(now, probe, actions);
     }
-
-    fn serve_summary(&mut self, now: Moment, peer: NodeId, actions: &mut Vec<MembershipAction>) {
-        if !self.admit_serving(now) {
-            return;
-        }
-        let message = GossipMessage::Summary {
-            joined: self.sync.joined,
-            places: self.fitting_summaries(),
-        };
-        self.send_with(peer, message, Vec::new(), actions);
-    }
-
-    fn fitting_summaries(&self) -> Vec<PlaceSummary> {
-        const HASH_BYTES: usize = 10;
-        const LENGTH_BYTES: usize = 1;
-        let mut budget = super::updates::update_budget(&self.local, None);
-        let mut fitting = Vec::new();
-        for summary in self.table.summaries() {
-            let bytes = summary.place.as_str().len() + LENGTH_BYTES + HASH_BYTES;
-            if bytes > budget {
-                break;
-            }
-            budget -= bytes;
-            fitting.push(summary);
-        }
-        fitting
-    }
-
-    pub(super) fn admit_serving(&mut self, now: Moment) -> bool {
-        let limit = self.settings.pages_served_per_second;
-        let admitted = self.serve_limit.admit(now, limit);
-        if !admitted {
-            self.counters.sync_refused += 1;
-        }
-        admitted
-    }
 }
