Change the claim view only when it is settled

The view now changes only once every member that is left holds all earlier claims, and the list grows only if nobody is left to do so.

--- a/crates/tansylead-cluster/src/claims/planner.rs
+++ b/crates/tansylead-cluster/src/claims/planner.rs
@@ -3,10 +3,11 @@
 //! proposals one wins.
 //!
 //! Invariant: a view names all views whose claims may be in force. Earlier views are left out only
-//! once the current view is settled: so many members hold all earlier claims that no group lacks
-//! them, which also means that no member of an older view can grant any more.
+//! once the current view is settled: every member that is not gone has reported that it holds all
+//! earlier claims, and there is at least one. One such report already means that no member of an
+//! older view can grant any more.
 
-use super::group::{GROUP_SIZE, hash_instance, majority, seal_quorum};
+use super::group::{hash_instance, majority};
 use super::message::ClaimMemberStatus;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,8 +15,9 @@
 
 /// Most members of a view.
 pub const MAXIMUM_VIEW_MEMBERS: usize = 15;
-/// Most earlier views in a view; at this number it changes only once it is settled.
-const MAXIMUM_EARLIER_VIEWS: usize = 4;
+/// Most earlier views in a view. The list grows only if all members of a view are gone before one
+/// of them held all earlier claims.
+const MAXIMUM_EARLIER_VIEWS: usize = 16;
 /// A member is replaced after being absent for this long.
 const ABSENCE_BEFORE_REPLACEMENT: Duration = Duration::from_secs(10);
 /// Least time between two changes, and before the first view.
@@ -38,6 +40,8 @@
     absent_since: BTreeMap<InstanceId, Moment>,
     epoch: u64,
     epoch_since: Moment,
+    /// Members of the epoch that have reported to hold all earlier claims.
+    complete: BTreeSet<InstanceId>,
 }
 
 impl ClaimViewPlanner {
@@ -47,6 +51,7 @@
             absent_since: BTreeMap::new(),
             epoch: 0,
             epoch_since: now,
+            complete: BTreeSet::new(),
         }
     }
 
@@ -64,12 +69,18 @@
         if epoch != self.epoch {
             self.epoch = epoch;
             self.epoch_since = now;
+            self.complete.clear();
         }
+        let complete = statuses
+            .iter()
+            .filter(|(_, s)| s.complete && s.epoch == epoch);
+        self.complete
+            .extend(complete.map(|(instance, _)| *instance));
         let gone = self.gone(now, current, live);
         if now.since(self.epoch_since) < CHANGE_INTERVAL {
             return None;
         }
-        next_claim_view(current, live, &gone, statuses)
+        next_claim_view(current, live, &gone, &self.complete)
     }
 
     /// Members absent for long enough, or leaving.
@@ -107,12 +118,13 @@
 }
 
 /// The view that should follow, or none if nothing should change: members that are gone are
-/// replaced, and a view smaller than it could be grows; all other members stay.
+/// replaced, and a view smaller than it could be grows; all other members stay. `complete` names
+/// the members of the current view that have reported to hold all earlier claims.
 pub fn next_claim_view(
     current: Option<&ClaimView>,
     live: &[LiveDaemon],
     gone: &BTreeSet<InstanceId>,
-    statuses: &BTreeMap<InstanceId, ClaimMemberStatus>,
+    complete: &BTreeSet<InstanceId>,
 ) -> Option<ClaimView> {
     let Some(current) = current else {
         let members = fill(Vec::new(), live);
@@ -131,14 +143,19 @@
         .filter(|member| !gone.contains(&member.instance))
         .cloned()
         .collect();
-    let members = fill(kept, live);
+    let members = fill(kept.clone(), live);
     if members.is_empty() || is_same_set(&members, &current.members) {
         return None;
     }
-    let mut earlier = if is_settled(current, statuses) {
-        vec![]
-    } else {
-        current.earlier.clone()
+    let is_settled = !complete.is_empty()
+        && kept
+            .iter()
+            .all(|member| complete.contains(&member.instance));
+    let mut earlier = match (is_settled, kept.is_empty()) {
+        (true, _) => Vec::new(),
+        (false, true) => current.earlier.clone(),
+        // Those who are left will hold all earlier claims sooner than a newer view would.
+        (false, false) => return None,
     };
     earlier.push(EarlierClaimView {
         epoch: current.epoch,
@@ -166,18 +183,6 @@
     reachable >= majority(current.members.len())
 }
 
-/// Whether so many members report to hold all earlier claims that every possible group of the view
-/// has enough of them.
-fn is_settled(current: &ClaimView, statuses: &BTreeMap<InstanceId, ClaimMemberStatus>) -> bool {
-    let is_complete = |member: &&ClaimViewMember| {
-        let status = statuses.get(&member.instance);
-        status.is_some_and(|status| status.complete && status.epoch == current.epoch)
-    };
-    let complete = current.members.iter().filter(is_complete).count();
-    let group = current.members.len().min(GROUP_SIZE);
-    current.members.len() - complete + seal_quorum(group) <= group
-}
-
 /// Adds live daemons up to the maximum, each time from the place, then the zone, with the fewest
 /// members. Equal candidates are ranked by hash, so that all planners propose the same.
 fn fill(mut members: Vec<ClaimViewMember>, live: &[LiveDaemon]) -> Vec<ClaimViewMember> {
