--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -143,7 +143,7 @@
             return self.next_sweep;
         };
         let mut wakeup = self.next_sweep.min(adopted.next_heartbeat);
-        if !adopted.transfer.unfinished().is_empty() {
+        if adopted.transfer.has_unfinished() {
             wakeup = wakeup.min(adopted.next_copy);
         }
         adopted
--- a/crates/tansylead-cluster/src/claims/transfer.rs
+++ b/crates/tansylead-cluster/src/claims/transfer.rs
@@ -77,6 +77,13 @@
         self.wait_until.filter(|_| !self.is_complete)
     }
 
+    /// Whether some member is still to be asked.
+    pub(super) fn has_unfinished(&self) -> bool {
+        let is_unfinished =
+            |source: &Source| matches!(source, Source::Unanswered | Source::Copying { .. });
+        !self.is_complete && self.sources.values().any(is_unfinished)
+    }
+
     /// Members still to be asked, and the key to continue after.
     pub(super) fn unfinished(&self) -> Vec<(InstanceId, Option<ClaimKey>)> {
         if self.is_complete {
