lab: whole path through real processes, and a daemon in the lab's program

`tansylead-lab daemon` runs the same daemon as `tansylead serve`, so that the process tests need only the lab's program, which cargo builds for them.

--- a/crates/tansylead-lab/src/caller/client.rs
+++ b/crates/tansylead-lab/src/caller/client.rs
@@ -29,7 +29,7 @@
 /// Header: unix milliseconds after which the request must not run any more.
 const EXPIRES_HEADER: &str = "tansylead-expires";
 /// How long a caller waits beyond its deadline before it gives up on a daemon.
-const PATIENCE_BEYOND_DEADLINE: Duration = Duration::from_secs(3);
+const PATIENCE_BEYOND_DEADLINE: Duration = Duration::from_secs(1);
 /// Callers close idle connections after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time allowed for connecting to a daemon.
--- a/crates/tansylead-lab/src/demo/mod.rs
+++ b/crates/tansylead-lab/src/demo/mod.rs
@@ -76,9 +76,9 @@
         serde_json::to_string(&report).wrap_err("write the report")?
     );
     eyre::ensure!(
-        report.violations.is_empty(),
+        report.violation_count == 0,
         "{} promises were broken",
-        report.violations.len()
+        report.violation_count
     );
     Ok(())
 }
--- a/crates/tansylead-lab/src/demo/report.rs
+++ b/crates/tansylead-lab/src/demo/report.rs
@@ -1,12 +1,15 @@
 //! The demo's report: a table to read, and the same as JSON.
 
-use crate::caller::{ExecutionCounts, Figures, QueryRecord};
+use crate::caller::{ExecutionCounts, Figures, QueryRecord, Violation};
 use crate::deployment::DeploymentDescription;
 use serde::Serialize;
 use tabled::settings::{Alignment, Style, object::Columns};
 use tabled::{Table, Tabled};
 use tansylead_types::LeafId;
 
+/// Violations shown in words.
+const VIOLATIONS_SHOWN: usize = 20;
+
 /// What was killed, and when.
 #[derive(Debug, Clone, Serialize)]
 pub struct Faults {
@@ -71,7 +74,9 @@
     pub groups: Vec<GroupFigures>,
     /// Non-repeatable requests.
     pub posts: PostFigures,
-    /// Promises that were broken; empty if every answer was right.
+    /// Promises that were broken.
+    pub violation_count: usize,
+    /// The first of them, in words.
     pub violations: Vec<String>,
 }
 
@@ -129,8 +134,9 @@
         faults: Faults,
         rows: Vec<(String, Figures, Figures)>,
         posts: PostFigures,
-        violations: Vec<String>,
+        violations: &[Violation],
     ) -> Self {
+        let in_words = violations.iter().map(ToString::to_string);
         let groups = rows
             .into_iter()
             .map(|(callers, before, after)| GroupFigures {
@@ -146,7 +152,8 @@
             faults,
             groups,
             posts,
-            violations,
+            violation_count: violations.len(),
+            violations: in_words.take(VIOLATIONS_SHOWN).collect(),
         }
     }
 
@@ -181,7 +188,7 @@
             "posts: {}, keys sent again through another daemon: {}, most executions of one key: {}",
             self.posts.posts, self.posts.repeated_keys, self.posts.most_executions_of_a_key
         ));
-        if self.violations.is_empty() {
+        if self.violation_count == 0 {
             lines.push("every answer was checked; none was wrong".to_owned());
         }
         let broken = self.violations.iter();
--- a/crates/tansylead-lab/src/demo/scenario.rs
+++ b/crates/tansylead-lab/src/demo/scenario.rs
@@ -18,8 +18,6 @@
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Name of the run in request ids.
 const RUN_NAME: &str = "demo";
-/// Violations shown in the report.
-const VIOLATIONS_SHOWN: usize = 20;
 
 /// What to run.
 #[derive(Debug, Clone)]
@@ -50,7 +48,7 @@
     tokio::time::sleep(SETTLE_TIME).await;
     let executions = ExecutionCounts::of(&deployment.executions().await?);
     let report = report(&deployment, faults, &records, &executions)?;
-    if !report.violations.is_empty() {
+    if report.violation_count > 0 {
         let kept = deployment.keep_directory().display();
         log::error!("promises were broken; logs are kept in {kept}");
     }
@@ -153,10 +151,6 @@
         faults,
         rows,
         PostFigures::of(records, executions),
-        found
-            .iter()
-            .map(ToString::to_string)
-            .take(VIOLATIONS_SHOWN)
-            .collect(),
+        &found,
     ))
 }
--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -41,6 +41,10 @@
         command: machines::command,
         run: machines::run,
     },
+    Subcommand {
+        command: process::daemon_command::command,
+        run: process::daemon_command::run,
+    },
     Subcommand {
         command: deployment::seed::command,
         run: deployment::seed::run,
--- a/crates/tansylead-lab/src/main.rs
+++ b/crates/tansylead-lab/src/main.rs
@@ -1,7 +1,15 @@
 //! The `tansylead-lab` program.
 
-fn main() -> eyre::Result<()> {
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
     tansylead_lab::logging::init(log::LevelFilter::Info);
     let matches = tansylead_lab::command().get_matches();
-    tansylead_lab::run(&matches)
+    match tansylead_lab::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tansylead-lab: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- /dev/null
+++ b/crates/tansylead-lab/src/process/daemon_command.rs
@@ -0,0 +1,72 @@
+//! The `daemon` subcommand: the same daemon as `tansylead serve`, in the lab's program, so that the
+//! lab's tests need no other program to be built.
+
+use crate::standin;
+use clap::{Arg, ArgMatches, Command};
+use eyre::WrapErr;
+use std::path::PathBuf;
+use tansylead_daemon::{DrainResult, SettingsOverrides, StopRequests, Tuning, load_settings};
+use tansylead_types::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("daemon")
+        .about("Run a daemon as `tansylead serve` does")
+        .arg(
+            Arg::new("config")
+                .long("config")
+                .required(true)
+                .value_name("FILE")
+                .value_parser(clap::value_parser!(PathBuf))
+                .help("Settings file (TOML)"),
+        )
+        .arg(standin::exit_with_parent_argument())
+}
+
+/// Carries it out. A planned stop that had to cut open queries is an error.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let file = matches
+        .get_one::<PathBuf>("config")
+        .ok_or_else(|| eyre::eyre!("--config has no value"))?;
+    let settings = load_settings(Some(file), &SettingsOverrides::default())?;
+    let parent_gone = CancellationToken::new();
+    if matches.get_flag("exit-with-parent") {
+        standin::watch_standard_input(parent_gone.clone());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads)
+        .enable_all()
+        .build()
+        .wrap_err("start the runtime")?;
+    runtime.block_on(async {
+        tokio::select! {
+            result = serve(settings) => result,
+            () = parent_gone.cancelled() => Ok(()),
+        }
+    })
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let (sender, stop) = StopRequests::channel();
+    forward_signal(SignalKind::terminate(), sender.clone())?;
+    forward_signal(SignalKind::interrupt(), sender)?;
+    match tansylead_daemon::run(settings, Tuning::default(), stop).await? {
+        DrainResult::Clean => Ok(()),
+        DrainResult::Cut { open_queries } => eyre::bail!("{open_queries} queries were cut"),
+    }
+}
+
+fn forward_signal(kind: SignalKind, stop: mpsc::Sender<()>) -> eyre::Result<()> {
+    let mut signals = signal(kind).wrap_err("install a signal handler")?;
+    tokio::spawn(async move {
+        while signals.recv().await.is_some() {
+            if stop.send(()).await.is_err() {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
--- a/crates/tansylead-lab/src/process/mod.rs
+++ b/crates/tansylead-lab/src/process/mod.rs
@@ -2,6 +2,7 @@
 //! input, known by their process id, and always ended by it.
 
 pub mod child;
+pub mod daemon_command;
 pub mod ports;
 pub mod program;
 
--- /dev/null
+++ b/crates/tansylead-lab/tests/process_planned_stop.rs
@@ -0,0 +1,34 @@
+//! Planned stops of real daemons under load.
+
+mod common;
+
+use common::{HANG_LIMIT, Rates, finish, more_queries, plan, start};
+use tansylead_lab::caller::Traffic;
+use tansylead_lab::deployment::RunningDeployment;
+use tansylead_types::Outcome;
+
+const LOOKUPS: Rates = Rates {
+    lookups: 200.0,
+    posts: 0.0,
+};
+
+async fn stop_cleanly(deployment: &mut RunningDeployment, index: usize) {
+    let daemon = &mut deployment.daemons[index];
+    daemon.process.terminate().expect("asked to stop");
+    let status = daemon.process.wait(HANG_LIMIT).await.expect("its status");
+    let status = status.expect("it ends");
+    assert!(status.success(), "{} ended with {status}", daemon.name);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_under_200_requests_a_second_cuts_nothing() {
+    let mut deployment = start(&[]).await;
+    let traffic = Traffic::start(plan(&deployment, LOOKUPS));
+    more_queries(&traffic, 200).await;
+    stop_cleanly(&mut deployment, 0).await;
+    more_queries(&traffic, 200).await;
+    let outcomes = finish(traffic, &mut deployment).await;
+    outcomes.assert_nothing_cut();
+    outcomes.assert_no_violation();
+    outcomes.assert_all(Outcome::Complete);
+}
