Add tansylead table: pull, check, propose, review, accept, history

Checks report unreadable rows and errors of the readable ones together.

The in-force question is asked from a stand-in daemon: GET /v1/in-force?revision=R answers InForceAnswer (tansylead-types); the daemon does not offer it so far.

--- a/crates/tansylead-cli/src/commands.rs
+++ b/crates/tansylead-cli/src/commands.rs
@@ -1,7 +1,7 @@
 //! Registry of the subcommands. A new one is a module and one entry in [`SUBCOMMANDS`].
 
 use crate::exit_code::ExitStatus;
-use crate::{check_command, query_command, serve_command, status_command};
+use crate::{check_command, query_command, serve_command, status_command, table_commands};
 use clap::{ArgMatches, Command};
 
 /// One subcommand.
@@ -17,6 +17,7 @@
     check_command::SUBCOMMAND,
     query_command::SUBCOMMAND,
     status_command::SUBCOMMAND,
+    table_commands::SUBCOMMAND,
 ];
 
 const EXAMPLES: &str = "\
@@ -32,7 +33,8 @@
   1 failed                      6 query: may have run
   2 wrong usage                 7 serve: stopped with requests still open
   3 settings cannot be used     8 no answer from the daemon or the store
-  4 query: partial answer       9 status: the daemon is not ready";
+  4 query: partial answer       9 status: the daemon is not ready
+  10 to 14: see `tansylead table --help`";
 
 /// The whole command line.
 pub fn program() -> Command {
--- a/crates/tansylead-cli/src/exit_code.rs
+++ b/crates/tansylead-cli/src/exit_code.rs
@@ -25,6 +25,16 @@
     Unreachable = 8,
     /// `status`: the daemon is not ready.
     NotReady = 9,
+    /// `table`: the table has errors.
+    TableErrors = 10,
+    /// `table`: the table in the store has changed since the proposal's base.
+    TableConflict = 11,
+    /// `table accept`: not known whether the change was accepted.
+    AcceptUnknown = 12,
+    /// `table accept --wait`: accepted, but not in force on all live daemons in time.
+    NotInForce = 13,
+    /// `table accept`: the store was put back to an older state.
+    StoreBehind = 14,
 }
 
 impl From<ExitStatus> for ExitCode {
--- a/crates/tansylead-cli/src/main.rs
+++ b/crates/tansylead-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod serve_command;
 mod settings_flags;
 mod status_command;
+mod table_commands;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/tansylead-cli/src/table_commands/history.rs
@@ -0,0 +1,67 @@
+//! `tansylead table history`: the last accepted changes, as the table in the store records them.
+
+use super::arguments::{self, store_of};
+use super::store_access::read_table;
+use crate::exit_code::ExitStatus;
+use clap::{ArgMatches, Command};
+use std::time::{Duration, UNIX_EPOCH};
+use tabled::settings::Style;
+use tabled::{Table, Tabled};
+use tansylead_types::{ConfigObject, StoredObject, TableChange, WallTime};
+
+/// Name of the command.
+pub const NAME: &str = "history";
+
+/// Describes the command.
+pub fn command() -> Command {
+    Command::new(NAME)
+        .about("List the last accepted changes of the table")
+        .arg(arguments::store())
+}
+
+/// Carries it out.
+pub async fn run(matches: &ArgMatches) -> eyre::Result<ExitStatus> {
+    let store = store_of(matches).ok_or_else(|| eyre::eyre!("no store given"))?;
+    let Some(stored) = read_table(store).await? else {
+        println!("the table was never written");
+        return Ok(ExitStatus::Success);
+    };
+    let generation = stored.generation;
+    let lines = recorded(stored).into_iter().map(ChangeLine::new);
+    let mut table = Table::new(lines);
+    table.with(Style::sharp());
+    println!("generation {generation}\n{table}");
+    Ok(ExitStatus::Success)
+}
+
+fn recorded(stored: StoredObject) -> Vec<TableChange> {
+    match stored.object {
+        Some(ConfigObject::Table(table)) => table.recent_changes,
+        _ => Vec::new(),
+    }
+}
+
+#[derive(Tabled)]
+struct ChangeLine {
+    generation: u64,
+    #[tabled(rename = "proposed at")]
+    proposed_at: String,
+    author: String,
+    comment: String,
+    change: String,
+}
+
+impl ChangeLine {
+    fn new(change: TableChange) -> Self {
+        let WallTime(millis) = change.proposed_at;
+        let proposed_at = UNIX_EPOCH.checked_add(Duration::from_millis(millis));
+        let proposed_at = proposed_at.unwrap_or(UNIX_EPOCH);
+        Self {
+            generation: change.generation,
+            proposed_at: humantime::format_rfc3339_seconds(proposed_at).to_string(),
+            author: change.author,
+            comment: change.comment,
+            change: change.change.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-cli/src/table_commands/in_force.rs
@@ -0,0 +1,48 @@
+//! Waits until a store revision is in force on all live daemons, as one daemon reports it.
+
+use super::store_access::ask_daemon;
+use crate::exit_code::ExitStatus;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tansylead_types::InForceAnswer;
+use tansylead_types::in_force::IN_FORCE_PATH;
+use tokio::time::Instant;
+
+/// Pause between two questions.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Asks until all live daemons have the revision in force or the time has passed; prints the count
+/// and the daemons that are missing.
+pub async fn wait(daemon: SocketAddr, revision: u64, limit: Duration) -> eyre::Result<ExitStatus> {
+    let deadline = Instant::now() + limit;
+    let path = format!("{IN_FORCE_PATH}?revision={revision}");
+    loop {
+        let answer: InForceAnswer = ask_daemon(daemon, &path).await?;
+        let is_everywhere = answer.total > 0 && answer.confirmed == answer.total;
+        if is_everywhere || Instant::now() + PAUSE >= deadline {
+            println!("{}", describe(&answer));
+            return Ok(if is_everywhere {
+                ExitStatus::Success
+            } else {
+                ExitStatus::NotInForce
+            });
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn describe(answer: &InForceAnswer) -> String {
+    let InForceAnswer {
+        confirmed,
+        total,
+        missing,
+        ..
+    } = answer;
+    let mut text = format!("in force on {confirmed} of {total} daemons");
+    if !missing.is_empty() {
+        let addresses: Vec<String> = missing.iter().map(SocketAddr::to_string).collect();
+        text.push_str("; missing: ");
+        text.push_str(&addresses.join(" "));
+    }
+    text
+}
--- a/crates/tansylead-table/src/check.rs
+++ b/crates/tansylead-table/src/check.rs
@@ -4,8 +4,8 @@
 //! a service or placement that the configuration does not know. Warnings: hours of a service that
 //! no row covers, a service without rows, and limits that will refuse what the weight invites.
 
-use crate::csv_form::NumberedRow;
-use crate::finding::{Column, Finding};
+use crate::csv_form::{NumberedRow, ParsedRows, parse_rows};
+use crate::finding::{Column, Finding, Severity};
 use crate::hours::ranges_text;
 use std::collections::{BTreeMap, BTreeSet};
 use tansylead_types::table::HOURS_PER_DAY;
@@ -33,6 +33,28 @@
     pub placements: BTreeSet<KnownPlacement>,
 }
 
+/// A table as far as it can be read, with everything that is wrong with it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CheckedTable {
+    /// Rows that can be read.
+    pub rows: Vec<NumberedRow>,
+    /// Findings, ordered by line.
+    pub findings: Vec<Finding>,
+}
+
+/// Reads and checks a CSV text. If some rows cannot be read, warnings are left out: they might
+/// concern just those.
+pub fn check_table(text: &str, known: Option<&KnownServices>) -> CheckedTable {
+    let ParsedRows { rows, mut findings } = parse_rows(text);
+    let mut about_rows = check_rows(&rows, known);
+    if !findings.is_empty() {
+        about_rows.retain(|finding| finding.severity == Severity::Error);
+    }
+    findings.extend(about_rows);
+    findings.sort();
+    CheckedTable { rows, findings }
+}
+
 /// Checks rows; against the configuration too if it is given. Findings are ordered by line.
 pub fn check_rows(rows: &[NumberedRow], known: Option<&KnownServices>) -> Vec<Finding> {
     let mut findings = overlaps(rows);
--- a/crates/tansylead-table/src/csv_form.rs
+++ b/crates/tansylead-table/src/csv_form.rs
@@ -23,8 +23,17 @@
     pub row: TableRow,
 }
 
-/// Reads a CSV text; the errors of all rows if there are any.
-pub fn parse_rows(text: &str) -> Result<Vec<NumberedRow>, Vec<Finding>> {
+/// What a CSV text holds.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ParsedRows {
+    /// Rows that can be read.
+    pub rows: Vec<NumberedRow>,
+    /// Errors of all others.
+    pub findings: Vec<Finding>,
+}
+
+/// Reads a CSV text.
+pub fn parse_rows(text: &str) -> ParsedRows {
     let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
     // The reader counts lines wrongly if they end in both characters.
     let text = text.replace("\r\n", "\n");
@@ -32,27 +41,29 @@
         .trim(csv::Trim::All)
         .flexible(true)
         .from_reader(text.as_bytes());
-    let header = reader
-        .headers()
-        .map_err(|cause| vec![Finding::line(1, cause)])?;
-    let positions = column_positions(header).map_err(|finding| vec![finding])?;
-    let mut rows = Vec::new();
-    let mut findings = Vec::new();
+    let header = reader.headers();
+    let positions = header
+        .map_err(|cause| Finding::line(1, cause))
+        .and_then(column_positions);
+    let mut parsed = ParsedRows::default();
+    let positions = match positions {
+        Ok(positions) => positions,
+        Err(finding) => {
+            parsed.findings.push(finding);
+            return parsed;
+        }
+    };
     for record in reader.records() {
         match record {
             Ok(record) if record.iter().all(str::is_empty) => {}
             Ok(record) => match parse_record(&record, &positions) {
-                Ok(row) => rows.push(row),
-                Err(errors) => findings.extend(errors),
+                Ok(row) => parsed.rows.push(row),
+                Err(errors) => parsed.findings.extend(errors),
             },
-            Err(cause) => findings.push(unreadable_record(&cause)),
+            Err(cause) => parsed.findings.push(unreadable_record(&cause)),
         }
     }
-    if findings.is_empty() {
-        Ok(rows)
-    } else {
-        Err(findings)
-    }
+    parsed
 }
 
 /// Rows sorted and with one spelling of each range of hours.
--- a/crates/tansylead-table/src/proposal.rs
+++ b/crates/tansylead-table/src/proposal.rs
@@ -6,7 +6,7 @@
 //! it twice. The change id ends in a digest of the contents: a document that was edited is
 //! refused, because one change id must never stand for two contents.
 
-use crate::csv_form::{canonical_rows, parse_rows, write_rows};
+use crate::csv_form::{ParsedRows, canonical_rows, parse_rows, write_rows};
 use crate::finding::Finding;
 use serde::{Deserialize, Serialize};
 use tansylead_types::ids::InvalidName;
@@ -224,7 +224,10 @@
 }
 
 fn read_table(table: &'static str, text: &str) -> Result<Vec<TableRow>, ProposalError> {
-    let rows = parse_rows(text).map_err(|findings| ProposalError::Table { table, findings })?;
+    let ParsedRows { rows, findings } = parse_rows(text);
+    if !findings.is_empty() {
+        return Err(ProposalError::Table { table, findings });
+    }
     Ok(rows.into_iter().map(|numbered| numbered.row).collect())
 }
 
--- a/crates/tansylead-table/tests/csv_and_checks.rs
+++ b/crates/tansylead-table/tests/csv_and_checks.rs
@@ -3,7 +3,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use tansylead_table::{
-    KnownPlacement, KnownServices, NumberedRow, check_rows, has_errors, parse_rows, write_rows,
+    KnownPlacement, KnownServices, NumberedRow, check_rows, check_table, has_errors, parse_rows,
+    write_rows,
 };
 use tansylead_types::{HourRange, PlaceName, ServiceName, TableRow};
 
@@ -18,11 +19,14 @@
     known
 }
 
+fn readable(text: &str) -> Vec<NumberedRow> {
+    let parsed = parse_rows(text);
+    assert_eq!(parsed.findings, []);
+    parsed.rows
+}
+
 fn findings_of(text: &str, known: Option<&KnownServices>) -> String {
-    let findings = match parse_rows(text) {
-        Ok(rows) => check_rows(&rows, known),
-        Err(findings) => findings,
-    };
+    let findings = check_table(text, known).findings;
     let verdict = if has_errors(&findings) {
         "refused"
     } else {
@@ -74,7 +78,7 @@
         bangkok, screening-1 ,18 - 0,10,200\r\n\
         ,,,,\r\n\
         \"bangkok\",screening-1,0-18,\"5\",100\r\n";
-    let rows = parse_rows(text).expect("readable");
+    let rows = readable(text);
     assert_eq!(rows.iter().map(|row| row.line).collect::<Vec<_>>(), [2, 4]);
     let rows: Vec<TableRow> = rows.into_iter().map(|numbered| numbered.row).collect();
     let expected = "service,place,hours,weight,limit\n\
@@ -107,7 +111,7 @@
     #[test]
     fn writing_and_reading_again_changes_nothing(rows in proptest::collection::vec(any_row(), 0..8)) {
         let text = write_rows(&rows);
-        let read = parse_rows(&text).expect("own text is readable");
+        let read = readable(&text);
         let read: Vec<TableRow> = read.into_iter().map(|numbered| numbered.row).collect();
         prop_assert_eq!(&write_rows(&read), &text);
         prop_assert_eq!(read.len(), rows.len());
--- a/crates/tansylead-table/tests/difference_and_proposal.rs
+++ b/crates/tansylead-table/tests/difference_and_proposal.rs
@@ -5,8 +5,11 @@
 
 fn rows(text: &str) -> Vec<TableRow> {
     let text = format!("service,place,hours,weight,limit\n{text}");
-    let rows = parse_rows(&text).expect("readable");
-    rows.into_iter().map(|numbered| numbered.row).collect()
+    parse_rows(&text)
+        .rows
+        .into_iter()
+        .map(|numbered| numbered.row)
+        .collect()
 }
 
 const BEFORE: &str = "screening-1,bangkok,6-18,10,200\n\
--- a/crates/tansylead-types/src/lib.rs
+++ b/crates/tansylead-types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod error;
 pub mod ids;
+pub mod in_force;
 pub mod leaf;
 pub mod moment;
 pub mod request;
@@ -27,6 +28,7 @@
     AttemptId, ChangeId, IdempotencyKey, LeafId, PlaceName, QueryId, RequestId, ServiceName,
     ShardId, SnapshotVersion, ZoneName,
 };
+pub use in_force::InForceAnswer;
 pub use moment::{Moment, WallTime};
 pub use request::{QueryRequest, Repeatability};
 pub use settings::Settings;
