--- a/crates/tansylead-lab/src/deployment/traffic_table.rs
+++ b/crates/tansylead-lab/src/deployment/traffic_table.rs
@@ -17,13 +17,18 @@
         let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
         eyre::eyre!("{}: {}", file.display(), lines.join("; "))
     };
-    let rows = parse_rows(&text).map_err(|findings| refuse(&findings))?;
-    let findings = check_rows(&rows, None);
+    let parsed = parse_rows(&text);
+    let mut findings = parsed.findings;
+    findings.extend(check_rows(&parsed.rows, None));
     if has_errors(&findings) {
         return Err(refuse(&findings));
     }
     Ok(TrafficTable {
-        rows: rows.into_iter().map(|numbered| numbered.row).collect(),
+        rows: parsed
+            .rows
+            .into_iter()
+            .map(|numbered| numbered.row)
+            .collect(),
         recent_changes: Vec::new(),
     })
 }
