--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -154,7 +154,7 @@
             MembershipEvent::Wakeup => {}
             MembershipEvent::Leave => self.leave(now, MemberState::Leaving, &mut actions),
             MembershipEvent::Exit => self.leave(now, MemberState::Left, &mut actions),
-            MembershipEvent::MachineList(list) => self.take_hints(list),
+            MembershipEvent::MachineList(list) => self.take_hints(list, &mut actions),
             MembershipEvent::Config(digest) => self.config = digest,
             MembershipEvent::Announce { to } => {
                 for peer in to {
@@ -358,7 +358,7 @@
         }
     }
 
-    fn take_hints(&mut self, list: MachineList) {
+    fn take_hints(&mut self, list: MachineList, actions: &mut Vec<MembershipAction>) {
         self.leaving_hints.clear();
         self.hints.clear();
         for machine in list.machines {
@@ -371,8 +371,10 @@
                 MachineState::Live => {}
             }
         }
-        if self.seeds.is_empty() && self.hints.is_empty() {
+        let nobody_to_join = self.seeds.is_empty() && self.hints.is_empty();
+        if nobody_to_join && !self.sync.joined {
             self.sync.joined = true;
+            actions.push(MembershipAction::Joined);
         }
     }
 
--- a/crates/tansylead-cluster/src/membership/mod.rs
+++ b/crates/tansylead-cluster/src/membership/mod.rs
@@ -1,4 +1,13 @@
 //! Membership: which daemons run, in which place and zone, and which of them are leaving.
+//!
+//! SWIM over UDP within a place; other places are judged reachable or not as a whole. See
+//! `docs/design/0003-membership.md`.
+//!
+//! A driver decodes datagrams with [`crate::codec::GossipCodec`], hands them to
+//! [`Membership::on_event`], performs the actions in order, and sends `Wakeup` at
+//! [`Membership::next_wakeup`]. `Changed`, `Forgotten`, `PeerConfig` and `Joined` are passed on to
+//! [`crate::spread::SpreadMachine`]; its `Applied` comes back as `Config` and its `Announce` as
+//! `Announce`.
 
 mod event;
 mod joining;
--- a/crates/tansylead-cluster/src/spread/in_force.rs
+++ b/crates/tansylead-cluster/src/spread/in_force.rs
@@ -1,4 +1,8 @@
 //! Finds out on which live daemons a revision is in force, by asking each of them.
+//!
+//! A revision says that everything up to it was taken in, not that it won: after the store was
+//! restored from a backup a write may lose against a higher generation that daemons hold. Before
+//! a check the driver must see that its own replica holds the change in question.
 
 use crate::membership::{ConfigDigest, MemberRecord, Sequence};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/tansylead-cluster/src/spread/mod.rs
+++ b/crates/tansylead-cluster/src/spread/mod.rs
@@ -1,4 +1,7 @@
 //! Spread of configuration from the store to every daemon.
+//!
+//! A few readers per place watch the store; everyone announces what it applied to a few random
+//! peers, and pulls from whoever holds more. See `docs/design/0004-configuration-spread.md`.
 
 mod event;
 mod in_force;
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -91,7 +91,8 @@
     simulation.run(seconds(60));
     simulation.resume(17);
     assert_eq!(count_seen(&simulation, 17, MemberState::Failed), 0);
-    simulation.run_until(seconds(20), "alive again", Simulation::members_agree);
+    // Sooner than a comparison of tables would tell it.
+    simulation.run_until(seconds(8), "alive again", Simulation::members_agree);
     assert!(simulation.daemons[17].membership.counters().pauses > 0);
 }
 
@@ -133,6 +134,23 @@
     simulation.run_until(seconds(20), "back", Simulation::members_agree);
 }
 
+/// No other place and no seed is left through which the halves could find each other.
+#[test]
+fn halves_of_the_only_place_rejoin() {
+    let mut simulation = Simulation::new(15, 1, 9);
+    simulation.run_until(seconds(60), "all join", Simulation::members_agree);
+    simulation.kill(0);
+    for left in 1..5 {
+        for right in 5..9 {
+            simulation.cut_link(left, right);
+        }
+    }
+    simulation.run(seconds(120));
+    assert_eq!(count_seen(&simulation, 8, MemberState::Failed), 5);
+    simulation.faults.links.clear();
+    simulation.run_until(seconds(60), "rejoined", Simulation::members_agree);
+}
+
 #[test]
 fn broken_link_between_two_members_makes_neither_suspect() {
     let mut simulation = settled(14);
