Join through a machine list that mostly names leafs; let an in-force check ask its own daemon

Attempts to join drew evenly from seeds, members and the whole machine list, of which seven in eight machines are leafs. A daemon that is alone now pings eight machines of the list per attempt and joins through whoever answers; otherwise it asks seeds and members.

A check of where a revision is in force expected its driver to hand in the own digest, which is easy to miss: membership now answers a query to itself, and the parameter is gone.

--- a/crates/tansylead-cluster/src/membership/event.rs
+++ b/crates/tansylead-cluster/src/membership/event.rs
@@ -31,7 +31,8 @@
         /// Peers.
         to: Vec<NodeId>,
     },
-    /// Send a `RevisionQuery` to a peer (from `InForceAction::Query`).
+    /// Send a `RevisionQuery` to a peer (from `InForceAction::Query`). This daemon answers itself
+    /// at once.
     QueryRevision {
         /// Peer.
         to: NodeId,
--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -5,12 +5,13 @@
 use super::member::MemberRecord;
 use super::packet::{GossipMessage, MemberPage, PlaceSummary};
 use super::pages::{build_page, page_records};
+use super::probes::{Probe, ProbeKind};
 use super::sizes::{name_bytes, packet_budget};
 use super::sync::{SyncStep, Walk};
 use super::table::Comparison;
 use rand::RngExt;
 use std::time::Duration;
-use tansylead_types::{Moment, NodeId, PlaceName};
+use tansylead_types::{InstanceId, Moment, NodeId, PlaceName};
 
 /// Walks with peers that have not joined themselves after which this daemon counts as joined.
 const WALKS_WITH_UNJOINED: u32 = 3;
@@ -27,6 +28,12 @@
 /// First attempts to join that ask only seeds.
 const SEED_ONLY_ATTEMPTS: u32 = 2;
 
+/// Share of later attempts that still ask seeds.
+const SEED_SHARE: f64 = 0.25;
+
+/// Machines of the list pinged per attempt to join.
+const HINTS_PER_ATTEMPT: usize = 8;
+
 impl Membership {
     pub(super) fn run_sync(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
         if now < self.sync_due {
@@ -61,6 +68,9 @@
             self.ask_summary(now, seed, actions);
             return self.jittered(self.settings.join_period * REMINDER_FACTOR);
         }
+        if alone {
+            self.ping_hints(now, actions);
+        }
         let peer = self.join_candidate();
         self.ask_summary(now, peer, actions);
         let step = self.sync.join_attempts.min(JOIN_BACKOFF_STEPS);
@@ -92,16 +102,30 @@
         self.choose(&missing)
     }
 
-    /// Seeds first; later also machines of the list and members already heard of.
+    /// A seed at first; later a seed or a member already heard of.
     fn join_candidate(&mut self) -> Option<NodeId> {
-        let mut candidates = self.seeds.clone();
-        if candidates.is_empty() || self.sync.join_attempts >= SEED_ONLY_ATTEMPTS {
-            candidates.extend(&self.hints);
-            candidates.extend(self.table.running().as_slice());
+        let seeds_only = self.sync.join_attempts < SEED_ONLY_ATTEMPTS;
+        let prefer_seed = seeds_only || self.random.random_bool(SEED_SHARE);
+        if prefer_seed && !self.seeds.is_empty() {
+            let seeds = self.seeds.clone();
+            return self.choose(&seeds);
+        }
+        let local = [self.local.node()];
+        let running = self.table.running();
+        running.sample(&mut self.random, 1, &local).pop()
+    }
+
+    /// Pings machines of the list while nobody else is known. Most of them may not be daemons;
+    /// one that answers becomes a member and can be joined through.
+    fn ping_hints(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
+        for _ in 0..HINTS_PER_ATTEMPT.min(self.hints.len()) {
+            let node = self.hints[self.random.random_range(0..self.hints.len())];
+            let probe = Probe {
+                target: InstanceId { node, boot: 0 },
+                kind: ProbeKind::Failed,
+            };
+            self.start_probe(now, probe, actions);
         }
-        let local = self.local.node();
-        candidates.retain(|node| *node != local);
-        self.choose(&candidates)
     }
 
     fn choose(&mut self, nodes: &[NodeId]) -> Option<NodeId> {
--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -161,6 +161,13 @@
                     self.send(now, peer, GossipMessage::Announce, &mut actions);
                 }
             }
+            MembershipEvent::QueryRevision { to, sequence } if to == self.local.node() => {
+                actions.push(MembershipAction::RevisionReply {
+                    sequence,
+                    peer: self.local.instance,
+                    digest: self.config,
+                });
+            }
             MembershipEvent::QueryRevision { to, sequence } => {
                 self.send(
                     now,
@@ -190,6 +197,11 @@
             .filter(|member| member.state.takes_work() && self.is_reachable(&member.place))
     }
 
+    /// Number of running members, this daemon included.
+    pub fn running_count(&self) -> usize {
+        self.table.running().len()
+    }
+
     /// The statement held about a node.
     pub fn member(&self, node: NodeId) -> Option<&MemberRecord> {
         self.table.get(node)
--- a/crates/tansylead-cluster/src/membership/probes.rs
+++ b/crates/tansylead-cluster/src/membership/probes.rs
@@ -15,7 +15,7 @@
     Local,
     /// One failure of the place.
     Remote(PlaceName),
-    /// Nothing: the member is already known to have failed.
+    /// Nothing: the member is known to have failed, or the machine may not be a daemon.
     Failed,
     /// Nothing: sent for another daemon, to which the acknowledgement is relayed.
     Relayed {
--- a/crates/tansylead-cluster/src/spread/in_force.rs
+++ b/crates/tansylead-cluster/src/spread/in_force.rs
@@ -88,7 +88,6 @@
     settings: InForceSettings,
     revision: u64,
     sequence: Sequence,
-    local: NodeId,
     targets: BTreeMap<NodeId, Target>,
     unconfirmed: usize,
     /// When each unconfirmed daemon is to be asked; in order of time.
@@ -99,13 +98,11 @@
 }
 
 impl InForceCheck {
-    /// Starts a check of `revision` on the running members. The asking daemon is asked as well if
-    /// it is among them, by its driver handing in its own digest as a reply. `sequence` must not
-    /// be that of another check in progress.
+    /// Starts a check of `revision` on the running members, the asking daemon among them.
+    /// `sequence` must not be that of another check in progress.
     pub fn new(
         now: Moment,
         revision: u64,
-        local: NodeId,
         running: impl IntoIterator<Item = MemberRecord>,
         settings: InForceSettings,
         sequence: Sequence,
@@ -115,7 +112,6 @@
             settings,
             revision,
             sequence,
-            local,
             targets: BTreeMap::new(),
             unconfirmed: 0,
             queue: VecDeque::new(),
@@ -204,9 +200,7 @@
             let confirmed = false;
             self.targets.insert(node, Target { boot, confirmed });
             self.unconfirmed += 1;
-            if node != self.local {
-                self.queue.push_front((now, node));
-            }
+            self.queue.push_front((now, node));
         }
     }
 
--- a/crates/tansylead-cluster/tests/common/mod.rs
+++ b/crates/tansylead-cluster/tests/common/mod.rs
@@ -121,7 +121,7 @@
     pub faults: Faults,
     pub accepted: BTreeSet<(ObjectKey, u64, ChangeId)>,
     pub packet_errors: u64,
-    seeds: Vec<NodeId>,
+    pub seeds: Vec<NodeId>,
     indexes: BTreeMap<NodeId, usize>,
     agenda: BinaryHeap<Reverse<(Moment, u64, usize, u64)>>,
     happenings: BTreeMap<u64, Happening>,
@@ -206,7 +206,10 @@
             zone: ZoneName::new(format!("zone-{}", node.0.port() % 2)).unwrap(),
             caller_address: node.0,
         };
-        let settings = MembershipSettings::default();
+        let settings = MembershipSettings {
+            expect_machine_list: self.seeds.is_empty(),
+            ..MembershipSettings::default()
+        };
         let seeds = self.seeds.clone();
         let seed = self.random.random();
         let membership = Membership::new(self.now, local.clone(), seeds, settings, seed);
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -5,6 +5,7 @@
 use common::{Simulation, seconds};
 use tansylead_cluster::codec::GossipCodec;
 use tansylead_cluster::membership::*;
+use tansylead_types::store::{Machine, MachineList, MachineState};
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, ZoneName};
 
 const PLACES: usize = 5;
@@ -121,6 +122,28 @@
     });
 }
 
+/// Most machines of the list run leafs or nothing.
+#[test]
+fn daemon_without_seeds_joins_through_the_machine_list() {
+    let mut simulation = settled(16);
+    let mut machines: Vec<Machine> = (0..200)
+        .map(|index| ([10, 99, 0, index], 80).into())
+        .map(|address| Machine {
+            address,
+            state: MachineState::Live,
+        })
+        .collect();
+    let daemons = simulation.daemons.iter().take(10).map(|d| d.node.0);
+    machines.extend(daemons.map(|address| Machine {
+        address,
+        state: MachineState::Live,
+    }));
+    simulation.seeds.clear();
+    simulation.restart(20);
+    simulation.event(20, MembershipEvent::MachineList(MachineList { machines }));
+    simulation.run_until(seconds(60), "joined", Simulation::members_agree);
+}
+
 /// It blames everyone in its place, and must find them again by itself.
 #[test]
 fn isolated_member_comes_back_soon_after_its_link_does() {
--- a/crates/tansylead-cluster/tests/spread.rs
+++ b/crates/tansylead-cluster/tests/spread.rs
@@ -217,19 +217,13 @@
     simulation.run(seconds(2));
     let members = simulation.daemons[0].membership.members();
     let running: Vec<_> = members.filter(|m| m.state.is_running()).cloned().collect();
-    let own = simulation.daemons[0].membership.local().instance;
     let sequence = Sequence(1);
     let settings = InForceSettings {
         time_limit: seconds(3),
         ..InForceSettings::default()
     };
-    let mut check = InForceCheck::new(simulation.now, 2, own.node, running, settings, sequence);
-    let digest = simulation.daemons[0].spread.replica().digest();
-    let mut event = InForceEvent::Reply {
-        sequence,
-        peer: own,
-        digest,
-    };
+    let mut check = InForceCheck::new(simulation.now, 2, running, settings, sequence);
+    let mut event = InForceEvent::Wakeup;
     loop {
         for action in check.on_event(simulation.now, event) {
             if let InForceAction::Query { to, sequence } = action {
--- a/crates/tansylead-daemon/src/cluster/driver.rs
+++ b/crates/tansylead-daemon/src/cluster/driver.rs
@@ -460,7 +460,6 @@
         let check = InForceCheck::new(
             self.clock.now(),
             revision,
-            self.identity.instance.node,
             self.running(),
             settings,
             Sequence(first_sequence),
@@ -546,7 +545,7 @@
         let status = ClusterStatus {
             not_ready,
             store: self.parts.spread.store_state().clone(),
-            running: self.running().len(),
+            running: self.parts.membership.running_count(),
             counters: self.parts.membership.counters(),
             replaced: self.replaced,
         };
