--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -21,7 +21,8 @@
 /// Epochs in which the member was complete that it remembers.
 const REMEMBERED_EPOCHS: usize = 16;
 
-/// Both clocks, read together.
+/// Both clocks. The wall clock must be read first: if the process is paused between the two
+/// readings, the expiries accepted are then bounded by a time at which the lease was still valid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClaimTime {
     /// Monotonic clock that counts suspended time.
--- a/crates/tansylead-cluster/src/claims/mod.rs
+++ b/crates/tansylead-cluster/src/claims/mod.rs
@@ -11,6 +11,18 @@
 //! only as the very instance named in that epoch's view, only with a quorum lease, and only for
 //! keys whose earlier claims it has copied or outwaited. The reasoning and the clock assumptions
 //! are in `docs/design/0005-non-repeatable-requests.md`.
+//!
+//! A root's way through one non-repeatable request:
+//!
+//! 1. [`check_before_dispatch`], then [`AnswerCache::begin`]. A known key gets its status.
+//! 2. [`ClaimRequester::start`] with the newest view; deliver responses, failures and wakeups.
+//! 3. `HeldBy`: [`AnswerCache::not_run`], then ask the owners for [`AnswerCache::status`]: an
+//!    answer or "in progress" goes to the caller; `NotRun` from all of them means `not_run`;
+//!    anything else, also an owner that cannot be reached, means `unknown`.
+//!    `Refused`: [`AnswerCache::not_run`] and answer `not_run` with the hint when to retry.
+//!    `Granted`: [`check_before_dispatch`] again right before the bytes leave, then send once.
+//! 4. [`AnswerCache::finish`], also for `unknown`; or, if the request truthfully did not run,
+//!    [`AnswerCache::not_run`] and [`release_requests`].
 
 mod answers;
 mod expiry;
--- a/crates/tansylead-cluster/src/claims/planner.rs
+++ b/crates/tansylead-cluster/src/claims/planner.rs
@@ -5,7 +5,8 @@
 //! Invariant: a view names all views whose claims may be in force. Earlier views are left out only
 //! once the current view is settled: every member that is not gone has reported that it holds all
 //! earlier claims, and there is at least one. One such report already means that no member of an
-//! older view can grant any more.
+//! older view can grant any more. An unsettled view changes only if a majority of it is gone: it
+//! cannot grant then, and its successor names it besides the views before it.
 
 use super::group::{hash_instance, majority};
 use super::message::ClaimMemberStatus;
@@ -15,8 +16,8 @@
 
 /// Most members of a view.
 pub const MAXIMUM_VIEW_MEMBERS: usize = 15;
-/// Most earlier views in a view. The list grows only if all members of a view are gone before one
-/// of them held all earlier claims.
+/// Most earlier views in a view. The list grows only if a majority of a view is gone before those
+/// that are left hold all earlier claims.
 const MAXIMUM_EARLIER_VIEWS: usize = 16;
 /// A member is replaced after being absent for this long.
 const ABSENCE_BEFORE_REPLACEMENT: Duration = Duration::from_secs(10);
@@ -77,7 +78,12 @@
         self.complete
             .extend(complete.map(|(instance, _)| *instance));
         let gone = self.gone(now, current, live);
-        if now.since(self.epoch_since) < CHANGE_INTERVAL {
+        // Whoever has just vanished is waited for, so that one change replaces all who are gone.
+        let is_undecided = self
+            .absent_since
+            .keys()
+            .any(|instance| !gone.contains(instance));
+        if is_undecided || now.since(self.epoch_since) < CHANGE_INTERVAL {
             return None;
         }
         next_claim_view(current, live, &gone, &self.complete)
@@ -151,10 +157,11 @@
         && kept
             .iter()
             .all(|member| complete.contains(&member.instance));
-    let mut earlier = match (is_settled, kept.is_empty()) {
+    let has_lost_majority = kept.len() < majority(current.members.len());
+    let mut earlier = match (is_settled, has_lost_majority) {
         (true, _) => Vec::new(),
         (false, true) => current.earlier.clone(),
-        // Those who are left will hold all earlier claims sooner than a newer view would.
+        // Those who are left can grant, and will hold all earlier claims sooner than others would.
         (false, false) => return None,
     };
     earlier.push(EarlierClaimView {
--- a/crates/tansylead-cluster/src/claims/requester.rs
+++ b/crates/tansylead-cluster/src/claims/requester.rs
@@ -1,6 +1,6 @@
 //! A root's side of one claim: asks the key's group, decides once, and never uses a grant that
-//! arrives after the decision. Ballots that split are released and tried again after a random
-//! pause.
+//! arrives after the decision. Ballots that split are tried again: the lowest instance keeps its
+//! votes, the others release theirs and come back after a random pause.
 
 use super::group::{claim_group, majority};
 use super::member::ClaimTime;
@@ -166,6 +166,16 @@
         }
     }
 
+    /// Ends without a decision, for example because the caller's deadline has passed. Returns
+    /// releases to send; the outcome is `not_run`. Does nothing after the decision.
+    pub fn cancel(&mut self) -> Vec<ClaimRequesterAction> {
+        if self.phase == Phase::Decided {
+            return Vec::new();
+        }
+        self.phase = Phase::Decided;
+        self.release()
+    }
+
     /// Handles an event. After the decision every event is ignored.
     pub fn on_event(
         &mut self,
@@ -292,20 +302,29 @@
         vec![ClaimRequesterAction::Decide(ClaimDecision::Granted(grant))]
     }
 
-    /// Gives the ballot up, so that another may win it, and tries again later.
+    /// The ballot split. The requester whose instance is lowest of those seen keeps its votes and
+    /// asks again soon; any other gives its votes up and comes back later, after that one.
     fn pause(&mut self, now: Moment) -> Vec<ClaimRequesterAction> {
-        let actions = self.release();
         let attempt = self.settings.maximum_attempts - self.attempts_left;
-        let longest = self.settings.split_backoff * 2_u32.saturating_pow(attempt.min(8));
-        let micros = u64::try_from(longest.as_micros())
-            .unwrap_or(u64::MAX)
-            .max(1);
-        let pause = Duration::from_micros(self.random.random_range(0..micros));
+        let unit = self.settings.split_backoff * 2_u32.saturating_pow(attempt.min(8) - 1);
+        let is_first = self.holders.keys().all(|holder| self.me <= holder.owner);
+        let (actions, pause) = if is_first {
+            (Vec::new(), unit)
+        } else {
+            (self.release(), unit * 2 + self.random_part_of(unit * 2))
+        };
         self.claim.attempt += 1;
         self.phase = Phase::Pausing { until: now + pause };
         actions
     }
 
+    fn random_part_of(&mut self, longest: Duration) -> Duration {
+        let micros = u64::try_from(longest.as_micros())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        Duration::from_micros(self.random.random_range(0..micros))
+    }
+
     fn report_holders(&mut self) -> Vec<ClaimRequesterAction> {
         let holders = self.holders.keys().copied().collect();
         self.give_up(ClaimDecision::HeldBy { holders })
--- a/crates/tansylead-cluster/src/claims/settings.rs
+++ b/crates/tansylead-cluster/src/claims/settings.rs
@@ -23,7 +23,8 @@
     pub vote_timeout: Duration,
     /// Attempts of one requester when ballots split.
     pub maximum_attempts: u32,
-    /// Longest pause before the second attempt; doubles with each further attempt.
+    /// Pause of the first in line before its second attempt; others pause longer. It doubles with
+    /// each further attempt.
     pub split_backoff: Duration,
     /// Most claims a member holds; above this it refuses new ones.
     pub maximum_claims: usize,
