Ask only the source of a page for the next one

Every page that arrived made the member ask all its sources again, also those whose answer was under way: with fifteen members most copies were made several times over.

--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -171,16 +171,18 @@
 
     /// Handles an event; returns requests to send.
     pub fn on_event(&mut self, time: ClaimTime, event: ClaimMemberEvent) -> Vec<ClaimRequest> {
-        match event {
+        let next_page = match event {
             ClaimMemberEvent::ViewLearned { view, generation } => {
                 self.adopt(time.now, view, generation);
+                None
             }
             ClaimMemberEvent::Response { asked, response } => {
-                self.on_response(time, asked, response);
+                self.on_response(time, asked, response)
             }
-            ClaimMemberEvent::Wakeup => {}
-        }
-        self.advance(time)
+            ClaimMemberEvent::Wakeup => None,
+        };
+        let due = self.advance(time);
+        next_page.into_iter().chain(due).collect()
     }
 
     fn adopt(&mut self, now: Moment, view: ClaimView, generation: u64) {
@@ -203,39 +205,46 @@
         });
     }
 
-    fn on_response(&mut self, time: ClaimTime, asked: InstanceId, response: ClaimResponse) {
+    /// Returns the request for the next page, if there is one.
+    fn on_response(
+        &mut self,
+        time: ClaimTime,
+        asked: InstanceId,
+        response: ClaimResponse,
+    ) -> Option<ClaimRequest> {
         self.highest_epoch = self.highest_epoch.max(response.epoch);
-        let Some(adopted) = self.adopted.as_mut() else {
-            return;
-        };
+        let adopted = self.adopted.as_mut()?;
         if response.from != asked {
             adopted.transfer.on_successor(asked, response.from);
-            return;
+            return None;
         }
         match response.body {
-            ClaimResponseBody::HeartbeatAcknowledged { sent }
-                if response.epoch == adopted.view.epoch =>
-            {
-                adopted.lease.acknowledge(asked, sent);
+            ClaimResponseBody::HeartbeatAcknowledged { sent } => {
+                if response.epoch == adopted.view.epoch {
+                    adopted.lease.acknowledge(asked, sent);
+                }
+                None
             }
             ClaimResponseBody::Copied(page) => self.on_page(time, asked, &page),
-            _ => {}
+            _ => None,
         }
     }
 
-    fn on_page(&mut self, time: ClaimTime, from: InstanceId, page: &CopiedPage) {
-        let Some(adopted) = self.adopted.as_mut() else {
-            return;
-        };
+    fn on_page(
+        &mut self,
+        time: ClaimTime,
+        from: InstanceId,
+        page: &CopiedPage,
+    ) -> Option<ClaimRequest> {
+        let adopted = self.adopted.as_mut()?;
         if page.view_epoch != adopted.view.epoch || !adopted.transfer.on_page(from, page) {
-            return;
+            return None;
         }
         for claim in &page.claims {
             self.table.insert_copied(claim, time.wall, &self.settings);
         }
-        if page.next.is_some() {
-            adopted.next_copy = time.now;
-        }
+        let next = page.next.clone()?;
+        Some(copy_request(self.me, &adopted.view, from, Some(next)))
     }
 
     /// Sends what is due and records progress.
@@ -433,14 +442,24 @@
 fn copy_requests(me: InstanceId, adopted: &AdoptedView) -> Vec<ClaimRequest> {
     let unfinished = adopted.transfer.unfinished().into_iter();
     unfinished
-        .map(|(source, after)| ClaimRequest {
-            epoch: adopted.view.epoch,
-            from: me,
-            to: source,
-            body: ClaimRequestBody::Copy {
-                view: adopted.view.clone(),
-                after,
-            },
-        })
+        .map(|(source, after)| copy_request(me, &adopted.view, source, after))
         .collect()
 }
+
+fn copy_request(
+    me: InstanceId,
+    view: &ClaimView,
+    source: InstanceId,
+    after: Option<ClaimKey>,
+) -> ClaimRequest {
+    let body = ClaimRequestBody::Copy {
+        view: view.clone(),
+        after,
+    };
+    ClaimRequest {
+        epoch: view.epoch,
+        from: me,
+        to: source,
+        body,
+    }
+}
