Answer in-force checks in the shared form

Need: the table commands wait for a change through the daemon, in the form that the shared types define.

Change: GET /v1/in-force answers that type; a check without wait_ms takes a second at most.

--- a/crates/tansylead-daemon/src/http/in_force.rs
+++ b/crates/tansylead-daemon/src/http/in_force.rs
@@ -1,17 +1,15 @@
-//! `GET /v1/in-force`: on which daemons a store revision is in force.
+//! `GET /v1/in-force`: on which daemons a store revision is in force. Parameters: `revision`, and
+//! `wait_ms` for how long to wait for it.
 
 use super::error::ApiError;
-use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_cluster::spread::InForceReport;
+use tansylead_types::in_force::InForceAnswer;
 
-/// Path of the check. Parameters: `revision`, and `wait_ms` for how long to wait for it.
-pub const IN_FORCE_PATH: &str = "/v1/in-force";
 /// Longest wait.
 const LONGEST_WAIT: Duration = Duration::from_secs(120);
 /// Wait if the caller states none.
-const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+const DEFAULT_WAIT: Duration = Duration::from_secs(1);
 
 /// Parameters of the check.
 #[derive(Debug, Clone, Copy)]
@@ -49,23 +47,12 @@
         })
 }
 
-/// On which daemons a revision is in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InForceBody {
-    /// Daemons that hold the revision, by their own word.
-    pub confirmed: usize,
-    /// Running daemons.
-    pub total: usize,
-    /// Peer addresses of those that do not hold it, or did not say.
-    pub missing: Vec<SocketAddr>,
-}
-
-impl From<InForceReport> for InForceBody {
-    fn from(report: InForceReport) -> Self {
-        Self {
-            confirmed: report.confirmed,
-            total: report.total,
-            missing: report.missing.into_iter().map(|node| node.0).collect(),
-        }
+/// The report, as it is answered.
+pub(super) fn answer_of(revision: u64, report: InForceReport) -> InForceAnswer {
+    InForceAnswer {
+        revision,
+        confirmed: report.confirmed,
+        total: report.total,
+        missing: report.missing.into_iter().map(|node| node.0).collect(),
     }
 }
--- a/crates/tansylead-daemon/src/http/mod.rs
+++ b/crates/tansylead-daemon/src/http/mod.rs
@@ -9,7 +9,6 @@
 
 pub use answer::{AnswerBody, ResultBody};
 pub use error::{ApiError, ErrorBody, ErrorDetail};
-pub use in_force::{IN_FORCE_PATH, InForceBody};
 pub use query_request::{
     DEADLINE_HEADER, EXPIRES_HEADER, IDEMPOTENCY_KEY_HEADER, QueryBody, REQUEST_ID_HEADER,
 };
--- a/crates/tansylead-daemon/src/http/router.rs
+++ b/crates/tansylead-daemon/src/http/router.rs
@@ -2,7 +2,7 @@
 
 use super::answer::{self, outcome_label};
 use super::error::ApiError;
-use super::in_force::{IN_FORCE_PATH, InForceBody, InForceQuery};
+use super::in_force::{InForceQuery, answer_of};
 use super::query_request::{QueryHeaders, read_body};
 use crate::clock::Clock;
 use crate::frontend::Frontend;
@@ -15,6 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use std::sync::Arc;
+use tansylead_types::in_force::IN_FORCE_PATH;
 use tansylead_types::settings::TimingSettings;
 use tansylead_types::{Moment, QueryAnswer, ServiceDefinition, ServiceName};
 
@@ -113,7 +114,7 @@
             .in_force(query.revision, query.wait)
             .await;
         let report = report.ok_or_else(|| internal("the cluster task has ended"))?;
-        json(StatusCode::OK, &InForceBody::from(report))
+        json(StatusCode::OK, &answer_of(query.revision, report))
     }
 
     fn metrics_text(&self) -> Result<Response<Full<Bytes>>, ApiError> {
