Believe a full root for 50 ms only

Frontends believed a report without room for 2 s and backed off for as long as a refusal asked, so the roots of a place at its limit stood idle between bursts.

Ruled out: a longer burst allowance at the roots (the limit is a ceiling for what leafs bear). Callers are still told the root's own retry-after.

--- a/crates/tansylead-cluster/src/routing/place_choice.rs
+++ b/crates/tansylead-cluster/src/routing/place_choice.rs
@@ -170,7 +170,7 @@
 fn refuse(now: Moment, taking_part: &[WeightedPlace<'_>], places: &ServicePlaces) -> PlaceChoice {
     let expected = taking_part
         .iter()
-        .filter_map(|candidate| places.place(candidate.place)?.room_expected_at(now))
+        .filter_map(|candidate| places.place(candidate.place)?.callers_expected_at(now))
         .min();
     let (cause, retry_after) = match expected {
         _ if taking_part.is_empty() => (RefuseCause::NoPlaceTakesPart, NO_PLACE_RETRY_AFTER),
--- a/crates/tansylead-cluster/src/routing/place_state.rs
+++ b/crates/tansylead-cluster/src/routing/place_state.rs
@@ -1,21 +1,25 @@
 //! What a frontend knows about the places and roots of one service.
 //!
 //! Owns the roots that are reachable, the room that each last reported, and back-off after a
-//! refusal. Everything here is a hint: limits are enforced by the roots. Reports grow old after
-//! [`REPORT_LIFETIME`]; a root without a fresh report is taken to have room, and a refusal
-//! corrects that at the cost of one message.
+//! refusal. Everything here is a hint: limits are enforced by the roots. A root without a fresh
+//! report is taken to have room, and a refusal corrects that at the cost of one message.
+//!
+//! A root that is full has room again at once, as its rate allows, so "no room" is believed only
+//! for [`FULL_LIFETIME`]. If frontends stayed away for longer than a root's burst allowance, the
+//! root would be idle for the difference and the place would take less than its limit.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId, PlaceName};
 
-/// How long a root's report is believed.
+/// How long the amount of room that a root reported is believed.
 pub const REPORT_LIFETIME: Duration = Duration::from_secs(2);
-/// Longest back-off after one refusal, whatever the root asked for.
-pub const MAXIMUM_BACKOFF: Duration = Duration::from_secs(30);
-/// Shortest back-off after a refusal.
-pub const MINIMUM_BACKOFF: Duration = Duration::from_millis(50);
+/// How long a root is believed to have no room, after a report or a refusal. Together with a round
+/// trip between regions it stays below the burst allowance of a root's admission.
+pub const FULL_LIFETIME: Duration = Duration::from_millis(50);
+/// How long a root that could not be reached is left out, unless membership speaks first.
+pub const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// What a root attaches to every forwarded answer and refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -37,14 +41,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct RootState {
     report: Option<(Moment, RootReport)>,
+    /// Left out until then.
     backoff_until: Option<Moment>,
+    /// When the root wants callers to come back, for their answers.
+    callers_expected_at: Option<Moment>,
 }
 
 impl RootState {
     /// Room last reported; none without a fresh report.
     pub fn reported_room(&self, now: Moment) -> Option<f64> {
         let (at, report) = self.report?;
-        let is_fresh = now.since(at) < REPORT_LIFETIME;
+        let lifetime = match report.room() {
+            0.0 => FULL_LIFETIME,
+            _ => REPORT_LIFETIME,
+        };
+        let is_fresh = now.since(at) < lifetime;
         is_fresh.then(|| report.room())
     }
 
@@ -54,13 +65,10 @@
         !backs_off && self.reported_room(now) != Some(0.0)
     }
 
-    /// When room may be found again, if there is none now.
-    fn room_expected_at(&self, now: Moment) -> Moment {
-        let report_lapses = match self.report {
-            Some((at, report)) if report.room() <= 0.0 => at + REPORT_LIFETIME,
-            _ => now,
-        };
-        report_lapses.max(self.backoff_until.unwrap_or(now))
+    /// When a caller that is refused now should come back.
+    fn callers_expected_at(&self, now: Moment) -> Moment {
+        let wanted = self.callers_expected_at.unwrap_or(now);
+        wanted.max(self.backoff_until.unwrap_or(now))
     }
 }
 
@@ -81,9 +89,10 @@
         self.roots.values().any(|root| root.has_room(now))
     }
 
-    /// When room may be found again; none without any reachable root.
-    pub fn room_expected_at(&self, now: Moment) -> Option<Moment> {
-        let expected = self.roots.values().map(|root| root.room_expected_at(now));
+    /// When callers that are refused now should come back; none without any reachable root.
+    pub fn callers_expected_at(&self, now: Moment) -> Option<Moment> {
+        let roots = self.roots.values();
+        let expected = roots.map(|root| root.callers_expected_at(now));
         expected.min()
     }
 }
@@ -116,7 +125,8 @@
         }
     }
 
-    /// Notes that a root refused for lack of room and when it wants to be asked again.
+    /// Notes that a root refused for lack of room and when it wants callers to come back. This
+    /// frontend itself tries again sooner: see the module.
     pub fn on_refusal(
         &mut self,
         now: Moment,
@@ -125,14 +135,16 @@
         retry_after: Duration,
     ) {
         if let Some(state) = self.root_mut(place, root) {
-            let backoff = retry_after.clamp(MINIMUM_BACKOFF, MAXIMUM_BACKOFF);
-            state.backoff_until = Some(now + backoff);
+            state.backoff_until = Some(now + retry_after.min(FULL_LIFETIME));
+            state.callers_expected_at = Some(now + retry_after);
         }
     }
 
-    /// Notes that a root could not be reached; the same back-off as a refusal.
+    /// Notes that a root could not be reached.
     pub fn on_unreachable(&mut self, now: Moment, place: &PlaceName, root: NodeId) {
-        self.on_refusal(now, place, root, MINIMUM_BACKOFF);
+        if let Some(state) = self.root_mut(place, root) {
+            state.backoff_until = Some(now + UNREACHABLE_BACKOFF);
+        }
     }
 
     /// What is known about a place; none without any reachable root.
