Join through seeds and members before machines of the list

Cause: after two attempts a joining daemon chose evenly among seeds, members and the machines of the platform's list. The list names leafs too, and leafs never answer, so most attempts were lost while the pause between them doubled up to 8 s. Six daemons started together beside 24 leafs were not ready after 20 s (real processes).

Change: machines of the list are asked while nobody else is known, and on every fourth attempt.

Seen failing before: the new test, 240 leafs in the list, six daemons started together: "not within 15s: all join".

Left: a daemon that knows only the machine list still tries one machine at a time.

--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -27,6 +27,9 @@
 /// First attempts to join that ask only seeds.
 const SEED_ONLY_ATTEMPTS: u32 = 2;
 
+/// Every so many attempts to join ask a machine of the list, where members or seeds are known.
+const HINT_PERIOD: u32 = 4;
+
 impl Membership {
     pub(super) fn run_sync(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
         if now < self.sync_due {
@@ -92,15 +95,22 @@
         self.choose(&missing)
     }
 
-    /// Seeds first; later also machines of the list and members already heard of.
+    /// Seeds first; later also members already heard of.
+    ///
+    /// The machine list names many more leafs than daemons, and leafs never answer. It is asked
+    /// while nothing else is known, and now and then in case nobody known answers either.
     fn join_candidate(&mut self) -> Option<NodeId> {
+        let later = self.sync.join_attempts >= SEED_ONLY_ATTEMPTS;
         let mut candidates = self.seeds.clone();
-        if candidates.is_empty() || self.sync.join_attempts >= SEED_ONLY_ATTEMPTS {
-            candidates.extend(&self.hints);
+        if candidates.is_empty() || later {
             candidates.extend(self.table.running().as_slice());
         }
         let local = self.local.node();
         candidates.retain(|node| *node != local);
+        let hint_is_due = later && self.sync.join_attempts.is_multiple_of(HINT_PERIOD);
+        if candidates.is_empty() || (hint_is_due && !self.hints.is_empty()) {
+            candidates.clone_from(&self.hints);
+        }
         self.choose(&candidates)
     }
 
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -5,6 +5,7 @@
 use common::{Simulation, seconds};
 use tansylead_cluster::codec::GossipCodec;
 use tansylead_cluster::membership::*;
+use tansylead_types::store::{Machine, MachineList, MachineState};
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, ZoneName};
 
 const PLACES: usize = 5;
@@ -335,3 +336,21 @@
     let rate = (after - before) / SAMPLE_SECONDS / (PLACES * SIZE) as u64;
     assert!(rate < BYTES_PER_SECOND_LIMIT, "{rate} B/s per daemon");
 }
+
+/// The machine list names many more leafs than daemons, and leafs never answer.
+#[test]
+fn leafs_in_the_machine_list_do_not_hold_up_joining() {
+    let mut simulation = Simulation::new(11, 3, 2);
+    let leaf = |port: u16| Machine {
+        address: ([127, 0, 0, 1], port).into(),
+        state: MachineState::Live,
+    };
+    let list = MachineList {
+        machines: (1..=240).map(leaf).collect(),
+    };
+    for index in 0..simulation.daemons.len() {
+        simulation.restart(index);
+        simulation.event(index, MembershipEvent::MachineList(list.clone()));
+    }
+    simulation.run_until(seconds(15), "all join", Simulation::members_agree);
+}
