--- a/crates/tansylead-lab/src/experiment/figures.rs
+++ b/crates/tansylead-lab/src/experiment/figures.rs
@@ -1,9 +1,10 @@
 //! The figures of one run, and their median and spread over rounds.
 
 use crate::experiment::statistics::Spread;
-use crate::load::recorder::Recorder;
+use crate::load::recorder::{Recorder, Totals};
 use serde::Serialize;
 use std::time::Duration;
+use tansylead_types::ServiceName;
 
 /// After a fault, answers have to be complete again within this time.
 pub const RECOVERY_AIM: Duration = Duration::from_secs(1);
@@ -33,29 +34,55 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Figure {
     /// Name with its unit.
-    pub name: &'static str,
+    pub name: String,
     /// Value.
     pub value: f64,
 }
 
+/// What the figures of a run are measured against.
+#[derive(Debug, Clone, Copy)]
+pub struct RunContext<'a> {
+    /// Counted part of the run.
+    pub measured: Duration,
+    /// When the fault happened.
+    pub fault_at: Option<Duration>,
+    /// Services, in the order of the streams.
+    pub services: &'a [ServiceName],
+    /// Sum of the table's limits, if the scenario sets limits.
+    pub limit_per_second: Option<f64>,
+}
+
 /// All figures of one run, in the order of the report.
 pub fn figures_of_run(
     recorder: &Recorder,
     system: &SystemFigures,
-    measured: Duration,
-    fault_at: Option<Duration>,
+    context: &RunContext<'_>,
 ) -> Vec<Figure> {
-    let mut figures = caller_figures(recorder, measured);
-    figures.extend(recovery_figures(recorder, fault_at));
+    let mut figures = caller_figures(recorder, context);
+    figures.extend(service_figures(recorder, context.services));
+    figures.extend(recovery_figures(recorder, context.fault_at));
     figures.extend(system_figures(recorder, system));
     figures
 }
 
-fn figure(name: &'static str, value: f64) -> Figure {
-    Figure { name, value }
+fn figure(name: impl Into<String>, value: f64) -> Figure {
+    Figure {
+        name: name.into(),
+        value,
+    }
+}
+
+fn caller_figures(recorder: &Recorder, context: &RunContext<'_>) -> Vec<Figure> {
+    let goodput = recorder.totals().complete as f64 / context.measured.as_secs_f64();
+    let mut figures = vec![figure("goodput_per_second", goodput)];
+    if let Some(limit) = context.limit_per_second {
+        figures.push(figure("goodput_percent_of_limit", 100.0 * goodput / limit));
+    }
+    figures.extend(answer_figures(recorder));
+    figures
 }
 
-fn caller_figures(recorder: &Recorder, measured: Duration) -> Vec<Figure> {
+fn answer_figures(recorder: &Recorder) -> Vec<Figure> {
     let totals = recorder.totals();
     let served = &totals.served_latency;
     let per_answer = totals.attempts as f64 / totals.served().max(1) as f64;
@@ -66,10 +93,6 @@
         figure("p99.9_ms", served.quantile_millis(0.999)),
         figure("coverage_percent", 100.0 * totals.coverage()),
         figure("complete_percent", 100.0 * totals.share_complete()),
-        figure(
-            "goodput_per_second",
-            totals.complete as f64 / measured.as_secs_f64(),
-        ),
         figure("attempts_per_query", per_answer),
         figure("extra_load_percent", 100.0 * totals.extra_load()),
         figure("partial", totals.partial as f64),
@@ -97,6 +120,34 @@
     ]
 }
 
+/// Figures of each service; streams repeat the services in the same order for every place.
+fn service_figures(recorder: &Recorder, services: &[ServiceName]) -> Vec<Figure> {
+    let mut figures = Vec::new();
+    for (index, service) in services.iter().enumerate() {
+        let mut totals = Totals::default();
+        for (stream, of_stream) in recorder.by_stream() {
+            if stream % services.len() == index {
+                totals.merge(of_stream);
+            }
+        }
+        let served = &totals.served_latency;
+        figures.extend([
+            figure(format!("{service}.p50_ms"), served.quantile_millis(0.5)),
+            figure(format!("{service}.p99_ms"), served.quantile_millis(0.99)),
+            figure(format!("{service}.p99.9_ms"), served.quantile_millis(0.999)),
+            figure(
+                format!("{service}.complete_percent"),
+                100.0 * totals.share_complete(),
+            ),
+            figure(
+                format!("{service}.extra_load_percent"),
+                100.0 * totals.extra_load(),
+            ),
+        ]);
+    }
+    figures
+}
+
 fn not_run_without_hint(recorder: &Recorder) -> f64 {
     let totals = recorder.totals();
     (totals.not_run - totals.not_run_with_retry_after) as f64
@@ -144,7 +195,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct FigureSpread {
     /// Name with its unit.
-    pub name: &'static str,
+    pub name: String,
     /// Median and extremes.
     #[serde(flatten)]
     pub spread: Spread,
@@ -155,16 +206,19 @@
     let Some(first) = rounds.first() else {
         return Vec::new();
     };
-    let spread_of = |name: &'static str| {
+    let spread_of = |name: &String| {
         let values = rounds
             .iter()
             .flatten()
-            .filter(move |figure| figure.name == name)
+            .filter(|figure| figure.name == *name)
             .map(|figure| figure.value);
-        Spread::of(values).map(|spread| FigureSpread { name, spread })
+        Spread::of(values).map(|spread| FigureSpread {
+            name: name.clone(),
+            spread,
+        })
     };
     first
         .iter()
-        .filter_map(|figure| spread_of(figure.name))
+        .filter_map(|figure| spread_of(&figure.name))
         .collect()
 }
--- a/crates/tansylead-lab/src/experiment/file.rs
+++ b/crates/tansylead-lab/src/experiment/file.rs
@@ -26,6 +26,49 @@
     /// What is run on them.
     #[serde(rename = "scenario")]
     pub scenarios: Vec<Scenario>,
+    /// What the product should reach.
+    #[serde(rename = "aim", default)]
+    pub aims: Vec<Aim>,
+    /// How to measure the tier's own cost; not measured if absent.
+    #[serde(default)]
+    pub cost: Option<CostPlan>,
+}
+
+/// A bound on a figure of the product in one scenario.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Aim {
+    /// The aim in words.
+    pub text: String,
+    /// Scenario.
+    pub scenario: String,
+    /// Figure; `*` at the start stands for anything, so `*.p99_ms` is every service's.
+    pub figure: String,
+    /// If present, the bound is on the ratio of medians to this scenario on the same shape.
+    #[serde(default)]
+    pub relative_to: Option<String>,
+    /// Upper bound.
+    #[serde(default)]
+    pub at_most: Option<f64>,
+    /// Lower bound.
+    #[serde(default)]
+    pub at_least: Option<f64>,
+}
+
+/// Load by which the tier's own cost is measured: a service of one shard and one of many.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CostPlan {
+    /// Length of each phase.
+    pub phase_seconds: u64,
+    /// Attempts per second of each phase.
+    pub attempts_per_second: f64,
+    /// Idle connections opened to one daemon.
+    pub connections: u32,
+    /// The service of one shard.
+    pub single: ServiceShape,
+    /// The service of many shards.
+    pub wide: ServiceShape,
 }
 
 impl ExperimentFile {
@@ -220,6 +263,7 @@
     check_counts(&file)?;
     file.shapes.iter().try_for_each(check_shape)?;
     check_scenarios(&file)?;
+    file.aims.iter().try_for_each(|aim| check_aim(&file, aim))?;
     Ok(file)
 }
 
@@ -289,3 +333,18 @@
     }
     Ok(())
 }
+
+fn check_aim(file: &ExperimentFile, aim: &Aim) -> Result<(), String> {
+    let text = &aim.text;
+    let mut named = std::iter::once(&aim.scenario).chain(&aim.relative_to);
+    let is_known = |name: &String| file.scenarios.iter().any(|scenario| scenario.name == *name);
+    if let Some(unknown) = named.find(|name| !is_known(name)) {
+        return Err(format!("aim `{text}`: there is no scenario `{unknown}`"));
+    }
+    if aim.at_most.is_some() == aim.at_least.is_some() {
+        return Err(format!(
+            "aim `{text}`: needs one of `at_most` and `at_least`"
+        ));
+    }
+    Ok(())
+}
--- a/crates/tansylead-lab/src/load/check.rs
+++ b/crates/tansylead-lab/src/load/check.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeSet;
 use tansylead_types::{Coverage, Outcome, RequestId, ShardId, SnapshotVersion};
 
+/// Status of a refusal for lack of capacity or configuration.
+const UNAVAILABLE: u16 = 503;
+
 /// A query answer as callers receive it. Fields that the checks do not need are left out.
 #[derive(Debug, Deserialize)]
 pub struct CallerAnswer {
@@ -36,6 +39,12 @@
     pub result: Box<RawValue>,
 }
 
+/// A refusal before a query was made of the request.
+#[derive(Debug, Deserialize)]
+struct CallerRefusal {
+    outcome: Outcome,
+}
+
 /// What the stand-in leaf writes into its result, so that crossed answers show.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -103,7 +112,7 @@
 /// Judges a response: its status, its body and whether it had a `Retry-After` header.
 pub fn judge(asked: &RequestId, status: u16, has_retry_after: bool, body: &[u8]) -> QueryResult {
     let Ok(answer) = serde_json::from_slice::<CallerAnswer>(body) else {
-        return QueryResult::Rejected(status);
+        return judge_refusal(status, has_retry_after, body);
     };
     match check_answer(asked, &answer) {
         Err(fault) => QueryResult::Wrong(fault.to_string()),
@@ -117,6 +126,22 @@
     }
 }
 
+/// Unavailable and not run is an honest refusal; anything else is a request gone wrong.
+fn judge_refusal(status: u16, has_retry_after: bool, body: &[u8]) -> QueryResult {
+    let refusal = serde_json::from_slice::<CallerRefusal>(body);
+    let is_not_run = refusal.is_ok_and(|refusal| refusal.outcome == Outcome::NotRun);
+    if status != UNAVAILABLE || !is_not_run {
+        return QueryResult::Rejected(status);
+    }
+    QueryResult::Answered(AnswerFigures {
+        outcome: Outcome::NotRun,
+        total: 0,
+        answered: 0,
+        attempts: 0,
+        has_retry_after,
+    })
+}
+
 /// Checks everything an answer promises about itself.
 pub fn check_answer(asked: &RequestId, answer: &CallerAnswer) -> Result<(), AnswerFault> {
     if answer.request != *asked {
--- a/crates/tansylead-lab/src/load/driver.rs
+++ b/crates/tansylead-lab/src/load/driver.rs
@@ -22,9 +22,9 @@
 use tokio::time::Instant;
 
 /// Header that carries the caller's request id.
-const REQUEST_ID_HEADER: &str = "x-request-id";
+const REQUEST_ID_HEADER: &str = "tansylead-request-id";
 /// Header that carries the caller's deadline in milliseconds.
-const DEADLINE_HEADER: &str = "x-deadline-ms";
+const DEADLINE_HEADER: &str = "tansylead-deadline-ms";
 /// Idle keep-alive connections kept to each daemon.
 const IDLE_CONNECTIONS_PER_DAEMON: usize = 64;
 /// How long a caller waits beyond its deadline before it counts the query as lost.
@@ -41,8 +41,8 @@
     pub arrivals: Vec<Arrival>,
     /// Callers' addresses of the daemons of each place.
     pub daemons: BTreeMap<PlaceName, Vec<SocketAddr>>,
-    /// Deadline of every query.
-    pub deadline: Duration,
+    /// Deadline of the queries of each stream.
+    pub deadlines: Vec<Duration>,
     /// Queries planned before this are left out of the totals.
     pub warm_up: Duration,
     /// Tells the request ids of one run from those of another.
@@ -137,7 +137,7 @@
 ) -> Result<QueryResult, SendError> {
     let request_id = request_id(&shared.plan.run_name, arrival);
     let request = build_request(&shared.plan, arrival, &request_id, daemon);
-    let patience = shared.plan.deadline + PATIENCE_BEYOND_DEADLINE;
+    let patience = shared.plan.deadlines[arrival.stream] + PATIENCE_BEYOND_DEADLINE;
     let exchange = exchange(&shared.client, request, daemon);
     let received = tokio::time::timeout(patience, exchange)
         .await
@@ -190,11 +190,14 @@
     daemon: SocketAddr,
 ) -> Request<Full<Bytes>> {
     let service = &plan.streams[arrival.stream].service;
-    let body = format!(r#"{{"subject":"{request_id}"}}"#);
+    let body = format!(r#"{{"query":{{"subject":"{request_id}"}}}}"#);
     Request::post(format!("http://{daemon}/v1/services/{service}/query"))
         .header(header::CONTENT_TYPE, "application/json")
         .header(REQUEST_ID_HEADER, request_id.as_str())
-        .header(DEADLINE_HEADER, plan.deadline.as_millis().to_string())
+        .header(
+            DEADLINE_HEADER,
+            plan.deadlines[arrival.stream].as_millis().to_string(),
+        )
         .body(Full::new(Bytes::from(body)))
         .expect("names and addresses are valid in a URI")
 }
--- a/crates/tansylead-lab/tests/experiment_file.rs
+++ b/crates/tansylead-lab/tests/experiment_file.rs
@@ -31,6 +31,12 @@
 variants = ["product", "baseline"]
 load = 0.6
 fault = { kind = "freeze_leaf", at_seconds = 2 }
+
+[[aim]]
+text = "recovers"
+scenario = "steady"
+figure = "incomplete_later_than_1s_after_fault"
+at_most = 0.0
 "#;
 
 fn error_after(change: &str, to: &str) -> String {
@@ -50,6 +56,8 @@
         error_after("load = 0.6", "load = 0.0"),
         error_after("at_seconds = 2", "at_seconds = 9"),
         error_after("freeze_leaf", "melt_leaf"),
+        error_after(r#"scenario = "steady""#, r#"scenario = "stead""#),
+        error_after("at_most = 0.0", ""),
         error_after(r#"places = ["muscat"]"#, r#"places = ["mus cat"]"#),
     ];
     insta::assert_snapshot!(errors.join("\n----\n"));
@@ -60,3 +68,18 @@
     let error = file::read(Path::new("no-such-file.toml")).unwrap_err();
     assert_eq!(error.peer.0, "no-such-file.toml");
 }
+
+#[test]
+fn the_standard_set_is_valid_and_short_enough() {
+    let path = Path::new("../../examples/experiments/standard.toml");
+    let standard = file::read(path).unwrap();
+    let runs = |scenario: &file::Scenario| scenario.variants.len() * scenario.shapes.len();
+    let seconds: u64 = standard
+        .scenarios
+        .iter()
+        .map(|scenario| standard.run_length(scenario).as_secs() * runs(scenario) as u64)
+        .sum::<u64>()
+        * u64::from(standard.rounds);
+    // The whole set has 900 s, of which a sixth is left for starting and stopping.
+    assert!(seconds <= 750, "{seconds} s of load");
+}
--- a/crates/tansylead-lab/tests/load.rs
+++ b/crates/tansylead-lab/tests/load.rs
@@ -166,3 +166,19 @@
     ];
     insta::assert_debug_snapshot!(verdicts);
 }
+
+#[test]
+fn only_an_unavailable_answer_that_says_not_run_is_a_refusal() {
+    let request = RequestId::new("r1").unwrap();
+    let body = br#"{"error":{"code":"no_place","message":"none"},"outcome":"not_run"}"#;
+    let refused = judge(&request, 503, true, body);
+    assert_eq!(refused, answered(Outcome::NotRun, 0, 0, 0));
+    assert_eq!(
+        judge(&request, 400, false, body),
+        QueryResult::Rejected(400)
+    );
+    assert_eq!(
+        judge(&request, 503, true, b"busy"),
+        QueryResult::Rejected(503)
+    );
+}
