--- a/crates/tansylead-lab/src/process/program.rs
+++ b/crates/tansylead-lab/src/process/program.rs
@@ -12,6 +12,7 @@
 pub struct Programs {
     lab: PathBuf,
     daemon: Option<PathBuf>,
+    daemon_variant: Option<&'static str>,
 }
 
 impl Programs {
@@ -27,6 +28,7 @@
         Self {
             lab: lab.to_owned(),
             daemon: daemon.is_file().then_some(daemon),
+            daemon_variant: None,
         }
     }
 
@@ -36,6 +38,17 @@
         Self {
             lab: lab.to_owned(),
             daemon: None,
+            daemon_variant: None,
+        }
+    }
+
+    /// The same programs, but daemons run through the lab's `daemon` subcommand as a variant of
+    /// the product.
+    pub fn with_daemon_variant(self, variant: &'static str) -> Self {
+        Self {
+            daemon: None,
+            daemon_variant: Some(variant),
+            ..self
         }
     }
 
@@ -57,6 +70,9 @@
             None => self.lab_command("daemon"),
         };
         command.arg("--config").arg(settings);
+        if let Some(variant) = self.daemon_variant {
+            command.arg("--variant").arg(variant);
+        }
         command
     }
 }
