--- a/crates/tansylead-lab/src/simulation/topology.rs
+++ b/crates/tansylead-lab/src/simulation/topology.rs
@@ -236,6 +236,7 @@
     });
     TrafficTable {
         rows: rows.collect(),
+        recent_changes: Vec::new(),
     }
 }
 
