--- a/crates/tansylead-cli/tests/table/support.rs
+++ b/crates/tansylead-cli/tests/table/support.rs
@@ -129,14 +129,10 @@
             readiness: Readiness::default(),
             members: 1,
             store: "current".to_owned(),
-            members: 1,
-            store: "current".to_owned(),
             revision: 0,
             table_generation,
             claim_view_epoch: None,
             claim_view_members: 0,
-            claim_view_epoch: None,
-            claim_view_members: 0,
             services: Default::default(),
         };
         let answers = std::sync::Arc::new(Mutex::new(answers));
