Simulate the whole system under virtual time

Change: `tansylead-lab simulate` runs nine daemons in three places, 24 leafs, the store, the machine list, callers and operators in one process under virtual time.

--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logging;
 pub mod machines;
 pub mod process;
+pub mod simulation;
 pub mod standin;
 pub mod store;
 pub mod wall_clock;
@@ -57,6 +58,10 @@
         command: experiment::command,
         run: experiment::run,
     },
+    Subcommand {
+        command: simulation::command,
+        run: simulation::run,
+    },
 ];
 
 /// The command line of the whole program.
