--- a/crates/tansylead-lab/src/simulation/world/mod.rs
+++ b/crates/tansylead-lab/src/simulation/world/mod.rs
@@ -10,6 +10,7 @@
 mod fault_effects;
 mod faults;
 mod leafs;
+mod operators;
 mod platform;
 mod repartition;
 
@@ -111,7 +112,7 @@
     OperatorEdits {
         operator: usize,
     },
-    OperatorGoesOn {
+    OperatorLooks {
         operator: usize,
     },
     RaceGoesOn {
@@ -273,7 +274,7 @@
             Event::CallerSends { query } => self.caller_sends(query),
             Event::CallerCancels { record } => self.caller_cancels(record),
             Event::OperatorEdits { operator } => self.operator_edits(operator),
-            Event::OperatorGoesOn { operator } => self.operator_goes_on(operator),
+            Event::OperatorLooks { operator } => self.operator_looks(operator),
             Event::RaceGoesOn { fault } => self.race_goes_on(fault),
         }
     }
