--- a/crates/tansylead-lab/src/simulation/store.rs
+++ b/crates/tansylead-lab/src/simulation/store.rs
@@ -69,7 +69,7 @@
             Request::WriteObject(key, write) => {
                 let response = match self.write(key, write) {
                     Ok(stored) => Response::Written(stored),
-                    Err(conflict) => Response::Conflict(conflict),
+                    Err(conflict) => Response::Conflict(*conflict),
                 };
                 let mut responses = vec![(call, response)];
                 responses.extend(self.answer_held());
@@ -84,13 +84,13 @@
         &mut self,
         key: ObjectKey,
         write: WriteRequest,
-    ) -> Result<StoredObject, WriteConflict> {
+    ) -> Result<StoredObject, Box<WriteConflict>> {
         let current = self.objects.get(&key);
         let generation = current.map_or(0, |stored| stored.generation);
         if generation != write.expected_generation {
-            return Err(WriteConflict {
+            return Err(Box::new(WriteConflict {
                 current: current.cloned(),
-            });
+            }));
         }
         self.revision += 1;
         let stored = StoredObject {
