Handle what an event says about leafs before sending anything

Both have a named test. The fuzz reuses request ids, so that a removed check of the query's echo is noticed.

--- a/crates/tansylead-query/src/attempt_end.rs
+++ b/crates/tansylead-query/src/attempt_end.rs
@@ -228,17 +228,12 @@
     ) -> Ending {
         context.counters.refused_not_held += 1;
         let version = self.snapshot.version;
-        let shard = &self.entry(attempt.position).shard;
-        if let Some(state) = context.leafs.get_mut(attempt.leaf) {
-            match reason {
-                RefusalReason::ShardNotHeld => {
-                    state.snapshots.on_shard_not_held(now, version, shard);
-                }
-                _ => state.snapshots.on_snapshot_not_held(now, version),
-            }
+        if reason == RefusalReason::ShardNotHeld {
+            let shard = &self.entry(attempt.position).shard;
+            context.note_shard_not_held(now, attempt.leaf, version, shard);
+        } else {
+            context.note_snapshot_not_held(now, attempt.leaf, version);
         }
-        context.leafs.touch();
-        context.displace_waiters(attempt.leaf);
         not_held(MissingReason::SnapshotGone)
     }
 }
@@ -280,6 +275,22 @@
     }
 }
 
+/// Whether the end of an attempt says that its leaf does not hold the snapshot.
+pub(crate) fn is_snapshot_refusal(
+    context: &Context,
+    query: QueryId,
+    attempt: AttemptId,
+    result: &AttemptResult,
+) -> bool {
+    match result {
+        AttemptResult::Refused(refusal) => {
+            refusal.reason == RefusalReason::SnapshotNotHeld
+                && refusal_matches(context, query, attempt, refusal)
+        }
+        _ => false,
+    }
+}
+
 fn refusal_matches(
     context: &Context,
     query: QueryId,
--- a/crates/tansylead-query/src/context.rs
+++ b/crates/tansylead-query/src/context.rs
@@ -14,15 +14,18 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::HashMap;
 use std::time::Duration;
-use tansylead_types::{AttemptId, Moment, QueryId, ServicePolicy};
+use tansylead_types::{AttemptId, Moment, QueryId, ServicePolicy, SnapshotVersion};
 
 /// Answers "when to come back" are spread over this share above the computed time.
 const RETRY_AFTER_JITTER: f64 = 0.25;
 
 /// A slot of a cancelled attempt that the leaf may still be using.
 #[derive(Debug, Clone, Copy)]
-struct HeldSlot {
-    leaf: LeafIndex,
+pub(crate) struct HeldSlot {
+    /// Leaf.
+    pub(crate) leaf: LeafIndex,
+    /// Snapshot that the attempt asked for.
+    pub(crate) snapshot: SnapshotVersion,
     until: Moment,
 }
 
@@ -115,25 +118,32 @@
         query: QueryId,
         attempt: AttemptId,
         leaf: LeafIndex,
+        snapshot: SnapshotVersion,
     ) {
         let until = now + self.tuning.cancelled_slot_hold;
-        self.held_slots
-            .insert((query, attempt), HeldSlot { leaf, until });
+        self.held_slots.insert(
+            (query, attempt),
+            HeldSlot {
+                leaf,
+                snapshot,
+                until,
+            },
+        );
         self.timers
             .schedule(until, Timer::CancelledSlot(query, attempt));
     }
 
-    /// Ends the hold of a slot. Returns its leaf if there was a hold.
+    /// Ends the hold of a slot, if there is one.
     pub(crate) fn release_held_slot(
         &mut self,
         query: QueryId,
         attempt: AttemptId,
-    ) -> Option<LeafIndex> {
+    ) -> Option<HeldSlot> {
         let held = self.held_slots.remove(&(query, attempt))?;
         self.timers
             .cancel(held.until, Timer::CancelledSlot(query, attempt));
         self.free_slot(held.leaf);
-        Some(held.leaf)
+        Some(held)
     }
 
     /// Marks a leaf whose waiting shards may now find room.
--- a/crates/tansylead-query/src/dispatch.rs
+++ b/crates/tansylead-query/src/dispatch.rs
@@ -206,7 +206,7 @@
         context.hedge_delay.record(now, elapsed);
         context.counters.attempts_cancelled += 1;
         let attempt = Self::attempt_id(index);
-        context.hold_slot(now, self.id, attempt, leaf);
+        context.hold_slot(now, self.id, attempt, leaf, self.snapshot.version);
         context.actions.push(RootAction::Cancel {
             query: self.id,
             attempt,
--- a/crates/tansylead-query/src/engine.rs
+++ b/crates/tansylead-query/src/engine.rs
@@ -1,10 +1,10 @@
 //! The engine: runtime state of the leafs of one service in one place and all queries in progress.
 //!
-//! Every event first fires the timers that are due, so that nothing is sent for a query whose
-//! deadline has passed, however late the event comes. Then the event is handled, and at last the
-//! waiting shards of leafs that have room, in order of deadline.
+//! Every event first ends the queries whose deadline has passed, so that nothing is sent for them
+//! however late the event comes. Then the event is handled, and only then the timers and waiting
+//! shards that may send attempts: they must see what the event says about leafs.
 
-use crate::attempt_end::learn_from_late_end;
+use crate::attempt_end::{is_snapshot_refusal, learn_from_late_end};
 use crate::context::Context;
 use crate::counters::EngineCounters;
 use crate::event::{AttemptResult, RateShare, RootAction, RootEvent, StartQuery};
@@ -60,7 +60,7 @@
         definition: &ServiceDefinition,
         placement: &ServicePlacement,
     ) -> Vec<RootAction> {
-        self.fire_timers(now);
+        self.end_expired(now);
         self.context.set_policy(definition.policy.clone());
         let slow_start = self.context.tuning.slow_start;
         let changes = self
@@ -69,7 +69,7 @@
             .configure(now, &placement.leafs, slow_start);
         self.catalog.configure(placement, &self.context.leafs);
         let versions: BTreeSet<_> = self.catalog.versions().into_iter().collect();
-        self.context.leafs.retain_versions(&versions);
+        self.context.leafs.retain_versions(now, &versions);
         for query in self.queries.values_mut() {
             query.refresh_replicas(self.catalog.get(query.snapshot.version));
         }
@@ -87,7 +87,7 @@
 
     /// Sets how many roots, this one included, divide the slots of each leaf.
     pub fn set_leaf_share(&mut self, now: Moment, roots: u32) -> Vec<RootAction> {
-        self.fire_timers(now);
+        self.end_expired(now);
         self.context.leafs.set_roots(roots);
         self.offer_all_leafs();
         self.take_actions(now)
@@ -95,11 +95,11 @@
 
     /// Advances the machine.
     pub fn on_event(&mut self, now: Moment, event: RootEvent) -> Vec<RootAction> {
-        // Before the timers: a caller that went away gets no answer, also when its deadline is due.
+        // Before the deadlines: a caller that went away gets no answer, also when its deadline is due.
         if let RootEvent::CallerGone(query) = event {
             self.on_caller_gone(now, query);
         }
-        self.fire_timers(now);
+        self.end_expired(now);
         match event {
             RootEvent::Start(start) => self.on_start(now, *start),
             RootEvent::AttemptEnded {
@@ -228,9 +228,14 @@
         result: AttemptResult,
     ) {
         let held = self.context.release_held_slot(query, attempt);
-        if let Some(leaf) = held {
+        if let Some(held) = held {
             self.context.counters.answers_late += 1;
-            learn_from_late_end(now, &mut self.context, leaf, query, attempt, &result);
+            learn_from_late_end(now, &mut self.context, held.leaf, query, attempt, &result);
+            let refused = is_snapshot_refusal(&self.context, query, attempt, &result);
+            if refused {
+                self.context
+                    .note_snapshot_not_held(now, held.leaf, held.snapshot);
+            }
         } else if self.queries.contains_key(&query) {
             self.advance(now, query, |query, context| {
                 query.on_attempt_ended(now, context, attempt, result);
@@ -285,10 +290,17 @@
         query.cancel_everything(now, &mut self.context);
     }
 
+    /// Ends queries whose deadline has passed. Sends nothing.
+    fn end_expired(&mut self, now: Moment) {
+        while let Some(query) = self.context.timers.pop_due_deadline(now) {
+            self.finish(now, query);
+        }
+    }
+
+    /// Fires the other timers, which may send attempts.
     fn fire_timers(&mut self, now: Moment) {
         while let Some(timer) = self.context.timers.pop_due(now) {
             match timer {
-                Timer::Deadline(query) => self.finish(now, query),
                 Timer::EarlyPartial(query) => self.advance(now, query, |_, _| {}),
                 Timer::Hedge(query) => self.advance(now, query, |query, context| {
                     query.hedge_slow_shards(now, context);
@@ -332,8 +344,10 @@
         }
     }
 
-    /// Moves waiting shards on until nothing more can move, and hands the actions out.
+    /// Fires due timers, moves waiting shards on until nothing more can move, and hands the
+    /// actions out.
     fn take_actions(&mut self, now: Moment) -> Vec<RootAction> {
+        self.fire_timers(now);
         loop {
             if let Some(waiter) = self.context.pop_displaced() {
                 self.advance(now, waiter.query, |query, context| {
--- a/crates/tansylead-query/src/leaf_signs.rs
+++ b/crates/tansylead-query/src/leaf_signs.rs
@@ -6,7 +6,7 @@
 use crate::leaving::LeavingSign;
 use crate::timers::Timer;
 use tansylead_types::leaf::LeafLoad;
-use tansylead_types::{Moment, SnapshotVersion};
+use tansylead_types::{Moment, ShardId, SnapshotVersion};
 
 impl Context {
     /// Notes a sign that the leaf is leaving.
@@ -90,6 +90,35 @@
         }
     }
 
+    /// Notes that the leaf refused because it does not hold the snapshot.
+    pub(crate) fn note_snapshot_not_held(
+        &mut self,
+        now: Moment,
+        leaf: LeafIndex,
+        version: SnapshotVersion,
+    ) {
+        if let Some(state) = self.leafs.get_mut(leaf) {
+            state.snapshots.on_snapshot_not_held(now, version);
+        }
+        self.leafs.touch();
+        self.displace_waiters(leaf);
+    }
+
+    /// Notes that the leaf refused because it does not hold the shard at the snapshot.
+    pub(crate) fn note_shard_not_held(
+        &mut self,
+        now: Moment,
+        leaf: LeafIndex,
+        version: SnapshotVersion,
+        shard: &ShardId,
+    ) {
+        if let Some(state) = self.leafs.get_mut(leaf) {
+            state.snapshots.on_shard_not_held(now, version, shard);
+        }
+        self.leafs.touch();
+        self.displace_waiters(leaf);
+    }
+
     /// Notes that an attempt to the leaf failed or could not be sent.
     pub(crate) fn note_failure(&mut self, now: Moment, leaf: LeafIndex) {
         let Some(state) = self.leafs.get_mut(leaf) else {
--- a/crates/tansylead-query/src/leaf_table.rs
+++ b/crates/tansylead-query/src/leaf_table.rs
@@ -86,9 +86,9 @@
     }
 
     /// Forgets what leafs said about snapshots that are no longer configured.
-    pub(crate) fn retain_versions(&mut self, versions: &BTreeSet<SnapshotVersion>) {
+    pub(crate) fn retain_versions(&mut self, now: Moment, versions: &BTreeSet<SnapshotVersion>) {
         for leaf in self.leafs.values_mut() {
-            leaf.snapshots.retain_versions(versions);
+            leaf.snapshots.retain_versions(now, versions);
         }
     }
 
--- a/crates/tansylead-query/src/query.rs
+++ b/crates/tansylead-query/src/query.rs
@@ -116,9 +116,7 @@
 
     /// Schedules the deadline and the early answer.
     pub(crate) fn schedule_timers(&self, context: &mut Context) {
-        context
-            .timers
-            .schedule(self.deadline, Timer::Deadline(self.id));
+        context.timers.schedule_deadline(self.deadline, self.id);
         if let Some(at) = self.early_partial_at {
             context.timers.schedule(at, Timer::EarlyPartial(self.id));
         }
@@ -126,9 +124,7 @@
 
     /// Removes all timers.
     pub(crate) fn cancel_timers(&mut self, context: &mut Context) {
-        context
-            .timers
-            .cancel(self.deadline, Timer::Deadline(self.id));
+        context.timers.cancel_deadline(self.deadline, self.id);
         if let Some(at) = self.early_partial_at {
             context.timers.cancel(at, Timer::EarlyPartial(self.id));
         }
--- a/crates/tansylead-query/src/snapshot_belief.rs
+++ b/crates/tansylead-query/src/snapshot_belief.rs
@@ -90,11 +90,15 @@
         true
     }
 
-    /// Forgets signs about snapshots that are no longer configured.
-    pub(crate) fn retain_versions(&mut self, versions: &BTreeSet<SnapshotVersion>) {
-        self.in_band.retain(|version, _| versions.contains(version));
-        self.shards_not_held
-            .retain(|version, _| versions.contains(version));
+    /// Forgets old signs about snapshots that are no longer configured. Queries in progress may
+    /// still be pinned to them, so new signs are kept.
+    pub(crate) fn retain_versions(&mut self, now: Moment, versions: &BTreeSet<SnapshotVersion>) {
+        let is_recent = |at: Moment| now.since(at) < IN_BAND_LIFETIME;
+        self.in_band
+            .retain(|version, sign| versions.contains(version) || is_recent(sign.at));
+        self.shards_not_held.retain(|version, shards| {
+            versions.contains(version) || shards.values().any(|at| is_recent(*at))
+        });
     }
 
     fn holding_snapshot(&self, now: Moment, version: SnapshotVersion) -> Holding {
--- a/crates/tansylead-query/src/timers.rs
+++ b/crates/tansylead-query/src/timers.rs
@@ -1,4 +1,7 @@
 //! Timers of the engine in order of time. Several timers may be due at the same moment.
+//!
+//! Deadlines stand apart: they only end queries, and are fired before an event is handled, while
+//! all other timers may send attempts and are fired after it.
 
 use std::collections::BTreeSet;
 use tansylead_types::{AttemptId, Moment, QueryId};
@@ -8,8 +11,6 @@
 /// What has to happen when a timer is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
-    /// The deadline of a query.
-    Deadline(QueryId),
     /// The moment from which a query may answer partially.
     EarlyPartial(QueryId),
     /// Look for slow attempts of a query.
@@ -22,13 +23,29 @@
     Leaf(LeafIndex),
 }
 
-/// Ordered set of timers.
+/// Ordered sets of timers.
 #[derive(Debug, Default)]
 pub(crate) struct Timers {
+    deadlines: BTreeSet<(Moment, QueryId)>,
     queue: BTreeSet<(Moment, Timer)>,
 }
 
 impl Timers {
+    /// Adds the deadline of a query.
+    pub(crate) fn schedule_deadline(&mut self, at: Moment, query: QueryId) {
+        self.deadlines.insert((at, query));
+    }
+
+    /// Removes the deadline of a query that is over.
+    pub(crate) fn cancel_deadline(&mut self, at: Moment, query: QueryId) {
+        self.deadlines.remove(&(at, query));
+    }
+
+    /// Removes and returns the query with the earliest deadline if it is due.
+    pub(crate) fn pop_due_deadline(&mut self, now: Moment) -> Option<QueryId> {
+        pop_due(&mut self.deadlines, now)
+    }
+
     /// Adds a timer.
     pub(crate) fn schedule(&mut self, at: Moment, timer: Timer) {
         self.queue.insert((at, timer));
@@ -41,16 +58,22 @@
 
     /// Removes and returns the earliest timer if it is due.
     pub(crate) fn pop_due(&mut self, now: Moment) -> Option<Timer> {
-        let (at, timer) = *self.queue.first()?;
-        if at > now {
-            return None;
-        }
-        self.queue.pop_first();
-        Some(timer)
+        pop_due(&mut self.queue, now)
     }
 
-    /// Moment of the earliest timer.
+    /// Moment of the earliest deadline or timer.
     pub(crate) fn next(&self) -> Option<Moment> {
-        self.queue.first().map(|(at, _)| *at)
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let timer = self.queue.first().map(|(at, _)| *at);
+        deadline.into_iter().chain(timer).min()
+    }
+}
+
+fn pop_due<T: Copy + Ord>(queue: &mut BTreeSet<(Moment, T)>, now: Moment) -> Option<T> {
+    let (at, item) = *queue.first()?;
+    if at > now {
+        return None;
     }
+    queue.pop_first();
+    Some(item)
 }
--- a/crates/tansylead-query/tests/engine/builders.rs
+++ b/crates/tansylead-query/tests/engine/builders.rs
@@ -56,11 +56,16 @@
     }
 }
 
+/// Callers choose their ids, and different callers choose the same ones.
+pub fn request_id(query: QueryId) -> RequestId {
+    RequestId::new(format!("request-{}", query.0 % 2)).unwrap()
+}
+
 pub fn start(query: u64, now: Moment, time_left: Duration) -> StartQuery {
     StartQuery {
         query: QueryId(query),
         request: QueryRequest {
-            request: RequestId::new(format!("request-{query}")).unwrap(),
+            request: request_id(QueryId(query)),
             service: service(),
             body: "{}".to_owned(),
             routing_key: None,
@@ -87,7 +92,7 @@
 
 pub fn answer_to(attempt: &SendAttempt) -> LeafAnswer {
     LeafAnswer {
-        request: RequestId::new(format!("request-{}", attempt.query.0)).unwrap(),
+        request: request_id(attempt.query),
         root: ROOT.to_owned(),
         query: attempt.query,
         attempt: attempt.attempt,
--- a/crates/tansylead-query/tests/engine/load_mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/load_mechanisms.rs
@@ -347,6 +347,21 @@
     world.assert_clean();
 }
 
+/// Found by the fuzz: hedges were due when the paused root got the configuration that removes
+/// the leafs they would have gone to.
+#[test]
+fn paused_root_hears_of_leafs_before_it_hedges() {
+    let mut world = world();
+    run_with_straggler(&mut world, 0..40, None);
+    let query = lookup(&world, 100);
+    world.start(query);
+    world.now = world.now + DEADLINE / 2;
+    world.leafs.clear();
+    let actions = world.configure();
+    assert!(sends(&actions).is_empty(), "{actions:?}");
+    world.assert_clean();
+}
+
 #[test]
 fn caller_gone_cancels_everything_without_an_answer() {
     let mut world = world();
--- a/crates/tansylead-query/tests/engine/mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/mechanisms.rs
@@ -134,6 +134,20 @@
     world.assert_clean();
 }
 
+/// Found by the fuzz: the refusal reached a paused root after its query's deadline.
+#[test]
+fn late_refusal_still_tells_that_the_leaf_lost_the_snapshot() {
+    let mut world = world();
+    let query = lookup(&world, 0);
+    let sent = sends(&world.start(query));
+    world.now = world.now + DEADLINE;
+    world.end(&sent[0], refused(&sent[0], RefusalReason::SnapshotNotHeld));
+    let query = lookup(&world, 1);
+    let next = sends(&world.start(query));
+    assert!(next.iter().all(|send| send.leaf != sent[0].leaf));
+    world.assert_clean();
+}
+
 #[test]
 fn non_repeatable_query_never_starts_over() {
     let snapshots = vec![snapshot(1, 4, 4), snapshot(2, 3, 4)];
@@ -165,6 +179,35 @@
     world.assert_clean();
 }
 
+#[test]
+fn same_version_with_another_shard_list_leaves_queries_in_progress_alone() {
+    let mut world = world_with(ServicePolicy::default(), 1, vec![snapshot(1, 4, 4)]);
+    for query in 0..2 {
+        let start = lookup(&world, query);
+        world.start(start);
+    }
+    let waiting = world.engine.status(world.now).waiting_shards;
+    assert!(waiting > 0);
+    let listed = world.oracle.shard_lists.clone();
+    world.snapshots = vec![snapshot(1, 3, 4)];
+    world.configure();
+    world.oracle.shard_lists = listed;
+    world.answer_all();
+    assert!(
+        world
+            .finished
+            .iter()
+            .all(|answer| answer.coverage.total == 4)
+    );
+    assert!(
+        world
+            .finished
+            .iter()
+            .all(|answer| answer.outcome == Outcome::Complete)
+    );
+    world.assert_clean();
+}
+
 #[test]
 fn routing_key_always_reaches_the_same_single_shard() {
     let mut world = world();
@@ -355,6 +398,8 @@
     }
     world.deliver(RootEvent::LeafLeaving(leaf(0)));
     world.deliver(RootEvent::LeafLeaving(leaf(1)));
+    let statuses = world.engine.status(world.now).leafs;
+    assert_eq!((statuses[0].waiting, statuses[1].waiting), (0, 0));
     world.answer_all();
     assert_eq!(world.finished.len(), 2);
     world.assert_clean();
--- a/crates/tansylead-query/tests/engine/oracle.rs
+++ b/crates/tansylead-query/tests/engine/oracle.rs
@@ -62,8 +62,11 @@
     pub shard_lists: BTreeMap<SnapshotVersion, Vec<ShardId>>,
     highest_percent: f64,
     being_ended: Option<(QueryId, AttemptId)>,
+    not_held: BTreeMap<(LeafId, SnapshotVersion), Moment>,
 }
 
+/// A leaf that does not hold a snapshot is not asked for it again within this time.
+const NOT_HELD_LIFETIME: Duration = Duration::from_secs(10);
 /// The mark may be forgotten after this time at the soonest.
 const SHORTEST_LEAVE: Duration = Duration::from_secs(30);
 
@@ -84,6 +87,7 @@
             .collect();
         for leaf in readded {
             self.leaving.remove(&leaf);
+            self.not_held.retain(|(refusing, _), _| *refusing != leaf);
         }
         self.slots = placement
             .leafs
@@ -155,12 +159,17 @@
             _ => false,
         };
         let leaf = entry.send.leaf.clone();
+        let held_key = (leaf.clone(), entry.send.snapshot);
+        let was_running = entry.fate == Fate::Running;
         let fate = fate_of(&entry.send, result);
         if entry.fate == Fate::Running {
             entry.fate = fate;
         } else if entry.fate == Fate::Cancelled {
             entry.fate = Fate::MayHaveRun;
         }
+        if was_running {
+            self.note_held(now, held_key, fate, result);
+        }
         if !first_end {
             return;
         }
@@ -181,6 +190,26 @@
         }
     }
 
+    fn note_held(
+        &mut self,
+        now: Moment,
+        key: (LeafId, SnapshotVersion),
+        fate: Fate,
+        result: &AttemptResult,
+    ) {
+        match result {
+            AttemptResult::Answered(_) if fate == Fate::Answered => {
+                self.not_held.remove(&key);
+            }
+            AttemptResult::Refused(refusal)
+                if fate == Fate::NotRun && refusal.reason == RefusalReason::SnapshotNotHeld =>
+            {
+                self.not_held.insert(key, now);
+            }
+            _ => {}
+        }
+    }
+
     fn on_leaving(&mut self, now: Moment, leaf: &LeafId, polled: bool) {
         if !self.slots.contains_key(leaf) {
             return;
@@ -224,7 +253,7 @@
     }
 
     fn on_send(&mut self, now: Moment, tuning: &EngineTuning, send: &SendAttempt) {
-        self.check_target(send);
+        self.check_target(now, send);
         self.check_against_case(now, send);
         let entry = Entry {
             send: send.clone(),
@@ -237,7 +266,13 @@
         self.check_budget(tuning);
     }
 
-    fn check_target(&mut self, send: &SendAttempt) {
+    fn check_target(&mut self, now: Moment, send: &SendAttempt) {
+        let refused = self.not_held.get(&(send.leaf.clone(), send.snapshot));
+        if refused.is_some_and(|at| now.since(*at) < NOT_HELD_LIFETIME) {
+            self.violation(format!(
+                "sent to a leaf that does not hold the snapshot: {send:?}"
+            ));
+        }
         if !self.slots.contains_key(&send.leaf) {
             self.violation(format!("sent to a leaf that is not configured: {send:?}"));
         }
@@ -296,6 +331,13 @@
         }
     }
 
+    /// Shards wait for this leaf.
+    pub fn check_waited_for(&mut self, leaf: &LeafId) {
+        if self.leaving.contains_key(leaf) || !self.slots.contains_key(leaf) {
+            self.violation(format!("shards wait for {leaf}, which gets no work"));
+        }
+    }
+
     /// Extra attempts: those of a shard on one snapshot beyond the first, less those that follow
     /// one that certainly did not run and was not shed.
     fn check_budget(&mut self, tuning: &EngineTuning) {
--- a/crates/tansylead-query/tests/engine/variants.rs
+++ b/crates/tansylead-query/tests/engine/variants.rs
@@ -1,12 +1,12 @@
 //! Broken variants: each breaks one promise by tampering between the engine and the oracle, as an
 //! engine without the mechanism would, and the fuzz must notice.
 
-use crate::builders::ROOT;
+use crate::builders::{ROOT, request_id};
 use crate::fuzz::Series;
 use crate::world::Tampering;
 use tansylead_query::{AttemptResult, EngineTuning, RootAction, RootEvent};
 use tansylead_types::leaf::RefusalReason;
-use tansylead_types::{Outcome, QueryAnswer, RequestId, ServicePolicy, SnapshotVersion};
+use tansylead_types::*;
 
 fn must_notice(wanted: &'static str, tampering: Tampering) {
     let series = Series {
@@ -30,119 +30,107 @@
     );
 }
 
-fn must_notice_action(wanted: &'static str, action: fn(&mut RootAction) -> bool) {
+fn must_notice_result(wanted: &'static str, result: fn(QueryId, AttemptId, &mut AttemptResult)) {
     must_notice(
         wanted,
         Tampering {
-            action,
+            result,
             ..Tampering::none()
         },
     );
 }
 
-fn answer_in(action: &mut RootAction) -> Option<&mut QueryAnswer> {
-    match action {
-        RootAction::Finish { answer, .. } => Some(answer),
-        _ => None,
-    }
+fn must_notice_action(wanted: &'static str, action: fn(&RootAction) -> bool) {
+    must_notice(
+        wanted,
+        Tampering {
+            action,
+            ..Tampering::none()
+        },
+    );
 }
 
-fn result_in(event: &mut RootEvent) -> Option<&mut AttemptResult> {
-    match event {
-        RootEvent::AttemptEnded { result, .. } => Some(result),
-        _ => None,
-    }
+fn must_notice_answer(wanted: &'static str, answer: fn(&mut QueryAnswer)) {
+    must_notice(
+        wanted,
+        Tampering {
+            answer,
+            ..Tampering::none()
+        },
+    );
 }
 
 #[test]
 fn unchecked_query_echo_is_noticed() {
-    must_notice_event("result of another query", |event| {
-        if let RootEvent::AttemptEnded {
-            query,
-            attempt,
-            result: AttemptResult::Answered(answer),
-        } = event
-        {
-            answer.query = *query;
-            answer.attempt = *attempt;
-            answer.request = RequestId::new(format!("request-{}", query.0)).unwrap();
+    must_notice_result("result of another query", |query, attempt, result| {
+        if let AttemptResult::Answered(answer) = result {
+            answer.query = query;
+            answer.attempt = attempt;
+            answer.request = request_id(query);
         }
-        true
     });
 }
 
 #[test]
 fn unchecked_root_echo_is_noticed() {
-    must_notice_event("result of another query", |event| {
-        if let Some(AttemptResult::Answered(answer)) = result_in(event) {
+    must_notice_result("result of another query", |_, _, result| {
+        if let AttemptResult::Answered(answer) = result {
             answer.root = ROOT.to_owned();
         }
-        true
     });
 }
 
 #[test]
 fn unchecked_refusal_echo_is_noticed() {
-    must_notice_event("untrue outcome", |event| {
-        if let RootEvent::AttemptEnded {
-            attempt,
-            result: AttemptResult::Refused(refusal),
-            ..
-        } = event
-        {
-            refusal.attempt = *attempt;
+    must_notice_result("untrue outcome", |_, attempt, result| {
+        if let AttemptResult::Refused(refusal) = result {
+            refusal.attempt = attempt;
         }
-        true
     });
 }
 
 #[test]
 fn unchecked_snapshot_echo_is_noticed() {
-    must_notice_event("result of another query, shard or snapshot", |event| {
-        if let Some(AttemptResult::Answered(answer)) = result_in(event) {
-            answer.snapshot = SnapshotVersion(answer.snapshot.0 - 1);
-        }
-        true
-    });
+    must_notice_result(
+        "result of another query, shard or snapshot",
+        |_, _, result| {
+            if let AttemptResult::Answered(answer) = result {
+                answer.snapshot = SnapshotVersion(answer.snapshot.0 - 1);
+            }
+        },
+    );
 }
 
 #[test]
 fn failure_taken_for_not_sent_is_noticed_as_second_dispatch() {
-    must_notice_event("non-repeatable shard dispatched again", failed_as_not_sent);
+    must_notice_result("non-repeatable shard dispatched again", failed_as_not_sent);
 }
 
 #[test]
 fn failure_taken_for_not_sent_is_noticed_as_untrue_outcome() {
-    must_notice_event("untrue outcome", failed_as_not_sent);
+    must_notice_result("untrue outcome", failed_as_not_sent);
 }
 
-fn failed_as_not_sent(event: &mut RootEvent) -> bool {
-    if let Some(result) = result_in(event)
-        && *result == AttemptResult::Failed
-    {
+fn failed_as_not_sent(_: QueryId, _: AttemptId, result: &mut AttemptResult) {
+    if *result == AttemptResult::Failed {
         *result = AttemptResult::NotSent;
     }
-    true
 }
 
 #[test]
 fn ignored_announcement_of_leaving_is_noticed() {
-    must_notice_event("sent to a leaving leaf", |event| {
-        !matches!(event, RootEvent::LeafLeaving(_))
-    });
+    let keep = |event: &mut RootEvent| !matches!(event, RootEvent::LeafLeaving(_));
+    must_notice_event("sent to a leaving leaf", keep);
 }
 
 #[test]
 fn ignored_drain_mark_is_noticed() {
-    must_notice_event("sent to a leaving leaf", |event| {
-        match result_in(event) {
-            Some(AttemptResult::Answered(answer)) => answer.load.draining = false,
-            Some(AttemptResult::Refused(refusal)) if refusal.reason == RefusalReason::Draining => {
-                refusal.reason = RefusalReason::Overloaded;
-            }
-            _ => {}
+    must_notice_result("sent to a leaving leaf", |_, _, result| match result {
+        AttemptResult::Answered(answer) => answer.load.draining = false,
+        AttemptResult::Refused(refusal) if refusal.reason == RefusalReason::Draining => {
+            refusal.reason = RefusalReason::Overloaded;
         }
-        true
+        _ => {}
     });
 }
 
@@ -162,80 +150,61 @@
 
 #[test]
 fn lost_answer_is_noticed() {
-    must_notice_action("is open", |action| answer_in(action).is_none());
+    let keep = |action: &RootAction| !matches!(action, RootAction::Finish { .. });
+    must_notice_action("is open", keep);
+}
+
+#[test]
+fn attempts_left_running_are_noticed() {
+    let keep = |action: &RootAction| !matches!(action, RootAction::Cancel { .. });
+    must_notice_action("neither ended nor cancelled", keep);
 }
 
 #[test]
 fn missing_shard_left_out_is_noticed() {
-    must_notice_action("coverage does not match", |action| {
-        if let Some(answer) = answer_in(action) {
-            answer.coverage.missing.pop();
-        }
-        true
+    must_notice_answer("coverage does not match", |answer| {
+        answer.coverage.missing.pop();
     });
 }
 
 #[test]
 fn doubled_shard_is_noticed() {
-    must_notice_action("a shard stands twice", |action| {
-        if let Some(answer) = answer_in(action) {
-            let first = answer.results.first().cloned();
-            answer.results.extend(first);
-            answer.coverage.answered = answer.results.len() as u32;
-        }
-        true
+    must_notice_answer("a shard stands twice", |answer| {
+        let first = answer.results.first().cloned();
+        answer.results.extend(first);
+        answer.coverage.answered = answer.results.len() as u32;
     });
 }
 
 #[test]
 fn coverage_on_another_snapshot_is_noticed() {
-    must_notice_action("coverage does not match the pinned shard list", |action| {
-        if let Some(answer) = answer_in(action) {
-            let version = answer
-                .snapshot
-                .map(|version| SnapshotVersion(version.0 - 1));
-            answer.snapshot = version.filter(|version| version.0 > 0);
-        }
-        true
+    must_notice_answer("coverage does not match the pinned shard list", |answer| {
+        let version = answer
+            .snapshot
+            .map(|version| SnapshotVersion(version.0 - 1));
+        answer.snapshot = version.filter(|version| version.0 > 0);
     });
 }
 
 #[test]
 fn partial_called_not_run_is_noticed() {
-    must_notice_action("untrue outcome", |action| {
-        if let Some(answer) = answer_in(action)
-            && answer.outcome == Outcome::Partial
-        {
+    must_notice_answer("untrue outcome", |answer| {
+        if answer.outcome == Outcome::Partial {
             answer.outcome = Outcome::NotRun;
         }
-        true
     });
 }
 
 #[test]
 fn missing_retry_after_is_noticed() {
-    must_notice_action("without a time to come back", |action| {
-        if let Some(answer) = answer_in(action) {
-            answer.retry_after = None;
-        }
-        true
-    });
-}
-
-#[test]
-fn attempts_left_running_are_noticed() {
-    must_notice_action("neither ended nor cancelled", |action| {
-        !matches!(action, RootAction::Cancel { .. })
+    must_notice_answer("without a time to come back", |answer| {
+        answer.retry_after = None
     });
 }
 
 #[test]
 fn exceeded_slots_are_noticed() {
-    let leafs = |leafs: &mut Vec<tansylead_types::LeafDescriptor>| {
-        for leaf in leafs {
-            leaf.slots += 1;
-        }
-    };
+    let leafs = |leafs: &mut Vec<LeafDescriptor>| leafs.iter_mut().for_each(|leaf| leaf.slots += 1);
     must_notice(
         "attempts on",
         Tampering {
@@ -259,9 +228,12 @@
 
 #[test]
 fn late_answer_is_noticed() {
-    let tampering = Tampering {
-        deliver_wakeups: false,
-        ..Tampering::none()
-    };
-    must_notice("is open past its deadline", tampering);
+    let deliver_wakeups = false;
+    must_notice(
+        "is open past its deadline",
+        Tampering {
+            deliver_wakeups,
+            ..Tampering::none()
+        },
+    );
 }
--- a/crates/tansylead-query/tests/engine/world.rs
+++ b/crates/tansylead-query/tests/engine/world.rs
@@ -13,11 +13,13 @@
 /// More wakeups than this without progress are a livelock.
 const MOST_WAKEUPS: usize = 100_000;
 
-/// Changes events before the engine sees them, and actions before the oracle sees them.
+/// Changes or drops events before the engine sees them, and actions before the oracle sees them.
 #[derive(Debug, Clone, Copy)]
 pub struct Tampering {
     pub event: fn(&mut RootEvent) -> bool,
-    pub action: fn(&mut RootAction) -> bool,
+    pub result: fn(QueryId, AttemptId, &mut AttemptResult),
+    pub action: fn(&RootAction) -> bool,
+    pub answer: fn(&mut QueryAnswer),
     pub policy: fn(&mut ServicePolicy),
     pub leafs: fn(&mut Vec<LeafDescriptor>),
     pub deliver_wakeups: bool,
@@ -27,7 +29,9 @@
     pub fn none() -> Self {
         Self {
             event: |_| true,
+            result: |_, _, _| {},
             action: |_| true,
+            answer: |_| {},
             policy: |_| {},
             leafs: |_| {},
             deliver_wakeups: true,
@@ -126,6 +130,14 @@
         if !(self.tampering.event)(&mut event) {
             return Vec::new();
         }
+        if let RootEvent::AttemptEnded {
+            query,
+            attempt,
+            result,
+        } = &mut event
+        {
+            (self.tampering.result)(*query, *attempt, result);
+        }
         let actions = self.engine.on_event(self.now, event);
         self.take(actions)
     }
@@ -189,9 +201,12 @@
     fn take(&mut self, actions: Vec<RootAction>) -> Vec<RootAction> {
         let mut seen = Vec::new();
         for mut action in actions {
-            if !(self.tampering.action)(&mut action) {
+            if !(self.tampering.action)(&action) {
                 continue;
             }
+            if let RootAction::Finish { answer, .. } = &mut action {
+                (self.tampering.answer)(answer);
+            }
             self.oracle.on_action(self.now, &self.tuning, &action);
             if let RootAction::Finish { answer, .. } = &action {
                 self.finished.push(answer.clone());
@@ -205,6 +220,9 @@
     fn check(&mut self) {
         let status = self.engine.status(self.now);
         let waiting = status.waiting_shards + status.backing_off_shards;
+        for leaf in status.leafs.iter().filter(|leaf| leaf.waiting > 0) {
+            self.oracle.check_waited_for(&leaf.leaf);
+        }
         let wakeup = self.engine.next_wakeup();
         self.oracle.check_open_queries(self.now, waiting, wakeup);
     }
