Let daemons ask whether a change of the claim view is due

A daemon that planned once without statuses, to see whether asking for them was worth it, got no answer since a view changes only when it is settled, and so would never have changed its view after the first. The question has its own function now, tested together with the plan. Both clocks are read by one function in the order that is safe: the wall clock first.

--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -31,6 +31,15 @@
     pub wall: WallTime,
 }
 
+impl ClaimTime {
+    /// Reads both clocks in the order that is safe.
+    pub fn read(wall: impl FnOnce() -> WallTime, now: impl FnOnce() -> Moment) -> Self {
+        let wall = wall();
+        let now = now();
+        Self { now, wall }
+    }
+}
+
 /// What happens to a member besides requests.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ClaimMemberEvent {
--- a/crates/tansylead-cluster/src/claims/planner.rs
+++ b/crates/tansylead-cluster/src/claims/planner.rs
@@ -58,7 +58,8 @@
 
     /// The next view, if one is due. `current` is the view in the store; pass none only if the
     /// store says that the object never existed, and then write with expected generation 0.
-    /// `statuses` are recent answers of the current view's members. Call it about once a second.
+    /// `statuses` are answers of the current view's members; without them it changes only after the
+    /// loss of a majority. Call this or [`Self::is_change_due`] about once a second.
     pub fn plan(
         &mut self,
         now: Moment,
@@ -66,27 +67,49 @@
         live: &[LiveDaemon],
         statuses: &BTreeMap<InstanceId, ClaimMemberStatus>,
     ) -> Option<ClaimView> {
+        let gone = self.observe(now, current, live)?;
+        let reported = |status: &ClaimMemberStatus| status.complete && status.epoch == self.epoch;
+        let complete = statuses.iter().filter(|(_, status)| reported(status));
+        let complete: Vec<InstanceId> = complete.map(|(instance, _)| *instance).collect();
+        self.complete.extend(complete);
+        next_claim_view(current, live, &gone, &self.complete)
+    }
+
+    /// Whether a change would be due if the current view were settled. Only then is it worth asking
+    /// its members for their statuses, which [`Self::plan`] needs.
+    pub fn is_change_due(
+        &mut self,
+        now: Moment,
+        current: Option<&ClaimView>,
+        live: &[LiveDaemon],
+    ) -> bool {
+        let members = current.map_or(&[][..], |view| &view.members);
+        let everyone = members.iter().map(|member| member.instance).collect();
+        let gone = self.observe(now, current, live);
+        gone.is_some_and(|gone| next_claim_view(current, live, &gone, &everyone).is_some())
+    }
+
+    /// Notes who is there. Returns who is gone, or none if it is too early for a change.
+    fn observe(
+        &mut self,
+        now: Moment,
+        current: Option<&ClaimView>,
+        live: &[LiveDaemon],
+    ) -> Option<BTreeSet<InstanceId>> {
         let epoch = current.map_or(0, |view| view.epoch);
         if epoch != self.epoch {
             self.epoch = epoch;
             self.epoch_since = now;
             self.complete.clear();
         }
-        let complete = statuses
-            .iter()
-            .filter(|(_, s)| s.complete && s.epoch == epoch);
-        self.complete
-            .extend(complete.map(|(instance, _)| *instance));
         let gone = self.gone(now, current, live);
         // Whoever has just vanished is waited for, so that one change replaces all who are gone.
         let is_undecided = self
             .absent_since
             .keys()
             .any(|instance| !gone.contains(instance));
-        if is_undecided || now.since(self.epoch_since) < CHANGE_INTERVAL {
-            return None;
-        }
-        next_claim_view(current, live, &gone, &self.complete)
+        let is_early = now.since(self.epoch_since) < CHANGE_INTERVAL;
+        (!is_undecided && !is_early).then_some(gone)
     }
 
     /// Members absent for long enough, or leaving.
--- a/crates/tansylead-cluster/tests/claims_rules.rs
+++ b/crates/tansylead-cluster/tests/claims_rules.rs
@@ -502,6 +502,25 @@
         .expect("a view");
     let reports = statuses(&view);
     let four = live(0..4, 1);
+    let mut fresh = ClaimViewPlanner::new(Moment(0));
+    for (seconds, is_due) in [(20, false), (21, false), (32, true)] {
+        let at = Moment::from_millis(seconds * 1_000);
+        assert_eq!(
+            fresh.is_change_due(at, Some(&view), &four),
+            is_due,
+            "{seconds}"
+        );
+        assert_eq!(
+            fresh.plan(at, Some(&view), &four, &none),
+            None,
+            "not known to be settled"
+        );
+    }
+    let at = Moment::from_millis(33_000);
+    assert!(
+        fresh.plan(at, Some(&view), &four, &reports).is_some(),
+        "settled"
+    );
     let mut plan = |seconds: u64, live: &[LiveDaemon]| {
         planner.plan(
             Moment::from_millis(seconds * 1_000),
