Plan claim views with the statuses of their members

The planner's first look had no statuses, and a view changes only when its members are known to hold all earlier claims: the daemons never changed the first view.

--- a/crates/tansylead-daemon/src/claims/planner_task.rs
+++ b/crates/tansylead-daemon/src/claims/planner_task.rs
@@ -64,11 +64,7 @@
     }
     let live = live_daemons(&parts.members.borrow());
     let now = Clock.now();
-    let nothing_known = BTreeMap::new();
-    if planner
-        .plan(now, current.as_deref(), &live, &nothing_known)
-        .is_none()
-    {
+    if !planner.is_change_due(now, current.as_deref(), &live) {
         return;
     }
     let statuses = parts.member_statuses(current.as_deref()).await;
--- a/crates/tansylead-daemon/src/claims/service.rs
+++ b/crates/tansylead-daemon/src/claims/service.rs
@@ -114,10 +114,7 @@
 
     /// Both clocks.
     pub(super) fn time(&self) -> ClaimTime {
-        ClaimTime {
-            now: self.clock.now(),
-            wall: self.clock.wall(),
-        }
+        ClaimTime::read(|| self.clock.wall(), || self.clock.now())
     }
 
     /// The claim view in force.
