Split the larger files of claims by what they hold

Events, and grants with their releases, leave the member and the requester; the tests of views and the simulated root get files of their own.

--- /dev/null
+++ b/crates/tansylead-cluster/src/claims/event.rs
@@ -0,0 +1,44 @@
+//! What a claim member is told: the time, the view, responses.
+
+use super::message::ClaimResponse;
+use tansylead_types::{ClaimView, InstanceId, Moment, WallTime};
+
+/// Both clocks. The wall clock must be read first: if the process is paused between the two
+/// readings, the expiries accepted are then bounded by a time at which the lease was still valid.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimTime {
+    /// Monotonic clock that counts suspended time.
+    pub now: Moment,
+    /// Wall clock.
+    pub wall: WallTime,
+}
+
+impl ClaimTime {
+    /// Reads both clocks in the order that is safe.
+    pub fn read(wall: impl FnOnce() -> WallTime, now: impl FnOnce() -> Moment) -> Self {
+        let wall = wall();
+        let now = now();
+        Self { now, wall }
+    }
+}
+
+/// What happens to a member besides requests.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClaimMemberEvent {
+    /// The configuration holds this view at this generation of its object.
+    ViewLearned {
+        /// The view.
+        view: ClaimView,
+        /// Generation of the stored object; equals the epoch unless the object was deleted.
+        generation: u64,
+    },
+    /// A response to a request that this member sent to `asked`.
+    Response {
+        /// The instance that was asked.
+        asked: InstanceId,
+        /// What came back from its address.
+        response: ClaimResponse,
+    },
+    /// The time of [`ClaimMember::next_wakeup`] has come.
+    Wakeup,
+}
--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -2,6 +2,7 @@
 //! claims of earlier views when the view changes. Runs on every daemon; grants only in views that
 //! name this very instance.
 
+use super::event::{ClaimMemberEvent, ClaimTime};
 use super::expiry::is_expiry_too_long;
 use super::group::claim_group;
 use super::lease::QuorumLease;
@@ -21,46 +22,6 @@
 /// Epochs in which the member was complete that it remembers.
 const REMEMBERED_EPOCHS: usize = 16;
 
-/// Both clocks. The wall clock must be read first: if the process is paused between the two
-/// readings, the expiries accepted are then bounded by a time at which the lease was still valid.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClaimTime {
-    /// Monotonic clock that counts suspended time.
-    pub now: Moment,
-    /// Wall clock.
-    pub wall: WallTime,
-}
-
-impl ClaimTime {
-    /// Reads both clocks in the order that is safe.
-    pub fn read(wall: impl FnOnce() -> WallTime, now: impl FnOnce() -> Moment) -> Self {
-        let wall = wall();
-        let now = now();
-        Self { now, wall }
-    }
-}
-
-/// What happens to a member besides requests.
-#[derive(Debug, Clone, PartialEq)]
-pub enum ClaimMemberEvent {
-    /// The configuration holds this view at this generation of its object.
-    ViewLearned {
-        /// The view.
-        view: ClaimView,
-        /// Generation of the stored object; equals the epoch unless the object was deleted.
-        generation: u64,
-    },
-    /// A response to a request that this member sent to `asked`.
-    Response {
-        /// The instance that was asked.
-        asked: InstanceId,
-        /// What came back from its address.
-        response: ClaimResponse,
-    },
-    /// The time of [`ClaimMember::next_wakeup`] has come.
-    Wakeup,
-}
-
 /// A view the member has adopted and its progress in it.
 #[derive(Debug, Clone)]
 struct AdoptedView {
--- a/crates/tansylead-cluster/src/claims/mod.rs
+++ b/crates/tansylead-cluster/src/claims/mod.rs
@@ -25,7 +25,9 @@
 //!    [`AnswerCache::not_run`] and [`release_requests`].
 
 mod answers;
+mod event;
 mod expiry;
+mod grant;
 mod group;
 mod lease;
 mod member;
@@ -37,16 +39,15 @@
 mod transfer;
 
 pub use answers::{AnswerCache, AnswerStatus, Begin};
+pub use event::{ClaimMemberEvent, ClaimTime};
 pub use expiry::{DispatchRefused, check_before_dispatch};
+pub use grant::{ClaimDecision, ClaimGrant, ClaimTerms, release_requests};
 pub use group::{GROUP_SIZE, claim_group, majority, seal_quorum};
-pub use member::{ClaimMember, ClaimMemberEvent, ClaimTime};
+pub use member::ClaimMember;
 pub use message::{
     ClaimHolder, ClaimId, ClaimKey, ClaimMemberStatus, ClaimRefusal, ClaimRequest,
     ClaimRequestBody, ClaimResponse, ClaimResponseBody, CopiedClaim, CopiedPage,
 };
 pub use planner::{ClaimViewPlanner, LiveDaemon, MAXIMUM_VIEW_MEMBERS, next_claim_view};
-pub use requester::{
-    ClaimDecision, ClaimGrant, ClaimRequester, ClaimRequesterAction, ClaimRequesterEvent,
-    ClaimTerms, release_requests,
-};
+pub use requester::{ClaimRequester, ClaimRequesterAction, ClaimRequesterEvent};
 pub use settings::ClaimSettings;
--- a/crates/tansylead-cluster/src/claims/requester.rs
+++ b/crates/tansylead-cluster/src/claims/requester.rs
@@ -2,8 +2,9 @@
 //! arrives after the decision. Ballots that split are tried again: the lowest instance keeps its
 //! votes, the others release theirs and come back after a random pause.
 
+use super::event::ClaimTime;
+use super::grant::{ClaimDecision, ClaimGrant, ClaimTerms, requests};
 use super::group::{claim_group, majority};
-use super::member::ClaimTime;
 use super::message::{
     ClaimHolder, ClaimId, ClaimKey, ClaimRefusal, ClaimRequest, ClaimRequestBody, ClaimResponse,
     ClaimResponseBody,
@@ -15,53 +16,6 @@
 use std::time::Duration;
 use tansylead_types::{ClaimView, InstanceId, Moment, WallTime};
 
-/// What a requester asks for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClaimTerms {
-    /// Key.
-    pub key: ClaimKey,
-    /// First attempt, from [`super::AnswerCache::begin`].
-    pub claim: ClaimId,
-    /// Expiry of the request; must have passed [`super::check_before_dispatch`].
-    pub expires: WallTime,
-}
-
-/// Permission to dispatch one request once. Dispatching still needs
-/// [`super::check_before_dispatch`] right before the bytes leave.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClaimGrant {
-    /// Key.
-    pub key: ClaimKey,
-    /// This root and its claim.
-    pub holder: ClaimHolder,
-    /// Expiry of the request.
-    pub expires: WallTime,
-    /// Members that were asked.
-    pub group: Vec<InstanceId>,
-}
-
-/// The one decision of a requester.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ClaimDecision {
-    /// A majority granted the claim.
-    Granted(ClaimGrant),
-    /// Not granted, and others are known to hold the key. Ask them what became of it; unless all
-    /// of them say it never ran, the outcome is not `not_run`.
-    HeldBy {
-        /// All holders heard of.
-        holders: Vec<ClaimHolder>,
-    },
-    /// Not granted, and nobody is known to hold the key: `not_run`.
-    Refused {
-        /// The most frequent reason.
-        reason: ClaimRefusal,
-        /// When to come back.
-        retry_after: Duration,
-        /// Highest epoch heard of; if above the requester's view, fetch the newer view.
-        highest_epoch: u64,
-    },
-}
-
 /// What happens to a requester.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ClaimRequesterEvent {
@@ -382,35 +336,3 @@
         }
     }
 }
-
-/// Requests that release a grant whose request truthfully ended as `not_run`. `view` is the newest
-/// view known: claims move to its group when the view changes. Losing these requests is harmless:
-/// the key stays claimed until its expiry.
-pub fn release_requests(view: &ClaimView, grant: &ClaimGrant) -> Vec<ClaimRequest> {
-    let current = claim_group(&view.members, &grant.key);
-    let mut members: BTreeSet<InstanceId> = grant.group.iter().copied().collect();
-    members.extend(current.iter().map(|member| member.instance));
-    let body = ClaimRequestBody::Release {
-        key: grant.key.clone(),
-        claim: grant.holder.claim,
-        expires: grant.expires,
-    };
-    let members: Vec<InstanceId> = members.into_iter().collect();
-    requests(grant.holder.owner, view.epoch, &members, &body)
-}
-
-fn requests(
-    from: InstanceId,
-    epoch: u64,
-    to: &[InstanceId],
-    body: &ClaimRequestBody,
-) -> Vec<ClaimRequest> {
-    to.iter()
-        .map(|to| ClaimRequest {
-            epoch,
-            from,
-            to: *to,
-            body: body.clone(),
-        })
-        .collect()
-}
--- a/crates/tansylead-cluster/tests/claims_rules.rs
+++ b/crates/tansylead-cluster/tests/claims_rules.rs
@@ -1,11 +1,13 @@
-//! Rules of the claim machines one by one: groups, members, requesters, answers and views.
+//! Rules of the claim machines one by one: members, requesters, expiry and answers.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod claims_support;
+
+use claims_support::{instance, key, member};
 use std::time::Duration;
 use tansylead_cluster::claims::*;
 use tansylead_types::{
-    ClaimView, ClaimViewMember, Coverage, InstanceId, Moment, NodeId, Outcome, QueryAnswer,
-    ShardResult, WallTime,
+    ClaimView, ClaimViewMember, Coverage, InstanceId, Moment, Outcome, QueryAnswer, ShardResult,
+    WallTime,
 };
 
 const WALL: u64 = 1_000_000;
@@ -21,28 +23,6 @@
     WallTime(WALL + millis)
 }
 
-fn instance(node: u16, boot: u64) -> InstanceId {
-    InstanceId {
-        node: NodeId(([10, 0, 0, 1], 7_000 + node).into()),
-        boot,
-    }
-}
-
-fn member(node: u16, boot: u64, place: u16, zone: u16) -> ClaimViewMember {
-    ClaimViewMember {
-        instance: instance(node, boot),
-        place: format!("place-{place}").parse().expect("valid"),
-        zone: format!("zone-{zone}").parse().expect("valid"),
-    }
-}
-
-fn key(name: &str) -> ClaimKey {
-    ClaimKey {
-        service: "payments".parse().expect("valid"),
-        key: name.parse().expect("valid"),
-    }
-}
-
 fn view_of(members: Vec<ClaimViewMember>) -> ClaimView {
     ClaimView {
         epoch: 1,
@@ -94,28 +74,6 @@
     matches!(response.body, ClaimResponseBody::Granted { .. })
 }
 
-#[test]
-fn a_group_has_three_places_or_else_three_zones() {
-    let places: Vec<_> = (0..9).map(|node| member(node, 1, node % 3, node)).collect();
-    let zones: Vec<_> = (0..9).map(|node| member(node, 1, 0, node % 3)).collect();
-    for number in 0..200 {
-        let key = key(&format!("key-{number}"));
-        let by_place: BTreeSet<_> = claim_group(&places, &key)
-            .iter()
-            .map(|m| &m.place)
-            .collect();
-        let by_zone: BTreeSet<_> = claim_group(&zones, &key).iter().map(|m| &m.zone).collect();
-        assert_eq!((by_place.len(), by_zone.len()), (GROUP_SIZE, GROUP_SIZE));
-    }
-}
-
-#[test]
-fn sealed_members_meet_every_majority() {
-    for members in 1..=15 {
-        assert!(seal_quorum(members) + majority(members) > members);
-    }
-}
-
 #[test]
 fn a_member_grants_a_key_once_until_it_expires() {
     let mut lone = lone_member(ClaimSettings::default());
@@ -420,125 +378,6 @@
     );
 }
 
-fn live(nodes: impl IntoIterator<Item = u16>, boot: u64) -> Vec<LiveDaemon> {
-    let daemon = |node: u16| LiveDaemon {
-        member: member(node, boot, node % 3, node % 6),
-        is_leaving: false,
-    };
-    nodes.into_iter().map(daemon).collect()
-}
-
-#[test]
-fn a_view_changes_little_and_only_on_the_side_of_the_majority() {
-    let none = BTreeSet::new();
-    let first = next_claim_view(None, &live(0..20, 1), &none, &none).expect("a first view");
-    assert_eq!(first.members.len(), MAXIMUM_VIEW_MEMBERS);
-    let complete: BTreeSet<_> = first.members.iter().map(|member| member.instance).collect();
-    assert_eq!(
-        next_claim_view(Some(&first), &live(0..20, 1), &none, &complete),
-        None
-    );
-
-    let lost = first.members[3].instance;
-    let without: Vec<_> = live(0..20, 1)
-        .into_iter()
-        .filter(|daemon| daemon.member.instance != lost)
-        .collect();
-    let gone = BTreeSet::from([lost]);
-    let second = next_claim_view(Some(&first), &without, &gone, &complete).expect("a change");
-    let stayed = second
-        .members
-        .iter()
-        .filter(|m| complete.contains(&m.instance))
-        .count();
-    assert_eq!((second.epoch, second.members.len(), stayed), (2, 15, 14));
-    assert_eq!(second.earlier.len(), 1);
-    assert_eq!(
-        next_claim_view(Some(&first), &without, &gone, &none),
-        None,
-        "not settled"
-    );
-
-    let few = live(0..6, 1);
-    let absent = |member: &ClaimViewMember| few.iter().all(|d| d.member != *member);
-    let gone = first
-        .members
-        .iter()
-        .filter(|m| absent(m))
-        .map(|m| m.instance)
-        .collect();
-    assert_eq!(
-        next_claim_view(Some(&first), &few, &gone, &complete),
-        None,
-        "a minority"
-    );
-    let restarted = live(0..20, 2);
-    let everyone = next_claim_view(Some(&first), &restarted, &complete, &none);
-    assert_eq!(everyone.expect("all are known to be dead").earlier.len(), 1);
-}
-
-#[test]
-fn a_member_is_replaced_after_a_while_or_when_it_leaves() {
-    let statuses = |view: &ClaimView| -> BTreeMap<InstanceId, ClaimMemberStatus> {
-        let status = ClaimMemberStatus {
-            epoch: view.epoch,
-            complete: true,
-            claims: 0,
-        };
-        view.members
-            .iter()
-            .map(|member| (member.instance, status.clone()))
-            .collect()
-    };
-    let mut planner = ClaimViewPlanner::new(Moment(0));
-    let (five, none) = (live(0..5, 1), BTreeMap::new());
-    assert_eq!(
-        planner.plan(Moment::from_millis(1_000), None, &five, &none),
-        None,
-        "too early"
-    );
-    let view = planner
-        .plan(Moment::from_millis(6_000), None, &five, &none)
-        .expect("a view");
-    let reports = statuses(&view);
-    let four = live(0..4, 1);
-    let mut fresh = ClaimViewPlanner::new(Moment(0));
-    for (seconds, is_due) in [(20, false), (21, false), (32, true)] {
-        let at = Moment::from_millis(seconds * 1_000);
-        assert_eq!(
-            fresh.is_change_due(at, Some(&view), &four),
-            is_due,
-            "{seconds}"
-        );
-        assert_eq!(
-            fresh.plan(at, Some(&view), &four, &none),
-            None,
-            "not known to be settled"
-        );
-    }
-    let at = Moment::from_millis(33_000);
-    assert!(
-        fresh.plan(at, Some(&view), &four, &reports).is_some(),
-        "settled"
-    );
-    let mut plan = |seconds: u64, live: &[LiveDaemon]| {
-        planner.plan(
-            Moment::from_millis(seconds * 1_000),
-            Some(&view),
-            live,
-            &reports,
-        )
-    };
-    assert_eq!(plan(20, &five), None);
-    assert_eq!(plan(21, &four), None, "absent for a moment");
-    assert_eq!(plan(25, &five), None, "back again");
-    assert_eq!(plan(26, &four), None);
-    assert_eq!(plan(36, &four).map(|view| view.members.len()), Some(4));
-    let mut leaving = five.clone();
-    leaving[0].is_leaving = true;
-    assert_eq!(plan(37, &leaving).map(|view| view.members.len()), Some(4));
-}
-
 #[test]
 fn the_wait_covers_lease_expiry_skew_and_drift() {
     let settings = ClaimSettings::default();
--- a/crates/tansylead-cluster/tests/claims_world/mod.rs
+++ b/crates/tansylead-cluster/tests/claims_world/mod.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod faults;
+mod root;
 
 pub use daemon::Variant;
 use daemon::{Daemon, Reply};
