--- a/crates/tansylead-cluster/tests/claims_simulation.rs
+++ b/crates/tansylead-cluster/tests/claims_simulation.rs
@@ -100,7 +100,7 @@
     0
 );
 broken_variant!(no_epoch_check_is_found_out, NoEpochCheck, 23);
-broken_variant!(no_sealing_is_found_out, NoSealing, 30);
+broken_variant!(no_sealing_is_found_out, NoSealing, 3);
 broken_variant!(single_grant_is_found_out, SingleGrant, 0);
 broken_variant!(late_grant_is_found_out, LateGrantUsed, 0);
 broken_variant!(no_lease_is_found_out, NoLease, 4);
