--- a/crates/tansylead-daemon/src/http/server.rs
+++ b/crates/tansylead-daemon/src/http/server.rs
@@ -114,7 +114,8 @@
         let connections = self.state.metrics().caller_connections.get();
         let long_enough = now.since(drain_started) >= self.limits.drain_minimum;
         let unused = connections == 0 || idle_for >= self.limits.drain_idle;
-        long_enough && unused && self.state.queries_in_progress() == 0
+        let forwarded = now.since(self.state.last_forwarded()) < self.limits.drain_idle;
+        long_enough && unused && !forwarded && self.state.queries_in_progress() == 0
     }
 
     async fn on_accept(&self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
--- a/crates/tansylead-daemon/src/peer_service.rs
+++ b/crates/tansylead-daemon/src/peer_service.rs
@@ -73,12 +73,15 @@
 
 impl PeerService {
     async fn query(&self, query: ForwardedQuery) -> PeerResponse {
-        let _in_progress = self.state.query_started();
         let deadline = Clock.now() + query.request.time_left;
         let key = PlacementKey {
             service: query.request.service.clone(),
             place: query.place,
         };
+        if !self.roots.has(&key) {
+            return PeerResponse::NotRoot;
+        }
+        let _in_progress = self.state.forwarded_query_started();
         match self.roots.execute(&key, query.request, deadline).await {
             Ok(answered) => PeerResponse::Answer(Box::new(ForwardedAnswer {
                 answer: answered.answer,
--- a/crates/tansylead-daemon/src/state.rs
+++ b/crates/tansylead-daemon/src/state.rs
@@ -10,9 +10,9 @@
 use prometheus::IntGauge;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tansylead_cluster::spread::StoreState;
-use tansylead_types::{ObjectKey, ServiceName, Settings};
+use tansylead_types::{Moment, ObjectKey, ServiceName, Settings};
 use tokio::sync::watch;
 
 /// What the state is read from.
@@ -42,6 +42,7 @@
     parts: StateParts,
     draining: AtomicBool,
     refusing: AtomicBool,
+    last_forwarded_micros: AtomicU64,
     shares_were_in_force: AtomicBool,
     clock: Clock,
 }
@@ -53,6 +54,7 @@
             parts,
             draining: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            last_forwarded_micros: AtomicU64::new(0),
             shares_were_in_force: AtomicBool::new(false),
             clock: Clock,
         }
@@ -94,6 +96,18 @@
         InProgress::new(&self.metrics().queries_in_progress)
     }
 
+    /// Counts a query of another frontend as in progress until the guard is dropped.
+    pub fn forwarded_query_started(&self) -> InProgress {
+        let now = self.clock.now();
+        self.last_forwarded_micros.store(now.0, Ordering::Relaxed);
+        self.query_started()
+    }
+
+    /// When the last query of another frontend arrived.
+    pub fn last_forwarded(&self) -> Moment {
+        Moment(self.last_forwarded_micros.load(Ordering::Relaxed))
+    }
+
     /// Queries in progress, for own callers and for other frontends.
     pub fn queries_in_progress(&self) -> i64 {
         self.metrics().queries_in_progress.get()
--- a/crates/tansylead-daemon/src/tuning.rs
+++ b/crates/tansylead-daemon/src/tuning.rs
@@ -42,7 +42,8 @@
     pub maximum_waiting_commands: usize,
     /// During a planned stop, a connection without requests for this long is closed.
     pub drain_idle: Duration,
-    /// During a planned stop, new connections are accepted for at least this long.
+    /// A planned stop takes at least this long, so that all frontends have learned of it: longer
+    /// than [`Tuning::drain_root_hold`].
     pub drain_minimum: Duration,
     /// During a planned stop, queries of callers that still come after this long are refused.
     pub drain_accept: Duration,
@@ -76,7 +77,7 @@
             admission_burst: Duration::from_millis(100),
             maximum_waiting_commands: 4_096,
             drain_idle: Duration::from_secs(2),
-            drain_minimum: Duration::from_secs(1),
+            drain_minimum: Duration::from_secs(4),
             drain_accept: Duration::from_secs(10),
             drain_root_hold: Duration::from_secs(3),
             claim_handover_limit: Duration::from_secs(15),
