Bind slots to zones so that a lost root moves no other slot

A slot that is won waits the takeover time. With zone quotas the loss of one root could move the other slot of the service too, and then the place admitted nothing for that time.

Each slot is now bound to a zone (zones of leafs, which configuration names, and of members, in an order by hash) and takes a member of it; only slots of a zone without members, or with less than a quarter of the mean, choose freely, unused zones first. Ruled out: slots ranked over all zones with quotas (the earlier choice), one order of zones with members (losing one moves all slots).

Assignments moved when one of N leaves, before -> after: 1.18 -> 1.00 /N (12 members, 3 zones, 2 slots), 1.28 -> 1.00 (40, 3, 2), 1.01 -> 1.02 (40, 1 zone, 2), 1.66 -> 1.05 (40, 3 zones, 6 slots). Slots of other zones moved by the loss of any member or one zone, 100 services of 2 slots, 36 members: 59 -> 0. Services whose root is the first member back in a lost zone, of 400: 30; 216 without the rule for small zones (the test fails then).

--- a/crates/tansylead-cluster/src/routing/serving_set.rs
+++ b/crates/tansylead-cluster/src/routing/serving_set.rs
@@ -6,6 +6,8 @@
 //!   table's limit;
 //! - slots x connections per root x [`MEMBERSHIP_VIEWS`] stays under every leaf's connection limit;
 //! - with at least two slots and two zones the roots are never all in one zone;
+//! - a member or zone that is lost moves no slot that a member of another zone holds, except where
+//!   that one stands in for a zone without members;
 //! - equal inputs, in any order, give equal sets.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +23,8 @@
 pub const MINIMUM_ROOTS: u32 = 2;
 /// Most roots of a service in a place; sharing a limit among more costs more than it carries.
 pub const MAXIMUM_ROOTS: u32 = 15;
+/// A zone with less than the mean number of members divided by this is small.
+pub const SMALL_ZONE_DIVISOR: usize = 4;
 /// Leaf attempts per second that one root is planned to carry for one service.
 pub const ROOT_ATTEMPTS_PER_SECOND: u64 = 10_000;
 
@@ -89,7 +93,8 @@
     }
 }
 
-/// The roots of `service` in `place`: see the module's invariants and [`Candidate`].
+/// The roots of `service` in `place`: see the module's invariants and [`Candidate`]. The placement
+/// is that of the same service and place.
 pub fn serving_set(
     service: &ServiceName,
     place: &PlaceName,
@@ -100,7 +105,7 @@
     let plan = serving_plan(placement, table_limit);
     let members = members_of_place(place, members);
     ServingSet {
-        roots: select_roots(service, place, plan.root_count, &members),
+        roots: select_roots(service, place, placement, plan.root_count, &members),
         connections_per_root: plan.connections_per_root,
     }
 }
@@ -135,10 +140,10 @@
         .min(MAXIMUM_ROOTS)
 }
 
-fn members_of_place<'a>(
-    place: &PlaceName,
-    members: &'a [Candidate],
-) -> BTreeMap<NodeId, &'a ZoneName> {
+/// Members of one place with their zones.
+type Members<'a> = BTreeMap<NodeId, &'a ZoneName>;
+
+fn members_of_place<'a>(place: &PlaceName, members: &'a [Candidate]) -> Members<'a> {
     members
         .iter()
         .filter(|member| member.place == *place)
@@ -146,46 +151,73 @@
         .collect()
 }
 
-/// Fills the slots in order. Each slot ranks all members by its own hash and takes the first one
-/// that owns no slot yet and whose zone is below its quota; where there is none, the quota is
-/// dropped, and then the rule of one slot for each member.
+/// Zones in the order in which the slots take them. Zones of leafs are named by configuration, so
+/// the order stays when a zone loses all its members.
+fn zones_in_order<'a>(
+    service: &ServiceName,
+    place: &PlaceName,
+    placement: &'a ServicePlacement,
+    members: &Members<'a>,
+) -> Vec<&'a ZoneName> {
+    let leaf_zones = placement.leafs.iter().map(|leaf| &leaf.zone);
+    let zones: BTreeSet<&ZoneName> = leaf_zones.chain(members.values().copied()).collect();
+    let mut zones: Vec<&ZoneName> = zones.into_iter().collect();
+    zones.sort_by_key(|zone| xxh3_64(format!("{service}/{place}/{zone}").as_bytes()));
+    zones
+}
+
+/// Fills the slots. First each slot is bound to a zone, in turn, and takes a member of it; so the
+/// loss of a member or a zone moves no slot of another zone. Slots whose zone has no members, or
+/// much fewer than others, then take any member, of unused zones first.
 fn select_roots(
     service: &ServiceName,
     place: &PlaceName,
+    placement: &ServicePlacement,
     root_count: u32,
-    members: &BTreeMap<NodeId, &ZoneName>,
+    members: &Members<'_>,
 ) -> Vec<NodeId> {
-    let zones: BTreeSet<&ZoneName> = members.values().copied().collect();
-    let zone_quota = root_count.div_ceil(zones.len().max(1) as u32);
-    let mut roots = Vec::new();
-    let mut used_by_zone: BTreeMap<&ZoneName, u32> = BTreeMap::new();
-    for slot in 0..root_count {
-        let ranking = rank(slot_seed(service, place, slot), members);
-        let is_free = |node: &NodeId| !roots.contains(node);
-        let has_quota = |node: &NodeId| {
-            let used = used_by_zone.get(members[node]).copied();
-            used.unwrap_or(0) < zone_quota
-        };
-        let preferred = ranking
-            .iter()
-            .find(|node| is_free(node) && has_quota(node))
-            .or_else(|| ranking.iter().find(|node| is_free(node)))
-            .or_else(|| ranking.first());
-        if let Some(&node) = preferred {
-            roots.push(node);
-            *used_by_zone.entry(members[&node]).or_default() += 1;
+    let zones = zones_in_order(service, place, placement, members);
+    let large_zones = large_zones(members);
+    let mut slots: Vec<Option<NodeId>> = Vec::new();
+    for (slot, zone) in (0..root_count).zip(zones.iter().cycle()) {
+        let in_zone = |node: &NodeId| large_zones.contains(zone) && members[node] == *zone;
+        let seed = slot_seed(service, place, slot);
+        let free = |node: &NodeId| !slots.contains(&Some(*node));
+        let chosen = best(seed, members, |node| in_zone(node) && free(node));
+        slots.push(chosen);
+    }
+    for slot in 0..slots.len() {
+        if slots[slot].is_some() {
+            continue;
         }
+        let seed = slot_seed(service, place, slot as u32);
+        let free = |node: &NodeId| !slots.contains(&Some(*node));
+        let used: BTreeSet<&ZoneName> = slots.iter().flatten().map(|node| members[node]).collect();
+        let in_unused_zone = |node: &NodeId| !used.contains(members[node]);
+        slots[slot] = best(seed, members, in_unused_zone)
+            .or_else(|| best(seed, members, free))
+            .or_else(|| best(seed, members, |_| true));
+    }
+    slots.into_iter().flatten().collect()
+}
+
+/// Zones with enough members to carry a whole zone's slots: after the loss of a zone, the first
+/// member that is back must not become root of all its services.
+fn large_zones<'a>(members: &Members<'a>) -> BTreeSet<&'a ZoneName> {
+    let mut sizes: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+    for zone in members.values() {
+        *sizes.entry(zone).or_default() += 1;
     }
-    roots
+    let zones = sizes.len();
+    let is_large = |size: usize| size * zones * SMALL_ZONE_DIVISOR >= members.len();
+    let large = sizes.into_iter().filter(|(_, size)| is_large(*size));
+    large.map(|(zone, _)| zone).collect()
 }
 
-fn rank(seed: u64, members: &BTreeMap<NodeId, &ZoneName>) -> Vec<NodeId> {
-    let mut scored: Vec<(u64, NodeId)> = members
-        .keys()
-        .map(|&node| (xxh3_64_with_seed(&node_bytes(node), seed), node))
-        .collect();
-    scored.sort_unstable_by(|left, right| right.cmp(left));
-    scored.into_iter().map(|(_, node)| node).collect()
+/// The eligible member with the highest hash.
+fn best(seed: u64, members: &Members<'_>, is_eligible: impl Fn(&NodeId) -> bool) -> Option<NodeId> {
+    let eligible = members.keys().copied().filter(is_eligible);
+    eligible.max_by_key(|&node| (xxh3_64_with_seed(&node_bytes(node), seed), node))
 }
 
 fn slot_seed(service: &ServiceName, place: &PlaceName, slot: u32) -> u64 {
--- a/crates/tansylead-cluster/tests/serving_set.rs
+++ b/crates/tansylead-cluster/tests/serving_set.rs
@@ -145,8 +145,8 @@
         };
         let moved = share_moved(select, size, zones);
         println!("members {size}, zones {zones}, limit {limit}: moved {moved:.2} / N");
-        // One in N must move; zone quotas move some slots besides, more so the more slots there are.
-        assert!((0.9..1.8).contains(&moved), "{moved:.2} / N");
+        // One in N must move; slots that share a zone move a few besides.
+        assert!((0.9..1.3).contains(&moved), "{moved:.2} / N");
     }
 }
 
@@ -158,3 +158,65 @@
     };
     assert!(share_moved(by_remainder, 40, 3) > 10.0);
 }
+
+/// Members of three zones: 12 each, and in the last one `in_last`.
+fn three_zones(in_last: u16) -> Vec<Candidate> {
+    let full = (0..24).map(|number| member(number + 1, OWN_PLACE, (number % 2) as u8));
+    let last = (0..in_last).map(|number| member(number + 101, OWN_PLACE, 2));
+    full.chain(last).collect()
+}
+
+#[test]
+fn a_lost_member_or_zone_moves_no_slot_of_another_zone() {
+    let mut placement = placement(26, 4, &[75, 75, 75]);
+    for (zone, leaf) in placement.leafs.iter_mut().enumerate() {
+        leaf.zone = ZoneName::new(format!("zone-{zone}")).expect("name");
+    }
+    let members = three_zones(12);
+    let zone_of = |node: &NodeId| {
+        members
+            .iter()
+            .find(|member| member.node == *node)
+            .map(|member| &member.zone)
+    };
+    let mut moved_elsewhere = 0;
+    for service in 0..100 {
+        let before = set_of(service, &placement, 100, &members).roots;
+        let without_one = members.iter().map(|leaver| {
+            let remaining = members.iter().filter(|member| *member != leaver);
+            (&leaver.zone, remaining.cloned().collect::<Vec<_>>())
+        });
+        let last_zone = &members[members.len() - 1].zone;
+        let without_zone = members
+            .iter()
+            .filter(|member| member.zone != *last_zone)
+            .cloned()
+            .collect();
+        for (zone, remaining) in without_one.chain([(last_zone, without_zone)]) {
+            let after = set_of(service, &placement, 100, &remaining).roots;
+            let moved = before.iter().zip(&after).filter(|(old, new)| old != new);
+            moved_elsewhere += moved.filter(|(old, _)| zone_of(old) != Some(zone)).count();
+        }
+    }
+    assert_eq!(moved_elsewhere, 0);
+}
+
+#[test]
+fn the_first_member_of_a_zone_that_is_back_is_root_of_few_services() {
+    const SERVICES: usize = 400;
+    let placement = placement(26, 4, &[75]);
+    let slots_of_last = |members: &[Candidate]| {
+        let last = members[members.len() - 1].node;
+        let sets = (0..SERVICES).map(|service| set_of(service, &placement, 100, members));
+        sets.filter(|set| set.contains(last)).count()
+    };
+    let first_back = slots_of_last(&three_zones(1));
+    let all_back = slots_of_last(&three_zones(12));
+    println!(
+        "of {SERVICES} services: {first_back} when alone in its zone, {all_back} when all are back"
+    );
+    assert!(
+        first_back < 4 * all_back.max(SERVICES / 36),
+        "{first_back} of {SERVICES}, {all_back}"
+    );
+}
