State exactly how late views may be for shares of a limit

The guarantee allowed views to come 3.8 s late (takeover less hold). The existing fuzz keeps its lag of 1.8 s besides pauses; a second one has no pauses and lags up to 3 s; late views are now among the flaws that the oracle finds.

--- a/crates/tansylead-cli/src/table_commands/accept.rs
+++ b/crates/tansylead-cli/src/table_commands/accept.rs
@@ -78,7 +78,7 @@
     print!("{outcome}");
     match (daemon, &outcome) {
         (Some(daemon), AcceptOutcome::Accepted { revision, .. }) if matches.get_flag(WAIT) => {
-            in_force::wait(daemon, *revision, seconds_of(matches, WAIT_SECONDS)).await
+            Ok(in_force::wait(daemon, *revision, seconds_of(matches, WAIT_SECONDS)).await)
         }
         _ => Ok(status_of(&outcome)),
     }
--- a/crates/tansylead-cli/src/table_commands/in_force.rs
+++ b/crates/tansylead-cli/src/table_commands/in_force.rs
@@ -12,25 +12,33 @@
 const PAUSE: Duration = Duration::from_millis(300);
 
 /// Asks until all live daemons have the revision in force or the time has passed; prints the count
-/// and the daemons that are missing.
-pub async fn wait(daemon: SocketAddr, revision: u64, limit: Duration) -> eyre::Result<ExitStatus> {
+/// and the daemons that are missing. A daemon that does not answer is asked again: the change is
+/// accepted whatever it says.
+pub async fn wait(daemon: SocketAddr, revision: u64, limit: Duration) -> ExitStatus {
     let deadline = Instant::now() + limit;
     let path = format!("{IN_FORCE_PATH}?revision={revision}");
     loop {
-        let answer: InForceAnswer = ask_daemon(daemon, &path).await?;
-        let is_everywhere = answer.total > 0 && answer.confirmed == answer.total;
+        let answer: eyre::Result<InForceAnswer> = ask_daemon(daemon, &path).await;
+        let is_everywhere = answer.as_ref().is_ok_and(is_everywhere);
         if is_everywhere || Instant::now() + PAUSE >= deadline {
-            println!("{}", describe(&answer));
-            return Ok(if is_everywhere {
+            match &answer {
+                Ok(answer) => println!("{}", describe(answer)),
+                Err(error) => println!("not known on which daemons it is in force: {error:#}"),
+            }
+            return if is_everywhere {
                 ExitStatus::Success
             } else {
                 ExitStatus::NotInForce
-            });
+            };
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
+fn is_everywhere(answer: &InForceAnswer) -> bool {
+    answer.total > 0 && answer.confirmed == answer.total
+}
+
 fn describe(answer: &InForceAnswer) -> String {
     let InForceAnswer {
         confirmed,
--- a/crates/tansylead-cli/src/table_commands/store_access.rs
+++ b/crates/tansylead-cli/src/table_commands/store_access.rs
@@ -4,17 +4,23 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use hyper::{Method, StatusCode};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_daemon::platform::StoreClient;
-use tansylead_daemon::status::DaemonStatus;
 use tansylead_table::{KnownPlacement, KnownServices};
 use tansylead_types::{ConfigObject, ObjectKey, StoredObject};
 
 /// Time allowed for one question to a daemon.
 const DAEMON_LIMIT: Duration = Duration::from_secs(10);
 
+/// The part of a daemon's status that concerns the table.
+#[derive(Deserialize)]
+struct TableStatus {
+    table_generation: u64,
+}
+
 /// The table as the store holds it.
 pub async fn read_table(store: SocketAddr) -> eyre::Result<Option<StoredObject>> {
     let read = StoreClient::new(store).get(&ObjectKey::Table).await;
@@ -46,7 +52,7 @@
 
 /// The generation of the table that a daemon has in force.
 pub async fn generation_in_force(daemon: SocketAddr) -> eyre::Result<u64> {
-    let status: DaemonStatus = ask_daemon(daemon, "/v1/status").await?;
+    let status: TableStatus = ask_daemon(daemon, "/v1/status").await?;
     Ok(status.table_generation)
 }
 
--- a/crates/tansylead-cli/tests/table/main.rs
+++ b/crates/tansylead-cli/tests/table/main.rs
@@ -11,6 +11,9 @@
     screening-1,bangkok,6-18,10,200\n\
     appeals,bangkok,0-24,1,50\n";
 
+/// For acceptances that cannot succeed; the verdict does not depend on it.
+const SHORT_LIMIT: &str = "--time-limit-seconds 3";
+
 #[test]
 fn the_way_of_a_change() {
     let bench = Bench::new("way");
@@ -117,7 +120,7 @@
         outage: Some(OutageMode::Close),
         ..StoreFaults::default()
     });
-    let down = bench.accept("table.csv.proposal-0.toml", "");
+    let down = bench.accept("table.csv.proposal-0.toml", SHORT_LIMIT);
     assert_eq!(down.code, 8, "{down}");
     assert!(
         down.text.starts_with("nothing was written by this run"),
@@ -132,14 +135,17 @@
     bench.restore(revision - 1);
     insta::assert_snapshot!(
         "store-put-back",
-        bench.accept("second.csv.proposal-1.toml", "")
+        bench.accept("second.csv.proposal-1.toml", SHORT_LIMIT)
     );
     assert_eq!(bench.stored_table(), None);
     let daemon = bench.start_daemon(5, vec![InForceAnswer::default()]);
     bench.propose("third.csv", ROWS);
     insta::assert_snapshot!(
         "store-behind-daemons",
-        bench.accept("third.csv.proposal-0.toml", &format!("--daemon {daemon}"))
+        bench.accept(
+            "third.csv.proposal-0.toml",
+            &format!("--daemon {daemon} {SHORT_LIMIT}")
+        )
     );
     assert_eq!(bench.stored_table(), None);
 }
--- a/crates/tansylead-cli/tests/table/support.rs
+++ b/crates/tansylead-cli/tests/table/support.rs
@@ -1,10 +1,10 @@
 //! A stand-in store, a stand-in daemon, and a directory in which the program is run.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Mutex;
-use tansylead_daemon::status::{DaemonStatus, Readiness};
 use tansylead_lab::http::{self, json_reply, text_reply};
 use tansylead_lab::store::{StoreControl, StoreFaults, seed_objects, server};
 use tansylead_types::in_force::IN_FORCE_PATH;
@@ -120,21 +120,8 @@
             .block_on(TcpListener::bind("127.0.0.1:0"))
             .expect("listens");
         let address = listener.local_addr().expect("address");
-        let status = DaemonStatus {
-            version: "0".to_owned(),
-            cluster: "registry".to_owned(),
-            place: "bangkok".parse().expect("name"),
-            zone: "bangkok-a".parse().expect("name"),
-            peer_address: address,
-            readiness: Readiness::default(),
-            members: 1,
-            store: "current".to_owned(),
-            revision: 0,
-            table_generation,
-            claim_view_epoch: None,
-            claim_view_members: 0,
-            services: Default::default(),
-        };
+        // The part of a daemon's status that the table commands read.
+        let status = BTreeMap::from([("table_generation", table_generation)]);
         let answers = std::sync::Arc::new(Mutex::new(answers));
         let serve = http::serve(listener, CancellationToken::new(), move |request, _| {
             let (status, answers) = (status.clone(), answers.clone());
@@ -199,7 +186,7 @@
     }
 
     pub fn accept(&self, proposal: &str, more: &str) -> Run {
-        let line = format!("accept {proposal} --store STORE --time-limit-seconds 1");
+        let line = format!("accept {proposal} --store STORE");
         self.table(format!("{line} {more}").trim_end())
     }
 }
--- a/crates/tansylead-cluster/src/routing/rate_shares.rs
+++ b/crates/tansylead-cluster/src/routing/rate_shares.rs
@@ -6,8 +6,8 @@
 //! **Guaranteed**: the usable parts of all roots sum to at most the whole limit at every moment,
 //! under loss, delay, duplication and reordering of messages, silence, restarts and pauses of
 //! roots, if
-//! (a) a change of the owners or the number of slots reaches all roots that run within
-//! [`ShareTiming::longest_view_lag`], pauses of at most `longest_pause` included;
+//! (a) no two running roots hold different owners or numbers of slots for longer than
+//! [`ShareTiming::longest_view_lag`] in a row, pauses of at most `longest_pause` included;
 //! (b) clocks, which must count suspended time, differ in rate by less than `margin / lease`;
 //! (c) [`RateShares::usable`] is asked right before each admission, or its result is not used past
 //! [`RateShares::valid_until`].
@@ -15,8 +15,11 @@
 //! Roots that apply a changed limit or hour at different times admit at most the larger limit.
 //!
 //! **Not guaranteed**: while views differ for longer than that (a place cut in two, each half
-//! with its own roots), each side admits up to one limit, so two views admit at most twice the
-//! limit.
+//! with its own roots, or a slot that goes to and fro so that each holder misses the other's
+//! turns), each side admits up to one limit, so two views admit at most twice the limit. If
+//! within one takeover time several changes follow each other, and each moves a right of a root
+//! that missed the one before, the lag allowed is the takeover time divided by their number plus
+//! one.
 
 use super::share_lease::{BorrowedParts, LentParts};
 use super::share_message::{ShareMessage, ShareParts};
@@ -57,10 +60,13 @@
 }
 
 impl ShareTiming {
-    /// How late a root may learn of a change of owners without the limit being exceeded.
+    /// How long two roots may hold different owners without the limit being exceeded: until the
+    /// loans of a former holder have lapsed, and twice within the takeover time, because a root
+    /// that missed a change may still move its right at the next one.
     pub fn longest_view_lag(&self) -> Duration {
         let held = self.lease + self.margin;
-        self.takeover.saturating_sub(held)
+        let until_lapsed = self.takeover.saturating_sub(held);
+        until_lapsed.min(self.takeover / 2)
     }
 }
 
--- a/crates/tansylead-cluster/tests/rate_shares/main.rs
+++ b/crates/tansylead-cluster/tests/rate_shares/main.rs
@@ -59,6 +59,20 @@
     fn usable_parts_never_sum_above_the_limit(sequential 1..80 => Shares);
 }
 
+proptest! {
+    #![proptest_config(config(200))]
+
+    #[test]
+    fn late_views_alone_do_not_break_the_limit(
+        operations in proptest::collection::vec(operation(), 1..80),
+    ) {
+        let mut world = World::without_pauses();
+        for operation in &operations {
+            world.apply(operation).map_err(TestCaseError::fail)?;
+        }
+    }
+}
+
 /// Whether the same operations find a sum above the limit.
 fn finds_violation(flaw: Flaw) -> bool {
     let operations = proptest::collection::vec(operation(), 1..80);
@@ -83,6 +97,7 @@
     assert!(finds_violation(Flaw::NoTakeoverWait), "no takeover wait");
     assert!(finds_violation(Flaw::NoPauseLimit), "no pause limit");
     assert!(finds_violation(Flaw::LenderClockRunsFast), "fast clock");
+    assert!(finds_violation(Flaw::ViewsLagTooLong), "late views");
 }
 
 fn run(world: &mut World, millis: u64) {
--- a/crates/tansylead-cluster/tests/rate_shares/world.rs
+++ b/crates/tansylead-cluster/tests/rate_shares/world.rs
@@ -16,6 +16,9 @@
 /// Clock rates in per mille; they differ by less than margin / lease.
 const CLOCK_RATES: [u64; NODES] = [980, 1_000, 1_020, 1_000];
 
+/// How late views reach a root that runs; a pause delays them further.
+const LONGEST_LAG_WITH_PAUSES: Duration = Duration::from_millis(1_800);
+
 /// A way in which the roots or the conditions they rely on are broken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Flaw {
@@ -23,6 +26,7 @@
     NoTakeoverWait,
     NoPauseLimit,
     LenderClockRunsFast,
+    ViewsLagTooLong,
 }
 
 #[derive(Debug, Clone)]
@@ -92,6 +96,8 @@
 
 pub struct World {
     flaw: Flaw,
+    has_pauses: bool,
+    longest_view_lag: u64,
     timing: ShareTiming,
     random: StdRng,
     now: u64,
@@ -114,8 +120,14 @@
             Flaw::NoPauseLimit => timing.longest_pause = Duration::from_secs(1_000_000),
             _ => {}
         }
+        let longest_view_lag = match flaw {
+            Flaw::ViewsLagTooLong => timing.takeover + LONGEST_LAG_WITH_PAUSES,
+            _ => LONGEST_LAG_WITH_PAUSES,
+        };
         let mut world = Self {
             flaw,
+            has_pauses: true,
+            longest_view_lag: micros(longest_view_lag),
             timing,
             random: StdRng::seed_from_u64(1),
             now: 0,
@@ -144,10 +156,19 @@
         world
     }
 
+    /// Roots never pause, and views come as late as the guarantee allows.
+    pub fn without_pauses() -> Self {
+        let mut world = Self::new(Flaw::None);
+        world.has_pauses = false;
+        world.longest_view_lag = micros(ShareTiming::default().longest_view_lag());
+        world
+    }
+
     pub fn apply(&mut self, operation: &Operation) -> Result<(), String> {
         match *operation {
             Operation::Advance { millis } => return self.run_for(millis * 1_000),
             Operation::Demand { node, rate } => self.nodes[node].demand = rate,
+            Operation::Pause { .. } if !self.has_pauses => {}
             Operation::Pause { node, millis } => {
                 let until = self.now + millis * 1_000;
                 let node = &mut self.nodes[node];
@@ -296,11 +317,8 @@
         }
     }
 
-    /// Together with a pause of the longest length it stays within the longest view lag.
     fn view_lag(&mut self) -> u64 {
-        let timing = ShareTiming::default();
-        let longest = micros(timing.longest_view_lag()) - micros(timing.longest_pause);
-        self.random.random_range(0..longest)
+        self.random.random_range(0..self.longest_view_lag)
     }
 
     fn new_shares(&mut self, node: usize) -> RateShares {
