--- a/crates/tansylead-cluster/tests/system.rs
+++ b/crates/tansylead-cluster/tests/system.rs
@@ -4,9 +4,8 @@
 
 mod common;
 
-use common::{Faults, Simulation, Store, seconds};
+use common::{Faults, Simulation, Store, fuzz_config, seconds};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansylead_cluster::membership::MembershipEvent;
 
 const PLACES: usize = 5;
@@ -118,16 +117,6 @@
     assert!(simulation.all_hold(revision), "not up to the store");
 }
 
-fn config(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(7),
-        failure_persistence: None,
-        max_shrink_iters: 200,
-        ..ProptestConfig::default()
-    }
-}
-
 /// Some waits are zero: two faults at once.
 fn schedule(length: usize) -> impl Strategy<Value = Vec<(Fault, u64)>> {
     let wait = prop_oneof![Just(0), 100_u64..8_000];
@@ -135,7 +124,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(20))]
+    #![proptest_config(fuzz_config(20))]
 
     #[test]
     fn small_clusters_converge(seed in any::<u64>(), faults in schedule(20)) {
@@ -144,7 +133,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(2))]
+    #![proptest_config(fuzz_config(2))]
 
     #[test]
     fn clusters_of_a_hundred_converge(seed in any::<u64>(), faults in schedule(30)) {
