--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -31,6 +31,10 @@
 /// Share of later attempts that still ask seeds.
 const SEED_SHARE: f64 = 0.25;
 
+/// Packets in a row that show the same table, after which queued statements are known widely
+/// enough.
+const AGREEING_PACKETS: u32 = 8;
+
 /// Machines of the list pinged per attempt to join.
 const HINTS_PER_ATTEMPT: usize = 8;
 
@@ -146,8 +150,10 @@
         let mismatches = &mut self.sync.mismatch_since;
         if hash == self.table.hash() {
             mismatches.remove(&sender.place);
+            self.stop_gossip_once_known();
             return;
         }
+        self.agreeing_packets = 0;
         let since = *mismatches.entry(sender.place.clone()).or_insert(now);
         let idle = self.sync.step == SyncStep::Idle;
         if idle && self.sync.joined && now.since(since) > self.settings.mismatch_tolerance {
@@ -157,6 +163,14 @@
         }
     }
 
+    /// Peers with the same table know every queued statement.
+    fn stop_gossip_once_known(&mut self) {
+        self.agreeing_packets = self.agreeing_packets.saturating_add(1);
+        if self.agreeing_packets >= AGREEING_PACKETS {
+            self.updates.clear();
+        }
+    }
+
     pub(super) fn receive_summary(
         &mut self,
         now: Moment,
--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -1,5 +1,4 @@
-//! The membership state machine: its state, its interface, and the one place where a statement
-//! is taken into the table.
+//! The membership state machine: its state, its interface, and the sending of packets.
 
 use super::event::{MembershipAction, MembershipEvent};
 use super::limits::{ByteLimit, EventLimit};
@@ -10,7 +9,7 @@
 use super::settings::MembershipSettings;
 use super::sizes::{packet_budget, record_bytes};
 use super::sync::Sync;
-use super::table::{Comparison, MemberTable};
+use super::table::MemberTable;
 use super::timers::TimerQueue;
 use super::updates::UpdateQueue;
 use rand::SeedableRng;
@@ -23,9 +22,6 @@
 /// A wakeup later than this means that the process was suspended or starved.
 const PAUSE_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// Members told directly when this daemon begins to leave or exits.
-const LEAVE_FAN_OUT: usize = 8;
-
 /// Reasons to wake up. Each is checked for relevance when it is due.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
@@ -89,13 +85,14 @@
     pub(super) page_limit: EventLimit,
     pub(super) correction_limit: EventLimit,
     pub(super) update_limit: ByteLimit,
+    pub(super) agreeing_packets: u32,
     pub(super) timers: TimerQueue<Timer>,
     pub(super) sync_due: Moment,
     pub(super) gossip_scheduled: bool,
     pub(super) config: ConfigDigest,
     pub(super) random: Xoshiro256PlusPlus,
     pub(super) counters: MembershipCounters,
-    replaced: bool,
+    pub(super) replaced: bool,
 }
 
 impl Membership {
@@ -131,6 +128,7 @@
             correction_limit: EventLimit::default(),
             update_limit: ByteLimit::new(now, settings.update_bytes_per_second),
             timers: TimerQueue::new(),
+            agreeing_packets: 0,
             sync_due: now,
             gossip_scheduled: false,
             config: ConfigDigest::default(),
@@ -232,36 +230,6 @@
         self.counters
     }
 
-    /// Takes a statement into the table and arranges for what follows from it.
-    pub(super) fn adopt(
-        &mut self,
-        now: Moment,
-        record: &MemberRecord,
-        actions: &mut Vec<MembershipAction>,
-    ) -> Comparison {
-        if record.node() == self.local.node() {
-            self.hear_about_local(now, record, actions);
-            return Comparison::Same;
-        }
-        let comparison = self.table.apply(record);
-        if comparison == Comparison::Newer {
-            // What a joining daemon is told by others is news to itself only.
-            if self.sync.joined {
-                self.pass_on(now, record.node());
-            }
-            self.watch_place(now, &record.place);
-            self.schedule_state_timer(now, record);
-            actions.push(MembershipAction::Changed(record.clone()));
-        }
-        comparison
-    }
-
-    /// Queues the statement held about a node for gossip.
-    pub(super) fn pass_on(&mut self, now: Moment, node: NodeId) {
-        self.updates.push(node);
-        self.schedule_gossip(now);
-    }
-
     /// Sends a message, with a statement about the receiver if it must refute that, and with
     /// queued statements.
     pub(super) fn send(
@@ -305,71 +273,6 @@
         actions.push(MembershipAction::Send { to, packet });
     }
 
-    /// What is held against a node that it may want to refute.
-    pub(super) fn statement_to_refute(&self, node: NodeId) -> Option<&MemberRecord> {
-        let record = self.table.get(node)?;
-        let refutable = matches!(record.state, MemberState::Suspect | MemberState::Failed);
-        refutable.then_some(record)
-    }
-
-    fn transmission_limit(&self) -> u32 {
-        let size = self.table.running().len() as f64 + 1.0;
-        (self.settings.retransmit_multiplier * size.log10()).ceil() as u32 + 1
-    }
-
-    fn hear_about_local(
-        &mut self,
-        now: Moment,
-        record: &MemberRecord,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if record.instance.boot > self.local.instance.boot {
-            if !self.replaced {
-                self.replaced = true;
-                actions.push(MembershipAction::Replaced {
-                    by: record.instance,
-                });
-            }
-            return;
-        }
-        let about_this_run = record.instance == self.local.instance;
-        let harmful = record.precedence() > self.local.precedence();
-        if about_this_run && harmful && self.local.state != MemberState::Left {
-            self.counters.refutations += 1;
-            self.restate(now, record.incarnation + 1, self.local.state, actions);
-        }
-    }
-
-    /// Makes a new statement about this daemon.
-    fn restate(
-        &mut self,
-        now: Moment,
-        incarnation: u64,
-        state: MemberState,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        self.local.incarnation = incarnation;
-        self.local.state = state;
-        self.table.apply(&self.local);
-        self.pass_on(now, self.local.node());
-        actions.push(MembershipAction::Changed(self.local.clone()));
-    }
-
-    fn leave(&mut self, now: Moment, state: MemberState, actions: &mut Vec<MembershipAction>) {
-        if self.local.state >= state {
-            return;
-        }
-        self.restate(now, self.local.incarnation + 1, state, actions);
-        let local = [self.local.node()];
-        let peers = self
-            .table
-            .running()
-            .sample(&mut self.random, LEAVE_FAN_OUT, &local);
-        for peer in peers {
-            self.send(now, peer, GossipMessage::Gossip, actions);
-        }
-    }
-
     fn take_hints(&mut self, list: MachineList, actions: &mut Vec<MembershipAction>) {
         self.leaving_hints.clear();
         self.hints.clear();
@@ -400,42 +303,4 @@
             self.timers.delay_all(late);
         }
     }
-
-    fn schedule_state_timer(&mut self, now: Moment, record: &MemberRecord) {
-        let node = record.node();
-        let boot = record.instance.boot;
-        let incarnation = record.incarnation;
-        let expiry = Timer::Expiry {
-            node,
-            boot,
-            incarnation,
-        };
-        match record.state {
-            MemberState::Suspect if record.place == self.local.place => {
-                let timer = Timer::Suspicion {
-                    node,
-                    boot,
-                    incarnation,
-                };
-                let timeout = self.suspicion_timeout();
-                self.timers.schedule(now + timeout, timer);
-            }
-            MemberState::Failed => {
-                let retention = self.settings.failed_retention;
-                self.timers.schedule(now + retention, expiry);
-            }
-            MemberState::Left => {
-                let retention = self.settings.left_retention;
-                self.timers.schedule(now + retention, expiry);
-            }
-            MemberState::Alive | MemberState::Suspect | MemberState::Leaving => {}
-        }
-    }
-
-    fn suspicion_timeout(&self) -> Duration {
-        let place = self.table.place(&self.local.place);
-        let size = place.map_or(1, |members| members.running.len()) as f64;
-        let periods = self.settings.suspicion_multiplier * size.log10().max(1.0);
-        self.settings.probe_period.mul_f64(periods)
-    }
 }
--- a/crates/tansylead-cluster/src/membership/mod.rs
+++ b/crates/tansylead-cluster/src/membership/mod.rs
@@ -22,6 +22,7 @@
 mod receive;
 mod settings;
 mod sizes;
+mod statements;
 mod sync;
 mod table;
 mod timers;
--- a/crates/tansylead-cluster/src/membership/receive.rs
+++ b/crates/tansylead-cluster/src/membership/receive.rs
@@ -39,8 +39,11 @@
             self.pass_on(now, peer);
         }
         self.hear_from_place(now, sender);
+        let limit = self.transmission_limit();
         for update in &packet.updates {
-            self.adopt(now, update, actions);
+            if self.adopt(now, update, actions) == Comparison::Same {
+                self.updates.heard(update.node(), limit);
+            }
         }
         if packet.config != self.config {
             actions.push(MembershipAction::PeerConfig {
--- a/crates/tansylead-cluster/src/membership/updates.rs
+++ b/crates/tansylead-cluster/src/membership/updates.rs
@@ -38,6 +38,20 @@
         self.insert(node, priority);
     }
 
+    /// A peer passed the queued statement on to this daemon: it counts like one passing on, since
+    /// the statement is known that much more widely.
+    pub(super) fn heard(&mut self, node: NodeId, transmission_limit: u32) {
+        if let Some(priority) = self.priorities.get(&node).copied() {
+            self.count_transmission(node, priority, transmission_limit);
+        }
+    }
+
+    /// Drops everything: peers have shown to know it.
+    pub(super) fn clear(&mut self) {
+        self.order.clear();
+        self.priorities.clear();
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.order.is_empty()
     }
