--- a/crates/tansylead-cluster/tests/claims_simulation.rs
+++ b/crates/tansylead-cluster/tests/claims_simulation.rs
@@ -6,8 +6,8 @@
 use claims_world::{FaultCounts, Plan, SECONDS, ScriptedFault, Variant, World};
 
 fn seeds() -> std::ops::Range<u64> {
-    let text = std::env::var("CLAIM_SEEDS").unwrap_or_else(|_| "0..6".to_owned());
-    let (from, to) = text.split_once("..").expect("CLAIM_SEEDS is like 0..6");
+    let text = std::env::var("CLAIM_SEEDS").unwrap_or_else(|_| "0..30".to_owned());
+    let (from, to) = text.split_once("..").expect("CLAIM_SEEDS is like 0..30");
     from.parse().expect("a number")..to.parse().expect("a number")
 }
 
