Compare member tables although a seed is gone for good; share one budget for bulk

A daemon whose seed had died asked it for a summary again and again, and a comparison of tables could not begin while that answer was outstanding: a statement missed by gossip was then never learnt.

Pages, summaries and queued statements now share 9.5 KB/s in place of separate limits, so that one joining daemon is served eight pages a second and a seed still stays within 11 KB/s. A daemon that knows nobody but its seeds asks them in every attempt, not in one of four.

--- a/crates/tansylead-cluster/src/membership/joining.rs
+++ b/crates/tansylead-cluster/src/membership/joining.rs
@@ -9,6 +9,7 @@
 use super::sizes::{name_bytes, packet_budget};
 use super::sync::{SyncStep, Walk};
 use super::table::Comparison;
+use crate::codec::MAXIMUM_PACKET_BYTES;
 use rand::RngExt;
 use std::time::Duration;
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName};
@@ -35,6 +36,9 @@
 /// enough.
 const AGREEING_PACKETS: u32 = 8;
 
+/// Usual size of a summary packet.
+const SUMMARY_BYTES: usize = 250;
+
 /// Machines of the list pinged per attempt to join.
 const HINTS_PER_ATTEMPT: usize = 8;
 
@@ -116,7 +120,9 @@
         }
         let local = [self.local.node()];
         let running = self.table.running();
-        running.sample(&mut self.random, 1, &local).pop()
+        let member = running.sample(&mut self.random, 1, &local).pop();
+        let seeds = self.seeds.clone();
+        member.or_else(|| self.choose(&seeds))
     }
 
     /// Pings machines of the list while nobody else is known. Most of them may not be daemons;
@@ -155,7 +161,7 @@
         }
         self.agreeing_packets = 0;
         let since = *mismatches.entry(sender.place.clone()).or_insert(now);
-        let idle = self.sync.step == SyncStep::Idle;
+        let idle = self.is_idle(now);
         if idle && self.sync.joined && now.since(since) > self.settings.mismatch_tolerance {
             self.sync.mismatch_since.insert(sender.place.clone(), now);
             self.ask_summary(now, Some(sender.node()), actions);
@@ -163,6 +169,16 @@
         }
     }
 
+    /// Whether a comparison may begin. A summary that is overdue does not count as under way: a
+    /// seed that is gone for good is asked again and again.
+    fn is_idle(&self, now: Moment) -> bool {
+        match &self.sync.step {
+            SyncStep::Idle => true,
+            SyncStep::Summary { asked, .. } => now.since(*asked) > self.settings.join_period,
+            SyncStep::Pages(_) => false,
+        }
+    }
+
     /// Peers with the same table know every queued statement.
     fn stop_gossip_once_known(&mut self) {
         self.agreeing_packets = self.agreeing_packets.saturating_add(1);
@@ -272,6 +288,7 @@
             self.counters.sync_refused += 1;
             return;
         }
+        self.bulk_limit.spend(SUMMARY_BYTES);
         let message = GossipMessage::Summary {
             joined: self.sync.joined,
             places: self.fitting_summaries(),
@@ -302,11 +319,11 @@
         after: Option<NodeId>,
         actions: &mut Vec<MembershipAction>,
     ) {
-        let limit = self.settings.pages_served_per_second;
-        if !self.page_limit.admit(now, limit) {
+        if self.bulk_limit.available(now) < MAXIMUM_PACKET_BYTES {
             self.counters.sync_refused += 1;
             return;
         }
+        self.bulk_limit.spend(MAXIMUM_PACKET_BYTES);
         let page = build_page(&self.table, &self.local, place, after);
         self.send_with(peer, GossipMessage::Page(page), Vec::new(), actions);
     }
--- a/crates/tansylead-cluster/src/membership/machine.rs
+++ b/crates/tansylead-cluster/src/membership/machine.rs
@@ -82,7 +82,7 @@
     pub(super) places: RemotePlaces,
     pub(super) sync: Sync,
     pub(super) summary_limit: EventLimit,
-    pub(super) page_limit: EventLimit,
+    pub(super) bulk_limit: ByteLimit,
     pub(super) correction_limit: EventLimit,
     pub(super) update_limit: ByteLimit,
     pub(super) agreeing_packets: u32,
@@ -124,7 +124,7 @@
             places: RemotePlaces::default(),
             sync: Sync::new(joined),
             summary_limit: EventLimit::default(),
-            page_limit: EventLimit::default(),
+            bulk_limit: ByteLimit::new(now, settings.bulk_bytes_per_second),
             correction_limit: EventLimit::default(),
             update_limit: ByteLimit::new(now, settings.update_bytes_per_second),
             timers: TimerQueue::new(),
@@ -246,10 +246,12 @@
             updates.push(record.clone());
         }
         budget = budget.min(self.update_limit.available(now));
+        budget = budget.min(self.bulk_limit.available(now));
         let limit = self.transmission_limit();
         let queued = self.updates.take(&self.table, budget, limit);
-        self.update_limit
-            .spend(queued.iter().map(record_bytes).sum());
+        let bytes = queued.iter().map(record_bytes).sum();
+        self.update_limit.spend(bytes);
+        self.bulk_limit.spend(bytes);
         updates.extend(queued);
         self.send_with(to, message, updates, actions);
     }
--- a/crates/tansylead-cluster/src/membership/settings.rs
+++ b/crates/tansylead-cluster/src/membership/settings.rs
@@ -33,8 +33,9 @@
     pub mismatch_tolerance: Duration,
     /// Time between page requests.
     pub page_interval: Duration,
-    /// Pages served per second; surplus requests are dropped, and asked again or elsewhere.
-    pub pages_served_per_second: u32,
+    /// Bytes of pages, summaries and queued statements sent per second, all together. Surplus
+    /// requests for pages are dropped, and asked again or elsewhere.
+    pub bulk_bytes_per_second: u64,
     /// Summaries served per second; surplus requests are dropped, and asked again or elsewhere.
     pub summaries_served_per_second: u32,
     /// Bytes of queued statements passed on per second.
@@ -63,7 +64,7 @@
             unreachable_retention: 72 * HOUR,
             mismatch_tolerance: Duration::from_secs(10),
             page_interval: Duration::from_millis(125),
-            pages_served_per_second: 5,
+            bulk_bytes_per_second: 9_500,
             summaries_served_per_second: 5,
             update_bytes_per_second: 3_000,
             expect_machine_list: false,
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -174,6 +174,21 @@
     simulation.run_until(seconds(60), "rejoined", Simulation::members_agree);
 }
 
+/// Daemons go on asking a seed that is gone for good; they must compare tables all the same.
+#[test]
+fn dead_seed_does_not_stop_the_comparison_of_tables() {
+    let mut simulation = settled(17);
+    simulation.kill(0);
+    simulation.run_until(seconds(60), "seed gone", Simulation::members_agree);
+    for place in 1..PLACES {
+        simulation.cut(0, place);
+    }
+    simulation.kill(PLACES);
+    simulation.run(seconds(60));
+    simulation.faults.cuts.clear();
+    simulation.run_until(seconds(60), "failure learnt", Simulation::members_agree);
+}
+
 #[test]
 fn broken_link_between_two_members_makes_neither_suspect() {
     let mut simulation = settled(14);
