--- a/crates/tansylead-query/tests/engine/load_mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/load_mechanisms.rs
@@ -362,6 +362,19 @@
     world.assert_clean();
 }
 
+#[test]
+fn paused_root_hears_of_a_leaving_leaf_before_it_hedges() {
+    let mut world = world_with(ServicePolicy::default(), 5, vec![snapshot(1, 1, 4)]);
+    run_with_straggler(&mut world, 0..60, None);
+    let query = lookup(&world, 100);
+    let sent = sends(&world.start(query));
+    let other = usize::from(sent[0].leaf == leaf(0));
+    world.now = world.now + DEADLINE / 2;
+    let actions = world.deliver(RootEvent::LeafLeaving(leaf(other)));
+    assert!(sends(&actions).is_empty(), "{actions:?}");
+    world.assert_clean();
+}
+
 #[test]
 fn caller_gone_cancels_everything_without_an_answer() {
     let mut world = world();
