Send queries past roots that do not answer probes

Need: a frozen root keeps its place in the serving set until its suspicion times out, and each query sent to it waited for its deadline.

Change: suspected roots get queries only where no other is left; a root that took a query and gave no answer is left out for a second.

Shown able to fail: with suspects not left out, suspected_roots_get_queries_only_if_no_other_is_left fails ([1, 2] instead of [1]).

--- a/crates/tansylead-daemon/src/cluster/view.rs
+++ b/crates/tansylead-daemon/src/cluster/view.rs
@@ -1,11 +1,11 @@
 //! What the cluster task publishes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use tansylead_cluster::membership::{MemberRecord, MembershipCounters};
+use tansylead_cluster::membership::{MemberRecord, MemberState, MembershipCounters};
 use tansylead_cluster::routing::Candidate;
 use tansylead_cluster::spread::{NotReadyReason, StoreState};
-use tansylead_types::PlaceName;
+use tansylead_types::{NodeId, PlaceName};
 
 /// Members as this daemon sees them.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +15,9 @@
     pub live: Vec<MemberRecord>,
     /// Members believed to run in a place that answers: the live ones and those that are leaving.
     pub present: Vec<MemberRecord>,
+    /// Live members that do not answer probes: they keep their place in serving sets for a while,
+    /// but get queries only where nobody else is left.
+    pub suspects: BTreeSet<NodeId>,
     /// Whether joining is complete.
     pub joined: bool,
     candidates: BTreeMap<PlaceName, Arc<Vec<Candidate>>>,
@@ -25,6 +28,10 @@
     pub fn next(&self, present: Vec<MemberRecord>, joined: bool) -> Self {
         let live = present.iter().filter(|member| member.state.takes_work());
         let live: Vec<MemberRecord> = live.cloned().collect();
+        let suspected = live
+            .iter()
+            .filter(|member| member.state == MemberState::Suspect);
+        let suspects = suspected.map(MemberRecord::node).collect();
         let mut by_place: BTreeMap<PlaceName, Vec<Candidate>> = BTreeMap::new();
         for member in &live {
             let candidate = Candidate {
@@ -45,6 +52,7 @@
         Self {
             live,
             present,
+            suspects,
             joined,
             candidates: by_place.into_iter().map(shared).collect(),
         }
--- a/crates/tansylead-daemon/src/frontend.rs
+++ b/crates/tansylead-daemon/src/frontend.rs
@@ -18,6 +18,9 @@
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId, Outcome, PlaceName, QueryAnswer, QueryRequest};
 
+/// Time for which a root that gave no answer is left out.
+const UNRESPONSIVE_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Serves the callers of one daemon.
 #[derive(Debug)]
 pub struct Frontend {
@@ -108,7 +111,7 @@
                 }
                 Forwarded::Unreachable => self.note_unreachable(&target, &request),
                 Forwarded::MayHaveRun { reason } => {
-                    self.note_unreachable(&target, &request);
+                    self.note_unresponsive(&target, &request);
                     if may_have_run || !request.is_repeatable() {
                         return self.unknown(&request, reason);
                     }
@@ -250,6 +253,13 @@
         routes.on_unreachable(&request.service, &target.place, target.root);
     }
 
+    /// A root that took a query and gave no answer may be frozen: others are asked for a while.
+    fn note_unresponsive(&self, target: &Target, request: &QueryRequest) {
+        let routes = &self.parts.routes;
+        let (service, place) = (&request.service, &target.place);
+        routes.on_refusal(service, place, target.root, UNRESPONSIVE_BACKOFF);
+    }
+
     fn unknown(&self, request: &QueryRequest, reason: String) -> QueryAnswer {
         without_results(request.request.clone(), Outcome::Unknown, reason, None)
     }
--- a/crates/tansylead-daemon/src/routing/service_routes.rs
+++ b/crates/tansylead-daemon/src/routing/service_routes.rs
@@ -3,7 +3,7 @@
 use super::place_routes::{PlaceInputs, PlaceRoutes};
 use crate::cluster::MemberView;
 use crate::configuration::ConfigurationView;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_cluster::routing::{
@@ -73,7 +73,8 @@
             let inputs = PlaceInputs::new(&self.service, place, placement, &self.table, candidates);
             let known = old.remove(place);
             let routes = PlaceRoutes::refreshed(known, &self.service, place, inputs);
-            self.places.set_roots(place, routes.set.distinct_roots());
+            self.places
+                .set_roots(place, reachable_roots(&routes.set, members));
             self.sets.insert(place.clone(), routes);
         }
         for place in old.keys() {
@@ -150,6 +151,13 @@
     }
 }
 
+/// The roots that answer probes; all of them if none does.
+fn reachable_roots(set: &ServingSet, members: &MemberView) -> BTreeSet<NodeId> {
+    let all = set.distinct_roots();
+    let answering: BTreeSet<NodeId> = all.difference(&members.suspects).copied().collect();
+    if answering.is_empty() { all } else { answering }
+}
+
 /// The rows of one service, so that a query looks at no others.
 fn table_of(service: &ServiceName, table: &TrafficTable) -> TrafficTable {
     let rows = table.rows.iter().filter(|row| row.service == *service);
