lab: judge not_run by sending, and posts under kills, freezes and store outage

Each sending of a query has a request id of its own, so the leafs' logs say exactly which sending ran: not_run is false if a leaf began anything under its id.

Also: versions of an index that change while a deployment runs, waiting until a change is in force, shards missing by reason in the demo's report.

--- a/crates/tansylead-lab/src/caller/client.rs
+++ b/crates/tansylead-lab/src/caller/client.rs
@@ -5,7 +5,6 @@
 
 use super::answer::{CallerReply, parse_body};
 use crate::http::chain;
-use crate::wall_clock::unix_micros;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
@@ -16,6 +15,7 @@
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tansylead_types::ids::InvalidName;
 use tansylead_types::{
     IdempotencyKey, Outcome, PeerAddress, RequestId, ServiceName, StepError, WallTime,
 };
@@ -46,11 +46,11 @@
     pub expires: WallTime,
 }
 
-/// One query of a caller.
+/// One query of a caller. Each time it is sent it gets a request id of its own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerRequest {
-    /// Request id.
-    pub request: RequestId,
+    /// Name of the query; the request ids of its sendings begin with it.
+    pub name: RequestId,
     /// Service asked.
     pub service: ServiceName,
     /// JSON text of the query.
@@ -63,6 +63,19 @@
     pub key: Option<NonRepeatableKey>,
 }
 
+impl CallerRequest {
+    /// Request id of one sending.
+    pub fn sending_id(&self, label: &str) -> Result<RequestId, InvalidName> {
+        RequestId::new(format!("{}.{label}", self.name))
+    }
+
+    /// Whether a request id is that of a sending of this query.
+    pub fn is_sending_id(&self, request: &RequestId) -> bool {
+        let rest = request.as_str().strip_prefix(self.name.as_str());
+        rest.is_some_and(|label| label.starts_with('.'))
+    }
+}
+
 #[derive(Serialize)]
 struct WireBody<'a> {
     query: &'a RawValue,
@@ -98,19 +111,47 @@
     one_way_delay: Duration,
 }
 
+/// One sending of a query to one daemon.
+#[derive(Debug, Clone)]
+pub struct Sending {
+    /// Its request id.
+    pub request: RequestId,
+    /// Where it was sent.
+    pub daemon: SocketAddr,
+    /// What came of it.
+    pub result: Result<CallerReply, ExchangeFailure>,
+}
+
 /// How asking went, over all daemons tried.
 #[derive(Debug, Clone)]
 pub struct Asked {
-    /// When the request was last sent, in microseconds since the Unix epoch.
-    pub last_sent_unix_micros: u64,
-    /// The last reply; none if no daemon gave one.
-    pub reply: Option<CallerReply>,
-    /// Failures on the way to it.
-    pub failures: Vec<ExchangeFailure>,
+    /// Sendings in their order.
+    pub sendings: Vec<Sending>,
     /// Time from first sending to the last reply.
     pub latency: Duration,
 }
 
+impl Asked {
+    /// The last reply; none if no daemon gave one.
+    pub fn reply(&self) -> Option<&CallerReply> {
+        self.replies().last()
+    }
+
+    /// All replies.
+    pub fn replies(&self) -> impl Iterator<Item = &CallerReply> {
+        self.sendings
+            .iter()
+            .filter_map(|sending| sending.result.as_ref().ok())
+    }
+
+    /// All failures.
+    pub fn failures(&self) -> impl Iterator<Item = &ExchangeFailure> {
+        self.sendings
+            .iter()
+            .filter_map(|sending| sending.result.as_ref().err())
+    }
+}
+
 impl CallerClient {
     /// A client that is that far from the daemons, in each direction.
     pub fn new(one_way_delay: Duration) -> Self {
@@ -128,14 +169,15 @@
         }
     }
 
-    /// Sends a request to one daemon, once.
+    /// Sends a query to one daemon, once, under a request id of its own.
     pub async fn send(
         &self,
         daemon: SocketAddr,
         request: &CallerRequest,
+        id: &RequestId,
     ) -> Result<CallerReply, ExchangeFailure> {
         let began = Instant::now();
-        let http_request = build_request(daemon, request).map_err(ExchangeFailure::NotSent)?;
+        let http_request = build_request(daemon, request, id).map_err(ExchangeFailure::NotSent)?;
         let patience = request.deadline + PATIENCE_BEYOND_DEADLINE;
         tokio::time::sleep(self.one_way_delay).await;
         let exchange = self.exchange(daemon, http_request, began);
@@ -161,32 +203,36 @@
     ///
     /// The next daemon is asked when nothing was sent, and after any other failure or refusal only
     /// if the request may be sent again. No daemon is asked twice.
-    pub async fn ask(&self, daemons: &[SocketAddr], request: &CallerRequest) -> Asked {
+    pub async fn ask(
+        &self,
+        daemons: &[SocketAddr],
+        request: &CallerRequest,
+        label: &str,
+    ) -> Result<Asked, InvalidName> {
         let began = Instant::now();
-        let mut asked = Asked {
-            last_sent_unix_micros: 0,
-            reply: None,
-            failures: Vec::new(),
-            latency: Duration::ZERO,
-        };
+        let mut sendings = Vec::new();
         for (index, daemon) in daemons.iter().enumerate() {
             if index > 0 {
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
-            asked.last_sent_unix_micros = unix_micros();
-            match self.send(*daemon, request).await {
-                Ok(reply) => {
-                    let is_final = reply.outcome() != Outcome::NotRun;
-                    asked.reply = Some(reply);
-                    if is_final {
-                        break;
-                    }
-                }
-                Err(failure) => asked.failures.push(failure),
+            let id = request.sending_id(&format!("{label}{index}"))?;
+            let result = self.send(*daemon, request, &id).await;
+            let is_final = result
+                .as_ref()
+                .is_ok_and(|reply| reply.outcome() != Outcome::NotRun);
+            sendings.push(Sending {
+                request: id,
+                daemon: *daemon,
+                result,
+            });
+            if is_final {
+                break;
             }
         }
-        asked.latency = began.elapsed();
-        asked
+        Ok(Asked {
+            sendings,
+            latency: began.elapsed(),
+        })
     }
 
     async fn exchange(
@@ -237,6 +283,7 @@
 fn build_request(
     daemon: SocketAddr,
     request: &CallerRequest,
+    id: &RequestId,
 ) -> Result<Request<Full<Bytes>>, StepError> {
     let step = "build a request";
     let query: &RawValue = serde_json::from_str(&request.query)
@@ -252,7 +299,7 @@
         request.service
     ))
     .header(header::CONTENT_TYPE, "application/json")
-    .header(REQUEST_ID_HEADER, request.request.as_str())
+    .header(REQUEST_ID_HEADER, id.as_str())
     .header(DEADLINE_HEADER, deadline_millis);
     if let Some(key) = &request.key {
         builder = builder
--- a/crates/tansylead-lab/src/caller/mod.rs
+++ b/crates/tansylead-lab/src/caller/mod.rs
@@ -14,7 +14,7 @@
 
 pub use answer::{CallerAnswer, CallerRefusal, CallerReply, CallerResult};
 pub use check::{AnswerFault, check_reply};
-pub use client::{Asked, CallerClient, CallerRequest, ExchangeFailure, NonRepeatableKey};
+pub use client::{Asked, CallerClient, CallerRequest, ExchangeFailure, NonRepeatableKey, Sending};
 pub use shards::ShardLists;
 pub use statistics::{FigureCollector, Figures};
 pub use traffic::{DaemonAddress, QueryRecord, Traffic, TrafficPlan};
--- a/crates/tansylead-lab/src/caller/shards.rs
+++ b/crates/tansylead-lab/src/caller/shards.rs
@@ -1,7 +1,7 @@
 //! The shard list of each snapshot of each service, as the checks know it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use tansylead_types::{ConfigObject, ServiceName, ShardId, SnapshotVersion};
+use tansylead_types::{ConfigObject, ServiceName, ShardId, Snapshot, SnapshotVersion};
 
 /// Shard lists by service and snapshot.
 #[derive(Debug, Clone, Default)]
@@ -25,14 +25,17 @@
             return;
         };
         for snapshot in &placement.snapshots {
-            let shards = snapshot.shards.iter().map(|entry| entry.shard.clone());
-            self.lists.insert(
-                (placement.service.clone(), snapshot.version),
-                shards.collect(),
-            );
+            self.add_snapshot(&placement.service, snapshot);
         }
     }
 
+    /// Adds the list of one snapshot.
+    pub fn add_snapshot(&mut self, service: &ServiceName, snapshot: &Snapshot) {
+        let shards = snapshot.shards.iter().map(|entry| entry.shard.clone());
+        let key = (service.clone(), snapshot.version);
+        self.lists.insert(key, shards.collect());
+    }
+
     /// The shard list of a snapshot.
     pub fn get(
         &self,
--- a/crates/tansylead-lab/src/demo/report.rs
+++ b/crates/tansylead-lab/src/demo/report.rs
@@ -59,6 +59,28 @@
     pub after: Figures,
 }
 
+impl GroupFigures {
+    /// Shards missing from answers, in words.
+    fn missing_text(&self) -> String {
+        let in_words = |figures: &Figures| {
+            let reasons = figures.missing.iter();
+            let words: Vec<String> = reasons
+                .map(|(why, count)| format!("{why:?} {count}"))
+                .collect();
+            if words.is_empty() {
+                "none".to_owned()
+            } else {
+                words.join(", ")
+            }
+        };
+        let (before, after) = (in_words(&self.before), in_words(&self.after));
+        format!(
+            "{}: missing shards before: {before}; after: {after}",
+            self.callers
+        )
+    }
+}
+
 /// The whole report.
 #[derive(Debug, Clone, Serialize)]
 pub struct DemoReport {
@@ -83,7 +105,7 @@
 #[derive(Tabled)]
 struct Row {
     callers: String,
-    phase: &'static str,
+    kills: &'static str,
     queries: u64,
     #[tabled(rename = "p50 ms")]
     p50: String,
@@ -93,12 +115,13 @@
     p999: String,
     #[tabled(rename = "coverage %")]
     coverage: String,
-    #[tabled(rename = "attempts/query")]
+    #[tabled(rename = "attempts a query")]
     attempts: String,
     #[tabled(rename = "extra %")]
     extra: String,
     complete: u64,
     partial: u64,
+    #[tabled(rename = "not run")]
     not_run: u64,
     unknown: u64,
     lost: u64,
@@ -106,10 +129,10 @@
 }
 
 impl Row {
-    fn new(callers: &str, phase: &'static str, figures: &Figures) -> Self {
+    fn new(callers: &str, kills: &'static str, figures: &Figures) -> Self {
         Self {
             callers: callers.to_owned(),
-            phase,
+            kills,
             queries: figures.queries,
             p50: format!("{:.1}", figures.p50_millis),
             p99: format!("{:.1}", figures.p99_millis),
@@ -167,7 +190,7 @@
         });
         let mut table = Table::new(rows);
         table
-            .with(Style::sharp())
+            .with(Style::psql())
             .modify(Columns::new(2..), Alignment::right());
         let faults = &self.faults;
         let mut lines = vec![
@@ -184,6 +207,7 @@
             ),
             table.to_string(),
         ];
+        lines.extend(self.groups.iter().map(GroupFigures::missing_text));
         lines.push(format!(
             "posts: {}, keys sent again through another daemon: {}, most executions of one key: {}",
             self.posts.posts, self.posts.repeated_keys, self.posts.most_executions_of_a_key
--- a/crates/tansylead-lab/src/deployment/mod.rs
+++ b/crates/tansylead-lab/src/deployment/mod.rs
@@ -4,11 +4,13 @@
 pub mod description;
 pub mod directory;
 pub mod fleet;
+pub mod in_force;
 pub mod plan;
 pub mod readiness;
 pub mod running;
 pub mod seed;
 pub mod traffic_table;
+pub mod versions;
 
 pub use description::{CallerGroup, CallerKind, DeploymentDescription, PlaceDescription};
 pub use directory::RunDirectory;
--- a/crates/tansylead-lab/src/deployment/running.rs
+++ b/crates/tansylead-lab/src/deployment/running.rs
@@ -191,6 +191,11 @@
             .ok_or_else(|| eyre::eyre!("no process runs leaf {leaf}"))
     }
 
+    /// Addresses of all leafs; an error if a process of leafs does not run.
+    pub async fn leaf_addresses(&self) -> eyre::Result<LeafAddresses> {
+        leaf_addresses(&self.leaf_processes).await
+    }
+
     /// All leafs of processes that still run, with their counters.
     pub async fn leaf_statuses(&mut self) -> eyre::Result<Vec<LeafStatus>> {
         let mut statuses = Vec::new();
--- /dev/null
+++ b/crates/tansylead-lab/tests/process_posts.rs
@@ -0,0 +1,89 @@
+//! Posts run at most once, whatever happens to the daemons that carry them.
+
+mod common;
+
+use common::{HANG_LIMIT, Rates, finish, more_queries, plan, start};
+use std::time::Duration;
+use tansylead_lab::caller::{Traffic, Violation};
+use tansylead_lab::store::{OutageMode, StoreFaults};
+
+const POSTS: Rates = Rates {
+    lookups: 0.0,
+    posts: 80.0,
+};
+const DEADLINE_MILLIS: u64 = 600;
+/// Longer than callers wait, so that they send the key again elsewhere while its root is frozen.
+const FREEZE: Duration = Duration::from_millis(2_500);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn posts_run_at_most_once_while_daemons_are_killed_restarted_and_frozen() {
+    let mut deployment = start(&[]).await;
+    let mut plan = plan(&deployment, POSTS);
+    for group in &mut plan.groups {
+        group.deadline_millis = DEADLINE_MILLIS;
+    }
+    let traffic = Traffic::start(plan);
+    more_queries(&traffic, 100).await;
+
+    deployment.daemons[0].process.kill().expect("killed");
+    deployment
+        .start_daemon_again(0)
+        .await
+        .expect("it starts again");
+    more_queries(&traffic, 100).await;
+
+    deployment.daemons[1].process.freeze().expect("frozen");
+    tokio::time::sleep(FREEZE).await;
+    deployment.daemons[1].process.resume().expect("resumed");
+    more_queries(&traffic, 100).await;
+
+    let faults = StoreFaults {
+        outage: Some(OutageMode::Hang),
+        ..StoreFaults::default()
+    };
+    deployment
+        .store
+        .set_faults(&faults)
+        .await
+        .expect("the store is down");
+    deployment.daemons[2].process.kill().expect("killed");
+    more_queries(&traffic, 50).await;
+    deployment.daemons[3].process.freeze().expect("frozen");
+    tokio::time::sleep(FREEZE).await;
+    deployment.daemons[3].process.resume().expect("resumed");
+    deployment
+        .store
+        .set_faults(&StoreFaults::default())
+        .await
+        .expect("the store is back");
+    deployment
+        .start_daemon_again(2)
+        .await
+        .expect("it starts again");
+    more_queries(&traffic, 100).await;
+
+    let daemon = &mut deployment.daemons[4];
+    daemon.process.terminate().expect("asked to stop");
+    daemon
+        .process
+        .wait(HANG_LIMIT)
+        .await
+        .expect("its status")
+        .expect("it ends");
+    more_queries(&traffic, 50).await;
+
+    let outcomes = finish(traffic, &mut deployment).await;
+    assert!(
+        outcomes
+            .records
+            .iter()
+            .any(|record| record.repeated.is_some())
+    );
+    assert_eq!(outcomes.most_executions_of_a_key, 1);
+    let broken: Vec<&Violation> = outcomes
+        .violations
+        .iter()
+        .filter(|violation| !matches!(violation, Violation::Lost { .. }))
+        .collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
