--- a/crates/tansylead-lab/src/caller/verify.rs
+++ b/crates/tansylead-lab/src/caller/verify.rs
@@ -111,7 +111,7 @@
 }
 
 fn violations_of(record: &QueryRecord, executions: &ExecutionCounts) -> Vec<Violation> {
-    let request = &record.request.name;
+    let request = &record.request.request;
     let mut violations = Vec::new();
     if let Some(fault) = &record.fault {
         violations.push(Violation::WrongAnswer {
--- a/crates/tansylead-lab/tests/process_leafs.rs
+++ b/crates/tansylead-lab/tests/process_failures/leafs.rs
@@ -1,8 +1,6 @@
 //! Leafs that fail as real processes: frozen, killed, crossed, cut, lying about their health.
 
-mod common;
-
-use common::{Rates, finish, more_queries, plan, start};
+use crate::common::{Rates, finish, more_queries, plan, start};
 use tansylead_lab::caller::Traffic;
 use tansylead_lab::leaf::{DrainMode, HealthMode, LeafFaults};
 use tansylead_types::{LeafId, Outcome};
--- /dev/null
+++ b/crates/tansylead-lab/tests/process_failures/main.rs
@@ -0,0 +1,7 @@
+//! Real processes in which something fails. One test program, so that its tests run side by side.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod leafs;
+mod snapshots;
+mod whole_path;
--- a/crates/tansylead-lab/tests/process_whole_path.rs
+++ b/crates/tansylead-lab/tests/process_failures/whole_path.rs
@@ -1,8 +1,6 @@
 //! The whole path through real processes: callers, six daemons in three places, leafs, store.
 
-mod common;
-
-use common::{Rates, finish, more_queries, plan, start};
+use crate::common::{Rates, finish, more_queries, plan, start};
 use tansylead_lab::caller::Traffic;
 use tansylead_lab::store::{OutageMode, StoreFaults};
 use tansylead_types::Outcome;
