lab: count queries that were open at the kills as after them

A query that was due just before the kills and open while its daemon was killed showed as a cut connection before any fault, once in each demo.

--- a/crates/tansylead-lab/src/demo/report.rs
+++ b/crates/tansylead-lab/src/demo/report.rs
@@ -53,9 +53,9 @@
 pub struct GroupFigures {
     /// Callers.
     pub callers: String,
-    /// Before the kills.
+    /// Queries that were over before the kills.
     pub before: Figures,
-    /// After the kills.
+    /// All other queries.
     pub after: Figures,
 }
 
--- a/crates/tansylead-lab/src/demo/scenario.rs
+++ b/crates/tansylead-lab/src/demo/scenario.rs
@@ -137,7 +137,8 @@
         let mut before = FigureCollector::new()?;
         let mut after = FigureCollector::new()?;
         for record in records.iter().filter(|record| record.group == index) {
-            if record.due < killed_after {
+            let over = record.due + record.asked.latency;
+            if over < killed_after {
                 before.add(record);
             } else {
                 after.add(record);
