query: look again soon at slow shards that could not be hedged

A slow shard whose other replica had no room was looked at again only after another learned delay (about 100 ms at the 25-shard service), and hedging at the 95th percentile wanted the whole 5% budget, so stragglers went without.

Now it is looked at again after a twentieth of the delay, at least 5 ms, and the default hedge quantile is 0.97.

--- a/crates/tansylead-query/src/hedge.rs
+++ b/crates/tansylead-query/src/hedge.rs
@@ -10,8 +10,10 @@
 use std::time::Duration;
 use tansylead_types::Moment;
 
-/// A slow shard that could not be hedged is looked at again after the learned delay, but not
-/// before this time.
+/// A slow shard that could not be hedged, for lack of room or budget, is looked at again after this
+/// part of the learned delay.
+const RECHECK_DIVISOR: u32 = 20;
+/// It is not looked at again before this time.
 const SHORTEST_RECHECK: Duration = Duration::from_millis(5);
 /// Before a delay has been learned, a hedge goes out after this part of the time left.
 const UNLEARNED_DIVISOR: u32 = 2;
@@ -29,7 +31,7 @@
             return;
         };
         let at = if earliest <= now {
-            now + delay.unwrap_or_default().max(SHORTEST_RECHECK)
+            now + (delay.unwrap_or_default() / RECHECK_DIVISOR).max(SHORTEST_RECHECK)
         } else {
             earliest
         };
--- a/crates/tansylead-types/src/config.rs
+++ b/crates/tansylead-types/src/config.rs
@@ -53,7 +53,7 @@
             wait: WaitPolicy::WholeDeadline,
             repeatable: true,
             retry_budget_percent: 5.0,
-            hedge_quantile: 0.95,
+            hedge_quantile: 0.97,
             maximum_body_bytes: 64 * 1024,
         }
     }
