Decide which roots are told that a leaf is leaving

Need: a root that learns it first-hand tells the others, also one that becomes a root later.

Change: LeavingNotices tells each root, repeats every 2 s while it holds, and sends again what could not be delivered. Only first-hand knowledge is passed on, or roots would keep one another's announcements alive.

--- a/crates/tansylead-cluster/src/routing/mod.rs
+++ b/crates/tansylead-cluster/src/routing/mod.rs
@@ -6,6 +6,7 @@
 //! - [`choose_place`] and [`choose_root`]: where one query goes;
 //! - [`RateShares`]: how much of the limit this root may use now.
 
+mod leaving_notices;
 mod place_choice;
 mod place_state;
 mod rate_shares;
@@ -13,6 +14,7 @@
 mod share_lease;
 mod share_message;
 
+pub use leaving_notices::{LeavingNotice, LeavingNotices, RENEWAL_PERIOD};
 pub use place_choice::{PlaceChoice, RefuseCause, choose_place, choose_root, largest_limit};
 pub use place_state::{PlaceState, RootReport, RootState, ServicePlaces};
 pub use rate_shares::{RateShares, ShareAction, ShareTiming};
