Repeat the machine list's word about leaving leafs

Need: the roots forget an announcement that is not repeated, and a root that is new has not heard it. The reader told each leaf once.

The log line stays one for each change.

--- a/crates/tansylead-daemon/src/cluster/machine_list.rs
+++ b/crates/tansylead-daemon/src/cluster/machine_list.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_cluster::routing::RENEWAL_PERIOD;
 use tansylead_cluster::spread::StoreState;
 use tansylead_types::store::{MachineList, MachineState};
 use tokio::sync::watch;
@@ -60,14 +61,20 @@
     /// Runs until its task is ended.
     pub async fn run(mut self) {
         let mut since_read = OTHERS_PERIOD;
+        let mut since_renewal = Duration::ZERO;
         loop {
             if since_read >= self.period() {
                 since_read = Duration::ZERO;
                 self.read().await;
             }
+            if since_renewal >= RENEWAL_PERIOD {
+                since_renewal = Duration::ZERO;
+                self.renew();
+            }
             let share = 1.0 - rand::rng().random_range(0.0..JITTER_SHARE);
             tokio::time::sleep(STEP_PERIOD.mul_f64(share)).await;
             since_read += STEP_PERIOD;
+            since_renewal += STEP_PERIOD;
         }
     }
 
@@ -92,7 +99,7 @@
         }
     }
 
-    /// Tells the roots in this place once about each leaf that is newly said to be leaving.
+    /// Tells the roots in this place at once about each leaf that is newly said to be leaving.
     fn tell_roots(&mut self, list: &MachineList) {
         let leaving = list
             .machines
@@ -100,11 +107,23 @@
             .filter(|machine| machine.state == MachineState::Leaving);
         let leaving: BTreeSet<SocketAddr> = leaving.map(|machine| machine.address).collect();
         for address in leaving.difference(&self.leaving) {
+            log::info!("machine list: {address} is leaving");
             self.routes.leaf_address_leaving(*address);
         }
         self.leaving = leaving;
     }
 
+    /// Tells the roots again what the last list said: roots that are new have not heard it, and the
+    /// others forget what is not repeated. A read that fails takes nothing back. Daemons that read
+    /// the list seldom do not repeat it, because it may be long out of date.
+    fn renew(&self) {
+        if self.period() < OTHERS_PERIOD {
+            for address in &self.leaving {
+                self.routes.leaf_address_leaving(*address);
+            }
+        }
+    }
+
     fn note_reachable(&mut self, error: Option<String>) {
         let reachable = error.is_none();
         if self.reachable == reachable {
--- a/crates/tansylead-daemon/src/routing/routes.rs
+++ b/crates/tansylead-daemon/src/routing/routes.rs
@@ -133,7 +133,6 @@
             }
             let leaf = placement.leafs.iter().find(|leaf| leaf.address == address);
             if let Some(leaf) = leaf {
-                log::info!("leaf {} is said to be leaving", leaf.leaf);
                 self.tell_roots(key, &leaf.leaf);
             }
         }
