Simulate pairs of faults, leafs that return, and found cases

A restored store breaks its watches. The machine list is read as the real daemon reads it, and what it says about leafs is repeated to the roots.

Ruled out: taking a lookup without the shards of a slow leaf, or a post that a slow leaf left unknown at its deadline, for damage by a stop.

--- a/crates/tansylead-lab/src/simulation/daemon/mod.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod frontend;
 mod key_status;
+mod machine_list;
 mod outbox;
 mod root;
 mod root_attempts;
@@ -27,13 +28,14 @@
 use claims::ClaimDesk;
 use configuration::{Configuration, PlacementKey};
 use frontend::FrontendQuery;
+use machine_list::MachineListReader;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use root::{PendingWrite, Root};
 use std::collections::{BTreeMap, BTreeSet};
 use tansylead_cluster::claims::ClaimHolder;
 use tansylead_cluster::membership::{GossipPacket, LocalMember, Membership, MembershipSettings};
-use tansylead_cluster::routing::ServicePlaces;
+use tansylead_cluster::routing::{LeavingNotice, ServicePlaces};
 use tansylead_cluster::spread::{SpreadMachine, SpreadSettings};
 use tansylead_types::{
     AttemptId, InstanceId, LeafId, Moment, NodeId, PlaceName, QueryId, QueryRequest, ServiceName,
@@ -101,6 +103,10 @@
         placement: PlacementKey,
         leaf: LeafId,
     },
+    Notice {
+        placement: PlacementKey,
+        notice: LeavingNotice,
+    },
     /// Nothing follows from its end.
     Ignored,
 }
@@ -116,7 +122,7 @@
     spread: SpreadMachine,
     configuration: Configuration,
     store_read: Option<CallId>,
-    next_machine_read: Moment,
+    machine_list: MachineListReader,
     routing_changed: bool,
     places: BTreeMap<ServiceName, ServicePlaces>,
     serving: BTreeMap<PlacementKey, BTreeSet<NodeId>>,
@@ -165,7 +171,7 @@
             spread,
             configuration: Configuration::default(),
             store_read: None,
-            next_machine_read: clocks.now,
+            machine_list: MachineListReader::new(clocks.now),
             routing_changed: true,
             places: BTreeMap::new(),
             serving: BTreeMap::new(),
@@ -337,6 +343,9 @@
             Purpose::Health { placement, leaf } => {
                 self.on_health(clocks, &placement, leaf, result, outbox);
             }
+            Purpose::Notice { placement, notice } => {
+                self.on_notice_ended(&placement, &notice, &result);
+            }
             Purpose::Ignored => {}
         }
     }
--- a/crates/tansylead-lab/src/simulation/daemon/serving.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/serving.rs
@@ -57,6 +57,7 @@
         let Some(definition) = self.configuration.definition(&key.service).cloned() else {
             return;
         };
+        let is_new = !self.roots.contains_key(key);
         let limit = self.table_limit(key);
         let seed = self.next_query().0 ^ self.instance.boot;
         let instance = self.instance;
@@ -75,6 +76,9 @@
         let roots = u32::try_from(roots).unwrap_or(u32::MAX);
         actions.extend(root.engine.set_leaf_share(clocks.now, roots));
         self.perform(clocks, key, actions, outbox);
+        if is_new {
+            self.tell_new_root(clocks, key, placement, outbox);
+        }
     }
 
     fn table_limit(&self, key: &PlacementKey) -> u32 {
--- a/crates/tansylead-lab/src/simulation/oracle.rs
+++ b/crates/tansylead-lab/src/simulation/oracle.rs
@@ -3,8 +3,8 @@
 
 use super::fault::FaultKind;
 use super::history::{CallerRecord, CallerResult, History, OutageKind, WriteReport, key_text};
-use super::plan::CasePlan;
-use super::topology::{Service, shards};
+use super::plan::{CasePlan, PROBE_QUERIES, PROBES_BEGIN};
+use super::topology::{LEAFS, Service, shards};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
@@ -62,6 +62,8 @@
     OperatorsAreToldTheTruth,
     /// After the faults queries are answered completely again.
     QueriesComplete,
+    /// After the faults every leaf gets work again.
+    LeafsReturn,
 }
 
 /// One thing that did not hold.
@@ -100,6 +102,7 @@
     }
     oracle.check_keys();
     oracle.check_leaving();
+    oracle.check_return();
     oracle.check_tables();
     oracle.check_operators();
     oracle.violations
@@ -367,8 +370,8 @@
                 }
                 let own_sign = signs.iter().filter(|sign| sign.to == arrival.from);
                 let own_sign = own_sign.map(|sign| sign.at).min();
-                let known_elsewhere =
-                    (!self.was_disturbed(first, arrival.sent)).then_some(first + SIGN_DELAY);
+                let told = self.last_stop(first, arrival.sent) + SIGN_DELAY;
+                let known_elsewhere = (!self.was_disturbed(first, arrival.sent)).then_some(told);
                 let known = own_sign.into_iter().chain(known_elsewhere).min();
                 if known.is_some_and(|known| arrival.sent > known + LEAVING_GRACE) {
                     details.push(format!(
@@ -387,6 +390,12 @@
         }
     }
 
+    /// When the first sign was seen or, if later, the last planned stop made another daemon a root.
+    fn last_stop(&self, first: Moment, until: Moment) -> Moment {
+        let stops = self.history.planned_stops.iter().map(|(_, at)| *at);
+        stops.filter(|at| *at <= until).fold(first, Moment::max)
+    }
+
     /// Whether daemons may have been unable to tell one another.
     fn was_disturbed(&self, from: Moment, until: Moment) -> bool {
         let mut outages = self.history.outages.iter();
@@ -398,6 +407,24 @@
             })
     }
 
+    fn check_return(&mut self) {
+        let probes = self
+            .plan
+            .queries
+            .iter()
+            .filter(|query| query.is_probe)
+            .count();
+        if probes < PROBE_QUERIES as usize {
+            return;
+        }
+        let arrivals = self.history.arrivals.iter();
+        let late = arrivals.filter(|arrival| arrival.sent >= PROBES_BEGIN);
+        let working: BTreeSet<usize> = late.map(|arrival| arrival.leaf).collect();
+        for leaf in (0..LEAFS).filter(|leaf| !working.contains(leaf)) {
+            self.fail(Rule::LeafsReturn, format!("leaf {leaf} got no work"));
+        }
+    }
+
     fn check_stop(&mut self, record: &CallerRecord) {
         let stops = [FaultKind::DaemonStop, FaultKind::RollingRestart];
         let mut faults = self.plan.faults.iter();
--- a/crates/tansylead-lab/src/simulation/store.rs
+++ b/crates/tansylead-lab/src/simulation/store.rs
@@ -129,8 +129,9 @@
         self.held.retain(|(held, _)| *held != call);
     }
 
-    /// Goes back to an older state.
-    pub fn restore_older(&mut self) {
+    /// Goes back to an older state. Returns the reads that were held: their connections break, for
+    /// a store that is restored is started anew.
+    pub fn restore_older(&mut self) -> Vec<CallId> {
         let revision = self.revision.saturating_sub(REVISIONS_LOST_BY_RESTORE);
         self.log.retain(|stored| stored.revision <= revision);
         self.revision = revision;
@@ -139,6 +140,8 @@
             .iter()
             .map(|stored| (stored.key.clone(), stored.clone()))
             .collect();
+        let held = std::mem::take(&mut self.held);
+        held.into_iter().map(|(call, _)| call).collect()
     }
 
     fn list_after(&self, after: u64) -> ObjectList {
--- a/crates/tansylead-lab/src/simulation/world/calls.rs
+++ b/crates/tansylead-lab/src/simulation/world/calls.rs
@@ -248,15 +248,20 @@
                 self.cancel_call(call);
                 continue;
             }
-            let Some(state) = self.calls.get_mut(&call) else {
-                continue;
-            };
-            state.server_done = true;
-            let (from, to) = (state.from.endpoint, state.to.endpoint);
-            if !self.network.is_cut(from, to) {
-                let delay = self.network.stream(to, from, &mut self.random);
-                self.end_call_after(delay, call, Err(CallFailure::Failed));
-            }
+            self.break_call(call);
+        }
+    }
+
+    /// A server closes the connection without an answer.
+    pub(super) fn break_call(&mut self, call: CallId) {
+        let Some(state) = self.calls.get_mut(&call) else {
+            return;
+        };
+        state.server_done = true;
+        let (from, to) = (state.from.endpoint, state.to.endpoint);
+        if !self.network.is_cut(from, to) {
+            let delay = self.network.stream(to, from, &mut self.random);
+            self.end_call_after(delay, call, Err(CallFailure::Failed));
         }
     }
 }
--- a/crates/tansylead-lab/src/simulation/world/faults.rs
+++ b/crates/tansylead-lab/src/simulation/world/faults.rs
@@ -133,7 +133,9 @@
     }
 
     fn restore_store(&mut self) {
-        self.store.restore_older();
+        for call in self.store.restore_older() {
+            self.break_call(call);
+        }
         self.history.store_restored = true;
     }
 }
--- /dev/null
+++ b/crates/tansylead-lab/tests/simulation_pairs.rs
@@ -0,0 +1,86 @@
+//! Two faults at once, with fixed seeds, and cases that once failed.
+
+use tansylead_lab::simulation::campaign::{Summary, plan_of, run_case};
+use tansylead_lab::simulation::fault::FaultKind;
+use tansylead_lab::simulation::plan::CasePlan;
+
+fn holds(plan: &CasePlan) {
+    let violations = run_case(plan, None, &mut Summary::default());
+    let texts: Vec<String> = violations.iter().map(ToString::to_string).collect();
+    assert!(texts.is_empty(), "seed {}: {texts:#?}", plan.seed);
+}
+
+fn holds_under(kinds: [FaultKind; 2]) {
+    holds(&CasePlan::draw(1, &kinds));
+}
+
+#[test]
+fn same_plan_has_the_same_history() {
+    use tansylead_lab::simulation::world::run;
+    let plan = plan_of(1, 30);
+    assert_eq!(run(&plan, None).history, run(&plan, None).history);
+}
+
+#[test]
+fn daemon_kill_and_region_cut() {
+    holds_under([FaultKind::DaemonKill, FaultKind::CutRegion]);
+}
+
+#[test]
+fn daemon_freeze_and_store_outage() {
+    holds_under([FaultKind::DaemonFreeze, FaultKind::StoreOutage]);
+}
+
+#[test]
+fn daemon_freeze_and_broken_connections() {
+    holds_under([FaultKind::DaemonFreeze, FaultKind::ConnectionBreaks]);
+}
+
+#[test]
+fn daemon_stop_and_zone_cut() {
+    holds_under([FaultKind::DaemonStop, FaultKind::CutZone]);
+}
+
+#[test]
+fn repartition_and_lost_version() {
+    holds_under([FaultKind::Repartition, FaultKind::LeafLosesVersion]);
+}
+
+#[test]
+fn repartition_and_restored_store() {
+    holds_under([FaultKind::Repartition, FaultKind::StoreRestored]);
+}
+
+#[test]
+fn lost_answers_and_operator_race() {
+    holds_under([FaultKind::StoreLosesAnswers, FaultKind::OperatorRace]);
+}
+
+#[test]
+fn leaf_kill_and_straggler() {
+    holds_under([FaultKind::LeafKill, FaultKind::LeafStraggle]);
+}
+
+#[test]
+fn leaf_drain_and_stale_machine_list() {
+    holds_under([FaultKind::LeafDrain, FaultKind::MachineListStale]);
+}
+
+#[test]
+fn lost_and_doubled_packets() {
+    holds_under([FaultKind::PacketLoss, FaultKind::PacketDuplication]);
+}
+
+/// A daemon that became a root in a rolling restart was not told that a leaf was leaving.
+#[test]
+fn found_new_root_learns_that_a_leaf_is_leaving() {
+    holds(&plan_of(1, 199));
+}
+
+/// A leaf that drained and came back at the same address was announced as leaving once more by the
+/// lagging machine list, and never got work again.
+#[test]
+fn found_leaf_that_returns_gets_work_again() {
+    holds(&plan_of(1, 6));
+    holds(&plan_of(4, 7));
+}
