--- a/crates/tansylead-daemon/src/cluster/machine_list.rs
+++ b/crates/tansylead-daemon/src/cluster/machine_list.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_cluster::routing::RENEWAL_PERIOD;
 use tansylead_cluster::spread::StoreState;
 use tansylead_types::store::{MachineList, MachineState};
 use tokio::sync::watch;
@@ -20,8 +21,6 @@
 const READER_PERIOD: Duration = Duration::from_secs(1);
 /// Period of all others.
 const OTHERS_PERIOD: Duration = Duration::from_secs(600);
-/// Roots are told again after this many reads: some may be new.
-const READS_PER_REPETITION: u64 = 10;
 /// How often the period is reconsidered.
 const STEP_PERIOD: Duration = Duration::from_secs(1);
 /// Periods are shortened by up to this share, so that daemons do not read in step.
@@ -36,7 +35,6 @@
     status: watch::Receiver<Arc<ClusterStatus>>,
     routes: Arc<Routes>,
     leaving: BTreeSet<SocketAddr>,
-    reads: u64,
     reachable: bool,
 }
 
@@ -56,7 +54,6 @@
             status,
             routes,
             leaving: BTreeSet::new(),
-            reads: 0,
             reachable: true,
         }
     }
@@ -64,14 +61,20 @@
     /// Runs until its task is ended.
     pub async fn run(mut self) {
         let mut since_read = OTHERS_PERIOD;
+        let mut since_renewal = Duration::ZERO;
         loop {
             if since_read >= self.period() {
                 since_read = Duration::ZERO;
                 self.read().await;
             }
+            if since_renewal >= RENEWAL_PERIOD {
+                since_renewal = Duration::ZERO;
+                self.renew();
+            }
             let share = 1.0 - rand::rng().random_range(0.0..JITTER_SHARE);
             tokio::time::sleep(STEP_PERIOD.mul_f64(share)).await;
             since_read += STEP_PERIOD;
+            since_renewal += STEP_PERIOD;
         }
     }
 
@@ -96,24 +99,31 @@
         }
     }
 
-    /// Tells the roots in this place about each leaf that is newly said to be leaving, and now and
-    /// then about all of them.
+    /// Tells the roots in this place at once about each leaf that is newly said to be leaving.
     fn tell_roots(&mut self, list: &MachineList) {
         let leaving = list
             .machines
             .iter()
             .filter(|machine| machine.state == MachineState::Leaving);
         let leaving: BTreeSet<SocketAddr> = leaving.map(|machine| machine.address).collect();
-        self.reads += 1;
-        if self.reads.is_multiple_of(READS_PER_REPETITION) {
-            self.leaving.clear();
-        }
         for address in leaving.difference(&self.leaving) {
+            log::info!("machine list: {address} is leaving");
             self.routes.leaf_address_leaving(*address);
         }
         self.leaving = leaving;
     }
 
+    /// Tells the roots again what the last list said: roots that are new have not heard it, and the
+    /// others forget what is not repeated. A read that fails takes nothing back. Daemons that read
+    /// the list seldom do not repeat it, because it may be long out of date.
+    fn renew(&self) {
+        if self.period() < OTHERS_PERIOD {
+            for address in &self.leaving {
+                self.routes.leaf_address_leaving(*address);
+            }
+        }
+    }
+
     fn note_reachable(&mut self, error: Option<String>) {
         let reachable = error.is_none();
         if self.reachable == reachable {
