--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -73,54 +73,71 @@
     inputs: mpsc::UnboundedReceiver<ClusterInput>,
 }
 
+/// What the servers for callers and for peers share.
+pub(crate) struct Shared {
+    pub(crate) routes: Arc<Routes>,
+    pub(crate) state: Arc<DaemonState>,
+    pub(crate) claims: Arc<Claims>,
+    roots: Arc<RootService>,
+}
+
+/// The parts of a daemon that act together with its peers, running, without callers and roots.
+pub(crate) struct ControlAssembly {
+    pub(crate) shared: Shared,
+    pub(crate) configuration: watch::Receiver<Arc<ConfigurationView>>,
+    pub(crate) members: watch::Receiver<Arc<MemberView>>,
+    pub(crate) status: watch::Receiver<Arc<ClusterStatus>>,
+    pub(crate) tasks: Vec<AbortOnDropHandle<()>>,
+}
+
 /// Binds the addresses and puts a daemon together.
 pub(crate) async fn assemble(settings: Settings, tuning: Tuning) -> eyre::Result<Assembly> {
     let sockets = bind_peer_sockets(settings.peer_address).await?;
-    let base = Base::new(settings, tuning, sockets.address)?;
+    let peer_address = sockets.address;
+    let base = Base::new(settings, tuning, peer_address)?;
     let channels = Channels::new();
-    let routes = base.routes(&channels);
-    let state = base.state(&channels, &routes);
-    let claims = base.claims(&channels);
-    let roots = RootService::new(
-        base.directory.clone(),
-        Arc::clone(&claims),
-        Arc::clone(&state),
-    );
-    let roots = Arc::new(roots);
-    let server = base.caller_server(&state, &routes, &roots).await?;
+    let shared = base.shared(&channels);
+    let server = base
+        .caller_server(&shared.state, &shared.routes, &shared.roots)
+        .await?;
+    let caller_address = server.local_address()?;
 
     let supervisor = base.supervisor();
     let configuration = channels.configuration.subscribe();
     let members = channels.members.subscribe();
-    let peer_service = PeerService {
-        roots,
-        directory: base.directory.clone(),
-        cluster: channels.cluster.clone(),
-        claims: Arc::clone(&claims),
-        state: Arc::clone(&state),
-    };
-    let peer_server = base.peer_server(sockets.listener, peer_service);
-    let machine_list = base.machine_list_reader(&channels, &routes);
-    let planner = base.planner(&channels, &claims);
-    let claim_configuration = channels.configuration.subscribe();
     let cluster = channels.cluster.clone();
-    let caller_address = server.local_address()?;
-    let driver = base.cluster_driver(&channels, sockets.datagrams, caller_address);
-    let mut tasks = vec![
-        spawn(driver.run(channels.inputs)),
-        spawn(supervisor.run(configuration, members)),
-        spawn(peer_server.run()),
-        spawn(run_claim_member(Arc::clone(&claims), claim_configuration)),
-        spawn(run_claim_planner(planner)),
-    ];
-    tasks.extend(machine_list.map(|reader| spawn(reader.run())));
+    let mut tasks = vec![spawn(supervisor.run(configuration, members))];
+    tasks.extend(base.spawn_control(channels, sockets, &shared, caller_address));
     Ok(Assembly {
-        state,
+        state: shared.state,
         cluster,
-        claims,
+        claims: shared.claims,
         drain: base.drain,
         server,
-        peer_address: sockets.address,
+        peer_address,
+        tasks,
+    })
+}
+
+/// Binds the peer address and starts what acts together with peers; nothing listens for callers.
+pub(crate) async fn assemble_control(
+    settings: Settings,
+    tuning: Tuning,
+) -> eyre::Result<ControlAssembly> {
+    let sockets = bind_peer_sockets(settings.peer_address).await?;
+    let caller_address = settings.caller_address;
+    let base = Base::new(settings, tuning, sockets.address)?;
+    let channels = Channels::new();
+    let shared = base.shared(&channels);
+    let configuration = channels.configuration.subscribe();
+    let members = channels.members.subscribe();
+    let status = channels.status.subscribe();
+    let tasks = base.spawn_control(channels, sockets, &shared, caller_address);
+    Ok(ControlAssembly {
+        shared,
+        configuration,
+        members,
+        status,
         tasks,
     })
 }
@@ -187,6 +204,54 @@
         })
     }
 
+    fn shared(&self, channels: &Channels) -> Shared {
+        let routes = self.routes(channels);
+        let state = self.state(channels, &routes);
+        let claims = self.claims(channels);
+        let roots = RootService::new(
+            self.directory.clone(),
+            Arc::clone(&claims),
+            Arc::clone(&state),
+        );
+        Shared {
+            routes,
+            state,
+            claims,
+            roots: Arc::new(roots),
+        }
+    }
+
+    /// Starts membership, configuration spread, claims and the server for peers.
+    fn spawn_control(
+        &self,
+        channels: Channels,
+        sockets: PeerSockets,
+        shared: &Shared,
+        caller_address: SocketAddr,
+    ) -> Vec<AbortOnDropHandle<()>> {
+        let peer_service = PeerService {
+            roots: Arc::clone(&shared.roots),
+            directory: self.directory.clone(),
+            cluster: channels.cluster.clone(),
+            claims: Arc::clone(&shared.claims),
+            state: Arc::clone(&shared.state),
+        };
+        let peer_server = self.peer_server(sockets.listener, peer_service);
+        let machine_list = self.machine_list_reader(&channels, &shared.routes);
+        let planner = self.planner(&channels, &shared.claims);
+        let claims = Arc::clone(&shared.claims);
+        let claim_configuration = channels.configuration.subscribe();
+        let driver = self.cluster_driver(&channels, sockets.datagrams, caller_address);
+        let mut tasks = vec![
+            spawn(driver.run(channels.inputs)),
+            spawn(peer_server.run()),
+            spawn(run_claim_member(claims, claim_configuration)),
+            spawn(run_claim_planner(planner)),
+        ];
+        tasks.extend(machine_list.map(|reader| spawn(reader.run())));
+        tasks
+    }
+
     fn routes(&self, channels: &Channels) -> Arc<Routes> {
         Arc::new(Routes::new(RoutesParts {
             own_node: self.instance.node,
