--- a/crates/tansylead-lab/src/scale/cluster.rs
+++ b/crates/tansylead-lab/src/scale/cluster.rs
@@ -1,6 +1,6 @@
 //! The cluster of one size: store, health of the leafs, hollow and real daemons.
 
-use super::configuration::{self, SNAPSHOT};
+use super::configuration::{self, ConfigurationSize, SNAPSHOT};
 use super::fleet::HollowFleet;
 use super::real::RealProcess;
 use crate::deployment::RunDirectory;
@@ -19,6 +19,8 @@
 pub struct ClusterOptions {
     /// Real daemon processes.
     pub real: usize,
+    /// Services of the configuration.
+    pub services: usize,
     /// Whether settings and logs are kept.
     pub keep_logs: bool,
 }
@@ -31,6 +33,8 @@
     pub hollow_count: usize,
     /// Control of the store.
     pub store: StoreControl,
+    /// How large the configuration is.
+    pub configuration: ConfigurationSize,
     store_address: SocketAddr,
     real_count: usize,
     programs: Programs,
@@ -55,9 +59,13 @@
         let log = directory.file("store.log");
         let (store_process, store_address) = ChildProcess::start_standin("store", command, &log)?;
         let store = StoreControl::new(store_address);
+        let configuration = ConfigurationSize {
+            daemons: size,
+            services: options.services,
+        };
         seed_objects(
             &store,
-            &configuration::objects(u32::try_from(size)?, leaf_address)?,
+            &configuration::objects(configuration, leaf_address)?,
         )
         .await?;
         let hollow_count = size.saturating_sub(options.real);
@@ -66,6 +74,7 @@
             hollow,
             hollow_count,
             store,
+            configuration,
             store_address,
             real_count: options.real,
             programs,
--- a/crates/tansylead-lab/src/scale/configuration.rs
+++ b/crates/tansylead-lab/src/scale/configuration.rs
@@ -13,14 +13,14 @@
 
 /// Leafs of the size to design for.
 pub const LEAFS: usize = 14_000;
+/// Services of the size to design for, each in every place.
+pub const SERVICES: usize = 50;
 /// Shards of each snapshot: a query asks as many leafs.
 pub const SHARDS: usize = 52;
-/// Services, each in every place.
-pub const SERVICES: usize = 50;
 /// Leafs of one service in one place.
 pub const LEAFS_PER_PLACEMENT: usize = LEAFS / SERVICES / PLACES;
 /// Queries per second for each daemon: 300,000 over 2,000 daemons.
-pub const QUERIES_PER_DAEMON: u32 = 150;
+pub const QUERIES_PER_DAEMON: usize = 150;
 /// Replicas of each shard in one place.
 const REPLICAS: usize = 2;
 /// Version of the only snapshot.
@@ -36,16 +36,24 @@
     HourRange { start: 16, end: 24 },
 ];
 /// Room of a limit above the mean demand.
-const LIMIT_FACTOR: u32 = 2;
+const LIMIT_FACTOR: usize = 2;
+
+/// How large the configuration is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigurationSize {
+    /// Daemons that share the demand.
+    pub daemons: usize,
+    /// Services.
+    pub services: usize,
+}
 
-/// All objects for so many daemons. Every leaf has the same address, at which only health is
-/// answered.
+/// All objects. Every leaf has the same address, at which only health is answered.
 pub fn objects(
-    daemons: u32,
+    size: ConfigurationSize,
     leaf_address: SocketAddr,
 ) -> Result<Vec<(ObjectKey, ConfigObject)>, InvalidName> {
     let mut objects = Vec::new();
-    for service in 0..SERVICES {
+    for service in 0..size.services {
         let name = service_name(service)?;
         let definition = ServiceDefinition {
             service: name.clone(),
@@ -59,16 +67,16 @@
             objects.push((key, ConfigObject::Placement(placement)));
         }
     }
-    objects.push((ObjectKey::Table, ConfigObject::Table(table(daemons, 1)?)));
+    objects.push((ObjectKey::Table, ConfigObject::Table(table(size, 1)?)));
     Ok(objects)
 }
 
-/// The table for so many daemons; another weight makes another change.
-pub fn table(daemons: u32, weight: u32) -> Result<TrafficTable, InvalidName> {
-    let placements = u32::try_from(SERVICES * PLACES).unwrap_or(u32::MAX);
-    let limit = QUERIES_PER_DAEMON * daemons / placements * LIMIT_FACTOR;
+/// The table; another weight makes another change.
+pub fn table(size: ConfigurationSize, weight: u32) -> Result<TrafficTable, InvalidName> {
+    let queries = QUERIES_PER_DAEMON * LIMIT_FACTOR * size.daemons;
+    let limit = u32::try_from(queries / (size.services * PLACES)).unwrap_or(u32::MAX);
     let mut rows = Vec::new();
-    for service in 0..SERVICES {
+    for service in 0..size.services {
         for place in 0..PLACES {
             for hours in HOURS {
                 rows.push(TableRow {
--- a/crates/tansylead-lab/src/scale/mod.rs
+++ b/crates/tansylead-lab/src/scale/mod.rs
@@ -48,6 +48,14 @@
                 .default_value("3")
                 .help("Real daemon processes among them"),
         )
+        .arg(
+            Arg::new("services")
+                .long("services")
+                .value_name("N")
+                .value_parser(clap::value_parser!(usize))
+                .default_value("50")
+                .help("Services of 280 leafs each; 50 make the 14,000 leafs of the design"),
+        )
         .arg(
             Arg::new("keep-logs")
                 .long("keep-logs")
@@ -61,8 +69,10 @@
     let sizes = matches.get_many::<usize>("daemons").unwrap_or_default();
     let sizes: Vec<usize> = sizes.copied().collect();
     let real = matches.get_one::<usize>("real").copied().unwrap_or(0);
+    let services = matches.get_one::<usize>("services").copied();
     let options = cluster::ClusterOptions {
         real,
+        services: services.unwrap_or(configuration::SERVICES),
         keep_logs: matches.get_flag("keep-logs"),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/tansylead-lab/src/scale/run.rs
+++ b/crates/tansylead-lab/src/scale/run.rs
@@ -128,10 +128,10 @@
 
     async fn change_table(&mut self) -> eyre::Result<()> {
         let before = self.read().await?;
-        let daemons = u32::try_from(self.figures.daemons)?;
         let mut written = Vec::new();
         for number in 1..=CHANGES {
-            let table = ConfigObject::Table(configuration::table(daemons, number + 1)?);
+            let table = configuration::table(self.cluster.configuration, number + 1)?;
+            let table = ConfigObject::Table(table);
             self.figures.table_json_bytes = serde_json::to_vec(&table)?.len();
             let change = ChangeId::new(format!("scale-{number}"))?;
             let started = wall_clock::unix_micros();
