Count claims that were copied before the view was learned

Cause, found by the whole-system simulation: members of the next view ask a leaving member for its claims as soon as they learn the view, often before it has learned it itself. It answered but did not note who had copied, nobody asked twice, and the planned stop waited for its limit.

Change: such copies are noted for the view that they name and count when that view is adopted.

--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -53,9 +53,38 @@
     adopted: Option<AdoptedView>,
     table: ClaimTable,
     complete_epochs: BTreeSet<u64>,
+    /// Members of the newest view heard of, but not adopted yet, that have fetched all they need.
+    early_handover: EarlyHandover,
     next_sweep: Moment,
 }
 
+/// A view's members often ask for claims before this daemon has learned the view.
+#[derive(Debug, Clone, Default)]
+struct EarlyHandover {
+    epoch: u64,
+    handed_over: BTreeSet<InstanceId>,
+}
+
+impl EarlyHandover {
+    fn note(&mut self, epoch: u64, asker: InstanceId) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.handed_over.clear();
+        }
+        if epoch == self.epoch {
+            self.handed_over.insert(asker);
+        }
+    }
+
+    fn take(&mut self, epoch: u64) -> BTreeSet<InstanceId> {
+        if epoch == self.epoch {
+            std::mem::take(&mut self.handed_over)
+        } else {
+            BTreeSet::new()
+        }
+    }
+}
+
 impl ClaimMember {
     /// A member that has just started: it knows no view and holds nothing.
     pub fn new(me: InstanceId, settings: ClaimSettings, now: Moment) -> Self {
@@ -66,6 +95,7 @@
             adopted: None,
             table: ClaimTable::default(),
             complete_epochs: BTreeSet::new(),
+            early_handover: EarlyHandover::default(),
             next_sweep: now + SWEEP_PERIOD,
         }
     }
@@ -165,13 +195,14 @@
         }
         self.highest_epoch = self.highest_epoch.max(view.epoch);
         let transfer = Transfer::new(self.me, &view, generation, &self.complete_epochs);
+        let handed_over = self.early_handover.take(view.epoch);
         self.adopted = Some(AdoptedView {
             view,
             lease: QuorumLease::default(),
             transfer,
             next_heartbeat: now,
             next_copy: now,
-            handed_over: BTreeSet::new(),
+            handed_over,
         });
     }
 
@@ -366,6 +397,16 @@
     }
 
     /// Hands over claims. The request's epoch, already noted, seals this member for lower ones.
+    fn note_handed_over(&mut self, epoch: u64, asker: InstanceId) {
+        match &mut self.adopted {
+            Some(adopted) if adopted.view.epoch == epoch => {
+                adopted.handed_over.insert(asker);
+            }
+            Some(adopted) if adopted.view.epoch > epoch => {}
+            _ => self.early_handover.note(epoch, asker),
+        }
+    }
+
     fn answer_copy(
         &mut self,
         asker: InstanceId,
@@ -380,12 +421,8 @@
         let (claims, next) = self
             .table
             .page(after, self.settings.copy_page_claims, is_wanted);
-        let adopted = self
-            .adopted
-            .as_mut()
-            .filter(|adopted| adopted.view.epoch == view.epoch);
-        if let Some(adopted) = adopted.filter(|_| next.is_none()) {
-            adopted.handed_over.insert(asker);
+        if next.is_none() {
+            self.note_handed_over(view.epoch, asker);
         }
         ClaimResponseBody::Copied(CopiedPage {
             view_epoch: view.epoch,
