--- a/crates/tansylead-lab/tests/simulation_pairs.rs
+++ b/crates/tansylead-lab/tests/simulation_pairs.rs
@@ -1,8 +1,10 @@
 //! Two faults at once, with fixed seeds, and cases that once failed.
 
+use std::time::Duration;
 use tansylead_lab::simulation::campaign::{Summary, plan_of, run_case};
 use tansylead_lab::simulation::fault::FaultKind;
 use tansylead_lab::simulation::plan::CasePlan;
+use tansylead_lab::simulation::world::run;
 
 fn holds(plan: &CasePlan) {
     let violations = run_case(plan, None, &mut Summary::default());
@@ -16,7 +18,6 @@
 
 #[test]
 fn same_plan_has_the_same_history() {
-    use tansylead_lab::simulation::world::run;
     let plan = plan_of(1, 30);
     assert_eq!(run(&plan, None).history, run(&plan, None).history);
 }
@@ -77,6 +78,23 @@
     holds(&plan_of(1, 199));
 }
 
+/// A daemon that was asked for its claims before it had learned the next view waited for the whole
+/// drain limit. With nothing else amiss a planned stop ends well before it.
+#[test]
+fn found_planned_stop_ends_before_its_limit() {
+    const LONGEST_STOP: Duration = Duration::from_secs(9);
+    for seed in 1..=3 {
+        let plan = CasePlan::draw(seed, &[FaultKind::DaemonStop]);
+        let history = run(&plan, None).history;
+        let (daemon, stopped) = history.planned_stops[0];
+        let outages = history.outages.iter();
+        let ended = outages.filter(|outage| outage.daemon == daemon && outage.from > stopped);
+        let ended = ended.map(|outage| outage.from).min().unwrap();
+        let took = ended.since(stopped);
+        assert!(took <= LONGEST_STOP, "seed {seed}: {took:?}");
+    }
+}
+
 /// A leaf that drained and came back at the same address was announced as leaving once more by the
 /// lagging machine list, and never got work again.
 #[test]
