--- a/crates/tansylead-lab/src/experiment/fault.rs
+++ b/crates/tansylead-lab/src/experiment/fault.rs
@@ -26,19 +26,31 @@
     Ok(())
 }
 
-/// Waits for the time of the fault and applies it.
+/// Waits for the time of the fault and carries it out; returns how long that took.
 pub async fn during_load(
     cluster: &mut Cluster,
     shape: &Shape,
     scenario: &Scenario,
     started: Instant,
-) -> eyre::Result<()> {
+) -> eyre::Result<Duration> {
     let Some(fault) = &scenario.fault else {
-        return Ok(());
+        return Ok(Duration::ZERO);
     };
     if let Some(at) = fault.at() {
         tokio::time::sleep_until(started + at).await;
     }
+    let began = Instant::now();
+    carry_out(fault, cluster, shape, scenario, started).await?;
+    Ok(began.elapsed())
+}
+
+async fn carry_out(
+    fault: &Fault,
+    cluster: &mut Cluster,
+    shape: &Shape,
+    scenario: &Scenario,
+    started: Instant,
+) -> eyre::Result<()> {
     match fault {
         Fault::StoreDown => Ok(()),
         Fault::FreezeLeaf { .. } => cluster.break_first_leafs(&frozen()).await,
--- a/crates/tansylead-lab/src/experiment/figures.rs
+++ b/crates/tansylead-lab/src/experiment/figures.rs
@@ -26,6 +26,8 @@
     pub leaf_cancelled_millis: f64,
     /// Attempts that leafs refused for lack of capacity.
     pub leaf_sheds: f64,
+    /// Time it took to carry out the fault, in milliseconds.
+    pub fault_millis: f64,
     /// Reads and watches the store had to answer.
     pub store_reads: f64,
 }
@@ -177,6 +179,7 @@
     let per_attempt = micros / totals.attempts.max(1) as f64;
     let wasted = 100.0 * system.leaf_cancelled_millis / system.leaf_busy_millis.max(1.0);
     vec![
+        figure("fault_took_ms", system.fault_millis),
         figure("leaf_runs", system.leaf_runs),
         figure("wasted_work_percent", wasted),
         figure("leaf_sheds", system.leaf_sheds),
--- a/crates/tansylead-lab/src/experiment/run.rs
+++ b/crates/tansylead-lab/src/experiment/run.rs
@@ -118,7 +118,7 @@
 ) -> eyre::Result<SystemFigures> {
     tokio::time::sleep_until(started + order.file.warm_up()).await;
     let first = read(cluster).await?;
-    fault::during_load(cluster, order.shape, order.scenario, started).await?;
+    let fault_took = fault::during_load(cluster, order.shape, order.scenario, started).await?;
     tokio::time::sleep_until(started + order.file.run_length(order.scenario)).await;
     let last = read(cluster).await?;
     let store = cluster.deployment.store.read_counts().await?;
@@ -133,6 +133,7 @@
             .as_secs_f64(),
         machine_busy: last.machine.busy_share_since(first.machine),
         daemon_resident_bytes: resident as f64,
+        fault_millis: fault_took.as_secs_f64() * 1_000.0,
         leaf_runs: (last.leafs.started - first.leafs.started) as f64,
         leaf_busy_millis: busy as f64 / 1_000.0,
         leaf_cancelled_millis: wasted as f64 / 1_000.0,
