--- a/crates/tansylead-lab/src/experiment/report.rs
+++ b/crates/tansylead-lab/src/experiment/report.rs
@@ -5,6 +5,7 @@
 use crate::experiment::figures::FigureSpread;
 use crate::experiment::file::Variant;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use tabled::builder::Builder;
 use tabled::settings::Style;
 
@@ -21,6 +22,8 @@
     pub rounds: u32,
     /// Figures.
     pub figures: Vec<FigureSpread>,
+    /// Reasons that answers gave for not being complete, with the number of answers.
+    pub reasons: BTreeMap<String, u64>,
     /// First few wrong, rejected and lost queries, in words.
     pub complaints: Vec<String>,
 }
--- a/crates/tansylead-lab/src/experiment/rounds.rs
+++ b/crates/tansylead-lab/src/experiment/rounds.rs
@@ -8,6 +8,7 @@
 use crate::experiment::run::{self, RunOrder, RunResult};
 use crate::experiment::shape;
 use eyre::WrapErr;
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Instant;
 use tansylead_types::ServiceName;
@@ -35,6 +36,7 @@
     variant: Variant,
     rounds: Vec<Vec<Figure>>,
     by_second: BySecond,
+    reasons: BTreeMap<String, u64>,
     complaints: Vec<String>,
 }
 
@@ -44,6 +46,7 @@
             variant,
             rounds: Vec::new(),
             by_second: BySecond::new(),
+            reasons: BTreeMap::new(),
             complaints: Vec::new(),
         }
     }
@@ -53,6 +56,9 @@
         for (second, totals) in result.recorder.by_second() {
             self.by_second.entry(*second).or_default().merge(totals);
         }
+        for (reason, count) in result.recorder.reasons() {
+            *self.reasons.entry(reason.clone()).or_default() += count;
+        }
         self.complaints
             .extend_from_slice(result.recorder.complaints());
         self.complaints.truncate(MAXIMUM_COMPLAINTS);
@@ -95,6 +101,11 @@
         .map(|rounds| variant_report(scenario, shape, rounds))
         .collect();
     println!("{}", report::table(&reports));
+    for report in &reports {
+        for (reason, count) in &report.reasons {
+            println!("- {}: {count} answers: {reason}", report.variant);
+        }
+    }
     for complaint in reports.iter().flat_map(|report| &report.complaints) {
         println!("- {complaint}");
     }
@@ -160,6 +171,7 @@
         variant: rounds.variant.name(),
         rounds: u32::try_from(rounds.rounds.len()).unwrap_or(u32::MAX),
         figures: figures::over_rounds(&rounds.rounds),
+        reasons: rounds.reasons.clone(),
         complaints: rounds.complaints.clone(),
     }
 }
--- a/crates/tansylead-lab/src/load/driver.rs
+++ b/crates/tansylead-lab/src/load/driver.rs
@@ -72,26 +72,27 @@
 async fn send_planned(shared: Arc<Shared>, arrival: Arrival) {
     let planned = shared.started + arrival.at;
     let generator_lag = planned.elapsed();
-    let result = send_with_failover(&shared, arrival).await;
+    let (result, reason) = send_with_failover(&shared, arrival).await;
     let sample = Sample {
         stream: arrival.stream,
         planned: arrival.at,
         latency: planned.elapsed(),
         generator_lag,
         result,
+        reason,
     };
     shared.recorder.lock().record(&sample);
 }
 
-async fn send_with_failover(shared: &Shared, arrival: Arrival) -> QueryResult {
+async fn send_with_failover(shared: &Shared, arrival: Arrival) -> (QueryResult, Option<String>) {
     let place = &shared.plan.streams[arrival.stream].place;
     let request = match caller_request(&shared.plan, arrival) {
         Ok(request) => request,
-        Err(cause) => return QueryResult::Lost(cause.to_string()),
+        Err(cause) => return (QueryResult::Lost(cause.to_string()), None),
     };
     let sending = match request.sending_id(ONLY_SENDING) {
         Ok(sending) => sending,
-        Err(cause) => return QueryResult::Lost(cause.to_string()),
+        Err(cause) => return (QueryResult::Lost(cause.to_string()), None),
     };
     let daemons = shared
         .plan
@@ -103,12 +104,16 @@
     for turn in 0..daemons.len() {
         let daemon = daemons[(first + turn) % daemons.len()];
         match shared.client.send(daemon, &request, &sending).await {
-            Ok(reply) => return judge(&request, &sending, &shared.plan.shard_lists, &reply),
+            Ok(reply) => {
+                let reason = reply.answer().and_then(|answer| answer.reason.clone());
+                let shards = &shared.plan.shard_lists;
+                return (judge(&request, &sending, shards, &reply), reason);
+            }
             Err(failure @ ExchangeFailure::NotSent(_)) => last_failure = failure.to_string(),
-            Err(failure) => return QueryResult::Lost(failure.to_string()),
+            Err(failure) => return (QueryResult::Lost(failure.to_string()), None),
         }
     }
-    QueryResult::Lost(last_failure)
+    (QueryResult::Lost(last_failure), None)
 }
 
 fn caller_request(
--- a/crates/tansylead-lab/src/load/recorder.rs
+++ b/crates/tansylead-lab/src/load/recorder.rs
@@ -98,6 +98,8 @@
     pub generator_lag: Duration,
     /// What became of it.
     pub result: QueryResult,
+    /// What the answer says about why it is not complete.
+    pub reason: Option<String>,
 }
 
 /// Counts over a set of queries.
@@ -220,6 +222,7 @@
     by_second: BTreeMap<u64, Totals>,
     generator_lag: LatencyHistogram,
     incomplete: Vec<Duration>,
+    reasons: BTreeMap<String, u64>,
     complaints: Vec<String>,
 }
 
@@ -236,6 +239,7 @@
             by_second: BTreeMap::new(),
             generator_lag: LatencyHistogram::default(),
             incomplete: Vec::new(),
+            reasons: BTreeMap::new(),
             complaints: Vec::new(),
         }
     }
@@ -245,6 +249,9 @@
         self.keep_complaint(sample);
         if !sample.result.is_complete() {
             self.incomplete.push(sample.planned);
+            if let Some(reason) = &sample.reason {
+                *self.reasons.entry(reason.clone()).or_default() += 1;
+            }
         }
         let second = self.by_second.entry(sample.planned.as_secs()).or_default();
         second.record(sample);
@@ -296,6 +303,11 @@
         &self.incomplete
     }
 
+    /// Reasons that answers gave for not being complete, with the number of answers.
+    pub fn reasons(&self) -> &BTreeMap<String, u64> {
+        &self.reasons
+    }
+
     /// First few wrong, rejected and lost queries, in words.
     pub fn complaints(&self) -> &[String] {
         &self.complaints
--- a/crates/tansylead-lab/tests/load.rs
+++ b/crates/tansylead-lab/tests/load.rs
@@ -81,6 +81,7 @@
         planned: Duration::from_millis(planned_millis),
         latency: Duration::from_millis(latency_millis),
         generator_lag: Duration::ZERO,
+        reason: (!result.is_complete()).then(|| "why".to_owned()),
         result,
     }
 }
@@ -121,6 +122,7 @@
         .collect();
     assert_eq!(by_second, [1, 2, 3]);
     assert_eq!(recorder.complaints().len(), 2);
+    assert_eq!(recorder.reasons().get("why"), Some(&4));
 }
 
 const QUERY: &str = r#"{"subject":"r1"}"#;
