Spread: daemons that start together pull from many holders and let pulls of everything finish

A scale run with 14,000 leafs in the configuration (1.3 MB in postcard) showed that joining together collapsed: of 397 hollow daemons started at once, 381 had joined and held the configuration after 60 s, and daemons moved 5 MB each for 100 of them. Two causes: of several holders of the newest revision the one with the highest address was always chosen, and a pull of everything was given up after 500 ms like a pull of one change, then begun anew elsewhere, which slowed all others.

The holder is now chosen at random, and a pull of everything has 5 s; pulls of changes keep 500 ms.

Both tests fail without the change: `asked only {NodeId(10.0.1.8:7000)}` before the random choice; the pull of everything has no limit of its own before.

--- a/crates/tansylead-cluster/src/spread/puller.rs
+++ b/crates/tansylead-cluster/src/spread/puller.rs
@@ -5,6 +5,7 @@
 
 use super::settings::SpreadSettings;
 use crate::membership::ConfigDigest;
+use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 use std::collections::BTreeMap;
 use tansylead_types::{Moment, NodeId};
@@ -98,24 +99,31 @@
             return None;
         }
         let pull = self
-            .newer_source(held)
+            .newer_source(held, random)
             .or_else(|| self.differing_source(now, held, settings, random))?;
-        let deadline = now + settings.pull_timeout;
+        let deadline = now + settings.pull_limit(pull.after);
         self.open = Some(OpenPull { pull, deadline });
         Some(pull)
     }
 
-    fn newer_source(&mut self, held: ConfigDigest) -> Option<Pull> {
+    /// Any of the peers that hold the newest revision: with a fixed choice among them, all daemons
+    /// that start together would pull everything from the same one.
+    fn newer_source(&mut self, held: ConfigDigest, random: &mut impl Rng) -> Option<Pull> {
         self.sources.retain(|_, digest| {
             digest.revision > held.revision
                 || (digest.revision == held.revision && digest.hash != held.hash)
         });
-        let newest = self
+        let newer = self
+            .sources
+            .values()
+            .filter(|digest| digest.revision > held.revision);
+        let newest = newer.map(|digest| digest.revision).max()?;
+        let holders = self
             .sources
             .iter()
-            .filter(|(_, digest)| digest.revision > held.revision)
-            .max_by_key(|(_, digest)| digest.revision);
-        newest.map(|(peer, _)| Pull {
+            .filter(|(_, digest)| digest.revision == newest);
+        let (peer, _) = holders.choose(random)?;
+        Some(Pull {
             peer: *peer,
             after: held.revision,
         })
--- a/crates/tansylead-cluster/src/spread/settings.rs
+++ b/crates/tansylead-cluster/src/spread/settings.rs
@@ -11,8 +11,11 @@
     pub local_fan_out: usize,
     /// Peers of other places told at once of a change.
     pub remote_fan_out: usize,
-    /// A pull that takes longer is given up and another peer asked.
+    /// A pull of changes that takes longer is given up and another peer asked.
     pub pull_timeout: Duration,
+    /// The same for a pull of everything. Giving it up early repeats megabytes, which slows all
+    /// others that start at the same time.
+    pub full_pull_timeout: Duration,
     /// Pulls one daemon serves at once; the driver refuses more.
     pub pulls_served: usize,
     /// Period of pulls of everything from peers that hold other objects at the same revision.
@@ -38,6 +41,7 @@
             local_fan_out: 5,
             remote_fan_out: 1,
             pull_timeout: Duration::from_millis(500),
+            full_pull_timeout: Duration::from_secs(5),
             pulls_served: 16,
             full_pull_period: Duration::from_secs(10),
             read_interval: Duration::from_millis(100),
@@ -49,3 +53,13 @@
         }
     }
 }
+
+impl SpreadSettings {
+    /// Time allowed for a pull of everything after a revision.
+    pub fn pull_limit(&self, after: u64) -> Duration {
+        match after {
+            0 => self.full_pull_timeout,
+            _ => self.pull_timeout,
+        }
+    }
+}
--- a/crates/tansylead-cluster/tests/spread.rs
+++ b/crates/tansylead-cluster/tests/spread.rs
@@ -4,11 +4,14 @@
 mod common;
 
 use common::{Faults, Simulation, Store, seconds, write_of};
+use std::collections::BTreeSet;
 use std::time::Duration;
-use tansylead_cluster::membership::{LocalMember, Sequence};
+use tansylead_cluster::membership::{ConfigDigest, LocalMember, Sequence};
 use tansylead_cluster::spread::*;
 use tansylead_types::store::ObjectList;
-use tansylead_types::{InstanceId, Moment, NodeId, ObjectKey, PlaceName, ServiceName, ZoneName};
+use tansylead_types::{
+    InstanceId, Moment, NodeId, ObjectKey, PlaceName, ServiceName, StepError, ZoneName,
+};
 
 const PLACES: usize = 5;
 const SIZE: usize = 9;
@@ -262,3 +265,82 @@
     simulation.store.objects.insert(forged.key.clone(), forged);
     simulation.run(seconds(10));
 }
+
+/// A node of a network of its own.
+fn node_of(network: u8, number: u8) -> NodeId {
+    NodeId(([10, 0, network, number], 7_000).into())
+}
+
+/// A daemon that has joined and holds nothing.
+fn empty_machine(now: Moment, number: u8) -> SpreadMachine {
+    let local = LocalMember {
+        instance: InstanceId {
+            node: node_of(0, number),
+            boot: 1,
+        },
+        place: PlaceName::new("bangkok").unwrap(),
+        zone: ZoneName::new("bangkok-1").unwrap(),
+        caller_address: node_of(0, number).0,
+    };
+    let settings = SpreadSettings::default();
+    SpreadMachine::new(now, local, true, settings, u64::from(number))
+}
+
+/// Tells a machine that a holder has revision 4; the peer it then pulls from.
+fn hear_of_holder(machine: &mut SpreadMachine, now: Moment, peer: NodeId) -> Option<NodeId> {
+    let digest = ConfigDigest {
+        revision: 4,
+        hash: 4,
+    };
+    pulled_from(&machine.on_event(now, SpreadEvent::PeerConfig { peer, digest }))
+}
+
+fn pulled_from(actions: &[SpreadAction]) -> Option<NodeId> {
+    actions.iter().find_map(|action| match action {
+        SpreadAction::Pull { peer, .. } => Some(*peer),
+        _ => None,
+    })
+}
+
+/// Daemons that start together hear of the same holders; they must not all ask the same one.
+#[test]
+fn daemons_that_start_together_pull_from_many_holders() {
+    const DAEMONS: u8 = 40;
+    const HOLDERS: u8 = 8;
+    let now = Moment::from_millis(1);
+    let mut asked = BTreeSet::new();
+    for number in 1..=DAEMONS {
+        let mut machine = empty_machine(now, number);
+        for holder in 1..=HOLDERS {
+            hear_of_holder(&mut machine, now, node_of(1, holder));
+        }
+        // The first holder heard of was asked; when that fails there is a choice.
+        let failed = SpreadEvent::PullFinished {
+            peer: node_of(1, 1),
+            after: 0,
+            result: Err(StepError::new("pull", "peer", "no answer")),
+        };
+        let second = pulled_from(&machine.on_event(now, failed));
+        asked.insert(second.expect("no other holder asked"));
+    }
+    assert!(
+        asked.len() > usize::from(HOLDERS) / 2,
+        "asked only {asked:?}"
+    );
+}
+
+/// Giving up megabytes that are on their way only adds to what slows them.
+#[test]
+fn pull_of_everything_is_given_more_time_than_a_pull_of_changes() {
+    let settings = SpreadSettings::default();
+    let start = Moment::from_millis(1);
+    let mut machine = empty_machine(start, 1);
+    let first = hear_of_holder(&mut machine, start, node_of(1, 1));
+    assert_eq!(first, Some(node_of(1, 1)));
+    let later = start + settings.pull_timeout + Duration::from_millis(1);
+    assert_eq!(hear_of_holder(&mut machine, later, node_of(1, 2)), None);
+    let late = start + settings.full_pull_timeout;
+    let wakeup = machine.on_event(late, SpreadEvent::Wakeup);
+    assert_eq!(pulled_from(&wakeup), Some(node_of(1, 2)));
+    assert!(settings.pull_limit(4) < settings.pull_limit(0));
+}
--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -390,7 +390,7 @@
                 peers: Arc::clone(&self.peers),
                 store: StoreClient::new(self.settings.store_address),
                 store_watch_wait: self.tuning.store_watch_wait,
-                pull_limit: self.tuning.spread.pull_timeout,
+                spread_settings: self.tuning.spread.clone(),
                 metrics: Arc::clone(&self.metrics),
                 configuration: channels.configuration.clone(),
                 members: channels.members.clone(),
--- a/crates/tansylead-daemon/src/cluster/driver.rs
+++ b/crates/tansylead-daemon/src/cluster/driver.rs
@@ -16,7 +16,7 @@
 };
 use tansylead_cluster::spread::{
     InForceAction, InForceCheck, InForceEvent, InForceReport, InForceSettings, Readiness,
-    SpreadAction, SpreadEvent, SpreadMachine,
+    SpreadAction, SpreadEvent, SpreadMachine, SpreadSettings,
 };
 use tansylead_types::store::ObjectList;
 use tansylead_types::{InstanceId, Moment, NodeId, ObjectKey, StepError};
@@ -53,8 +53,8 @@
     pub store: StoreClient,
     /// A watch of the store is held this long.
     pub store_watch_wait: Duration,
-    /// Time allowed for a pull.
-    pub pull_limit: Duration,
+    /// Time allowed for pulls.
+    pub spread_settings: SpreadSettings,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Where the configuration goes.
@@ -402,7 +402,7 @@
     fn start_pull(&mut self, peer: NodeId, after: u64) {
         let number = self.take_read_number();
         let (peers, ended) = (Arc::clone(&self.parts.peers), self.reads_sender.clone());
-        let deadline = self.clock.now() + self.parts.pull_limit;
+        let deadline = self.clock.now() + self.parts.spread_settings.pull_limit(after);
         let task = tokio::spawn(async move {
             let result = pull(&peers, peer, after, deadline).await;
             let _ = ended.send(ReadEnded::Pull {
