--- a/crates/tansylead-lab/src/scale/report.rs
+++ b/crates/tansylead-lab/src/scale/report.rs
@@ -149,8 +149,8 @@
     extrapolations: Vec<Extrapolation>,
 }
 
-/// Prints one line about a size as soon as it is measured.
-pub fn print_progress(figures: &SizeFigures) {
+/// Prints a size as soon as it is measured, so that a run that is cut short shows something.
+pub fn print_progress(figures: &SizeFigures) -> eyre::Result<()> {
     let complete = |spreads: &[Spread]| spreads.iter().all(Spread::is_complete);
     println!(
         "{} daemons measured; changes reached all: {}, losses noticed by all: {}, joined: {}/{}",
@@ -160,6 +160,8 @@
         figures.whole.reached,
         figures.whole.expected,
     );
+    println!("{}", serde_json::to_string(figures)?);
+    Ok(())
 }
 
 /// Prints the table, the lines and the JSON.
--- a/crates/tansylead-lab/src/scale/run.rs
+++ b/crates/tansylead-lab/src/scale/run.rs
@@ -45,7 +45,7 @@
             continue;
         }
         let figures = run_size(size, options).await?;
-        report::print_progress(&figures);
+        report::print_progress(&figures)?;
         measured.push(figures);
     }
     report::print(&measured)
