Let more fuzzers take FUZZ_SEED and FUZZ_CASES; test the drain limit

Their honest series now read FUZZ_SEED and FUZZ_CASES as the others do; the series that must find the flaws stay fixed, since a broken variant need not be found with every seed. The shares' default seed becomes the common one (7 instead of 5).

That a planned stop ends at its drain limit had no test: the new one answers Cut { open_queries: 1 } for a silent leaf.

--- a/crates/tansylead-cluster/tests/common/mod.rs
+++ b/crates/tansylead-cluster/tests/common/mod.rs
@@ -6,8 +6,10 @@
 
 #![allow(dead_code)]
 
-use proptest::prelude::ProptestConfig;
-use proptest::test_runner::RngSeed;
+mod fuzz;
+
+pub use fuzz::fuzz_config;
+
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
@@ -29,21 +31,6 @@
     Duration::from_secs(count)
 }
 
-/// Settings of a property test: fixed seed and cases, or those of `FUZZ_SEED` and `FUZZ_CASES`
-/// for other and longer series.
-pub fn fuzz_config(default_cases: u32) -> ProptestConfig {
-    const DEFAULT_SEED: u64 = 7;
-    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
-    let cases = number("FUZZ_CASES").and_then(|cases| u32::try_from(cases).ok());
-    ProptestConfig {
-        cases: cases.unwrap_or(default_cases),
-        rng_seed: RngSeed::Fixed(number("FUZZ_SEED").unwrap_or(DEFAULT_SEED)),
-        failure_persistence: None,
-        max_shrink_iters: 200,
-        ..ProptestConfig::default()
-    }
-}
-
 /// A write without contents; `tag` makes it recognisable.
 pub fn write_of(key: ObjectKey, generation: u64, revision: u64, tag: u64) -> StoredObject {
     StoredObject {
--- a/crates/tansylead-cluster/tests/rate_shares/main.rs
+++ b/crates/tansylead-cluster/tests/rate_shares/main.rs
@@ -1,7 +1,10 @@
 //! Shares of a limit never sum above it, follow demand, and fall back to base shares in silence.
 
+#[path = "../common/fuzz.rs"]
+mod fuzz;
 mod world;
 
+use fuzz::fuzz_config;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -9,7 +12,8 @@
 use tansylead_types::{InstanceId, Moment, NodeId};
 use world::{Flaw, Operation, World, operation};
 
-fn config(cases: u32) -> Config {
+/// The flaws are found with these cases, whatever is run by hand.
+fn fixed_config(cases: u32) -> Config {
     Config {
         cases,
         rng_seed: RngSeed::Fixed(5),
@@ -53,14 +57,14 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config(200))]
+    #![proptest_config(fuzz_config(200))]
 
     #[test]
     fn usable_parts_never_sum_above_the_limit(sequential 1..80 => Shares);
 }
 
 proptest! {
-    #![proptest_config(config(200))]
+    #![proptest_config(fuzz_config(200))]
 
     #[test]
     fn late_views_alone_do_not_break_the_limit(
@@ -85,7 +89,7 @@
     };
     let shrink_free = Config {
         max_shrink_iters: 0,
-        ..config(400)
+        ..fixed_config(400)
     };
     let outcome = TestRunner::new(shrink_free).run(&operations, run);
     matches!(outcome, Err(TestError::Fail(..)))
--- a/crates/tansylead-daemon/tests/planned_stop.rs
+++ b/crates/tansylead-daemon/tests/planned_stop.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use support::daemon::{SERVICE, define_service, start_ready};
+use support::daemon::{SERVICE, define_service, settings, start_ready, start_with};
 use support::http::read_message;
 use support::leaf::{ScriptedLeaf, Step};
 use support::store::TestStore;
@@ -95,3 +95,21 @@
     assert_eq!(result, DrainResult::Cut { open_queries: 1 });
     assert_eq!(calling.await.expect("no panic").problems.len(), 1);
 }
+
+#[tokio::test]
+async fn the_drain_limit_ends_a_planned_stop_and_says_what_was_open() {
+    let store = TestStore::start().await;
+    let leaf = ScriptedLeaf::start(|_, _| Step::Silence).await;
+    define_service(&store, leaf.address, 1, ServicePolicy::default());
+    let mut settings = settings(&store);
+    settings.timing.drain_limit_millis = 100;
+    let daemon = start_with(settings).await;
+    let calling = tokio::spawn(call_until_refused(daemon.caller_address()));
+    while leaf.request_count() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let stopping = daemon.drain(std::future::pending());
+    let result = tokio::time::timeout(PATIENCE, stopping).await;
+    assert_eq!(result, Ok(DrainResult::Cut { open_queries: 1 }));
+    assert_eq!(calling.await.expect("no panic").problems.len(), 1);
+}
--- a/crates/tansylead-table/tests/accept/main.rs
+++ b/crates/tansylead-table/tests/accept/main.rs
@@ -24,6 +24,15 @@
     }
 }
 
+/// The same, or the seed and cases of `FUZZ_SEED` and `FUZZ_CASES`, for longer runs by hand.
+fn fuzz_config(default_cases: u32) -> Config {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    let cases = number("FUZZ_CASES").and_then(|cases| u32::try_from(cases).ok());
+    let config = config(cases.unwrap_or(default_cases));
+    let rng_seed = number("FUZZ_SEED").map_or(config.rng_seed, RngSeed::Fixed);
+    Config { rng_seed, ..config }
+}
+
 /// The oracle is the store's own log inside the world.
 struct AnyOperations;
 
@@ -63,7 +72,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config(400))]
+    #![proptest_config(fuzz_config(400))]
 
     #[test]
     fn outcomes_agree_with_the_log_of_the_store(sequential 1..120 => Acceptance);
