--- a/crates/tansylead-cluster/tests/common/mod.rs
+++ b/crates/tansylead-cluster/tests/common/mod.rs
@@ -6,9 +6,7 @@
 
 #![allow(dead_code)]
 
-mod fuzz;
-
-pub use fuzz::fuzz_config;
+pub mod fuzz;
 
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
--- a/crates/tansylead-cluster/tests/system.rs
+++ b/crates/tansylead-cluster/tests/system.rs
@@ -4,7 +4,8 @@
 
 mod common;
 
-use common::{Faults, Simulation, Store, fuzz_config, seconds};
+use common::fuzz::fuzz_config;
+use common::{Faults, Simulation, Store, seconds};
 use proptest::prelude::*;
 use tansylead_cluster::membership::MembershipEvent;
 
