Test the operators' table before six real daemons

Need: docs/PROOFS.md listed that no test accepts a table before real daemons.

Change: two process tests. Of two racing edits, one of whose answers is lost, exactly one is in force on all six daemons; an accepted table survives a store that shows an older state and one that is down while a daemon is killed and started again.

--- a/crates/tansylead-lab/tests/process_failures/main.rs
+++ b/crates/tansylead-lab/tests/process_failures/main.rs
@@ -4,4 +4,5 @@
 mod common;
 mod leafs;
 mod snapshots;
+mod table;
 mod whole_path;
