--- a/crates/tansylead-cluster/tests/claims_simulation.rs
+++ b/crates/tansylead-cluster/tests/claims_simulation.rs
@@ -18,7 +18,7 @@
     for seed in seeds() {
         let mut world = World::new(Plan::new(seed, Variant::Correct));
         world.run();
-        assert_eq!(world.violations, Vec::<String>::new());
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
         let stuck = world.healthy_keys_not_run();
         assert!(
             stuck.is_empty(),
