daemon: split the cluster task and the root task by responsibility

The cluster task (579 lines) and the root task (470 lines) each held an event loop, the feeding of state machines, spawned reads or polls and publication in one file, so that a reader had to hold all of it to change one part.

Ruled out: tasks or actors of their own for the parts. The state machines feed one another within a turn, and splitting the task would change the order.

cluster/driver is now: mod (state, event loop), gossip (datagrams), membership and spread (feed an event, perform the actions), reads (ConfigurationReads: open pull and store read), in_force (InForceChecks) and publish. root/actor is: mod (state, event loop), commands, attempts and polls. Each header states what the file owns and its invariants. No change of behaviour is meant.

--- /dev/null
+++ b/crates/tansylead-daemon/src/cluster/driver/reads.rs
@@ -0,0 +1,157 @@
+//! Reads of the configuration that run beside the event loop: pulls from a peer and reads of the
+//! platform's store.
+//!
+//! Invariants: at most one pull and one read of the store are open; starting another of its kind
+//! or stopping it aborts the open one; a result that was on its way by then is known by its number
+//! and is not accepted.
+
+use crate::peers::{PeerClient, PeerRequest, PeerResponse};
+use crate::platform::StoreClient;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_types::store::ObjectList;
+use tansylead_types::{Moment, NodeId, StepError};
+use tokio::sync::mpsc;
+use tokio_util::task::AbortOnDropHandle;
+
+/// What a read ends with.
+pub(super) type ReadResult = Result<ObjectList, StepError>;
+
+/// The report of a read that has ended.
+#[derive(Debug)]
+pub(super) enum ReadEnded {
+    /// A pull from a peer.
+    Pull {
+        number: u64,
+        peer: NodeId,
+        after: u64,
+        result: ReadResult,
+    },
+    /// A read of the store.
+    Store {
+        number: u64,
+        after: u64,
+        result: ReadResult,
+    },
+}
+
+/// A read in progress; it is aborted when this is dropped.
+#[derive(Debug)]
+struct OpenRead {
+    number: u64,
+    _task: AbortOnDropHandle<()>,
+}
+
+/// The open reads and the channel on which they report.
+#[derive(Debug)]
+pub(super) struct ConfigurationReads {
+    last_number: u64,
+    pull: Option<OpenRead>,
+    store: Option<OpenRead>,
+    ended_sender: mpsc::UnboundedSender<ReadEnded>,
+    ended: mpsc::UnboundedReceiver<ReadEnded>,
+}
+
+impl ConfigurationReads {
+    /// No read is open.
+    pub(super) fn new() -> Self {
+        let (ended_sender, ended) = mpsc::unbounded_channel();
+        Self {
+            last_number: 0,
+            pull: None,
+            store: None,
+            ended_sender,
+            ended,
+        }
+    }
+
+    /// Waits for the next report. Dropping the wait loses none.
+    pub(super) async fn next_ended(&mut self) -> Option<ReadEnded> {
+        self.ended.recv().await
+    }
+
+    /// Closes the read that this report is of. False if it is no longer open.
+    pub(super) fn close(&mut self, ended: &ReadEnded) -> bool {
+        let (open, number) = match ended {
+            ReadEnded::Pull { number, .. } => (&mut self.pull, *number),
+            ReadEnded::Store { number, .. } => (&mut self.store, *number),
+        };
+        open.take_if(|open| open.number == number).is_some()
+    }
+
+    /// Starts a pull from a peer of all that is newer than a revision.
+    pub(super) fn start_pull(
+        &mut self,
+        peers: &Arc<PeerClient>,
+        peer: NodeId,
+        after: u64,
+        deadline: Moment,
+    ) {
+        let number = self.take_number();
+        let (peers, ended) = (Arc::clone(peers), self.ended_sender.clone());
+        let task = tokio::spawn(async move {
+            let result = pull(&peers, peer, after, deadline).await;
+            let _ = ended.send(ReadEnded::Pull {
+                number,
+                peer,
+                after,
+                result,
+            });
+        });
+        self.pull = Some(OpenRead {
+            number,
+            _task: AbortOnDropHandle::new(task),
+        });
+    }
+
+    /// Starts a read of the store: a watch held for `watch_wait`, or a list if that is absent.
+    pub(super) fn start_store(
+        &mut self,
+        store: &StoreClient,
+        after: u64,
+        watch_wait: Option<Duration>,
+    ) {
+        let number = self.take_number();
+        let (store, ended) = (store.clone(), self.ended_sender.clone());
+        let task = tokio::spawn(async move {
+            let result = match watch_wait {
+                Some(wait) => store.watch(after, wait).await,
+                None => store.list(after).await,
+            };
+            let _ = ended.send(ReadEnded::Store {
+                number,
+                after,
+                result,
+            });
+        });
+        self.store = Some(OpenRead {
+            number,
+            _task: AbortOnDropHandle::new(task),
+        });
+    }
+
+    /// Aborts the open read of the store.
+    pub(super) fn stop_store(&mut self) {
+        self.store = None;
+    }
+
+    fn take_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+}
+
+async fn pull(
+    peers: &PeerClient,
+    peer: NodeId,
+    after: u64,
+    deadline: Moment,
+) -> Result<ObjectList, StepError> {
+    const STEP: &str = "pull configuration";
+    let request = PeerRequest::PullConfiguration { after };
+    match peers.call(peer, request, deadline).await {
+        Ok(PeerResponse::Configuration(list)) => Ok(list),
+        Ok(_) => Err(StepError::new(STEP, peer, "the peer is busy")),
+        Err(error) => Err(StepError::new(STEP, peer, error)),
+    }
+}
