Restart a daemon on a store that shows an older table, and show that the test can fail

Cause: the test only watched daemons that read changes after their own revision; with a replica that takes whatever it sees last it still passed, so it proved nothing about a stale store.

Change: a daemon is killed and started again while the store shows the older table, and its generation is watched from the moment it is ready.

Shown: with the replica's comparison of versions taken out the test fails ("daemon 0 fell back to 1"); with it both tests pass in 24 s (debug, busy machine).

--- a/crates/tansylead-lab/tests/process_failures/table.rs
+++ b/crates/tansylead-lab/tests/process_failures/table.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// Kills a daemon, starts it again and waits until it is ready.
+async fn restart_daemon(deployment: &mut RunningDeployment, index: usize) {
+    let process = &mut deployment.daemons[index].process;
+    process.kill().expect("killed");
+    let started = deployment.start_daemon_again(index).await;
+    started.expect("ready with what its peers know");
+}
+
 fn store_client(deployment: &RunningDeployment) -> StoreClient {
     StoreClient::new(deployment.daemons[0].settings.store_address)
 }
@@ -128,6 +136,7 @@
         ..StoreFaults::default()
     };
     set_store_faults(&deployment, stale).await;
+    restart_daemon(&mut deployment, 0).await;
     assert_never_below(&deployment, accepted).await;
 
     let down = StoreFaults {
@@ -135,11 +144,6 @@
         ..StoreFaults::default()
     };
     set_store_faults(&deployment, down).await;
-    deployment.daemons[0].process.kill().expect("killed");
-    deployment
-        .start_daemon_again(0)
-        .await
-        .expect("ready without the store");
-    wait_generation(&deployment, accepted).await;
+    restart_daemon(&mut deployment, 0).await;
     assert_never_below(&deployment, accepted).await;
 }
