--- a/crates/tansylead-lab/src/load/driver.rs
+++ b/crates/tansylead-lab/src/load/driver.rs
@@ -98,7 +98,7 @@
         let daemon = daemons[(first + turn) % daemons.len()];
         match shared.client.send(daemon, &request).await {
             Ok(reply) => {
-                let reason = reply.answer().and_then(|answer| answer.reason.clone());
+                let reason = reason_of(&reply);
                 let shards = &shared.plan.shard_lists;
                 return (judge(&request, shards, &reply), reason);
             }
@@ -109,6 +109,14 @@
     (QueryResult::Lost(last_failure), None)
 }
 
+/// Why the reply is not complete, in its own words.
+fn reason_of(reply: &CallerReply) -> Option<String> {
+    match &reply.body {
+        ReplyBody::Answer(answer) => answer.reason.clone(),
+        ReplyBody::Refusal(refusal) => Some(refusal.error.code.clone()),
+    }
+}
+
 fn caller_request(
     plan: &LoadPlan,
     arrival: Arrival,
