daemon: health checks do not prolong a planned stop

A stop waits for 2 s without requests, and /readyz, /healthz and /metrics counted, so a daemon behind a load balancer never became quiet: after 10 s it refused queries, and it ended at the drain limit. Only POST requests count now.

--- a/crates/tansylead-daemon/src/http/server.rs
+++ b/crates/tansylead-daemon/src/http/server.rs
@@ -130,8 +130,11 @@
         let router = Arc::clone(&self.router);
         let last_request = Arc::clone(&self.last_request);
         let clock = self.clock;
-        let service = service_fn(move |request| {
-            *last_request.lock() = clock.now();
+        let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            // Health checks and scrapes go on during a planned stop and must not prolong it.
+            if request.method() == hyper::Method::POST {
+                *last_request.lock() = clock.now();
+            }
             let router = Arc::clone(&router);
             async move { Ok::<_, Infallible>(router.handle(request).await) }
         });
