cluster: say how far membership's sequence numbers stay from those of the checks

The header of the in-force checks said that membership uses the lower half only. Its probes count up from 0 with wrapping; they do not get to the upper half in the life of a daemon, which is what the checks rely on. Comment only.

--- a/crates/tansylead-daemon/src/cluster/driver/in_force.rs
+++ b/crates/tansylead-daemon/src/cluster/driver/in_force.rs
@@ -1,8 +1,8 @@
 //! The checks of where a revision is in force.
 //!
-//! Invariants: each check has a range of sequence numbers of its own, from the upper half, so a
-//! reply goes to the check that asked and never to membership, which uses the lower half; a check
-//! ends with its report when it has finished or its asker is gone.
+//! Invariants: each check has a range of sequence numbers of its own from the upper half, so that
+//! a reply goes to the check that asked. Membership's probes count up from 0 and do not get there
+//! in the life of a daemon. A check ends when it has finished or its asker is gone.
 
 use super::ClusterDriver;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use tansylead_types::Moment;
 use tokio::sync::oneshot;
 
-/// The first sequence number of the checks; membership's own probes have those below.
+/// The first sequence number of the checks; those below are for membership's probes.
 const FIRST_CHECK_SEQUENCE: u32 = 1 << 31;
 /// Sequence numbers set aside for one check.
 const SEQUENCES_PER_CHECK: u32 = 1 << 16;
