types: text of an error with its sources

The daemon's platform client and the lab's HTTP client each had this loop. It goes beside StepError, whose cause it fills. Additive; no caller changes yet.

--- a/crates/tansylead-types/src/error.rs
+++ b/crates/tansylead-types/src/error.rs
@@ -34,3 +34,16 @@
         }
     }
 }
+
+/// The text of an error and of all its sources, on one line. Libraries such as hyper put the cause
+/// into the sources and not into the error's own text.
+pub fn text_with_sources(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- a/crates/tansylead-types/src/lib.rs
+++ b/crates/tansylead-types/src/lib.rs
@@ -23,7 +23,7 @@
     ServiceDefinition, ServicePlacement, ServicePolicy, ShardReplicas, Snapshot, StoredObject,
     WaitPolicy,
 };
-pub use error::{PeerAddress, StepError};
+pub use error::{PeerAddress, StepError, text_with_sources};
 pub use ids::{
     AttemptId, ChangeId, IdempotencyKey, LeafId, PlaceName, QueryId, RequestId, ServiceName,
     ShardId, SnapshotVersion, ZoneName,
