Remove three duplications in the daemon, the lab and the command line

Found by a search for runs of six or more shared lines over the whole tree.

- The text of an error with its sources: the daemon's platform client and the lab's HTTP client use text_with_sources of tansylead-types.

Ruled out: the pairs marked boilerplate, and those in which only the shape is alike, where one piece of code would tie together things that change apart.

The other tests of the lab were not run for this change.

--- a/crates/tansylead-cli/src/main.rs
+++ b/crates/tansylead-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check_command;
 mod commands;
+mod daemon_flag;
 mod exit_code;
 mod http_client;
 mod query_command;
--- a/crates/tansylead-cli/src/query_command.rs
+++ b/crates/tansylead-cli/src/query_command.rs
@@ -1,6 +1,7 @@
 //! `tansylead query`: sends one query to a daemon and prints the answer.
 
 use crate::commands::Subcommand;
+use crate::daemon_flag;
 use crate::exit_code::ExitStatus;
 use crate::http_client::{RequestHeader, exchange};
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -8,7 +9,6 @@
 use hyper::Method;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_daemon::http::{
     DEADLINE_HEADER, EXPIRES_HEADER, IDEMPOTENCY_KEY_HEADER, QueryBody, REQUEST_ID_HEADER,
@@ -54,14 +54,7 @@
                 .help("Service to ask"),
         )
         .arg(Arg::new("query").required(true).help("Query: any JSON"))
-        .arg(
-            Arg::new("daemon")
-                .long("daemon")
-                .value_name("IP:PORT")
-                .value_parser(value_parser!(SocketAddr))
-                .default_value("127.0.0.1:8080")
-                .help("Caller address of a daemon"),
-        )
+        .arg(daemon_flag::argument())
         .arg(text("routing-key", "Ask only the shard that owns this key"))
         .arg(text("request-id", "Id of the request; made up if absent"))
         .arg(number(
@@ -93,9 +86,7 @@
     let service = matches
         .get_one::<ServiceName>("service")
         .ok_or_else(|| eyre::eyre!("no service given"))?;
-    let daemon = matches
-        .get_one::<SocketAddr>("daemon")
-        .ok_or_else(|| eyre::eyre!("no daemon given"))?;
+    let daemon = daemon_flag::address(matches)?;
     let text = matches
         .get_one::<String>("query")
         .cloned()
@@ -110,7 +101,7 @@
     let limit = deadline.map_or(LONGEST_WAIT, |&millis| {
         Duration::from_millis(millis) + ANSWER_MARGIN
     });
-    let reply = exchange(*daemon, Method::POST, &path, &headers(matches), body, limit).await?;
+    let reply = exchange(daemon, Method::POST, &path, &headers(matches), body, limit).await?;
     println!("{}", String::from_utf8_lossy(&reply.body));
     let parsed: ReplyOutcome = serde_json::from_slice(&reply.body)
         .wrap_err_with(|| format!("{daemon}: unexpected answer with status {}", reply.status))?;
--- a/crates/tansylead-cli/src/status_command.rs
+++ b/crates/tansylead-cli/src/status_command.rs
@@ -1,13 +1,13 @@
 //! `tansylead status`: prints the state of a daemon and of the cluster as it sees it.
 
 use crate::commands::Subcommand;
+use crate::daemon_flag;
 use crate::exit_code::ExitStatus;
 use crate::http_client::exchange;
 use bytes::Bytes;
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use eyre::WrapErr;
 use hyper::{Method, StatusCode};
-use std::net::SocketAddr;
 use std::time::Duration;
 use tabled::settings::Style;
 use tabled::{Table, Tabled};
@@ -32,14 +32,7 @@
     Command::new("status")
         .about("Show serving sets, snapshots, limits, leaving back ends and generations")
         .after_help(EXAMPLES)
-        .arg(
-            Arg::new("daemon")
-                .long("daemon")
-                .value_name("IP:PORT")
-                .value_parser(value_parser!(SocketAddr))
-                .default_value("127.0.0.1:8080")
-                .help("Caller address of a daemon"),
-        )
+        .arg(daemon_flag::argument())
         .arg(
             Arg::new("json")
                 .long("json")
@@ -57,10 +50,8 @@
 }
 
 async fn status(matches: &ArgMatches) -> eyre::Result<ExitStatus> {
-    let daemon = matches
-        .get_one::<SocketAddr>("daemon")
-        .ok_or_else(|| eyre::eyre!("no daemon given"))?;
-    let reply = exchange(*daemon, Method::GET, "/v1/status", &[], Bytes::new(), LIMIT).await?;
+    let daemon = daemon_flag::address(matches)?;
+    let reply = exchange(daemon, Method::GET, "/v1/status", &[], Bytes::new(), LIMIT).await?;
     let shown = String::from_utf8_lossy(&reply.body);
     if reply.status != StatusCode::OK {
         eyre::bail!("{daemon}: unexpected status {}: {shown}", reply.status);
--- a/crates/tansylead-daemon/src/platform.rs
+++ b/crates/tansylead-daemon/src/platform.rs
@@ -16,7 +16,7 @@
     MACHINES_PATH, MachineList, ObjectList, STORE_OBJECTS_PATH, STORE_WATCH_PATH, WriteConflict,
     WriteRequest,
 };
-use tansylead_types::{ObjectKey, StepError, StoredObject};
+use tansylead_types::{ObjectKey, StepError, StoredObject, text_with_sources};
 
 /// Time allowed for connecting to the platform.
 pub const CONNECT_LIMIT: Duration = Duration::from_secs(2);
@@ -260,12 +260,12 @@
             Ok(response) => response,
             Err(cause) if cause.is_connect() => {
                 return Err(HttpFailure::NotConnected(
-                    self.error(step, source_text(&cause)),
+                    self.error(step, text_with_sources(&cause)),
                 ));
             }
             Err(cause) => {
                 return Err(HttpFailure::MaybeReceived(
-                    self.error(step, source_text(&cause)),
+                    self.error(step, text_with_sources(&cause)),
                 ));
             }
         };
@@ -295,15 +295,3 @@
 
 /// Characters of an unexpected answer that are quoted in the error.
 const MAXIMUM_SHOWN_CHARACTERS: usize = 200;
-
-/// The error with its chain of sources, which is where hyper puts the cause.
-fn source_text(error: &(dyn std::error::Error + 'static)) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(inner) = source {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        source = inner.source();
-    }
-    text
-}
--- a/crates/tansylead-lab/src/caller/client.rs
+++ b/crates/tansylead-lab/src/caller/client.rs
@@ -7,7 +7,6 @@
 //! was sent, when the request is repeatable, or with the same idempotency key.
 
 use super::answer::{CallerReply, parse_body};
-use crate::http::chain;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, header};
@@ -24,6 +23,7 @@
 use tansylead_types::ids::InvalidName;
 use tansylead_types::{
     IdempotencyKey, Outcome, PeerAddress, RequestId, ServiceName, StepError, WallTime,
+    text_with_sources,
 };
 
 /// Header: time for the whole query, in milliseconds.
@@ -278,7 +278,7 @@
     ) -> Result<CallerReply, ExchangeFailure> {
         let response = self.client.request(request).await.map_err(|error| {
             let not_sent = error.is_connect();
-            let failure = StepError::new("send a query", daemon, chain(error));
+            let failure = StepError::new("send a query", daemon, text_with_sources(&error));
             if not_sent {
                 ExchangeFailure::NotSent(failure)
             } else {
@@ -290,7 +290,7 @@
         let bytes = body
             .collect()
             .await
-            .map_err(|error| cut(chain(error)))?
+            .map_err(|error| cut(text_with_sources(&error)))?
             .to_bytes();
         let body = parse_body(&bytes).map_err(|error| {
             let text = String::from_utf8_lossy(&bytes);
--- a/crates/tansylead-lab/src/http.rs
+++ b/crates/tansylead-lab/src/http.rs
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tansylead_types::StepError;
+use tansylead_types::{StepError, text_with_sources};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -199,9 +199,17 @@
             .body(Full::new(body))
             .map_err(|error| StepError::new(step, self.address, error))?;
         let exchange = async {
-            let response = self.client.request(request).await.map_err(chain)?;
+            let response = self
+                .client
+                .request(request)
+                .await
+                .map_err(|error| text_with_sources(&error))?;
             let status = response.status();
-            let collected = response.into_body().collect().await.map_err(chain)?;
+            let collected = response
+                .into_body()
+                .collect()
+                .await
+                .map_err(|error| text_with_sources(&error))?;
             Ok((status, collected.to_bytes()))
         };
         match tokio::time::timeout(CONTROL_REQUEST_LIMIT, exchange).await {
@@ -225,15 +233,3 @@
         serde_json::from_slice(bytes).map_err(|error| StepError::new(step, self.address, error))
     }
 }
-
-/// An error with its sources, on one line.
-pub fn chain(error: impl std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
--- a/crates/tansylead-lab/src/standin.rs
+++ b/crates/tansylead-lab/src/standin.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
@@ -79,6 +80,24 @@
     })
 }
 
+/// Runs a stand-in that is one server: listens on the address given by `--listen`, prints the
+/// ready line and serves until it is told to end.
+pub fn serve_until_told<F, Fut>(matches: &ArgMatches, serve: F) -> eyre::Result<()>
+where
+    F: FnOnce(TcpListener, CancellationToken) -> Fut,
+    Fut: Future<Output = ()>,
+{
+    let address = listen_address(matches)?;
+    run_until_told(matches, |stop| async move {
+        let listener = TcpListener::bind(address)
+            .await
+            .wrap_err_with(|| format!("listen on {address}"))?;
+        announce(listener.local_addr()?)?;
+        serve(listener, stop).await;
+        Ok(())
+    })
+}
+
 /// Cancels the token when standard input reaches its end.
 pub fn watch_standard_input(stop: CancellationToken) {
     std::thread::spawn(move || {
--- a/crates/tansylead-lab/src/store/mod.rs
+++ b/crates/tansylead-lab/src/store/mod.rs
@@ -13,8 +13,6 @@
 
 use crate::standin;
 use clap::{ArgMatches, Command};
-use eyre::WrapErr;
-use tokio::net::TcpListener;
 
 /// Describes the subcommand.
 pub fn command() -> Command {
@@ -26,13 +24,5 @@
 
 /// Carries it out.
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let address = standin::listen_address(matches)?;
-    standin::run_until_told(matches, |stop| async move {
-        let listener = TcpListener::bind(address)
-            .await
-            .wrap_err_with(|| format!("listen on {address}"))?;
-        standin::announce(listener.local_addr()?)?;
-        server::serve(listener, stop).await;
-        Ok(())
-    })
+    standin::serve_until_told(matches, server::serve)
 }
