Let a post refused for lack of claims leave lookups alone

Cause: a frontend took every not_run with a retry time for lack of room at the root and left that root out for up to 50 ms. A post refused because no majority of claim members answered did the same, so the next lookup of the service was told that every place is at its limit.

Ruled out: a cause in the answer of roots, because callers' answers would grow for one use.

Change: refusals of non-repeatable requests do not back a root off; its report of room still counts.

Shown: the new test fails before (503, "every place that takes this service is at its limit") and passes after; all five tests of non_repeatable pass.

--- a/crates/tansylead-daemon/src/frontend.rs
+++ b/crates/tansylead-daemon/src/frontend.rs
@@ -233,6 +233,8 @@
     }
 
     /// Notes what the answer says about the root; true if the query should go to another root.
+    /// A non-repeatable request may have been refused for lack of claims, which says nothing about
+    /// the root's room for lookups.
     fn note_answer(&self, target: &Target, request: &QueryRequest, answered: &RootAnswer) -> bool {
         let routes = &self.parts.routes;
         let (service, place, root) = (&request.service, &target.place, target.root);
@@ -241,7 +243,9 @@
         }
         match (answered.answer.outcome, answered.answer.retry_after) {
             (Outcome::NotRun, Some(retry_after)) => {
-                routes.on_refusal(service, place, root, retry_after);
+                if request.is_repeatable() {
+                    routes.on_refusal(service, place, root, retry_after);
+                }
                 true
             }
             _ => false,
--- a/crates/tansylead-daemon/tests/non_repeatable.rs
+++ b/crates/tansylead-daemon/tests/non_repeatable.rs
@@ -10,7 +10,9 @@
 use tansylead_daemon::Daemon;
 use tansylead_daemon::clock::Clock;
 use tansylead_daemon::http::AnswerBody;
-use tansylead_types::{Outcome, ServicePolicy};
+use tansylead_types::{
+    ClaimView, ClaimViewMember, ConfigObject, InstanceId, NodeId, ObjectKey, Outcome, ServicePolicy,
+};
 
 const AT_ONCE: Step = Step::Answer(Duration::ZERO);
 const POST: &str = r#"{"query": {"amount": 12}, "routing_key": "77"}"#;
@@ -135,3 +137,42 @@
     assert!(answer.retry_after_ms.is_some());
     assert_eq!(leaf.request_count(), sent_before);
 }
+
+/// A claim view of daemons that do not run.
+fn view_of_absent_members() -> ClaimView {
+    let members = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
+    let member = |address: &str| ClaimViewMember {
+        instance: InstanceId {
+            node: NodeId(address.parse().expect("an address")),
+            boot: 1,
+        },
+        place: "bangkok".parse().expect("name"),
+        zone: "bangkok-a".parse().expect("name"),
+    };
+    ClaimView {
+        epoch: 1,
+        members: members.into_iter().map(member).collect(),
+        earlier: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn a_post_refused_for_lack_of_claims_leaves_lookups_alone() {
+    let store = TestStore::start().await;
+    let leaf = ScriptedLeaf::start(|_, _| AT_ONCE).await;
+    define_service(&store, leaf.address, 2, ServicePolicy::default());
+    let view = ConfigObject::ClaimView(view_of_absent_members());
+    store.set(ObjectKey::ClaimView, view);
+    let daemon = start_with(settings(&store)).await;
+    for number in 0..10 {
+        let refused = post(&daemon, &format!("payment-{number}"), &expires()).await;
+        assert_eq!(
+            answer(&refused).outcome,
+            Outcome::NotRun,
+            "{}",
+            refused.body
+        );
+        let lookup = query(&daemon, &[DEADLINE], POST).await;
+        assert_eq!(lookup.status, 200, "{}", lookup.body);
+    }
+}
