--- a/crates/tansylead-lab/src/scale/figures.rs
+++ b/crates/tansylead-lab/src/scale/figures.rs
@@ -116,6 +116,10 @@
     pub control_in: f64,
     /// Bytes of control sent per second, UDP and TCP payload.
     pub control_out: f64,
+    /// Services it is root of: it polls the health of 56 leafs for each, once a second.
+    pub roots: usize,
+    /// Open connections to leafs.
+    pub leaf_connections: f64,
 }
 
 /// What the store bears.
--- a/crates/tansylead-lab/src/scale/report.rs
+++ b/crates/tansylead-lab/src/scale/report.rs
@@ -64,6 +64,23 @@
             .map(|real| real.cpu_percent)
             .fold(f64::NAN, f64::max)
     }),
+    row("roots, real (largest)", "real_roots", 0, |f| {
+        f.real
+            .iter()
+            .map(|real| real.roots as f64)
+            .fold(f64::NAN, f64::max)
+    }),
+    row(
+        "control bytes/s in+out, real (largest)",
+        "real_bytes_per_second",
+        0,
+        |f| {
+            f.real
+                .iter()
+                .map(|real| real.control_in + real.control_out)
+                .fold(f64::NAN, f64::max)
+        },
+    ),
     row("change to median daemon, s", "change_median", 3, |f| {
         SizeFigures::slowest(&f.changes, |spread| spread.median)
     }),
