--- a/crates/tansylead-lab/src/scale/report.rs
+++ b/crates/tansylead-lab/src/scale/report.rs
@@ -218,9 +218,12 @@
     builder.build().with(Style::markdown()).to_string()
 }
 
+/// A size whose daemons did not all join says how the machine was overloaded, not what control
+/// costs: no line goes through it.
 fn extrapolate(row: &Row, sizes: &[SizeFigures]) -> Option<Extrapolation> {
     let samples: Vec<Sample> = sizes
         .iter()
+        .filter(|figures| figures.whole.is_complete() && figures.ready.is_complete())
         .map(|figures| Sample {
             size: figures.daemons as f64,
             value: (row.value)(figures),
