--- a/crates/tansylead-lab/src/scale/report.rs
+++ b/crates/tansylead-lab/src/scale/report.rs
@@ -64,6 +64,23 @@
             .map(|real| real.cpu_percent)
             .fold(f64::NAN, f64::max)
     }),
+    row("roots, real (largest)", "real_roots", 0, |f| {
+        f.real
+            .iter()
+            .map(|real| real.roots as f64)
+            .fold(f64::NAN, f64::max)
+    }),
+    row(
+        "control bytes/s in+out, real (largest)",
+        "real_bytes_per_second",
+        0,
+        |f| {
+            f.real
+                .iter()
+                .map(|real| real.control_in + real.control_out)
+                .fold(f64::NAN, f64::max)
+        },
+    ),
     row("change to median daemon, s", "change_median", 3, |f| {
         SizeFigures::slowest(&f.changes, |spread| spread.median)
     }),
@@ -201,9 +218,12 @@
     builder.build().with(Style::markdown()).to_string()
 }
 
+/// A size whose daemons did not all join says how the machine was overloaded, not what control
+/// costs: no line goes through it.
 fn extrapolate(row: &Row, sizes: &[SizeFigures]) -> Option<Extrapolation> {
     let samples: Vec<Sample> = sizes
         .iter()
+        .filter(|figures| figures.whole.is_complete() && figures.ready.is_complete())
         .map(|figures| Sample {
             size: figures.daemons as f64,
             value: (row.value)(figures),
