Write the claim view again after the store was restored

Cause: a store restored to an older state holds a lower generation of the claim view than daemons do. Every proposal for the next view expects the newer generation and is refused, so the view cannot change; once its members have restarted, every post is refused (`NotMember`). The daemon's planner moreover stopped while its store reader said `behind`, which is the state after a restore; the simulation's planner did not.

Ruled out: proposing the next view with the store's lower generation expected, because its epoch and generation would not agree and two different views could get the same epoch; lowering what daemons hold.

Change: `ClaimViewRepair`, a pure decision that the daemon and the simulation use. While the store's generation, learned from its answers to writes, is below the epoch of the view in force, the planner writes that view again, unchanged, one generation a turn, and plans nothing else. It does so only after a majority of the view's members answered and nobody who answered has heard of a higher epoch. A member adopts a view only at a generation that is not below its epoch; a lower one only seals it for earlier epochs. Planners also run while the store is behind, but propose a first view only if it is current.

Not proved: real processes against a restored store; restores of more than two revisions in the whole system's simulation.

--- a/crates/tansylead-cluster/src/claims/event.rs
+++ b/crates/tansylead-cluster/src/claims/event.rs
@@ -29,7 +29,8 @@
     ViewLearned {
         /// The view.
         view: ClaimView,
-        /// Generation of the stored object; equals the epoch unless the object was deleted.
+        /// Generation of the stored object; equals the epoch unless the object was deleted, or
+        /// the store was restored and the view is being written again.
         generation: u64,
     },
     /// A response to a request that this member sent to `asked`.
--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -194,6 +194,10 @@
             return;
         }
         self.highest_epoch = self.highest_epoch.max(view.epoch);
+        // Written again after the store was restored; its own generation is still to come.
+        if generation < view.epoch {
+            return;
+        }
         let transfer = Transfer::new(self.me, &view, generation, &self.complete_epochs);
         let handed_over = self.early_handover.take(view.epoch);
         self.adopted = Some(AdoptedView {
--- a/crates/tansylead-cluster/src/claims/mod.rs
+++ b/crates/tansylead-cluster/src/claims/mod.rs
@@ -5,6 +5,7 @@
 //! - [`ClaimRequester`] collects the grants of a majority of the key's group for one root.
 //! - [`AnswerCache`] remembers, on the root, what became of each key until its expiry.
 //! - [`ClaimViewPlanner`] proposes the next set of members.
+//! - [`ClaimViewRepair`] has the view written again after the store was restored to an older state.
 //!
 //! Invariants: a root dispatches only on its own decision `Granted` and only while
 //! [`check_before_dispatch`] passes; a member grants only in the highest epoch it has heard of,
@@ -33,6 +34,7 @@
 mod member;
 mod message;
 mod planner;
+mod repair;
 mod requester;
 mod settings;
 mod table;
@@ -49,5 +51,6 @@
     ClaimRequestBody, ClaimResponse, ClaimResponseBody, CopiedClaim, CopiedPage,
 };
 pub use planner::{ClaimViewPlanner, LiveDaemon, MAXIMUM_VIEW_MEMBERS, next_claim_view};
+pub use repair::{ClaimViewRepair, ClaimViewRepairStep};
 pub use requester::{ClaimRequester, ClaimRequesterAction, ClaimRequesterEvent};
 pub use settings::ClaimSettings;
--- a/crates/tansylead-daemon/src/claims/planner_task.rs
+++ b/crates/tansylead-daemon/src/claims/planner_task.rs
@@ -1,5 +1,6 @@
 //! Proposes claim views to the store, on daemons that read it. Of several proposals one wins by
 //! compare-and-set; a lost answer does no harm, because the watch brings whatever was written.
+//! After the store was restored to an older state, the view in force is first written again.
 
 use super::service::Claims;
 use crate::clock::Clock;
@@ -12,7 +13,7 @@
 use std::time::Duration;
 use tansylead_cluster::claims::{
     ClaimMemberStatus, ClaimRequest, ClaimRequestBody, ClaimResponseBody, ClaimViewPlanner,
-    LiveDaemon,
+    ClaimViewRepair, ClaimViewRepairStep, LiveDaemon,
 };
 use tansylead_cluster::membership::{MemberRecord, MemberState};
 use tansylead_cluster::spread::StoreState;
@@ -42,35 +43,74 @@
     pub status: watch::Receiver<Arc<ClusterStatus>>,
 }
 
+/// What is remembered between two looks.
+#[derive(Debug)]
+struct Planning {
+    planner: ClaimViewPlanner,
+    repair: ClaimViewRepair,
+}
+
+impl Planning {
+    /// Notes which generation the store named after a write, and which one was held before it.
+    fn note(&mut self, in_store: Option<u64>, held: u64) {
+        if let Some(in_store) = in_store {
+            self.repair.on_store_generation(in_store, held);
+        }
+    }
+}
+
+/// What the members of a view answered.
+#[derive(Debug, Default)]
+struct MemberReports {
+    statuses: BTreeMap<InstanceId, ClaimMemberStatus>,
+    /// Highest epoch that they or this daemon have heard of.
+    highest_epoch: u64,
+}
+
 /// Runs until its task is ended.
 pub async fn run_claim_planner(parts: PlannerParts) {
-    let mut planner = ClaimViewPlanner::new(Clock.now());
+    let mut planning = Planning {
+        planner: ClaimViewPlanner::new(Clock.now()),
+        repair: ClaimViewRepair::default(),
+    };
     loop {
         let pause = rand::rng().random_range(SHORTEST_PAUSE..LONGEST_PAUSE);
         tokio::time::sleep(pause).await;
         let state = parts.status.borrow().store.clone();
-        if state == StoreState::Current && parts.members.borrow().joined {
-            consider(&parts, &mut planner).await;
+        let is_read = matches!(state, StoreState::Current | StoreState::Behind { .. });
+        if is_read && parts.members.borrow().joined {
+            consider(&parts, &mut planning, &state).await;
         }
     }
 }
 
-async fn consider(parts: &PlannerParts, planner: &mut ClaimViewPlanner) {
+async fn consider(parts: &PlannerParts, planning: &mut Planning, store: &StoreState) {
     let configuration = Arc::clone(&parts.configuration.borrow());
     let generation = configuration.generation(&ObjectKey::ClaimView);
     let current = configuration.claim_view().cloned();
-    if current.is_none() && (generation > 0 || !parts.never_existed().await) {
+    // A store that is behind may have forgotten a view.
+    let may_be_first = generation == 0 && *store == StoreState::Current;
+    if current.is_none() && (!may_be_first || !parts.never_existed().await) {
+        return;
+    }
+    if let Some(view) = current
+        .as_deref()
+        .filter(|view| planning.repair.is_needed(view, generation))
+    {
+        parts.write_again(view, generation, planning).await;
         return;
     }
     let live = live_daemons(&parts.members.borrow());
     let now = Clock.now();
+    let planner = &mut planning.planner;
     if !planner.is_change_due(now, current.as_deref(), &live) {
         return;
     }
-    let statuses = parts.member_statuses(current.as_deref()).await;
-    let planned = planner.plan(Clock.now(), current.as_deref(), &live, &statuses);
+    let reports = parts.member_reports(current.as_deref()).await;
+    let planned = planner.plan(Clock.now(), current.as_deref(), &live, &reports.statuses);
     if let Some(view) = planned {
-        parts.write(view, generation).await;
+        let in_store = parts.write(view, generation).await;
+        planning.note(in_store, generation);
     }
 }
 
@@ -80,13 +120,33 @@
         matches!(self.store.get(&ObjectKey::ClaimView).await, Ok(None))
     }
 
-    async fn member_statuses(
-        &self,
-        current: Option<&ClaimView>,
-    ) -> BTreeMap<InstanceId, ClaimMemberStatus> {
-        let mut statuses = BTreeMap::new();
+    /// One step towards the store holding the view in force at its own generation.
+    async fn write_again(&self, view: &ClaimView, generation: u64, planning: &mut Planning) {
+        let reports = self.member_reports(Some(view)).await;
+        let step =
+            planning
+                .repair
+                .next_step(view, generation, &reports.statuses, reports.highest_epoch);
+        if let ClaimViewRepairStep::Write {
+            expected_generation,
+        } = step
+        {
+            log::warn!(
+                "claim view {}: the store holds generation {expected_generation}; written again",
+                view.epoch
+            );
+            let in_store = self.write(view.clone(), expected_generation).await;
+            planning.note(in_store, generation);
+        }
+    }
+
+    async fn member_reports(&self, current: Option<&ClaimView>) -> MemberReports {
+        let mut reports = MemberReports {
+            highest_epoch: self.claims.member.lock().highest_epoch(),
+            ..MemberReports::default()
+        };
         let Some(view) = current else {
-            return statuses;
+            return reports;
         };
         let asking = view.members.iter().map(|member| {
             let request = ClaimRequest {
@@ -99,18 +159,18 @@
         });
         let answered = futures_util::future::join_all(asking).await;
         for response in answered.into_iter().flatten() {
+            reports.highest_epoch = reports.highest_epoch.max(response.epoch);
             if let ClaimResponseBody::Status(status) = response.body {
-                statuses.insert(response.from, status);
+                reports.statuses.insert(response.from, status);
             }
         }
-        statuses
+        reports
     }
 
-    async fn write(&self, view: ClaimView, expected_generation: u64) {
+    /// Returns the generation that the store now holds, if it says so; 0 without the object.
+    async fn write(&self, view: ClaimView, expected_generation: u64) -> Option<u64> {
         let number: u128 = rand::rng().random();
-        let Ok(change) = ChangeId::new(format!("claim-view-{number:032x}")) else {
-            return;
-        };
+        let change = ChangeId::new(format!("claim-view-{number:032x}")).ok()?;
         let (epoch, members) = (view.epoch, view.members.len());
         let write = WriteRequest {
             expected_generation,
@@ -118,11 +178,19 @@
             object: ConfigObject::ClaimView(view),
         };
         match self.store.put(&ObjectKey::ClaimView, &write).await {
-            Ok(WriteOutcome::Accepted(_)) => {
+            Ok(WriteOutcome::Accepted(stored)) => {
                 log::info!("claim view {epoch} with {members} members accepted");
+                Some(stored.generation)
+            }
+            Ok(WriteOutcome::Conflict(conflict)) => {
+                log::debug!("claim view {epoch}: the store holds another generation");
+                let current = conflict.current.as_ref();
+                Some(current.map_or(0, |stored| stored.generation))
+            }
+            Err(error) => {
+                log::warn!("claim view {epoch}: {error}");
+                None
             }
-            Ok(WriteOutcome::Conflict(_)) => log::debug!("claim view {epoch}: another one won"),
-            Err(error) => log::warn!("claim view {epoch}: {error}"),
         }
     }
 }
--- a/crates/tansylead-lab/src/simulation/daemon/claims.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/claims.rs
@@ -13,8 +13,8 @@
     AnswerCache, AnswerStatus, Begin, ClaimDecision, ClaimGrant, ClaimHolder, ClaimKey,
     ClaimMember, ClaimMemberEvent, ClaimMemberStatus, ClaimRequest, ClaimRequestBody,
     ClaimRequester, ClaimRequesterAction, ClaimRequesterEvent, ClaimResponse, ClaimResponseBody,
-    ClaimSettings, ClaimTerms, ClaimTime, ClaimViewPlanner, LiveDaemon, check_before_dispatch,
-    release_requests,
+    ClaimSettings, ClaimTerms, ClaimTime, ClaimViewPlanner, ClaimViewRepair, ClaimViewRepairStep,
+    LiveDaemon, check_before_dispatch, release_requests,
 };
 use tansylead_types::store::WriteRequest;
 use tansylead_types::{
@@ -46,7 +46,10 @@
     member: ClaimMember,
     pub(super) answers: AnswerCache,
     planner: ClaimViewPlanner,
+    repair: ClaimViewRepair,
     statuses: BTreeMap<InstanceId, ClaimMemberStatus>,
+    /// Highest epoch that members named with their statuses.
+    reported_epoch: u64,
     next_plan: Moment,
     claiming: BTreeMap<u64, Claiming>,
     pub(super) lookups: BTreeMap<u64, Lookup>,
@@ -63,7 +66,9 @@
             member: ClaimMember::new(instance, settings.clone(), now),
             answers: AnswerCache::new(settings.clone(), MAXIMUM_ANSWER_BYTES, MAXIMUM_KEYS),
             planner: ClaimViewPlanner::new(now),
+            repair: ClaimViewRepair::default(),
             statuses: BTreeMap::new(),
+            reported_epoch: 0,
             next_plan: now,
             claiming: BTreeMap::new(),
             lookups: BTreeMap::new(),
@@ -376,9 +381,10 @@
         match result {
             Ok(Response::Claim(ClaimResponse {
                 from,
+                epoch,
                 body: ClaimResponseBody::Status(status),
-                ..
             })) if from == asked => {
+                self.claims.reported_epoch = self.claims.reported_epoch.max(epoch);
                 self.claims.statuses.insert(asked, status);
             }
             _ => {
@@ -450,6 +456,22 @@
         let generation = current.map_or(0, |(_, generation)| generation);
         let current = current.map(|(view, _)| view);
         let desk = &mut self.claims;
+        let step = current.map_or(ClaimViewRepairStep::NotNeeded, |view| {
+            let highest_epoch = desk.reported_epoch.max(desk.member.highest_epoch());
+            let repair = desk.repair;
+            repair.next_step(view, generation, &desk.statuses, highest_epoch)
+        });
+        if let ClaimViewRepairStep::Write {
+            expected_generation,
+        } = step
+            && let Some(view) = current.cloned()
+        {
+            self.write_view(clocks, view, expected_generation, outbox);
+            return;
+        }
+        if step != ClaimViewRepairStep::NotNeeded {
+            return;
+        }
         let planned = desk
             .planner
             .plan(clocks.now, current, &live, &desk.statuses);
@@ -476,7 +498,24 @@
         };
         let request = Request::WriteObject(ObjectKey::ClaimView, write);
         let call = outbox.open(Endpoint::Store, request, VIEW_WRITE_LIMIT);
-        self.calls.insert(call, Purpose::Ignored);
+        let held = self.configuration.claim_view();
+        let held_generation = held.map_or(0, |(_, generation)| generation);
+        let purpose = Purpose::ClaimViewWrite { held_generation };
+        self.calls.insert(call, purpose);
+    }
+
+    /// The store's answer tells which generation it holds; a view itself is learned by reading.
+    pub(super) fn on_view_written(&mut self, held_generation: u64, result: &CallResult) {
+        let generation = match result {
+            Ok(Response::Written(stored)) => stored.generation,
+            Ok(Response::Conflict(conflict)) => conflict
+                .current
+                .as_ref()
+                .map_or(0, |stored| stored.generation),
+            _ => return,
+        };
+        let repair = &mut self.claims.repair;
+        repair.on_store_generation(generation, held_generation);
     }
 
     fn ask_statuses(&mut self, clocks: Clocks, outbox: &mut Outbox<'_>) {
--- a/crates/tansylead-lab/src/simulation/daemon/mod.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/mod.rs
@@ -89,6 +89,9 @@
     ClaimStatus {
         asked: InstanceId,
     },
+    ClaimViewWrite {
+        held_generation: u64,
+    },
     KeyStatus {
         lookup: u64,
         holder: ClaimHolder,
@@ -328,6 +331,9 @@
                 self.on_requester_response(clocks, asked, requester, result, outbox);
             }
             Purpose::ClaimStatus { asked } => self.on_claim_status(clocks, asked, result),
+            Purpose::ClaimViewWrite { held_generation } => {
+                self.on_view_written(held_generation, &result);
+            }
             Purpose::KeyStatus { lookup, holder } => {
                 self.on_key_status(clocks, lookup, holder, result, outbox);
             }
--- a/crates/tansylead-lab/tests/simulation_pairs.rs
+++ b/crates/tansylead-lab/tests/simulation_pairs.rs
@@ -102,3 +102,11 @@
     holds(&plan_of(1, 6));
     holds(&plan_of(4, 7));
 }
+
+/// The restored store held an older generation of the claim view than the daemons did: the view
+/// could not change any more, and once its members had restarted all posts were refused.
+#[test]
+fn found_claim_view_changes_after_the_store_was_restored() {
+    holds(&plan_of(11, 759));
+    holds(&plan_of(12, 795));
+}
