Take stop signals and answers without results from one place

The command line and the lab each forwarded signals by their own copy; the daemon and the simulation each built the answer that no leaf had a part in. No change of behaviour.

--- a/crates/tansylead-cli/src/serve_command.rs
+++ b/crates/tansylead-cli/src/serve_command.rs
@@ -8,8 +8,6 @@
 use std::path::PathBuf;
 use tansylead_daemon::{DrainResult, StopRequests, Tuning, load_settings};
 use tansylead_types::Settings;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
 
 /// The subcommand.
 pub const SUBCOMMAND: Subcommand = Subcommand { command, run };
@@ -52,23 +50,9 @@
 }
 
 async fn serve(settings: Settings) -> eyre::Result<ExitStatus> {
-    let (sender, stop) = StopRequests::channel();
-    forward_signal(SignalKind::terminate(), sender.clone())?;
-    forward_signal(SignalKind::interrupt(), sender)?;
+    let stop = StopRequests::from_signals()?;
     match tansylead_daemon::run(settings, Tuning::default(), stop).await? {
         DrainResult::Clean => Ok(ExitStatus::Success),
         DrainResult::Cut { .. } => Ok(ExitStatus::DrainCut),
     }
 }
-
-fn forward_signal(kind: SignalKind, stop: mpsc::Sender<()>) -> eyre::Result<()> {
-    let mut signals = signal(kind).wrap_err("install a signal handler")?;
-    tokio::spawn(async move {
-        while signals.recv().await.is_some() {
-            if stop.send(()).await.is_err() {
-                return;
-            }
-        }
-    });
-    Ok(())
-}
--- a/crates/tansylead-daemon/src/claims/execution.rs
+++ b/crates/tansylead-daemon/src/claims/execution.rs
@@ -3,7 +3,6 @@
 
 use super::acquire::{acquire, release};
 use super::service::{Claims, KeyOutcome};
-use crate::answers::without_results;
 use crate::clock::Clock;
 use std::sync::Arc;
 use std::time::Duration;
@@ -225,10 +224,10 @@
     }
 
     fn unknown(&self, reason: String, retry_after: Option<Duration>) -> QueryAnswer {
-        without_results(self.request.clone(), Outcome::Unknown, reason, retry_after)
+        QueryAnswer::without_results(self.request.clone(), Outcome::Unknown, reason, retry_after)
     }
 
     fn not_run(&self, reason: String, retry_after: Option<Duration>) -> QueryAnswer {
-        without_results(self.request.clone(), Outcome::NotRun, reason, retry_after)
+        QueryAnswer::without_results(self.request.clone(), Outcome::NotRun, reason, retry_after)
     }
 }
--- a/crates/tansylead-daemon/src/daemon.rs
+++ b/crates/tansylead-daemon/src/daemon.rs
@@ -5,10 +5,12 @@
 use crate::cluster::ClusterHandle;
 use crate::state::DaemonState;
 use crate::tuning::Tuning;
+use eyre::WrapErr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_types::Settings;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -164,6 +166,14 @@
         (sender, Self { receiver })
     }
 
+    /// Requests that come as SIGTERM and SIGINT. Must be called inside a runtime.
+    pub fn from_signals() -> eyre::Result<Self> {
+        let (sender, requests) = Self::channel();
+        forward_signal(SignalKind::terminate(), sender.clone())?;
+        forward_signal(SignalKind::interrupt(), sender)?;
+        Ok(requests)
+    }
+
     /// Waits for the next request; never returns once no more can come.
     pub async fn next(&mut self) {
         if self.receiver.recv().await.is_none() {
@@ -172,6 +182,18 @@
     }
 }
 
+fn forward_signal(kind: SignalKind, stop: mpsc::Sender<()>) -> eyre::Result<()> {
+    let mut signals = signal(kind).wrap_err("install a signal handler")?;
+    tokio::spawn(async move {
+        while signals.recv().await.is_some() {
+            if stop.send(()).await.is_err() {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
+
 /// Runs a daemon until it is asked to stop, or another run takes its address, and has drained.
 pub async fn run(
     settings: Settings,
--- a/crates/tansylead-daemon/src/frontend.rs
+++ b/crates/tansylead-daemon/src/frontend.rs
@@ -3,7 +3,7 @@
 //! A query that provably ran nowhere goes to the next root, a few times at most. One that may have
 //! run goes to another root only if it is repeatable, and once at most.
 
-use crate::answers::{not_run, without_results};
+use crate::answers::not_run;
 use crate::clock::Clock;
 use crate::configuration::PlacementKey;
 use crate::metrics::Metrics;
@@ -265,7 +265,7 @@
     }
 
     fn unknown(&self, request: &QueryRequest, reason: String) -> QueryAnswer {
-        without_results(request.request.clone(), Outcome::Unknown, reason, None)
+        QueryAnswer::without_results(request.request.clone(), Outcome::Unknown, reason, None)
     }
 }
 
--- a/crates/tansylead-lab/src/process/daemon_command.rs
+++ b/crates/tansylead-lab/src/process/daemon_command.rs
@@ -9,8 +9,6 @@
 use tansylead_daemon::{DrainResult, SettingsOverrides, StopRequests, Tuning, load_settings};
 use tansylead_query::EngineTuning;
 use tansylead_types::Settings;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 /// The variant that is the product as it ships.
@@ -76,23 +74,9 @@
 }
 
 async fn serve(settings: Settings, tuning: Tuning) -> eyre::Result<()> {
-    let (sender, stop) = StopRequests::channel();
-    forward_signal(SignalKind::terminate(), sender.clone())?;
-    forward_signal(SignalKind::interrupt(), sender)?;
+    let stop = StopRequests::from_signals()?;
     match tansylead_daemon::run(settings, tuning, stop).await? {
         DrainResult::Clean => Ok(()),
         DrainResult::Cut { open_queries } => eyre::bail!("{open_queries} queries were cut"),
     }
 }
-
-fn forward_signal(kind: SignalKind, stop: mpsc::Sender<()>) -> eyre::Result<()> {
-    let mut signals = signal(kind).wrap_err("install a signal handler")?;
-    tokio::spawn(async move {
-        while signals.recv().await.is_some() {
-            if stop.send(()).await.is_err() {
-                return;
-            }
-        }
-    });
-    Ok(())
-}
--- a/crates/tansylead-lab/src/simulation/daemon/frontend.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/frontend.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 use tansylead_cluster::routing::{PlaceChoice, choose_place, choose_root};
 use tansylead_types::{
-    Coverage, Moment, NodeId, Outcome, PlaceName, QueryAnswer, QueryId, QueryRequest, RequestId,
-    WallTime,
+    Moment, NodeId, Outcome, PlaceName, QueryAnswer, QueryId, QueryRequest, RequestId, WallTime,
 };
 
 /// A forwarded query is given up this long after its deadline: the root answers at the deadline.
@@ -224,16 +223,8 @@
     outcome: Outcome,
     reason: &str,
 ) -> QueryAnswer {
-    QueryAnswer {
-        request,
-        outcome,
-        snapshot: None,
-        coverage: Coverage::default(),
-        results: Vec::new(),
-        retry_after: (outcome == Outcome::NotRun).then_some(RETRY_AFTER),
-        reason: Some(reason.to_owned()),
-        attempts: 0,
-    }
+    let retry_after = (outcome == Outcome::NotRun).then_some(RETRY_AFTER);
+    QueryAnswer::without_results(request, outcome, reason.to_owned(), retry_after)
 }
 
 fn hour_of_day(wall: WallTime) -> u8 {
--- a/crates/tansylead-types/src/answer.rs
+++ b/crates/tansylead-types/src/answer.rs
@@ -85,3 +85,24 @@
     /// Attempts sent to leafs, for measuring extra load.
     pub attempts: u32,
 }
+
+impl QueryAnswer {
+    /// An answer that no leaf had a part in.
+    pub fn without_results(
+        request: RequestId,
+        outcome: Outcome,
+        reason: String,
+        retry_after: Option<Duration>,
+    ) -> Self {
+        Self {
+            request,
+            outcome,
+            snapshot: None,
+            coverage: Coverage::default(),
+            results: Vec::new(),
+            retry_after,
+            reason: Some(reason),
+            attempts: 0,
+        }
+    }
+}
