Let commands go on when nobody reads their output to the end

Cause: println! panics on a broken pipe, so `tansylead status | head` ended with a panic message and `table propose | head` lost its exit status.

Change: the command line writes through one module that leaves write errors alone.

--- a/crates/tansylead-cli/src/check_command.rs
+++ b/crates/tansylead-cli/src/check_command.rs
@@ -34,6 +34,6 @@
         .get_one::<PathBuf>("file")
         .ok_or_else(|| eyre::eyre!("no file given"))?;
     let settings = load_settings(Some(file), &SettingsOverrides::default())?;
-    print!("{}", toml::to_string(&settings)?);
+    output!("{}", toml::to_string(&settings)?);
     Ok(ExitStatus::Success)
 }
--- a/crates/tansylead-cli/src/main.rs
+++ b/crates/tansylead-cli/src/main.rs
@@ -1,5 +1,8 @@
 //! The `tansylead` program: daemon and operators' tool in one.
 
+#[macro_use]
+mod output;
+
 mod check_command;
 mod commands;
 mod daemon_flag;
--- a/crates/tansylead-cli/src/query_command.rs
+++ b/crates/tansylead-cli/src/query_command.rs
@@ -102,7 +102,7 @@
         Duration::from_millis(millis) + ANSWER_MARGIN
     });
     let reply = exchange(daemon, Method::POST, &path, &headers(matches), body, limit).await?;
-    println!("{}", String::from_utf8_lossy(&reply.body));
+    output_line!("{}", String::from_utf8_lossy(&reply.body));
     let parsed: ReplyOutcome = serde_json::from_slice(&reply.body)
         .wrap_err_with(|| format!("{daemon}: unexpected answer with status {}", reply.status))?;
     Ok(match parsed.outcome {
--- a/crates/tansylead-cli/src/status_command.rs
+++ b/crates/tansylead-cli/src/status_command.rs
@@ -59,7 +59,7 @@
     let parsed: DaemonStatus = serde_json::from_slice(&reply.body)
         .wrap_err_with(|| format!("{daemon}: unexpected answer"))?;
     if matches.get_flag("json") {
-        println!("{shown}");
+        output_line!("{shown}");
     } else {
         print_status(&parsed);
     }
@@ -116,28 +116,34 @@
         true => "ready".to_owned(),
         false => format!("not ready: {}", status.readiness.reasons.join("; ")),
     };
-    println!(
+    output_line!(
         "daemon {} ({} {}/{}), version {}: {ready}",
-        status.peer_address, status.cluster, status.place, status.zone, status.version
+        status.peer_address,
+        status.cluster,
+        status.place,
+        status.zone,
+        status.version
     );
-    println!(
+    output_line!(
         "configuration: store revision {}, table generation {}; store {}",
-        status.revision, status.table_generation, status.store
+        status.revision,
+        status.table_generation,
+        status.store
     );
-    println!(
+    output_line!(
         "cluster: {} members; claim view {} with {} members",
         status.members,
         optional(status.claim_view_epoch),
         status.claim_view_members
     );
-    println!("A `-` in the last six columns: this daemon is not a root there.");
+    output_line!("A `-` in the last six columns: this daemon is not a root there.");
     let lines = status.services.iter().flat_map(|(service, state)| {
         let places = state.places.iter();
         places.map(move |(place, state)| ServiceLine::new(service, place, state))
     });
     let mut table = Table::new(lines);
     table.with(Style::sharp());
-    println!("{table}");
+    output_line!("{table}");
 }
 
 /// Shards answered, of those addressed by complete and partial answers since the start.
--- a/crates/tansylead-cli/src/table_commands/accept.rs
+++ b/crates/tansylead-cli/src/table_commands/accept.rs
@@ -75,7 +75,7 @@
     };
     let store = StoreClient::new(store);
     let outcome = drive(&store, proposal, known_generation, settings).await;
-    print!("{outcome}");
+    output!("{outcome}");
     match (daemon, &outcome) {
         (Some(daemon), AcceptOutcome::Accepted { revision, .. }) if matches.get_flag(WAIT) => {
             Ok(in_force::wait(daemon, *revision, seconds_of(matches, WAIT_SECONDS)).await)
--- a/crates/tansylead-cli/src/table_commands/check.rs
+++ b/crates/tansylead-cli/src/table_commands/check.rs
@@ -26,7 +26,7 @@
     let checked = check_table(&text, known.as_ref());
     let status = files::report(file, &checked.findings);
     if checked.findings.is_empty() {
-        println!(
+        output_line!(
             "{}: {} rows, nothing wrong",
             file.display(),
             checked.rows.len()
--- a/crates/tansylead-cli/src/table_commands/files.rs
+++ b/crates/tansylead-cli/src/table_commands/files.rs
@@ -49,7 +49,7 @@
 /// Prints findings, each after the name of the file, and tells the exit status they call for.
 pub fn report(file: &Path, findings: &[Finding]) -> ExitStatus {
     for finding in findings {
-        println!("{}: {finding}", file.display());
+        output_line!("{}: {finding}", file.display());
     }
     if has_errors(findings) {
         ExitStatus::TableErrors
--- a/crates/tansylead-cli/src/table_commands/history.rs
+++ b/crates/tansylead-cli/src/table_commands/history.rs
@@ -23,14 +23,14 @@
 pub async fn run(matches: &ArgMatches) -> eyre::Result<ExitStatus> {
     let store = store_of(matches).ok_or_else(|| eyre::eyre!("no store given"))?;
     let Some(stored) = read_table(store).await? else {
-        println!("the table was never written");
+        output_line!("the table was never written");
         return Ok(ExitStatus::Success);
     };
     let generation = stored.generation;
     let lines = recorded(stored).into_iter().map(ChangeLine::new);
     let mut table = Table::new(lines);
     table.with(Style::sharp());
-    println!("generation {generation}\n{table}");
+    output_line!("generation {generation}\n{table}");
     Ok(ExitStatus::Success)
 }
 
--- a/crates/tansylead-cli/src/table_commands/in_force.rs
+++ b/crates/tansylead-cli/src/table_commands/in_force.rs
@@ -22,8 +22,8 @@
         let is_everywhere = answer.as_ref().is_ok_and(is_everywhere);
         if is_everywhere || Instant::now() + PAUSE >= deadline {
             match &answer {
-                Ok(answer) => println!("{}", describe(answer)),
-                Err(error) => println!("not known on which daemons it is in force: {error:#}"),
+                Ok(answer) => output_line!("{}", describe(answer)),
+                Err(error) => output_line!("not known on which daemons it is in force: {error:#}"),
             }
             return if is_everywhere {
                 ExitStatus::Success
--- a/crates/tansylead-cli/src/table_commands/propose.rs
+++ b/crates/tansylead-cli/src/table_commands/propose.rs
@@ -76,11 +76,11 @@
     }
     let proposal = Proposal::new(rand::random(), draft)?;
     files::write(&target, &proposal.to_document()?)?;
-    println!(
+    output_line!(
         "{}: based on generation {base_generation}",
         target.display()
     );
-    print!("{difference}");
+    output!("{difference}");
     Ok(ExitStatus::Success)
 }
 
--- a/crates/tansylead-cli/src/table_commands/pull.rs
+++ b/crates/tansylead-cli/src/table_commands/pull.rs
@@ -38,7 +38,7 @@
     let Base {
         generation, rows, ..
     } = base;
-    println!(
+    output_line!(
         "{}: generation {generation}, {} rows",
         file.display(),
         rows.len()
--- a/crates/tansylead-cli/src/table_commands/review.rs
+++ b/crates/tansylead-cli/src/table_commands/review.rs
@@ -26,9 +26,9 @@
     let Proposal {
         author, comment, ..
     } = &proposal;
-    println!("proposed by {author}: {comment}");
-    println!("based on generation {}", proposal.base.generation);
-    print!(
+    output_line!("proposed by {author}: {comment}");
+    output_line!("based on generation {}", proposal.base.generation);
+    output!(
         "{}",
         TableDifference::between(&proposal.base.rows, &proposal.rows)
     );
@@ -48,21 +48,21 @@
 async fn compare_with_store(proposal: &Proposal, store: SocketAddr) -> eyre::Result<ExitStatus> {
     let held = Base::of(read_table(store).await?.as_ref());
     if held.change.as_ref() == Some(&proposal.change) {
-        println!(
+        output_line!(
             "the store holds this change as generation {}",
             held.generation
         );
         return Ok(ExitStatus::Success);
     }
     if held.generation == proposal.base.generation && held.change == proposal.base.change {
-        println!("the store still holds the base");
+        output_line!("the store still holds the base");
         return Ok(ExitStatus::Success);
     }
-    println!(
+    output_line!(
         "the store holds generation {}; since the base:",
         held.generation
     );
-    print!(
+    output!(
         "{}",
         TableDifference::between(&proposal.base.rows, &held.rows)
     );
