--- /dev/null
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -0,0 +1,318 @@
+//! Puts the parts of a daemon together.
+
+use crate::clock::Clock;
+use crate::cluster::{
+    ClusterDriver, ClusterHandle, ClusterIdentity, ClusterInput, ClusterParts, ClusterStatus,
+    MachineListReader, MemberView,
+};
+use crate::configuration::ConfigurationView;
+use crate::frontend::{Frontend, FrontendParts};
+use crate::http::{CallerServer, Router, ServerLimits};
+use crate::metrics::Metrics;
+use crate::peer_service::PeerService;
+use crate::peers::{self, Hello, PEER_PROTOCOL_VERSION, PeerClient, PeerServer};
+use crate::platform::{MachineListClient, StoreClient};
+use crate::root::{RootContext, RootDirectory, RootSupervisor, SupervisorParts};
+use crate::root_service::RootService;
+use crate::routing::{Routes, RoutesParts};
+use crate::state::{DaemonState, StateParts};
+use crate::tuning::Tuning;
+use eyre::WrapErr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_cluster::membership::{LocalMember, Membership, MembershipSettings};
+use tansylead_cluster::spread::SpreadMachine;
+use tansylead_types::{InstanceId, NodeId, Settings, StepError};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+/// A daemon put together, its server for callers not yet running.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    pub(crate) state: Arc<DaemonState>,
+    pub(crate) cluster: ClusterHandle,
+    pub(crate) drain: CancellationToken,
+    pub(crate) server: CallerServer,
+    pub(crate) peer_address: SocketAddr,
+    pub(crate) tasks: Vec<AbortOnDropHandle<()>>,
+}
+
+/// The sockets at the peer address.
+#[derive(Debug)]
+struct PeerSockets {
+    listener: TcpListener,
+    datagrams: UdpSocket,
+    address: SocketAddr,
+}
+
+/// What all parts are made of.
+struct Base {
+    settings: Settings,
+    tuning: Arc<Tuning>,
+    metrics: Arc<Metrics>,
+    instance: InstanceId,
+    hello: Hello,
+    peers: Arc<PeerClient>,
+    directory: RootDirectory,
+    drain: CancellationToken,
+}
+
+/// What the cluster task publishes, and where it receives.
+struct Channels {
+    configuration: watch::Sender<Arc<ConfigurationView>>,
+    members: watch::Sender<Arc<MemberView>>,
+    status: watch::Sender<Arc<ClusterStatus>>,
+    cluster: ClusterHandle,
+    inputs: mpsc::UnboundedReceiver<ClusterInput>,
+}
+
+/// Binds the addresses and puts a daemon together.
+pub(crate) async fn assemble(settings: Settings, tuning: Tuning) -> eyre::Result<Assembly> {
+    let sockets = bind_peer_sockets(settings.peer_address).await?;
+    let base = Base::new(settings, tuning, sockets.address)?;
+    let channels = Channels::new();
+    let routes = base.routes(&channels);
+    let state = base.state(&channels, &routes);
+    let roots = Arc::new(RootService::new(base.directory.clone()));
+    let server = base.caller_server(&state, &routes, &roots).await?;
+
+    let supervisor = base.supervisor();
+    let configuration = channels.configuration.subscribe();
+    let members = channels.members.subscribe();
+    let peer_server = base.peer_server(sockets.listener, &state, &roots, &channels.cluster);
+    let machine_list = base.machine_list_reader(&channels, &routes);
+    let cluster = channels.cluster.clone();
+    let caller_address = server.local_address()?;
+    let driver = base.cluster_driver(&channels, sockets.datagrams, caller_address);
+    let mut tasks = vec![
+        spawn(driver.run(channels.inputs)),
+        spawn(supervisor.run(configuration, members)),
+        spawn(peer_server.run()),
+    ];
+    tasks.extend(machine_list.map(|reader| spawn(reader.run())));
+    Ok(Assembly {
+        state,
+        cluster,
+        drain: base.drain,
+        server,
+        peer_address: sockets.address,
+        tasks,
+    })
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
+
+async fn bind_peer_sockets(address: SocketAddr) -> Result<PeerSockets, StepError> {
+    const STEP: &str = "listen for peers";
+    let listener = peers::bind(NodeId(address)).await?;
+    let failed = |cause: std::io::Error| StepError::new(STEP, address, cause);
+    let address = listener.local_addr().map_err(failed)?;
+    let datagrams = UdpSocket::bind(address).await.map_err(failed)?;
+    Ok(PeerSockets {
+        listener,
+        datagrams,
+        address,
+    })
+}
+
+impl Channels {
+    fn new() -> Self {
+        let (configuration, _) = watch::channel(Arc::default());
+        let (members, _) = watch::channel(Arc::default());
+        let (status, _) = watch::channel(Arc::default());
+        let (cluster, inputs) = ClusterHandle::channel();
+        Self {
+            configuration,
+            members,
+            status,
+            cluster,
+            inputs,
+        }
+    }
+}
+
+impl Base {
+    fn new(mut settings: Settings, tuning: Tuning, peer_address: SocketAddr) -> eyre::Result<Self> {
+        settings.peer_address = peer_address;
+        let instance = InstanceId {
+            node: NodeId(peer_address),
+            boot: Clock.wall_micros(),
+        };
+        let hello = Hello {
+            protocol_version: PEER_PROTOCOL_VERSION,
+            cluster: settings.cluster.clone(),
+            from: instance,
+        };
+        let peers = PeerClient::new(hello.clone(), tuning.peer_client.clone());
+        Ok(Self {
+            settings,
+            tuning: Arc::new(tuning),
+            metrics: Arc::new(Metrics::new().wrap_err("register metrics")?),
+            instance,
+            hello,
+            peers: Arc::new(peers),
+            directory: RootDirectory::default(),
+            drain: CancellationToken::new(),
+        })
+    }
+
+    fn routes(&self, channels: &Channels) -> Arc<Routes> {
+        Arc::new(Routes::new(RoutesParts {
+            own_node: self.instance.node,
+            place: self.settings.place.clone(),
+            configuration: channels.configuration.subscribe(),
+            members: channels.members.subscribe(),
+            peers: Arc::clone(&self.peers),
+            roots: self.directory.clone(),
+            drain: self.drain.clone(),
+        }))
+    }
+
+    fn state(&self, channels: &Channels, routes: &Arc<Routes>) -> Arc<DaemonState> {
+        Arc::new(DaemonState::new(StateParts {
+            settings: self.settings.clone(),
+            metrics: Arc::clone(&self.metrics),
+            configuration: channels.configuration.subscribe(),
+            members: channels.members.subscribe(),
+            cluster_status: channels.status.subscribe(),
+            cluster: channels.cluster.clone(),
+            roots: self.directory.clone(),
+            routes: Arc::clone(routes),
+        }))
+    }
+
+    async fn caller_server(
+        &self,
+        state: &Arc<DaemonState>,
+        routes: &Arc<Routes>,
+        roots: &Arc<RootService>,
+    ) -> eyre::Result<CallerServer> {
+        let frontend = Frontend::new(FrontendParts {
+            routes: Arc::clone(routes),
+            roots: Arc::clone(roots),
+            peers: Arc::clone(&self.peers),
+            metrics: Arc::clone(&self.metrics),
+            tuning: Arc::clone(&self.tuning),
+        });
+        let timing = self.settings.timing.clone();
+        let router = Arc::new(Router::new(Arc::clone(state), frontend, timing));
+        let limits = ServerLimits {
+            header_read: self.tuning.header_read_limit,
+            drain_idle: self.tuning.drain_idle,
+            drain_minimum: self.tuning.drain_minimum,
+        };
+        let address = self.settings.caller_address;
+        let server = CallerServer::bind(address, router, Arc::clone(state), limits).await?;
+        Ok(server)
+    }
+
+    fn supervisor(&self) -> RootSupervisor {
+        let health_period = self.settings.timing.health_period_millis;
+        RootSupervisor::new(SupervisorParts {
+            instance: self.instance,
+            place: self.settings.place.clone(),
+            context: RootContext {
+                health_period: Duration::from_millis(health_period),
+                tuning: Arc::clone(&self.tuning),
+                metrics: Arc::clone(&self.metrics),
+                peers: Arc::clone(&self.peers),
+            },
+            directory: self.directory.clone(),
+            drain: self.drain.clone(),
+            drain_hold: self.tuning.drain_root_hold,
+        })
+    }
+
+    fn peer_server(
+        &self,
+        listener: TcpListener,
+        state: &Arc<DaemonState>,
+        roots: &Arc<RootService>,
+        cluster: &ClusterHandle,
+    ) -> PeerServer<PeerService> {
+        let handler = PeerService {
+            roots: Arc::clone(roots),
+            directory: self.directory.clone(),
+            cluster: cluster.clone(),
+            state: Arc::clone(state),
+        };
+        let limits = self.tuning.peer_server.clone();
+        PeerServer::new(listener, self.hello.clone(), limits, Arc::new(handler))
+    }
+
+    fn machine_list_reader(
+        &self,
+        channels: &Channels,
+        routes: &Arc<Routes>,
+    ) -> Option<MachineListReader> {
+        let address = self.settings.machine_list_address?;
+        Some(MachineListReader::new(
+            MachineListClient::new(address),
+            channels.cluster.clone(),
+            channels.members.subscribe(),
+            channels.status.subscribe(),
+            Arc::clone(routes),
+        ))
+    }
+
+    fn cluster_driver(
+        &self,
+        channels: &Channels,
+        socket: UdpSocket,
+        caller_address: SocketAddr,
+    ) -> ClusterDriver {
+        let identity = ClusterIdentity {
+            instance: self.instance,
+            cluster: self.settings.cluster.clone(),
+        };
+        let membership = self.membership(caller_address);
+        let spread = SpreadMachine::new(
+            Clock.now(),
+            self.local_member(caller_address),
+            membership.is_joined(),
+            self.tuning.spread.clone(),
+            self.instance.boot,
+        );
+        ClusterDriver::new(
+            identity,
+            ClusterParts {
+                membership,
+                spread,
+                socket,
+                peers: Arc::clone(&self.peers),
+                store: StoreClient::new(self.settings.store_address),
+                store_watch_wait: self.tuning.store_watch_wait,
+                pull_limit: self.tuning.spread.pull_timeout,
+                metrics: Arc::clone(&self.metrics),
+                configuration: channels.configuration.clone(),
+                members: channels.members.clone(),
+                status: channels.status.clone(),
+            },
+        )
+    }
+
+    fn local_member(&self, caller_address: SocketAddr) -> LocalMember {
+        LocalMember {
+            instance: self.instance,
+            place: self.settings.place.clone(),
+            zone: self.settings.zone.clone(),
+            caller_address,
+        }
+    }
+
+    fn membership(&self, caller_address: SocketAddr) -> Membership {
+        let local = self.local_member(caller_address);
+        let seeds: Vec<NodeId> = self.settings.seeds.iter().copied().map(NodeId).collect();
+        let settings = MembershipSettings {
+            probe_period: Duration::from_millis(self.settings.timing.probe_period_millis),
+            expect_machine_list: self.settings.machine_list_address.is_some(),
+            ..self.tuning.membership.clone()
+        };
+        Membership::new(Clock.now(), local, seeds, settings, self.instance.boot)
+    }
+}
--- a/crates/tansylead-daemon/src/configuration/mod.rs
+++ b/crates/tansylead-daemon/src/configuration/mod.rs
@@ -1,7 +1,5 @@
-//! Configuration in force at this daemon and where it comes from.
+//! Configuration in force at this daemon, in the form in which it is used.
 
-mod store_reader;
 mod view;
 
-pub use store_reader::{StoreReader, StoreReaderLimits};
 pub use view::{ConfigurationView, PlacementKey};
--- a/crates/tansylead-daemon/src/configuration/view.rs
+++ b/crates/tansylead-daemon/src/configuration/view.rs
@@ -1,6 +1,5 @@
-//! The configuration in force: an immutable view that is replaced as a whole.
-//!
-//! Invariant: the generation of an object never falls, whatever a store or a peer shows later.
+//! The configuration in force: an immutable view that is replaced as a whole. It follows the
+//! daemon's replica of the configuration, which never goes back.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -30,17 +29,12 @@
 }
 
 impl ConfigurationView {
-    /// Puts an object in force if its generation exceeds the one in force; true if it did.
-    pub fn apply(&mut self, stored: &StoredObject) -> bool {
-        let in_force = self.generation(&stored.key);
-        if stored.generation <= in_force {
-            return false;
-        }
+    /// Puts an object in force. The replica of the configuration decides which is newer.
+    pub fn put(&mut self, stored: &StoredObject) {
         self.generations
             .insert(stored.key.clone(), stored.generation);
         self.revision = self.revision.max(stored.revision);
         self.replace(&stored.key, stored.object.as_ref());
-        true
     }
 
     fn replace(&mut self, key: &ObjectKey, object: Option<&ConfigObject>) {
@@ -119,6 +113,15 @@
         self.placements.iter()
     }
 
+    /// The places that have leafs of a service.
+    pub fn placements_of<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a PlacementKey, &'a Arc<ServicePlacement>)> {
+        let placements = self.placements.iter();
+        placements.filter(move |(key, _)| key.service == *service)
+    }
+
     /// The operators' table.
     pub fn table(&self) -> &Arc<TrafficTable> {
         &self.table
--- a/crates/tansylead-daemon/src/frontend.rs
+++ b/crates/tansylead-daemon/src/frontend.rs
@@ -1,116 +1,281 @@
 //! Takes a checked query to a root and brings back its answer.
+//!
+//! A query that provably ran nowhere goes to the next root, a few times at most. One that may have
+//! run goes to another root only if it is repeatable, and once at most.
 
 use crate::clock::Clock;
-use crate::configuration::{ConfigurationView, PlacementKey};
-use crate::root::RootDirectory;
+use crate::configuration::PlacementKey;
+use crate::metrics::Metrics;
+use crate::peers::{
+    CallError, ForwardAllowance, ForwardedQuery, PeerClient, PeerRequest, PeerResponse,
+};
+use crate::root::RootAnswer;
+use crate::root_service::{RootError, RootService};
+use crate::routing::{RouteChoice, Routes};
+use crate::tuning::Tuning;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tansylead_types::{
-    Coverage, Moment, Outcome, PlaceName, QueryAnswer, QueryId, QueryRequest, RequestId,
-    ServiceDefinition, ServiceName,
+    Coverage, Moment, NodeId, Outcome, PlaceName, QueryAnswer, QueryRequest, RequestId,
 };
-use tokio::sync::watch;
 
 /// Serves the callers of one daemon.
 #[derive(Debug)]
 pub struct Frontend {
-    place: PlaceName,
-    view: watch::Receiver<Arc<ConfigurationView>>,
-    roots: RootDirectory,
-    next_query: AtomicU64,
-    retry_after: Duration,
+    parts: FrontendParts,
     clock: Clock,
 }
 
-/// Why a query got no answer from any root.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum FrontendError {
-    /// No root can be reached; nothing was sent to any leaf.
-    #[error("no root for the service")]
-    NoRoot {
-        /// When to come back.
-        retry_after: Duration,
-    },
-    /// The root ended without an answer; the query may have run.
-    #[error("the root ended without an answer")]
-    RootLost,
+/// What a frontend works with.
+#[derive(Debug)]
+pub struct FrontendParts {
+    /// Where queries go.
+    pub routes: Arc<Routes>,
+    /// Own roots.
+    pub roots: Arc<RootService>,
+    /// Other daemons.
+    pub peers: Arc<PeerClient>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Internal limits.
+    pub tuning: Arc<Tuning>,
+}
+
+/// A root and its place.
+#[derive(Debug, Clone)]
+struct Target {
+    place: PlaceName,
+    root: NodeId,
+}
+
+/// How one root took a query.
+#[derive(Debug)]
+enum Forwarded {
+    /// It answered.
+    Answered(RootAnswer),
+    /// Nothing ran there; it wants to be asked again after this time at the earliest.
+    NotRun { retry_after: Duration },
+    /// It could not be reached; nothing ran.
+    Unreachable,
+    /// The query may have run there.
+    MayHaveRun { reason: String },
 }
 
 impl Frontend {
-    /// A frontend for callers of a place.
-    pub fn new(
-        place: PlaceName,
-        view: watch::Receiver<Arc<ConfigurationView>>,
-        roots: RootDirectory,
-        retry_after: Duration,
-    ) -> Self {
+    /// A frontend of these parts.
+    pub fn new(parts: FrontendParts) -> Self {
         Self {
-            place,
-            view,
-            roots,
-            next_query: AtomicU64::new(1),
-            retry_after,
+            parts,
             clock: Clock,
         }
     }
 
-    /// Where this daemon runs.
-    pub fn place(&self) -> &PlaceName {
-        &self.place
+    /// Where queries go.
+    pub fn routes(&self) -> &Routes {
+        &self.parts.routes
     }
 
-    /// When callers refused for lack of configuration or roots should come back.
+    /// When callers refused for lack of configuration should come back.
     pub fn retry_after(&self) -> Duration {
-        self.retry_after
+        self.parts.tuning.default_retry_after
+    }
+
+    /// Runs a query. Dropping the future cancels it.
+    pub async fn execute(&self, request: QueryRequest, deadline: Moment) -> QueryAnswer {
+        let mut last_refusal = None;
+        let mut may_have_run = false;
+        for _ in 0..self.parts.tuning.maximum_roots_tried {
+            let target = match self.choose(&request) {
+                Ok(target) => target,
+                Err(refusal) => {
+                    last_refusal = last_refusal.or(Some(*refusal));
+                    break;
+                }
+            };
+            match self.ask(&target, &request, deadline).await {
+                Forwarded::Answered(answered) => {
+                    if !self.note_answer(&target, &request, &answered) {
+                        return mark_earlier_run(answered.answer, may_have_run);
+                    }
+                    last_refusal = Some(answered.answer);
+                }
+                Forwarded::NotRun { retry_after } => {
+                    self.parts.routes.on_refusal(
+                        &request.service,
+                        &target.place,
+                        target.root,
+                        retry_after,
+                    );
+                }
+                Forwarded::Unreachable => self.note_unreachable(&target, &request),
+                Forwarded::MayHaveRun { reason } => {
+                    self.note_unreachable(&target, &request);
+                    if may_have_run || !request.is_repeatable() {
+                        return self.unknown(&request, reason);
+                    }
+                    may_have_run = true;
+                }
+            }
+            if self.clock.time_left(deadline).is_zero() {
+                break;
+            }
+        }
+        let refusal = last_refusal.unwrap_or_else(|| {
+            let reason = "no root could be reached".to_owned();
+            not_run(request.request.clone(), reason, self.retry_after())
+        });
+        mark_earlier_run(refusal, may_have_run)
     }
 
-    /// The configuration in force.
-    pub fn view(&self) -> Arc<ConfigurationView> {
-        Arc::clone(&self.view.borrow())
+    fn choose(&self, request: &QueryRequest) -> Result<Target, Box<QueryAnswer>> {
+        let routes = &self.parts.routes;
+        match routes.choose(&request.service) {
+            RouteChoice::Root { place, root } => Ok(Target { place, root }),
+            RouteChoice::Refuse {
+                reason,
+                retry_after,
+            } => {
+                // During a planned stop of the only root, it serves to the end.
+                if routes.is_leaving() && self.parts.roots.has(&self.own_key(request)) {
+                    return Ok(Target {
+                        place: routes.own_place().clone(),
+                        root: routes.own_node(),
+                    });
+                }
+                let refusal = not_run(request.request.clone(), reason, retry_after);
+                Err(Box::new(refusal))
+            }
+        }
     }
 
-    /// Definition of a service.
-    pub fn service(&self, service: &ServiceName) -> Option<Arc<ServiceDefinition>> {
-        self.view.borrow().service(service).cloned()
+    fn own_key(&self, request: &QueryRequest) -> PlacementKey {
+        PlacementKey {
+            service: request.service.clone(),
+            place: self.parts.routes.own_place().clone(),
+        }
     }
 
-    /// Runs a query. Dropping the future cancels it.
-    pub async fn execute(
+    async fn ask(&self, target: &Target, request: &QueryRequest, deadline: Moment) -> Forwarded {
+        if target.root == self.parts.routes.own_node() {
+            return self.ask_own(target, request, deadline).await;
+        }
+        let forwarded = self.forward(target, request, deadline).await;
+        let result = match &forwarded {
+            Forwarded::Answered(_) => "answered",
+            Forwarded::NotRun { .. } => "not_run",
+            Forwarded::Unreachable => "unreachable",
+            Forwarded::MayHaveRun { .. } => "may_have_run",
+        };
+        let labels = [request.service.as_str(), result];
+        self.parts.metrics.forwards.with_label_values(&labels).inc();
+        forwarded
+    }
+
+    async fn ask_own(
         &self,
-        request: QueryRequest,
+        target: &Target,
+        request: &QueryRequest,
         deadline: Moment,
-    ) -> Result<QueryAnswer, FrontendError> {
-        let no_root = FrontendError::NoRoot {
-            retry_after: self.retry_after,
-        };
+    ) -> Forwarded {
         let key = PlacementKey {
             service: request.service.clone(),
-            place: self.place.clone(),
+            place: target.place.clone(),
+        };
+        let executed = self.parts.roots.execute(&key, request.clone(), deadline);
+        match executed.await {
+            Ok(answered) => Forwarded::Answered(answered),
+            Err(RootError::NotRoot | RootError::Busy) => Forwarded::NotRun {
+                retry_after: self.retry_after(),
+            },
+            Err(error @ RootError::Lost) => Forwarded::MayHaveRun {
+                reason: error.to_string(),
+            },
+        }
+    }
+
+    async fn forward(
+        &self,
+        target: &Target,
+        request: &QueryRequest,
+        deadline: Moment,
+    ) -> Forwarded {
+        let query = ForwardedQuery {
+            place: target.place.clone(),
+            request: request.clone(),
         };
-        let root = self.roots.get(&key).ok_or(no_root)?;
-        let request_id = request.request.clone();
-        let query = QueryId(self.next_query.fetch_add(1, Ordering::Relaxed));
-        let request = QueryRequest {
-            time_left: self.clock.time_left(deadline),
-            ..request
+        let tuning = &self.parts.tuning;
+        let allowance = match target.place == *self.parts.routes.own_place() {
+            true => tuning.forward_allowance_same_place,
+            false => tuning.forward_allowance_other_place,
         };
-        match root.start(query, request, deadline) {
-            Some(ticket) => ticket.answer().await.ok_or(FrontendError::RootLost),
-            None => Ok(self.refused(request_id, "too many queries wait for the root")),
+        let peers = &self.parts.peers;
+        let request = PeerRequest::Query(query);
+        let allowance = ForwardAllowance(allowance);
+        let called = peers.call_within(target.root, request, deadline, allowance);
+        match called.await {
+            Ok(PeerResponse::Answer(forwarded)) => Forwarded::Answered(RootAnswer {
+                answer: forwarded.answer,
+                report: forwarded.report,
+            }),
+            Ok(PeerResponse::NotRoot | PeerResponse::Busy) => Forwarded::NotRun {
+                retry_after: self.retry_after(),
+            },
+            Ok(PeerResponse::RootLost | PeerResponse::Configuration(_)) => Forwarded::MayHaveRun {
+                reason: format!("root {} ended without an answer", target.root),
+            },
+            Err(CallError::NotSent(_)) => Forwarded::Unreachable,
+            Err(CallError::MaybeReceived(error)) => Forwarded::MayHaveRun {
+                reason: error.to_string(),
+            },
         }
     }
 
-    fn refused(&self, request: RequestId, reason: &str) -> QueryAnswer {
+    /// Notes what the answer says about the root; true if the query should go to another root.
+    fn note_answer(&self, target: &Target, request: &QueryRequest, answered: &RootAnswer) -> bool {
+        let routes = &self.parts.routes;
+        let (service, place, root) = (&request.service, &target.place, target.root);
+        routes.on_report(service, place, root, answered.report);
+        match (answered.answer.outcome, answered.answer.retry_after) {
+            (Outcome::NotRun, Some(retry_after)) => {
+                routes.on_refusal(service, place, root, retry_after);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn note_unreachable(&self, target: &Target, request: &QueryRequest) {
+        let routes = &self.parts.routes;
+        routes.on_unreachable(&request.service, &target.place, target.root);
+    }
+
+    fn unknown(&self, request: &QueryRequest, reason: String) -> QueryAnswer {
         QueryAnswer {
-            request,
-            outcome: Outcome::NotRun,
-            snapshot: None,
-            coverage: Coverage::default(),
-            results: Vec::new(),
-            retry_after: Some(self.retry_after),
-            reason: Some(reason.to_owned()),
-            attempts: 0,
+            outcome: Outcome::Unknown,
+            retry_after: None,
+            ..not_run(request.request.clone(), reason, Duration::ZERO)
         }
     }
 }
+
+/// A refusal after another root may have run the query is not "not run".
+fn mark_earlier_run(mut answer: QueryAnswer, may_have_run: bool) -> QueryAnswer {
+    if may_have_run && answer.outcome == Outcome::NotRun {
+        answer.outcome = Outcome::Unknown;
+    }
+    answer
+}
+
+/// A refusal before anything was sent to a leaf.
+fn not_run(request: RequestId, reason: String, retry_after: Duration) -> QueryAnswer {
+    QueryAnswer {
+        request,
+        outcome: Outcome::NotRun,
+        snapshot: None,
+        coverage: Coverage::default(),
+        results: Vec::new(),
+        retry_after: Some(retry_after),
+        reason: Some(reason),
+        attempts: 0,
+    }
+}
--- a/crates/tansylead-daemon/src/http/error.rs
+++ b/crates/tansylead-daemon/src/http/error.rs
@@ -6,7 +6,7 @@
 use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use tansylead_types::{Outcome, PlaceName, ServiceName};
+use tansylead_types::{Outcome, ServiceName};
 
 /// Why a request was refused.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -99,15 +99,13 @@
         /// When to come back.
         retry_after: Duration,
     },
-    /// The service has no leafs that this daemon can reach.
-    #[error("no place of `{service}` can take the query from {place} now")]
-    NoPlace {
-        /// The service.
-        service: ServiceName,
-        /// Where this daemon runs.
-        place: PlaceName,
-        /// When to come back.
-        retry_after: Duration,
+    /// A parameter of the path's query has a value that cannot be used.
+    #[error("parameter {parameter}: {cause}")]
+    MalformedParameter {
+        /// The parameter.
+        parameter: &'static str,
+        /// What is wrong with it.
+        cause: String,
     },
     /// Something that should not happen, after the query may have begun.
     #[error("{cause}")]
@@ -154,7 +152,7 @@
             ApiError::ExpiresTooLate { .. } => "expires_too_late",
             ApiError::Expired { .. } => "expired",
             ApiError::NotConfigured { .. } => "not_configured",
-            ApiError::NoPlace { .. } => "no_place",
+            ApiError::MalformedParameter { .. } => "malformed_parameter",
             ApiError::Internal { .. } => "internal",
         }
     }
@@ -166,9 +164,7 @@
             ApiError::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
             ApiError::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             ApiError::Expired { .. } => StatusCode::GONE,
-            ApiError::NotConfigured { .. } | ApiError::NoPlace { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            ApiError::NotConfigured { .. } => StatusCode::SERVICE_UNAVAILABLE,
             ApiError::Internal { .. } => StatusCode::INTERNAL_SERVER_ERROR,
             _ => StatusCode::BAD_REQUEST,
         }
@@ -183,9 +179,7 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            ApiError::NotConfigured { retry_after } | ApiError::NoPlace { retry_after, .. } => {
-                Some(*retry_after)
-            }
+            ApiError::NotConfigured { retry_after } => Some(*retry_after),
             _ => None,
         }
     }
--- a/crates/tansylead-daemon/src/http/router.rs
+++ b/crates/tansylead-daemon/src/http/router.rs
@@ -2,9 +2,10 @@
 
 use super::answer::{self, outcome_label};
 use super::error::ApiError;
+use super::in_force::{IN_FORCE_PATH, InForceBody, InForceQuery};
 use super::query_request::{QueryHeaders, read_body};
 use crate::clock::Clock;
-use crate::frontend::{Frontend, FrontendError};
+use crate::frontend::Frontend;
 use crate::metrics::Metrics;
 use crate::state::DaemonState;
 use bytes::Bytes;
@@ -62,7 +63,7 @@
     }
 
     fn metrics(&self) -> &Metrics {
-        &self.state.metrics
+        self.state.metrics()
     }
 
     async fn route(
@@ -77,7 +78,7 @@
             return self.query(&service, request, arrived).await;
         }
         match path {
-            "/healthz" | "/readyz" | "/metrics" | "/v1/status" => {}
+            "/healthz" | "/readyz" | "/metrics" | "/v1/status" | IN_FORCE_PATH => {}
             _ => {
                 return Err(ApiError::UnknownPath {
                     path: path.to_owned(),
@@ -87,14 +88,15 @@
         require_method(&request, Method::GET, "GET")?;
         match request.uri().path() {
             "/healthz" => text(StatusCode::OK, "text/plain", "ok\n".to_owned()),
-            "/readyz" => self.readiness(),
+            "/readyz" => self.readiness().await,
             "/metrics" => self.metrics_text(),
+            IN_FORCE_PATH => self.in_force(request.uri().query()).await,
             _ => json(StatusCode::OK, &self.state.status().await),
         }
     }
 
-    fn readiness(&self) -> Result<Response<Full<Bytes>>, ApiError> {
-        let readiness = self.state.readiness();
+    async fn readiness(&self) -> Result<Response<Full<Bytes>>, ApiError> {
+        let readiness = self.state.readiness().await;
         let status = match readiness.ready {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
@@ -102,6 +104,18 @@
         json(status, &readiness)
     }
 
+    /// On which daemons a revision is in force.
+    async fn in_force(&self, query: Option<&str>) -> Result<Response<Full<Bytes>>, ApiError> {
+        let query = InForceQuery::parse(query.unwrap_or_default())?;
+        let report = self
+            .state
+            .cluster()
+            .in_force(query.revision, query.wait)
+            .await;
+        let report = report.ok_or_else(|| internal("the cluster task has ended"))?;
+        json(StatusCode::OK, &InForceBody::from(report))
+    }
+
     fn metrics_text(&self) -> Result<Response<Full<Bytes>>, ApiError> {
         self.state.refresh_metrics();
         let rendered = self.metrics().text().map_err(internal)?;
@@ -121,8 +135,7 @@
         let body = read_body(request.into_body(), &definition).await?;
         let query = headers.into_request(&definition, body);
         let _in_progress = self.state.query_started();
-        let result = self.frontend.execute(query, deadline).await;
-        let answer = result.map_err(|error| self.no_answer(error, &definition))?;
+        let answer = self.frontend.execute(query, deadline).await;
         self.count(&answer, &definition, arrived);
         answer::response(answer)
     }
@@ -132,10 +145,11 @@
             service: service.to_owned(),
         };
         let name: ServiceName = service.parse().map_err(|_| unknown())?;
-        if let Some(definition) = self.frontend.service(&name) {
-            return Ok(definition);
+        let configuration = self.frontend.routes().configuration();
+        if let Some(definition) = configuration.service(&name) {
+            return Ok(Arc::clone(definition));
         }
-        if self.frontend.view().is_empty() {
+        if configuration.is_empty() {
             return Err(ApiError::NotConfigured {
                 retry_after: self.frontend.retry_after(),
             });
@@ -143,17 +157,6 @@
         Err(unknown())
     }
 
-    fn no_answer(&self, error: FrontendError, definition: &ServiceDefinition) -> ApiError {
-        match error {
-            FrontendError::NoRoot { retry_after } => ApiError::NoPlace {
-                service: definition.service.clone(),
-                place: self.frontend.place().clone(),
-                retry_after,
-            },
-            FrontendError::RootLost => internal(error),
-        }
-    }
-
     fn count(&self, answer: &QueryAnswer, definition: &ServiceDefinition, arrived: Moment) {
         let service = definition.service.as_str();
         let outcome = outcome_label(answer.outcome);
--- a/crates/tansylead-daemon/src/http/server.rs
+++ b/crates/tansylead-daemon/src/http/server.rs
@@ -97,7 +97,7 @@
         }
         self.close_idle.cancel();
         drop(self.listener);
-        while self.state.metrics.caller_connections.get() > 0 {
+        while self.state.metrics().caller_connections.get() > 0 {
             tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
         }
     }
@@ -105,7 +105,7 @@
     fn is_quiet(&self, drain_started: Moment) -> bool {
         let now = self.clock.now();
         let idle_for = now.since(*self.last_request.lock());
-        let connections = self.state.metrics.caller_connections.get();
+        let connections = self.state.metrics().caller_connections.get();
         let long_enough = now.since(drain_started) >= self.limits.drain_minimum;
         let unused = connections == 0 || idle_for >= self.limits.drain_idle;
         long_enough && unused && self.state.queries_in_progress() == 0
@@ -133,7 +133,7 @@
             .header_read_timeout(self.limits.header_read)
             .serve_connection(TokioIo::new(stream), service);
         let close_idle = self.close_idle.clone();
-        let open = InProgress::new(&self.state.metrics.caller_connections);
+        let open = InProgress::new(&self.state.metrics().caller_connections);
         tokio::spawn(async move {
             let _open = open;
             tokio::pin!(connection);
--- a/crates/tansylead-daemon/src/lib.rs
+++ b/crates/tansylead-daemon/src/lib.rs
@@ -1,7 +1,9 @@
 //! The I/O shell of the daemon. Decisions live in the sans-I/O crates; this crate owns sockets,
 //! clocks, timers and metrics, and drives the state machines of the others.
 
+mod assembly;
 pub mod clock;
+pub mod cluster;
 pub mod configuration;
 pub mod daemon;
 pub mod frontend;
@@ -9,8 +11,12 @@
 pub mod leaf;
 pub mod logging;
 pub mod metrics;
+pub mod peer_service;
+pub mod peers;
 pub mod platform;
 pub mod root;
+pub mod root_service;
+pub mod routing;
 pub mod settings;
 pub mod state;
 pub mod status;
--- a/crates/tansylead-daemon/src/metrics.rs
+++ b/crates/tansylead-daemon/src/metrics.rs
@@ -33,12 +33,24 @@
     pub leaf_attempt_ends: IntCounterVec,
     /// Attempts cancelled, by service.
     pub leaf_cancels: IntCounterVec,
+    /// What root engines counted, by service and event.
+    pub engine_events: IntCounterVec,
     /// Open connections to leafs, by service.
     pub leaf_connections: IntGaugeVec,
     /// Time of one attempt that was answered.
     pub leaf_attempt_seconds: Histogram,
     /// Reads of the store, by result.
     pub store_reads: IntCounterVec,
+    /// Bytes between daemons for control, by kind and direction.
+    pub control_bytes: IntCounterVec,
+    /// Gossip packets dropped, by reason.
+    pub gossip_packets_dropped: IntCounterVec,
+    /// Running members as this daemon sees them.
+    pub members: IntGauge,
+    /// Suspicions raised by this daemon.
+    pub suspicions: IntGauge,
+    /// Queries forwarded to a root, by service and result.
+    pub forwards: IntCounterVec,
     /// Highest store revision in force here.
     pub configuration_revision: IntGauge,
     /// Configuration objects in force here.
@@ -93,6 +105,11 @@
                 "Attempts cancelled",
                 &["service"],
             )?,
+            engine_events: builder.counters(
+                "tansylead_engine_events_total",
+                "What root engines counted",
+                &["service", "event"],
+            )?,
             leaf_connections: builder.gauges(
                 "tansylead_leaf_connections",
                 "Open connections to leafs",
@@ -107,6 +124,29 @@
                 "Reads of the store",
                 &["result"],
             )?,
+            control_bytes: builder.counters(
+                "tansylead_control_bytes_total",
+                "Bytes between daemons for control",
+                &["kind", "direction"],
+            )?,
+            gossip_packets_dropped: builder.counters(
+                "tansylead_gossip_packets_dropped_total",
+                "Gossip packets dropped",
+                &["reason"],
+            )?,
+            members: builder.gauge(
+                "tansylead_members",
+                "Running members as this daemon sees them",
+            )?,
+            suspicions: builder.gauge(
+                "tansylead_suspicions_raised",
+                "Suspicions raised by this daemon since its start",
+            )?,
+            forwards: builder.counters(
+                "tansylead_forwards_total",
+                "Queries forwarded to a root",
+                &["service", "result"],
+            )?,
             configuration_revision: builder.gauge(
                 "tansylead_configuration_revision",
                 "Highest store revision in force here",
@@ -125,6 +165,12 @@
         Ok(metrics)
     }
 
+    /// Counts bytes of control traffic.
+    pub fn control_bytes(&self, kind: &str, direction: &str, bytes: usize) {
+        let counter = self.control_bytes.with_label_values(&[kind, direction]);
+        counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
     /// Prometheus text form.
     pub fn text(&self) -> Result<String, prometheus::Error> {
         TextEncoder::new().encode_to_string(&self.registry.gather())
--- /dev/null
+++ b/crates/tansylead-daemon/src/peer_service.rs
@@ -0,0 +1,89 @@
+//! What this daemon does for its peers.
+
+use crate::clock::Clock;
+use crate::cluster::ClusterHandle;
+use crate::configuration::PlacementKey;
+use crate::peers::{
+    ForwardedAnswer, ForwardedQuery, PeerHandler, PeerNotice, PeerRequest, PeerResponse,
+};
+use crate::root::{RootCommand, RootDirectory};
+use crate::root_service::{RootError, RootService};
+use crate::state::DaemonState;
+use std::sync::Arc;
+use tansylead_types::InstanceId;
+
+/// What this daemon does for its peers.
+#[derive(Debug)]
+pub struct PeerService {
+    /// Executes forwarded queries.
+    pub roots: Arc<RootService>,
+    /// Takes notices for roots.
+    pub directory: RootDirectory,
+    /// Serves pulls of the configuration.
+    pub cluster: ClusterHandle,
+    /// Counts queries in progress.
+    pub state: Arc<DaemonState>,
+}
+
+impl PeerHandler for PeerService {
+    async fn handle(&self, _from: InstanceId, request: PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::Query(query) => self.query(query).await,
+            PeerRequest::PullConfiguration { after } => match self.cluster.pull(after).await {
+                Some(list) => PeerResponse::Configuration(list),
+                None => PeerResponse::Busy,
+            },
+        }
+    }
+
+    fn notice(&self, from: InstanceId, notice: PeerNotice) {
+        match notice {
+            PeerNotice::Share(share) => {
+                let key = PlacementKey {
+                    service: share.service,
+                    place: share.place,
+                };
+                self.tell_root(
+                    &key,
+                    RootCommand::Share {
+                        from: from.node,
+                        message: share.message,
+                    },
+                );
+            }
+            PeerNotice::LeafLeaving(leaving) => {
+                let key = PlacementKey {
+                    service: leaving.service,
+                    place: leaving.place,
+                };
+                self.tell_root(&key, RootCommand::LeafLeaving(leaving.leaf));
+            }
+        }
+    }
+}
+
+impl PeerService {
+    async fn query(&self, query: ForwardedQuery) -> PeerResponse {
+        let _in_progress = self.state.query_started();
+        let deadline = Clock.now() + query.request.time_left;
+        let key = PlacementKey {
+            service: query.request.service.clone(),
+            place: query.place,
+        };
+        match self.roots.execute(&key, query.request, deadline).await {
+            Ok(answered) => PeerResponse::Answer(Box::new(ForwardedAnswer {
+                answer: answered.answer,
+                report: answered.report,
+            })),
+            Err(RootError::NotRoot) => PeerResponse::NotRoot,
+            Err(RootError::Busy) => PeerResponse::Busy,
+            Err(RootError::Lost) => PeerResponse::RootLost,
+        }
+    }
+
+    fn tell_root(&self, key: &PlacementKey, command: RootCommand) {
+        if let Some(root) = self.directory.get(key) {
+            root.send(command);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-daemon/src/peers/message.rs
@@ -0,0 +1,143 @@
+//! What daemons say to one another over TCP.
+
+use serde::{Deserialize, Serialize};
+use tansylead_cluster::routing::{RootReport, ShareMessage};
+use tansylead_types::store::ObjectList;
+use tansylead_types::{InstanceId, LeafId, PlaceName, QueryAnswer, QueryRequest, ServiceName};
+
+/// Version of the messages; daemons of different versions refuse one another.
+pub const PEER_PROTOCOL_VERSION: u16 = 1;
+
+/// First frame on a connection, from the side that connected.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Version the sender speaks.
+    pub protocol_version: u16,
+    /// Cluster the sender belongs to.
+    pub cluster: String,
+    /// The sender.
+    pub from: InstanceId,
+}
+
+/// Answer to [`Hello`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HelloReply {
+    /// Requests may follow.
+    Accepted {
+        /// Who accepted.
+        by: InstanceId,
+    },
+    /// The connection will be closed.
+    Refused {
+        /// Why, for people.
+        reason: String,
+    },
+}
+
+/// Matches a response to its request on one connection; never reused there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestNumber(pub u64);
+
+/// Frame from the side that connected.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ClientFrame {
+    /// A request that wants a response.
+    Request {
+        /// Its number.
+        number: RequestNumber,
+        /// What is asked.
+        request: Box<PeerRequest>,
+    },
+    /// The response is no longer wanted.
+    Cancel {
+        /// The request's number.
+        number: RequestNumber,
+    },
+    /// Something that has no response and whose loss is harmless.
+    Notice(Box<PeerNotice>),
+}
+
+/// Frame from the side that was connected to.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerFrame {
+    /// The request's number.
+    pub number: RequestNumber,
+    /// The response.
+    pub response: PeerResponse,
+}
+
+/// What is asked of a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Execute a whole query as root.
+    Query(ForwardedQuery),
+    /// Everything of the configuration after a revision; 0 for all of it.
+    PullConfiguration {
+        /// The revision.
+        after: u64,
+    },
+}
+
+/// A query on its way to a root.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedQuery {
+    /// Place in which it is to be executed.
+    pub place: PlaceName,
+    /// The query; its time left is counted from the receipt.
+    pub request: QueryRequest,
+}
+
+/// What a peer answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerResponse {
+    /// The query is over.
+    Answer(Box<ForwardedAnswer>),
+    /// The peer is not a root of that service and place; nothing ran.
+    NotRoot,
+    /// The peer has too much to do; nothing ran.
+    Busy,
+    /// The root ended without an answer; the query may have run.
+    RootLost,
+    /// The configuration asked for.
+    Configuration(ObjectList),
+}
+
+/// The answer to a forwarded query.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedAnswer {
+    /// The answer.
+    pub answer: QueryAnswer,
+    /// What the root could still take.
+    pub report: RootReport,
+}
+
+/// Something that has no response.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerNotice {
+    /// Between the roots of one service in one place, about shares of the limit.
+    Share(ShareNotice),
+    /// A leaf is said to be leaving.
+    LeafLeaving(LeafLeavingNotice),
+}
+
+/// A message about shares of a limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShareNotice {
+    /// Service.
+    pub service: ServiceName,
+    /// Place.
+    pub place: PlaceName,
+    /// Message.
+    pub message: ShareMessage,
+}
+
+/// A leaf is said to be leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeafLeavingNotice {
+    /// Service.
+    pub service: ServiceName,
+    /// Place.
+    pub place: PlaceName,
+    /// Leaf.
+    pub leaf: LeafId,
+}
--- a/crates/tansylead-daemon/src/root/actor.rs
+++ b/crates/tansylead-daemon/src/root/actor.rs
@@ -1,25 +1,27 @@
 //! The task of one root: feeds the engine, performs its actions.
 
-use super::handle::{RootCommand, RootHandle, RootStatus};
+use super::handle::{
+    CoverageCounts, RootAnswer, RootCommand, RootConfiguration, RootHandle, RootStatus,
+};
 use super::leafs::RootLeafs;
 use super::metrics::RootMetrics;
 use super::queries::ActiveQueries;
+use super::shares::RootShares;
 use crate::clock::Clock;
+use crate::configuration::PlacementKey;
 use crate::leaf::attempt::{AttemptEnd, LeafTarget, QueryContext, run_attempt};
 use crate::leaf::connection::LeafConnection;
 use crate::leaf::health::{HealthPoll, poll_health};
 use crate::metrics::Metrics;
+use crate::peers::PeerClient;
 use crate::tuning::Tuning;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tansylead_query::{RootAction, RootEngine, RootEvent, SendAttempt, StartQuery};
-use tansylead_types::{
-    AttemptId, InstanceId, LeafId, Moment, PlaceName, QueryAnswer, QueryId, ServiceDefinition,
-    ServiceName, ServicePlacement,
-};
+use tansylead_query::{LeafStatus, RootAction, RootEngine, RootEvent, SendAttempt, StartQuery};
+use tansylead_types::{AttemptId, InstanceId, LeafId, Moment, Outcome, QueryAnswer, QueryId};
 use tokio::sync::{mpsc, oneshot};
 
 /// Polls are spread over the period by up to this share of it.
@@ -32,21 +34,23 @@
 pub struct RootIdentity {
     /// The daemon.
     pub instance: InstanceId,
-    /// The service.
-    pub service: ServiceName,
-    /// The place.
-    pub place: PlaceName,
+    /// The service and the place.
+    pub key: PlacementKey,
     /// Feeds random choices.
     pub seed: u64,
 }
 
-/// Limits of a root.
+/// What all roots of a daemon share.
 #[derive(Debug, Clone)]
-pub struct RootLimits {
+pub struct RootContext {
     /// Period of health polls.
     pub health_period: Duration,
     /// Internal limits.
     pub tuning: Arc<Tuning>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// For messages to other roots.
+    pub peers: Arc<PeerClient>,
 }
 
 /// What the root's own tasks report back.
@@ -70,28 +74,37 @@
 }
 
 /// Starts a root. It ends when its last handle is dropped and its last query is answered.
-pub fn spawn_root(
-    identity: RootIdentity,
-    limits: RootLimits,
-    clock: Clock,
-    metrics: &Metrics,
-) -> RootHandle {
+pub fn spawn_root(identity: RootIdentity, context: RootContext) -> RootHandle {
     let (command_sender, commands) = mpsc::unbounded_channel();
     let (completion_sender, completions) = mpsc::unbounded_channel();
     let waiting = Arc::new(AtomicU64::new(0));
-    let maximum_waiting = limits.tuning.maximum_waiting_commands as u64;
+    let maximum_waiting = context.tuning.maximum_waiting_commands as u64;
+    let now = Clock.now();
+    let shares = RootShares::new(
+        now,
+        identity.key.clone(),
+        identity.instance,
+        Arc::clone(&context.peers),
+        context.tuning.share_timing,
+        context.tuning.admission_burst,
+    );
+    let root_name = format!("{}/{}", identity.instance.node, identity.instance.boot);
+    let mut engine = RootEngine::new(identity.seed);
+    engine.set_root_name(root_name.clone());
     let root = Root {
-        engine: RootEngine::new(identity.seed),
+        engine,
         random: SmallRng::seed_from_u64(identity.seed),
-        metrics: RootMetrics::new(metrics, &identity.service),
-        root_name: format!("{}/{}", identity.instance.node, identity.instance.boot),
-        limits,
-        clock,
+        metrics: RootMetrics::new(&context.metrics, &identity.key.service),
+        root_name,
+        context,
+        clock: Clock,
+        shares,
         leafs: RootLeafs::default(),
         queries: ActiveQueries::default(),
         completions: completion_sender,
         waiting: Arc::clone(&waiting),
-        snapshots: Vec::new(),
+        connections_per_leaf: 0,
+        coverage: CoverageCounts::default(),
     };
     tokio::spawn(root.run(commands, completions));
     RootHandle::new(command_sender, waiting, maximum_waiting)
@@ -102,13 +115,15 @@
     random: SmallRng,
     metrics: RootMetrics,
     root_name: String,
-    limits: RootLimits,
+    context: RootContext,
     clock: Clock,
+    shares: RootShares,
     leafs: RootLeafs,
     queries: ActiveQueries,
     completions: mpsc::UnboundedSender<Completion>,
     waiting: Arc<AtomicU64>,
-    snapshots: Vec<tansylead_types::SnapshotVersion>,
+    connections_per_leaf: usize,
+    coverage: CoverageCounts,
 }
 
 impl Root {
@@ -150,14 +165,17 @@
     }
 
     fn next_wakeup(&self) -> Option<Moment> {
-        [self.engine.next_wakeup(), self.leafs.next_poll()]
-            .into_iter()
-            .flatten()
-            .min()
+        let wakeups = [
+            self.engine.next_wakeup(),
+            self.leafs.next_poll(),
+            self.shares.next_wakeup(),
+        ];
+        wakeups.into_iter().flatten().min()
     }
 
     fn on_timers(&mut self) {
         let now = self.clock.now();
+        self.shares.on_timers(now);
         if self
             .engine
             .next_wakeup()
@@ -183,18 +201,11 @@
                     self.feed(RootEvent::CallerGone(query));
                 }
             }
-            RootCommand::Configure {
-                definition,
-                placement,
-                roots,
-            } => self.configure(&definition, &placement, roots),
-            RootCommand::SetRateShare(share) => {
-                self.engine.set_rate_share(self.clock.now(), share);
+            RootCommand::Configure(configuration) => self.configure(&configuration),
+            RootCommand::Share { from, message } => {
+                self.shares.on_message(self.clock.now(), from, message);
             }
             RootCommand::LeafLeaving(leaf) => {
-                if let Some(state) = self.leafs.get_mut(&leaf) {
-                    state.draining = true;
-                }
                 self.feed(RootEvent::LeafLeaving(leaf));
             }
             RootCommand::Status(reply) => {
@@ -203,7 +214,7 @@
         }
     }
 
-    fn start(&mut self, start: Box<StartQuery>, reply: oneshot::Sender<QueryAnswer>) {
+    fn start(&mut self, start: Box<StartQuery>, reply: oneshot::Sender<RootAnswer>) {
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         if reply.is_closed() {
             self.metrics.callers_gone.inc();
@@ -214,35 +225,52 @@
             root: self.root_name.clone(),
         };
         self.queries.insert(start.query, Arc::new(context), reply);
+        self.shares.count_arrival();
+        let now = self.clock.now();
+        if let Some(share) = self.shares.changed_share(now) {
+            self.engine.set_rate_share(now, share);
+        }
         self.feed(RootEvent::Start(start));
     }
 
-    fn configure(
-        &mut self,
-        definition: &ServiceDefinition,
-        placement: &ServicePlacement,
-        roots: usize,
-    ) {
+    fn configure(&mut self, configuration: &RootConfiguration) {
         let now = self.clock.now();
-        self.leafs.configure(now, &placement.leafs, roots);
-        self.snapshots = placement
-            .snapshots
-            .iter()
-            .map(|snapshot| snapshot.version)
-            .collect();
-        self.snapshots.sort_by(|left, right| right.cmp(left));
-        let actions = self.engine.configure(now, definition, placement);
+        let placement = &configuration.placement;
+        let set = &configuration.serving_set;
+        self.connections_per_leaf = set.connections_per_root as usize;
+        self.leafs
+            .configure(now, &placement.leafs, self.connections_per_leaf);
+        self.shares.configure(now, set, configuration.limit);
+        let actions = self
+            .engine
+            .configure(now, &configuration.definition, placement);
         self.perform(actions);
     }
 
-    fn status(&self) -> RootStatus {
+    fn status(&mut self) -> RootStatus {
+        let now = self.clock.now();
+        let report = self.shares.report(now);
+        let engine = self.engine.status(now);
+        let names = |keep: fn(&LeafStatus) -> bool| {
+            let kept = engine.leafs.iter().filter(|leaf| keep(leaf));
+            kept.map(|leaf| leaf.leaf.clone()).collect()
+        };
         RootStatus {
-            snapshots: self.snapshots.clone(),
-            leafs: self.leafs.len(),
-            draining: self.leafs.draining(),
-            unreachable: self.leafs.unreachable(),
-            queries_in_progress: self.queries.len(),
+            snapshot_in_use: engine.snapshot_in_use,
+            every_shard_has_a_replica: engine.whole,
+            leafs: engine.leafs.len(),
+            draining: names(|leaf| leaf.leaving),
+            unreachable: names(|leaf| leaf.unreachable),
+            ejected: names(|leaf| leaf.ejected),
+            snapshots: engine.snapshots,
+            queries_in_progress: engine.queries_in_progress,
+            waiting_shards: engine.waiting_shards,
             leaf_connections: self.leafs.open_connections(),
+            connections_per_leaf: self.connections_per_leaf,
+            usable_rate: report.usable_rate,
+            admitted_rate: report.admitted_rate,
+            coverage: self.coverage,
+            share_in_force: self.shares.is_full(now),
         }
     }
 
@@ -284,7 +312,7 @@
         let Some(state) = self.leafs.get_mut(&leaf) else {
             return;
         };
-        state.note_report(poll.report.as_ref());
+        state.polling = false;
         if let Some(connection) = poll.connection {
             state.pool.give_back(connection);
         }
@@ -307,15 +335,22 @@
                     self.metrics.cancels.inc();
                     self.queries.attempt_over(query, attempt);
                 }
-                RootAction::Finish { query, answer } => {
-                    if let Some(reply) = self.queries.remove(query) {
-                        let _ = reply.send(answer);
-                    }
-                }
+                RootAction::Finish { query, answer } => self.finish(query, answer),
             }
         }
     }
 
+    fn finish(&mut self, query: QueryId, answer: QueryAnswer) {
+        if answer.outcome != Outcome::NotRun {
+            self.shares.count_admission();
+        }
+        self.coverage.count(&answer);
+        if let Some(reply) = self.queries.remove(query) {
+            let report = self.shares.report(self.clock.now());
+            let _ = reply.send(RootAnswer { answer, report });
+        }
+    }
+
     fn send(&mut self, attempt: SendAttempt) {
         self.metrics.attempts.inc();
         let started = self.clock.now();
@@ -352,12 +387,12 @@
 
     fn target(&mut self, leaf: &LeafId) -> Option<LeafTarget> {
         let pool = &self.leafs.get_mut(leaf)?.pool;
-        Some(leaf_target(pool, &self.limits.tuning, self.clock))
+        Some(leaf_target(pool, &self.context.tuning, self.clock))
     }
 
     fn poll_due_leafs(&mut self, now: Moment) {
-        let period = self.limits.health_period;
-        let tuning = &self.limits.tuning;
+        let period = self.context.health_period;
+        let tuning = &self.context.tuning;
         let mut open = 0;
         for (name, state) in self.leafs.iter_mut() {
             open += state.pool.open_connections();
@@ -386,6 +421,7 @@
         self.metrics
             .connections
             .set(i64::try_from(open).unwrap_or(i64::MAX));
+        self.metrics.count_engine(self.engine.counters());
     }
 }
 
--- a/crates/tansylead-daemon/src/root/handle.rs
+++ b/crates/tansylead-daemon/src/root/handle.rs
@@ -3,13 +3,36 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use tansylead_query::{RateShare, StartQuery};
+use tansylead_cluster::routing::{RootReport, ServingSet, ShareMessage};
+use tansylead_query::StartQuery;
 use tansylead_types::{
-    LeafId, Moment, QueryAnswer, QueryId, QueryRequest, ServiceDefinition, ServicePlacement,
-    SnapshotVersion,
+    LeafId, Moment, NodeId, Outcome, QueryAnswer, QueryId, QueryRequest, ServiceDefinition,
+    ServicePlacement, SnapshotVersion,
 };
 use tokio::sync::{mpsc, oneshot};
 
+/// The answer to a query, with what the root could still take.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RootAnswer {
+    /// The answer.
+    pub answer: QueryAnswer,
+    /// What the root could still take.
+    pub report: RootReport,
+}
+
+/// What a root is to serve.
+#[derive(Debug, Clone)]
+pub struct RootConfiguration {
+    /// Definition of the service.
+    pub definition: Arc<ServiceDefinition>,
+    /// Its leafs and snapshots in this place.
+    pub placement: Arc<ServicePlacement>,
+    /// All roots of the service in this place.
+    pub serving_set: Arc<ServingSet>,
+    /// The table's limit at this hour for the whole place, queries per second; 0 without a row.
+    pub limit: u32,
+}
+
 /// Message to a root.
 #[derive(Debug)]
 pub enum RootCommand {
@@ -18,21 +41,19 @@
         /// The query.
         start: Box<StartQuery>,
         /// Where its answer goes.
-        reply: oneshot::Sender<QueryAnswer>,
+        reply: oneshot::Sender<RootAnswer>,
     },
     /// The caller of a query went away.
     CallerGone(QueryId),
-    /// Put a definition and placement in force.
-    Configure {
-        /// Definition of the service.
-        definition: Arc<ServiceDefinition>,
-        /// Its leafs and snapshots in this place.
-        placement: Arc<ServicePlacement>,
-        /// Roots that may be connected to each leaf at once.
-        roots: usize,
+    /// Put a configuration in force.
+    Configure(RootConfiguration),
+    /// Another root speaks about shares of the limit.
+    Share {
+        /// The other root.
+        from: NodeId,
+        /// What it says.
+        message: ShareMessage,
     },
-    /// This root's share of the limit.
-    SetRateShare(RateShare),
     /// A leaf is said to be leaving.
     LeafLeaving(LeafId),
     /// Report the state for `status`.
@@ -40,20 +61,63 @@
 }
 
 /// State of one root, for `status`.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct RootStatus {
     /// Snapshots in the placement, newest first.
     pub snapshots: Vec<SnapshotVersion>,
+    /// The snapshot that a query would be pinned to now.
+    pub snapshot_in_use: Option<SnapshotVersion>,
+    /// Whether every shard of it has a live replica.
+    pub every_shard_has_a_replica: bool,
     /// Leafs in the placement.
     pub leafs: usize,
     /// Leafs that said or are said to be leaving.
     pub draining: Vec<LeafId>,
-    /// Leafs whose last health poll failed.
+    /// Leafs whose health polls fail.
     pub unreachable: Vec<LeafId>,
+    /// Leafs left out for being slow or failing.
+    pub ejected: Vec<LeafId>,
     /// Queries in progress.
     pub queries_in_progress: usize,
+    /// Shards that wait for a slot of a leaf.
+    pub waiting_shards: usize,
     /// Open connections to the leafs.
     pub leaf_connections: usize,
+    /// Most connections this root opens to one leaf.
+    pub connections_per_leaf: usize,
+    /// Queries per second this root may admit now.
+    pub usable_rate: f64,
+    /// Queries per second it admitted recently.
+    pub admitted_rate: f64,
+    /// Shares of queries answered complete and partially since the start.
+    pub coverage: CoverageCounts,
+    /// Whether this root may use its whole share of the limit.
+    pub share_in_force: bool,
+}
+
+/// Answers since the start, by coverage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CoverageCounts {
+    /// Complete answers.
+    pub complete: u64,
+    /// Partial answers.
+    pub partial: u64,
+    /// Shards addressed by both.
+    pub shards_total: u64,
+    /// Shards answered in both.
+    pub shards_answered: u64,
+}
+
+impl CoverageCounts {
+    pub(super) fn count(&mut self, answer: &QueryAnswer) {
+        match answer.outcome {
+            Outcome::Complete => self.complete += 1,
+            Outcome::Partial => self.partial += 1,
+            Outcome::NotRun | Outcome::Unknown => return,
+        }
+        self.shards_total += u64::from(answer.coverage.total);
+        self.shards_answered += u64::from(answer.coverage.answered);
+    }
 }
 
 /// A root that can be asked. Cheap to clone; the root ends when all handles are gone.
@@ -123,14 +187,14 @@
 #[derive(Debug)]
 pub struct QueryTicket {
     query: QueryId,
-    answer: oneshot::Receiver<QueryAnswer>,
+    answer: oneshot::Receiver<RootAnswer>,
     commands: mpsc::UnboundedSender<RootCommand>,
     answered: bool,
 }
 
 impl QueryTicket {
     /// Waits for the answer; none if the root ended without one.
-    pub async fn answer(mut self) -> Option<QueryAnswer> {
+    pub async fn answer(mut self) -> Option<RootAnswer> {
         let answer = (&mut self.answer).await.ok();
         self.answered = true;
         answer
--- a/crates/tansylead-daemon/src/root/mod.rs
+++ b/crates/tansylead-daemon/src/root/mod.rs
@@ -6,8 +6,12 @@
 mod leafs;
 mod metrics;
 mod queries;
+mod rate;
+mod shares;
 mod supervisor;
 
-pub use actor::{RootIdentity, RootLimits, spawn_root};
-pub use handle::{QueryTicket, RootCommand, RootHandle, RootStatus};
-pub use supervisor::{RootDirectory, RootSupervisor};
+pub use actor::{RootContext, RootIdentity, spawn_root};
+pub use handle::{
+    CoverageCounts, QueryTicket, RootAnswer, RootCommand, RootConfiguration, RootHandle, RootStatus,
+};
+pub use supervisor::{RootDirectory, RootSupervisor, SupervisorParts};
--- a/crates/tansylead-daemon/src/root/queries.rs
+++ b/crates/tansylead-daemon/src/root/queries.rs
@@ -1,9 +1,10 @@
 //! Queries in progress at a root: who waits for the answer and which attempts are in flight.
 
+use super::handle::RootAnswer;
 use crate::leaf::attempt::QueryContext;
 use std::collections::HashMap;
 use std::sync::Arc;
-use tansylead_types::{AttemptId, QueryAnswer, QueryId};
+use tansylead_types::{AttemptId, QueryId};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
@@ -11,7 +12,7 @@
 #[derive(Debug)]
 struct ActiveQuery {
     context: Arc<QueryContext>,
-    reply: oneshot::Sender<QueryAnswer>,
+    reply: oneshot::Sender<RootAnswer>,
     in_flight: Vec<InFlight>,
 }
 
@@ -35,10 +36,6 @@
 }
 
 impl ActiveQueries {
-    pub(super) fn len(&self) -> usize {
-        self.queries.len()
-    }
-
     pub(super) fn is_empty(&self) -> bool {
         self.queries.is_empty()
     }
@@ -47,7 +44,7 @@
         &mut self,
         query: QueryId,
         context: Arc<QueryContext>,
-        reply: oneshot::Sender<QueryAnswer>,
+        reply: oneshot::Sender<RootAnswer>,
     ) {
         let active = ActiveQuery {
             context,
@@ -85,7 +82,7 @@
     }
 
     /// Ends a query; attempts still in flight are cancelled. Returns who waits for the answer.
-    pub(super) fn remove(&mut self, query: QueryId) -> Option<oneshot::Sender<QueryAnswer>> {
+    pub(super) fn remove(&mut self, query: QueryId) -> Option<oneshot::Sender<RootAnswer>> {
         self.queries.remove(&query).map(|active| active.reply)
     }
 }
--- a/crates/tansylead-daemon/src/root/supervisor.rs
+++ b/crates/tansylead-daemon/src/root/supervisor.rs
@@ -1,17 +1,18 @@
-//! Starts, configures and ends the roots of this daemon as the configuration changes.
+//! Starts, configures and ends the roots of this daemon as configuration and members change.
 
-use super::actor::{RootIdentity, RootLimits, spawn_root};
-use super::handle::{RootCommand, RootHandle};
+use super::actor::{RootContext, RootIdentity, spawn_root};
+use super::handle::{RootCommand, RootConfiguration, RootHandle};
 use crate::clock::Clock;
+use crate::cluster::MemberView;
 use crate::configuration::{ConfigurationView, PlacementKey};
-use crate::metrics::Metrics;
+use crate::routing::{PlaceInputs, PlaceRoutes};
 use parking_lot::RwLock;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_query::RateShare;
-use tansylead_types::{InstanceId, PlaceName, ServiceDefinition, ServicePlacement};
+use tansylead_types::{InstanceId, Moment, PlaceName, ServicePlacement};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How often the hour of the table is looked at.
@@ -39,141 +40,167 @@
     }
 }
 
-/// What a root was last told.
+/// What the supervisor works with.
+#[derive(Debug)]
+pub struct SupervisorParts {
+    /// The daemon.
+    pub instance: InstanceId,
+    /// Its place.
+    pub place: PlaceName,
+    /// What all roots share.
+    pub context: RootContext,
+    /// Where the roots are published.
+    pub directory: RootDirectory,
+    /// Cancelled when a planned stop begins.
+    pub drain: CancellationToken,
+    /// From then on, roots are kept as they are for this long, while peers learn of it. Less than
+    /// the time after which others use this daemon's shares.
+    pub drain_hold: Duration,
+}
+
+/// A root and what it was last told.
 #[derive(Debug)]
 struct Supervised {
     handle: RootHandle,
-    definition: Arc<ServiceDefinition>,
-    placement: Arc<ServicePlacement>,
-    share: Option<RateShare>,
+    told: RootConfiguration,
 }
 
-/// Keeps the roots in step with the configuration.
+/// Keeps the roots in step with configuration and members.
 #[derive(Debug)]
 pub struct RootSupervisor {
-    instance: InstanceId,
-    place: PlaceName,
-    limits: RootLimits,
+    parts: SupervisorParts,
     clock: Clock,
-    metrics: Arc<Metrics>,
-    directory: RootDirectory,
+    routes: BTreeMap<PlacementKey, PlaceRoutes>,
     supervised: BTreeMap<PlacementKey, Supervised>,
+    drain_began: Option<Moment>,
 }
 
 impl RootSupervisor {
-    /// A supervisor that publishes its roots in `directory`.
-    pub fn new(
-        instance: InstanceId,
-        place: PlaceName,
-        limits: RootLimits,
-        metrics: Arc<Metrics>,
-        directory: RootDirectory,
-    ) -> Self {
+    /// A supervisor without roots yet.
+    pub fn new(parts: SupervisorParts) -> Self {
         Self {
-            instance,
-            place,
-            limits,
+            parts,
             clock: Clock,
-            metrics,
-            directory,
+            routes: BTreeMap::new(),
             supervised: BTreeMap::new(),
+            drain_began: None,
         }
     }
 
-    /// Runs until the configuration's sender is gone.
-    pub async fn run(mut self, mut view: watch::Receiver<Arc<ConfigurationView>>) {
+    /// Runs until its task is ended or the sources of its inputs are gone.
+    pub async fn run(
+        mut self,
+        mut configuration: watch::Receiver<Arc<ConfigurationView>>,
+        mut members: watch::Receiver<Arc<MemberView>>,
+    ) {
         let mut hour_check = tokio::time::interval(HOUR_CHECK_PERIOD);
         loop {
-            let current = Arc::clone(&view.borrow_and_update());
-            self.reconcile(&current);
-            tokio::select! {
-                changed = view.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                }
-                _ = hour_check.tick() => {}
+            let view = Arc::clone(&configuration.borrow_and_update());
+            let current = Arc::clone(&members.borrow_and_update());
+            if !self.holds_roots() {
+                self.reconcile(&view, &current);
+            }
+            let changed = tokio::select! {
+                changed = configuration.changed() => changed,
+                changed = members.changed() => changed,
+                _ = hour_check.tick() => Ok(()),
+            };
+            if changed.is_err() {
+                return;
             }
         }
     }
 
-    fn reconcile(&mut self, view: &ConfigurationView) {
-        let wanted: BTreeMap<PlacementKey, (Arc<ServiceDefinition>, Arc<ServicePlacement>)> = view
-            .placements()
-            .filter(|(key, _)| key.place == self.place)
-            .filter_map(|(key, placement)| {
-                let definition = Arc::clone(view.service(&key.service)?);
-                Some((key.clone(), (definition, Arc::clone(placement))))
-            })
-            .collect();
-        self.supervised.retain(|key, _| wanted.contains_key(key));
-        for (key, (definition, placement)) in wanted {
-            let share = self.rate_share(view, &key);
-            self.ensure(key, definition, placement, share);
+    /// Whether a planned stop has begun so recently that roots are kept as they are.
+    fn holds_roots(&mut self) -> bool {
+        if !self.parts.drain.is_cancelled() {
+            return false;
+        }
+        let now = self.clock.now();
+        let began = *self.drain_began.get_or_insert(now);
+        now.since(began) < self.parts.drain_hold
+    }
+
+    fn reconcile(&mut self, view: &ConfigurationView, members: &MemberView) {
+        let wanted = self.wanted(view, members);
+        self.supervised.retain(|key, _| {
+            let keep = wanted.contains_key(key);
+            if !keep {
+                log::info!("root for {} in {}: ended", key.service, key.place);
+            }
+            keep
+        });
+        for (key, configuration) in wanted {
+            self.ensure(key, configuration);
         }
         self.publish();
     }
 
-    fn ensure(
+    /// The roots this daemon should have.
+    fn wanted(
         &mut self,
-        key: PlacementKey,
-        definition: Arc<ServiceDefinition>,
-        placement: Arc<ServicePlacement>,
-        share: RateShare,
-    ) {
-        let unchanged = self.supervised.get(&key).is_some_and(|known| {
-            Arc::ptr_eq(&known.definition, &definition) && Arc::ptr_eq(&known.placement, &placement)
-        });
-        if !unchanged {
-            let known = self.supervised.remove(&key);
-            let handle = match known {
-                Some(known) => known.handle,
-                None => self.start(&key),
-            };
-            handle.send(RootCommand::Configure {
-                definition: Arc::clone(&definition),
-                placement: Arc::clone(&placement),
-                roots: 1,
-            });
-            let supervised = Supervised {
-                handle,
-                definition,
-                placement,
-                share: None,
-            };
-            self.supervised.insert(key.clone(), supervised);
+        view: &ConfigurationView,
+        members: &MemberView,
+    ) -> BTreeMap<PlacementKey, RootConfiguration> {
+        let candidates = members.candidates(&self.parts.place);
+        let hour = self.clock.hour_of_day();
+        let mut known = std::mem::take(&mut self.routes);
+        let mut wanted = BTreeMap::new();
+        let own_place =
+            |(key, _): &(&PlacementKey, &Arc<ServicePlacement>)| key.place == self.parts.place;
+        for (key, placement) in view.placements().filter(own_place) {
+            let (service, place) = (&key.service, &key.place);
+            let candidates = Arc::clone(&candidates);
+            let inputs = PlaceInputs::new(service, place, placement, view.table(), candidates);
+            let routes = PlaceRoutes::refreshed(known.remove(key), service, place, inputs);
+            if let Some(definition) = view.service(service)
+                && routes.set.contains(self.parts.instance.node)
+            {
+                let row = view.table().row(service, place, hour);
+                let configuration = RootConfiguration {
+                    definition: Arc::clone(definition),
+                    placement: Arc::clone(placement),
+                    serving_set: Arc::clone(&routes.set),
+                    limit: row.map_or(0, |row| row.limit),
+                };
+                wanted.insert(key.clone(), configuration);
+            }
+            self.routes.insert(key.clone(), routes);
         }
-        if let Some(known) = self.supervised.get_mut(&key)
-            && known.share != Some(share)
-        {
-            known.share = Some(share);
-            known.handle.send(RootCommand::SetRateShare(share));
+        wanted
+    }
+
+    fn ensure(&mut self, key: PlacementKey, configuration: RootConfiguration) {
+        if let Some(known) = self.supervised.get_mut(&key) {
+            if !is_same(&known.told, &configuration) {
+                known.told = configuration.clone();
+                known.handle.send(RootCommand::Configure(configuration));
+            }
+            return;
         }
+        let handle = self.start(&key);
+        handle.send(RootCommand::Configure(configuration.clone()));
+        let supervised = Supervised {
+            handle,
+            told: configuration,
+        };
+        self.supervised.insert(key, supervised);
     }
 
     fn start(&self, key: &PlacementKey) -> RootHandle {
         log::info!("root for {} in {}: started", key.service, key.place);
-        let seed_text = format!("{}/{}/{}", self.instance.boot, key.service, key.place);
+        let boot = self.parts.instance.boot;
+        let seed_text = format!("{boot}/{}/{}", key.service, key.place);
         let identity = RootIdentity {
-            instance: self.instance,
-            service: key.service.clone(),
-            place: key.place.clone(),
+            instance: self.parts.instance,
+            key: key.clone(),
             seed: xxh3_64(seed_text.as_bytes()),
         };
-        spawn_root(identity, self.limits.clone(), self.clock, &self.metrics)
-    }
-
-    fn rate_share(&self, view: &ConfigurationView, key: &PlacementKey) -> RateShare {
-        let hour = self.clock.hour_of_day();
-        let row = view.table().row(&key.service, &key.place, hour);
-        RateShare {
-            queries_per_second: row.map_or(f64::INFINITY, |row| f64::from(row.limit)),
-            burst: self.limits.tuning.admission_burst,
-        }
+        spawn_root(identity, self.parts.context.clone())
     }
 
     fn publish(&self) {
-        let mut roots = self.directory.roots.write();
+        let mut roots = self.parts.directory.roots.write();
         if roots.keys().eq(self.supervised.keys()) {
             return;
         }
@@ -183,3 +210,10 @@
             .collect();
     }
 }
+
+fn is_same(left: &RootConfiguration, right: &RootConfiguration) -> bool {
+    Arc::ptr_eq(&left.definition, &right.definition)
+        && Arc::ptr_eq(&left.placement, &right.placement)
+        && Arc::ptr_eq(&left.serving_set, &right.serving_set)
+        && left.limit == right.limit
+}
--- a/crates/tansylead-daemon/src/state.rs
+++ b/crates/tansylead-daemon/src/state.rs
@@ -1,47 +1,71 @@
 //! What the parts of one daemon share: readiness, status and metrics.
 
 use crate::clock::Clock;
-use crate::configuration::ConfigurationView;
+use crate::cluster::{ClusterHandle, ClusterStatus, MemberView};
+use crate::configuration::{ConfigurationView, PlacementKey};
 use crate::metrics::Metrics;
 use crate::root::RootDirectory;
+use crate::routing::Routes;
 use crate::status::{DaemonStatus, PlaceStatus, Readiness, ServiceStatus};
 use prometheus::IntGauge;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use tansylead_cluster::spread::StoreState;
 use tansylead_types::{ObjectKey, ServiceName, Settings};
 use tokio::sync::watch;
 
-/// Shared state of one daemon.
+/// What the state is read from.
 #[derive(Debug)]
-pub struct DaemonState {
-    settings: Settings,
+pub struct StateParts {
+    /// Settings.
+    pub settings: Settings,
     /// Metrics.
     pub metrics: Arc<Metrics>,
-    view: watch::Receiver<Arc<ConfigurationView>>,
-    roots: RootDirectory,
+    /// Configuration in force.
+    pub configuration: watch::Receiver<Arc<ConfigurationView>>,
+    /// Members.
+    pub members: watch::Receiver<Arc<MemberView>>,
+    /// State of membership and configuration spread.
+    pub cluster_status: watch::Receiver<Arc<ClusterStatus>>,
+    /// The cluster task.
+    pub cluster: ClusterHandle,
+    /// Own roots.
+    pub roots: RootDirectory,
+    /// Where queries go.
+    pub routes: Arc<Routes>,
+}
+
+/// Shared state of one daemon.
+#[derive(Debug)]
+pub struct DaemonState {
+    parts: StateParts,
     draining: AtomicBool,
+    shares_were_in_force: AtomicBool,
     clock: Clock,
 }
 
 impl DaemonState {
     /// State of a daemon that has just started.
-    pub fn new(
-        settings: Settings,
-        metrics: Arc<Metrics>,
-        view: watch::Receiver<Arc<ConfigurationView>>,
-        roots: RootDirectory,
-    ) -> Self {
+    pub fn new(parts: StateParts) -> Self {
         Self {
-            settings,
-            metrics,
-            view,
-            roots,
+            parts,
             draining: AtomicBool::new(false),
+            shares_were_in_force: AtomicBool::new(false),
             clock: Clock,
         }
     }
 
+    /// Metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.parts.metrics
+    }
+
+    /// The cluster task.
+    pub fn cluster(&self) -> &ClusterHandle {
+        &self.parts.cluster
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -50,27 +74,37 @@
     /// Begins a planned stop: not ready from now on.
     pub fn set_draining(&self) {
         self.draining.store(true, Ordering::Release);
-        self.metrics.draining.set(1);
+        self.metrics().draining.set(1);
     }
 
     /// Counts a query as in progress until the guard is dropped.
     pub fn query_started(&self) -> InProgress {
-        InProgress::new(&self.metrics.queries_in_progress)
+        InProgress::new(&self.metrics().queries_in_progress)
     }
 
-    /// Queries in progress for callers.
+    /// Queries in progress, for own callers and for other frontends.
     pub fn queries_in_progress(&self) -> i64 {
-        self.metrics.queries_in_progress.get()
+        self.metrics().queries_in_progress.get()
     }
 
     /// Whether callers should come here, and why not.
-    pub fn readiness(&self) -> Readiness {
+    pub async fn readiness(&self) -> Readiness {
         let mut reasons = Vec::new();
         if self.is_draining() {
             reasons.push("a planned stop is under way".to_owned());
         }
-        if self.view.borrow().is_empty() {
-            reasons.push("no configuration yet, neither from the store nor from peers".to_owned());
+        let status = Arc::clone(&self.parts.cluster_status.borrow());
+        if let Some(reason) = &status.not_ready {
+            reasons.push(reason.to_string());
+        }
+        if status.replaced {
+            reasons.push("another daemon run holds this daemon's address".to_owned());
+        }
+        if !self.parts.members.borrow().joined {
+            reasons.push("joining is not complete".to_owned());
+        }
+        if reasons.is_empty() && !self.shares_have_been_in_force().await {
+            reasons.push("waiting to take over shares of limits".to_owned());
         }
         Readiness {
             ready: reasons.is_empty(),
@@ -78,42 +112,68 @@
         }
     }
 
-    /// Whether this daemon is root for some service.
-    pub fn has_root(&self) -> bool {
-        !self.roots.all().is_empty()
+    /// Whether all own roots could at some time use their whole shares. Only the start waits for
+    /// it; later changes of the serving sets do not make a daemon unready.
+    async fn shares_have_been_in_force(&self) -> bool {
+        if self.shares_were_in_force.load(Ordering::Relaxed) {
+            return true;
+        }
+        for (_, root) in self.parts.roots.all() {
+            let status = root.status().await;
+            if status.is_some_and(|status| !status.share_in_force) {
+                return false;
+            }
+        }
+        self.shares_were_in_force.store(true, Ordering::Relaxed);
+        true
+    }
+
+    /// Waits until another run of a daemon holds this daemon's address.
+    pub async fn replaced(&self) {
+        let mut status = self.parts.cluster_status.clone();
+        if status.wait_for(|status| status.replaced).await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Brings gauges that are read rather than counted up to date.
     pub fn refresh_metrics(&self) {
-        let view = self.view.borrow();
-        let revision = i64::try_from(view.revision()).unwrap_or(i64::MAX);
-        let objects = i64::try_from(view.len()).unwrap_or(i64::MAX);
-        self.metrics.configuration_revision.set(revision);
-        self.metrics.configuration_objects.set(objects);
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let view = Arc::clone(&self.parts.configuration.borrow());
+        let status = Arc::clone(&self.parts.cluster_status.borrow());
+        let metrics = self.metrics();
+        metrics.configuration_revision.set(gauge(view.revision()));
+        metrics.configuration_objects.set(gauge(view.len() as u64));
+        metrics.members.set(gauge(status.running as u64));
+        metrics
+            .suspicions
+            .set(gauge(status.counters.suspicions_raised));
     }
 
     /// The state in full.
     pub async fn status(&self) -> DaemonStatus {
-        let view = Arc::clone(&self.view.borrow());
+        let view = Arc::clone(&self.parts.configuration.borrow());
+        let cluster = Arc::clone(&self.parts.cluster_status.borrow());
         let mut services = self.configured_services(&view);
-        for (key, root) in self.roots.all() {
-            let Some(service) = services.get_mut(&key.service) else {
-                continue;
-            };
-            if let Some(place) = service.places.get_mut(&key.place) {
-                place.serving_set.push(self.settings.peer_address);
+        for (key, root) in self.parts.roots.all() {
+            let service = services.get_mut(&key.service);
+            if let Some(place) = service.and_then(|service| service.places.get_mut(&key.place)) {
                 place.root = root.status().await;
             }
         }
+        let settings = &self.parts.settings;
         DaemonStatus {
             version: env!("CARGO_PKG_VERSION").to_owned(),
-            cluster: self.settings.cluster.clone(),
-            place: self.settings.place.clone(),
-            zone: self.settings.zone.clone(),
-            peer_address: self.settings.peer_address,
-            readiness: self.readiness(),
+            cluster: settings.cluster.clone(),
+            place: settings.place.clone(),
+            zone: settings.zone.clone(),
+            peer_address: settings.peer_address,
+            readiness: self.readiness().await,
+            members: cluster.running,
+            store: store_text(&cluster.store),
             revision: view.revision(),
             table_generation: view.generation(&ObjectKey::Table),
+            claim_view_epoch: view.claim_view().map(|claim_view| claim_view.epoch),
             services,
         }
     }
@@ -131,24 +191,43 @@
             };
             services.insert(definition.service.clone(), status);
         }
-        let hour = self.clock.hour_of_day();
-        for (key, _) in view.placements() {
-            let Some(service) = services.get_mut(&key.service) else {
-                continue;
-            };
-            let row = view.table().row(&key.service, &key.place, hour);
-            let object = ObjectKey::Placement(key.service.clone(), key.place.clone());
-            let place = PlaceStatus {
-                generation: view.generation(&object),
-                weight: row.map(|row| row.weight),
-                limit: row.map(|row| row.limit),
-                serving_set: Vec::new(),
-                root: None,
-            };
-            service.places.insert(key.place.clone(), place);
+        for (key, placement) in view.placements() {
+            if let Some(service) = services.get_mut(&key.service) {
+                let mut place = self.configured_place(view, key);
+                place.leafs = placement.leafs.len();
+                service.places.insert(key.place.clone(), place);
+            }
         }
         services
     }
+
+    fn configured_place(&self, view: &ConfigurationView, key: &PlacementKey) -> PlaceStatus {
+        let hour = self.clock.hour_of_day();
+        let row = view.table().row(&key.service, &key.place, hour);
+        let object = ObjectKey::Placement(key.service.clone(), key.place.clone());
+        let set = self.parts.routes.serving_set(key);
+        let roots = set.map(|set| set.distinct_roots()).unwrap_or_default();
+        PlaceStatus {
+            generation: view.generation(&object),
+            weight: row.map(|row| row.weight),
+            limit: row.map(|row| row.limit),
+            leafs: 0,
+            serving_set: roots.into_iter().map(|node| node.0).collect(),
+            root: None,
+        }
+    }
+}
+
+fn store_text(state: &StoreState) -> String {
+    match state {
+        StoreState::NotReading => "not read by this daemon".to_owned(),
+        StoreState::Unknown => "first read under way".to_owned(),
+        StoreState::Current => "current".to_owned(),
+        StoreState::Behind { store_revision } => {
+            format!("shows revision {store_revision}, older than what is in force")
+        }
+        StoreState::Failing { error } => format!("failing: {error}"),
+    }
 }
 
 /// Holds a gauge one higher for as long as it lives.
--- a/crates/tansylead-daemon/src/status.rs
+++ b/crates/tansylead-daemon/src/status.rs
@@ -7,7 +7,7 @@
 use tansylead_types::{PlaceName, ServiceName, ZoneName};
 
 /// State of one daemon and of the cluster as it sees it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DaemonStatus {
     /// Program version.
     pub version: String,
@@ -21,16 +21,22 @@
     pub peer_address: SocketAddr,
     /// Whether it takes callers.
     pub readiness: Readiness,
+    /// Running members as this daemon sees them, itself included.
+    pub members: usize,
+    /// What this daemon knows of the store.
+    pub store: String,
     /// Highest store revision in force.
     pub revision: u64,
     /// Generation of the table in force; 0 if there is none.
     pub table_generation: u64,
+    /// Epoch of the claim view in force, if there is one.
+    pub claim_view_epoch: Option<u64>,
     /// Services.
     pub services: BTreeMap<ServiceName, ServiceStatus>,
 }
 
 /// Whether a daemon takes callers.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Readiness {
     /// Whether it is ready.
     pub ready: bool,
@@ -39,7 +45,7 @@
 }
 
 /// State of one service.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct ServiceStatus {
     /// Generation of its definition.
     pub generation: u64,
@@ -48,7 +54,7 @@
 }
 
 /// State of one service in one place.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct PlaceStatus {
     /// Generation of the placement.
     pub generation: u64,
@@ -56,6 +62,8 @@
     pub weight: Option<u32>,
     /// Limit of the table row of this hour, queries per second; none without a row.
     pub limit: Option<u32>,
+    /// Leafs.
+    pub leafs: usize,
     /// Daemons that are roots.
     pub serving_set: Vec<SocketAddr>,
     /// State of this daemon's own root, if it is one.
--- a/crates/tansylead-daemon/src/tuning.rs
+++ b/crates/tansylead-daemon/src/tuning.rs
@@ -1,6 +1,10 @@
 //! Internal limits of the daemon that operators do not set. Tests shorten some of them.
 
+use crate::peers::{PeerClientLimits, PeerServerLimits};
 use std::time::Duration;
+use tansylead_cluster::membership::MembershipSettings;
+use tansylead_cluster::routing::ShareTiming;
+use tansylead_cluster::spread::SpreadSettings;
 
 /// Internal limits with defaults for production.
 #[derive(Debug, Clone)]
@@ -13,10 +17,22 @@
     pub maximum_leaf_answer_bytes: usize,
     /// A store watch is held this long.
     pub store_watch_wait: Duration,
-    /// First pause after a failed store read; doubles up to [`Tuning::store_longest_pause`].
-    pub store_first_pause: Duration,
-    /// Longest pause between failed store reads.
-    pub store_longest_pause: Duration,
+    /// Membership, except for the periods that operators set.
+    pub membership: MembershipSettings,
+    /// Configuration spread.
+    pub spread: SpreadSettings,
+    /// Sharing of a limit among the roots of a place.
+    pub share_timing: ShareTiming,
+    /// Connections to peers.
+    pub peer_client: PeerClientLimits,
+    /// Connections from peers.
+    pub peer_server: PeerServerLimits,
+    /// Time kept back from a query's deadline for the way to a root of the same place and back.
+    pub forward_allowance_same_place: Duration,
+    /// The same for a root of another place.
+    pub forward_allowance_other_place: Duration,
+    /// Roots tried for one query at most.
+    pub maximum_roots_tried: usize,
     /// Length of the burst allowance of admission.
     pub admission_burst: Duration,
     /// Queries waiting for one root at most; more are refused as not run.
@@ -25,6 +41,9 @@
     pub drain_idle: Duration,
     /// During a planned stop, new connections are accepted for at least this long.
     pub drain_minimum: Duration,
+    /// During a planned stop, this daemon stays root for this long while peers learn of it; less
+    /// than [`ShareTiming::longest_view_lag`].
+    pub drain_root_hold: Duration,
     /// When to come back, if the engine does not say.
     pub default_retry_after: Duration,
     /// Least and most time a caller may take to send its headers.
@@ -38,12 +57,19 @@
             leaf_connect_limit: Duration::from_millis(250),
             maximum_leaf_answer_bytes: 4 * 1024 * 1024,
             store_watch_wait: Duration::from_secs(20),
-            store_first_pause: Duration::from_millis(100),
-            store_longest_pause: Duration::from_secs(5),
+            membership: MembershipSettings::default(),
+            spread: SpreadSettings::default(),
+            share_timing: ShareTiming::default(),
+            peer_client: PeerClientLimits::default(),
+            peer_server: PeerServerLimits::default(),
+            forward_allowance_same_place: Duration::from_millis(8),
+            forward_allowance_other_place: Duration::from_millis(40),
+            maximum_roots_tried: 3,
             admission_burst: Duration::from_millis(100),
             maximum_waiting_commands: 4_096,
             drain_idle: Duration::from_secs(2),
             drain_minimum: Duration::from_secs(1),
+            drain_root_hold: Duration::from_secs(3),
             default_retry_after: Duration::from_millis(500),
             header_read_limit: Duration::from_secs(30),
         }
