--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of a daemon together.
 
+use crate::claims::{ClaimParts, Claims, PlannerParts, run_claim_member, run_claim_planner};
 use crate::clock::Clock;
 use crate::cluster::{
     ClusterDriver, ClusterHandle, ClusterIdentity, ClusterInput, ClusterParts, ClusterStatus,
@@ -21,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_cluster::claims::ClaimSettings;
 use tansylead_cluster::membership::{LocalMember, Membership, MembershipSettings};
 use tansylead_cluster::spread::SpreadMachine;
 use tansylead_types::{InstanceId, NodeId, Settings, StepError};
@@ -34,6 +36,7 @@
 pub(crate) struct Assembly {
     pub(crate) state: Arc<DaemonState>,
     pub(crate) cluster: ClusterHandle,
+    pub(crate) claims: Arc<Claims>,
     pub(crate) drain: CancellationToken,
     pub(crate) server: CallerServer,
     pub(crate) peer_address: SocketAddr,
@@ -56,6 +59,7 @@
     instance: InstanceId,
     hello: Hello,
     peers: Arc<PeerClient>,
+    claim_settings: Arc<ClaimSettings>,
     directory: RootDirectory,
     drain: CancellationToken,
 }
@@ -76,14 +80,29 @@
     let channels = Channels::new();
     let routes = base.routes(&channels);
     let state = base.state(&channels, &routes);
-    let roots = Arc::new(RootService::new(base.directory.clone()));
+    let claims = base.claims(&channels);
+    let roots = RootService::new(
+        base.directory.clone(),
+        Arc::clone(&claims),
+        Arc::clone(&state),
+    );
+    let roots = Arc::new(roots);
     let server = base.caller_server(&state, &routes, &roots).await?;
 
     let supervisor = base.supervisor();
     let configuration = channels.configuration.subscribe();
     let members = channels.members.subscribe();
-    let peer_server = base.peer_server(sockets.listener, &state, &roots, &channels.cluster);
+    let peer_service = PeerService {
+        roots,
+        directory: base.directory.clone(),
+        cluster: channels.cluster.clone(),
+        claims: Arc::clone(&claims),
+        state: Arc::clone(&state),
+    };
+    let peer_server = base.peer_server(sockets.listener, peer_service);
     let machine_list = base.machine_list_reader(&channels, &routes);
+    let planner = base.planner(&channels, &claims);
+    let claim_configuration = channels.configuration.subscribe();
     let cluster = channels.cluster.clone();
     let caller_address = server.local_address()?;
     let driver = base.cluster_driver(&channels, sockets.datagrams, caller_address);
@@ -91,11 +110,14 @@
         spawn(driver.run(channels.inputs)),
         spawn(supervisor.run(configuration, members)),
         spawn(peer_server.run()),
+        spawn(run_claim_member(Arc::clone(&claims), claim_configuration)),
+        spawn(run_claim_planner(planner)),
     ];
     tasks.extend(machine_list.map(|reader| spawn(reader.run())));
     Ok(Assembly {
         state,
         cluster,
+        claims,
         drain: base.drain,
         server,
         peer_address: sockets.address,
@@ -148,6 +170,7 @@
             cluster: settings.cluster.clone(),
             from: instance,
         };
+        let claim_settings = ClaimSettings::from_timing(&settings.timing);
         let peers = PeerClient::new(hello.clone(), tuning.peer_client.clone());
         Ok(Self {
             settings,
@@ -156,6 +179,7 @@
             instance,
             hello,
             peers: Arc::new(peers),
+            claim_settings: Arc::new(claim_settings),
             directory: RootDirectory::default(),
             drain: CancellationToken::new(),
         })
@@ -221,6 +245,7 @@
                 tuning: Arc::clone(&self.tuning),
                 metrics: Arc::clone(&self.metrics),
                 peers: Arc::clone(&self.peers),
+                claim_settings: Arc::clone(&self.claim_settings),
             },
             directory: self.directory.clone(),
             drain: self.drain.clone(),
@@ -228,21 +253,29 @@
         })
     }
 
-    fn peer_server(
-        &self,
-        listener: TcpListener,
-        state: &Arc<DaemonState>,
-        roots: &Arc<RootService>,
-        cluster: &ClusterHandle,
-    ) -> PeerServer<PeerService> {
-        let handler = PeerService {
-            roots: Arc::clone(roots),
-            directory: self.directory.clone(),
-            cluster: cluster.clone(),
-            state: Arc::clone(state),
-        };
+    fn peer_server(&self, listener: TcpListener, service: PeerService) -> PeerServer<PeerService> {
         let limits = self.tuning.peer_server.clone();
-        PeerServer::new(listener, self.hello.clone(), limits, Arc::new(handler))
+        PeerServer::new(listener, self.hello.clone(), limits, Arc::new(service))
+    }
+
+    fn claims(&self, channels: &Channels) -> Arc<Claims> {
+        Arc::new(Claims::new(ClaimParts {
+            me: self.instance,
+            settings: ClaimSettings::clone(&self.claim_settings),
+            peers: Arc::clone(&self.peers),
+            configuration: channels.configuration.subscribe(),
+            metrics: Arc::clone(&self.metrics),
+        }))
+    }
+
+    fn planner(&self, channels: &Channels, claims: &Arc<Claims>) -> PlannerParts {
+        PlannerParts {
+            claims: Arc::clone(claims),
+            store: StoreClient::new(self.settings.store_address),
+            configuration: channels.configuration.subscribe(),
+            members: channels.members.subscribe(),
+            status: channels.status.subscribe(),
+        }
     }
 
     fn machine_list_reader(
--- /dev/null
+++ b/crates/tansylead-daemon/src/claims/mod.rs
@@ -0,0 +1,14 @@
+//! Non-repeatable requests: claims them with a quorum of daemons before the one dispatch, keeps
+//! their answers for repetitions, and proposes the views of claim members. Decisions are those of
+//! `tansylead_cluster::claims`.
+
+mod acquire;
+mod execution;
+mod member_task;
+mod planner_task;
+mod service;
+
+pub use execution::ClaimedExecution;
+pub use member_task::run_claim_member;
+pub use planner_task::{PlannerParts, run_claim_planner};
+pub use service::{ClaimParts, Claims, KeyOutcome};
--- a/crates/tansylead-daemon/src/cluster/driver.rs
+++ b/crates/tansylead-daemon/src/cluster/driver.rs
@@ -510,8 +510,9 @@
     fn publish(&mut self) {
         if std::mem::take(&mut self.members_changed) {
             let joined = self.parts.membership.is_joined();
-            let live = self.parts.membership.live_members().cloned().collect();
-            let view = self.parts.members.borrow().next(live, joined);
+            let mut present = self.running();
+            present.retain(|member| self.parts.membership.is_reachable(&member.place));
+            let view = self.parts.members.borrow().next(present, joined);
             self.parts.members.send_replace(Arc::new(view));
             self.next_status = Moment::default();
         }
--- a/crates/tansylead-daemon/src/cluster/view.rs
+++ b/crates/tansylead-daemon/src/cluster/view.rs
@@ -13,6 +13,8 @@
     /// Members that may be given new work, ordered by address: alive or suspect, in a place that
     /// answers.
     pub live: Vec<MemberRecord>,
+    /// Members believed to run in a place that answers: the live ones and those that are leaving.
+    pub present: Vec<MemberRecord>,
     /// Whether joining is complete.
     pub joined: bool,
     candidates: BTreeMap<PlaceName, Arc<Vec<Candidate>>>,
@@ -20,7 +22,9 @@
 
 impl MemberView {
     /// The view that follows this one. Candidates of a place that did not change are shared.
-    pub fn next(&self, live: Vec<MemberRecord>, joined: bool) -> Self {
+    pub fn next(&self, present: Vec<MemberRecord>, joined: bool) -> Self {
+        let live = present.iter().filter(|member| member.state.takes_work());
+        let live: Vec<MemberRecord> = live.cloned().collect();
         let mut by_place: BTreeMap<PlaceName, Vec<Candidate>> = BTreeMap::new();
         for member in &live {
             let candidate = Candidate {
@@ -40,6 +44,7 @@
         };
         Self {
             live,
+            present,
             joined,
             candidates: by_place.into_iter().map(shared).collect(),
         }
--- a/crates/tansylead-daemon/src/daemon.rs
+++ b/crates/tansylead-daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! One daemon: starts its parts and stops them in order.
 
 use crate::assembly::{self, Assembly};
+use crate::claims::Claims;
 use crate::cluster::ClusterHandle;
 use crate::state::DaemonState;
 use crate::tuning::Tuning;
@@ -17,6 +18,9 @@
 /// Time for the last packets to peers.
 const GOODBYE_LIMIT: Duration = Duration::from_millis(500);
 
+/// Period of looking whether claims are handed over.
+const HANDOVER_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// How a daemon ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DrainResult {
@@ -36,6 +40,8 @@
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     cluster: ClusterHandle,
+    claims: Arc<Claims>,
+    handover_limit: Duration,
     drain: CancellationToken,
     drain_limit: Duration,
     server: AbortOnDropHandle<()>,
@@ -46,9 +52,11 @@
     /// Binds the addresses and starts everything.
     pub async fn start(settings: Settings, tuning: Tuning) -> eyre::Result<Self> {
         let drain_limit = Duration::from_millis(settings.timing.drain_limit_millis);
+        let handover_limit = tuning.claim_handover_limit;
         let Assembly {
             state,
             cluster,
+            claims,
             drain,
             server,
             peer_address,
@@ -62,6 +70,8 @@
             caller_address,
             peer_address,
             cluster,
+            claims,
+            handover_limit,
             drain,
             drain_limit,
             server,
@@ -91,9 +101,10 @@
         self.cluster.leave();
         self.drain.cancel();
         log::info!("planned stop: draining");
+        let drain_limit = self.drain_limit;
         let cause = tokio::select! {
-            _ = &mut self.server => None,
-            () = tokio::time::sleep(self.drain_limit) => Some("the drain limit passed"),
+            () = self.finish() => None,
+            () = tokio::time::sleep(drain_limit) => Some("the drain limit passed"),
             () = cut => Some("a second request to stop came"),
         };
         let result = match cause {
@@ -112,6 +123,22 @@
     }
 }
 
+impl Daemon {
+    /// Waits until everything open is answered and others hold this daemon's claims.
+    async fn finish(&mut self) {
+        let _ = (&mut self.server).await;
+        let handover = async {
+            while self.claims.is_needed() && self.state.has_peers() {
+                tokio::time::sleep(HANDOVER_CHECK_PERIOD).await;
+            }
+        };
+        let handed_over = tokio::time::timeout(self.handover_limit, handover).await;
+        if handed_over.is_err() {
+            log::warn!("planned stop: claims were not handed over in time");
+        }
+    }
+}
+
 /// Requests to stop, as they come from signals or from a test.
 #[derive(Debug)]
 pub struct StopRequests {
--- a/crates/tansylead-daemon/src/frontend.rs
+++ b/crates/tansylead-daemon/src/frontend.rs
@@ -3,6 +3,7 @@
 //! A query that provably ran nowhere goes to the next root, a few times at most. One that may have
 //! run goes to another root only if it is repeatable, and once at most.
 
+use crate::answers::{not_run, without_results};
 use crate::clock::Clock;
 use crate::configuration::PlacementKey;
 use crate::metrics::Metrics;
@@ -15,9 +16,7 @@
 use crate::tuning::Tuning;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_types::{
-    Coverage, Moment, NodeId, Outcome, PlaceName, QueryAnswer, QueryRequest, RequestId,
-};
+use tansylead_types::{Moment, NodeId, Outcome, PlaceName, QueryAnswer, QueryRequest};
 
 /// Serves the callers of one daemon.
 #[derive(Debug)]
@@ -220,7 +219,7 @@
             Ok(PeerResponse::NotRoot | PeerResponse::Busy) => Forwarded::NotRun {
                 retry_after: self.retry_after(),
             },
-            Ok(PeerResponse::RootLost | PeerResponse::Configuration(_)) => Forwarded::MayHaveRun {
+            Ok(_) => Forwarded::MayHaveRun {
                 reason: format!("root {} ended without an answer", target.root),
             },
             Err(CallError::NotSent(_)) => Forwarded::Unreachable,
@@ -234,7 +233,9 @@
     fn note_answer(&self, target: &Target, request: &QueryRequest, answered: &RootAnswer) -> bool {
         let routes = &self.parts.routes;
         let (service, place, root) = (&request.service, &target.place, target.root);
-        routes.on_report(service, place, root, answered.report);
+        if let Some(report) = answered.report {
+            routes.on_report(service, place, root, report);
+        }
         match (answered.answer.outcome, answered.answer.retry_after) {
             (Outcome::NotRun, Some(retry_after)) => {
                 routes.on_refusal(service, place, root, retry_after);
@@ -250,11 +251,7 @@
     }
 
     fn unknown(&self, request: &QueryRequest, reason: String) -> QueryAnswer {
-        QueryAnswer {
-            outcome: Outcome::Unknown,
-            retry_after: None,
-            ..not_run(request.request.clone(), reason, Duration::ZERO)
-        }
+        without_results(request.request.clone(), Outcome::Unknown, reason, None)
     }
 }
 
@@ -265,17 +262,3 @@
     }
     answer
 }
-
-/// A refusal before anything was sent to a leaf.
-fn not_run(request: RequestId, reason: String, retry_after: Duration) -> QueryAnswer {
-    QueryAnswer {
-        request,
-        outcome: Outcome::NotRun,
-        snapshot: None,
-        coverage: Coverage::default(),
-        results: Vec::new(),
-        retry_after: Some(retry_after),
-        reason: Some(reason),
-        attempts: 0,
-    }
-}
--- a/crates/tansylead-daemon/src/leaf/attempt.rs
+++ b/crates/tansylead-daemon/src/leaf/attempt.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_cluster::claims::{ClaimSettings, check_before_dispatch};
 use tansylead_query::{AttemptResult, SendAttempt};
 use tansylead_types::leaf::{LEAF_SEARCH_PATH, LeafAnswer, LeafRefusal, LeafRequest};
 use tansylead_types::{QueryRequest, Repeatability, WallTime};
@@ -36,6 +37,8 @@
     pub maximum_answer_bytes: usize,
     /// Clocks.
     pub clock: Clock,
+    /// Limits of non-repeatable requests.
+    pub claim_settings: Arc<ClaimSettings>,
 }
 
 /// How an attempt ended, with its connection if that may be used again.
@@ -138,7 +141,7 @@
         Repeatability::NonRepeatable { key, expires } => (Some(*expires), Some(key.clone())),
     };
     let time_left = target.clock.time_left(attempt.deadline);
-    if time_left.is_zero() || has_expired(expires, target.clock.wall()) {
+    if time_left.is_zero() || !may_dispatch(expires, target) {
         return None;
     }
     let message = LeafRequest {
@@ -163,8 +166,11 @@
     )
 }
 
-fn has_expired(expires: Option<WallTime>, now: WallTime) -> bool {
-    expires.is_some_and(|expires| now >= expires)
+/// Whether the expiry of a non-repeatable request, less the allowance for clock skew, is ahead.
+fn may_dispatch(expires: Option<WallTime>, target: &LeafTarget) -> bool {
+    expires.is_none_or(|expires| {
+        check_before_dispatch(expires, target.clock.wall(), &target.claim_settings).is_ok()
+    })
 }
 
 /// A request to a leaf.
--- a/crates/tansylead-daemon/src/lib.rs
+++ b/crates/tansylead-daemon/src/lib.rs
@@ -1,7 +1,9 @@
 //! The I/O shell of the daemon. Decisions live in the sans-I/O crates; this crate owns sockets,
 //! clocks, timers and metrics, and drives the state machines of the others.
 
+mod answers;
 mod assembly;
+pub mod claims;
 pub mod clock;
 pub mod cluster;
 pub mod configuration;
--- a/crates/tansylead-daemon/src/metrics.rs
+++ b/crates/tansylead-daemon/src/metrics.rs
@@ -51,6 +51,8 @@
     pub suspicions: IntGauge,
     /// Queries forwarded to a root, by service and result.
     pub forwards: IntCounterVec,
+    /// Non-repeatable requests at this root, by what was done with them.
+    pub claimed_requests: IntCounterVec,
     /// Highest store revision in force here.
     pub configuration_revision: IntGauge,
     /// Configuration objects in force here.
@@ -147,6 +149,11 @@
                 "Queries forwarded to a root",
                 &["service", "result"],
             )?,
+            claimed_requests: builder.counters(
+                "tansylead_claimed_requests_total",
+                "Non-repeatable requests at this root",
+                &["result"],
+            )?,
             configuration_revision: builder.gauge(
                 "tansylead_configuration_revision",
                 "Highest store revision in force here",
--- a/crates/tansylead-daemon/src/peer_service.rs
+++ b/crates/tansylead-daemon/src/peer_service.rs
@@ -1,5 +1,6 @@
 //! What this daemon does for its peers.
 
+use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::cluster::ClusterHandle;
 use crate::configuration::PlacementKey;
@@ -21,6 +22,8 @@
     pub directory: RootDirectory,
     /// Serves pulls of the configuration.
     pub cluster: ClusterHandle,
+    /// Answers for the claim member.
+    pub claims: Arc<Claims>,
     /// Counts queries in progress.
     pub state: Arc<DaemonState>,
 }
@@ -33,6 +36,12 @@
                 Some(list) => PeerResponse::Configuration(list),
                 None => PeerResponse::Busy,
             },
+            PeerRequest::Claim(request) => {
+                PeerResponse::Claim(Box::new(self.claims.on_request(&request)))
+            }
+            PeerRequest::KeyOutcome { key, holder } => {
+                PeerResponse::KeyOutcome(self.claims.key_outcome(&key, holder))
+            }
         }
     }
 
--- a/crates/tansylead-daemon/src/peers/message.rs
+++ b/crates/tansylead-daemon/src/peers/message.rs
@@ -1,6 +1,8 @@
 //! What daemons say to one another over TCP.
 
+use crate::claims::KeyOutcome;
 use serde::{Deserialize, Serialize};
+use tansylead_cluster::claims::{ClaimHolder, ClaimKey, ClaimRequest, ClaimResponse};
 use tansylead_cluster::routing::{RootReport, ShareMessage};
 use tansylead_types::store::ObjectList;
 use tansylead_types::{InstanceId, LeafId, PlaceName, QueryAnswer, QueryRequest, ServiceName};
@@ -76,6 +78,15 @@
         /// The revision.
         after: u64,
     },
+    /// A request to the peer's claim member.
+    Claim(Box<ClaimRequest>),
+    /// What became of a key that the peer holds as root.
+    KeyOutcome {
+        /// The key.
+        key: ClaimKey,
+        /// The claim that is asked about.
+        holder: ClaimHolder,
+    },
 }
 
 /// A query on its way to a root.
@@ -100,6 +111,10 @@
     RootLost,
     /// The configuration asked for.
     Configuration(ObjectList),
+    /// The claim member's response.
+    Claim(Box<ClaimResponse>),
+    /// What became of the key.
+    KeyOutcome(KeyOutcome),
 }
 
 /// The answer to a forwarded query.
@@ -107,8 +122,8 @@
 pub struct ForwardedAnswer {
     /// The answer.
     pub answer: QueryAnswer,
-    /// What the root could still take.
-    pub report: RootReport,
+    /// What the root could still take; none if the root itself was not asked.
+    pub report: Option<RootReport>,
 }
 
 /// Something that has no response.
--- a/crates/tansylead-daemon/src/root/actor.rs
+++ b/crates/tansylead-daemon/src/root/actor.rs
@@ -12,6 +12,7 @@
 use crate::leaf::attempt::{AttemptEnd, LeafTarget, QueryContext, run_attempt};
 use crate::leaf::connection::LeafConnection;
 use crate::leaf::health::{HealthPoll, poll_health};
+use crate::leaf::pool::LeafPool;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::tuning::Tuning;
@@ -20,6 +21,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tansylead_cluster::claims::ClaimSettings;
 use tansylead_query::{LeafStatus, RootAction, RootEngine, RootEvent, SendAttempt, StartQuery};
 use tansylead_types::{AttemptId, InstanceId, LeafId, Moment, Outcome, QueryAnswer, QueryId};
 use tokio::sync::{mpsc, oneshot};
@@ -51,6 +53,8 @@
     pub metrics: Arc<Metrics>,
     /// For messages to other roots.
     pub peers: Arc<PeerClient>,
+    /// Limits of non-repeatable requests.
+    pub claim_settings: Arc<ClaimSettings>,
 }
 
 /// What the root's own tasks report back.
@@ -346,7 +350,7 @@
         }
         self.coverage.count(&answer);
         if let Some(reply) = self.queries.remove(query) {
-            let report = self.shares.report(self.clock.now());
+            let report = Some(self.shares.report(self.clock.now()));
             let _ = reply.send(RootAnswer { answer, report });
         }
     }
@@ -387,7 +391,7 @@
 
     fn target(&mut self, leaf: &LeafId) -> Option<LeafTarget> {
         let pool = &self.leafs.get_mut(leaf)?.pool;
-        Some(leaf_target(pool, &self.context.tuning, self.clock))
+        Some(leaf_target(pool, &self.context))
     }
 
     fn poll_due_leafs(&mut self, now: Moment) {
@@ -402,7 +406,7 @@
             let jitter = self.random.random_range(0.0..POLL_JITTER_SHARE);
             state.next_poll = now + period.mul_f64(1.0 - jitter);
             state.polling = true;
-            let target = leaf_target(&state.pool, tuning, self.clock);
+            let target = leaf_target(&state.pool, &self.context);
             for permit in state.pool.permits_to_warm(tuning.warm_connections_per_leaf) {
                 let (leaf, completions) = (name.clone(), self.completions.clone());
                 let (address, limit) = (target.address, target.connect_limit);
@@ -425,13 +429,14 @@
     }
 }
 
-fn leaf_target(pool: &crate::leaf::pool::LeafPool, tuning: &Tuning, clock: Clock) -> LeafTarget {
+fn leaf_target(pool: &LeafPool, context: &RootContext) -> LeafTarget {
     LeafTarget {
         address: pool.address(),
         permits: pool.permits(),
-        connect_limit: tuning.leaf_connect_limit,
-        maximum_answer_bytes: tuning.maximum_leaf_answer_bytes,
-        clock,
+        connect_limit: context.tuning.leaf_connect_limit,
+        maximum_answer_bytes: context.tuning.maximum_leaf_answer_bytes,
+        clock: Clock,
+        claim_settings: Arc::clone(&context.claim_settings),
     }
 }
 
--- a/crates/tansylead-daemon/src/root/handle.rs
+++ b/crates/tansylead-daemon/src/root/handle.rs
@@ -16,8 +16,8 @@
 pub struct RootAnswer {
     /// The answer.
     pub answer: QueryAnswer,
-    /// What the root could still take.
-    pub report: RootReport,
+    /// What the root could still take; none if the root itself was not asked.
+    pub report: Option<RootReport>,
 }
 
 /// What a root is to serve.
--- a/crates/tansylead-daemon/src/state.rs
+++ b/crates/tansylead-daemon/src/state.rs
@@ -128,6 +128,13 @@
         true
     }
 
+    /// Whether other daemons run that are not leaving.
+    pub fn has_peers(&self) -> bool {
+        let members = self.parts.members.borrow();
+        let own_node = self.parts.routes.own_node();
+        members.live.iter().any(|member| member.node() != own_node)
+    }
+
     /// Waits until another run of a daemon holds this daemon's address.
     pub async fn replaced(&self) {
         let mut status = self.parts.cluster_status.clone();
@@ -174,6 +181,9 @@
             revision: view.revision(),
             table_generation: view.generation(&ObjectKey::Table),
             claim_view_epoch: view.claim_view().map(|claim_view| claim_view.epoch),
+            claim_view_members: view
+                .claim_view()
+                .map_or(0, |claim_view| claim_view.members.len()),
             services,
         }
     }
--- a/crates/tansylead-daemon/src/status.rs
+++ b/crates/tansylead-daemon/src/status.rs
@@ -31,6 +31,8 @@
     pub table_generation: u64,
     /// Epoch of the claim view in force, if there is one.
     pub claim_view_epoch: Option<u64>,
+    /// Members of that view.
+    pub claim_view_members: usize,
     /// Services.
     pub services: BTreeMap<ServiceName, ServiceStatus>,
 }
--- a/crates/tansylead-daemon/src/tuning.rs
+++ b/crates/tansylead-daemon/src/tuning.rs
@@ -44,6 +44,8 @@
     /// During a planned stop, this daemon stays root for this long while peers learn of it; less
     /// than [`ShareTiming::longest_view_lag`].
     pub drain_root_hold: Duration,
+    /// During a planned stop, others are given this long to take over this daemon's claims.
+    pub claim_handover_limit: Duration,
     /// When to come back, if the engine does not say.
     pub default_retry_after: Duration,
     /// Least and most time a caller may take to send its headers.
@@ -70,6 +72,7 @@
             drain_idle: Duration::from_secs(2),
             drain_minimum: Duration::from_secs(1),
             drain_root_hold: Duration::from_secs(3),
+            claim_handover_limit: Duration::from_secs(15),
             default_retry_after: Duration::from_millis(500),
             header_read_limit: Duration::from_secs(30),
         }
--- a/crates/tansylead-daemon/tests/leaf_attempts.rs
+++ b/crates/tansylead-daemon/tests/leaf_attempts.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::leaf::{ScriptedLeaf, Step};
+use tansylead_cluster::claims::ClaimSettings;
 use tansylead_daemon::clock::Clock;
 use tansylead_daemon::leaf::attempt::{AttemptEnd, LeafTarget, QueryContext, run_attempt};
 use tansylead_daemon::leaf::connection::LeafConnection;
@@ -51,6 +52,7 @@
         connect_limit: PATIENCE,
         maximum_answer_bytes: 1_000,
         clock: Clock,
+        claim_settings: Arc::new(ClaimSettings::default()),
     }
 }
 
--- a/crates/tansylead-daemon/tests/support/daemon.rs
+++ b/crates/tansylead-daemon/tests/support/daemon.rs
@@ -40,6 +40,7 @@
     Tuning {
         drain_idle: Duration::from_millis(100),
         drain_minimum: Duration::from_millis(100),
+        claim_handover_limit: Duration::from_millis(200),
         drain_root_hold: Duration::from_millis(50),
         share_timing: ShareTiming {
             lease: Duration::from_millis(50),
