--- a/crates/tansylead-daemon/src/root/actor.rs
+++ b/crates/tansylead-daemon/src/root/actor.rs
@@ -93,7 +93,7 @@
         context.tuning.admission_burst,
     );
     let root_name = format!("{}/{}", identity.instance.node, identity.instance.boot);
-    let mut engine = RootEngine::new(identity.seed);
+    let mut engine = RootEngine::with_tuning(identity.seed, context.tuning.engine.clone());
     engine.set_root_name(root_name.clone());
     let root = Root {
         engine,
--- a/crates/tansylead-daemon/src/tuning.rs
+++ b/crates/tansylead-daemon/src/tuning.rs
@@ -5,10 +5,13 @@
 use tansylead_cluster::membership::MembershipSettings;
 use tansylead_cluster::routing::ShareTiming;
 use tansylead_cluster::spread::SpreadSettings;
+use tansylead_query::EngineTuning;
 
 /// Internal limits with defaults for production.
 #[derive(Debug, Clone)]
 pub struct Tuning {
+    /// Mechanisms and sizes of the engines; varied only by experiments.
+    pub engine: EngineTuning,
     /// Idle connections to each leaf that a root tries to keep open.
     pub warm_connections_per_leaf: usize,
     /// Time allowed for connecting to a leaf.
@@ -55,6 +58,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
+            engine: EngineTuning::default(),
             warm_connections_per_leaf: 2,
             leaf_connect_limit: Duration::from_millis(250),
             maximum_leaf_answer_bytes: 4 * 1024 * 1024,
--- a/crates/tansylead-lab/src/experiment/file.rs
+++ b/crates/tansylead-lab/src/experiment/file.rs
@@ -2,6 +2,7 @@
 //!
 //! Unknown keys are refused, and errors name the file and the value at fault.
 
+use crate::process::daemon_command::{BASELINE_VARIANT, PRODUCT_VARIANT};
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -194,8 +195,8 @@
     /// The word used on command lines and in reports.
     pub fn name(self) -> &'static str {
         match self {
-            Variant::Product => "product",
-            Variant::Baseline => "baseline",
+            Variant::Product => PRODUCT_VARIANT,
+            Variant::Baseline => BASELINE_VARIANT,
         }
     }
 }
--- a/crates/tansylead-lab/src/process/daemon_command.rs
+++ b/crates/tansylead-lab/src/process/daemon_command.rs
@@ -1,16 +1,24 @@
 //! The `daemon` subcommand: the same daemon as `tansylead serve`, in the lab's program, so that the
-//! lab's tests need no other program to be built.
+//! lab's tests need no other program to be built. Experiments run it as a variant of the product;
+//! the product itself has no setting for that.
 
 use crate::standin;
 use clap::{Arg, ArgMatches, Command};
 use eyre::WrapErr;
 use std::path::PathBuf;
 use tansylead_daemon::{DrainResult, SettingsOverrides, StopRequests, Tuning, load_settings};
+use tansylead_query::EngineTuning;
 use tansylead_types::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+/// The variant that is the product as it ships.
+pub const PRODUCT_VARIANT: &str = "product";
+/// The variant with random replica choice and a deadline, and without hedges, retries and
+/// ejection.
+pub const BASELINE_VARIANT: &str = "baseline";
+
 /// Describes the subcommand.
 pub fn command() -> Command {
     Command::new("daemon")
@@ -23,6 +31,14 @@
                 .value_parser(clap::value_parser!(PathBuf))
                 .help("Settings file (TOML)"),
         )
+        .arg(
+            Arg::new("variant")
+                .long("variant")
+                .value_name("NAME")
+                .value_parser([PRODUCT_VARIANT, BASELINE_VARIANT])
+                .default_value(PRODUCT_VARIANT)
+                .help("Which mechanisms the engine uses"),
+        )
         .arg(standin::exit_with_parent_argument())
 }
 
@@ -32,6 +48,7 @@
         .get_one::<PathBuf>("config")
         .ok_or_else(|| eyre::eyre!("--config has no value"))?;
     let settings = load_settings(Some(file), &SettingsOverrides::default())?;
+    let tuning = tuning(matches);
     let parent_gone = CancellationToken::new();
     if matches.get_flag("exit-with-parent") {
         standin::watch_standard_input(parent_gone.clone());
@@ -43,17 +60,26 @@
         .wrap_err("start the runtime")?;
     runtime.block_on(async {
         tokio::select! {
-            result = serve(settings) => result,
+            result = serve(settings, tuning) => result,
             () = parent_gone.cancelled() => Ok(()),
         }
     })
 }
 
-async fn serve(settings: Settings) -> eyre::Result<()> {
+fn tuning(matches: &ArgMatches) -> Tuning {
+    let variant = matches.get_one::<String>("variant");
+    let mut tuning = Tuning::default();
+    if variant.is_some_and(|variant| variant == BASELINE_VARIANT) {
+        tuning.engine = EngineTuning::baseline();
+    }
+    tuning
+}
+
+async fn serve(settings: Settings, tuning: Tuning) -> eyre::Result<()> {
     let (sender, stop) = StopRequests::channel();
     forward_signal(SignalKind::terminate(), sender.clone())?;
     forward_signal(SignalKind::interrupt(), sender)?;
-    match tansylead_daemon::run(settings, Tuning::default(), stop).await? {
+    match tansylead_daemon::run(settings, tuning, stop).await? {
         DrainResult::Clean => Ok(()),
         DrainResult::Cut { open_queries } => eyre::bail!("{open_queries} queries were cut"),
     }
