--- a/crates/tansylead-cli/src/status_command.rs
+++ b/crates/tansylead-cli/src/status_command.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tabled::settings::Style;
 use tabled::{Table, Tabled};
+use tansylead_daemon::root::CoverageCounts;
 use tansylead_daemon::status::{DaemonStatus, PlaceStatus};
 use tansylead_types::{PlaceName, ServiceName};
 
@@ -88,9 +89,14 @@
     snapshots: String,
     #[tabled(rename = "serving set")]
     serving_set: String,
-    leafs: String,
+    leafs: usize,
+    #[tabled(rename = "coverage %")]
+    coverage: String,
+    #[tabled(rename = "q/s")]
+    admitted: String,
     draining: String,
     unreachable: String,
+    ejected: String,
 }
 
 impl ServiceLine {
@@ -104,9 +110,12 @@
             limit: optional(status.limit),
             snapshots: root.map_or(NONE.to_owned(), |root| joined(&root.snapshots)),
             serving_set: joined(&status.serving_set),
-            leafs: optional(root.map(|root| root.leafs)),
+            leafs: status.leafs,
+            coverage: root.map_or(NONE.to_owned(), |root| coverage_percent(&root.coverage)),
+            admitted: root.map_or(NONE.to_owned(), |root| format!("{:.1}", root.admitted_rate)),
             draining: root.map_or(NONE.to_owned(), |root| joined(&root.draining)),
             unreachable: root.map_or(NONE.to_owned(), |root| joined(&root.unreachable)),
+            ejected: root.map_or(NONE.to_owned(), |root| joined(&root.ejected)),
         }
     }
 }
@@ -121,9 +130,16 @@
         status.peer_address, status.cluster, status.place, status.zone, status.version
     );
     println!(
-        "configuration: store revision {}, table generation {}",
-        status.revision, status.table_generation
+        "configuration: store revision {}, table generation {}; store {}",
+        status.revision, status.table_generation, status.store
     );
+    println!(
+        "cluster: {} members; claim view {} with {} members",
+        status.members,
+        optional(status.claim_view_epoch),
+        status.claim_view_members
+    );
+    println!("A `-` in the last six columns: this daemon is not a root there.");
     let lines = status.services.iter().flat_map(|(service, state)| {
         let places = state.places.iter();
         places.map(move |(place, state)| ServiceLine::new(service, place, state))
@@ -133,6 +149,15 @@
     println!("{table}");
 }
 
+/// Shards answered, of those addressed by complete and partial answers since the start.
+fn coverage_percent(counts: &CoverageCounts) -> String {
+    if counts.shards_total == 0 {
+        return NONE.to_owned();
+    }
+    let share = counts.shards_answered as f64 / counts.shards_total as f64;
+    format!("{:.3}", share * 100.0)
+}
+
 fn optional(value: Option<impl ToString>) -> String {
     value.map_or(NONE.to_owned(), |value| value.to_string())
 }
--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -11,7 +11,7 @@
 use crate::http::{CallerServer, Router, ServerLimits};
 use crate::metrics::Metrics;
 use crate::peer_service::PeerService;
-use crate::peers::{self, Hello, PEER_PROTOCOL_VERSION, PeerClient, PeerServer};
+use crate::peers::{self, Hello, PEER_PROTOCOL_VERSION, PeerClient, PeerServer, TrafficCounters};
 use crate::platform::{MachineListClient, StoreClient};
 use crate::root::{RootContext, RootDirectory, RootSupervisor, SupervisorParts};
 use crate::root_service::RootService;
@@ -171,11 +171,13 @@
             from: instance,
         };
         let claim_settings = ClaimSettings::from_timing(&settings.timing);
-        let peers = PeerClient::new(hello.clone(), tuning.peer_client.clone());
+        let metrics = Arc::new(Metrics::new().wrap_err("register metrics")?);
+        let traffic = TrafficCounters::new(&metrics);
+        let peers = PeerClient::new(hello.clone(), tuning.peer_client.clone(), traffic);
         Ok(Self {
             settings,
             tuning: Arc::new(tuning),
-            metrics: Arc::new(Metrics::new().wrap_err("register metrics")?),
+            metrics,
             instance,
             hello,
             peers: Arc::new(peers),
@@ -255,7 +257,9 @@
 
     fn peer_server(&self, listener: TcpListener, service: PeerService) -> PeerServer<PeerService> {
         let limits = self.tuning.peer_server.clone();
-        PeerServer::new(listener, self.hello.clone(), limits, Arc::new(service))
+        let traffic = TrafficCounters::new(&self.metrics);
+        let hello = self.hello.clone();
+        PeerServer::new(listener, hello, limits, Arc::new(service), traffic)
     }
 
     fn claims(&self, channels: &Channels) -> Arc<Claims> {
--- a/crates/tansylead-daemon/src/metrics.rs
+++ b/crates/tansylead-daemon/src/metrics.rs
@@ -43,6 +43,8 @@
     pub store_reads: IntCounterVec,
     /// Bytes between daemons for control, by kind and direction.
     pub control_bytes: IntCounterVec,
+    /// Bytes of forwarded queries and their answers, by direction.
+    pub forward_bytes: IntCounterVec,
     /// Gossip packets dropped, by reason.
     pub gossip_packets_dropped: IntCounterVec,
     /// Running members as this daemon sees them.
@@ -131,6 +133,11 @@
                 "Bytes between daemons for control",
                 &["kind", "direction"],
             )?,
+            forward_bytes: builder.counters(
+                "tansylead_forward_bytes_total",
+                "Bytes of forwarded queries and their answers",
+                &["direction"],
+            )?,
             gossip_packets_dropped: builder.counters(
                 "tansylead_gossip_packets_dropped_total",
                 "Gossip packets dropped",
--- a/crates/tansylead-daemon/src/peers/client.rs
+++ b/crates/tansylead-daemon/src/peers/client.rs
@@ -3,6 +3,7 @@
 use super::link::{Call, LinkCommand, LinkLimits, run_link};
 pub use super::link::{CallError, ForwardAllowance};
 use super::message::{Hello, PeerNotice, PeerRequest, PeerResponse, RequestNumber};
+use super::traffic::TrafficCounters;
 use crate::clock::Clock;
 use parking_lot::Mutex;
 use std::collections::HashMap;
@@ -39,16 +40,18 @@
 pub struct PeerClient {
     hello: Arc<Hello>,
     limits: PeerClientLimits,
+    traffic: TrafficCounters,
     links: Mutex<HashMap<NodeId, mpsc::Sender<LinkCommand>>>,
     next_number: AtomicU64,
 }
 
 impl PeerClient {
     /// A client that introduces itself with `hello`.
-    pub fn new(hello: Hello, limits: PeerClientLimits) -> Self {
+    pub fn new(hello: Hello, limits: PeerClientLimits, traffic: TrafficCounters) -> Self {
         Self {
             hello: Arc::new(hello),
             limits,
+            traffic,
             links: Mutex::new(HashMap::new()),
             next_number: AtomicU64::new(1),
         }
@@ -141,7 +144,8 @@
             connect: self.limits.connect,
             idle: self.limits.idle,
         };
-        tokio::spawn(run_link(peer, Arc::clone(&self.hello), limits, commands));
+        let (hello, traffic) = (Arc::clone(&self.hello), self.traffic.clone());
+        tokio::spawn(run_link(peer, hello, limits, traffic, commands));
         sender
     }
 
--- a/crates/tansylead-daemon/src/peers/link.rs
+++ b/crates/tansylead-daemon/src/peers/link.rs
@@ -5,6 +5,7 @@
     ClientFrame, Hello, HelloReply, PeerNotice, PeerRequest, PeerResponse, RequestNumber,
     ServerFrame,
 };
+use super::traffic::{TrafficCounters, is_answer, is_query};
 use crate::clock::Clock;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
@@ -81,6 +82,7 @@
     peer: NodeId,
     hello: Arc<Hello>,
     limits: LinkLimits,
+    traffic: TrafficCounters,
     mut commands: mpsc::Receiver<LinkCommand>,
 ) {
     let connecting = tokio::time::timeout(limits.connect, connect(peer, &hello));
@@ -92,7 +94,7 @@
         }
     };
     let error = match connected {
-        Ok(stream) => serve(peer, stream, &limits, &mut commands).await,
+        Ok(stream) => serve(peer, stream, &limits, &mut commands, &traffic).await,
         Err(error) => error,
     };
     refuse_waiting(&mut commands, &error);
@@ -143,11 +145,12 @@
     stream: FramedStream,
     limits: &LinkLimits,
     commands: &mut mpsc::Receiver<LinkCommand>,
+    traffic: &TrafficCounters,
 ) -> StepError {
     let pending = Pending::default();
     let (sink, source) = stream.split();
-    let reading = read_responses(peer, source, Arc::clone(&pending));
-    let writing = write_commands(peer, sink, limits, commands, &pending);
+    let reading = read_responses(peer, source, Arc::clone(&pending), traffic);
+    let writing = write_commands(peer, sink, limits, commands, &pending, traffic);
     let error = tokio::select! {
         error = reading => error,
         error = writing => error,
@@ -158,7 +161,12 @@
     error
 }
 
-async fn read_responses(peer: NodeId, mut source: FrameSource, pending: Pending) -> StepError {
+async fn read_responses(
+    peer: NodeId,
+    mut source: FrameSource,
+    pending: Pending,
+    traffic: &TrafficCounters,
+) -> StepError {
     const STEP: &str = "read from peer";
     loop {
         let bytes = match source.next().await {
@@ -169,6 +177,7 @@
         match decode_message::<ServerFrame>(&bytes) {
             Err(cause) => return StepError::new(STEP, peer, cause),
             Ok(frame) => {
+                traffic.received(is_answer(&frame.response), bytes.len());
                 // An unknown number is the response to a cancelled request.
                 if let Some(reply) = pending.lock().remove(&frame.number) {
                     let _ = reply.send(Ok(frame.response));
@@ -184,6 +193,7 @@
     limits: &LinkLimits,
     commands: &mut mpsc::Receiver<LinkCommand>,
     pending: &Pending,
+    traffic: &TrafficCounters,
 ) -> StepError {
     const STEP: &str = "write to peer";
     loop {
@@ -197,7 +207,7 @@
         };
         let mut next = Some(command);
         while let Some(command) = next {
-            if let Err(cause) = feed(&mut sink, command, pending).await {
+            if let Err(cause) = feed(&mut sink, command, pending, traffic).await {
                 return StepError::new(STEP, peer, cause);
             }
             next = commands.try_recv().ok();
@@ -214,6 +224,7 @@
     sink: &mut FrameSink,
     command: LinkCommand,
     pending: &Pending,
+    traffic: &TrafficCounters,
 ) -> Result<(), std::io::Error> {
     let frame = match command {
         LinkCommand::Call(call) => match prepare(*call, pending) {
@@ -229,6 +240,7 @@
         LinkCommand::Notify(notice) => ClientFrame::Notice(notice),
     };
     let bytes = encode_message(&frame).map_err(std::io::Error::other)?;
+    traffic.sent(is_query(&frame), bytes.len());
     sink.feed(bytes).await
 }
 
--- a/crates/tansylead-daemon/src/peers/mod.rs
+++ b/crates/tansylead-daemon/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod link;
 mod message;
 mod server;
+mod traffic;
 
 pub use client::{CallError, ForwardAllowance, PeerClient, PeerClientLimits};
 pub use codec::{FrameError, decode_message, encode_message};
@@ -19,3 +20,4 @@
 };
 pub(crate) use server::bind;
 pub use server::{PeerHandler, PeerServer, PeerServerLimits};
+pub use traffic::TrafficCounters;
--- a/crates/tansylead-daemon/src/peers/server.rs
+++ b/crates/tansylead-daemon/src/peers/server.rs
@@ -5,6 +5,7 @@
     ClientFrame, Hello, HelloReply, PEER_PROTOCOL_VERSION, PeerNotice, PeerRequest, PeerResponse,
     RequestNumber, ServerFrame,
 };
+use super::traffic::{TrafficCounters, is_answer, is_query};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use std::collections::HashMap;
@@ -59,6 +60,7 @@
     local: Hello,
     limits: PeerServerLimits,
     handler: Arc<H>,
+    traffic: TrafficCounters,
 }
 
 impl<H: PeerHandler> PeerServer<H> {
@@ -68,12 +70,14 @@
         local: Hello,
         limits: PeerServerLimits,
         handler: Arc<H>,
+        traffic: TrafficCounters,
     ) -> Self {
         Self {
             listener,
             local,
             limits,
             handler,
+            traffic,
         }
     }
 
@@ -86,7 +90,8 @@
                     Ok((stream, _)) => {
                         let limits = self.limits.clone();
                         let handler = Arc::clone(&self.handler);
-                        connections.spawn(serve(stream, self.local.clone(), limits, handler));
+                        let (local, traffic) = (self.local.clone(), self.traffic.clone());
+                        connections.spawn(serve(stream, local, limits, handler, traffic));
                     }
                     Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 },
@@ -102,6 +107,7 @@
     local: Hello,
     limits: PeerServerLimits,
     handler: Arc<H>,
+    traffic: TrafficCounters,
 ) {
     let _ = stream.set_nodelay(true);
     let framed = Framed::new(stream, hello_codec());
@@ -116,12 +122,13 @@
         limits,
         handler,
         responses,
+        traffic: traffic.clone(),
         in_progress: HashMap::new(),
         tasks: JoinSet::new(),
     };
     tokio::select! {
         () = connection.read(source) => {}
-        () = write_responses(sink, queue) => {}
+        () = write_responses(sink, queue, traffic) => {}
     }
 }
 
@@ -175,6 +182,7 @@
 async fn write_responses(
     mut sink: SplitSink<FramedStream, bytes::Bytes>,
     mut queue: mpsc::UnboundedReceiver<ServerFrame>,
+    traffic: TrafficCounters,
 ) {
     while let Some(frame) = queue.recv().await {
         let mut next = Some(frame);
@@ -182,6 +190,7 @@
             let Ok(bytes) = encode_message(&frame) else {
                 return;
             };
+            traffic.sent(is_answer(&frame.response), bytes.len());
             if sink.feed(bytes).await.is_err() {
                 return;
             }
@@ -199,6 +208,7 @@
     limits: PeerServerLimits,
     handler: Arc<H>,
     responses: mpsc::UnboundedSender<ServerFrame>,
+    traffic: TrafficCounters,
     in_progress: HashMap<RequestNumber, AbortHandle>,
     tasks: JoinSet<RequestNumber>,
 }
@@ -214,6 +224,7 @@
                     let Ok(frame) = decode_message(&bytes) else {
                         return;
                     };
+                    self.traffic.received(is_query(&frame), bytes.len());
                     self.on_frame(frame);
                 }
                 Some(ended) = self.tasks.join_next() => {
--- a/crates/tansylead-daemon/src/root/actor.rs
+++ b/crates/tansylead-daemon/src/root/actor.rs
@@ -22,7 +22,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tansylead_cluster::claims::ClaimSettings;
-use tansylead_query::{LeafStatus, RootAction, RootEngine, RootEvent, SendAttempt, StartQuery};
+use tansylead_query::{
+    AttemptResult, LeafStatus, RootAction, RootEngine, RootEvent, SendAttempt, StartQuery,
+};
 use tansylead_types::{AttemptId, InstanceId, LeafId, Moment, Outcome, QueryAnswer, QueryId};
 use tokio::sync::{mpsc, oneshot};
 
@@ -249,6 +251,9 @@
             .engine
             .configure(now, &configuration.definition, placement);
         self.perform(actions);
+        let roots = u32::try_from(set.distinct_roots().len()).unwrap_or(u32::MAX);
+        let actions = self.engine.set_leaf_share(now, roots.max(1));
+        self.perform(actions);
     }
 
     fn status(&mut self) -> RootStatus {
@@ -272,7 +277,7 @@
             leaf_connections: self.leafs.open_connections(),
             connections_per_leaf: self.connections_per_leaf,
             usable_rate: report.usable_rate,
-            admitted_rate: report.admitted_rate,
+            admitted_rate: self.shares.admitted_rate(now),
             coverage: self.coverage,
             share_in_force: self.shares.is_full(now),
         }
@@ -289,11 +294,18 @@
             } => {
                 self.metrics.count_end(&end.result);
                 self.queries.attempt_over(query, attempt);
-                if let (Some(connection), Some(state)) = (end.connection, self.leafs.get_mut(&leaf))
-                {
-                    state.pool.give_back(connection);
+                if let Some(state) = self.leafs.get_mut(&leaf) {
+                    if matches!(
+                        end.result,
+                        AttemptResult::Answered(_) | AttemptResult::Refused(_)
+                    ) {
+                        state.last_heard = self.clock.now();
+                    }
+                    if let Some(connection) = end.connection {
+                        state.pool.give_back(connection);
+                    }
                 }
-                if let tansylead_query::AttemptResult::Answered(_) = end.result {
+                if let AttemptResult::Answered(_) = end.result {
                     let elapsed = self.clock.now().since(started);
                     self.metrics.attempt_seconds.observe(elapsed.as_secs_f64());
                 }
@@ -405,7 +417,11 @@
             }
             let jitter = self.random.random_range(0.0..POLL_JITTER_SHARE);
             state.next_poll = now + period.mul_f64(1.0 - jitter);
+            if state.may_skip_poll(now, period) {
+                continue;
+            }
             state.polling = true;
+            state.last_poll = now;
             let target = leaf_target(&state.pool, &self.context);
             for permit in state.pool.permits_to_warm(tuning.warm_connections_per_leaf) {
                 let (leaf, completions) = (name.clone(), self.completions.clone());
--- a/crates/tansylead-daemon/src/root/leafs.rs
+++ b/crates/tansylead-daemon/src/root/leafs.rs
@@ -2,16 +2,33 @@
 
 use crate::leaf::pool::LeafPool;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use tansylead_types::{LeafDescriptor, LeafId, Moment};
 
+/// A leaf that answers queries is polled at least once in this many periods.
+const POLLS_SKIPPED_AT_MOST: u32 = 5;
+
 /// One leaf of a root.
 #[derive(Debug)]
 pub(super) struct RootLeaf {
     pub(super) pool: LeafPool,
     pub(super) next_poll: Moment,
+    /// When a poll was last begun.
+    pub(super) last_poll: Moment,
+    /// When the leaf last answered or refused an attempt.
+    pub(super) last_heard: Moment,
     pub(super) polling: bool,
 }
 
+impl RootLeaf {
+    /// Whether a poll would tell little: the leaf has just shown its state in-band, and the last
+    /// poll, which also tells the snapshots it holds, is not long ago.
+    pub(super) fn may_skip_poll(&self, now: Moment, period: Duration) -> bool {
+        let heard = now.since(self.last_heard) < period;
+        heard && now.since(self.last_poll) < period * POLLS_SKIPPED_AT_MOST
+    }
+}
+
 /// All leafs of a root.
 #[derive(Debug, Default)]
 pub(super) struct RootLeafs {
@@ -34,6 +51,8 @@
             let leaf = kept.unwrap_or_else(|| RootLeaf {
                 pool: LeafPool::new(descriptor.address, capacity),
                 next_poll: now,
+                last_poll: Moment::default(),
+                last_heard: Moment::default(),
                 polling: false,
             });
             self.leafs.insert(descriptor.leaf.clone(), leaf);
--- a/crates/tansylead-daemon/src/root/shares.rs
+++ b/crates/tansylead-daemon/src/root/shares.rs
@@ -11,6 +11,9 @@
 use tansylead_query::RateShare;
 use tansylead_types::{InstanceId, Moment, NodeId};
 
+/// Share of its usable rate that a root reports as room at least.
+const LEAST_ROOM_SHARE: f64 = 0.02;
+
 /// The share of one root.
 #[derive(Debug)]
 pub(super) struct RootShares {
@@ -87,14 +90,23 @@
         Some(share)
     }
 
-    /// What frontends are told.
+    /// What frontends are told. A root at its share reports a little room: the token bucket, not
+    /// the averages of the report, decides what it refuses, and its refusals say for how long.
+    /// Otherwise a root that is just full would be left alone for the lifetime of the report.
     pub(super) fn report(&mut self, now: Moment) -> RootReport {
+        let usable_rate = self.shares.usable_rate(now);
+        let admitted_rate = self.admissions.per_second(now);
         RootReport {
-            admitted_rate: self.admissions.per_second(now),
-            usable_rate: self.shares.usable_rate(now),
+            admitted_rate: admitted_rate.min(usable_rate * (1.0 - LEAST_ROOM_SHARE)),
+            usable_rate,
         }
     }
 
+    /// Queries per second admitted recently.
+    pub(super) fn admitted_rate(&mut self, now: Moment) -> f64 {
+        self.admissions.per_second(now)
+    }
+
     /// Whether the whole base share may be used.
     pub(super) fn is_full(&self, now: Moment) -> bool {
         self.shares.full_at() <= now
