--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -231,6 +231,7 @@
             header_read: self.tuning.header_read_limit,
             drain_idle: self.tuning.drain_idle,
             drain_minimum: self.tuning.drain_minimum,
+            drain_accept: self.tuning.drain_accept,
         };
         let address = self.settings.caller_address;
         let server = CallerServer::bind(address, router, Arc::clone(state), limits).await?;
--- a/crates/tansylead-daemon/src/daemon.rs
+++ b/crates/tansylead-daemon/src/daemon.rs
@@ -115,7 +115,10 @@
             Some(cause) => {
                 let open_queries = self.state.queries_in_progress();
                 log::warn!("planned stop: {cause} with {open_queries} queries open");
-                DrainResult::Cut { open_queries }
+                match open_queries {
+                    0 => DrainResult::Clean,
+                    _ => DrainResult::Cut { open_queries },
+                }
             }
         };
         let _ = tokio::time::timeout(GOODBYE_LIMIT, self.cluster.exit()).await;
--- a/crates/tansylead-daemon/src/http/error.rs
+++ b/crates/tansylead-daemon/src/http/error.rs
@@ -107,6 +107,12 @@
         /// What is wrong with it.
         cause: String,
     },
+    /// This daemon has been stopping for long and refuses callers that still come.
+    #[error("this daemon is stopping; ask another one")]
+    Stopping {
+        /// When to come back, to whatever runs here then.
+        retry_after: Duration,
+    },
     /// Something that should not happen, after the query may have begun.
     #[error("{cause}")]
     Internal {
@@ -152,6 +158,7 @@
             ApiError::ExpiresTooLate { .. } => "expires_too_late",
             ApiError::Expired { .. } => "expired",
             ApiError::NotConfigured { .. } => "not_configured",
+            ApiError::Stopping { .. } => "stopping",
             ApiError::MalformedParameter { .. } => "malformed_parameter",
             ApiError::Internal { .. } => "internal",
         }
@@ -164,7 +171,9 @@
             ApiError::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
             ApiError::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             ApiError::Expired { .. } => StatusCode::GONE,
-            ApiError::NotConfigured { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            ApiError::NotConfigured { .. } | ApiError::Stopping { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             ApiError::Internal { .. } => StatusCode::INTERNAL_SERVER_ERROR,
             _ => StatusCode::BAD_REQUEST,
         }
@@ -179,7 +188,9 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            ApiError::NotConfigured { retry_after } => Some(*retry_after),
+            ApiError::NotConfigured { retry_after } | ApiError::Stopping { retry_after } => {
+                Some(*retry_after)
+            }
             _ => None,
         }
     }
--- a/crates/tansylead-daemon/src/http/router.rs
+++ b/crates/tansylead-daemon/src/http/router.rs
@@ -15,12 +15,15 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use std::sync::Arc;
+use std::time::Duration;
 use tansylead_types::in_force::IN_FORCE_PATH;
 use tansylead_types::settings::TimingSettings;
 use tansylead_types::{Moment, QueryAnswer, ServiceDefinition, ServiceName};
 
 const QUERY_PATH_PREFIX: &str = "/v1/services/";
 const QUERY_PATH_SUFFIX: &str = "/query";
+/// Told to callers that come long into a planned stop; longer than the quiet that ends the stop.
+const RETRY_AFTER_STOPPING: Duration = Duration::from_secs(5);
 
 /// Answers the requests of one daemon's callers.
 #[derive(Debug)]
@@ -129,6 +132,11 @@
         request: Request<Incoming>,
         arrived: Moment,
     ) -> Result<Response<Full<Bytes>>, ApiError> {
+        if self.state.is_refusing() {
+            return Err(ApiError::Stopping {
+                retry_after: RETRY_AFTER_STOPPING,
+            });
+        }
         let definition = self.definition(service)?;
         let now = self.clock.wall();
         let headers = QueryHeaders::read(request.headers(), &definition, &self.timing, now)?;
--- a/crates/tansylead-daemon/src/http/server.rs
+++ b/crates/tansylead-daemon/src/http/server.rs
@@ -29,6 +29,8 @@
     pub drain_idle: Duration,
     /// During a planned stop, connections are accepted for at least this long.
     pub drain_minimum: Duration,
+    /// During a planned stop, queries that still come after this long are refused.
+    pub drain_accept: Duration,
 }
 
 /// The listener and all callers' connections.
@@ -83,7 +85,8 @@
     }
 
     /// Goes on accepting and serving, each answer with `Connection: close`, until nothing has
-    /// arrived for a while and nothing is open.
+    /// arrived for a while and nothing is open. Callers that come on and on are at last refused,
+    /// with a time to come back, so that there is a quiet moment in which nothing is cut.
     async fn drain(self) {
         let started = self.clock.now();
         loop {
@@ -91,6 +94,9 @@
                 accepted = self.listener.accept() => self.on_accept(accepted).await,
                 () = tokio::time::sleep(DRAIN_CHECK_PERIOD) => {}
             }
+            if self.clock.now().since(started) >= self.limits.drain_accept {
+                self.state.set_refusing();
+            }
             if self.is_quiet(started) {
                 break;
             }
--- a/crates/tansylead-daemon/src/root/supervisor.rs
+++ b/crates/tansylead-daemon/src/root/supervisor.rs
@@ -123,8 +123,14 @@
 
     fn reconcile(&mut self, view: &ConfigurationView, members: &MemberView) {
         let wanted = self.wanted(view, members);
+        let leaving = self.drain_began.is_some();
+        let routes = &self.routes;
         self.supervised.retain(|key, _| {
-            let keep = wanted.contains_key(key);
+            // During a planned stop of the last root, it serves to the end.
+            let is_last = routes
+                .get(key)
+                .is_some_and(|known| known.set.roots.is_empty());
+            let keep = wanted.contains_key(key) || (leaving && is_last);
             if !keep {
                 log::info!("root for {} in {}: ended", key.service, key.place);
             }
--- a/crates/tansylead-daemon/src/state.rs
+++ b/crates/tansylead-daemon/src/state.rs
@@ -41,6 +41,7 @@
 pub struct DaemonState {
     parts: StateParts,
     draining: AtomicBool,
+    refusing: AtomicBool,
     shares_were_in_force: AtomicBool,
     clock: Clock,
 }
@@ -51,6 +52,7 @@
         Self {
             parts,
             draining: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             shares_were_in_force: AtomicBool::new(false),
             clock: Clock,
         }
@@ -77,6 +79,16 @@
         self.metrics().draining.set(1);
     }
 
+    /// Whether queries of callers that still come, long into a planned stop, are refused.
+    pub fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Acquire)
+    }
+
+    /// Refuses queries of callers from now on.
+    pub fn set_refusing(&self) {
+        self.refusing.store(true, Ordering::Release);
+    }
+
     /// Counts a query as in progress until the guard is dropped.
     pub fn query_started(&self) -> InProgress {
         InProgress::new(&self.metrics().queries_in_progress)
--- a/crates/tansylead-daemon/src/tuning.rs
+++ b/crates/tansylead-daemon/src/tuning.rs
@@ -44,6 +44,8 @@
     pub drain_idle: Duration,
     /// During a planned stop, new connections are accepted for at least this long.
     pub drain_minimum: Duration,
+    /// During a planned stop, queries of callers that still come after this long are refused.
+    pub drain_accept: Duration,
     /// During a planned stop, this daemon stays root for this long while peers learn of it; less
     /// than [`ShareTiming::longest_view_lag`].
     pub drain_root_hold: Duration,
@@ -75,6 +77,7 @@
             maximum_waiting_commands: 4_096,
             drain_idle: Duration::from_secs(2),
             drain_minimum: Duration::from_secs(1),
+            drain_accept: Duration::from_secs(10),
             drain_root_hold: Duration::from_secs(3),
             claim_handover_limit: Duration::from_secs(15),
             default_retry_after: Duration::from_millis(500),
--- a/crates/tansylead-daemon/tests/support/daemon.rs
+++ b/crates/tansylead-daemon/tests/support/daemon.rs
@@ -39,6 +39,7 @@
 pub fn tuning() -> Tuning {
     Tuning {
         drain_idle: Duration::from_millis(100),
+        drain_accept: Duration::from_millis(500),
         drain_minimum: Duration::from_millis(100),
         claim_handover_limit: Duration::from_millis(200),
         drain_root_hold: Duration::from_millis(50),
