--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -28,8 +28,8 @@
 use tansylead_types::{InstanceId, NodeId, Settings, StepError};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::AbortOnDropHandle;
 
 /// A daemon put together, its server for callers not yet running.
 #[derive(Debug)]
@@ -40,7 +40,7 @@
     pub(crate) drain: CancellationToken,
     pub(crate) server: CallerServer,
     pub(crate) peer_address: SocketAddr,
-    pub(crate) tasks: Vec<AbortOnDropHandle<()>>,
+    pub(crate) tasks: JoinSet<()>,
 }
 
 /// The sockets at the peer address.
@@ -106,14 +106,15 @@
     let cluster = channels.cluster.clone();
     let caller_address = server.local_address()?;
     let driver = base.cluster_driver(&channels, sockets.datagrams, caller_address);
-    let mut tasks = vec![
-        spawn(driver.run(channels.inputs)),
-        spawn(supervisor.run(configuration, members)),
-        spawn(peer_server.run()),
-        spawn(run_claim_member(Arc::clone(&claims), claim_configuration)),
-        spawn(run_claim_planner(planner)),
-    ];
-    tasks.extend(machine_list.map(|reader| spawn(reader.run())));
+    let mut tasks = JoinSet::new();
+    tasks.spawn(driver.run(channels.inputs));
+    tasks.spawn(supervisor.run(configuration, members));
+    tasks.spawn(peer_server.run());
+    tasks.spawn(run_claim_member(Arc::clone(&claims), claim_configuration));
+    tasks.spawn(run_claim_planner(planner));
+    if let Some(reader) = machine_list {
+        tasks.spawn(reader.run());
+    }
     Ok(Assembly {
         state,
         cluster,
@@ -125,10 +126,6 @@
     })
 }
 
-fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
-    AbortOnDropHandle::new(tokio::spawn(task))
-}
-
 async fn bind_peer_sockets(address: SocketAddr) -> Result<PeerSockets, StepError> {
     const STEP: &str = "listen for peers";
     let listener = peers::bind(NodeId(address)).await?;
@@ -239,12 +236,13 @@
     }
 
     fn supervisor(&self) -> RootSupervisor {
-        let health_period = self.settings.timing.health_period_millis;
+        let timing = &self.settings.timing;
         RootSupervisor::new(SupervisorParts {
             instance: self.instance,
             place: self.settings.place.clone(),
             context: RootContext {
-                health_period: Duration::from_millis(health_period),
+                health_period: Duration::from_millis(timing.health_period_millis),
+                leaving_grace: Duration::from_millis(timing.leaving_grace_millis),
                 tuning: Arc::clone(&self.tuning),
                 metrics: Arc::clone(&self.metrics),
                 peers: Arc::clone(&self.peers),
--- a/crates/tansylead-daemon/src/cluster/machine_list.rs
+++ b/crates/tansylead-daemon/src/cluster/machine_list.rs
@@ -20,6 +20,8 @@
 const READER_PERIOD: Duration = Duration::from_secs(1);
 /// Period of all others.
 const OTHERS_PERIOD: Duration = Duration::from_secs(600);
+/// Roots are told again after this many reads: some may be new.
+const READS_PER_REPETITION: u64 = 10;
 /// How often the period is reconsidered.
 const STEP_PERIOD: Duration = Duration::from_secs(1);
 /// Periods are shortened by up to this share, so that daemons do not read in step.
@@ -34,6 +36,7 @@
     status: watch::Receiver<Arc<ClusterStatus>>,
     routes: Arc<Routes>,
     leaving: BTreeSet<SocketAddr>,
+    reads: u64,
     reachable: bool,
 }
 
@@ -53,6 +56,7 @@
             status,
             routes,
             leaving: BTreeSet::new(),
+            reads: 0,
             reachable: true,
         }
     }
@@ -92,13 +96,18 @@
         }
     }
 
-    /// Tells the roots in this place once about each leaf that is newly said to be leaving.
+    /// Tells the roots in this place about each leaf that is newly said to be leaving, and now and
+    /// then about all of them.
     fn tell_roots(&mut self, list: &MachineList) {
         let leaving = list
             .machines
             .iter()
             .filter(|machine| machine.state == MachineState::Leaving);
         let leaving: BTreeSet<SocketAddr> = leaving.map(|machine| machine.address).collect();
+        self.reads += 1;
+        if self.reads.is_multiple_of(READS_PER_REPETITION) {
+            self.leaving.clear();
+        }
         for address in leaving.difference(&self.leaving) {
             self.routes.leaf_address_leaving(*address);
         }
--- a/crates/tansylead-daemon/src/daemon.rs
+++ b/crates/tansylead-daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tansylead_types::Settings;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -45,7 +46,7 @@
     drain: CancellationToken,
     drain_limit: Duration,
     server: AbortOnDropHandle<()>,
-    _tasks: Vec<AbortOnDropHandle<()>>,
+    tasks: JoinSet<()>,
 }
 
 impl Daemon {
@@ -75,7 +76,7 @@
             drain,
             drain_limit,
             server,
-            _tasks: tasks,
+            tasks,
         })
     }
 
@@ -94,6 +95,14 @@
         &self.state
     }
 
+    /// Waits until one of the daemon's tasks ends, which only a fault brings about.
+    async fn fault(&mut self) -> eyre::Report {
+        match self.tasks.join_next().await {
+            Some(Err(error)) => eyre::eyre!("a task of the daemon ended: {error}"),
+            Some(Ok(())) | None => eyre::eyre!("a task of the daemon ended"),
+        }
+    }
+
     /// Planned stop: not ready and leaving from now on, answers what is open and what still
     /// arrives, then ends. `cut` ends it at once.
     pub async fn drain(mut self, cut: impl Future<Output = ()>) -> DrainResult {
@@ -169,10 +178,13 @@
     tuning: Tuning,
     mut stop: StopRequests,
 ) -> eyre::Result<DrainResult> {
-    let daemon = Daemon::start(settings, tuning).await?;
+    let mut daemon = Daemon::start(settings, tuning).await?;
+    let state = Arc::clone(&daemon.state);
     tokio::select! {
         () = stop.next() => {}
-        () = daemon.state.replaced() => {}
+        () = state.replaced() => {}
+        // The process ends, and whoever started it starts it anew.
+        fault = daemon.fault() => return Err(fault),
     }
     Ok(daemon.drain(stop.next()).await)
 }
--- a/crates/tansylead-daemon/src/root/actor.rs
+++ b/crates/tansylead-daemon/src/root/actor.rs
@@ -49,6 +49,8 @@
 pub struct RootContext {
     /// Period of health polls.
     pub health_period: Duration,
+    /// A leaf that says that it is leaving gets no new work after this.
+    pub leaving_grace: Duration,
     /// Internal limits.
     pub tuning: Arc<Tuning>,
     /// Metrics.
@@ -408,6 +410,7 @@
 
     fn poll_due_leafs(&mut self, now: Moment) {
         let period = self.context.health_period;
+        let grace = self.context.leaving_grace;
         let tuning = &self.context.tuning;
         let mut open = 0;
         for (name, state) in self.leafs.iter_mut() {
@@ -417,7 +420,7 @@
             }
             let jitter = self.random.random_range(0.0..POLL_JITTER_SHARE);
             state.next_poll = now + period.mul_f64(1.0 - jitter);
-            if state.may_skip_poll(now, period) {
+            if state.may_skip_poll(now, period, grace) {
                 continue;
             }
             state.polling = true;
--- a/crates/tansylead-daemon/src/root/handle.rs
+++ b/crates/tansylead-daemon/src/root/handle.rs
@@ -175,6 +175,11 @@
         let _ = self.commands.send(command);
     }
 
+    /// Whether the root's task has ended, which it should not while there are handles.
+    pub fn has_ended(&self) -> bool {
+        self.commands.is_closed()
+    }
+
     /// The root's state; none if it has ended.
     pub async fn status(&self) -> Option<RootStatus> {
         let (reply, status) = oneshot::channel();
--- a/crates/tansylead-daemon/src/root/leafs.rs
+++ b/crates/tansylead-daemon/src/root/leafs.rs
@@ -5,9 +5,6 @@
 use std::time::Duration;
 use tansylead_types::{LeafDescriptor, LeafId, Moment};
 
-/// A leaf that answers queries is polled at least once in this many periods.
-const POLLS_SKIPPED_AT_MOST: u32 = 5;
-
 /// One leaf of a root.
 #[derive(Debug)]
 pub(super) struct RootLeaf {
@@ -22,10 +19,11 @@
 
 impl RootLeaf {
     /// Whether a poll would tell little: the leaf has just shown its state in-band, and the last
-    /// poll, which also tells the snapshots it holds, is not long ago.
-    pub(super) fn may_skip_poll(&self, now: Moment, period: Duration) -> bool {
+    /// poll, which also tells the snapshots it holds, is so short ago that the next one still
+    /// finds out in time that the leaf is leaving.
+    pub(super) fn may_skip_poll(&self, now: Moment, period: Duration, grace: Duration) -> bool {
         let heard = now.since(self.last_heard) < period;
-        heard && now.since(self.last_poll) < period * POLLS_SKIPPED_AT_MOST
+        heard && now.since(self.last_poll) + period * 2 < grace
     }
 }
 
--- a/crates/tansylead-daemon/src/root/supervisor.rs
+++ b/crates/tansylead-daemon/src/root/supervisor.rs
@@ -177,6 +177,16 @@
     }
 
     fn ensure(&mut self, key: PlacementKey, configuration: RootConfiguration) {
+        let ended = |known: &Supervised| known.handle.has_ended();
+        if self.supervised.get(&key).is_some_and(ended) {
+            log::error!(
+                "root for {} in {}: ended by a fault",
+                key.service,
+                key.place
+            );
+            self.supervised.remove(&key);
+            self.parts.directory.roots.write().remove(&key);
+        }
         if let Some(known) = self.supervised.get_mut(&key) {
             if !is_same(&known.told, &configuration) {
                 known.told = configuration.clone();
--- a/crates/tansylead-daemon/src/settings.rs
+++ b/crates/tansylead-daemon/src/settings.rs
@@ -260,6 +260,11 @@
             return Err(impossible(key, value.to_string(), &cause));
         }
     }
+    if timing.health_period_millis >= timing.leaving_grace_millis {
+        let cause = "must be less than timing.leaving_grace_millis";
+        let value = timing.health_period_millis.to_string();
+        return Err(impossible("timing.health_period_millis", value, cause));
+    }
     if timing.clock_skew_millis >= timing.longest_expiry_millis {
         let cause = "must be less than timing.longest_expiry_millis";
         let value = timing.clock_skew_millis.to_string();
--- a/crates/tansylead-daemon/src/tuning.rs
+++ b/crates/tansylead-daemon/src/tuning.rs
@@ -54,7 +54,7 @@
     pub claim_handover_limit: Duration,
     /// When to come back, if the engine does not say.
     pub default_retry_after: Duration,
-    /// Least and most time a caller may take to send its headers.
+    /// Time a caller may take to send its headers; idle connections are closed after it.
     pub header_read_limit: Duration,
 }
 
@@ -82,7 +82,7 @@
             drain_root_hold: Duration::from_secs(3),
             claim_handover_limit: Duration::from_secs(15),
             default_retry_after: Duration::from_millis(500),
-            header_read_limit: Duration::from_secs(30),
+            header_read_limit: Duration::from_secs(300),
         }
     }
 }
--- a/crates/tansylead-daemon/tests/settings_errors.rs
+++ b/crates/tansylead-daemon/tests/settings_errors.rs
@@ -52,6 +52,10 @@
             "zero-period",
             format!("{GOOD}[timing]\nhealth_period_millis = 0\n"),
         ),
+        (
+            "slow-polls",
+            format!("{GOOD}[timing]\nhealth_period_millis = 3000\n"),
+        ),
         (
             "skew",
             format!("{GOOD}[timing]\nclock_skew_millis = 600000\n"),
