--- a/crates/tansylead-daemon/src/leaf/attempt.rs
+++ b/crates/tansylead-daemon/src/leaf/attempt.rs
@@ -78,7 +78,7 @@
     // Last act before the request is handed over: a process paused until now must not send.
     let Some(request) = build_request(&context, &attempt, &target) else {
         return AttemptEnd {
-            result: AttemptResult::NotSent,
+            result: AttemptResult::Expired,
             connection: Some(connection),
         };
     };
@@ -107,7 +107,7 @@
             answer.query == attempt.query && answer.attempt == attempt.attempt
         }
         AttemptResult::Refused(_) => true,
-        AttemptResult::NotSent | AttemptResult::Failed => false,
+        AttemptResult::NotSent | AttemptResult::Expired | AttemptResult::Failed => false,
     }
 }
 
--- a/crates/tansylead-daemon/src/root/metrics.rs
+++ b/crates/tansylead-daemon/src/root/metrics.rs
@@ -104,7 +104,7 @@
         match result {
             AttemptResult::Answered(_) => self.answered.inc(),
             AttemptResult::Refused(_) => self.refused.inc(),
-            AttemptResult::NotSent => self.not_sent.inc(),
+            AttemptResult::NotSent | AttemptResult::Expired => self.not_sent.inc(),
             AttemptResult::Failed => self.failed.inc(),
         }
     }
--- a/crates/tansylead-lab/src/simulation/daemon/root_attempts.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/root_attempts.rs
@@ -67,7 +67,12 @@
         // Last act before the request is handed over: a process suspended until now must not send.
         let may_send = self.may_send(clocks, &attempt, &request);
         let (Some(endpoint), true) = (endpoint, may_send) else {
-            let event = ended(attempt.query, attempt.attempt, AttemptResult::NotSent);
+            let result = if may_send {
+                AttemptResult::NotSent
+            } else {
+                AttemptResult::Expired
+            };
+            let event = ended(attempt.query, attempt.attempt, result);
             return self.feed_engine(clocks, &placement, event, outbox);
         };
         let mut limit = attempt.deadline.since(clocks.now);
@@ -254,7 +259,7 @@
     match result {
         AttemptResult::Answered(answer) => answer.load.draining,
         AttemptResult::Refused(refusal) => refusal.load.draining,
-        AttemptResult::NotSent | AttemptResult::Failed => false,
+        AttemptResult::NotSent | AttemptResult::Expired | AttemptResult::Failed => false,
     }
 }
 
--- a/crates/tansylead-query/src/attempt_end.rs
+++ b/crates/tansylead-query/src/attempt_end.rs
@@ -41,6 +41,15 @@
     ..FAILED
 };
 
+/// No later attempt can be in time either.
+const EXPIRED: Ending = Ending {
+    certainly_not_run: true,
+    leaf: TriedState::Excluded,
+    next: LastEnd::NeedsBudget,
+    reason: MissingReason::DeadlineExceeded,
+    may_follow: false,
+};
+
 impl Query {
     /// Handles the end of an attempt that has not been cancelled.
     pub(crate) fn on_attempt_ended(
@@ -78,6 +87,9 @@
                 let ending = self.on_refusal(now, context, attempt, &refusal);
                 self.on_no_answer(now, context, attempt, ending);
             }
+            AttemptResult::Expired => {
+                self.on_no_answer(now, context, attempt, EXPIRED);
+            }
             AttemptResult::NotSent => {
                 context.counters.attempts_not_sent += 1;
                 learn_not_sent(now, context, attempt.leaf);
@@ -187,11 +199,8 @@
             RefusalReason::Expired => {
                 context.counters.refused_expired += 1;
                 Ending {
-                    certainly_not_run: true,
-                    leaf: TriedState::Excluded,
-                    next: LastEnd::NeedsBudget,
-                    reason: MissingReason::DeadlineExceeded,
                     may_follow: self.request.is_repeatable(),
+                    ..EXPIRED
                 }
             }
         }
--- a/crates/tansylead-query/src/event.rs
+++ b/crates/tansylead-query/src/event.rs
@@ -27,6 +27,9 @@
     Refused(LeafRefusal),
     /// Nothing was handed to any connection (for example: connecting was refused).
     NotSent,
+    /// Nothing was handed to any connection, because the deadline or the expiry of the request had
+    /// passed right before the send. Says nothing about the leaf.
+    Expired,
     /// The attempt failed after bytes may have left; the leaf may have run it.
     Failed,
 }
--- a/crates/tansylead-query/tests/engine/mechanisms.rs
+++ b/crates/tansylead-query/tests/engine/mechanisms.rs
@@ -333,6 +333,21 @@
     world.assert_clean();
 }
 
+#[test]
+fn post_past_its_expiry_ends_not_run_at_once_and_blames_no_leaf() {
+    let mut world = world();
+    for query in 0..5 {
+        let start = post(&world, query);
+        let sent = sends(&world.start(start));
+        world.end(&sent[0], AttemptResult::Expired);
+        assert_eq!(last(&world).outcome, Outcome::NotRun);
+        assert_eq!(last(&world).attempts, 1);
+    }
+    let statuses = world.engine.status(world.now).leafs;
+    assert!(statuses.iter().all(|status| !status.ejected));
+    world.assert_clean();
+}
+
 #[test]
 fn post_goes_to_another_replica_only_after_it_certainly_did_not_run() {
     let mut world = world();
--- a/crates/tansylead-query/tests/engine/transitions.rs
+++ b/crates/tansylead-query/tests/engine/transitions.rs
@@ -25,6 +25,7 @@
     Refuse(RefusalReason),
     RefuseCrossed,
     NotSent,
+    Expired,
     Failed,
 }
 
@@ -166,6 +167,7 @@
         1 => Just(End::Refuse(RefusalReason::Expired)),
         2 => Just(End::RefuseCrossed),
         3 => Just(End::NotSent),
+        1 => Just(End::Expired),
         3 => Just(End::Failed),
     ]
 }
@@ -343,6 +345,7 @@
             AttemptResult::Refused(refusal)
         }
         End::NotSent => AttemptResult::NotSent,
+        End::Expired => AttemptResult::Expired,
         End::Failed => AttemptResult::Failed,
     };
     world.end(send, result);
