--- a/crates/tansylead-daemon/src/root/actor.rs
+++ b/crates/tansylead-daemon/src/root/actor.rs
@@ -28,6 +28,8 @@
 use tansylead_types::{AttemptId, InstanceId, LeafId, Moment, Outcome, QueryAnswer, QueryId};
 use tokio::sync::{mpsc, oneshot};
 
+/// Roots among which the engine divides the slots of a leaf.
+const UNDIVIDED_SLOTS: u32 = 1;
 /// Polls are spread over the period by up to this share of it.
 const POLL_JITTER_SHARE: f64 = 0.2;
 /// Messages taken in one go before actions and timers are looked at again.
@@ -253,8 +255,9 @@
             .engine
             .configure(now, &configuration.definition, placement);
         self.perform(actions);
-        let roots = u32::try_from(set.distinct_roots().len()).unwrap_or(u32::MAX);
-        let actions = self.engine.set_leaf_share(now, roots.max(1));
+        // Each root may use all slots of a leaf, whose own queue settles meetings: equal shares of
+        // 3 to 5 slots leave a third of them unused.
+        let actions = self.engine.set_leaf_share(now, UNDIVIDED_SLOTS);
         self.perform(actions);
     }
 
