--- a/crates/tansylead-cluster/src/spread/mod.rs
+++ b/crates/tansylead-cluster/src/spread/mod.rs
@@ -16,6 +16,7 @@
 pub use event::{SpreadAction, SpreadEvent};
 pub use in_force::{InForceAction, InForceCheck, InForceEvent, InForceReport, InForceSettings};
 pub use machine::{NothingToServe, SpreadCounters, SpreadMachine};
+pub use readers::ReaderRanking;
 pub use replica::{ApplyOutcome, ConfigReplica, GapError};
 pub use settings::SpreadSettings;
 pub use state::{NotReadyReason, Readiness, StoreState};
--- a/crates/tansylead-cluster/src/spread/readers.rs
+++ b/crates/tansylead-cluster/src/spread/readers.rs
@@ -9,14 +9,15 @@
 
 /// Members of one place in rendezvous order.
 #[derive(Debug)]
-pub(super) struct ReaderRanking {
+pub struct ReaderRanking {
     place: PlaceName,
     order: BTreeSet<(u64, NodeId)>,
     scores: BTreeMap<NodeId, u64>,
 }
 
 impl ReaderRanking {
-    pub(super) fn new(place: PlaceName) -> Self {
+    /// A ranking of the members of `place`, empty.
+    pub fn new(place: PlaceName) -> Self {
         Self {
             place,
             order: BTreeSet::new(),
@@ -24,7 +25,8 @@
         }
     }
 
-    pub(super) fn update(&mut self, record: &MemberRecord) {
+    /// Takes in the statement that now holds about a member.
+    pub fn update(&mut self, record: &MemberRecord) {
         let node = record.node();
         self.remove(node);
         if record.place == self.place && record.state.takes_work() {
@@ -34,14 +36,15 @@
         }
     }
 
-    pub(super) fn remove(&mut self, node: NodeId) {
+    /// Forgets a member.
+    pub fn remove(&mut self, node: NodeId) {
         if let Some(score) = self.scores.remove(&node) {
             self.order.remove(&(score, node));
         }
     }
 
     /// Whether a node is among the first `count`.
-    pub(super) fn is_reader(&self, node: NodeId, count: usize) -> bool {
+    pub fn is_reader(&self, node: NodeId, count: usize) -> bool {
         self.order
             .iter()
             .take(count)
--- /dev/null
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -0,0 +1,235 @@
+//! One request of a caller: finds its route, bounds it, runs it, and writes the answer.
+
+use crate::clock::Clock;
+use crate::execution::{Call, GatherQuery, Outcome, Refusal, RefusalReason, forward, gather};
+use crate::headers::{remove_connection_headers, set_retry_after};
+use crate::leaf::OutgoingRequest;
+use crate::logging::RequestLog;
+use crate::state::{ActiveConfiguration, Gateway, StopPhase};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{HeaderMap, Request, Response, Uri};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_route::{CallerLimits, Route, Target};
+use tansylead_types::{Moment, ServiceName};
+
+/// Time until a daemon without configuration is worth another try.
+const NO_CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
+
+/// Handles one request.
+pub(super) async fn handle(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let arrived = Clock.now();
+    let id = request.headers().get(&gateway.names.request).cloned();
+    let mut log = RequestLog::new(id.clone(), arrived);
+    let outcome = run(gateway, request, id.clone(), arrived, &mut log).await;
+    log.finish(&outcome);
+    write_response(gateway, outcome, id)
+}
+
+async fn run(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    id: Option<HeaderValue>,
+    arrived: Moment,
+    log: &mut RequestLog,
+) -> Outcome {
+    let Some(active) = gateway.active() else {
+        let refusal = Refusal {
+            reason: RefusalReason::NoConfiguration,
+            retry_after: Some(NO_CONFIGURATION_WAIT),
+        };
+        return Outcome::Refused(refusal);
+    };
+    log.version = Some(active.configuration.version);
+    let limits = &active.configuration.limits;
+    if header_bytes(&request) > limits.header_bytes {
+        return refused(RefusalReason::HeadersTooLarge);
+    }
+    let Some(route) = find_route(&active, &request) else {
+        return refused(RefusalReason::NoRoute);
+    };
+    log.route = Some(Arc::clone(&route));
+    let time_left = gateway
+        .names
+        .time_left(request.headers())
+        .unwrap_or(route.policy.timeout);
+    let outgoing = match read_request(request, id, limits).await {
+        Ok(outgoing) => Rc::new(outgoing),
+        Err(reason) => return refused(reason),
+    };
+    let execution = execute(gateway, route, outgoing, arrived, time_left);
+    let mut stop = gateway.stop_phases();
+    tokio::select! {
+        outcome = execution => outcome,
+        _ = stop.wait_for(|phase| *phase >= StopPhase::Ending) => {
+            refused(RefusalReason::Failed)
+        }
+    }
+}
+
+async fn execute(
+    gateway: &Rc<Gateway>,
+    route: Arc<Route>,
+    request: Rc<OutgoingRequest>,
+    arrived: Moment,
+    time_left: Duration,
+) -> Outcome {
+    match &route.target {
+        Target::Services(services) => {
+            let index = match services.len() {
+                1 => Some(0),
+                _ => gateway.with_turns(&route.name, |turns| turns.next(services)),
+            };
+            let Some(index) = index else {
+                return Outcome::Refused(Refusal::not_run(NO_CONFIGURATION_WAIT));
+            };
+            let service = services[index].service.clone();
+            let call = single_call(gateway, &route, &service, request, arrived, time_left);
+            forward(call).await
+        }
+        Target::Shards(set) => {
+            let query = GatherQuery {
+                gateway: Rc::clone(gateway),
+                route: Arc::clone(&route),
+                request,
+                arrived,
+                time_left,
+            };
+            gather(query, set).await
+        }
+    }
+}
+
+fn single_call(
+    gateway: &Rc<Gateway>,
+    route: &Arc<Route>,
+    service: &ServiceName,
+    request: Rc<OutgoingRequest>,
+    arrived: Moment,
+    time_left: Duration,
+) -> Call {
+    Call {
+        gateway: Rc::clone(gateway),
+        service: gateway.service(service),
+        route: Arc::clone(route),
+        request,
+        end: arrived + time_left.min(route.policy.timeout),
+        successes_only: false,
+        settled: Rc::new(Cell::new(false)),
+    }
+}
+
+fn refused(reason: RefusalReason) -> Outcome {
+    Outcome::Refused(Refusal::new(reason))
+}
+
+fn find_route(active: &ActiveConfiguration, request: &Request<Incoming>) -> Option<Arc<Route>> {
+    let host = match request.headers().get(HOST) {
+        Some(value) => value.to_str().ok()?,
+        None => request.uri().host()?,
+    };
+    let route = active.routes.find(host, request.uri().path())?;
+    Some(Arc::clone(route))
+}
+
+/// Bytes of request line and headers, as they were on the wire but for spaces.
+fn header_bytes(request: &Request<Incoming>) -> usize {
+    const SEPARATORS: usize = 4;
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let headers = request.headers().iter();
+    let bytes = headers.map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
+    target + bytes.sum::<usize>()
+}
+
+async fn read_request(
+    request: Request<Incoming>,
+    id: Option<HeaderValue>,
+    limits: &CallerLimits,
+) -> Result<OutgoingRequest, RefusalReason> {
+    let (head, body) = request.into_parts();
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => return Err(RefusalReason::BodyTooLarge),
+        Err(_) => return Err(RefusalReason::BadBody),
+    };
+    let mut headers = head.headers;
+    remove_connection_headers(&mut headers);
+    let path = head.uri.path_and_query().cloned();
+    Ok(OutgoingRequest {
+        method: head.method,
+        uri: path.map_or(Uri::from_static("/"), Uri::from),
+        headers,
+        body,
+        id,
+    })
+}
+
+fn write_response(
+    gateway: &Gateway,
+    outcome: Outcome,
+    id: Option<HeaderValue>,
+) -> Response<Full<Bytes>> {
+    let mut response = match outcome {
+        Outcome::Leaf {
+            status,
+            headers,
+            body,
+        } => {
+            let mut response = Response::new(Full::new(body));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Outcome::Merged {
+            signatures,
+            missing,
+            body,
+        } => {
+            let mut response = Response::new(Full::new(Bytes::from(body)));
+            let headers = response.headers_mut();
+            gateway.names.set_parts(headers, &signatures, missing);
+            set_id(gateway, headers, id);
+            response
+        }
+        Outcome::Refused(refusal) => write_refusal(gateway, &refusal, id),
+    };
+    if gateway.stop_phase() >= StopPhase::Draining {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn write_refusal(
+    gateway: &Gateway,
+    refusal: &Refusal,
+    id: Option<HeaderValue>,
+) -> Response<Full<Bytes>> {
+    let body = format!("{{\"error\":\"{}\"}}", refusal.reason.label());
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = refusal.reason.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(wait) = refusal.retry_after {
+        set_retry_after(headers, wait);
+    }
+    set_id(gateway, headers, id);
+    response
+}
+
+fn set_id(gateway: &Gateway, headers: &mut HeaderMap, id: Option<HeaderValue>) {
+    if let Some(id) = id {
+        headers.insert(&gateway.names.request, id);
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/caller/server.rs
@@ -0,0 +1,165 @@
+//! Accepts callers, and stops without cutting any request.
+//!
+//! Invariant: a connection is closed only between requests, unless its time is up.
+
+use super::handler::handle;
+use crate::clock::Clock;
+use crate::state::{Gateway, StopPhase};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_types::{Moment, StepError};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+/// Pause after a failed accept (for example: no file descriptors left).
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Idle time before a configuration states one.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// A connection that was asked to close is dropped after this time without a request.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes buffered for one connection; headers must fit.
+const BUFFER_BYTES: usize = 32 * 1024;
+
+/// The listener for callers.
+#[derive(Debug)]
+pub struct CallerServer {
+    listener: TcpListener,
+    gateway: Rc<Gateway>,
+}
+
+/// What the watchdog of a connection looks at.
+#[derive(Debug)]
+struct Activity {
+    requests: Cell<u32>,
+    last: Cell<Moment>,
+}
+
+impl CallerServer {
+    /// Binds the callers' address.
+    pub async fn bind(gateway: Rc<Gateway>) -> Result<Self, StepError> {
+        let address: SocketAddr = gateway.settings.caller_address;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|cause| StepError::new("listen for callers", address, cause))?;
+        Ok(Self { listener, gateway })
+    }
+
+    /// Accepts until the task is ended.
+    pub async fn run(self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let gateway = Rc::clone(&self.gateway);
+                    spawn_local(serve(gateway, stream));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _open = OpenConnection::new(Rc::clone(&gateway));
+    let activity = Rc::new(Activity {
+        requests: Cell::new(0),
+        last: Cell::new(Clock.now()),
+    });
+    let service = {
+        let gateway = Rc::clone(&gateway);
+        let activity = Rc::clone(&activity);
+        service_fn(move |request| {
+            let gateway = Rc::clone(&gateway);
+            let running = RunningRequest::new(Rc::clone(&activity));
+            async move {
+                let response = handle(&gateway, request).await;
+                drop(running);
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // Failures of a caller's connection concern that caller alone.
+        _ = connection.as_mut() => return,
+        () = until_idle_too_long(&gateway, &activity) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    loop {
+        let limit = tokio::time::timeout(CLOSE_LIMIT, connection.as_mut());
+        if limit.await.is_ok() || activity.requests.get() == 0 {
+            return;
+        }
+    }
+}
+
+/// Waits until the connection has rested too long, or is to be closed by a planned stop.
+async fn until_idle_too_long(gateway: &Gateway, activity: &Activity) {
+    let mut stop = gateway.stop_phases();
+    loop {
+        let limit = gateway.active().map_or(DEFAULT_IDLE_TIMEOUT, |active| {
+            active.configuration.limits.idle_timeout
+        });
+        let due = if activity.requests.get() > 0 {
+            Clock.now() + limit
+        } else {
+            activity.last.get() + limit
+        };
+        if due <= Clock.now() {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep_until(Clock.instant_at(due)) => {}
+            _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => return,
+        }
+    }
+}
+
+/// Counts a request of a connection while it runs.
+struct RunningRequest {
+    activity: Rc<Activity>,
+}
+
+impl RunningRequest {
+    fn new(activity: Rc<Activity>) -> Self {
+        activity.requests.set(activity.requests.get() + 1);
+        Self { activity }
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        let requests = self.activity.requests.get();
+        self.activity.requests.set(requests.saturating_sub(1));
+        self.activity.last.set(Clock.now());
+    }
+}
+
+/// Counts a caller's connection while it is open.
+struct OpenConnection {
+    gateway: Rc<Gateway>,
+}
+
+impl OpenConnection {
+    fn new(gateway: Rc<Gateway>) -> Self {
+        let open = gateway.connections();
+        open.set(open.get() + 1);
+        Self { gateway }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = self.gateway.connections();
+        open.set(open.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -0,0 +1,147 @@
+//! Keeps a long poll open at one other daemon and takes in what is newer.
+
+use super::feed_message::{FeedReply, FeedRequest, decode, encode, framing, millis};
+use super::view::ClusterView;
+use crate::clock::Clock;
+use crate::source::Topic;
+use crate::state::Gateway;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_types::{Moment, StepError};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// A poll without news is answered after this time.
+const POLL_WAIT: Duration = Duration::from_secs(1);
+/// Time for the way to a peer and back, and for connecting.
+const WAY_LIMIT: Duration = Duration::from_millis(600);
+/// Wait after a failure, times a random factor of 0.5 to 1.5.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+/// After this many polls the choice of the peer is made anew.
+const POLLS_PER_PEER: u32 = 30;
+/// A word at least this much older than need be makes this daemon look for a better peer.
+const OLD_WORD_SHARE: u32 = 2;
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// The long poll at another daemon.
+#[derive(Debug)]
+pub struct PeerFeed {
+    gateway: Rc<Gateway>,
+    view: Rc<ClusterView>,
+    /// Failures in a row; also how many of the best peers to pass over.
+    failures: usize,
+}
+
+impl PeerFeed {
+    /// A feed that polls nobody yet.
+    pub fn new(gateway: Rc<Gateway>, view: Rc<ClusterView>) -> Self {
+        Self {
+            gateway,
+            view,
+            failures: 0,
+        }
+    }
+
+    /// Runs until its task is ended.
+    pub async fn run(mut self) {
+        loop {
+            let peers = self.view.feed_peers();
+            if peers.is_empty() {
+                tokio::time::sleep(RETRY_WAIT).await;
+                continue;
+            }
+            let peer = peers[self.failures % peers.len()];
+            match self.poll_peer(peer).await {
+                Ok(()) => self.failures = 0,
+                Err(error) => {
+                    log::debug!(error:% = error; "feed of a peer failed");
+                    self.failures += 1;
+                    let factor = rand::random_range(0.5..1.5);
+                    tokio::time::sleep(RETRY_WAIT.mul_f64(factor)).await;
+                }
+            }
+        }
+    }
+
+    async fn poll_peer(&self, peer: SocketAddr) -> Result<(), StepError> {
+        let connecting = tokio::time::timeout(WAY_LIMIT, TcpStream::connect(peer)).await;
+        let connected =
+            connecting.map_err(|cause| StepError::new("connect to peer", peer, cause))?;
+        let stream = connected.map_err(|cause| StepError::new("connect to peer", peer, cause))?;
+        let _ = stream.set_nodelay(true);
+        let mut frames = Framed::new(stream, framing());
+        for _ in 0..POLLS_PER_PEER {
+            let asked = Clock.now();
+            let reply = self.poll(&mut frames, peer).await?;
+            self.take_in(reply, asked, peer)?;
+        }
+        Ok(())
+    }
+
+    async fn poll(&self, frames: &mut Frames, peer: SocketAddr) -> Result<FeedReply, StepError> {
+        let name = peer.to_string();
+        let request = FeedRequest {
+            cluster: self.gateway.settings.cluster.clone(),
+            version: self.gateway.version(),
+            revision: self.gateway.directory().revision(),
+            wait_millis: millis(POLL_WAIT),
+        };
+        let exchange = async {
+            let sent = frames.send(encode(&request, &name)?).await;
+            sent.map_err(|cause| StepError::new("send feed request", peer, cause))?;
+            match frames.next().await {
+                Some(Ok(frame)) => decode(&frame, &name),
+                Some(Err(cause)) => Err(StepError::new("read feed reply", peer, cause)),
+                None => Err(StepError::new("read feed reply", peer, "closed")),
+            }
+        };
+        let limit = POLL_WAIT + WAY_LIMIT;
+        let replied = tokio::time::timeout(limit, exchange).await;
+        replied.map_err(|cause| StepError::new("poll peer", peer, cause))?
+    }
+
+    fn take_in(&self, reply: FeedReply, asked: Moment, peer: SocketAddr) -> Result<(), StepError> {
+        let gateway = &self.gateway;
+        if let Some(configuration) = reply.configuration {
+            gateway.apply_configuration(configuration);
+        }
+        if let Some(delta) = reply.directory {
+            gateway.apply_directory(delta);
+        }
+        // The peer's word confirms what is held here only if the peer holds no less.
+        let now = Clock.now();
+        if reply.version >= gateway.version() {
+            self.confirm(
+                Topic::Configuration,
+                now,
+                asked,
+                reply.configuration_age_millis,
+            );
+        }
+        if reply.revision >= gateway.directory().revision() {
+            self.confirm(Topic::Leafs, now, asked, reply.leafs_age_millis);
+        }
+        let limit = gateway.settings.bounds.word_limit();
+        let ages = [reply.configuration_age_millis, reply.leafs_age_millis];
+        let is_old = |age: Option<u32>| {
+            age.is_none_or(|age| Duration::from_millis(age.into()) > limit * OLD_WORD_SHARE)
+        };
+        if ages.into_iter().any(is_old) {
+            return Err(StepError::new("poll peer", peer, "its word is old"));
+        }
+        Ok(())
+    }
+
+    /// The age was taken at some time between `asked` and `now`; the way back is counted in.
+    fn confirm(&self, topic: Topic, now: Moment, asked: Moment, age: Option<u32>) {
+        let Some(age) = age else {
+            return;
+        };
+        let way = now.since(asked).min(WAY_LIMIT / 4);
+        let age = Duration::from_millis(age.into()) + way;
+        self.gateway.confirm(topic, now - age);
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -0,0 +1,157 @@
+//! Drives the membership state machine over UDP.
+
+use super::view::ClusterView;
+use crate::clock::Clock;
+use crate::state::{Gateway, StopPhase};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tansylead_cluster::codec::{GossipCodec, MAXIMUM_PACKET_BYTES};
+use tansylead_cluster::membership::{
+    LocalMember, MemberRecord, MemberState, Membership, MembershipAction, MembershipEvent,
+    MembershipSettings,
+};
+use tansylead_types::{InstanceId, NodeId, PlaceName, StepError};
+use tokio::net::UdpSocket;
+
+/// The task looks at its state at least this often.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+/// Owns the UDP socket and the membership.
+#[derive(Debug)]
+pub struct MemberDriver {
+    gateway: Rc<Gateway>,
+    view: Rc<ClusterView>,
+    socket: UdpSocket,
+    codec: GossipCodec,
+    local: LocalMember,
+    membership: Membership,
+}
+
+impl MemberDriver {
+    /// Binds the peer address and prepares to join through the seeds.
+    pub async fn bind(
+        gateway: Rc<Gateway>,
+        view: Rc<ClusterView>,
+        place: PlaceName,
+    ) -> Result<Self, StepError> {
+        let settings = &gateway.settings;
+        let address = settings.peer_address;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|cause| StepError::new("bind membership socket", address, cause))?;
+        let local = LocalMember {
+            instance: InstanceId {
+                node: NodeId(address),
+                boot: wall_micros(),
+            },
+            place,
+            zone: settings.zone.clone(),
+            caller_address: settings.caller_address,
+        };
+        let codec = GossipCodec::new(&settings.cluster);
+        let membership = new_membership(&local, &settings.seeds);
+        Ok(Self {
+            gateway,
+            view,
+            socket,
+            codec,
+            local,
+            membership,
+        })
+    }
+
+    /// Runs until its task is ended.
+    pub async fn run(mut self) {
+        let mut buffer = vec![0; MAXIMUM_PACKET_BYTES + 1];
+        let mut stop = self.gateway.stop_phases();
+        let mut leaving = false;
+        self.feed(MembershipEvent::Wakeup);
+        loop {
+            let now = Clock.now();
+            let wakeup = self.membership.next_wakeup().unwrap_or(now + LONGEST_WAIT);
+            let wakeup = wakeup.min(now + LONGEST_WAIT);
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, from)) = received {
+                        self.receive(from, &buffer[..length]);
+                    }
+                }
+                () = tokio::time::sleep_until(Clock.instant_at(wakeup)) => {
+                    self.feed(MembershipEvent::Wakeup);
+                }
+                _ = stop.wait_for(|phase| *phase >= StopPhase::Draining), if !leaving => {
+                    leaving = true;
+                    self.feed(MembershipEvent::Leave);
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
+        if let Ok(packet) = self.codec.decode(bytes) {
+            let packet = Box::new(packet);
+            self.feed(MembershipEvent::Packet { from, packet });
+        }
+    }
+
+    fn feed(&mut self, event: MembershipEvent) {
+        let actions = self.membership.on_event(Clock.now(), event);
+        let mut changed = false;
+        let mut replaced = None;
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, packet } => {
+                    if let Ok(bytes) = self.codec.encode(&packet) {
+                        // A datagram that cannot be sent now is as good as lost on the way.
+                        let _ = self.socket.try_send_to(&bytes, to.0);
+                    }
+                }
+                MembershipAction::Changed(record) => {
+                    log::info!(peer:% = record.node(), state:? = record.state; "member changed");
+                    changed = true;
+                }
+                MembershipAction::Forgotten(_) | MembershipAction::Joined => changed = true,
+                MembershipAction::Replaced { by } => replaced = Some(by),
+                _ => {}
+            }
+        }
+        if let Some(by) = replaced {
+            self.succeed(by);
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    /// An earlier run of this daemon had a later wall clock: begin anew after it.
+    fn succeed(&mut self, by: InstanceId) {
+        log::warn!(boot = by.boot; "own address was held by a later run; starting membership anew");
+        self.local.instance.boot = by.boot + 1;
+        self.membership = new_membership(&self.local, &self.gateway.settings.seeds);
+        self.feed(MembershipEvent::Wakeup);
+    }
+
+    fn publish(&self) {
+        let counted = self
+            .membership
+            .members()
+            .filter(|member| member.state != MemberState::Left);
+        self.gateway.set_daemons(counted.count().max(1));
+        let live: Vec<MemberRecord> = self.membership.live_members().cloned().collect();
+        self.view.set_members(live, self.membership.is_joined());
+    }
+}
+
+fn new_membership(local: &LocalMember, seeds: &[SocketAddr]) -> Membership {
+    let seeds = seeds.iter().map(|seed| NodeId(*seed)).collect();
+    let settings = MembershipSettings::default();
+    let seed = local.instance.boot;
+    Membership::new(Clock.now(), local.clone(), seeds, settings, seed)
+}
+
+fn wall_micros() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or(Duration::ZERO).as_micros();
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -0,0 +1,156 @@
+//! Reads and watches the source for one topic, while it is this daemon's turn.
+//!
+//! It is this daemon's turn if it ranks as a watcher, or if its word has grown old. Invariants: at
+//! most one call is open for each topic; failures are retried with growing, jittered waits.
+
+use super::view::ClusterView;
+use crate::clock::Clock;
+use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic};
+use crate::state::Gateway;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_route::{DirectoryDelta, Revision};
+
+/// A watch without news is answered after this time.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Changes that come within this time are taken together.
+const GATHER_WAIT: Duration = Duration::from_millis(300);
+/// Time to join other daemons before the source is asked.
+const JOIN_WAIT: Duration = Duration::from_millis(900);
+/// Period at which the turn is looked at.
+const TURN_PERIOD: Duration = Duration::from_millis(250);
+/// First wait after a failure.
+const FIRST_RETRY: Duration = Duration::from_millis(250);
+/// Longest wait after a failure.
+const LONGEST_RETRY: Duration = Duration::from_secs(2);
+/// Doublings of the wait at most.
+const MAXIMUM_DOUBLINGS: u32 = 4;
+
+/// The feed of one topic.
+#[derive(Debug)]
+pub struct SourceFeed<S> {
+    gateway: Rc<Gateway>,
+    view: Rc<ClusterView>,
+    source: Rc<S>,
+    topic: Topic,
+    position: Option<Revision>,
+    failures: u32,
+}
+
+impl<S: Source> SourceFeed<S> {
+    /// A feed that has read nothing.
+    pub fn new(gateway: Rc<Gateway>, view: Rc<ClusterView>, source: Rc<S>, topic: Topic) -> Self {
+        Self {
+            gateway,
+            view,
+            source,
+            topic,
+            position: None,
+            failures: 0,
+        }
+    }
+
+    /// Runs until its task is ended.
+    pub async fn run(mut self) {
+        self.wait_to_join().await;
+        loop {
+            self.wait_for_turn().await;
+            let asked = Clock.now();
+            let result = self.ask().await;
+            match result {
+                Ok(update) => {
+                    let waited = Clock.now().since(asked);
+                    self.take_in(update, asked);
+                    if waited < WATCH_WAIT {
+                        tokio::time::sleep(jittered(GATHER_WAIT)).await;
+                    }
+                }
+                Err(error) => self.on_error(error).await,
+            }
+        }
+    }
+
+    async fn wait_to_join(&self) {
+        let limit = Clock.now() + jittered(JOIN_WAIT);
+        while !self.view.is_joined() && Clock.now() < limit {
+            tokio::time::sleep(TURN_PERIOD / 4).await;
+        }
+        tokio::time::sleep(jittered(TURN_PERIOD)).await;
+    }
+
+    async fn wait_for_turn(&mut self) {
+        let limit = self.gateway.settings.bounds.word_limit();
+        loop {
+            let is_old = self.gateway.age(self.topic).is_none_or(|age| age > limit);
+            if self.view.is_watcher() || is_old {
+                return;
+            }
+            tokio::time::sleep(jittered(TURN_PERIOD)).await;
+        }
+    }
+
+    async fn ask(&self) -> Result<SourceUpdate, SourceError> {
+        match self.known_position() {
+            Some(position) => self.source.watch(self.topic, position, WATCH_WAIT).await,
+            None => self.source.read(self.topic, Freshness::Current).await,
+        }
+    }
+
+    /// Where a watch goes on: peers may have brought the directory further than the last watch.
+    fn known_position(&self) -> Option<Revision> {
+        match self.topic {
+            Topic::Configuration => self.position,
+            Topic::Leafs => self.position.max(self.gateway.directory().revision()),
+        }
+    }
+
+    fn take_in(&mut self, update: SourceUpdate, asked: tansylead_types::Moment) {
+        if self.failures > 0 {
+            log::info!(topic = self.topic.label(), failures = self.failures; "source regained");
+        }
+        self.failures = 0;
+        let is_read = self.position.is_none();
+        self.position = Some(update.at);
+        match update.content {
+            SourceContent::Configuration(Some(configuration)) => {
+                self.gateway.apply_configuration(*configuration);
+            }
+            SourceContent::Configuration(None) => {}
+            SourceContent::Leafs(delta) => self.take_in_leafs(delta),
+        }
+        let current = if is_read { asked } else { Clock.now() };
+        self.gateway.confirm(self.topic, current);
+    }
+
+    fn take_in_leafs(&self, delta: DirectoryDelta) {
+        self.gateway.apply_directory(delta);
+    }
+
+    async fn on_error(&mut self, error: SourceError) {
+        if error == SourceError::HistoryGone {
+            log::info!(topic = self.topic.label(); "history of the source is gone; reading anew");
+            self.position = None;
+            self.read_anew().await;
+            return;
+        }
+        if self.failures == 0 {
+            log::warn!(topic = self.topic.label(), error:% = error; "source lost");
+        }
+        let doublings = self.failures.min(MAXIMUM_DOUBLINGS);
+        self.failures = self.failures.saturating_add(1);
+        let wait = (FIRST_RETRY * 2_u32.pow(doublings)).min(LONGEST_RETRY);
+        tokio::time::sleep(jittered(wait)).await;
+    }
+
+    async fn read_anew(&mut self) {
+        let asked = Clock.now();
+        match self.source.read(self.topic, Freshness::Current).await {
+            Ok(update) => self.take_in(update, asked),
+            Err(_) => tokio::time::sleep(jittered(FIRST_RETRY)).await,
+        }
+    }
+}
+
+fn jittered(wait: Duration) -> Duration {
+    wait.mul_f64(rand::random_range(0.5..1.5))
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -0,0 +1,108 @@
+//! The members that run, and who among them watches the source.
+
+use rand::seq::{IndexedRandom, SliceRandom};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use tansylead_cluster::membership::MemberRecord;
+use tansylead_cluster::spread::ReaderRanking;
+use tansylead_types::{NodeId, PlaceName};
+
+/// Daemons that watch the source, in all regions together, at least.
+const WATCHERS: usize = 3;
+
+/// Members as one daemon sees them.
+#[derive(Debug)]
+pub struct ClusterView {
+    node: NodeId,
+    place: PlaceName,
+    regions: usize,
+    seeds: RefCell<Vec<SocketAddr>>,
+    members: RefCell<Vec<MemberRecord>>,
+    joined: Cell<bool>,
+}
+
+impl ClusterView {
+    /// A view of a daemon that knows of its seeds only.
+    pub fn new(node: NodeId, place: PlaceName, regions: usize, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            node,
+            place,
+            regions: regions.max(1),
+            seeds: RefCell::new(seeds),
+            members: RefCell::default(),
+            joined: Cell::new(false),
+        }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
+    /// Replaces the members that run.
+    pub fn set_members(&self, members: Vec<MemberRecord>, joined: bool) {
+        *self.members.borrow_mut() = members;
+        self.joined.set(joined);
+    }
+
+    /// Whether the member table was completed from a peer, or there is nobody to join.
+    pub fn is_joined(&self) -> bool {
+        self.joined.get()
+    }
+
+    /// Whether this daemon watches the source.
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher_of(&self.place, self.node)
+    }
+
+    /// Addresses to keep a long poll open at, best first: watchers of the own region, other
+    /// watchers, then anybody, then seeds.
+    pub fn feed_peers(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let mut ranked: Vec<(u8, SocketAddr)> = members
+            .iter()
+            .filter(|member| member.node() != self.node)
+            .map(|member| (self.feed_rank(member), member.node().0))
+            .collect();
+        ranked.shuffle(&mut rand::rng());
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|(_, peer)| peer).collect();
+        if addresses.is_empty() {
+            let seeds = self.seeds.borrow();
+            let others = seeds.iter().filter(|seed| **seed != self.node.0);
+            addresses.extend(others);
+            addresses.shuffle(&mut rand::rng());
+        }
+        addresses
+    }
+
+    /// Any other member.
+    pub fn any_peer(&self) -> Option<SocketAddr> {
+        let members = self.members.borrow();
+        let others: Vec<_> = members
+            .iter()
+            .filter(|member| member.node() != self.node)
+            .collect();
+        others
+            .choose(&mut rand::rng())
+            .map(|member| member.node().0)
+    }
+
+    fn feed_rank(&self, member: &MemberRecord) -> u8 {
+        let watches = self.is_watcher_of(&member.place, member.node());
+        match (watches, member.place == self.place) {
+            (true, true) => 0,
+            (true, false) => 1,
+            (false, true) => 2,
+            (false, false) => 3,
+        }
+    }
+
+    fn is_watcher_of(&self, place: &PlaceName, node: NodeId) -> bool {
+        let mut ranking = ReaderRanking::new(place.clone());
+        for member in self.members.borrow().iter() {
+            ranking.update(member);
+        }
+        ranking.is_reader(node, WATCHERS.div_ceil(self.regions))
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -0,0 +1,170 @@
+//! Starts and stops one gateway daemon.
+
+use crate::caller::{CallerServer, serve_ready};
+use crate::clock::Clock;
+use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, serve_feed};
+use crate::headers::HeaderNames;
+use crate::settings::GatewaySettings;
+use crate::source::{Source, Topic};
+use crate::state::{Gateway, StopPhase};
+use eyre::WrapErr;
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_types::{NodeId, PlaceName, StepError};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Share of the time for a planned stop after which idle connections are closed.
+const CLOSING_SHARE: f64 = 0.5;
+/// Share of that time after which everything open gets its final answer.
+const ENDING_SHARE: f64 = 0.9;
+/// Time in which final answers reach their callers.
+const FLUSH_TIME: Duration = Duration::from_millis(150);
+/// Period at which the end of a planned stop is looked for.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Period at which idle connections are looked at.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why a daemon could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The daemon's zone is not among the zones of the deployment.
+    #[error("zone {zone} is in no region")]
+    UnknownZone {
+        /// The zone.
+        zone: String,
+    },
+    /// A socket could not be bound.
+    #[error(transparent)]
+    Bind(#[from] StepError),
+}
+
+/// Runs a daemon until a planned stop has ended. `reload` reads the settings again.
+pub fn run<S: Source>(
+    settings: GatewaySettings,
+    names: HeaderNames,
+    source: S,
+    reload: impl Fn() -> eyre::Result<GatewaySettings> + 'static,
+) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("start the runtime")?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, names, source, reload))
+}
+
+async fn serve<S: Source>(
+    settings: GatewaySettings,
+    names: HeaderNames,
+    source: S,
+    reload: impl Fn() -> eyre::Result<GatewaySettings> + 'static,
+) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("watch for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("watch for SIGINT")?;
+    let gateway = Rc::new(Gateway::new(settings, names));
+    let view = Rc::new(make_view(&gateway.settings)?);
+    start(&gateway, &view, Rc::new(source)).await?;
+    spawn_local(reload_on_signal(Rc::clone(&view), reload));
+    log::info!(address:% = gateway.settings.caller_address, zone = gateway.settings.zone.as_str(); "started");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&gateway).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+fn place_of(settings: &GatewaySettings) -> Result<PlaceName, RunError> {
+    let place = settings.regions.get(&settings.zone);
+    place.cloned().ok_or_else(|| RunError::UnknownZone {
+        zone: settings.zone.to_string(),
+    })
+}
+
+fn make_view(settings: &GatewaySettings) -> Result<ClusterView, RunError> {
+    let regions: BTreeSet<&PlaceName> = settings.regions.values().collect();
+    Ok(ClusterView::new(
+        NodeId(settings.peer_address),
+        place_of(settings)?,
+        regions.len(),
+        settings.seeds.clone(),
+    ))
+}
+
+async fn start<S: Source>(
+    gateway: &Rc<Gateway>,
+    view: &Rc<ClusterView>,
+    source: Rc<S>,
+) -> Result<(), RunError> {
+    let place = place_of(&gateway.settings)?;
+    let server = CallerServer::bind(Rc::clone(gateway)).await?;
+    let members = MemberDriver::bind(Rc::clone(gateway), Rc::clone(view), place).await?;
+    spawn_local(server.run());
+    spawn_local(members.run());
+    spawn_local(PeerFeed::new(Rc::clone(gateway), Rc::clone(view)).run());
+    spawn_local(until_failed("readiness", serve_ready(Rc::clone(gateway))));
+    spawn_local(until_failed("peers", serve_feed(Rc::clone(gateway))));
+    for topic in [Topic::Configuration, Topic::Leafs] {
+        let feed = SourceFeed::new(
+            Rc::clone(gateway),
+            Rc::clone(view),
+            Rc::clone(&source),
+            topic,
+        );
+        spawn_local(feed.run());
+    }
+    spawn_local(sweep(Rc::clone(gateway)));
+    Ok(())
+}
+
+async fn until_failed(what: &'static str, serving: impl Future<Output = Result<(), StepError>>) {
+    if let Err(error) = serving.await {
+        log::error!(what = what, error:% = error; "listener failed");
+    }
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        gateway.close_expired();
+    }
+}
+
+async fn reload_on_signal(
+    view: Rc<ClusterView>,
+    reload: impl Fn() -> eyre::Result<GatewaySettings>,
+) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        match reload() {
+            Ok(settings) => {
+                view.set_seeds(settings.seeds);
+                log::info!("settings read again");
+            }
+            Err(error) => log::error!(error:% = format!("{error:#}"); "settings kept"),
+        }
+    }
+}
+
+/// A planned stop: not ready at once, serving on, closing idle connections, and ending in time.
+async fn stop(gateway: &Gateway) {
+    let limit = gateway.settings.bounds.stop_limit();
+    let started = Clock.now();
+    gateway.set_stop_phase(StopPhase::Draining);
+    tokio::time::sleep(limit.mul_f64(CLOSING_SHARE)).await;
+    gateway.set_stop_phase(StopPhase::Closing);
+    let ending = started + limit.mul_f64(ENDING_SHARE);
+    while gateway.connections().get() > 0 && Clock.now() < ending {
+        tokio::time::sleep(CHECK_PERIOD).await;
+    }
+    if gateway.connections().get() > 0 {
+        gateway.set_stop_phase(StopPhase::Ending);
+        tokio::time::sleep(FLUSH_TIME).await;
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/attempts.rs
@@ -0,0 +1,86 @@
+//! The attempts of one call that are under way.
+//!
+//! Dropping an attempt ends it, connection and all: the caller has gone. A call that has its
+//! answer leaves the others to finish instead, for a while: cutting them would cost a connection
+//! each and save the leaf nothing.
+
+use crate::leaf::{AttemptEnd, LeafState};
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tansylead_types::Moment;
+use tokio::task::spawn_local;
+use tokio_util::task::AbortOnDropHandle;
+
+/// One attempt under way.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) leaf: Rc<LeafState>,
+    pub(super) started: Moment,
+    pub(super) sent: Rc<Cell<Option<Moment>>>,
+    /// When an answer is overdue; none once that was noted.
+    pub(super) overdue: Option<Moment>,
+    /// The delay behind `overdue`.
+    pub(super) overdue_delay: Duration,
+    task: AbortOnDropHandle<AttemptEnd>,
+}
+
+impl Attempt {
+    /// Starts an attempt.
+    pub(super) fn start(
+        leaf: Rc<LeafState>,
+        started: Moment,
+        overdue_delay: Duration,
+        sent: Rc<Cell<Option<Moment>>>,
+        run: impl Future<Output = AttemptEnd> + 'static,
+    ) -> Self {
+        Self {
+            leaf,
+            started,
+            sent,
+            overdue: Some(started + overdue_delay),
+            overdue_delay,
+            task: AbortOnDropHandle::new(spawn_local(run)),
+        }
+    }
+
+    /// Whether the request was handed to a connection.
+    pub(super) fn is_sent(&self) -> bool {
+        self.sent.get().is_some()
+    }
+
+    /// Lets the attempt go on by itself, at most for `limit`.
+    pub(super) fn leave_to_finish(self, limit: Duration) {
+        if self.is_sent() && !self.task.is_finished() {
+            let task = self.task;
+            spawn_local(async move {
+                // Past the limit the handle is dropped, which ends the attempt.
+                let _ = tokio::time::timeout(limit, task).await;
+            });
+        }
+    }
+}
+
+/// Waits for the end of any of the attempts and takes that one out.
+pub(super) struct NextEnd<'a> {
+    pub(super) attempts: &'a mut Vec<Attempt>,
+}
+
+impl Future for NextEnd<'_> {
+    type Output = (Attempt, Option<AttemptEnd>);
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        for index in 0..self.attempts.len() {
+            let task = Pin::new(&mut self.attempts[index].task);
+            if let Poll::Ready(end) = task.poll(context) {
+                let attempt = self.attempts.swap_remove(index);
+                // A panic of the attempt counts as a failure of it alone.
+                return Poll::Ready((attempt, end.ok()));
+            }
+        }
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -0,0 +1,309 @@
+//! One answer of one service: the first attempt, hedges when it is overdue, retries when it fails.
+//!
+//! Invariants: a request that may not be repeated goes to a second leaf only if the first
+//! provably did not run it; extra attempts that may reach a leaf are taken from the service's
+//! budget; no attempt starts after the end.
+
+use super::attempts::{Attempt, NextEnd};
+use crate::clock::Clock;
+use crate::http_client::Reply;
+use crate::leaf::{AttemptEnd, LeafState, OutgoingRequest, ServiceState, run_attempt};
+use crate::state::Gateway;
+use hyper::StatusCode;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_route::{BreakerVerdict, Distance, ExtraAttempt, Route};
+use tansylead_types::{LeafId, Moment};
+
+/// Attempts that may fail before anything was sent; they reach no leaf and cost no budget.
+const MAXIMUM_NOT_SENT: u32 = 4;
+/// Before latencies are learned, an answer is overdue after this share of the objective.
+const UNLEARNED_OVERDUE_SHARE: f64 = 0.4;
+/// Allowance for the way to a leaf and back, by distance.
+const ZONE_WAY: Duration = Duration::from_millis(2);
+const REGION_WAY: Duration = Duration::from_millis(6);
+const REMOTE_WAY: Duration = Duration::from_millis(60);
+
+/// One call of one service.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Shared state.
+    pub gateway: Rc<Gateway>,
+    /// Service.
+    pub service: Rc<ServiceState>,
+    /// Route of the request.
+    pub route: Arc<Route>,
+    /// The request.
+    pub request: Rc<OutgoingRequest>,
+    /// When the call ends, answered or not.
+    pub end: Moment,
+    /// Only successes count as answers.
+    pub successes_only: bool,
+    /// Set once the caller has its answer: nothing more is started.
+    pub settled: Rc<Cell<bool>>,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub enum CallEnd {
+    /// An answer.
+    Answered(Reply),
+    /// No answer.
+    Failed(CallFailure),
+}
+
+/// Why a call has no answer.
+#[derive(Debug)]
+pub struct CallFailure {
+    /// Whether a leaf may have run the request.
+    pub may_have_run: bool,
+    /// Whether the time was up.
+    pub timed_out: bool,
+    /// The last failure that a leaf answered with.
+    pub reply: Option<Reply>,
+}
+
+/// Running state of a call.
+struct Progress {
+    attempts: Vec<Attempt>,
+    tried: Vec<LeafId>,
+    arrivals: u32,
+    not_sent: u32,
+    may_have_run: bool,
+    reply: Option<Reply>,
+}
+
+impl Call {
+    /// Runs the call. Dropping the future ends all attempts.
+    pub async fn run(self) -> CallEnd {
+        self.service.on_request();
+        let mut progress = Progress {
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            arrivals: 0,
+            not_sent: 0,
+            may_have_run: false,
+            reply: None,
+        };
+        self.launch(&mut progress, false);
+        while !progress.attempts.is_empty() {
+            let overdue = progress
+                .attempts
+                .iter()
+                .filter_map(|attempt| attempt.overdue);
+            let wakeup = overdue.min().unwrap_or(self.end).min(self.end);
+            let wakeup = Clock.instant_at(wakeup);
+            tokio::select! {
+                biased;
+                (attempt, end) = (NextEnd { attempts: &mut progress.attempts }) => {
+                    if let Some(reply) = self.on_end(&mut progress, attempt, end) {
+                        self.leave_losers(progress);
+                        return CallEnd::Answered(reply);
+                    }
+                }
+                () = tokio::time::sleep_until(wakeup) => {
+                    if Clock.now() >= self.end {
+                        return self.fail(progress, true);
+                    }
+                    self.on_overdue(&mut progress);
+                }
+            }
+        }
+        self.fail(progress, false)
+    }
+
+    fn fail(&self, progress: Progress, timed_out: bool) -> CallEnd {
+        let open = progress.attempts.iter().any(Attempt::is_sent);
+        CallEnd::Failed(CallFailure {
+            may_have_run: progress.may_have_run || open,
+            timed_out,
+            reply: progress.reply,
+        })
+    }
+
+    fn leave_losers(&self, progress: Progress) {
+        for attempt in progress.attempts {
+            attempt.leave_to_finish(self.route.policy.objective);
+        }
+    }
+
+    /// Starts an attempt at the best leaf not tried yet. Returns whether one was started.
+    fn launch(&self, progress: &mut Progress, must_be_sound: bool) -> bool {
+        let now = Clock.now();
+        if now >= self.end || self.settled.get() {
+            return false;
+        }
+        let Some(leaf) = self.service.choose(&progress.tried) else {
+            return false;
+        };
+        if must_be_sound && leaf.verdict(now) == BreakerVerdict::Avoid {
+            return false;
+        }
+        progress.tried.push(leaf.entry().leaf.clone());
+        let delay = self.overdue_delay(&leaf);
+        let sent = Rc::new(Cell::new(None));
+        let run = run_attempt(
+            Rc::clone(&leaf),
+            Rc::clone(&self.request),
+            Rc::clone(&self.gateway.names),
+            delay,
+            self.end,
+            Rc::clone(&sent),
+        );
+        let attempt = Attempt::start(leaf, now, delay, sent, run);
+        progress.attempts.push(attempt);
+        true
+    }
+
+    fn on_end(
+        &self,
+        progress: &mut Progress,
+        attempt: Attempt,
+        end: Option<AttemptEnd>,
+    ) -> Option<Reply> {
+        match end {
+            Some(AttemptEnd::Answered(reply)) => {
+                self.note_answer(&attempt);
+                progress.arrivals += 1;
+                progress.may_have_run = true;
+                if self.is_final(&reply) {
+                    return Some(reply);
+                }
+                progress.reply = Some(reply);
+                self.retry(progress, true);
+            }
+            Some(AttemptEnd::Refused(_)) => {
+                progress.arrivals += 1;
+                self.retry(progress, false);
+            }
+            Some(AttemptEnd::NotSent(_)) => {
+                progress.not_sent += 1;
+                if progress.not_sent < MAXIMUM_NOT_SENT && progress.attempts.is_empty() {
+                    self.launch(progress, false);
+                }
+            }
+            Some(AttemptEnd::Failed(_)) | None => {
+                progress.arrivals += 1;
+                progress.may_have_run = true;
+                self.retry(progress, true);
+            }
+        }
+        None
+    }
+
+    fn is_final(&self, reply: &Reply) -> bool {
+        if self.successes_only {
+            return reply.status.is_success()
+                && reply.headers.contains_key(&self.gateway.names.signature);
+        }
+        let failed =
+            reply.status.is_server_error() || reply.status == StatusCode::TOO_MANY_REQUESTS;
+        !failed || !self.route.policy.repeatable
+    }
+
+    /// Starts another attempt after one that failed, if that is allowed.
+    fn retry(&self, progress: &mut Progress, may_have_run: bool) {
+        let policy = &self.route.policy;
+        let allowed = policy.repeatable || !may_have_run;
+        if !allowed || !progress.attempts.is_empty() {
+            return;
+        }
+        self.launch_extra(progress, ExtraAttempt::Retry);
+    }
+
+    fn on_overdue(&self, progress: &mut Progress) {
+        let now = Clock.now();
+        let mut is_stuck_unsent = false;
+        for attempt in &mut progress.attempts {
+            if attempt.overdue.is_some_and(|overdue| overdue <= now) {
+                attempt.overdue = None;
+                match attempt.sent.get() {
+                    Some(sent) => attempt.leaf.on_overdue(sent, attempt.overdue_delay),
+                    None => is_stuck_unsent = true,
+                }
+            }
+        }
+        if is_stuck_unsent {
+            // Nothing of them has reached a leaf: another leaf costs no budget.
+            let sent_elsewhere = progress.attempts.iter().any(Attempt::is_sent);
+            progress.not_sent += 1;
+            if !sent_elsewhere && progress.not_sent < MAXIMUM_NOT_SENT {
+                let launched = self.launch(progress, true);
+                if launched {
+                    let newest = progress.attempts.len() - 1;
+                    let mut index = 0;
+                    progress.attempts.retain(|attempt| {
+                        let keep = index == newest || attempt.is_sent();
+                        index += 1;
+                        keep
+                    });
+                }
+            }
+            return;
+        }
+        if self.route.policy.repeatable {
+            self.launch_hedge(progress);
+        }
+    }
+
+    fn launch_hedge(&self, progress: &mut Progress) {
+        let now = Clock.now();
+        let Some(leaf) = self.service.choose(&progress.tried) else {
+            return;
+        };
+        if leaf.verdict(now) != BreakerVerdict::Avoid {
+            self.launch_extra(progress, ExtraAttempt::Hedge);
+        }
+    }
+
+    fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
+        let open = progress.attempts.iter().filter(|attempt| attempt.is_sent());
+        let sent = progress.arrivals + open.count() as u32;
+        if sent >= self.route.policy.maximum_attempts {
+            return;
+        }
+        let now = Clock.now();
+        let over = now >= self.end || self.settled.get();
+        if over || self.service.choose(&progress.tried).is_none() {
+            return;
+        }
+        if self.service.try_take_extra(self.gateway.daemons(), kind) {
+            self.launch(progress, false);
+        }
+    }
+
+    fn overdue_delay(&self, leaf: &LeafState) -> Duration {
+        let learned = self
+            .gateway
+            .with_latencies(&self.route.name, |profile| profile.overdue());
+        let unlearned = self.route.policy.objective.mul_f64(UNLEARNED_OVERDUE_SHARE);
+        learned.unwrap_or(unlearned) + way(leaf.distance())
+    }
+
+    fn note_answer(&self, attempt: &Attempt) {
+        let Some(sent) = attempt.sent.get() else {
+            return;
+        };
+        let now = Clock.now();
+        let latency = now.since(sent);
+        let timely = now.since(attempt.started) < attempt.overdue_delay;
+        let typical = self.gateway.with_latencies(&self.route.name, |profile| {
+            if attempt.leaf.distance() != Distance::Remote {
+                profile.record(now, latency);
+            }
+            profile.typical()
+        });
+        let typical = typical.unwrap_or(Duration::ZERO);
+        attempt.leaf.on_answer(sent, timely, latency, typical);
+    }
+}
+
+fn way(distance: Distance) -> Duration {
+    match distance {
+        Distance::Zone => ZONE_WAY,
+        Distance::Region => REGION_WAY,
+        Distance::Remote => REMOTE_WAY,
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -0,0 +1,43 @@
+//! A request to one leaf of one service; the answer is passed on unchanged.
+
+use super::call::{Call, CallEnd, CallFailure};
+use super::outcome::{Outcome, Refusal, RefusalReason};
+use crate::headers::remove_connection_headers;
+use crate::http_client::Reply;
+use std::time::Duration;
+
+/// Share of the objective after which a caller may come back.
+const RETRY_AFTER_SHARE: u32 = 4;
+
+/// Runs a request to one service.
+pub async fn forward(call: Call) -> Outcome {
+    let retry_after = call.route.policy.objective / RETRY_AFTER_SHARE;
+    match call.run().await {
+        CallEnd::Answered(reply) => pass_on(reply),
+        CallEnd::Failed(failure) => refuse(failure, retry_after),
+    }
+}
+
+fn pass_on(reply: Reply) -> Outcome {
+    let mut headers = reply.headers;
+    remove_connection_headers(&mut headers);
+    Outcome::Leaf {
+        status: reply.status,
+        headers,
+        body: reply.body,
+    }
+}
+
+fn refuse(failure: CallFailure, retry_after: Duration) -> Outcome {
+    if let Some(reply) = failure.reply {
+        return pass_on(reply);
+    }
+    let refusal = if !failure.may_have_run {
+        Refusal::not_run(retry_after)
+    } else if failure.timed_out {
+        Refusal::new(RefusalReason::TimedOut)
+    } else {
+        Refusal::new(RefusalReason::Failed)
+    };
+    Outcome::Refused(refusal)
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/mod.rs
@@ -0,0 +1,12 @@
+//! Runs routed requests: one answer of one service, and answers merged from many shards.
+
+mod attempts;
+mod call;
+mod forward;
+mod gather;
+mod outcome;
+
+pub use call::{Call, CallEnd, CallFailure};
+pub use forward::forward;
+pub use gather::{GatherQuery, gather};
+pub use outcome::{Outcome, Refusal, RefusalReason};
--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -0,0 +1,108 @@
+//! How a request ended, in terms that the caller's protocol can be written from.
+
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, StatusCode};
+use std::time::Duration;
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// A leaf's answer, to be passed on unchanged.
+    Leaf {
+        /// Status.
+        status: StatusCode,
+        /// Headers.
+        headers: HeaderMap,
+        /// Body.
+        body: Bytes,
+    },
+    /// An answer merged from parts.
+    Merged {
+        /// Signatures of the parts.
+        signatures: Vec<HeaderValue>,
+        /// Shards left out.
+        missing: usize,
+        /// Records, greatest first.
+        body: Vec<u8>,
+    },
+    /// No answer.
+    Refused(Refusal),
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// When the caller should come back; only where the request has not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// Reasons for a refusal. The first group promises that nothing has run and nothing will.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No configuration yet.
+    NoConfiguration,
+    /// No leaf can take the request; it has not run.
+    NotRun,
+    /// No route takes the request.
+    NoRoute,
+    /// Body over the limit.
+    BodyTooLarge,
+    /// Headers over the limit.
+    HeadersTooLarge,
+    /// The body broke off.
+    BadBody,
+    /// Leafs failed; the request may have run.
+    Failed,
+    /// The time is up; the request may have run.
+    TimedOut,
+}
+
+impl RefusalReason {
+    /// Status towards the caller.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Name, for logs, metrics and the body of the answer.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NotRun => "not_run",
+            Self::NoRoute => "no_route",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeadersTooLarge => "headers_too_large",
+            Self::BadBody => "bad_body",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+impl Refusal {
+    /// A refusal without a time to come back.
+    pub fn new(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// A refusal of a request that has not run.
+    pub fn not_run(retry_after: Duration) -> Self {
+        Self {
+            reason: RefusalReason::NotRun,
+            retry_after: Some(retry_after),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/headers.rs
@@ -0,0 +1,145 @@
+//! Headers between callers, daemons and leafs. Their names are settings; what they mean is fixed.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use std::time::Duration;
+use tansylead_types::LeafId;
+
+/// Names of the headers that carry more than the callers' own data.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Identity of one attempt of a caller; every answer to it carries it back.
+    pub request: HeaderName,
+    /// Milliseconds the sender will wait.
+    pub time_left: HeaderName,
+    /// Run of the leaf that the request is meant for; any other leaf refuses it.
+    pub leaf: HeaderName,
+    /// A leaf's proof that it ran the request.
+    pub signature: HeaderName,
+    /// A leaf's word that it did not run the request.
+    pub not_run: HeaderName,
+    /// Signatures of the parts of a merged answer.
+    pub parts: HeaderName,
+    /// Number of shards missing from a merged answer.
+    pub missing: HeaderName,
+}
+
+impl Default for HeaderNames {
+    /// The product's own names.
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            request: name("tansylead-request-id"),
+            time_left: name("tansylead-time-left-ms"),
+            leaf: name("tansylead-leaf"),
+            signature: name("tansylead-signature"),
+            not_run: name("tansylead-not-run"),
+            parts: name("tansylead-parts"),
+            missing: name("tansylead-missing"),
+        }
+    }
+}
+
+/// What a leaf's answer says of the request it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeafWord {
+    /// The leaf answered this request.
+    Answered,
+    /// The leaf did not run it.
+    NotRun,
+    /// Another run of a leaf listens at the address; it did not run the request.
+    OtherLeaf,
+    /// The answer belongs to another request, or to none.
+    Foreign,
+}
+
+impl HeaderNames {
+    /// The caller's time left; none if it is absent or no number.
+    pub fn time_left(&self, headers: &HeaderMap) -> Option<Duration> {
+        let text = headers.get(&self.time_left)?.to_str().ok()?;
+        let millis: u64 = text.trim().parse().ok()?;
+        Some(Duration::from_millis(millis))
+    }
+
+    /// Writes what a leaf needs to know of one attempt.
+    pub fn set_attempt(&self, headers: &mut HeaderMap, leaf: &LeafId, time_left: Duration) {
+        let millis = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(&self.time_left, HeaderValue::from(millis));
+        if let Ok(value) = HeaderValue::from_str(leaf.as_str()) {
+            headers.insert(&self.leaf, value);
+        }
+    }
+
+    /// What a leaf's answer to `request` says.
+    pub fn leaf_word(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        request: Option<&HeaderValue>,
+    ) -> LeafWord {
+        let echoed = headers.get(&self.request);
+        if echoed.is_some() && echoed != request {
+            return LeafWord::Foreign;
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return LeafWord::OtherLeaf;
+        }
+        if headers.contains_key(&self.not_run) {
+            return LeafWord::NotRun;
+        }
+        if echoed.is_none() && request.is_some() {
+            return LeafWord::Foreign;
+        }
+        LeafWord::Answered
+    }
+
+    /// Writes what a merged answer consists of.
+    pub fn set_parts(&self, headers: &mut HeaderMap, signatures: &[HeaderValue], missing: usize) {
+        let mut joined = Vec::new();
+        for signature in signatures {
+            if !joined.is_empty() {
+                joined.extend_from_slice(b", ");
+            }
+            joined.extend_from_slice(signature.as_bytes());
+        }
+        if let Ok(value) = HeaderValue::from_bytes(&joined) {
+            headers.insert(&self.parts, value);
+        }
+        headers.insert(&self.missing, HeaderValue::from(missing));
+    }
+}
+
+/// Writes when the caller should come back.
+pub fn set_retry_after(headers: &mut HeaderMap, wait: Duration) {
+    let text = format!("{:.3}", wait.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        headers.insert(RETRY_AFTER, value);
+    }
+}
+
+/// Removes the headers that concern one connection only, and those that the sender's `Connection`
+/// header names.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    const OTHERS: [&str; 3] = ["keep-alive", "proxy-connection", "proxy-authenticate"];
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    for name in OTHERS {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -0,0 +1,185 @@
+//! One attempt: one request to one leaf, over one connection.
+//!
+//! Invariants: `NotRun` is said only if nothing was handed to a connection or the leaf itself said
+//! so. A connection is used again only after a whole answer that carries the request's id.
+
+use super::leaf_state::{LeafState, OpenAttempt};
+use crate::clock::Clock;
+use crate::headers::{HeaderNames, LeafWord};
+use crate::http_client::{ExchangeError, HttpConnection, Reply};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_types::{Moment, StepError};
+
+/// Longest answer that is taken from a leaf, in bytes.
+const MAXIMUM_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// A leaf's answer is waited for this much longer than the leaf was told.
+const ANSWER_SLACK: Duration = Duration::from_millis(100);
+/// A connection to a leaf that falls silent ends after this time.
+const LEAF_SILENCE: Duration = Duration::from_secs(8);
+
+/// A caller's request as it goes to leafs.
+#[derive(Debug)]
+pub struct OutgoingRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub uri: Uri,
+    /// Headers, without those that concern one connection only.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// The caller's id of the request.
+    pub id: Option<HeaderValue>,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The leaf answered this request.
+    Answered(Reply),
+    /// The leaf says that it did not run the request.
+    Refused(Reply),
+    /// Nothing was handed to a connection.
+    NotSent(StepError),
+    /// The leaf may have run the request; there is no answer that could be passed on.
+    Failed(StepError),
+}
+
+/// Runs one attempt until its end. `sent` is set when the request is handed to a connection.
+pub async fn run_attempt(
+    leaf: Rc<LeafState>,
+    request: Rc<OutgoingRequest>,
+    names: Rc<HeaderNames>,
+    connect_limit: Duration,
+    end: Moment,
+    sent: Rc<Cell<Option<Moment>>>,
+) -> AttemptEnd {
+    let open = leaf.begin();
+    let Ok(_permit) = leaf.permits().acquire_owned().await else {
+        return not_sent(&leaf, "no permit");
+    };
+    let mut connection = match connect(&leaf, connect_limit).await {
+        Ok(connection) => connection,
+        Err(error) => return AttemptEnd::NotSent(error),
+    };
+    if !leaf.takes_requests() {
+        return not_sent(&leaf, "leaf is leaving");
+    }
+    let now = Clock.now();
+    let time_left = end.since(now);
+    if time_left.as_millis() == 0 {
+        return not_sent(&leaf, "no time left");
+    }
+    let outgoing = match build(&leaf, &request, &names, time_left) {
+        Ok(outgoing) => outgoing,
+        Err(error) => return AttemptEnd::NotSent(error),
+    };
+    open.set_sent(now);
+    sent.set(Some(now));
+    let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
+    match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
+        Ok(Ok(reply)) => finish(&leaf, &request, &names, connection, reply, &open),
+        Ok(Err(ExchangeError::NotWritten(error))) => {
+            sent.set(None);
+            AttemptEnd::NotSent(error)
+        }
+        Ok(Err(ExchangeError::MaybeReceived(error))) => AttemptEnd::Failed(error),
+        Err(_) => AttemptEnd::Failed(step_error(&leaf, "no answer in time")),
+    }
+}
+
+async fn connect(
+    leaf: &Rc<LeafState>,
+    connect_limit: Duration,
+) -> Result<HttpConnection, StepError> {
+    while let Some(mut connection) = leaf.take_idle() {
+        if connection.is_ready() || connection.is_usable().await {
+            return Ok(connection);
+        }
+    }
+    let address = leaf.entry().address;
+    let opened = HttpConnection::open(address, connect_limit, LEAF_SILENCE).await;
+    if opened.is_err() {
+        leaf.on_unreachable(connect_limit);
+    }
+    opened
+}
+
+fn build(
+    leaf: &LeafState,
+    request: &OutgoingRequest,
+    names: &HeaderNames,
+    time_left: Duration,
+) -> Result<Request<Full<Bytes>>, StepError> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    let headers = outgoing.headers_mut();
+    headers.clone_from(&request.headers);
+    names.set_attempt(headers, &leaf.entry().leaf, time_left);
+    Ok(outgoing)
+}
+
+fn finish(
+    leaf: &Rc<LeafState>,
+    request: &OutgoingRequest,
+    names: &HeaderNames,
+    connection: HttpConnection,
+    reply: Reply,
+    _open: &OpenAttempt,
+) -> AttemptEnd {
+    match names.leaf_word(reply.status, &reply.headers, request.id.as_ref()) {
+        LeafWord::Foreign => AttemptEnd::Failed(step_error(leaf, "answer to another request")),
+        LeafWord::OtherLeaf => {
+            leaf.set_gone();
+            AttemptEnd::Refused(reply)
+        }
+        word => {
+            if !closes(&reply.headers) {
+                leaf.give_back(connection, idle_limit(&reply.headers));
+            }
+            match word {
+                LeafWord::NotRun => AttemptEnd::Refused(reply),
+                _ => AttemptEnd::Answered(reply),
+            }
+        }
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION);
+    values.iter().any(|value| {
+        value
+            .to_str()
+            .is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
+    })
+}
+
+/// Time after which the leaf closes the idle connection, less a margin for the way.
+fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    const MARGIN: Duration = Duration::from_millis(500);
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let fields = text.split(',').map(str::trim);
+    let mut seconds = fields.filter_map(|field| field.strip_prefix("timeout="));
+    let seconds: u64 = seconds.next()?.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(MARGIN))
+}
+
+fn not_sent(leaf: &LeafState, cause: &str) -> AttemptEnd {
+    AttemptEnd::NotSent(step_error(leaf, cause))
+}
+
+fn step_error(leaf: &LeafState, cause: &str) -> StepError {
+    let entry = leaf.entry();
+    StepError::new(
+        "attempt",
+        format!("{} {}", entry.leaf, entry.address),
+        cause,
+    )
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -0,0 +1,225 @@
+//! What this daemon knows of one run of a leaf. Shared by all routes that use it.
+
+use crate::clock::Clock;
+use crate::http_client::HttpConnection;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_route::{Breaker, BreakerVerdict, Candidate, Distance, LeafEntry, LeafPhase};
+use tansylead_types::Moment;
+use tokio::sync::Semaphore;
+
+/// An idle connection is closed after this time if the leaf states none.
+const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Weight of a new sample of slowness.
+const SLOWNESS_WEIGHT: f64 = 0.2;
+/// Slowness is forgotten after this time without answers.
+const SLOWNESS_LIFETIME: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: HttpConnection,
+    usable_until: Moment,
+}
+
+/// One run of a leaf.
+#[derive(Debug)]
+pub struct LeafState {
+    entry: RefCell<LeafEntry>,
+    gone: Cell<bool>,
+    distance: Distance,
+    in_flight: Cell<u32>,
+    /// Bounds requests at a time, and with them connections: a new one is opened only if none is
+    /// idle.
+    permits: Arc<Semaphore>,
+    limit: Cell<u32>,
+    idle: RefCell<Vec<IdleConnection>>,
+    breaker: RefCell<Breaker>,
+    slowness: Cell<f64>,
+    answered_at: Cell<Moment>,
+}
+
+impl LeafState {
+    /// A leaf about which nothing is known but its entry.
+    pub fn new(entry: LeafEntry, distance: Distance, limit: u32) -> Self {
+        Self {
+            entry: RefCell::new(entry),
+            gone: Cell::new(false),
+            distance,
+            in_flight: Cell::new(0),
+            permits: Arc::new(Semaphore::new(limit as usize)),
+            limit: Cell::new(limit),
+            idle: RefCell::new(Vec::new()),
+            breaker: RefCell::new(Breaker::default()),
+            slowness: Cell::new(1.0),
+            answered_at: Cell::new(Moment::default()),
+        }
+    }
+
+    /// The directory's entry.
+    pub fn entry(&self) -> std::cell::Ref<'_, LeafEntry> {
+        self.entry.borrow()
+    }
+
+    /// Distance from this daemon.
+    pub fn distance(&self) -> Distance {
+        self.distance
+    }
+
+    /// Takes in a newer entry.
+    pub fn update(&self, entry: LeafEntry) {
+        *self.entry.borrow_mut() = entry;
+    }
+
+    /// Notes that the entry is gone, and closes idle connections.
+    pub fn set_gone(&self) {
+        self.gone.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Whether the leaf takes new requests.
+    pub fn takes_requests(&self) -> bool {
+        !self.gone.get() && self.entry.borrow().phase == LeafPhase::Ready
+    }
+
+    /// Bounds the requests at a time.
+    pub fn set_limit(&self, limit: u32) {
+        let old = self.limit.replace(limit);
+        if limit > old {
+            self.permits.add_permits((limit - old) as usize);
+        } else {
+            let forgotten = self.permits.forget_permits((old - limit) as usize);
+            self.limit.set(old - forgotten as u32);
+        }
+    }
+
+    /// Permits of requests at a time.
+    pub fn permits(&self) -> Arc<Semaphore> {
+        Arc::clone(&self.permits)
+    }
+
+    /// What the choice of a leaf needs to know.
+    pub fn candidate(&self, now: Moment) -> Candidate {
+        let fresh = now.since(self.answered_at.get()) < SLOWNESS_LIFETIME;
+        Candidate {
+            verdict: self.breaker.borrow().verdict(now),
+            distance: self.distance,
+            in_flight: self.in_flight.get(),
+            limit: self.limit.get(),
+            slowness: if fresh { self.slowness.get() } else { 1.0 },
+            has_idle_connection: !self.idle.borrow().is_empty(),
+        }
+    }
+
+    /// Verdict of the breaker.
+    pub fn verdict(&self, now: Moment) -> BreakerVerdict {
+        self.breaker.borrow().verdict(now)
+    }
+
+    /// Counts an attempt as in flight until the guard is dropped.
+    pub fn begin(self: &Rc<Self>) -> OpenAttempt {
+        self.in_flight.set(self.in_flight.get() + 1);
+        OpenAttempt {
+            leaf: Rc::clone(self),
+            sent: Cell::new(None),
+        }
+    }
+
+    /// Notes that an attempt sent at `sent` is overdue.
+    pub fn on_overdue(&self, sent: Moment, delay: Duration) {
+        let now = Clock.now();
+        if self.breaker.borrow_mut().on_overdue(now, sent, delay) {
+            log::info!(leaf = self.entry().leaf.as_str(), delay_ms = delay.as_millis() as u64; "leaf overdue");
+        }
+    }
+
+    /// Notes that the leaf could not be reached.
+    pub fn on_unreachable(&self, delay: Duration) {
+        if self.breaker.borrow_mut().on_unreachable(Clock.now(), delay) {
+            log::info!(leaf = self.entry().leaf.as_str(); "leaf unreachable");
+        }
+    }
+
+    /// Notes an answer that took `latency`, of a kind that typically takes `typical`.
+    pub fn on_answer(&self, sent: Moment, timely: bool, latency: Duration, typical: Duration) {
+        let now = Clock.now();
+        let closed = self.breaker.borrow_mut().on_answer(now, sent, timely);
+        if closed {
+            log::info!(leaf = self.entry().leaf.as_str(); "leaf sound again");
+        }
+        if !timely {
+            return;
+        }
+        self.answered_at.set(now);
+        if !typical.is_zero() {
+            let ratio = latency.as_secs_f64() / typical.as_secs_f64();
+            let old = self.slowness.get();
+            self.slowness.set(old + SLOWNESS_WEIGHT * (ratio - old));
+        }
+    }
+
+    /// An idle connection that the leaf has not closed, as far as is known.
+    pub fn take_idle(&self) -> Option<HttpConnection> {
+        let now = Clock.now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(last) = idle.pop() {
+            if !last.connection.is_closed() && now < last.usable_until {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Takes back a connection whose last answer was read whole. The leaf closes it after
+    /// `idle_limit`, if it says so.
+    pub fn give_back(&self, connection: HttpConnection, idle_limit: Option<Duration>) {
+        if connection.is_closed() || !self.takes_requests() {
+            return;
+        }
+        let limit = idle_limit.unwrap_or(DEFAULT_IDLE_LIMIT);
+        self.idle.borrow_mut().push(IdleConnection {
+            connection,
+            usable_until: Clock.now() + limit.min(DEFAULT_IDLE_LIMIT),
+        });
+    }
+
+    /// Closes idle connections past their time.
+    pub fn close_expired(&self, now: Moment) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|idle| !idle.connection.is_closed() && now < idle.usable_until);
+        if idle.is_empty() {
+            idle.shrink_to_fit();
+        }
+    }
+
+    /// Number of idle connections.
+    pub fn idle_connections(&self) -> usize {
+        self.idle.borrow().len()
+    }
+}
+
+/// One attempt in flight at a leaf; ends when dropped.
+#[derive(Debug)]
+pub struct OpenAttempt {
+    leaf: Rc<LeafState>,
+    sent: Cell<Option<Moment>>,
+}
+
+impl OpenAttempt {
+    /// Notes that the request is handed to a connection now.
+    pub fn set_sent(&self, now: Moment) {
+        self.sent.set(Some(now));
+        self.leaf.breaker.borrow_mut().on_sent(now);
+    }
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        let in_flight = self.leaf.in_flight.get();
+        self.leaf.in_flight.set(in_flight.saturating_sub(1));
+        if let Some(sent) = self.sent.get() {
+            self.leaf.breaker.borrow_mut().on_abandoned(sent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! I/O shell of routed requests.
+//!
+//! One thread runs everything: the machines it is made for have a fraction of one core and little
+//! memory. Decisions are in `tansylead-route` (requests) and `tansylead-cluster` (membership);
+//! this crate owns sockets, clocks and tasks.
+//!
+//! The way of a request: `caller::server` accepts, `caller::handler` finds the route and admits,
+//! `execution::forward` or `execution::gather` runs it through `execution::call`, which gives one
+//! answer of one service out of one or more attempts (`leaf::attempt`).
+
+mod clock;
+mod daemon;
+mod state;
+
+pub mod caller;
+pub mod cluster;
+pub mod execution;
+pub mod headers;
+pub mod http_client;
+pub mod leaf;
+pub mod logging;
+pub mod settings;
+pub mod source;
+
+pub use clock::Clock;
+pub use daemon::{RunError, run};
+pub use headers::HeaderNames;
+pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -0,0 +1,194 @@
+//! Settings of one gateway daemon.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tansylead_route::BudgetSettings;
+use tansylead_types::{PlaceName, ZoneName};
+
+/// Settings of one gateway daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the deployment; daemons of different clusters never exchange state.
+    pub cluster: String,
+    /// Zone of this daemon.
+    pub zone: ZoneName,
+    /// Region of each zone of the deployment.
+    pub regions: BTreeMap<ZoneName, PlaceName>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where load balancers ask whether the daemon takes callers.
+    pub ready_address: SocketAddr,
+    /// UDP and TCP address for other daemons.
+    pub peer_address: SocketAddr,
+    /// Where the store of configuration and leafs is.
+    pub store_address: SocketAddr,
+    /// Peer addresses of some daemons to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Where metrics are served.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Time limits and budgets.
+    #[serde(default)]
+    pub bounds: GatewayBounds,
+}
+
+/// Time limits and budgets of a gateway daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GatewayBounds {
+    /// After a stop signal the process is killed this much later.
+    pub stop_limit_seconds: f64,
+    /// A change of the configuration must be in force this soon after it was accepted.
+    pub configuration_limit_millis: f64,
+    /// A leaving leaf must get nothing new this long after it said so.
+    pub leaving_limit_millis: f64,
+    /// Extra attempts allowed for each request to a service.
+    pub retry_ratio: f64,
+    /// Extra attempts allowed beyond the ratio, of all daemons together.
+    pub retry_slack: f64,
+    /// Window over which extra attempts are counted.
+    pub retry_window_seconds: f64,
+}
+
+impl Default for GatewayBounds {
+    fn default() -> Self {
+        Self {
+            stop_limit_seconds: 6.0,
+            configuration_limit_millis: 3_000.0,
+            leaving_limit_millis: 3_000.0,
+            retry_ratio: 0.2,
+            retry_slack: 20.0,
+            retry_window_seconds: 10.0,
+        }
+    }
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("read {path}: {cause}")]
+    Unreadable {
+        /// File.
+        path: String,
+        /// What the system says.
+        cause: std::io::Error,
+    },
+    /// The file is not a settings file.
+    #[error("{path}: {cause}")]
+    Malformed {
+        /// File.
+        path: String,
+        /// What the parser says.
+        cause: Box<toml::de::Error>,
+    },
+    /// A value is out of range.
+    #[error("{path}: {field} must be {expected}, but is {value}")]
+    OutOfRange {
+        /// File.
+        path: String,
+        /// Field.
+        field: &'static str,
+        /// What it must be.
+        expected: &'static str,
+        /// What it is.
+        value: f64,
+    },
+    /// The daemon's zone is in no region.
+    #[error("{path}: zone {zone} is not among the regions' zones")]
+    UnknownZone {
+        /// File.
+        path: String,
+        /// Zone.
+        zone: ZoneName,
+    },
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+            path: name.clone(),
+            cause,
+        })?;
+        let settings: Self = toml::from_str(&text).map_err(|cause| SettingsError::Malformed {
+            path: name.clone(),
+            cause: Box::new(cause),
+        })?;
+        settings.check(&name)?;
+        Ok(settings)
+    }
+
+    fn check(&self, path: &str) -> Result<(), SettingsError> {
+        const POSITIVE: &str = "above zero";
+        const NOT_NEGATIVE: &str = "zero or more";
+        let bounds = &self.bounds;
+        let positive = [
+            ("stop_limit_seconds", bounds.stop_limit_seconds),
+            (
+                "configuration_limit_millis",
+                bounds.configuration_limit_millis,
+            ),
+            ("leaving_limit_millis", bounds.leaving_limit_millis),
+            ("retry_window_seconds", bounds.retry_window_seconds),
+        ];
+        let not_negative = [
+            ("retry_ratio", bounds.retry_ratio),
+            ("retry_slack", bounds.retry_slack),
+        ];
+        let out_of_range = |field, value, expected| SettingsError::OutOfRange {
+            path: path.to_owned(),
+            field,
+            expected,
+            value,
+        };
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(out_of_range(field, value, POSITIVE));
+            }
+        }
+        for (field, value) in not_negative {
+            if !(value.is_finite() && value >= 0.0) {
+                return Err(out_of_range(field, value, NOT_NEGATIVE));
+            }
+        }
+        if !self.regions.contains_key(&self.zone) {
+            return Err(SettingsError::UnknownZone {
+                path: path.to_owned(),
+                zone: self.zone.clone(),
+            });
+        }
+        Ok(())
+    }
+}
+
+impl GatewayBounds {
+    /// Bound on extra attempts.
+    pub fn retry_budget(&self) -> BudgetSettings {
+        BudgetSettings {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: Duration::from_secs_f64(self.retry_window_seconds),
+        }
+    }
+
+    /// After a stop signal the process is killed this much later.
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_limit_seconds)
+    }
+
+    /// Oldest word about configuration and leafs that the daemon relies on without asking itself.
+    pub fn word_limit(&self) -> Duration {
+        /// Part of the tighter of the two bounds.
+        const SHARE: f64 = 0.8;
+        let limit = self
+            .configuration_limit_millis
+            .min(self.leaving_limit_millis);
+        Duration::from_secs_f64(limit * SHARE / 1_000.0)
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/source.rs
@@ -0,0 +1,84 @@
+//! Where configuration and leafs come from, as the gateway sees it.
+
+use std::future::Future;
+use std::time::Duration;
+use tansylead_route::{Configuration, DirectoryDelta, Revision};
+use tansylead_types::StepError;
+
+/// What is read from the source; each topic is read on its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// Routes, services and limits.
+    Configuration,
+    /// Leafs.
+    Leafs,
+}
+
+impl Topic {
+    /// Name, for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Topic::Configuration => "configuration",
+            Topic::Leafs => "leafs",
+        }
+    }
+}
+
+/// How recent a read must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// Everything acknowledged before the read.
+    Current,
+    /// May be some seconds old; costs the source little.
+    Cached,
+}
+
+/// What a read or a watch found.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SourceUpdate {
+    /// Position up to which the topic is known now; a watch goes on from here.
+    pub at: Revision,
+    /// What was found.
+    pub content: SourceContent,
+}
+
+/// Contents of an update.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SourceContent {
+    /// The configuration; none if there is none yet, or it has not changed.
+    Configuration(Option<Box<Configuration>>),
+    /// Leafs: all of them, or those that changed.
+    Leafs(DirectoryDelta),
+}
+
+/// Why a read or a watch gave nothing.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum SourceError {
+    /// The history after the position is gone; everything must be read again.
+    #[error("history is gone")]
+    HistoryGone,
+    /// The source refuses for now.
+    #[error("refused: {0}")]
+    Refused(StepError),
+    /// No answer, or none that can be understood.
+    #[error("no answer: {0}")]
+    Failed(StepError),
+}
+
+/// A source of configuration and leafs with versions and watches.
+pub trait Source: 'static {
+    /// Reads a topic whole.
+    fn read(
+        &self,
+        topic: Topic,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<SourceUpdate, SourceError>>;
+
+    /// Waits for changes of a topic after a position, at most for `wait`.
+    fn watch(
+        &self,
+        topic: Topic,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<SourceUpdate, SourceError>>;
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/state.rs
@@ -0,0 +1,294 @@
+//! What the tasks of one daemon share. One thread: interior mutability, no locks.
+//!
+//! Invariants: the configuration's version never goes down; no borrow is held over a wait.
+
+use crate::clock::Clock;
+use crate::headers::HeaderNames;
+use crate::leaf::{LeafState, ServiceState};
+use crate::settings::GatewaySettings;
+use crate::source::Topic;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_route::{
+    Configuration, DirectoryChange, DirectoryDelta, LatencyProfile, LeafDirectory, Locality,
+    RouteTable, WeightedTurns,
+};
+use tansylead_types::{LeafId, Moment, ServiceName};
+use tokio::sync::watch;
+
+/// Share of a leaf's connections that all daemons together use.
+const CONNECTION_SHARE: f64 = 0.9;
+/// Connections a leaf of an unconfigured service is taken to accept.
+const DEFAULT_CONNECTIONS: u32 = 16;
+
+/// One version of the configuration with its index.
+#[derive(Debug)]
+pub struct ActiveConfiguration {
+    /// The configuration.
+    pub configuration: Rc<Configuration>,
+    /// Its routes by host and prefix.
+    pub routes: RouteTable,
+}
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// No stop is planned.
+    Serving,
+    /// Not ready; answers close their connections.
+    Draining,
+    /// Idle connections are closed.
+    Closing,
+    /// Everything still open gets its final answer now.
+    Ending,
+}
+
+/// State shared by all tasks.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Header names.
+    pub names: Rc<HeaderNames>,
+    started: Moment,
+    locality: Locality,
+    active: RefCell<Option<Rc<ActiveConfiguration>>>,
+    directory: RefCell<LeafDirectory>,
+    services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
+    leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
+    latencies: RefCell<HashMap<String, LatencyProfile>>,
+    turns: RefCell<HashMap<String, WeightedTurns>>,
+    /// Until when each topic was known to be current.
+    confirmed: RefCell<HashMap<Topic, Moment>>,
+    changed: watch::Sender<u64>,
+    stop: watch::Sender<StopPhase>,
+    daemons: Cell<usize>,
+    connections: Cell<usize>,
+}
+
+impl Gateway {
+    /// State of a daemon that knows nothing yet.
+    pub fn new(settings: GatewaySettings, names: HeaderNames) -> Self {
+        let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
+        Self {
+            settings,
+            names: Rc::new(names),
+            started: Clock.now(),
+            locality,
+            active: RefCell::default(),
+            directory: RefCell::default(),
+            services: RefCell::default(),
+            leafs: RefCell::default(),
+            latencies: RefCell::default(),
+            turns: RefCell::default(),
+            confirmed: RefCell::default(),
+            changed: watch::Sender::new(0),
+            stop: watch::Sender::new(StopPhase::Serving),
+            daemons: Cell::new(1),
+            connections: Cell::new(0),
+        }
+    }
+
+    /// The configuration in force here.
+    pub fn active(&self) -> Option<Rc<ActiveConfiguration>> {
+        self.active.borrow().clone()
+    }
+
+    /// Version of the configuration in force here.
+    pub fn version(&self) -> Option<u64> {
+        let active = self.active.borrow();
+        active.as_ref().map(|active| active.configuration.version)
+    }
+
+    /// Takes in a configuration, unless it is older than the one in force.
+    pub fn apply_configuration(&self, configuration: Configuration) {
+        if self
+            .version()
+            .is_some_and(|version| configuration.version <= version)
+        {
+            return;
+        }
+        log::info!(version = configuration.version, routes = configuration.routes.len(); "configuration in force");
+        let routes = RouteTable::new(&configuration);
+        self.forget_unused_routes(&configuration);
+        *self.active.borrow_mut() = Some(Rc::new(ActiveConfiguration {
+            configuration: Rc::new(configuration),
+            routes,
+        }));
+        self.set_limits();
+        self.notify();
+    }
+
+    /// Takes in changes of the leaf directory.
+    pub fn apply_directory(&self, delta: DirectoryDelta) {
+        let before = self.directory.borrow().revision();
+        let changes = self.directory.borrow_mut().apply(delta);
+        for change in changes {
+            match change {
+                DirectoryChange::Present(entry) => {
+                    log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
+                    self.put_leaf(entry);
+                }
+                DirectoryChange::Gone(leaf) => {
+                    log::info!(leaf = leaf.as_str(); "leaf gone");
+                    self.remove_leaf(&leaf);
+                }
+            }
+        }
+        if self.directory.borrow().revision() != before {
+            self.notify();
+        }
+    }
+
+    /// The leaf directory.
+    pub fn directory(&self) -> std::cell::Ref<'_, LeafDirectory> {
+        self.directory.borrow()
+    }
+
+    /// Notes that what is held of a topic was current at `moment`.
+    pub fn confirm(&self, topic: Topic, moment: Moment) {
+        let mut confirmed = self.confirmed.borrow_mut();
+        let held = confirmed.entry(topic).or_insert(moment);
+        *held = (*held).max(moment);
+    }
+
+    /// Time since what is held of a topic was known to be current; none if it never was.
+    pub fn age(&self, topic: Topic) -> Option<Duration> {
+        let confirmed = self.confirmed.borrow();
+        let moment = confirmed.get(&topic)?;
+        Some(Clock.now().since(*moment))
+    }
+
+    /// Whether configuration and leafs are known.
+    pub fn knows_enough(&self) -> bool {
+        self.active.borrow().is_some() && self.directory.borrow().revision().is_some()
+    }
+
+    /// The state of a service; made if it is not known yet.
+    pub fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
+        if let Some(service) = self.services.borrow().get(name) {
+            return Rc::clone(service);
+        }
+        let budget = self.settings.bounds.retry_budget();
+        let service = Rc::new(ServiceState::new(name.clone(), budget, self.started));
+        let mut services = self.services.borrow_mut();
+        services.insert(name.clone(), Rc::clone(&service));
+        service
+    }
+
+    /// Latencies of a route.
+    pub fn with_latencies<T>(
+        &self,
+        route: &str,
+        use_profile: impl FnOnce(&mut LatencyProfile) -> T,
+    ) -> T {
+        let mut latencies = self.latencies.borrow_mut();
+        if let Some(profile) = latencies.get_mut(route) {
+            return use_profile(profile);
+        }
+        use_profile(latencies.entry(route.to_owned()).or_default())
+    }
+
+    /// Turns among the weighted services of a route.
+    pub fn with_turns<T>(&self, route: &str, use_turns: impl FnOnce(&mut WeightedTurns) -> T) -> T {
+        let mut turns = self.turns.borrow_mut();
+        use_turns(turns.entry(route.to_owned()).or_default())
+    }
+
+    /// Daemons that share budgets and connections, this one included.
+    pub fn daemons(&self) -> usize {
+        self.daemons.get()
+    }
+
+    /// Sets the number of daemons.
+    pub fn set_daemons(&self, daemons: usize) {
+        if self.daemons.replace(daemons) != daemons {
+            self.set_limits();
+        }
+    }
+
+    /// Signals each change of configuration or leafs.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Phase of a planned stop.
+    pub fn stop_phase(&self) -> StopPhase {
+        *self.stop.borrow()
+    }
+
+    /// Signals the phases of a planned stop.
+    pub fn stop_phases(&self) -> watch::Receiver<StopPhase> {
+        self.stop.subscribe()
+    }
+
+    /// Goes on to a phase of a planned stop.
+    pub fn set_stop_phase(&self, phase: StopPhase) {
+        log::info!(phase:? = phase; "stop phase");
+        self.stop.send_replace(phase);
+    }
+
+    /// Callers' connections.
+    pub fn connections(&self) -> &Cell<usize> {
+        &self.connections
+    }
+
+    /// Closes leafs' idle connections past their time.
+    pub fn close_expired(&self) {
+        let now = Clock.now();
+        for leaf in self.leafs.borrow().values() {
+            leaf.close_expired(now);
+        }
+    }
+
+    fn put_leaf(&self, entry: tansylead_route::LeafEntry) {
+        if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
+            leaf.update(entry);
+            return;
+        }
+        let service = self.service(&entry.service);
+        let distance = self.locality.distance(&entry.zone);
+        let limit = self.connection_limit(&entry.service);
+        let leaf = Rc::new(LeafState::new(entry.clone(), distance, limit));
+        service.add(Rc::clone(&leaf));
+        self.leafs.borrow_mut().insert(entry.leaf, leaf);
+    }
+
+    fn remove_leaf(&self, id: &LeafId) {
+        let Some(leaf) = self.leafs.borrow_mut().remove(id) else {
+            return;
+        };
+        leaf.set_gone();
+        let service = self.service(&leaf.entry().service);
+        service.remove(id);
+    }
+
+    fn connection_limit(&self, service: &ServiceName) -> u32 {
+        let active = self.active.borrow();
+        let configured = active
+            .as_ref()
+            .and_then(|active| active.configuration.services.get(service));
+        let maximum = configured.map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections);
+        let share = f64::from(maximum) * CONNECTION_SHARE / self.daemons.get() as f64;
+        (share as u32).max(1)
+    }
+
+    fn set_limits(&self) {
+        for leaf in self.leafs.borrow().values() {
+            let limit = self.connection_limit(&leaf.entry().service);
+            leaf.set_limit(limit);
+        }
+    }
+
+    fn forget_unused_routes(&self, configuration: &Configuration) {
+        let is_used = |name: &String| configuration.routes.iter().any(|route| route.name == *name);
+        self.latencies.borrow_mut().retain(|name, _| is_used(name));
+        self.turns.borrow_mut().retain(|name, _| is_used(name));
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/tansylead-route/src/budget.rs
@@ -0,0 +1,122 @@
+//! Budget of extra attempts at one service, held by each daemon on its own.
+//!
+//! The bound holds for all daemons together and for any window: extra attempts in a window are at
+//! most `ratio` times the requests, plus `slack`. Each daemon spends at most `ratio` times its own
+//! requests plus its part of the slack, so that the sum holds without any coordination but the
+//! number of daemons.
+
+use std::time::Duration;
+use tansylead_types::Moment;
+
+/// Parts a window is counted in.
+const PARTS: usize = 10;
+/// Share of the bound that is used; the rest is kept for counts that differ at the edges of
+/// windows and for requests whose daemon is replaced.
+const USED_SHARE: f64 = 0.8;
+/// Share of the slack used in the first window of a daemon's life: the run before it may have
+/// spent its own part in the same window.
+const FIRST_WINDOW_SHARE: f64 = 0.4;
+/// Share of the allowance that hedges leave to retries after a failure.
+const RETRY_RESERVE: f64 = 0.25;
+
+/// Bound on extra attempts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetSettings {
+    /// Extra attempts for each request.
+    pub ratio: f64,
+    /// Extra attempts beyond the ratio, of all daemons together.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Why an extra attempt is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExtraAttempt {
+    /// An attempt has failed.
+    Retry,
+    /// An answer is overdue.
+    Hedge,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Part {
+    number: u64,
+    requests: u32,
+    extra: u32,
+}
+
+/// Counts of one service over a sliding window.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    settings: BudgetSettings,
+    started: Moment,
+    /// One part more than the window has, so that the window is always covered whole.
+    parts: [Part; PARTS + 1],
+}
+
+impl RetryBudget {
+    /// A budget of a daemon that started at `started`.
+    pub fn new(settings: BudgetSettings, started: Moment) -> Self {
+        Self {
+            settings,
+            started,
+            parts: [Part::default(); PARTS + 1],
+        }
+    }
+
+    /// Notes a request to the service.
+    pub fn on_request(&mut self, now: Moment) {
+        self.part(now).requests += 1;
+    }
+
+    /// Takes one extra attempt if the bound allows it. `daemons` share the slack.
+    pub fn try_take(&mut self, now: Moment, daemons: usize, kind: ExtraAttempt) -> bool {
+        let current = self.number(now);
+        let oldest = current.saturating_sub(PARTS as u64);
+        let live = self.parts.iter().filter(|part| part.number >= oldest);
+        let (requests, extra) = live.fold((0, 0), |(requests, extra), part| {
+            (requests + part.requests, extra + part.extra)
+        });
+        let allowance = self.allowance(now, requests, daemons);
+        let usable = match kind {
+            ExtraAttempt::Retry => allowance,
+            ExtraAttempt::Hedge => allowance * (1.0 - RETRY_RESERVE),
+        };
+        if f64::from(extra) + 1.0 > usable {
+            return false;
+        }
+        self.part(now).extra += 1;
+        true
+    }
+
+    fn allowance(&self, now: Moment, requests: u32, daemons: usize) -> f64 {
+        let young = now.since(self.started) < self.settings.window;
+        let slack_share = if young {
+            FIRST_WINDOW_SHARE
+        } else {
+            USED_SHARE
+        };
+        let slack = self.settings.slack * slack_share / daemons.max(1) as f64;
+        f64::from(requests) * self.settings.ratio * USED_SHARE + slack
+    }
+
+    fn part(&mut self, now: Moment) -> &mut Part {
+        let number = self.number(now);
+        let part = &mut self.parts[(number % (PARTS as u64 + 1)) as usize];
+        if part.number != number {
+            *part = Part {
+                number,
+                ..Part::default()
+            };
+        }
+        part
+    }
+
+    /// Number of the part that `now` lies in; starts beyond the number of parts, so that empty
+    /// parts never count as recent.
+    fn number(&self, now: Moment) -> u64 {
+        let length = (self.settings.window / PARTS as u32).max(Duration::from_millis(1));
+        now.0 / length.as_micros() as u64 + PARTS as u64 + 1
+    }
+}
--- /dev/null
+++ b/crates/tansylead-route/src/directory.rs
@@ -0,0 +1,168 @@
+//! The leaf directory: a replica of the leafs' entries, with its recent changes for peers that lag.
+//!
+//! Invariants: the revision never goes down; a delta after a revision that the log still covers
+//! brings a replica of that revision to this one.
+
+use crate::leaf::LeafEntry;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use tansylead_types::LeafId;
+
+/// Changes kept for peers. A peer further behind gets everything.
+const LOGGED_CHANGES: usize = 512;
+
+/// Position in the history of the store; one counter for all of its changes.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+/// One change of one entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DirectoryChange {
+    /// The entry is new or has changed.
+    Present(LeafEntry),
+    /// The entry is gone.
+    Gone(LeafId),
+}
+
+impl DirectoryChange {
+    /// The leaf concerned.
+    pub fn leaf(&self) -> &LeafId {
+        match self {
+            DirectoryChange::Present(entry) => &entry.leaf,
+            DirectoryChange::Gone(leaf) => leaf,
+        }
+    }
+}
+
+/// What brings a replica to a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DirectoryDelta {
+    /// All entries; what is missing is gone.
+    Everything {
+        /// Revision of the entries.
+        at: Revision,
+        /// Entries.
+        entries: Vec<LeafEntry>,
+    },
+    /// The changes after a revision that the receiver holds.
+    Changes {
+        /// Revision that the changes start from.
+        after: Revision,
+        /// Revision reached.
+        at: Revision,
+        /// Changes in order.
+        changes: Vec<DirectoryChange>,
+    },
+}
+
+#[derive(Debug)]
+struct LoggedChange {
+    at: Revision,
+    change: DirectoryChange,
+}
+
+/// Replica of the directory.
+#[derive(Debug, Default)]
+pub struct LeafDirectory {
+    entries: BTreeMap<LeafId, LeafEntry>,
+    at: Option<Revision>,
+    log: VecDeque<LoggedChange>,
+    /// The log holds every change after this revision.
+    log_start: Revision,
+}
+
+impl LeafDirectory {
+    /// Revision up to which every change is held; none before the first whole read.
+    pub fn revision(&self) -> Option<Revision> {
+        self.at
+    }
+
+    /// All entries.
+    pub fn entries(&self) -> impl Iterator<Item = &LeafEntry> {
+        self.entries.values()
+    }
+
+    /// Takes in a delta. Returns the changes that it made; none if it is older than what is held
+    /// or starts after it.
+    pub fn apply(&mut self, delta: DirectoryDelta) -> Vec<DirectoryChange> {
+        match delta {
+            DirectoryDelta::Everything { at, entries } => self.apply_everything(at, entries),
+            DirectoryDelta::Changes { after, at, changes } => {
+                let fits = self.at.is_some_and(|held| after <= held && held <= at);
+                if !fits {
+                    return Vec::new();
+                }
+                self.record(at, changes)
+            }
+        }
+    }
+
+    /// What a replica at `after` lacks; none if it lacks nothing, or nothing is held here.
+    pub fn delta_after(&self, after: Option<Revision>) -> Option<DirectoryDelta> {
+        let at = self.at?;
+        match after {
+            Some(after) if after >= at => None,
+            Some(after) if after >= self.log_start => {
+                let newer = self.log.iter().filter(|logged| logged.at > after);
+                let changes = newer.map(|logged| logged.change.clone()).collect();
+                Some(DirectoryDelta::Changes { after, at, changes })
+            }
+            _ => {
+                let entries = self.entries.values().cloned().collect();
+                Some(DirectoryDelta::Everything { at, entries })
+            }
+        }
+    }
+
+    fn apply_everything(&mut self, at: Revision, entries: Vec<LeafEntry>) -> Vec<DirectoryChange> {
+        if self.at.is_some_and(|held| at < held) {
+            return Vec::new();
+        }
+        let first = self.at.is_none();
+        let mut missing: BTreeMap<LeafId, ()> =
+            self.entries.keys().map(|leaf| (leaf.clone(), ())).collect();
+        let mut changes = Vec::new();
+        for entry in entries {
+            missing.remove(&entry.leaf);
+            changes.push(DirectoryChange::Present(entry));
+        }
+        changes.extend(missing.into_keys().map(DirectoryChange::Gone));
+        if first {
+            self.log_start = at;
+        }
+        self.record(at, changes)
+    }
+
+    fn record(&mut self, at: Revision, changes: Vec<DirectoryChange>) -> Vec<DirectoryChange> {
+        self.at = Some(at);
+        let mut made = Vec::new();
+        for change in changes {
+            let changed = match &change {
+                DirectoryChange::Present(entry) => {
+                    let old = self.entries.insert(entry.leaf.clone(), entry.clone());
+                    old.as_ref() != Some(entry)
+                }
+                DirectoryChange::Gone(leaf) => self.entries.remove(leaf).is_some(),
+            };
+            if changed {
+                self.log_change(at, change.clone());
+                made.push(change);
+            }
+        }
+        made
+    }
+
+    fn log_change(&mut self, at: Revision, change: DirectoryChange) {
+        if at <= self.log_start {
+            return;
+        }
+        self.log.push_back(LoggedChange { at, change });
+        while self.log.len() > LOGGED_CHANGES {
+            if let Some(dropped) = self.log.pop_front() {
+                self.log_start = self.log_start.max(dropped.at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-route/src/leaf.rs
@@ -0,0 +1,73 @@
+//! What the directory says of one leaf, and how far away it is.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
+
+/// One run of a leaf, as the directory knows it. Every start of a leaf has a new id.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeafEntry {
+    /// Identity of this run.
+    pub leaf: LeafId,
+    /// Service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens. Addresses are used again by other leafs.
+    pub address: SocketAddr,
+    /// Zone it runs in.
+    pub zone: ZoneName,
+    /// Requests it works on at a time.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub phase: LeafPhase,
+    /// How much longer it is slow after its start, when the entry was written.
+    pub warmup_left: Duration,
+}
+
+/// Whether a leaf takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeafPhase {
+    /// In service.
+    Ready,
+    /// Leaving: gets nothing new.
+    Draining,
+}
+
+/// Distance between a daemon and a leaf; nearer sorts first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// Same zone.
+    Zone,
+    /// Same region, another zone.
+    Region,
+    /// Another region.
+    Remote,
+}
+
+/// Where a daemon stands among the zones of the deployment.
+#[derive(Debug, Clone)]
+pub struct Locality {
+    zone: ZoneName,
+    regions: BTreeMap<ZoneName, PlaceName>,
+}
+
+impl Locality {
+    /// The daemon's zone, and the region of each zone.
+    pub fn new(zone: ZoneName, regions: BTreeMap<ZoneName, PlaceName>) -> Self {
+        Self { zone, regions }
+    }
+
+    /// Distance to a zone; an unknown zone counts as remote.
+    pub fn distance(&self, zone: &ZoneName) -> Distance {
+        if *zone == self.zone {
+            return Distance::Zone;
+        }
+        let own = self.regions.get(&self.zone);
+        if own.is_some() && own == self.regions.get(zone) {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+}
--- /dev/null
+++ b/crates/tansylead-route/src/lib.rs
@@ -0,0 +1,32 @@
+//! Sans-I/O decisions on routed requests.
+//!
+//! A routed request is opaque: method, path, headers and body go to a leaf unchanged, and its
+//! answer comes back unchanged; or it goes to one leaf of each shard of a set, and the greatest
+//! records of all parts come back. This crate decides where a request goes, when another attempt
+//! is worth its cost, and when to answer. It opens no socket and reads no clock.
+
+mod breaker;
+mod budget;
+mod configuration;
+mod directory;
+mod latency;
+mod leaf;
+mod leaf_choice;
+mod patience;
+mod records;
+mod route_table;
+mod weights;
+
+pub use breaker::{Breaker, BreakerVerdict};
+pub use budget::{BudgetSettings, ExtraAttempt, RetryBudget};
+pub use configuration::{
+    CallerLimits, Configuration, Policy, Route, Service, ShardSet, Target, WeightedService,
+};
+pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory, Revision};
+pub use latency::LatencyProfile;
+pub use leaf::{Distance, LeafEntry, LeafPhase, Locality};
+pub use leaf_choice::{Candidate, choose_leaf};
+pub use patience::Patience;
+pub use records::{RECORD_BYTES, Record, TopRecords};
+pub use route_table::RouteTable;
+pub use weights::WeightedTurns;
