Read configuration and leafs at once after a start

Cause: after all daemons were restarted together, each waited for other daemons (up to 1.3 s) before it asked the store, and refused everything meanwhile. Ruled out: waiting for peers first; after a loss of all daemons none of them knows anything. Change: one cached read of each topic right after the start (a tenth of the price, outside the rate); requests of the first 80 ms of a daemon's life wait for it.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -41,6 +41,7 @@
     arrived: Moment,
     log: &mut RequestLog,
 ) -> Outcome {
+    gateway.wait_until_known().await;
     let Some(active) = gateway.active() else {
         let refusal = Refusal {
             reason: RefusalReason::NoConfiguration,
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -9,7 +9,7 @@
 use crate::state::Gateway;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{DirectoryDelta, Revision};
+use tansylead_route::Revision;
 
 /// A watch without news is answered after this time.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
@@ -17,6 +17,8 @@
 const GATHER_WAIT: Duration = Duration::from_millis(300);
 /// Time to join other daemons before the source is asked.
 const JOIN_WAIT: Duration = Duration::from_millis(900);
+/// The first reads of daemons that start together are spread over this time.
+const FIRST_READ_SPREAD: Duration = Duration::from_millis(20);
 /// Period at which the turn is looked at.
 const TURN_PERIOD: Duration = Duration::from_millis(250);
 /// First wait after a failure.
@@ -52,6 +54,7 @@
 
     /// Runs until its task is ended.
     pub async fn run(mut self) {
+        self.read_cached().await;
         self.wait_to_join().await;
         loop {
             self.wait_for_turn().await;
@@ -70,6 +73,16 @@
         }
     }
 
+    /// Takes in what the source has at hand, so that callers can be served at once. It may be some
+    /// seconds old and confirms nothing.
+    async fn read_cached(&mut self) {
+        tokio::time::sleep(FIRST_READ_SPREAD.mul_f64(rand::random())).await;
+        if let Ok(update) = self.source.read(self.topic, Freshness::Cached).await {
+            self.position = Some(update.at);
+            self.apply(update.content);
+        }
+    }
+
     async fn wait_to_join(&self) {
         let limit = Clock.now() + jittered(JOIN_WAIT);
         while !self.view.is_joined() && Clock.now() < limit {
@@ -111,19 +124,19 @@
         self.failures = 0;
         let is_read = self.position.is_none();
         self.position = Some(update.at);
-        match update.content {
+        self.apply(update.content);
+        let current = if is_read { asked } else { Clock.now() };
+        self.gateway.confirm(self.topic, current);
+    }
+
+    fn apply(&self, content: SourceContent) {
+        match content {
             SourceContent::Configuration(Some(configuration)) => {
                 self.gateway.apply_configuration(*configuration);
             }
             SourceContent::Configuration(None) => {}
-            SourceContent::Leafs(delta) => self.take_in_leafs(delta),
+            SourceContent::Leafs(delta) => self.gateway.apply_directory(delta),
         }
-        let current = if is_read { asked } else { Clock.now() };
-        self.gateway.confirm(self.topic, current);
-    }
-
-    fn take_in_leafs(&self, delta: DirectoryDelta) {
-        self.gateway.apply_directory(delta);
     }
 
     async fn on_error(&mut self, error: SourceError) {
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -20,6 +20,8 @@
 
 /// Share of a leaf's connections that all daemons together use.
 const CONNECTION_SHARE: f64 = 0.9;
+/// Requests that arrive in this first time of a daemon's life wait for what is being read.
+const STARTUP_WAIT: Duration = Duration::from_millis(80);
 /// Connections a leaf of an unconfigured service is taken to accept.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
@@ -166,6 +168,18 @@
         self.active.borrow().is_some() && self.directory.borrow().revision().is_some()
     }
 
+    /// Waits for configuration and leafs, but not beyond the first moments of this daemon's life,
+    /// in which they are being read.
+    pub async fn wait_until_known(&self) {
+        if self.knows_enough() {
+            return;
+        }
+        let until = self.started + STARTUP_WAIT;
+        let mut changes = self.changes();
+        let known = changes.wait_for(|_| self.knows_enough());
+        let _ = tokio::time::timeout(Clock.time_left(until), known).await;
+    }
+
     /// The state of a service; made if it is not known yet.
     pub fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
         if let Some(service) = self.services.borrow().get(name) {
