--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -21,8 +21,6 @@
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 /// After this many polls the choice of the peer is made anew.
 const POLLS_PER_PEER: u32 = 30;
-/// A word at least this much older than need be makes this daemon look for a better peer.
-const OLD_WORD_SHARE: u32 = 2;
 
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -77,6 +75,9 @@
             let asked = Clock.now();
             let reply = self.poll(&mut frames, peer).await?;
             self.take_in(reply, asked, peer)?;
+            if self.failures == 0 && !self.view.is_best_feed_peer(peer) {
+                break;
+            }
         }
         Ok(())
     }
@@ -126,9 +127,8 @@
         }
         let limit = gateway.settings.bounds.word_limit();
         let ages = [reply.configuration_age_millis, reply.leafs_age_millis];
-        let is_old = |age: Option<u32>| {
-            age.is_none_or(|age| Duration::from_millis(age.into()) > limit * OLD_WORD_SHARE)
-        };
+        let is_old =
+            |age: Option<u32>| age.is_none_or(|age| Duration::from_millis(age.into()) > limit);
         if ages.into_iter().any(is_old) {
             return Err(StepError::new("poll peer", peer, "its word is old"));
         }
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -14,7 +14,7 @@
 /// A watch without news is answered after this time.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Changes that come within this time are taken together.
-const GATHER_WAIT: Duration = Duration::from_millis(300);
+const GATHER_WAIT: Duration = Duration::from_millis(400);
 /// Time to join other daemons before the source is asked.
 const JOIN_WAIT: Duration = Duration::from_millis(900);
 /// The first reads of daemons that start together are spread over this time.
@@ -127,6 +127,7 @@
         self.apply(update.content);
         let current = if is_read { asked } else { Clock.now() };
         self.gateway.confirm(self.topic, current);
+        self.gateway.announce_confirmation();
     }
 
     fn apply(&self, content: SourceContent) {
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -1,6 +1,6 @@
 //! The members that run, and who among them watches the source.
 
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use tansylead_cluster::membership::MemberRecord;
@@ -76,16 +76,14 @@
         addresses
     }
 
-    /// Any other member.
-    pub fn any_peer(&self) -> Option<SocketAddr> {
+    /// Whether no member would be a better peer to poll than this one.
+    pub fn is_best_feed_peer(&self, peer: SocketAddr) -> bool {
         let members = self.members.borrow();
-        let others: Vec<_> = members
-            .iter()
-            .filter(|member| member.node() != self.node)
-            .collect();
-        others
-            .choose(&mut rand::rng())
-            .map(|member| member.node().0)
+        let others = members.iter().filter(|member| member.node() != self.node);
+        let best = others.clone().map(|member| self.feed_rank(member)).min();
+        let own = others.filter(|member| member.node().0 == peer);
+        let own = own.map(|member| self.feed_rank(member)).min();
+        best.is_none() || own == best
     }
 
     fn feed_rank(&self, member: &MemberRecord) -> u8 {
--- a/crates/tansylead-gateway/src/http_client.rs
+++ b/crates/tansylead-gateway/src/http_client.rs
@@ -15,7 +15,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 /// Bytes of the read buffer of a connection: a small answer with its headers.
-const READ_BUFFER_BYTES: usize = 4 * 1024;
+const READ_BUFFER_BYTES: usize = 2 * 1024;
 
 /// A whole reply.
 #[derive(Debug)]
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -156,6 +156,11 @@
         *held = (*held).max(moment);
     }
 
+    /// Tells daemons that poll this one that its word is fresh.
+    pub fn announce_confirmation(&self) {
+        self.notify();
+    }
+
     /// Time since what is held of a topic was known to be current; none if it never was.
     pub fn age(&self, topic: Topic) -> Option<Duration> {
         let confirmed = self.confirmed.borrow();
@@ -223,7 +228,7 @@
         }
     }
 
-    /// Signals each change of configuration or leafs.
+    /// Signals each change of configuration or leafs, and each confirmation by the source.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
