--- /dev/null
+++ b/crates/tansylead-route/tests/choice.rs
@@ -0,0 +1,186 @@
+//! Routes, weights, leaf choice and patience.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_route::{
+    BreakerVerdict, CallerLimits, Candidate, Configuration, Distance, Patience, Policy, Route,
+    RouteTable, ShardSet, Target, WeightedService, WeightedTurns, choose_leaf,
+};
+use tansylead_types::ServiceName;
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).expect("valid name")
+}
+
+fn policy() -> Policy {
+    Policy {
+        repeatable: true,
+        maximum_attempts: 2,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(250),
+        priority: 1,
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        target: Target::Services(vec![WeightedService {
+            service: service("s"),
+            weight: 1.0,
+        }]),
+        policy: policy(),
+    })
+}
+
+fn table(routes: Vec<Arc<Route>>) -> RouteTable {
+    RouteTable::new(&Configuration {
+        version: 1,
+        routes,
+        services: BTreeMap::new(),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    })
+}
+
+fn found<'a>(table: &'a RouteTable, host: &str, path: &str) -> Option<&'a str> {
+    table.find(host, path).map(|route| route.name.as_str())
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table(vec![
+        route("short", "h.example", "/a/"),
+        route("long", "h.example", "/a/b/"),
+        route("other", "o.example", "/"),
+    ]);
+    assert_eq!(found(&table, "h.example", "/a/b/c"), Some("long"));
+    assert_eq!(found(&table, "h.example", "/a/c"), Some("short"));
+    assert_eq!(found(&table, "h.example", "/b/"), None);
+    assert_eq!(found(&table, "x.example", "/a/"), None);
+}
+
+#[test]
+fn hosts_match_without_port_and_case() {
+    let table = table(vec![route("r", "h.example", "/")]);
+    assert_eq!(found(&table, "H.Example:8080", "/x"), Some("r"));
+}
+
+#[test]
+fn weights_are_kept_in_every_stretch() {
+    let weights = [5.0, 3.0, 2.0, 0.0];
+    let names = ["a", "b", "c", "d"];
+    let services: Vec<WeightedService> = names
+        .iter()
+        .zip(weights)
+        .map(|(name, weight)| WeightedService {
+            service: service(name),
+            weight,
+        })
+        .collect();
+    let mut turns = WeightedTurns::default();
+    let mut counts = [0_u32; 4];
+    for _ in 0..100 {
+        counts[turns.next(&services).expect("weights above zero")] += 1;
+    }
+    assert_eq!(counts, [50, 30, 20, 0]);
+}
+
+#[test]
+fn no_weight_no_turn() {
+    let services = vec![WeightedService {
+        service: service("a"),
+        weight: 0.0,
+    }];
+    assert_eq!(WeightedTurns::default().next(&services), None);
+}
+
+fn candidate(distance: Distance) -> Candidate {
+    Candidate {
+        verdict: BreakerVerdict::Healthy,
+        distance,
+        in_flight: 0,
+        limit: 4,
+        slowness: 1.0,
+        has_idle_connection: true,
+    }
+}
+
+#[test]
+fn near_leafs_go_first() {
+    let candidates = [
+        candidate(Distance::Remote),
+        candidate(Distance::Zone),
+        candidate(Distance::Region),
+    ];
+    assert_eq!(choose_leaf(&candidates, 0), Some(1));
+}
+
+#[test]
+fn a_sound_remote_leaf_goes_before_an_avoided_near_one() {
+    let mut near = candidate(Distance::Zone);
+    near.verdict = BreakerVerdict::Avoid;
+    let candidates = [near, candidate(Distance::Remote)];
+    assert_eq!(choose_leaf(&candidates, 0), Some(1));
+}
+
+#[test]
+fn a_full_near_leaf_yields_to_a_free_remote_one() {
+    let mut near = candidate(Distance::Zone);
+    near.in_flight = near.limit;
+    let candidates = [near, candidate(Distance::Remote)];
+    assert_eq!(choose_leaf(&candidates, 0), Some(1));
+}
+
+#[test]
+fn an_avoided_leaf_is_better_than_none() {
+    let mut only = candidate(Distance::Remote);
+    only.verdict = BreakerVerdict::Avoid;
+    assert_eq!(choose_leaf(&[only], 0), Some(0));
+    assert_eq!(choose_leaf(&[], 0), None);
+}
+
+#[test]
+fn load_counts_among_equals() {
+    let mut busy = candidate(Distance::Zone);
+    busy.in_flight = 2;
+    let candidates = [busy, candidate(Distance::Zone)];
+    for random in 0..4 {
+        assert_eq!(choose_leaf(&candidates, random), Some(1));
+    }
+}
+
+#[test]
+fn parts_needed_rounds_up_but_not_for_rounding_errors() {
+    let needed = |shards: usize, minimum_coverage: f64| {
+        let shards = (0..shards).map(|shard| service(&format!("s{shard}")));
+        let set = ShardSet {
+            shards: shards.collect(),
+            top: 1,
+            minimum_coverage,
+        };
+        set.parts_needed()
+    };
+    assert_eq!(needed(10, 0.89), 9);
+    assert_eq!(needed(10, 0.9), 9);
+    assert_eq!(needed(10, 0.75), 8);
+    assert_eq!(needed(15, 0.89), 14);
+    assert_eq!(needed(10, 0.0), 1);
+}
+
+#[test]
+fn an_answer_leaves_before_its_objective_and_its_end() {
+    let patience = Patience::new(&policy(), Duration::from_secs(4));
+    assert!(patience.enough < policy().objective);
+    assert_eq!(patience.end, Duration::from_secs(4));
+    let hurried = Patience::new(&policy(), Duration::from_millis(100));
+    assert!(hurried.enough < hurried.end);
+    assert_eq!(hurried.end, Duration::from_millis(100));
+}
