An emulator of the platform and a fault soak that runs the real daemons

An oracle checks every answer against what leafs ran: one whole answer, merged from its parts, true coverage, at most once, true refusals, nothing new at leaving leafs, extra arrivals within the budget, service after the faults.

--- /dev/null
+++ b/crates/tansylead-emulator/src/caller.rs
@@ -0,0 +1,192 @@
+//! A caller: one connection, kept for many requests; checks what it gets through the oracle.
+
+use crate::configuration::{HOST, RoutePlan};
+use crate::oracle::{CallerEnd, Oracle, SeenAnswer};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Time beyond a request's deadline that a caller still waits, so that a late answer is seen.
+const SLACK: Duration = Duration::from_millis(700);
+/// Time for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+/// An id that no other request of this process has.
+pub fn next_request_id() -> String {
+    format!("{:016x}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Id.
+    pub id: String,
+    /// Route.
+    pub route: RoutePlan,
+    /// Time the caller waits.
+    pub deadline: Duration,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl CallerRequest {
+    /// A request without a body.
+    pub fn new(route: &RoutePlan, deadline: Duration) -> Self {
+        Self {
+            id: next_request_id(),
+            route: route.clone(),
+            deadline,
+            body: Vec::new(),
+        }
+    }
+}
+
+/// What a caller got, with all headers.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A caller.
+#[derive(Debug)]
+pub struct Caller {
+    oracle: Oracle,
+    connection: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
+}
+
+impl Caller {
+    /// A caller without a connection.
+    pub fn new(oracle: Oracle) -> Self {
+        Self {
+            oracle,
+            connection: None,
+        }
+    }
+
+    /// Sends a request to a daemon and has its end checked.
+    pub async fn call(&mut self, daemon: SocketAddr, request: &CallerRequest) -> CallerEnd {
+        self.oracle.ask(&request.id, &request.route);
+        let limit = request.deadline + SLACK;
+        let answer = tokio::time::timeout(limit, self.exchange(daemon, request)).await;
+        let end = match answer {
+            Ok(Some(answer)) => CallerEnd::Answer(seen(&answer)),
+            Ok(None) | Err(_) => {
+                self.connection = None;
+                CallerEnd::Nothing
+            }
+        };
+        self.oracle.end(&request.id, &end);
+        end
+    }
+
+    /// Sends a request and leaves after `patience`, whatever has come.
+    pub async fn call_and_leave(
+        &mut self,
+        daemon: SocketAddr,
+        request: &CallerRequest,
+        patience: Duration,
+    ) {
+        self.oracle.ask(&request.id, &request.route);
+        let _ = tokio::time::timeout(patience, self.exchange(daemon, request)).await;
+        self.connection = None;
+    }
+
+    /// Sends a request and gives the answer as it is; for tests of single answers.
+    pub async fn exchange(
+        &mut self,
+        daemon: SocketAddr,
+        request: &CallerRequest,
+    ) -> Option<CallerAnswer> {
+        let method = if request.body.is_empty() {
+            Method::GET
+        } else {
+            Method::POST
+        };
+        let built = Request::builder()
+            .method(method)
+            .uri(format!("{}item", request.route.prefix()))
+            .header("Host", HOST)
+            .header("Request-Id", &request.id)
+            .header("Deadline-Ms", request.deadline.as_millis().to_string())
+            .body(Full::new(Bytes::from(request.body.clone())))
+            .ok()?;
+        self.send(daemon, built).await
+    }
+
+    /// Sends any request.
+    pub async fn send(
+        &mut self,
+        daemon: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Option<CallerAnswer> {
+        let mut sender = self.connect(daemon).await?;
+        let response = sender.send_request(request).await.ok()?;
+        let closes = closes(&response);
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.ok()?.to_bytes().to_vec();
+        if !closes {
+            self.connection = Some((daemon, sender));
+        }
+        Some(CallerAnswer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
+    }
+
+    async fn connect(&mut self, daemon: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        if let Some((kept, mut sender)) = self.connection.take()
+            && kept == daemon
+            && sender.ready().await.is_ok()
+        {
+            return Some(sender);
+        }
+        let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(daemon));
+        let stream = connecting.await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move {
+            // The end of the connection shows where it is used.
+            let _ = connection.await;
+        });
+        Some(sender)
+    }
+}
+
+fn closes<T>(response: &Response<T>) -> bool {
+    let connection = response.headers().get("connection");
+    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+fn seen(answer: &CallerAnswer) -> SeenAnswer {
+    let header = |name: &str| {
+        let value = answer.headers.get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    let parts = header("part-stamps").map(|joined| {
+        let parts = joined.split(',').map(str::trim);
+        parts.map(str::to_owned).collect()
+    });
+    SeenAnswer {
+        status: answer.status,
+        signature: header("answer-stamp"),
+        parts,
+        missing: header("missing-parts")
+            .and_then(|missing| missing.parse().ok())
+            .unwrap_or(0),
+        body: answer.body.clone(),
+    }
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/configuration.rs
@@ -0,0 +1,116 @@
+//! Configurations as the operator writes them.
+
+use serde_json::{Value, json};
+
+/// Host of all routes.
+pub const HOST: &str = "tansylead.example";
+/// Idle time of callers' connections, in milliseconds.
+pub const IDLE_TIMEOUT_MILLIS: u64 = 8_000;
+/// Most bytes of headers.
+pub const MAXIMUM_HEADER_BYTES: usize = 8 * 1024;
+/// Most bytes of a body.
+pub const MAXIMUM_BODY_BYTES: usize = 64 * 1024;
+
+/// What a route's requests go to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RouteTarget {
+    /// One leaf of one of these services, by weight.
+    Services(Vec<(String, f64)>),
+    /// One leaf of each shard.
+    Shards {
+        /// Shards.
+        shards: Vec<String>,
+        /// Records in the answer.
+        top: usize,
+        /// Least share of shards.
+        minimum_coverage: f64,
+    },
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoutePlan {
+    /// Name; its requests have the path `/NAME/...`.
+    pub name: String,
+    /// Target.
+    pub target: RouteTarget,
+    /// Whether requests may run more than once.
+    pub safe: bool,
+    /// Longest time a request is held, in milliseconds.
+    pub timeout_millis: u64,
+    /// Time in which an answer has its full worth, in milliseconds.
+    pub objective_millis: u64,
+    /// Most leafs a request may be sent to.
+    pub maximum_attempts: u32,
+}
+
+impl RoutePlan {
+    /// The path that its requests begin with.
+    pub fn prefix(&self) -> String {
+        format!("/{}/", self.name)
+    }
+
+    /// Services that its requests may go to.
+    pub fn services(&self) -> Vec<&str> {
+        match &self.target {
+            RouteTarget::Services(services) => {
+                services.iter().map(|(name, _)| name.as_str()).collect()
+            }
+            RouteTarget::Shards { shards, .. } => shards.iter().map(String::as_str).collect(),
+        }
+    }
+
+    fn document(&self) -> Value {
+        let mut document = json!({
+            "name": self.name,
+            "host": HOST,
+            "path_prefix": self.prefix(),
+            "type": if self.safe { "safe" } else { "unsafe" },
+            "timeout_ms": self.timeout_millis,
+            "slo_ms": self.objective_millis,
+            "max_attempts": self.maximum_attempts,
+            "priority": 1,
+        });
+        match &self.target {
+            RouteTarget::Services(services) if services.len() == 1 => {
+                document["service"] = json!(services[0].0);
+            }
+            RouteTarget::Services(services) => {
+                let parts = services.iter();
+                let parts = parts.map(|(name, weight)| json!({"service": name, "weight": weight}));
+                document["backends"] = parts.collect();
+            }
+            RouteTarget::Shards {
+                shards,
+                top,
+                minimum_coverage,
+            } => {
+                document["gather"] = json!(shards);
+                document["top_k"] = json!(top);
+                document["min_coverage"] = json!(minimum_coverage);
+            }
+        }
+        document
+    }
+}
+
+/// The document of one version.
+pub fn document(version: u64, routes: &[RoutePlan], maximum_connections: u32) -> Value {
+    let mut names: Vec<&str> = routes.iter().flat_map(RoutePlan::services).collect();
+    names.sort_unstable();
+    names.dedup();
+    let services = names.into_iter().map(
+        |name| json!({"name": name, "health_path": "/health", "max_conns": maximum_connections}),
+    );
+    json!({
+        "version": version,
+        "routes": routes.iter().map(RoutePlan::document).collect::<Vec<_>>(),
+        "services": services.collect::<Vec<_>>(),
+        "limits": {
+            "max_header_bytes": MAXIMUM_HEADER_BYTES,
+            "max_body_bytes": MAXIMUM_BODY_BYTES,
+            "header_timeout_ms": 5_000,
+            "idle_timeout_ms": IDLE_TIMEOUT_MILLIS,
+        },
+    })
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -0,0 +1,211 @@
+//! A real daemon as a separate process.
+
+use crate::addresses::next_ip;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// Ports of a daemon on its address.
+const CALLER_PORT: u16 = 20_101;
+const READY_PORT: u16 = 20_102;
+const PEER_PORT: u16 = 20_103;
+const METRICS_PORT: u16 = 20_104;
+
+/// Where a daemon listens.
+#[derive(Debug, Clone, Copy)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For load balancers.
+    pub ready: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+impl DaemonAddresses {
+    /// Addresses that nobody else has.
+    pub fn next() -> Self {
+        let ip = next_ip();
+        Self {
+            caller: SocketAddr::new(ip, CALLER_PORT),
+            ready: SocketAddr::new(ip, READY_PORT),
+            peer: SocketAddr::new(ip, PEER_PORT),
+            metrics: SocketAddr::new(ip, METRICS_PORT),
+        }
+    }
+}
+
+/// What a daemon is started with.
+#[derive(Debug, Clone)]
+pub struct DaemonPlan {
+    /// Name, for files.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Zone and region of all zones.
+    pub regions: Vec<(String, String)>,
+    /// Addresses.
+    pub addresses: DaemonAddresses,
+    /// Where it reaches the store.
+    pub store: SocketAddr,
+    /// Peer addresses to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Folder of its settings and logs.
+    pub folder: PathBuf,
+    /// Program.
+    pub program: PathBuf,
+}
+
+/// A daemon's process. It is killed when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    plan: DaemonPlan,
+    process: Option<Child>,
+    starts: u32,
+}
+
+impl Daemon {
+    /// Writes the settings and starts the process.
+    pub fn start(plan: DaemonPlan) -> io::Result<Self> {
+        let mut daemon = Self {
+            plan,
+            process: None,
+            starts: 0,
+        };
+        daemon.write_settings()?;
+        daemon.restart()?;
+        Ok(daemon)
+    }
+
+    /// What it was started with.
+    pub fn plan(&self) -> &DaemonPlan {
+        &self.plan
+    }
+
+    /// Starts the process again, after it has ended or killing it before.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        self.starts += 1;
+        let log = File::create(self.log_path(self.starts))?;
+        let errors = log.try_clone()?;
+        let process = Command::new(&self.plan.program)
+            .arg("gateway")
+            .env("TANSYLEAD_NODE_FILE", self.settings_path())
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::from(errors))
+            .spawn()?;
+        self.process = Some(process);
+        Ok(())
+    }
+
+    /// Logs of all of its lives, oldest first.
+    pub fn logs(&self) -> Vec<PathBuf> {
+        (1..=self.starts)
+            .map(|start| self.log_path(start))
+            .collect()
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Stops the process without ending it.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a stopped process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            // A process that has ended already cannot be killed.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    /// The exit status, once the process has ended by itself.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.process.as_mut()?.try_wait().ok().flatten()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let process = self.process.as_ref();
+        let pid = process.and_then(|process| Pid::from_raw(process.id() as i32));
+        if let Some(pid) = pid {
+            // A process that has ended already cannot be signalled.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.plan.folder.join(format!("{}.toml", self.plan.name))
+    }
+
+    fn log_path(&self, start: u32) -> PathBuf {
+        let name = format!("{}-{start}.log", self.plan.name);
+        self.plan.folder.join(name)
+    }
+
+    fn write_settings(&self) -> io::Result<()> {
+        let plan = &self.plan;
+        let seeds: Vec<String> = plan
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
+        let regions = plan.regions.iter();
+        let regions: Vec<String> = regions
+            .map(|(zone, region)| format!("\"{zone}\" = \"{region}\""))
+            .collect();
+        let text = format!(
+            "cluster = \"emulated\"\n\
+             zone = \"{}\"\n\
+             caller_address = \"{}\"\n\
+             ready_address = \"{}\"\n\
+             peer_address = \"{}\"\n\
+             metrics_address = \"{}\"\n\
+             store_address = \"{}\"\n\
+             seeds = [{}]\n\
+             [regions]\n{}\n",
+            plan.zone,
+            plan.addresses.caller,
+            plan.addresses.ready,
+            plan.addresses.peer,
+            plan.addresses.metrics,
+            plan.store,
+            seeds.join(", "),
+            regions.join("\n"),
+        );
+        std::fs::write(self.settings_path(), text)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The lines of a log that contain a text.
+pub fn lines_with(path: &Path, text: &str) -> Vec<String> {
+    let content = std::fs::read_to_string(path).unwrap_or_default();
+    let lines = content.lines().filter(|line| line.contains(text));
+    lines.map(str::to_owned).collect()
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/main.rs
@@ -0,0 +1,94 @@
+//! Command line of the emulator.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::WrapErr;
+use std::path::PathBuf;
+use std::time::Duration;
+use tansylead_emulator::deployment::DeploymentPlan;
+use tansylead_emulator::soak::{self, SoakReport};
+
+fn main() -> eyre::Result<()> {
+    let matches = command().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .wrap_err("start the runtime")?;
+    let Some(("soak", matches)) = matches.subcommand() else {
+        return Ok(());
+    };
+    runtime.block_on(soak(matches))
+}
+
+fn command() -> Command {
+    let soak = Command::new("soak")
+        .about("Runs real daemons under random faults and checks what callers and leafs see")
+        .arg(number("seed", "First seed").default_value("1"))
+        .arg(number("runs", "Runs, each with the next seed").default_value("1"))
+        .arg(number("seconds", "Length of a run, in seconds").default_value("30"))
+        .arg(number("daemons", "Daemons").default_value("5"))
+        .arg(number("shards", "Shards of the query route").default_value("4"))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .help("Program of the daemons")
+                .value_parser(value_parser!(PathBuf))
+                .default_value("target/release/tansylead-platform"),
+        );
+    Command::new("tansylead-emulator")
+        .about("Emulator of the users' platform")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(soak)
+}
+
+fn number(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .help(help)
+        .value_parser(value_parser!(u64))
+}
+
+async fn soak(matches: &ArgMatches) -> eyre::Result<()> {
+    let value = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let program = matches.get_one::<PathBuf>("program").cloned();
+    let plan = DeploymentPlan {
+        daemons: value("daemons").max(1) as usize,
+        zones: ["north", "middle", "south"].map(str::to_owned).to_vec(),
+        shards: value("shards").max(1) as usize,
+        program: program.unwrap_or_default(),
+    };
+    let length = Duration::from_secs(value("seconds"));
+    let mut broken = 0;
+    for seed in value("seed")..value("seed") + value("runs") {
+        let report = soak::run(&plan, seed, length).await;
+        let report = report.wrap_err_with(|| format!("soak with seed {seed}"))?;
+        if !report.violations.is_empty() {
+            broken += 1;
+        }
+        print(&report);
+    }
+    eyre::ensure!(broken == 0, "{broken} runs broke a promise");
+    Ok(())
+}
+
+fn print(report: &SoakReport) {
+    let counts = report.counts;
+    println!(
+        "seed {}: {} faults, {} asked, {} served, {} of them partial, {} failed, {} without an answer, {} violations",
+        report.seed,
+        report.faults.len(),
+        counts.asked,
+        counts.served,
+        counts.partial,
+        counts.failed,
+        counts.nothing,
+        report.violations.len(),
+    );
+    if let Some(folder) = &report.folder {
+        println!("  logs: {}", folder.display());
+        println!("  faults: {}", report.faults.join(", "));
+    }
+    for violation in report.violations.iter().take(20) {
+        println!("  {violation}");
+    }
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/store/mod.rs
@@ -0,0 +1,7 @@
+//! The platform's store: objects by kind and name, with revisions, history and watches.
+
+mod objects;
+mod server;
+
+pub use objects::{ListPage, ObjectStore, StoreError, StoredObject, WatchEvent};
+pub use server::{StoreServer, StoreTrouble};
--- /dev/null
+++ b/crates/tansylead-emulator/src/store/objects.rs
@@ -0,0 +1,195 @@
+//! The objects and their history. No I/O.
+//!
+//! Invariants: the revision rises with each change; a watch from a revision that the history still
+//! covers yields every later change of its kind, in order.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, VecDeque};
+
+/// One object.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoredObject {
+    /// Name and revision.
+    pub meta: ObjectMeta,
+    /// What its writer states.
+    pub spec: Value,
+    /// What is observed of it.
+    pub status: Value,
+}
+
+/// Name and revision of an object.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ObjectMeta {
+    /// Name, unique within the kind.
+    pub name: String,
+    /// Revision of its last change.
+    #[serde(default)]
+    pub revision: u64,
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct WatchEvent {
+    /// The object was removed.
+    pub gone: bool,
+    /// The object after the change, or as it was before its removal.
+    pub object: StoredObject,
+}
+
+/// One page of a list.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ListPage {
+    /// Objects in the order of their names.
+    pub items: Vec<StoredObject>,
+    /// Whether there are more.
+    pub more: bool,
+    /// The store's revision.
+    pub at: u64,
+}
+
+/// Why a call changed or found nothing.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreError {
+    /// No such object.
+    NotFound,
+    /// The object is there already, or has another revision.
+    Conflict(Box<StoredObject>),
+    /// The history after the revision is gone.
+    HistoryGone,
+}
+
+#[derive(Debug, Clone)]
+struct LoggedEvent {
+    revision: u64,
+    kind: String,
+    event: WatchEvent,
+}
+
+/// All objects.
+#[derive(Debug)]
+pub struct ObjectStore {
+    revision: u64,
+    kinds: BTreeMap<String, BTreeMap<String, StoredObject>>,
+    history: VecDeque<LoggedEvent>,
+    /// Changes after this revision are in the history.
+    history_start: u64,
+    page: usize,
+}
+
+impl ObjectStore {
+    /// An empty store whose lists have pages of this many objects.
+    pub fn new(page: usize) -> Self {
+        Self {
+            revision: 1,
+            kinds: BTreeMap::new(),
+            history: VecDeque::new(),
+            history_start: 1,
+            page: page.max(1),
+        }
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// A page of a kind's objects, after a name.
+    pub fn list(&self, kind: &str, after: &str) -> ListPage {
+        let objects = self.kinds.get(kind);
+        let later = objects.into_iter().flat_map(|objects| objects.values());
+        let later = later.filter(|object| object.meta.name.as_str() > after);
+        let mut items: Vec<StoredObject> = later.take(self.page + 1).cloned().collect();
+        let more = items.len() > self.page;
+        items.truncate(self.page);
+        ListPage {
+            items,
+            more,
+            at: self.revision,
+        }
+    }
+
+    /// One object.
+    pub fn get(&self, kind: &str, name: &str) -> Result<StoredObject, StoreError> {
+        let object = self.kinds.get(kind).and_then(|objects| objects.get(name));
+        object.cloned().ok_or(StoreError::NotFound)
+    }
+
+    /// Changes of a kind after a revision.
+    pub fn changes(&self, kind: &str, after: u64) -> Result<Vec<WatchEvent>, StoreError> {
+        if after < self.history_start {
+            return Err(StoreError::HistoryGone);
+        }
+        let newer = self.history.iter();
+        let newer = newer.filter(|logged| logged.revision > after && logged.kind == kind);
+        Ok(newer.map(|logged| logged.event.clone()).collect())
+    }
+
+    /// Makes an object.
+    pub fn create(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec: Value,
+    ) -> Result<StoredObject, StoreError> {
+        if let Ok(present) = self.get(kind, name) {
+            return Err(StoreError::Conflict(Box::new(present)));
+        }
+        Ok(self.put(kind, name, spec, Value::Null))
+    }
+
+    /// Replaces what an object's writer states, if the revision is still the object's.
+    pub fn replace(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec: Value,
+        expected: Option<u64>,
+    ) -> Result<StoredObject, StoreError> {
+        let present = self.get(kind, name)?;
+        if expected.is_some_and(|expected| expected != present.meta.revision) {
+            return Err(StoreError::Conflict(Box::new(present)));
+        }
+        Ok(self.put(kind, name, spec, present.status))
+    }
+
+    /// Makes or replaces an object.
+    pub fn put(&mut self, kind: &str, name: &str, spec: Value, status: Value) -> StoredObject {
+        self.revision += 1;
+        let object = StoredObject {
+            meta: ObjectMeta {
+                name: name.to_owned(),
+                revision: self.revision,
+            },
+            spec,
+            status,
+        };
+        let objects = self.kinds.entry(kind.to_owned()).or_default();
+        objects.insert(name.to_owned(), object.clone());
+        self.log(kind, false, object.clone());
+        object
+    }
+
+    /// Removes an object.
+    pub fn delete(&mut self, kind: &str, name: &str) -> Result<(), StoreError> {
+        let objects = self.kinds.get_mut(kind).ok_or(StoreError::NotFound)?;
+        let object = objects.remove(name).ok_or(StoreError::NotFound)?;
+        self.revision += 1;
+        self.log(kind, true, object);
+        Ok(())
+    }
+
+    /// Forgets the history: watches from earlier revisions find it gone.
+    pub fn forget_history(&mut self) {
+        self.history.clear();
+        self.history_start = self.revision;
+    }
+
+    fn log(&mut self, kind: &str, gone: bool, object: StoredObject) {
+        self.history.push_back(LoggedEvent {
+            revision: self.revision,
+            kind: kind.to_owned(),
+            event: WatchEvent { gone, object },
+        });
+    }
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/traffic.rs
@@ -0,0 +1,93 @@
+//! Steady traffic of many callers until it is stopped.
+
+use crate::caller::{Caller, CallerRequest};
+use crate::deployment::Routes;
+use crate::oracle::Oracle;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// Mean pause of a caller between two requests.
+const MEAN_PAUSE: Duration = Duration::from_millis(60);
+/// Share of calls at which a caller changes to another daemon.
+const CHANGE_SHARE: f64 = 0.05;
+/// Share of calls that are left early.
+const LEAVE_SHARE: f64 = 0.03;
+
+/// Running traffic.
+#[derive(Debug)]
+pub struct Traffic {
+    stopped: Arc<AtomicBool>,
+    callers: JoinSet<()>,
+}
+
+impl Traffic {
+    /// Starts `callers` callers that spread over the daemons.
+    pub fn start(
+        callers: usize,
+        daemons: &[SocketAddr],
+        routes: &Routes,
+        oracle: &Oracle,
+        seed: u64,
+    ) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let mut running = JoinSet::new();
+        for number in 0..callers {
+            let random = StdRng::seed_from_u64(seed.wrapping_add(number as u64));
+            running.spawn(call_on(
+                daemons.to_vec(),
+                routes.clone(),
+                oracle.clone(),
+                random,
+                Arc::clone(&stopped),
+            ));
+        }
+        Self {
+            stopped,
+            callers: running,
+        }
+    }
+
+    /// Lets all callers finish their last request.
+    pub async fn stop(mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        while self.callers.join_next().await.is_some() {}
+    }
+}
+
+async fn call_on(
+    daemons: Vec<SocketAddr>,
+    routes: Routes,
+    oracle: Oracle,
+    mut random: StdRng,
+    stopped: Arc<AtomicBool>,
+) {
+    let mut caller = Caller::new(oracle);
+    let Some(mut daemon) = daemons.choose(&mut random).copied() else {
+        return;
+    };
+    while !stopped.load(Ordering::Relaxed) {
+        let route = match random.random_range(0..10) {
+            0..6 => &routes.query,
+            6..8 => &routes.lookup,
+            _ => &routes.post,
+        };
+        let deadline = Duration::from_millis(route.timeout_millis);
+        let request = CallerRequest::new(route, deadline);
+        if random.random_bool(LEAVE_SHARE) {
+            let patience = Duration::from_millis(random.random_range(1..40));
+            caller.call_and_leave(daemon, &request, patience).await;
+        } else {
+            caller.call(daemon, &request).await;
+        }
+        if random.random_bool(CHANGE_SHARE) {
+            daemon = daemons.choose(&mut random).copied().unwrap_or(daemon);
+        }
+        let pause = MEAN_PAUSE.mul_f64(random.random_range(0.2..1.8));
+        tokio::time::sleep(pause).await;
+    }
+}
