Choose leafs by expected time; a leaf that answers others is slow, not silent

Cause: with many requests at a leaf (burst at three times the load) every overdue answer opened the breaker, so daemons swung between leafs that were all busy; distance went before any difference in load. Change: the breaker opens only if the leaf has answered nothing since the overdue request was sent; otherwise its slowness rises. Ruled out: the daemons' processor (0.019 cores of 0.25 at most).

--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -14,17 +14,17 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_route::{BreakerVerdict, Distance, ExtraAttempt, Route};
+use tansylead_route::{BreakerVerdict, ExtraAttempt, Route};
 use tansylead_types::{LeafId, Moment};
 
 /// Attempts that may fail before anything was sent; they reach no leaf and cost no budget.
 const MAXIMUM_NOT_SENT: u32 = 4;
 /// Before latencies are learned, an answer is overdue after this share of the objective.
 const UNLEARNED_OVERDUE_SHARE: f64 = 0.4;
-/// Allowance for the way to a leaf and back, by distance.
-const ZONE_WAY: Duration = Duration::from_millis(2);
-const REGION_WAY: Duration = Duration::from_millis(6);
-const REMOTE_WAY: Duration = Duration::from_millis(60);
+/// Typical latency before it is learned, as a share of the objective.
+const UNLEARNED_TYPICAL_SHARE: f64 = 0.2;
+/// Ways to a leaf and back within the overdue delay: one to connect and one to ask.
+const WAYS: u32 = 2;
 
 /// One call of one service.
 #[derive(Debug, Clone)]
@@ -135,7 +135,7 @@
         if now >= self.end || self.settled.get() {
             return false;
         }
-        let Some(leaf) = self.service.choose(&progress.tried) else {
+        let Some(leaf) = self.choose(progress) else {
             return false;
         };
         if must_be_sound && leaf.verdict(now) == BreakerVerdict::Avoid {
@@ -215,12 +215,15 @@
 
     fn on_overdue(&self, progress: &mut Progress) {
         let now = Clock.now();
+        let typical = self.typical();
         let mut is_stuck_unsent = false;
         for attempt in &mut progress.attempts {
             if attempt.overdue.is_some_and(|overdue| overdue <= now) {
                 attempt.overdue = None;
                 match attempt.sent.get() {
-                    Some(sent) => attempt.leaf.on_overdue(sent, attempt.overdue_delay),
+                    Some(sent) => attempt
+                        .leaf
+                        .on_overdue(sent, attempt.overdue_delay, typical),
                     None => is_stuck_unsent = true,
                 }
             }
@@ -250,7 +253,7 @@
 
     fn launch_hedge(&self, progress: &mut Progress) {
         let now = Clock.now();
-        let Some(leaf) = self.service.choose(&progress.tried) else {
+        let Some(leaf) = self.choose(progress) else {
             return;
         };
         if leaf.verdict(now) != BreakerVerdict::Avoid {
@@ -266,7 +269,7 @@
         }
         let now = Clock.now();
         let over = now >= self.end || self.settled.get();
-        if over || self.service.choose(&progress.tried).is_none() {
+        if over || self.choose(progress).is_none() {
             return;
         }
         if self.service.try_take_extra(self.gateway.daemons(), kind) {
@@ -279,7 +282,20 @@
             .gateway
             .with_latencies(&self.route.name, |profile| profile.overdue());
         let unlearned = self.route.policy.objective.mul_f64(UNLEARNED_OVERDUE_SHARE);
-        learned.unwrap_or(unlearned) + way(leaf.distance())
+        learned.unwrap_or(unlearned) + leaf.way() * WAYS
+    }
+
+    fn typical(&self) -> Duration {
+        let learned = self
+            .gateway
+            .with_latencies(&self.route.name, |profile| profile.typical());
+        let unlearned = self.route.policy.objective.mul_f64(UNLEARNED_TYPICAL_SHARE);
+        learned.unwrap_or(unlearned)
+    }
+
+    /// The best leaf not tried yet.
+    fn choose(&self, progress: &Progress) -> Option<Rc<LeafState>> {
+        self.service.choose(&progress.tried, self.typical())
     }
 
     fn note_answer(&self, attempt: &Attempt) {
@@ -287,23 +303,13 @@
             return;
         };
         let now = Clock.now();
-        let latency = now.since(sent);
+        let latency = now.since(sent).saturating_sub(attempt.leaf.way());
         let timely = now.since(attempt.started) < attempt.overdue_delay;
         let typical = self.gateway.with_latencies(&self.route.name, |profile| {
-            if attempt.leaf.distance() != Distance::Remote {
-                profile.record(now, latency);
-            }
+            profile.record(now, latency);
             profile.typical()
         });
         let typical = typical.unwrap_or(Duration::ZERO);
         attempt.leaf.on_answer(sent, timely, latency, typical);
     }
 }
-
-fn way(distance: Distance) -> Duration {
-    match distance {
-        Distance::Zone => ZONE_WAY,
-        Distance::Region => REGION_WAY,
-        Distance::Remote => REMOTE_WAY,
-    }
-}
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -104,9 +104,11 @@
         }
     }
     let address = leaf.entry().address;
+    let started = Clock.now();
     let opened = HttpConnection::open(address, connect_limit, LEAF_SILENCE).await;
-    if opened.is_err() {
-        leaf.on_unreachable(connect_limit);
+    match &opened {
+        Ok(_) => leaf.on_connected(Clock.now().since(started)),
+        Err(_) => leaf.on_unreachable(connect_limit),
     }
     opened
 }
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -17,6 +17,11 @@
 /// Slowness is forgotten after this time without answers.
 const SLOWNESS_LIFETIME: Duration = Duration::from_secs(5);
 
+/// The way there and back before it is measured.
+const UNMEASURED_ZONE_WAY: Duration = Duration::from_millis(1);
+const UNMEASURED_REGION_WAY: Duration = Duration::from_millis(4);
+const UNMEASURED_REMOTE_WAY: Duration = Duration::from_millis(30);
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: HttpConnection,
@@ -38,6 +43,8 @@
     breaker: RefCell<Breaker>,
     slowness: Cell<f64>,
     answered_at: Cell<Moment>,
+    /// Shortest time that a connection took to come up: the way there and back.
+    way: Cell<Option<Duration>>,
 }
 
 impl LeafState {
@@ -54,6 +61,7 @@
             breaker: RefCell::new(Breaker::default()),
             slowness: Cell::new(1.0),
             answered_at: Cell::new(Moment::default()),
+            way: Cell::new(None),
         }
     }
 
@@ -105,6 +113,7 @@
         Candidate {
             verdict: self.breaker.borrow().verdict(now),
             distance: self.distance,
+            way: self.way(),
             in_flight: self.in_flight.get(),
             limit: self.limit.get(),
             slowness: if fresh { self.slowness.get() } else { 1.0 },
@@ -126,9 +135,29 @@
         }
     }
 
-    /// Notes that an attempt sent at `sent` is overdue.
-    pub fn on_overdue(&self, sent: Moment, delay: Duration) {
+    /// Time for the way there and back.
+    pub fn way(&self) -> Duration {
+        self.way.get().unwrap_or(match self.distance {
+            Distance::Zone => UNMEASURED_ZONE_WAY,
+            Distance::Region => UNMEASURED_REGION_WAY,
+            Distance::Remote => UNMEASURED_REMOTE_WAY,
+        })
+    }
+
+    /// Notes how long a connection took to come up.
+    pub fn on_connected(&self, took: Duration) {
+        let shortest = self.way.get().map_or(took, |way| way.min(took));
+        self.way.set(Some(shortest));
+    }
+
+    /// Notes that an attempt sent at `sent` is overdue. A leaf that has answered others since is
+    /// slow; one that has not has stopped answering.
+    pub fn on_overdue(&self, sent: Moment, delay: Duration, typical: Duration) {
         let now = Clock.now();
+        if self.answered_at.get() > sent {
+            self.note_slowness(now.since(sent), typical);
+            return;
+        }
         if self.breaker.borrow_mut().on_overdue(now, sent, delay) {
             log::info!(leaf = self.entry().leaf.as_str(), delay_ms = delay.as_millis() as u64; "leaf overdue");
         }
@@ -148,15 +177,19 @@
         if closed {
             log::info!(leaf = self.entry().leaf.as_str(); "leaf sound again");
         }
-        if !timely {
-            return;
-        }
         self.answered_at.set(now);
-        if !typical.is_zero() {
-            let ratio = latency.as_secs_f64() / typical.as_secs_f64();
-            let old = self.slowness.get();
-            self.slowness.set(old + SLOWNESS_WEIGHT * (ratio - old));
+        if timely {
+            self.note_slowness(latency, typical);
+        }
+    }
+
+    fn note_slowness(&self, latency: Duration, typical: Duration) {
+        if typical.is_zero() {
+            return;
         }
+        let ratio = latency.as_secs_f64() / typical.as_secs_f64();
+        let old = self.slowness.get();
+        self.slowness.set(old + SLOWNESS_WEIGHT * (ratio - old));
     }
 
     /// An idle connection that the leaf has not closed, as far as is known.
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 use tansylead_route::{
     BreakerVerdict, BudgetSettings, Candidate, ExtraAttempt, RetryBudget, choose_leaf,
 };
@@ -56,8 +57,8 @@
         ready.any(|leaf| leaf.verdict(now) != BreakerVerdict::Avoid)
     }
 
-    /// The best leaf that is not in `excluded`.
-    pub fn choose(&self, excluded: &[LeafId]) -> Option<Rc<LeafState>> {
+    /// The best leaf that is not in `excluded`, for a request that typically takes `typical`.
+    pub fn choose(&self, excluded: &[LeafId], typical: Duration) -> Option<Rc<LeafState>> {
         let now = Clock.now();
         let leafs = self.leafs.borrow();
         let usable: Vec<&Rc<LeafState>> = leafs
@@ -65,7 +66,7 @@
             .filter(|leaf| leaf.takes_requests() && !excluded.contains(&leaf.entry().leaf))
             .collect();
         let candidates: Vec<Candidate> = usable.iter().map(|leaf| leaf.candidate(now)).collect();
-        let index = choose_leaf(&candidates, rand::random())?;
+        let index = choose_leaf(&candidates, typical, rand::random())?;
         Some(Rc::clone(usable[index]))
     }
 
--- a/crates/tansylead-route/tests/choice.rs
+++ b/crates/tansylead-route/tests/choice.rs
@@ -102,10 +102,17 @@
     assert_eq!(WeightedTurns::default().next(&services), None);
 }
 
+const TYPICAL: Duration = Duration::from_millis(30);
+
 fn candidate(distance: Distance) -> Candidate {
     Candidate {
         verdict: BreakerVerdict::Healthy,
         distance,
+        way: match distance {
+            Distance::Zone => Duration::from_micros(200),
+            Distance::Region => Duration::from_millis(2),
+            Distance::Remote => Duration::from_millis(24),
+        },
         in_flight: 0,
         limit: 4,
         slowness: 1.0,
@@ -120,7 +127,7 @@
         candidate(Distance::Zone),
         candidate(Distance::Region),
     ];
-    assert_eq!(choose_leaf(&candidates, 0), Some(1));
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
 }
 
 #[test]
@@ -128,7 +135,7 @@
     let mut near = candidate(Distance::Zone);
     near.verdict = BreakerVerdict::Avoid;
     let candidates = [near, candidate(Distance::Remote)];
-    assert_eq!(choose_leaf(&candidates, 0), Some(1));
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
 }
 
 #[test]
@@ -136,15 +143,32 @@
     let mut near = candidate(Distance::Zone);
     near.in_flight = near.limit;
     let candidates = [near, candidate(Distance::Remote)];
-    assert_eq!(choose_leaf(&candidates, 0), Some(1));
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
+}
+
+#[test]
+fn a_slow_near_leaf_yields_to_a_remote_one() {
+    let mut near = candidate(Distance::Zone);
+    near.slowness = 4.0;
+    let candidates = [near, candidate(Distance::Remote)];
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
+}
+
+#[test]
+fn among_all_slow_leafs_near_ones_still_go_first() {
+    let mut candidates = [candidate(Distance::Zone), candidate(Distance::Remote)];
+    for candidate in &mut candidates {
+        candidate.slowness = 4.0;
+    }
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(0));
 }
 
 #[test]
 fn an_avoided_leaf_is_better_than_none() {
     let mut only = candidate(Distance::Remote);
     only.verdict = BreakerVerdict::Avoid;
-    assert_eq!(choose_leaf(&[only], 0), Some(0));
-    assert_eq!(choose_leaf(&[], 0), None);
+    assert_eq!(choose_leaf(&[only], TYPICAL, 0), Some(0));
+    assert_eq!(choose_leaf(&[], TYPICAL, 0), None);
 }
 
 #[test]
@@ -153,7 +177,7 @@
     busy.in_flight = 2;
     let candidates = [busy, candidate(Distance::Zone)];
     for random in 0..4 {
-        assert_eq!(choose_leaf(&candidates, random), Some(1));
+        assert_eq!(choose_leaf(&candidates, TYPICAL, random), Some(1));
     }
 }
 
