--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -24,6 +24,10 @@
 const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// Period at which the end of a planned stop is looked for.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Period at which the lag of tasks is measured.
+const LAG_PERIOD: Duration = Duration::from_millis(250);
+/// Lags above this are told.
+const LAG_TOLERANCE: Duration = Duration::from_millis(40);
 /// Period at which idle connections are looked at.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
@@ -118,6 +122,7 @@
         spawn_local(feed.run());
     }
     spawn_local(sweep(Rc::clone(gateway)));
+    spawn_local(watch_lag());
     Ok(())
 }
 
@@ -134,6 +139,18 @@
     }
 }
 
+/// Tells when tasks wait long for the processor: then everything here is late.
+async fn watch_lag() {
+    loop {
+        let due = Clock.now() + LAG_PERIOD;
+        tokio::time::sleep(LAG_PERIOD).await;
+        let lag = Clock.now().since(due);
+        if lag > LAG_TOLERANCE {
+            log::warn!(lag_ms = lag.as_millis() as u64; "tasks wait for the processor");
+        }
+    }
+}
+
 async fn reload_on_signal(
     view: Rc<ClusterView>,
     reload: impl Fn() -> eyre::Result<GatewaySettings>,
