--- a/crates/tansylead-emulator/src/addresses.rs
+++ b/crates/tansylead-emulator/src/addresses.rs
@@ -12,11 +12,13 @@
 /// by the process id.
 pub fn next_ip() -> IpAddr {
     const NETWORKS: u32 = 200;
+    const HOSTS: u16 = 254;
     let network = 20 + (std::process::id() % NETWORKS) as u8;
-    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
     // 0 and 255 as the last number are left out.
-    let low_usable = 1 + low % 254;
-    IpAddr::V4(Ipv4Addr::new(127, network, high, low_usable))
+    let high = (number / HOSTS) as u8;
+    let low = 1 + (number % HOSTS) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, network, high, low))
 }
 
 /// A socket address that nobody else of this process has.
--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -208,8 +208,6 @@
             self.store.delete("servers", &leaf.plan.id);
         }
         leaf.plan.id = id;
-        // The old listener's address is free once its task has ended.
-        tokio::time::sleep(CHECK_PERIOD).await;
         let started = Leaf::start(leaf.plan.clone(), self.store.clone(), self.oracle.clone());
         leaf.leaf = Some(started.await?);
         Ok(())
--- a/crates/tansylead-emulator/src/leaf.rs
+++ b/crates/tansylead-emulator/src/leaf.rs
@@ -93,7 +93,7 @@
 impl Leaf {
     /// Starts a leaf and registers it.
     pub async fn start(plan: LeafPlan, store: StoreServer, oracle: Oracle) -> io::Result<Self> {
-        let listener = TcpListener::bind(plan.address).await?;
+        let listener = bind(plan.address).await?;
         let shared = Arc::new(Shared {
             slots: Semaphore::new(plan.slots),
             plan,
@@ -174,6 +174,19 @@
     }
 }
 
+/// Binds an address, which the listener of an earlier run may still hold for a moment.
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    const TRIES: u32 = 50;
+    const PAUSE: Duration = Duration::from_millis(20);
+    for _ in 1..TRIES {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return Ok(listener);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    TcpListener::bind(address).await
+}
+
 /// The parts of a request that a leaf looks at.
 #[derive(Debug, Default)]
 struct Request {
