Structured lines of a request's decisions, metrics, and an assumed number of daemons after a start

Ruled out: the leafs (sound), the processor (no lag above 40 ms). Change: until other daemons are known, 8 are taken to share a leaf's connections. Every request remembers its decisions; those that end badly write them, bounded by second; kinds of lines are bounded; metrics are served as text.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -4,7 +4,7 @@
 use crate::execution::{Call, GatherQuery, Outcome, Refusal, RefusalReason, forward, gather};
 use crate::headers::{remove_connection_headers, set_retry_after};
 use crate::leaf::OutgoingRequest;
-use crate::logging::RequestLog;
+use crate::request_log::{RequestLog, RequestTrace};
 use crate::state::{ActiveConfiguration, Gateway, StopPhase};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_route::{CallerLimits, Route, Target};
-use tansylead_types::{Moment, ServiceName};
+use tansylead_types::Moment;
 
 /// Time until a daemon without configuration is worth another try.
 const NO_CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
@@ -28,7 +28,7 @@
 ) -> Response<Full<Bytes>> {
     let arrived = Clock.now();
     let id = request.headers().get(&gateway.names.request).cloned();
-    let mut log = RequestLog::new(id.clone(), arrived);
+    let mut log = RequestLog::new(Rc::clone(gateway), id.clone(), arrived);
     let outcome = run(gateway, request, id.clone(), arrived, &mut log).await;
     log.finish(&outcome);
     write_response(gateway, outcome, id)
@@ -66,7 +66,7 @@
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
-    let execution = execute(gateway, route, outgoing, arrived, time_left);
+    let execution = execute(gateway, route, outgoing, arrived, time_left, &log.trace);
     let mut stop = gateway.stop_phases();
     tokio::select! {
         outcome = execution => outcome,
@@ -82,6 +82,7 @@
     request: Rc<OutgoingRequest>,
     arrived: Moment,
     time_left: Duration,
+    trace: &Rc<RequestTrace>,
 ) -> Outcome {
     match &route.target {
         Target::Services(services) => {
@@ -92,8 +93,16 @@
             let Some(index) = index else {
                 return Outcome::Refused(Refusal::not_run(NO_CONFIGURATION_WAIT));
             };
-            let service = services[index].service.clone();
-            let call = single_call(gateway, &route, &service, request, arrived, time_left);
+            let call = Call {
+                gateway: Rc::clone(gateway),
+                service: gateway.service(&services[index].service),
+                end: arrived + time_left.min(route.policy.timeout),
+                route: Arc::clone(&route),
+                request,
+                successes_only: false,
+                settled: Rc::new(Cell::new(false)),
+                trace: Rc::clone(trace),
+            };
             forward(call).await
         }
         Target::Shards(set) => {
@@ -103,31 +112,13 @@
                 request,
                 arrived,
                 time_left,
+                trace: Rc::clone(trace),
             };
             gather(query, set).await
         }
     }
 }
 
-fn single_call(
-    gateway: &Rc<Gateway>,
-    route: &Arc<Route>,
-    service: &ServiceName,
-    request: Rc<OutgoingRequest>,
-    arrived: Moment,
-    time_left: Duration,
-) -> Call {
-    Call {
-        gateway: Rc::clone(gateway),
-        service: gateway.service(service),
-        route: Arc::clone(route),
-        request,
-        end: arrived + time_left.min(route.policy.timeout),
-        successes_only: false,
-        settled: Rc::new(Cell::new(false)),
-    }
-}
-
 fn refused(reason: RefusalReason) -> Outcome {
     Outcome::Refused(Refusal::new(reason))
 }
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -60,6 +60,7 @@
             self.wait_for_turn().await;
             let asked = Clock.now();
             let result = self.ask().await;
+            self.count(&result);
             match result {
                 Ok(update) => {
                     let waited = Clock.now().since(asked);
@@ -109,6 +110,16 @@
         }
     }
 
+    fn count(&self, result: &Result<SourceUpdate, SourceError>) {
+        let label = match result {
+            Ok(_) => "answered",
+            Err(SourceError::HistoryGone) => "history_gone",
+            Err(SourceError::Refused(_)) => "refused",
+            Err(SourceError::Failed(_)) => "failed",
+        };
+        self.gateway.metrics.on_source_call(self.topic, label);
+    }
+
     /// Where a watch goes on: peers may have brought the directory further than the last watch.
     fn known_position(&self) -> Option<Revision> {
         match self.topic {
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, serve_feed};
 use crate::headers::HeaderNames;
+use crate::metrics::serve_metrics;
 use crate::settings::GatewaySettings;
 use crate::source::{Source, Topic};
 use crate::state::{Gateway, StopPhase};
@@ -121,6 +122,10 @@
         );
         spawn_local(feed.run());
     }
+    if let Some(address) = gateway.settings.metrics_address {
+        let metrics = serve_metrics(Rc::clone(gateway), address);
+        spawn_local(until_failed("metrics", metrics));
+    }
     spawn_local(sweep(Rc::clone(gateway)));
     spawn_local(watch_lag());
     Ok(())
@@ -136,6 +141,7 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         gateway.close_expired();
+        gateway.count_daemons();
     }
 }
 
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::http_client::Reply;
 use crate::leaf::{AttemptEnd, LeafState, OutgoingRequest, ServiceState, run_attempt};
+use crate::request_log::{AttemptReason, Decision, RequestTrace};
 use crate::state::Gateway;
 use hyper::StatusCode;
 use std::cell::Cell;
@@ -43,6 +44,8 @@
     pub successes_only: bool,
     /// Set once the caller has its answer: nothing more is started.
     pub settled: Rc<Cell<bool>>,
+    /// Decisions of the request.
+    pub trace: Rc<RequestTrace>,
 }
 
 /// How a call ended.
@@ -87,7 +90,7 @@
             may_have_run: false,
             reply: None,
         };
-        self.launch(&mut progress, false);
+        self.launch(&mut progress, AttemptReason::First, false);
         while !progress.attempts.is_empty() {
             let overdue = progress
                 .attempts
@@ -130,12 +133,13 @@
     }
 
     /// Starts an attempt at the best leaf not tried yet. Returns whether one was started.
-    fn launch(&self, progress: &mut Progress, must_be_sound: bool) -> bool {
+    fn launch(&self, progress: &mut Progress, reason: AttemptReason, must_be_sound: bool) -> bool {
         let now = Clock.now();
         if now >= self.end || self.settled.get() {
             return false;
         }
         let Some(leaf) = self.choose(progress) else {
+            self.deny("no_leaf");
             return false;
         };
         if must_be_sound && leaf.verdict(now) == BreakerVerdict::Avoid {
@@ -152,6 +156,13 @@
             self.end,
             Rc::clone(&sent),
         );
+        self.gateway.metrics.on_attempt(reason.label());
+        let decision = Decision::Started {
+            leaf: Rc::clone(&leaf),
+            reason,
+            overdue: delay,
+        };
+        self.trace.note(self.service.name(), decision);
         let attempt = Attempt::start(leaf, now, delay, sent, run);
         progress.attempts.push(attempt);
         true
@@ -163,6 +174,7 @@
         attempt: Attempt,
         end: Option<AttemptEnd>,
     ) -> Option<Reply> {
+        self.note_end(&attempt, end.as_ref());
         match end {
             Some(AttemptEnd::Answered(reply)) => {
                 self.note_answer(&attempt);
@@ -181,7 +193,7 @@
             Some(AttemptEnd::NotSent(_)) => {
                 progress.not_sent += 1;
                 if progress.not_sent < MAXIMUM_NOT_SENT && progress.attempts.is_empty() {
-                    self.launch(progress, false);
+                    self.launch(progress, AttemptReason::NotSent, false);
                 }
             }
             Some(AttemptEnd::Failed(_)) | None => {
@@ -220,6 +232,10 @@
         for attempt in &mut progress.attempts {
             if attempt.overdue.is_some_and(|overdue| overdue <= now) {
                 attempt.overdue = None;
+                let decision = Decision::Overdue {
+                    leaf: Rc::clone(&attempt.leaf),
+                };
+                self.trace.note(self.service.name(), decision);
                 match attempt.sent.get() {
                     Some(sent) => attempt
                         .leaf
@@ -233,7 +249,7 @@
             let sent_elsewhere = progress.attempts.iter().any(Attempt::is_sent);
             progress.not_sent += 1;
             if !sent_elsewhere && progress.not_sent < MAXIMUM_NOT_SENT {
-                let launched = self.launch(progress, true);
+                let launched = self.launch(progress, AttemptReason::NotSent, true);
                 if launched {
                     let newest = progress.attempts.len() - 1;
                     let mut index = 0;
@@ -264,19 +280,48 @@
     fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
         let open = progress.attempts.iter().filter(|attempt| attempt.is_sent());
         let sent = progress.arrivals + open.count() as u32;
+        let over = Clock.now() >= self.end || self.settled.get();
         if sent >= self.route.policy.maximum_attempts {
-            return;
-        }
-        let now = Clock.now();
-        let over = now >= self.end || self.settled.get();
-        if over || self.choose(progress).is_none() {
-            return;
-        }
-        if self.service.try_take_extra(self.gateway.daemons(), kind) {
-            self.launch(progress, false);
+            self.deny("attempts");
+        } else if over {
+            self.deny("end");
+        } else if self.choose(progress).is_none() {
+            self.deny("no_leaf");
+        } else if !self.service.try_take_extra(self.gateway.daemons(), kind) {
+            self.deny("budget");
+        } else {
+            let reason = match kind {
+                ExtraAttempt::Hedge => AttemptReason::Hedge,
+                ExtraAttempt::Retry => AttemptReason::Retry,
+            };
+            self.launch(progress, reason, false);
         }
     }
 
+    fn deny(&self, reason: &'static str) {
+        self.gateway.metrics.on_denied(reason);
+        self.trace
+            .note(self.service.name(), Decision::Denied { reason });
+    }
+
+    fn note_end(&self, attempt: &Attempt, end: Option<&AttemptEnd>) {
+        let (end, cause) = match end {
+            Some(AttemptEnd::Answered(reply)) => ("answered", reply.status.to_string()),
+            Some(AttemptEnd::Refused(reply)) => ("refused", reply.status.to_string()),
+            Some(AttemptEnd::NotSent(error)) => ("not_sent", error.to_string()),
+            Some(AttemptEnd::Failed(error)) => ("failed", error.to_string()),
+            None => ("failed", "the attempt panicked".to_owned()),
+        };
+        self.gateway.metrics.on_attempt_end(end);
+        let decision = Decision::Ended {
+            leaf: Rc::clone(&attempt.leaf),
+            end,
+            cause,
+            took: Clock.now().since(attempt.started),
+        };
+        self.trace.note(self.service.name(), decision);
+    }
+
     fn overdue_delay(&self, leaf: &LeafState) -> Duration {
         let learned = self
             .gateway
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::http_client::Reply;
 use crate::leaf::OutgoingRequest;
+use crate::request_log::RequestTrace;
 use crate::state::Gateway;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -36,6 +37,8 @@
     pub arrived: Moment,
     /// Until when the caller waits.
     pub time_left: Duration,
+    /// Its decisions.
+    pub trace: Rc<RequestTrace>,
 }
 
 /// Parts that are in.
@@ -70,6 +73,7 @@
                 end,
                 successes_only: true,
                 settled: Rc::clone(&settled),
+                trace: Rc::clone(&query.trace),
             };
             call.run()
         })
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod http_client;
 pub mod leaf;
 pub mod logging;
+pub mod metrics;
+mod request_log;
 pub mod settings;
 pub mod source;
 
--- /dev/null
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -0,0 +1,282 @@
+//! Counters and latency histograms, and the listener that serves them as text.
+//!
+//! Label sets are bounded: routes beyond [`MAXIMUM_ROUTES`] share one label.
+
+use crate::clock::Clock;
+use crate::logging;
+use crate::source::Topic;
+use crate::state::Gateway;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use prometheus::{
+    Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_types::StepError;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// Routes with a label of their own.
+const MAXIMUM_ROUTES: usize = 64;
+/// Label of all further routes.
+const OTHER_ROUTES: &str = "other";
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
+/// A connection for metrics is closed after this time.
+const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// All metrics of a daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: Histogram,
+    attempts: IntCounterVec,
+    attempt_ends: IntCounterVec,
+    denied: IntCounterVec,
+    source_calls: IntCounterVec,
+    configuration_version: IntGauge,
+    configuration_age: Gauge,
+    leafs_age: Gauge,
+    leafs: IntGauge,
+    daemons: IntGauge,
+    caller_connections: IntGauge,
+    idle_leaf_connections: IntGauge,
+    lines_dropped: IntGauge,
+    lines_suppressed: IntGauge,
+    routes: RefCell<HashSet<String>>,
+}
+
+impl Metrics {
+    /// Outcome of a request that ended well.
+    pub const SERVED: &'static str = "served";
+
+    /// Metrics that have counted nothing.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let options = HistogramOpts::new(
+            "tansylead_request_seconds",
+            "Time from a request's arrival to its answer",
+        );
+        let request_seconds = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))
+            .expect("constant options are valid");
+        register(&registry, &request_seconds);
+        Self {
+            requests: counters(
+                &registry,
+                "tansylead_requests_total",
+                "Requests by route and outcome",
+                &["route", "outcome"],
+            ),
+            request_seconds,
+            attempts: counters(
+                &registry,
+                "tansylead_attempts_total",
+                "Attempts at leafs by the reason they were started for",
+                &["reason"],
+            ),
+            attempt_ends: counters(
+                &registry,
+                "tansylead_attempt_ends_total",
+                "Ended attempts by how they ended",
+                &["end"],
+            ),
+            denied: counters(
+                &registry,
+                "tansylead_attempts_denied_total",
+                "Further attempts that were not started, by reason",
+                &["reason"],
+            ),
+            source_calls: counters(
+                &registry,
+                "tansylead_source_calls_total",
+                "Calls to the store by topic and result",
+                &["topic", "result"],
+            ),
+            configuration_version: gauge(
+                &registry,
+                "tansylead_configuration_version",
+                "Version of the configuration in force",
+            ),
+            configuration_age: seconds(
+                &registry,
+                "tansylead_configuration_age_seconds",
+                "Time since the configuration was known to be current; -1 if never",
+            ),
+            leafs_age: seconds(
+                &registry,
+                "tansylead_leafs_age_seconds",
+                "Time since the leaf directory was known to be current; -1 if never",
+            ),
+            leafs: gauge(&registry, "tansylead_leafs", "Leafs in the directory"),
+            daemons: gauge(
+                &registry,
+                "tansylead_daemons",
+                "Daemons that share budgets and connections",
+            ),
+            caller_connections: gauge(
+                &registry,
+                "tansylead_caller_connections",
+                "Open connections of callers",
+            ),
+            idle_leaf_connections: gauge(
+                &registry,
+                "tansylead_idle_leaf_connections",
+                "Idle connections to leafs",
+            ),
+            lines_dropped: gauge(
+                &registry,
+                "tansylead_log_lines_dropped",
+                "Log lines dropped because the output did not take them",
+            ),
+            lines_suppressed: gauge(
+                &registry,
+                "tansylead_log_lines_suppressed",
+                "Log lines not written because there were too many of their kind",
+            ),
+            routes: RefCell::default(),
+            registry,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn on_request(&self, route: &str, outcome: &str, took: Duration) {
+        let route = self.route_label(route);
+        self.requests.with_label_values(&[route, outcome]).inc();
+        self.request_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt that was started.
+    pub fn on_attempt(&self, reason: &str) {
+        self.attempts.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an attempt that ended.
+    pub fn on_attempt_end(&self, end: &str) {
+        self.attempt_ends.with_label_values(&[end]).inc();
+    }
+
+    /// Counts an attempt that was not started.
+    pub fn on_denied(&self, reason: &str) {
+        self.denied.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a call to the source.
+    pub fn on_source_call(&self, topic: Topic, result: &str) {
+        let labels = [topic.label(), result];
+        self.source_calls.with_label_values(&labels).inc();
+    }
+
+    fn route_label<'a>(&self, route: &'a str) -> &'a str {
+        let mut routes = self.routes.borrow_mut();
+        if routes.contains(route) {
+            return route;
+        }
+        if routes.len() >= MAXIMUM_ROUTES {
+            return OTHER_ROUTES;
+        }
+        routes.insert(route.to_owned());
+        route
+    }
+
+    fn text(&self, gateway: &Gateway) -> String {
+        let age = |topic| gateway.age(topic).map_or(-1.0, |age| age.as_secs_f64());
+        self.configuration_version
+            .set(gateway.version().unwrap_or(0) as i64);
+        self.configuration_age.set(age(Topic::Configuration));
+        self.leafs_age.set(age(Topic::Leafs));
+        self.leafs.set(gateway.directory().entries().count() as i64);
+        self.daemons.set(gateway.daemons() as i64);
+        self.caller_connections
+            .set(gateway.connections().get() as i64);
+        self.idle_leaf_connections
+            .set(gateway.idle_leaf_connections() as i64);
+        self.lines_dropped.set(logging::dropped_lines() as i64);
+        self.lines_suppressed
+            .set(logging::suppressed_lines() as i64);
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &T) {
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("names are unique");
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counters =
+        IntCounterVec::new(Opts::new(name, help), labels).expect("constant options are valid");
+    register(registry, &counters);
+    counters
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("constant options are valid");
+    register(registry, &gauge);
+    gauge
+}
+
+fn seconds(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("constant options are valid");
+    register(registry, &gauge);
+    gauge
+}
+
+/// Serves the metrics as text until the task is ended.
+pub async fn serve_metrics(gateway: Rc<Gateway>, address: SocketAddr) -> Result<(), StepError> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|cause| StepError::new("listen for metrics", address, cause))?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Rc::clone(&gateway);
+                let service = service_fn(move |request| {
+                    let response = answer(&gateway, &request);
+                    async move { Ok::<_, Infallible>(response) }
+                });
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                spawn_local(async move {
+                    let _ = tokio::time::timeout(CONNECTION_LIMIT, connection).await;
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+fn answer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    const PATH: &str = "/metrics";
+    if request.uri().path() != PATH {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    let started = Clock.now();
+    let text = gateway.metrics.text(gateway);
+    log::debug!(took_us = Clock.now().since(started).as_micros() as u64; "metrics served");
+    Response::new(Full::new(Bytes::from(text)))
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -0,0 +1,317 @@
+//! What is told of single requests.
+//!
+//! Every request remembers its decisions while it runs. When it ends badly (refused, failed, late,
+//! partial, or left by its caller) they are written, one line each, so that the engineer on call
+//! can go from the request's id to its cause. Whole requests are written first; when there are too
+//! many in a second, only their last lines, and then only their number. Healthy requests write one
+//! line each now and then.
+
+use crate::clock::Clock;
+use crate::execution::Outcome;
+use crate::leaf::LeafState;
+use crate::logging::{REQUEST_TARGET, count_suppressed};
+use crate::metrics::Metrics;
+use crate::state::Gateway;
+use hyper::header::HeaderValue;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_route::Route;
+use tansylead_types::{Moment, ServiceName};
+
+/// Requests written with all of their decisions in a second.
+pub const WHOLE_REQUESTS_PER_SECOND: u32 = 4;
+/// Requests written in a second, with or without their decisions.
+pub const REQUESTS_PER_SECOND: u32 = 20;
+/// Healthy requests written in a second.
+pub const HEALTHY_REQUESTS_PER_SECOND: u32 = 1;
+/// Decisions remembered for one request.
+const MAXIMUM_DECISIONS: usize = 64;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// Why an attempt was started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptReason {
+    /// It is the first.
+    First,
+    /// The one before was overdue.
+    Hedge,
+    /// The one before failed.
+    Retry,
+    /// The one before reached no leaf.
+    NotSent,
+}
+
+impl AttemptReason {
+    /// Name, for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
+/// One decision that touched a request.
+#[derive(Debug)]
+pub enum Decision {
+    /// An attempt was started.
+    Started {
+        /// Leaf.
+        leaf: Rc<LeafState>,
+        /// Why.
+        reason: AttemptReason,
+        /// After this time its answer is overdue.
+        overdue: Duration,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Leaf.
+        leaf: Rc<LeafState>,
+        /// How: `answered`, `refused`, `not_sent` or `failed`.
+        end: &'static str,
+        /// What was wrong.
+        cause: String,
+        /// Time since its start.
+        took: Duration,
+    },
+    /// An answer is overdue.
+    Overdue {
+        /// Leaf.
+        leaf: Rc<LeafState>,
+    },
+    /// Another attempt was not started.
+    Denied {
+        /// Why: `attempts`, `budget`, `no_leaf` or `end`.
+        reason: &'static str,
+    },
+}
+
+#[derive(Debug)]
+struct Entry {
+    at: Moment,
+    service: ServiceName,
+    decision: Decision,
+}
+
+/// The decisions of one request.
+#[derive(Debug, Default)]
+pub struct RequestTrace {
+    entries: RefCell<Vec<Entry>>,
+    omitted: Cell<usize>,
+}
+
+impl RequestTrace {
+    /// Remembers a decision.
+    pub fn note(&self, service: &ServiceName, decision: Decision) {
+        let mut entries = self.entries.borrow_mut();
+        if entries.len() >= MAXIMUM_DECISIONS {
+            self.omitted.set(self.omitted.get() + 1);
+            return;
+        }
+        entries.push(Entry {
+            at: Clock.now(),
+            service: service.clone(),
+            decision,
+        });
+    }
+}
+
+/// Lines written in the present second, by this daemon.
+#[derive(Debug, Default)]
+pub struct RequestLogLimits {
+    second: Cell<u64>,
+    whole: Cell<u32>,
+    brief: Cell<u32>,
+    healthy: Cell<u32>,
+}
+
+/// How much is written of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Detail {
+    Whole,
+    Brief,
+    Nothing,
+}
+
+impl RequestLogLimits {
+    fn admit(&self, now: Moment, healthy: bool) -> Detail {
+        let second = now.0 / MICROS_PER_SECOND;
+        if self.second.replace(second) != second {
+            self.whole.set(0);
+            self.brief.set(0);
+            self.healthy.set(0);
+        }
+        let take = |used: &Cell<u32>, limit: u32| {
+            let free = used.get() < limit;
+            if free {
+                used.set(used.get() + 1);
+            }
+            free
+        };
+        if healthy {
+            return match take(&self.healthy, HEALTHY_REQUESTS_PER_SECOND) {
+                true => Detail::Brief,
+                false => Detail::Nothing,
+            };
+        }
+        if !take(&self.brief, REQUESTS_PER_SECOND) {
+            count_suppressed(1);
+            return Detail::Nothing;
+        }
+        match take(&self.whole, WHOLE_REQUESTS_PER_SECOND) {
+            true => Detail::Whole,
+            false => Detail::Brief,
+        }
+    }
+}
+
+/// The log of one request; writes when the request ends, or when its caller goes away before.
+#[derive(Debug)]
+pub struct RequestLog {
+    gateway: Rc<Gateway>,
+    id: Option<HeaderValue>,
+    arrived: Moment,
+    /// Decisions.
+    pub trace: Rc<RequestTrace>,
+    /// Route, once found.
+    pub route: Option<Arc<Route>>,
+    /// Version of the configuration that decided.
+    pub version: Option<u64>,
+    finished: bool,
+}
+
+impl RequestLog {
+    /// The log of a request that has just arrived.
+    pub fn new(gateway: Rc<Gateway>, id: Option<HeaderValue>, arrived: Moment) -> Self {
+        Self {
+            gateway,
+            id,
+            arrived,
+            trace: Rc::default(),
+            route: None,
+            version: None,
+            finished: false,
+        }
+    }
+
+    /// Notes the end of the request.
+    pub fn finish(&mut self, outcome: &Outcome) {
+        self.finished = true;
+        let took = Clock.now().since(self.arrived);
+        let missing = match outcome {
+            Outcome::Merged { missing, .. } => *missing,
+            _ => 0,
+        };
+        self.end(self.label(outcome, took), missing, took);
+    }
+
+    fn label(&self, outcome: &Outcome, took: Duration) -> &'static str {
+        let route = self.route.as_ref();
+        let late = route.is_some_and(|route| took > route.policy.objective);
+        match outcome {
+            Outcome::Refused(refusal) => refusal.reason.label(),
+            Outcome::Merged { missing, .. } if *missing > 0 => "partial",
+            Outcome::Leaf { status, .. } if status.is_server_error() => "leaf_failure",
+            _ if late => "late",
+            _ => Metrics::SERVED,
+        }
+    }
+
+    fn end(&self, outcome: &'static str, missing: usize, took: Duration) {
+        let route = self.route.as_ref().map(|route| route.name.as_str());
+        self.gateway
+            .metrics
+            .on_request(route.unwrap_or(""), outcome, took);
+        let healthy = outcome == Metrics::SERVED;
+        let detail = self.gateway.request_log_limits.admit(Clock.now(), healthy);
+        if detail == Detail::Nothing {
+            return;
+        }
+        let id = self.id.as_ref().and_then(|id| id.to_str().ok());
+        let id = id.unwrap_or("");
+        if detail == Detail::Whole {
+            self.write_decisions(id);
+        }
+        let age = |topic| {
+            let age = self.gateway.age(topic);
+            age.map_or(-1, |age| age.as_millis() as i64)
+        };
+        log::info!(
+            target: REQUEST_TARGET,
+            request = id,
+            route = route.unwrap_or(""),
+            version = self.version.unwrap_or(0),
+            configuration_age_ms = age(crate::source::Topic::Configuration),
+            leafs_age_ms = age(crate::source::Topic::Leafs),
+            outcome = outcome,
+            missing = missing,
+            took_ms = took.as_millis() as u64,
+            decisions = self.trace.entries.borrow().len() + self.trace.omitted.get();
+            "request"
+        );
+    }
+
+    fn write_decisions(&self, id: &str) {
+        for entry in self.trace.entries.borrow().iter() {
+            let after = entry.at.since(self.arrived).as_millis() as u64;
+            write_decision(id, entry.service.as_str(), after, &entry.decision);
+        }
+    }
+}
+
+fn write_decision(id: &str, service: &str, after_ms: u64, decision: &Decision) {
+    match decision {
+        Decision::Started {
+            leaf,
+            reason,
+            overdue,
+        } => log::info!(
+            target: REQUEST_TARGET,
+            request = id, service = service, after_ms = after_ms,
+            leaf = leaf.entry().leaf.as_str(),
+            reason = reason.label(),
+            distance:? = leaf.distance(),
+            overdue_ms = overdue.as_millis() as u64;
+            "attempt started"
+        ),
+        Decision::Ended {
+            leaf,
+            end,
+            cause,
+            took,
+        } => log::info!(
+            target: REQUEST_TARGET,
+            request = id, service = service, after_ms = after_ms,
+            leaf = leaf.entry().leaf.as_str(),
+            end = *end,
+            cause = cause.as_str(),
+            took_ms = took.as_millis() as u64;
+            "attempt ended"
+        ),
+        Decision::Overdue { leaf } => log::info!(
+            target: REQUEST_TARGET,
+            request = id, service = service, after_ms = after_ms,
+            leaf = leaf.entry().leaf.as_str();
+            "attempt overdue"
+        ),
+        Decision::Denied { reason } => log::info!(
+            target: REQUEST_TARGET,
+            request = id, service = service, after_ms = after_ms,
+            reason = *reason;
+            "attempt denied"
+        ),
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        if !self.finished {
+            let took = Clock.now().since(self.arrived);
+            self.end("caller_left", 0, took);
+        }
+    }
+}
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -5,6 +5,8 @@
 use crate::clock::Clock;
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
+use crate::metrics::Metrics;
+use crate::request_log::RequestLogLimits;
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
 use std::cell::{Cell, RefCell};
@@ -22,6 +24,8 @@
 const CONNECTION_SHARE: f64 = 0.9;
 /// Requests that arrive in this first time of a daemon's life wait for what is being read.
 const STARTUP_WAIT: Duration = Duration::from_millis(80);
+/// Daemons that share a leaf's connections as long as they are not known.
+const ASSUMED_DAEMONS: usize = 8;
 /// Connections a leaf of an unconfigured service is taken to accept.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
@@ -54,6 +58,10 @@
     pub settings: GatewaySettings,
     /// Header names.
     pub names: Rc<HeaderNames>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Limits of the lines of single requests.
+    pub(crate) request_log_limits: RequestLogLimits,
     started: Moment,
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
@@ -67,6 +75,7 @@
     changed: watch::Sender<u64>,
     stop: watch::Sender<StopPhase>,
     daemons: Cell<usize>,
+    known_daemons: Cell<usize>,
     connections: Cell<usize>,
 }
 
@@ -77,6 +86,8 @@
         Self {
             settings,
             names: Rc::new(names),
+            metrics: Metrics::new(),
+            request_log_limits: RequestLogLimits::default(),
             started: Clock.now(),
             locality,
             active: RefCell::default(),
@@ -88,7 +99,8 @@
             confirmed: RefCell::default(),
             changed: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
-            daemons: Cell::new(1),
+            daemons: Cell::new(ASSUMED_DAEMONS),
+            known_daemons: Cell::new(1),
             connections: Cell::new(0),
         }
     }
@@ -221,8 +233,22 @@
         self.daemons.get()
     }
 
-    /// Sets the number of daemons.
+    /// Sets the number of daemons known to run.
     pub fn set_daemons(&self, daemons: usize) {
+        self.known_daemons.set(daemons);
+        self.count_daemons();
+    }
+
+    /// Counts the daemons that share budgets and connections. A daemon that has just started does
+    /// not know the others yet: until then it takes it that there are some.
+    pub fn count_daemons(&self) {
+        let young = Clock.now().since(self.started) < self.settings.bounds.word_limit();
+        let known = self.known_daemons.get();
+        let daemons = if young {
+            known.max(ASSUMED_DAEMONS)
+        } else {
+            known
+        };
         if self.daemons.replace(daemons) != daemons {
             self.set_limits();
         }
@@ -254,6 +280,12 @@
         &self.connections
     }
 
+    /// Idle connections to leafs.
+    pub fn idle_leaf_connections(&self) -> usize {
+        let leafs = self.leafs.borrow();
+        leafs.values().map(|leaf| leaf.idle_connections()).sum()
+    }
+
     /// Closes leafs' idle connections past their time.
     pub fn close_expired(&self) {
         let now = Clock.now();
