--- a/crates/tansylead-cli/src/commands.rs
+++ b/crates/tansylead-cli/src/commands.rs
@@ -1,7 +1,10 @@
 //! Registry of the subcommands. A new one is a module and one entry in [`SUBCOMMANDS`].
 
 use crate::exit_code::ExitStatus;
-use crate::{check_command, query_command, serve_command, status_command, table_commands};
+use crate::{
+    check_command, explain_command, gateway_command, query_command, serve_command, status_command,
+    table_commands,
+};
 use clap::{ArgMatches, Command};
 
 /// One subcommand.
@@ -18,6 +21,8 @@
     query_command::SUBCOMMAND,
     status_command::SUBCOMMAND,
     table_commands::SUBCOMMAND,
+    gateway_command::SUBCOMMAND,
+    explain_command::SUBCOMMAND,
 ];
 
 const EXAMPLES: &str = "\
@@ -27,6 +32,8 @@
   tansylead check /etc/tansylead.toml
   tansylead query screening '{\"tenant\": \"T-1024\"}' --daemon 10.0.0.7:8080 --deadline-ms 400
   tansylead status --daemon 10.0.0.7:8080
+  tansylead gateway --settings gateway.toml --routes routes.toml
+  tansylead explain 9c41d07be2a35f68 daemon-1.log daemon-2.log
 
 Exit codes:
   0 done                        5 query: not run, safe to try again
--- a/crates/tansylead-cli/src/main.rs
+++ b/crates/tansylead-cli/src/main.rs
@@ -7,6 +7,8 @@
 mod commands;
 mod daemon_flag;
 mod exit_code;
+mod explain_command;
+mod gateway_command;
 mod http_client;
 mod query_command;
 mod serve_command;
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -15,12 +15,14 @@
 pub mod caller;
 pub mod cluster;
 pub mod execution;
+pub mod explain;
 pub mod headers;
 pub mod http_client;
 pub mod leaf;
 pub mod logging;
 pub mod metrics;
 mod request_log;
+pub mod routes_file;
 pub mod settings;
 pub mod source;
 
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -24,8 +24,9 @@
     pub ready_address: SocketAddr,
     /// UDP and TCP address for other daemons.
     pub peer_address: SocketAddr,
-    /// Where the store of configuration and leafs is.
-    pub store_address: SocketAddr,
+    /// Where the store of configuration and leafs is; not needed with a routes file.
+    #[serde(default)]
+    pub store_address: Option<SocketAddr>,
     /// Peer addresses of some daemons to join through.
     pub seeds: Vec<SocketAddr>,
     /// Where metrics are served.
--- /dev/null
+++ b/crates/tansylead-gateway/tests/explain.rs
@@ -0,0 +1,79 @@
+//! From a request's id to its cause.
+
+use tansylead_gateway::explain::{Cause, DaemonLog, explain};
+
+const LOG: &str = r#"
+{"at_us":900000,"event":"leaf overdue","leaf":"i-2","level":"INFO"}
+{"at_us":1300000,"event":"attempt started","level":"INFO","request":"r1","service":"shard-1","leaf":"i-1","reason":"first","after_ms":0}
+{"at_us":1300000,"event":"attempt started","level":"INFO","request":"r1","service":"shard-2","leaf":"i-2","reason":"first","after_ms":0}
+{"at_us":1300001,"event":"attempt ended","level":"INFO","request":"r1","service":"shard-1","leaf":"i-1","end":"answered","cause":"200 OK","after_ms":12,"took_ms":12}
+{"at_us":1300002,"event":"attempt overdue","level":"INFO","request":"r1","service":"shard-2","leaf":"i-2","after_ms":60}
+{"at_us":1300003,"event":"attempt denied","level":"INFO","request":"r1","service":"shard-2","reason":"budget","after_ms":60}
+{"at_us":1300004,"event":"request","level":"INFO","request":"r1","outcome":"partial","missing":1,"took_ms":230,"route":"query","version":7}
+this is no log line
+{"at_us":1400000,"event":"request","level":"INFO","request":"r2","outcome":"no_configuration","took_ms":0}
+{"at_us":1500000,"event":"request","level":"INFO","request":"r3","outcome":"timed_out","took_ms":900}
+"#;
+
+fn log() -> DaemonLog {
+    DaemonLog {
+        name: "daemon-1".to_owned(),
+        text: LOG.to_owned(),
+    }
+}
+
+fn cause(request: &str) -> Cause {
+    let explanation = explain(request, &[log()]);
+    explanation.stories[0].cause.clone()
+}
+
+#[test]
+fn a_partial_answer_is_traced_to_the_leaf_and_the_budget() {
+    let Cause::Services { outcome, troubles } = cause("r1") else {
+        panic!("unexpected cause {:?}", cause("r1"));
+    };
+    assert_eq!(outcome, "partial");
+    assert_eq!(troubles.len(), 1);
+    assert_eq!(troubles[0].service, "shard-2");
+    assert_eq!(troubles[0].overdue, ["i-2"]);
+    assert_eq!(troubles[0].denied, ["budget"]);
+    assert!(!troubles[0].answered);
+}
+
+#[test]
+fn what_the_daemon_noted_meanwhile_is_shown() {
+    let explanation = explain("r1", &[log()]);
+    let context = &explanation.stories[0].context;
+    assert_eq!(context.len(), 1);
+    assert_eq!(context[0].event, "leaf overdue");
+}
+
+#[test]
+fn other_causes_are_named() {
+    assert_eq!(cause("r2"), Cause::NoConfiguration);
+    let outcome = "timed_out".to_owned();
+    assert_eq!(cause("r3"), Cause::Unknown { outcome });
+}
+
+#[test]
+fn broken_lines_are_counted_and_unknown_ids_said_to_be_so() {
+    let explanation = explain("r9", &[log(), log()]);
+    assert!(explanation.stories.is_empty());
+    assert_eq!(explanation.broken_lines, 2);
+    let text = explanation.to_string();
+    assert!(text.contains("no line in these logs"), "{text}");
+    assert!(text.contains("2 lines were no log lines"), "{text}");
+}
+
+#[test]
+fn a_request_that_two_daemons_had_has_two_stories() {
+    let mut other = log();
+    other.name = "daemon-2".to_owned();
+    let explanation = explain("r1", &[log(), other]);
+    let daemons: Vec<&str> = explanation
+        .stories
+        .iter()
+        .map(|story| story.daemon.as_str())
+        .collect();
+    assert_eq!(daemons, ["daemon-1", "daemon-2"]);
+}
