--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 DEPLOYMENT ?= registry
 SEED ?= 1
 CASES ?= 2000
+RUNS ?= 8
 
-.PHONY: build release test demo bench scale fuzz
+.PHONY: build release test demo soak bench scale fuzz
 
 build:
 	cargo build --workspace --locked
@@ -15,7 +16,14 @@
 	cargo test --workspace --locked
 
 demo: release
+ifeq ($(DEPLOYMENT),platform)
+	./target/release/tansylead-emulator demo
+else
 	./target/release/tansylead-lab demo --deployment $(DEPLOYMENT)
+endif
+
+soak: release
+	./target/release/tansylead-emulator soak --seed $(SEED) --runs $(RUNS)
 
 bench: release
 	./target/release/tansylead-lab experiment examples/experiments/standard.toml
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod daemon;
+pub mod demo;
 pub mod deployment;
 pub mod leaf;
 pub mod oracle;
--- a/crates/tansylead-emulator/src/main.rs
+++ b/crates/tansylead-emulator/src/main.rs
@@ -4,6 +4,7 @@
 use eyre::WrapErr;
 use std::path::PathBuf;
 use std::time::Duration;
+use tansylead_emulator::demo;
 use tansylead_emulator::deployment::DeploymentPlan;
 use tansylead_emulator::soak::{self, SoakReport};
 
@@ -13,10 +14,11 @@
         .enable_all()
         .build()
         .wrap_err("start the runtime")?;
-    let Some(("soak", matches)) = matches.subcommand() else {
-        return Ok(());
-    };
-    runtime.block_on(soak(matches))
+    match matches.subcommand() {
+        Some(("soak", matches)) => runtime.block_on(soak(matches)),
+        Some(("demo", matches)) => runtime.block_on(demo(matches)),
+        _ => Ok(()),
+    }
 }
 
 fn command() -> Command {
@@ -24,7 +26,20 @@
         .about("Runs real daemons under random faults and checks what callers and leafs see")
         .arg(number("seed", "First seed").default_value("1"))
         .arg(number("runs", "Runs, each with the next seed").default_value("1"))
-        .arg(number("seconds", "Length of a run, in seconds").default_value("30"))
+        .arg(number("seconds", "Length of a run, in seconds").default_value("30"));
+    let demo = Command::new("demo")
+        .about("Shows a deployment that serves callers while things break around it");
+    Command::new("tansylead-emulator")
+        .about("Emulator of the users' platform")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(with_plan(soak))
+        .subcommand(with_plan(demo))
+}
+
+/// Adds the arguments that describe a deployment.
+fn with_plan(command: Command) -> Command {
+    command
         .arg(number("daemons", "Daemons").default_value("5"))
         .arg(number("shards", "Shards of the query route").default_value("4"))
         .arg(
@@ -33,12 +48,37 @@
                 .help("Program of the daemons")
                 .value_parser(value_parser!(PathBuf))
                 .default_value("target/release/tansylead-platform"),
-        );
-    Command::new("tansylead-emulator")
-        .about("Emulator of the users' platform")
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .subcommand(soak)
+        )
+}
+
+fn plan(matches: &ArgMatches) -> DeploymentPlan {
+    let program = matches.get_one::<PathBuf>("program").cloned();
+    DeploymentPlan {
+        daemons: value(matches, "daemons").max(1) as usize,
+        zones: ["north", "middle", "south"].map(str::to_owned).to_vec(),
+        shards: value(matches, "shards").max(1) as usize,
+        program: program.unwrap_or_default(),
+    }
+}
+
+fn value(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+async fn demo(matches: &ArgMatches) -> eyre::Result<()> {
+    let report = demo::run(&plan(matches), |step| println!("- {step}")).await;
+    let report = report.wrap_err("run the demonstration")?;
+    let counts = report.counts;
+    println!(
+        "{} asked, {} served, {} of them partial, {} failed, {} without an answer",
+        counts.asked, counts.served, counts.partial, counts.failed, counts.nothing
+    );
+    for violation in &report.violations {
+        println!("{violation}");
+    }
+    eyre::ensure!(report.violations.is_empty(), "a promise was broken");
+    println!("every answer was checked: no promise was broken");
+    Ok(())
 }
 
 fn number(name: &'static str, help: &'static str) -> Arg {
@@ -49,17 +89,11 @@
 }
 
 async fn soak(matches: &ArgMatches) -> eyre::Result<()> {
-    let value = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
-    let program = matches.get_one::<PathBuf>("program").cloned();
-    let plan = DeploymentPlan {
-        daemons: value("daemons").max(1) as usize,
-        zones: ["north", "middle", "south"].map(str::to_owned).to_vec(),
-        shards: value("shards").max(1) as usize,
-        program: program.unwrap_or_default(),
-    };
-    let length = Duration::from_secs(value("seconds"));
+    let plan = plan(matches);
+    let length = Duration::from_secs(value(matches, "seconds"));
     let mut broken = 0;
-    for seed in value("seed")..value("seed") + value("runs") {
+    let first = value(matches, "seed");
+    for seed in first..first + value(matches, "runs") {
         let report = soak::run(&plan, seed, length).await;
         let report = report.wrap_err_with(|| format!("soak with seed {seed}"))?;
         if !report.violations.is_empty() {
--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -19,9 +19,9 @@
 const CALLERS: usize = 24;
 /// A leaving leaf gets nothing this long after its word was acknowledged, with room for a busy
 /// machine.
-const DRAIN_LIMIT: Duration = Duration::from_millis(3_500);
+pub const DRAIN_LIMIT: Duration = Duration::from_millis(3_500);
 /// Bound on extra arrivals: the daemons' default settings.
-const BUDGET: ArrivalBudget = ArrivalBudget {
+pub const BUDGET: ArrivalBudget = ArrivalBudget {
     ratio: 0.2,
     slack: 20.0,
     window: Duration::from_secs(10),
@@ -29,7 +29,7 @@
 /// Time in which everything must be served again after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 /// Time for a daemon to become ready at the start.
-const START_LIMIT: Duration = Duration::from_secs(20);
+pub const START_LIMIT: Duration = Duration::from_secs(20);
 /// A daemon's planned stop ends within this time.
 const STOP_LIMIT: Duration = Duration::from_millis(6_500);
 
