--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -10,7 +10,7 @@
 
 mod clock;
 mod daemon;
-mod state;
+pub mod state;
 
 pub mod caller;
 pub mod cluster;
--- /dev/null
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -0,0 +1,71 @@
+//! How many connections of a leaf a daemon takes for itself.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+use tansylead_gateway::state::Gateway;
+use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
+use tansylead_route::{
+    CallerLimits, Configuration, DirectoryDelta, LeafEntry, LeafPhase, Revision, Service,
+};
+use tansylead_types::{LeafId, ServiceName, ZoneName};
+
+const CAP: u32 = 40;
+
+fn gateway() -> Gateway {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
+    let settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
+    let gateway = Gateway::new(settings, HeaderNames::default());
+    let service = ServiceName::new("disputes").expect("valid name");
+    let configured = Service {
+        maximum_connections: CAP,
+    };
+    gateway.apply_configuration(Configuration {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(service.clone(), configured)]),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    });
+    gateway.apply_directory(DirectoryDelta::Everything {
+        at: Revision(1),
+        entries: vec![LeafEntry {
+            leaf: LeafId::new("leaf").expect("valid name"),
+            service,
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: ZoneName::new("bangkok-a").expect("valid name"),
+            slots: 5,
+            phase: LeafPhase::Ready,
+            warmup_left: Duration::ZERO,
+        }],
+    });
+    gateway
+}
+
+fn limit(gateway: &Gateway) -> u32 {
+    let service = gateway.service(&ServiceName::new("disputes").expect("valid name"));
+    let leaf = service.choose(&[], Duration::from_millis(10));
+    leaf.expect("a leaf").candidate(Clock.now()).limit
+}
+
+#[test]
+fn a_daemon_that_has_just_started_takes_a_small_share_of_connections() {
+    // Regression: each daemon took itself for the only one (incident inc-b3d2).
+    let gateway = gateway();
+    assert!(limit(&gateway) <= CAP / 8, "{}", limit(&gateway));
+    gateway.set_daemons(1);
+    assert!(limit(&gateway) <= CAP / 8, "{}", limit(&gateway));
+}
+
+#[test]
+fn many_daemons_share_the_cap() {
+    let gateway = gateway();
+    gateway.set_daemons(20);
+    assert!(limit(&gateway) * 20 <= CAP);
+    gateway.set_daemons(1_000);
+    assert_eq!(limit(&gateway), 1);
+}
