Do not send whole directories between regions without need

Cause: at the start of a large deployment daemons polled seeds in other regions; the seeds' logs of changes began after the asking daemon's cached read, so each got the whole directory, 72 KB for 1031 leafs. Change: a whole directory is asked for only from the own region, or if none is held or it is old.

--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -88,6 +88,7 @@
             cluster: self.gateway.settings.cluster.clone(),
             version: self.gateway.version(),
             revision: self.gateway.directory().revision(),
+            wants_whole_directory: self.wants_whole_directory(peer),
             wait_millis: millis(POLL_WAIT),
         };
         let exchange = async {
@@ -104,6 +105,16 @@
         replied.map_err(|cause| StepError::new("poll peer", peer, cause))?
     }
 
+    /// Whole directories are large and bytes between regions dear: from far away only if there is no
+    /// other way.
+    fn wants_whole_directory(&self, peer: SocketAddr) -> bool {
+        let gateway = &self.gateway;
+        let limit = gateway.settings.bounds.word_limit();
+        let is_unknown = gateway.directory().revision().is_none();
+        let is_old = gateway.age(Topic::Leafs).is_some_and(|age| age > limit);
+        is_unknown || is_old || self.view.is_in_own_region(peer)
+    }
+
     fn take_in(&self, reply: FeedReply, asked: Moment, peer: SocketAddr) -> Result<(), StepError> {
         let gateway = &self.gateway;
         if let Some(configuration) = reply.configuration {
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -20,6 +20,8 @@
     pub(super) version: Option<u64>,
     /// Revision of the leaf directory.
     pub(super) revision: Option<Revision>,
+    /// Whether a whole directory is wanted where changes do not reach back far enough.
+    pub(super) wants_whole_directory: bool,
     /// The answer may wait this long for news.
     pub(super) wait_millis: u32,
 }
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -6,7 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::Configuration;
+use tansylead_route::{Configuration, DirectoryDelta};
 use tansylead_types::StepError;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -72,6 +72,10 @@
     let newer = held.filter(|held| request.version.is_none_or(|version| held.version > version));
     let configuration = newer.map(|held| Configuration::clone(held));
     let directory = gateway.directory().delta_after(request.revision);
+    let directory = directory.filter(|delta| {
+        let is_whole = matches!(delta, DirectoryDelta::Everything { .. });
+        !is_whole || request.wants_whole_directory
+    });
     let revision = gateway.directory().revision();
     FeedReply {
         configuration,
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -76,6 +76,13 @@
         addresses
     }
 
+    /// Whether a peer is known to run in the own region.
+    pub fn is_in_own_region(&self, peer: SocketAddr) -> bool {
+        let members = self.members.borrow();
+        let member = members.iter().find(|member| member.node().0 == peer);
+        member.is_some_and(|member| member.place == self.place)
+    }
+
     /// Whether no member would be a better peer to poll than this one.
     pub fn is_best_feed_peer(&self, peer: SocketAddr) -> bool {
         let members = self.members.borrow();
