--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -30,7 +30,7 @@
 /// Lags above this are told.
 const LAG_TOLERANCE: Duration = Duration::from_millis(40);
 /// Period at which idle connections are looked at.
-const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
 /// Why a daemon could not start.
 #[derive(Debug, thiserror::Error)]
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Semaphore;
 
 /// An idle connection is closed after this time if the leaf states none.
-const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(2);
+const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(1);
 /// Weight of a new sample of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 /// Slowness is forgotten after this time without answers.
