--- a/crates/tansylead-gateway/src/caller/ready.rs
+++ b/crates/tansylead-gateway/src/caller/ready.rs
@@ -1,5 +1,6 @@
 //! Tells load balancers whether this daemon takes callers.
 
+use crate::listener::{accept_each, bind};
 use crate::state::{Gateway, StopPhase};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,28 +13,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_types::StepError;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// A connection is closed after this time.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
 
 /// Serves readiness until the task is ended.
 pub async fn serve_ready(gateway: Rc<Gateway>) -> Result<(), StepError> {
     let address = gateway.settings.ready_address;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|cause| StepError::new("listen for readiness", address, cause))?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve(Rc::clone(&gateway), stream));
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let listener = bind(address, "listen for readiness").await?;
+    accept_each(listener, |stream, _| {
+        spawn_local(serve(Rc::clone(&gateway), stream));
+    })
+    .await;
+    Ok(())
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
--- a/crates/tansylead-gateway/src/caller/server.rs
+++ b/crates/tansylead-gateway/src/caller/server.rs
@@ -4,21 +4,19 @@
 
 use super::handler::handle;
 use crate::clock::Clock;
+use crate::listener::{accept_each, bind};
 use crate::state::{Gateway, StopPhase};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_types::{Moment, StepError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-/// Pause after a failed accept (for example: no file descriptors left).
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Idle time before a configuration states one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection that was asked to close is dropped after this time without a request.
@@ -43,24 +41,17 @@
 impl CallerServer {
     /// Binds the callers' address.
     pub async fn bind(gateway: Rc<Gateway>) -> Result<Self, StepError> {
-        let address: SocketAddr = gateway.settings.caller_address;
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|cause| StepError::new("listen for callers", address, cause))?;
+        let address = gateway.settings.caller_address;
+        let listener = bind(address, "listen for callers").await?;
         Ok(Self { listener, gateway })
     }
 
     /// Accepts until the task is ended.
     pub async fn run(self) {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    let gateway = Rc::clone(&self.gateway);
-                    spawn_local(serve(gateway, stream));
-                }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-            }
-        }
+        accept_each(self.listener, |stream, _| {
+            spawn_local(serve(Rc::clone(&self.gateway), stream));
+        })
+        .await;
     }
 }
 
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -1,6 +1,7 @@
 //! Answers other daemons' long polls.
 
 use super::feed_message::{FeedReply, FeedRequest, decode, encode, framing, millis};
+use crate::listener::{accept_each, bind};
 use crate::source::Topic;
 use crate::state::Gateway;
 use futures_util::{SinkExt, StreamExt};
@@ -8,12 +9,10 @@
 use std::time::Duration;
 use tansylead_route::{Configuration, DirectoryDelta};
 use tansylead_types::StepError;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio_util::codec::Framed;
 
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// A connection without a request for this long is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// Longest wait that a request may ask for.
@@ -22,21 +21,16 @@
 /// Serves long polls until the task is ended.
 pub async fn serve_feed(gateway: Rc<Gateway>) -> Result<(), StepError> {
     let address = gateway.settings.peer_address;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|cause| StepError::new("listen for peers", address, cause))?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let gateway = Rc::clone(&gateway);
-                spawn_local(async move {
-                    // A peer that goes away comes back by itself.
-                    let _ = serve(gateway, stream, &peer.to_string()).await;
-                });
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let listener = bind(address, "listen for peers").await?;
+    accept_each(listener, |stream, peer| {
+        let gateway = Rc::clone(&gateway);
+        spawn_local(async move {
+            // A peer that goes away comes back by itself.
+            let _ = serve(gateway, stream, &peer.to_string()).await;
+        });
+    })
+    .await;
+    Ok(())
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream, peer: &str) -> Result<(), StepError> {
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -14,11 +14,12 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::header::{HeaderName, HeaderValue};
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_route::{Patience, Route, ShardSet, TopRecords};
-use tansylead_types::Moment;
+use tansylead_types::{Moment, ServiceName};
 use tokio::task::spawn_local;
 
 /// Share of the objective after which a caller may come back.
@@ -43,6 +44,8 @@
 
 /// Parts that are in.
 struct Parts {
+    total: usize,
+    needed: usize,
     records: TopRecords,
     signatures: Vec<HeaderValue>,
     failed: usize,
@@ -54,83 +57,50 @@
     let policy = &query.route.policy;
     let patience = Patience::new(policy, query.time_left);
     let retry_after = policy.objective / RETRY_AFTER_SHARE;
-    let needed = set.parts_needed();
-    if reachable_shards(&query.gateway, set) < needed {
+    let mut parts = Parts::new(set);
+    if reachable_shards(&query.gateway, set) < parts.needed {
         return Outcome::Refused(Refusal::not_run(retry_after));
     }
-    let end = query.arrived + patience.end;
-    let enough = query.arrived + patience.enough;
     let settled = Rc::new(Cell::new(false));
+    let end = query.arrived + patience.end;
     let mut calls: FuturesUnordered<_> = set
         .shards
         .iter()
-        .map(|shard| {
-            let call = Call {
-                gateway: Rc::clone(&query.gateway),
-                service: query.gateway.service(shard),
-                route: Arc::clone(&query.route),
-                request: Rc::clone(&query.request),
-                end,
-                successes_only: true,
-                settled: Rc::clone(&settled),
-                trace: Rc::clone(&query.trace),
-            };
-            call.run()
-        })
+        .map(|shard| query.call(shard, end, &settled).run())
         .collect();
-    let mut parts = Parts {
-        records: TopRecords::new(set.top),
-        signatures: Vec::with_capacity(set.shards.len()),
-        failed: 0,
-        may_have_run: false,
-    };
-    let total = set.shards.len();
-    let signature = &query.gateway.names.signature;
-    let wait_enough = tokio::time::sleep_until(Clock.instant_at(enough));
-    let wait_end = tokio::time::sleep_until(Clock.instant_at(end));
+    let timed_out = collect(&query, patience, &mut calls, &mut parts).await;
+    if parts.are_enough() {
+        settled.set(true);
+        leave_to_finish(calls, policy.objective);
+        return parts.into_outcome();
+    }
+    parts.may_have_run |= !calls.is_empty();
+    Outcome::Refused(parts.refusal(timed_out, retry_after))
+}
+
+/// Takes in parts until no more are worth waiting for. Returns whether the time was up.
+async fn collect(
+    query: &GatherQuery,
+    patience: Patience,
+    calls: &mut FuturesUnordered<impl Future<Output = CallEnd>>,
+    parts: &mut Parts,
+) -> bool {
+    let wait_enough = tokio::time::sleep_until(Clock.instant_at(query.arrived + patience.enough));
+    let wait_end = tokio::time::sleep_until(Clock.instant_at(query.arrived + patience.end));
     tokio::pin!(wait_enough, wait_end);
     let mut past_enough = false;
-    let mut timed_out = false;
-    while parts.signatures.len() + parts.failed < total {
-        if total - parts.failed < needed {
-            break;
-        }
+    while parts.may_still_come() {
         tokio::select! {
             biased;
-            Some(ended) = calls.next() => match ended {
-                CallEnd::Answered(reply) => parts.add(reply, signature),
-                CallEnd::Failed(failure) => {
-                    parts.failed += 1;
-                    parts.may_have_run |= failure.may_have_run;
-                }
-            },
+            Some(ended) = calls.next() => parts.take_in(ended, &query.gateway.names.signature),
             () = &mut wait_enough, if !past_enough => past_enough = true,
-            () = &mut wait_end => {
-                timed_out = true;
-                break;
-            }
+            () = &mut wait_end => return true,
         }
-        if past_enough && parts.signatures.len() >= needed {
+        if past_enough && parts.are_enough() {
             break;
         }
     }
-    let open = calls.len();
-    if parts.signatures.len() >= needed {
-        settled.set(true);
-        leave_to_finish(calls, policy.objective);
-        return Outcome::Merged {
-            missing: total - parts.signatures.len(),
-            signatures: parts.signatures,
-            body: parts.records.into_bytes(),
-        };
-    }
-    let ran = parts.may_have_run || !parts.signatures.is_empty() || open > 0;
-    let refusal = match (ran, timed_out) {
-        (false, _) => Refusal::not_run(retry_after),
-        (true, true) => Refusal::new(RefusalReason::TimedOut),
-        (true, false) => Refusal::new(RefusalReason::Failed),
-    };
-    Outcome::Refused(refusal)
+    false
 }
 
 /// Shards with a leaf that takes requests.
@@ -149,22 +119,82 @@
     }
     spawn_local(async move {
         let finish = calls.for_each(|_| std::future::ready(()));
+        // Past the limit what is left is dropped, which ends it.
         let _ = tokio::time::timeout(limit, finish).await;
     });
 }
 
+impl GatherQuery {
+    fn call(&self, shard: &ServiceName, end: Moment, settled: &Rc<Cell<bool>>) -> Call {
+        Call {
+            gateway: Rc::clone(&self.gateway),
+            service: self.gateway.service(shard),
+            route: Arc::clone(&self.route),
+            request: Rc::clone(&self.request),
+            end,
+            successes_only: true,
+            settled: Rc::clone(settled),
+            trace: Rc::clone(&self.trace),
+        }
+    }
+}
+
 impl Parts {
+    fn new(set: &ShardSet) -> Self {
+        Self {
+            total: set.shards.len(),
+            needed: set.parts_needed(),
+            records: TopRecords::new(set.top),
+            signatures: Vec::with_capacity(set.shards.len()),
+            failed: 0,
+            may_have_run: false,
+        }
+    }
+
+    fn are_enough(&self) -> bool {
+        self.signatures.len() >= self.needed
+    }
+
+    /// Whether parts are missing, and enough of them may still come.
+    fn may_still_come(&self) -> bool {
+        let missing = self.signatures.len() + self.failed < self.total;
+        missing && self.total - self.failed >= self.needed
+    }
+
+    fn take_in(&mut self, ended: CallEnd, signature: &HeaderName) {
+        match ended {
+            CallEnd::Answered(reply) => self.add(reply, signature),
+            CallEnd::Failed(failure) => {
+                self.failed += 1;
+                self.may_have_run |= failure.may_have_run;
+            }
+        }
+    }
+
     fn add(&mut self, reply: Reply, signature: &HeaderName) {
-        let Some(value) = reply.headers.get(signature) else {
+        self.may_have_run = true;
+        let value = reply.headers.get(signature);
+        let Some(value) = value.filter(|value| !self.signatures.contains(value)) else {
             self.failed += 1;
             return;
         };
-        if self.signatures.contains(value) {
-            self.failed += 1;
-            return;
-        }
         self.signatures.push(value.clone());
         self.records.add(&reply.body);
-        self.may_have_run = true;
+    }
+
+    fn into_outcome(self) -> Outcome {
+        Outcome::Merged {
+            missing: self.total - self.signatures.len(),
+            signatures: self.signatures,
+            body: self.records.into_bytes(),
+        }
+    }
+
+    fn refusal(&self, timed_out: bool, retry_after: Duration) -> Refusal {
+        match (self.may_have_run, timed_out) {
+            (false, _) => Refusal::not_run(retry_after),
+            (true, true) => Refusal::new(RefusalReason::TimedOut),
+            (true, false) => Refusal::new(RefusalReason::Failed),
+        }
     }
 }
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -8,8 +8,10 @@
 //! `execution::forward` or `execution::gather` runs it through `execution::call`, which gives one
 //! answer of one service out of one or more attempts (`leaf::attempt`).
 
+mod checked_file;
 mod clock;
 mod daemon;
+mod listener;
 pub mod state;
 
 pub mod caller;
@@ -26,6 +28,7 @@
 pub mod settings;
 pub mod source;
 
+pub use checked_file::FileError;
 pub use clock::Clock;
 pub use daemon::{RunError, run};
 pub use headers::HeaderNames;
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Label sets are bounded: routes beyond [`MAXIMUM_ROUTES`] share one label.
 
 use crate::clock::Clock;
+use crate::listener::{accept_each, bind};
 use crate::logging;
 use crate::source::Topic;
 use crate::state::Gateway;
@@ -23,7 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_types::StepError;
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
 /// Routes with a label of their own.
@@ -34,8 +35,6 @@
 const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
 /// A connection for metrics is closed after this time.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// All metrics of a daemon.
 #[derive(Debug)]
@@ -246,26 +245,22 @@
 
 /// Serves the metrics as text until the task is ended.
 pub async fn serve_metrics(gateway: Rc<Gateway>, address: SocketAddr) -> Result<(), StepError> {
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|cause| StepError::new("listen for metrics", address, cause))?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let gateway = Rc::clone(&gateway);
-                let service = service_fn(move |request| {
-                    let response = answer(&gateway, &request);
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                let connection =
-                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                spawn_local(async move {
-                    let _ = tokio::time::timeout(CONNECTION_LIMIT, connection).await;
-                });
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let listener = bind(address, "listen for metrics").await?;
+    accept_each(listener, |stream, _| {
+        spawn_local(serve(Rc::clone(&gateway), stream));
+    })
+    .await;
+    Ok(())
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let service = service_fn(move |request| {
+        let response = answer(&gateway, &request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // A scraper that goes away comes back by itself.
+    let _ = tokio::time::timeout(CONNECTION_LIMIT, connection).await;
 }
 
 fn answer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -3,6 +3,7 @@
 //! The file is looked at every half second; a greater version is taken in, anything that cannot be
 //! used is refused with its reason and changes nothing.
 
+use crate::checked_file::{self, FileError};
 use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic};
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -23,22 +24,9 @@
 /// A routes file that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum RoutesFileError {
-    /// The file cannot be read.
-    #[error("read {path}: {cause}")]
-    Unreadable {
-        /// File.
-        path: String,
-        /// What the system says.
-        cause: std::io::Error,
-    },
-    /// The file is not a routes file.
-    #[error("{path}: {cause}")]
-    Malformed {
-        /// File.
-        path: String,
-        /// What the parser says.
-        cause: Box<toml::de::Error>,
-    },
+    /// The file cannot be read, or is no routes file.
+    #[error(transparent)]
+    File(#[from] FileError),
     /// A route states neither services nor shards, or both.
     #[error("{path}: route {route} must state either `services` or `shards`")]
     NoTarget {
@@ -152,17 +140,8 @@
 impl RoutesFile {
     /// Reads and checks a routes file.
     pub fn load(path: &Path) -> Result<Self, RoutesFileError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|cause| RoutesFileError::Unreadable {
-            path: name.clone(),
-            cause,
-        })?;
-        let document: RoutesDocument =
-            toml::from_str(&text).map_err(|cause| RoutesFileError::Malformed {
-                path: name.clone(),
-                cause: Box::new(cause),
-            })?;
-        document.check(&name)?;
+        let document: RoutesDocument = checked_file::read(path)?;
+        document.check(&path.display().to_string())?;
         Ok(document.into_file())
     }
 }
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one gateway daemon.
 
+use crate::checked_file::{self, FileError};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -71,22 +72,9 @@
 /// Settings that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("read {path}: {cause}")]
-    Unreadable {
-        /// File.
-        path: String,
-        /// What the system says.
-        cause: std::io::Error,
-    },
-    /// The file is not a settings file.
-    #[error("{path}: {cause}")]
-    Malformed {
-        /// File.
-        path: String,
-        /// What the parser says.
-        cause: Box<toml::de::Error>,
-    },
+    /// The file cannot be read, or is no settings file.
+    #[error(transparent)]
+    File(#[from] FileError),
     /// A value is out of range.
     #[error("{path}: {field} must be {expected}, but is {value}")]
     OutOfRange {
@@ -112,16 +100,8 @@
 impl GatewaySettings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
-            path: name.clone(),
-            cause,
-        })?;
-        let settings: Self = toml::from_str(&text).map_err(|cause| SettingsError::Malformed {
-            path: name.clone(),
-            cause: Box::new(cause),
-        })?;
-        settings.check(&name)?;
+        let settings: Self = checked_file::read(path)?;
+        settings.check(&path.display().to_string())?;
         Ok(settings)
     }
 
