Find other daemons through the store when the seeds are stale

Cause: seeds may be down or stale; a daemon that joins nobody took itself for the only one after 2.4 s: a whole slack of extra attempts and all connections of a leaf for itself, and nobody to learn from. Change: each daemon registers its peer address once, as an object of the daemons' own kind; one that has not joined asks for the list and joins through it. Test: daemons_with_stale_seeds_find_each_other_through_the_store; fails without the registration.

--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -33,6 +33,8 @@
     pub shards: usize,
     /// Program of the daemons.
     pub program: PathBuf,
+    /// The seeds name daemons that are gone.
+    pub stale_seeds: bool,
 }
 
 /// Routes of a deployment.
@@ -253,7 +255,12 @@
             .collect();
         let addresses: Vec<DaemonAddresses> =
             (0..plan.daemons).map(|_| DaemonAddresses::next()).collect();
-        let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|own| own.peer).collect();
+        const SEEDS: usize = 3;
+        let seeds: Vec<SocketAddr> = if plan.stale_seeds {
+            (0..SEEDS).map(|_| next_address()).collect()
+        } else {
+            addresses.iter().take(SEEDS).map(|own| own.peer).collect()
+        };
         for (index, own) in addresses.into_iter().enumerate() {
             let store_link = Proxy::start(next_address(), self.store.address()).await?;
             let daemon = Daemon::start(DaemonPlan {
--- a/crates/tansylead-emulator/src/main.rs
+++ b/crates/tansylead-emulator/src/main.rs
@@ -58,6 +58,7 @@
         zones: ["north", "middle", "south"].map(str::to_owned).to_vec(),
         shards: value(matches, "shards").max(1) as usize,
         program: program.unwrap_or_default(),
+        stale_seeds: false,
     }
 }
 
--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -11,6 +11,7 @@
     LocalMember, MemberRecord, MemberState, Membership, MembershipAction, MembershipEvent,
     MembershipSettings,
 };
+use tansylead_types::store::{Machine, MachineList, MachineState};
 use tansylead_types::{InstanceId, NodeId, PlaceName, StepError};
 use tokio::net::UdpSocket;
 
@@ -68,6 +69,7 @@
         let mut leaving = false;
         self.feed(MembershipEvent::Wakeup);
         loop {
+            self.take_hints();
             let now = Clock.now();
             let wakeup = self.membership.next_wakeup().unwrap_or(now + LONGEST_WAIT);
             let wakeup = wakeup.min(now + LONGEST_WAIT);
@@ -88,6 +90,21 @@
         }
     }
 
+    /// Tells membership of registered daemons to join through.
+    fn take_hints(&mut self) {
+        let Some(addresses) = self.view.take_hints() else {
+            return;
+        };
+        let machines = addresses.into_iter().map(|address| Machine {
+            address,
+            state: MachineState::Live,
+        });
+        let list = MachineList {
+            machines: machines.collect(),
+        };
+        self.feed(MembershipEvent::MachineList(list));
+    }
+
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         if let Ok(packet) = self.codec.decode(bytes) {
             let packet = Box::new(packet);
--- a/crates/tansylead-gateway/src/cluster/mod.rs
+++ b/crates/tansylead-gateway/src/cluster/mod.rs
@@ -9,11 +9,13 @@
 mod feed_message;
 mod feed_server;
 mod members;
+mod registration;
 mod source_feed;
 mod view;
 
 pub use feed_client::PeerFeed;
 pub use feed_server::serve_feed;
 pub use members::MemberDriver;
+pub use registration::find_daemons;
 pub use source_feed::SourceFeed;
 pub use view::ClusterView;
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -17,6 +17,8 @@
     place: PlaceName,
     regions: usize,
     seeds: RefCell<Vec<SocketAddr>>,
+    /// Registered daemons that membership has not been told of yet.
+    hints: RefCell<Option<Vec<SocketAddr>>>,
     members: RefCell<Vec<MemberRecord>>,
     joined: Cell<bool>,
 }
@@ -29,6 +31,7 @@
             place,
             regions: regions.max(1),
             seeds: RefCell::new(seeds),
+            hints: RefCell::default(),
             members: RefCell::default(),
             joined: Cell::new(false),
         }
@@ -39,6 +42,22 @@
         *self.seeds.borrow_mut() = seeds;
     }
 
+    /// Adds daemons that have registered: to join through, and to poll like seeds.
+    pub fn set_hints(&self, hints: Vec<SocketAddr>) {
+        let mut seeds = self.seeds.borrow_mut();
+        for hint in &hints {
+            if !seeds.contains(hint) {
+                seeds.push(*hint);
+            }
+        }
+        *self.hints.borrow_mut() = Some(hints);
+    }
+
+    /// Takes the registered daemons that membership has not been told of yet.
+    pub fn take_hints(&self) -> Option<Vec<SocketAddr>> {
+        self.hints.borrow_mut().take()
+    }
+
     /// Replaces the members that run.
     pub fn set_members(&self, members: Vec<MemberRecord>, joined: bool) {
         *self.members.borrow_mut() = members;
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::{CallerServer, serve_ready};
 use crate::clock::Clock;
-use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, serve_feed};
+use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, find_daemons, serve_feed};
 use crate::headers::HeaderNames;
 use crate::metrics::serve_metrics;
 use crate::settings::GatewaySettings;
@@ -126,6 +126,7 @@
         let metrics = serve_metrics(Rc::clone(gateway), address);
         spawn_local(until_failed("metrics", metrics));
     }
+    spawn_local(find_daemons(Rc::clone(gateway), Rc::clone(view), source));
     spawn_local(sweep(Rc::clone(gateway)));
     spawn_local(watch_lag());
     Ok(())
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -314,4 +314,13 @@
             tokio::time::sleep(POLL_PERIOD).await;
         }
     }
+
+    /// A file registers nobody: the seeds must do.
+    async fn register(&self, _: SocketAddr) -> Result<(), SourceError> {
+        Ok(())
+    }
+
+    async fn registered(&self) -> Result<Vec<SocketAddr>, SourceError> {
+        Ok(Vec::new())
+    }
 }
--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -1,6 +1,7 @@
 //! Where configuration and leafs come from, as the gateway sees it.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_route::{Configuration, DirectoryDelta, Revision};
 use tansylead_types::StepError;
@@ -81,4 +82,11 @@
         after: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<SourceUpdate, SourceError>>;
+
+    /// Registers a daemon's peer address, so that others find it when the seeds are down or stale.
+    /// Registering again changes nothing.
+    fn register(&self, peer: SocketAddr) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Peer addresses of the daemons that ever registered; some may be gone.
+    fn registered(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
 }
