--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -58,6 +58,9 @@
         return refused(RefusalReason::NoRoute);
     };
     log.route = Some(Arc::clone(&route));
+    if id.is_none() {
+        return refused(RefusalReason::NoRequestId);
+    }
     let time_left = gateway
         .names
         .time_left(request.headers())
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -25,6 +25,8 @@
 const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// Period at which the end of a planned stop is looked for.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Period at which the settings file is read again.
+const RELOAD_PERIOD: Duration = Duration::from_secs(5);
 /// Period at which the lag of tasks is measured.
 const LAG_PERIOD: Duration = Duration::from_millis(250);
 /// Lags above this are told.
@@ -158,6 +160,7 @@
     }
 }
 
+/// Reads the settings again on SIGHUP, and now and then: the file may change without a signal.
 async fn reload_on_signal(
     view: Rc<ClusterView>,
     reload: impl Fn() -> eyre::Result<GatewaySettings>,
@@ -165,13 +168,21 @@
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         return;
     };
-    while hangup.recv().await.is_some() {
+    let mut seeds = Vec::new();
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(RELOAD_PERIOD) => false,
+        };
         match reload() {
-            Ok(settings) => {
-                view.set_seeds(settings.seeds);
-                log::info!("settings read again");
+            Ok(settings) if settings.seeds != seeds => {
+                seeds = settings.seeds;
+                view.set_seeds(seeds.clone());
+                log::info!(seeds = seeds.len(); "settings read again");
             }
-            Err(error) => log::error!(error:% = format!("{error:#}"); "settings kept"),
+            Ok(_) if signalled => log::info!("settings read again"),
+            Ok(_) => {}
+            Err(error) => log::warn!(error:% = format!("{error:#}"); "settings kept"),
         }
     }
 }
--- a/crates/tansylead-gateway/src/execution/outcome.rs
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -48,6 +48,8 @@
     NotRun,
     /// No route takes the request.
     NoRoute,
+    /// The request carries no id, so no answer could be told to be its own.
+    NoRequestId,
     /// Body over the limit.
     BodyTooLarge,
     /// Headers over the limit.
@@ -68,7 +70,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::BadBody | Self::NoRequestId => StatusCode::BAD_REQUEST,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -80,6 +82,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NotRun => "not_run",
             Self::NoRoute => "no_route",
+            Self::NoRequestId => "no_request_id",
             Self::BodyTooLarge => "body_too_large",
             Self::HeadersTooLarge => "headers_too_large",
             Self::BadBody => "bad_body",
--- a/crates/tansylead-gateway/src/explain/cause.rs
+++ b/crates/tansylead-gateway/src/explain/cause.rs
@@ -87,7 +87,7 @@
         match outcome.as_str() {
             "served" => Self::Served,
             "no_configuration" => Self::NoConfiguration,
-            "no_route" | "body_too_large" | "headers_too_large" | "bad_body" => {
+            "no_route" | "no_request_id" | "body_too_large" | "headers_too_large" | "bad_body" => {
                 Self::BadRequest { outcome }
             }
             "caller_left" => Self::CallerLeft { troubles },
