Use leafs whose entries lapsed as the last resort

Ruled out: the loss of configuration (in force throughout) and of leafs (same ids again). Change: a leaf that never said it was leaving may be used for 0.6 of the leaving limit after its entry went missing, if no leaf of the service is listed. Tests: a_leaf_whose_entry_lapsed_is_used_until_it_is_listed_again (failed before, as the leaf was dropped at once), a_leaf_that_said_it_was_leaving_is_not_used_once_its_entry_is_gone.

--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -153,6 +153,7 @@
             Rc::clone(&self.request),
             Rc::clone(&self.gateway.names),
             delay,
+            self.gateway.settings.bounds.missing_grace(),
             self.end,
             Rc::clone(&sent),
         );
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -57,6 +57,7 @@
     request: Rc<OutgoingRequest>,
     names: Rc<HeaderNames>,
     connect_limit: Duration,
+    missing_grace: Duration,
     end: Moment,
     sent: Rc<Cell<Option<Moment>>>,
 ) -> AttemptEnd {
@@ -68,7 +69,7 @@
         Ok(connection) => connection,
         Err(error) => return AttemptEnd::NotSent(error),
     };
-    if !leaf.takes_requests() {
+    if !leaf.is_usable(Clock.now(), missing_grace) {
         return not_sent(&leaf, "leaf is leaving");
     }
     let now = Clock.now();
@@ -139,7 +140,7 @@
     match names.leaf_word(reply.status, &reply.headers, request.id.as_ref()) {
         LeafWord::Foreign => AttemptEnd::Failed(step_error(leaf, "answer to another request")),
         LeafWord::OtherLeaf => {
-            leaf.set_gone();
+            leaf.set_replaced();
             AttemptEnd::Refused(reply)
         }
         word => {
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -32,7 +32,8 @@
 #[derive(Debug)]
 pub struct LeafState {
     entry: RefCell<LeafEntry>,
-    gone: Cell<bool>,
+    /// Since when its entry is missing.
+    missing_since: Cell<Option<Moment>>,
     distance: Distance,
     in_flight: Cell<u32>,
     /// Bounds requests at a time, and with them connections: a new one is opened only if none is
@@ -52,7 +53,7 @@
     pub fn new(entry: LeafEntry, distance: Distance, limit: u32) -> Self {
         Self {
             entry: RefCell::new(entry),
-            gone: Cell::new(false),
+            missing_since: Cell::new(None),
             distance,
             in_flight: Cell::new(0),
             permits: Arc::new(Semaphore::new(limit as usize)),
@@ -80,15 +81,29 @@
         *self.entry.borrow_mut() = entry;
     }
 
-    /// Notes that the entry is gone, and closes idle connections.
-    pub fn set_gone(&self) {
-        self.gone.set(true);
+    /// Notes that the entry is missing, and closes idle connections.
+    pub fn set_missing(&self, now: Moment) {
+        self.missing_since.set(Some(now));
         self.idle.borrow_mut().clear();
     }
 
-    /// Whether the leaf takes new requests.
-    pub fn takes_requests(&self) -> bool {
-        !self.gone.get() && self.entry.borrow().phase == LeafPhase::Ready
+    /// Notes that another run of a leaf has the address.
+    pub fn set_replaced(&self) {
+        self.set_missing(Moment::default());
+    }
+
+    /// Whether the leaf has an entry that says it takes new requests.
+    pub fn is_listed(&self) -> bool {
+        self.missing_since.get().is_none() && self.entry.borrow().phase == LeafPhase::Ready
+    }
+
+    /// Whether the leaf may be sent new requests if no other is left: it never said that it was
+    /// leaving, and its entry has not been missing for longer than `grace`. Entries lapse while the
+    /// store is down, though their leafs are sound.
+    pub fn is_usable(&self, now: Moment, grace: Duration) -> bool {
+        let since = self.missing_since.get();
+        let is_fresh = since.is_none_or(|since| now.since(since) < grace);
+        is_fresh && self.entry.borrow().phase == LeafPhase::Ready
     }
 
     /// Bounds the requests at a time.
@@ -207,7 +222,7 @@
     /// Takes back a connection whose last answer was read whole. The leaf closes it after
     /// `idle_limit`, if it says so.
     pub fn give_back(&self, connection: HttpConnection, idle_limit: Option<Duration>) {
-        if connection.is_closed() || !self.takes_requests() {
+        if connection.is_closed() || !self.is_listed() {
             return;
         }
         let limit = idle_limit.unwrap_or(DEFAULT_IDLE_LIMIT);
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -2,12 +2,11 @@
 
 use super::leaf_state::LeafState;
 use crate::clock::Clock;
+use crate::settings::GatewayBounds;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{
-    BreakerVerdict, BudgetSettings, Candidate, ExtraAttempt, RetryBudget, choose_leaf,
-};
+use tansylead_route::{Candidate, ExtraAttempt, RetryBudget, choose_leaf};
 use tansylead_types::{LeafId, Moment, ServiceName};
 
 /// One service.
@@ -15,16 +14,21 @@
 pub struct ServiceState {
     name: ServiceName,
     leafs: RefCell<Vec<Rc<LeafState>>>,
+    /// Leafs whose entries went missing lately.
+    missing: RefCell<Vec<Rc<LeafState>>>,
+    missing_grace: Duration,
     budget: RefCell<RetryBudget>,
 }
 
 impl ServiceState {
     /// A service without leafs.
-    pub fn new(name: ServiceName, budget: BudgetSettings, started: Moment) -> Self {
+    pub fn new(name: ServiceName, bounds: &GatewayBounds, started: Moment) -> Self {
         Self {
             name,
-            leafs: RefCell::new(Vec::new()),
-            budget: RefCell::new(RetryBudget::new(budget, started)),
+            leafs: RefCell::default(),
+            missing: RefCell::default(),
+            missing_grace: bounds.missing_grace(),
+            budget: RefCell::new(RetryBudget::new(bounds.retry_budget(), started)),
         }
     }
 
@@ -35,39 +39,47 @@
 
     /// Adds a leaf.
     pub fn add(&self, leaf: Rc<LeafState>) {
+        let id = leaf.entry().leaf.clone();
+        self.missing
+            .borrow_mut()
+            .retain(|known| known.entry().leaf != id);
         self.leafs.borrow_mut().push(leaf);
     }
 
-    /// Removes a leaf.
-    pub fn remove(&self, leaf: &LeafId) {
+    /// Takes a leaf out whose entry went missing; it is kept for a while as the last resort.
+    pub fn remove(&self, leaf: &Rc<LeafState>) {
+        let now = Clock.now();
+        let id = leaf.entry().leaf.clone();
         self.leafs
             .borrow_mut()
-            .retain(|known| known.entry().leaf != *leaf);
+            .retain(|known| known.entry().leaf != id);
+        let mut missing = self.missing.borrow_mut();
+        missing.retain(|known| known.is_usable(now, self.missing_grace));
+        missing.push(Rc::clone(leaf));
     }
 
-    /// Whether any leaf takes requests.
+    /// Whether any leaf may be sent requests.
     pub fn has_leafs(&self) -> bool {
-        self.leafs.borrow().iter().any(|leaf| leaf.takes_requests())
-    }
-
-    /// Whether any leaf takes requests and is not avoided.
-    pub fn has_sound_leafs(&self, now: Moment) -> bool {
-        let leafs = self.leafs.borrow();
-        let mut ready = leafs.iter().filter(|leaf| leaf.takes_requests());
-        ready.any(|leaf| leaf.verdict(now) != BreakerVerdict::Avoid)
+        let now = Clock.now();
+        let is_usable = |leaf: &Rc<LeafState>| leaf.is_usable(now, self.missing_grace);
+        let listed = self.leafs.borrow().iter().any(|leaf| leaf.is_listed());
+        listed || self.missing.borrow().iter().any(is_usable)
     }
 
-    /// The best leaf that is not in `excluded`, for a request that typically takes `typical`.
+    /// The best leaf that is not in `excluded`, for a request that typically takes `typical`. Leafs
+    /// whose entries are missing come only if no leaf of the service is listed.
     pub fn choose(&self, excluded: &[LeafId], typical: Duration) -> Option<Rc<LeafState>> {
         let now = Clock.now();
         let leafs = self.leafs.borrow();
-        let usable: Vec<&Rc<LeafState>> = leafs
+        if leafs.iter().any(|leaf| leaf.is_listed()) {
+            let listed = leafs.iter().filter(|leaf| leaf.is_listed());
+            return best(listed, excluded, typical, now);
+        }
+        let missing = self.missing.borrow();
+        let usable = missing
             .iter()
-            .filter(|leaf| leaf.takes_requests() && !excluded.contains(&leaf.entry().leaf))
-            .collect();
-        let candidates: Vec<Candidate> = usable.iter().map(|leaf| leaf.candidate(now)).collect();
-        let index = choose_leaf(&candidates, typical, rand::random())?;
-        Some(Rc::clone(usable[index]))
+            .filter(|leaf| leaf.is_usable(now, self.missing_grace));
+        best(usable, excluded, typical, now)
     }
 
     /// Notes a request to the service.
@@ -82,3 +94,17 @@
             .try_take(Clock.now(), daemons, kind)
     }
 }
+
+fn best<'a>(
+    leafs: impl Iterator<Item = &'a Rc<LeafState>>,
+    excluded: &[LeafId],
+    typical: Duration,
+    now: Moment,
+) -> Option<Rc<LeafState>> {
+    let leafs: Vec<&Rc<LeafState>> = leafs
+        .filter(|leaf| !excluded.contains(&leaf.entry().leaf))
+        .collect();
+    let candidates: Vec<Candidate> = leafs.iter().map(|leaf| leaf.candidate(now)).collect();
+    let index = choose_leaf(&candidates, typical, rand::random())?;
+    Some(Rc::clone(leafs[index]))
+}
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -163,6 +163,14 @@
         Duration::from_secs_f64(self.stop_limit_seconds)
     }
 
+    /// A leaf whose entry is missing may be used this long, if no other is left. Leafs that leave
+    /// without a word serve on for the whole limit.
+    pub fn missing_grace(&self) -> Duration {
+        /// Part of the limit; the rest is for the time until the daemon learns of it.
+        const SHARE: f64 = 0.6;
+        Duration::from_secs_f64(self.leaving_limit_millis * SHARE / 1_000.0)
+    }
+
     /// Oldest word about configuration and leafs that the daemon relies on without asking itself.
     pub fn word_limit(&self) -> Duration {
         /// Part of the tighter of the two bounds.
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -202,8 +202,8 @@
         if let Some(service) = self.services.borrow().get(name) {
             return Rc::clone(service);
         }
-        let budget = self.settings.bounds.retry_budget();
-        let service = Rc::new(ServiceState::new(name.clone(), budget, self.started));
+        let bounds = &self.settings.bounds;
+        let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
         service
@@ -311,9 +311,9 @@
         let Some(leaf) = self.leafs.borrow_mut().remove(id) else {
             return;
         };
-        leaf.set_gone();
+        leaf.set_missing(Clock.now());
         let service = self.service(&leaf.entry().service);
-        service.remove(id);
+        service.remove(&leaf);
     }
 
     fn connection_limit(&self, service: &ServiceName) -> u32 {
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -6,7 +6,8 @@
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
-    CallerLimits, Configuration, DirectoryDelta, LeafEntry, LeafPhase, Revision, Service,
+    CallerLimits, Configuration, DirectoryChange, DirectoryDelta, LeafEntry, LeafPhase, Revision,
+    Service,
 };
 use tansylead_types::{LeafId, ServiceName, ZoneName};
 
@@ -69,3 +70,42 @@
     gateway.set_daemons(1_000);
     assert_eq!(limit(&gateway), 1);
 }
+
+fn apply(gateway: &Gateway, at: u64, changes: Vec<DirectoryChange>) {
+    gateway.apply_directory(DirectoryDelta::Changes {
+        after: Revision(at - 1),
+        at: Revision(at),
+        changes,
+    });
+}
+
+fn has_leafs(gateway: &Gateway) -> bool {
+    let service = ServiceName::new("disputes").expect("valid name");
+    gateway.service(&service).has_leafs()
+}
+
+#[test]
+fn a_leaf_whose_entry_lapsed_is_used_until_it_is_listed_again() {
+    // Regression: entries lapse while the store is down, and everything was refused after it.
+    let gateway = gateway();
+    let leaf = LeafId::new("leaf").expect("valid name");
+    apply(&gateway, 2, vec![DirectoryChange::Gone(leaf)]);
+    assert!(has_leafs(&gateway));
+    let service = ServiceName::new("disputes").expect("valid name");
+    let chosen = gateway
+        .service(&service)
+        .choose(&[], Duration::from_millis(10));
+    assert!(chosen.is_some());
+}
+
+#[test]
+fn a_leaf_that_said_it_was_leaving_is_not_used_once_its_entry_is_gone() {
+    let gateway = gateway();
+    let entry = gateway.directory().entries().next().cloned();
+    let mut leaving = entry.expect("a leaf");
+    let leaf = leaving.leaf.clone();
+    leaving.phase = LeafPhase::Draining;
+    apply(&gateway, 2, vec![DirectoryChange::Present(leaving)]);
+    apply(&gateway, 3, vec![DirectoryChange::Gone(leaf)]);
+    assert!(!has_leafs(&gateway));
+}
