--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -3,7 +3,7 @@
 //! Invariants: `NotRun` is said only if nothing was handed to a connection or the leaf itself said
 //! so. A connection is used again only after a whole answer that carries the request's id.
 
-use super::leaf_state::{LeafState, OpenAttempt};
+use super::leaf_state::LeafState;
 use crate::clock::Clock;
 use crate::headers::{HeaderNames, LeafWord};
 use crate::http_client::{ExchangeError, HttpConnection, Reply};
@@ -85,7 +85,7 @@
     sent.set(Some(now));
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
     match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
-        Ok(Ok(reply)) => finish(&leaf, &request, &names, connection, reply, &open),
+        Ok(Ok(reply)) => finish(&leaf, &request, &names, connection, reply),
         Ok(Err(ExchangeError::NotWritten(error))) => {
             sent.set(None);
             AttemptEnd::NotSent(error)
@@ -135,7 +135,6 @@
     names: &HeaderNames,
     connection: HttpConnection,
     reply: Reply,
-    _open: &OpenAttempt,
 ) -> AttemptEnd {
     match names.leaf_word(reply.status, &reply.headers, request.id.as_ref()) {
         LeafWord::Foreign => AttemptEnd::Failed(step_error(leaf, "answer to another request")),
