Avoid leafs that fail requests or reset connections; share connections by nearness

Cause: a leaf that failed half of its requests fast looked like the best of all, since an error counted as a timely answer.

Change: moving failure rate of a leaf as a cost in its choice; errors teach no latency; backoff of new connections after resets; parts of a leaf's connections by nearness (2 to 1), exact by rank, the rest a reserve; idle connections kept for three usual gaps, less where a leaf forgets them.

After a loss of power of all daemons, leafs at tight caps still count the dead connections for some seconds; open.

--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -11,6 +11,7 @@
     LocalMember, MemberRecord, MemberState, Membership, MembershipAction, MembershipEvent,
     MembershipSettings,
 };
+use tansylead_route::DaemonCounts;
 use tansylead_types::store::{Machine, MachineList, MachineState};
 use tansylead_types::{InstanceId, NodeId, PlaceName, StepError};
 use tokio::net::UdpSocket;
@@ -149,12 +150,22 @@
         self.feed(MembershipEvent::Wakeup);
     }
 
+    /// Counts the daemons that run, or may.
+    fn count_daemons(&self) -> DaemonCounts {
+        let members = self.membership.members();
+        let counted: Vec<&MemberRecord> = members
+            .filter(|member| member.state != MemberState::Left)
+            .collect();
+        let own = &self.local;
+        let before = counted
+            .iter()
+            .filter(|member| member.place == own.place && member.node() < own.instance.node);
+        let rank = before.count();
+        DaemonCounts::new(counted.iter().map(|member| member.place.clone()), rank)
+    }
+
     fn publish(&self) {
-        let counted = self
-            .membership
-            .members()
-            .filter(|member| member.state != MemberState::Left);
-        self.gateway.set_daemons(counted.count().max(1));
+        self.gateway.set_daemons(self.count_daemons());
         let live: Vec<MemberRecord> = self.membership.live_members().cloned().collect();
         self.view.set_members(live, self.membership.is_joined());
     }
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -178,7 +178,11 @@
         self.note_end(&attempt, end.as_ref());
         match end {
             Some(AttemptEnd::Answered(reply)) => {
-                self.note_answer(&attempt);
+                let failed = reply.status.is_server_error();
+                attempt.leaf.note_end(failed);
+                if !failed {
+                    self.note_answer(&attempt);
+                }
                 progress.arrivals += 1;
                 progress.may_have_run = true;
                 if self.is_final(&reply) {
@@ -188,6 +192,7 @@
                 self.retry(progress, true);
             }
             Some(AttemptEnd::Refused(_)) => {
+                attempt.leaf.note_end(true);
                 progress.arrivals += 1;
                 self.retry(progress, false);
             }
@@ -198,6 +203,7 @@
                 }
             }
             Some(AttemptEnd::Failed(_)) | None => {
+                attempt.leaf.note_end(true);
                 progress.arrivals += 1;
                 progress.may_have_run = true;
                 self.retry(progress, true);
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -3,7 +3,7 @@
 //! Invariants: `NotRun` is said only if nothing was handed to a connection or the leaf itself said
 //! so. A connection is used again only after a whole answer that carries the request's id.
 
-use super::leaf_state::LeafState;
+use super::leaf_state::{LeafConnection, LeafState};
 use crate::clock::Clock;
 use crate::headers::{HeaderNames, LeafWord};
 use crate::http_client::{ExchangeError, HttpConnection, Reply};
@@ -65,8 +65,11 @@
     let Ok(_permit) = leaf.permits().acquire_owned().await else {
         return not_sent(&leaf, "no permit");
     };
-    let mut connection = match connect(&leaf, connect_limit).await {
-        Ok(connection) => connection,
+    let LeafConnection {
+        mut connection,
+        rested,
+    } = match connect(&leaf, connect_limit).await {
+        Ok(connected) => connected,
         Err(error) => return AttemptEnd::NotSent(error),
     };
     if !leaf.is_usable(Clock.now(), missing_grace) {
@@ -85,23 +88,32 @@
     sent.set(Some(now));
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
     match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
-        Ok(Ok(reply)) => finish(&leaf, &request, &names, connection, reply),
-        Ok(Err(ExchangeError::NotWritten(error))) => {
-            sent.set(None);
-            AttemptEnd::NotSent(error)
+        Ok(Ok(reply)) => {
+            leaf.on_connection_answer(rested);
+            finish(&leaf, &request, &names, connection, reply)
+        }
+        Ok(Err(error)) => {
+            leaf.on_connection_lost(rested);
+            match error {
+                ExchangeError::NotWritten(error) => {
+                    sent.set(None);
+                    AttemptEnd::NotSent(error)
+                }
+                ExchangeError::MaybeReceived(error) => AttemptEnd::Failed(error),
+            }
         }
-        Ok(Err(ExchangeError::MaybeReceived(error))) => AttemptEnd::Failed(error),
         Err(_) => AttemptEnd::Failed(step_error(&leaf, "no answer in time")),
     }
 }
 
+/// A connection to the leaf: one at rest if there is any, or a new one.
 async fn connect(
     leaf: &Rc<LeafState>,
     connect_limit: Duration,
-) -> Result<HttpConnection, StepError> {
-    while let Some(mut connection) = leaf.take_idle() {
-        if connection.is_ready() || connection.is_usable().await {
-            return Ok(connection);
+) -> Result<LeafConnection, StepError> {
+    while let Some(mut idle) = leaf.take_idle() {
+        if idle.connection.is_ready() || idle.connection.is_usable().await {
+            return Ok(idle);
         }
     }
     let address = leaf.entry().address;
@@ -111,7 +123,10 @@
         Ok(_) => leaf.on_connected(Clock.now().since(started)),
         Err(_) => leaf.on_unreachable(connect_limit),
     }
-    opened
+    opened.map(|connection| LeafConnection {
+        connection,
+        rested: None,
+    })
 }
 
 fn build(
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_route::{Breaker, BreakerVerdict, Candidate, Distance, LeafEntry, LeafPhase};
+use tansylead_route::{
+    Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
+    IdlePolicy, LeafEntry, LeafPhase,
+};
 use tansylead_types::Moment;
 use tokio::sync::Semaphore;
 
-/// An idle connection is closed after this time if the leaf states none.
-const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(1);
 /// Weight of a new sample of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 /// Slowness is forgotten after this time without answers.
@@ -22,12 +23,23 @@
 const UNMEASURED_REGION_WAY: Duration = Duration::from_millis(4);
 const UNMEASURED_REMOTE_WAY: Duration = Duration::from_millis(30);
 
+/// A connection at rest.
 #[derive(Debug)]
 struct IdleConnection {
     connection: HttpConnection,
+    rests_since: Moment,
     usable_until: Moment,
 }
 
+/// A connection for one attempt.
+#[derive(Debug)]
+pub struct LeafConnection {
+    /// The connection.
+    pub connection: HttpConnection,
+    /// How long it has rested; none if it is new.
+    pub rested: Option<Duration>,
+}
+
 /// One run of a leaf.
 #[derive(Debug)]
 pub struct LeafState {
@@ -40,9 +52,13 @@
     /// idle.
     permits: Arc<Semaphore>,
     limit: Cell<u32>,
+    is_reserve: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     breaker: RefCell<Breaker>,
     slowness: Cell<f64>,
+    failures: Cell<FailureRate>,
+    connect_backoff: Cell<ConnectBackoff>,
+    idle_policy: Cell<IdlePolicy>,
     answered_at: Cell<Moment>,
     /// Shortest time that a connection took to come up: the way there and back.
     way: Cell<Option<Duration>>,
@@ -50,7 +66,8 @@
 
 impl LeafState {
     /// A leaf about which nothing is known but its entry.
-    pub fn new(entry: LeafEntry, distance: Distance, limit: u32) -> Self {
+    pub fn new(entry: LeafEntry, distance: Distance, share: ConnectionShare) -> Self {
+        let limit = share.connections;
         Self {
             entry: RefCell::new(entry),
             missing_since: Cell::new(None),
@@ -58,9 +75,13 @@
             in_flight: Cell::new(0),
             permits: Arc::new(Semaphore::new(limit as usize)),
             limit: Cell::new(limit),
+            is_reserve: Cell::new(share.is_reserve),
             idle: RefCell::new(Vec::new()),
             breaker: RefCell::new(Breaker::default()),
             slowness: Cell::new(1.0),
+            failures: Cell::default(),
+            connect_backoff: Cell::default(),
+            idle_policy: Cell::default(),
             answered_at: Cell::new(Moment::default()),
             way: Cell::new(None),
         }
@@ -106,8 +127,13 @@
         is_fresh && self.entry.borrow().phase == LeafPhase::Ready
     }
 
-    /// Bounds the requests at a time.
-    pub fn set_limit(&self, limit: u32) {
+    /// Bounds the requests at a time by this daemon's part of the leaf's connections.
+    pub fn set_share(&self, share: ConnectionShare) {
+        self.is_reserve.set(share.is_reserve);
+        self.set_limit(share.connections);
+    }
+
+    fn set_limit(&self, limit: u32) {
         let old = self.limit.replace(limit);
         if limit > old {
             self.permits.add_permits((limit - old) as usize);
@@ -131,7 +157,10 @@
             way: self.way(),
             in_flight: self.in_flight.get(),
             limit: self.limit.get(),
+            is_reserve: self.is_reserve.get(),
             slowness: if fresh { self.slowness.get() } else { 1.0 },
+            failure_rate: self.failures.get().rate(now),
+            resets_connections: self.connect_backoff.get().is_waiting(now),
             has_idle_connection: !self.idle.borrow().is_empty(),
         }
     }
@@ -185,6 +214,43 @@
         }
     }
 
+    /// Notes whether an attempt failed.
+    pub fn note_end(&self, failed: bool) {
+        let mut failures = self.failures.get();
+        failures.record(Clock.now(), failed);
+        self.failures.set(failures);
+    }
+
+    /// Notes that a connection was reset, or closed, instead of an answer to a request.
+    pub fn on_connection_lost(&self, rested: Option<Duration>) {
+        let now = Clock.now();
+        match rested {
+            Some(rested) => {
+                let mut policy = self.idle_policy.get();
+                policy.on_forgotten(now, rested);
+                self.idle_policy.set(policy);
+            }
+            None => self.on_new_connection_reset(now),
+        }
+    }
+
+    fn on_new_connection_reset(&self, now: Moment) {
+        let mut backoff = self.connect_backoff.get();
+        if backoff.on_reset(now, rand::random()) {
+            log::info!(leaf = self.entry().leaf.as_str(); "leaf resets new connections");
+        }
+        self.connect_backoff.set(backoff);
+    }
+
+    /// Notes an answer on a connection that had rested, or was new.
+    pub fn on_connection_answer(&self, rested: Option<Duration>) {
+        if rested.is_none() {
+            let mut backoff = self.connect_backoff.get();
+            backoff.on_answer();
+            self.connect_backoff.set(backoff);
+        }
+    }
+
     /// Notes an answer that took `latency`, of a kind that typically takes `typical`.
     pub fn on_answer(&self, sent: Moment, timely: bool, latency: Duration, typical: Duration) {
         let now = Clock.now();
@@ -208,12 +274,15 @@
     }
 
     /// An idle connection that the leaf has not closed, as far as is known.
-    pub fn take_idle(&self) -> Option<HttpConnection> {
+    pub fn take_idle(&self) -> Option<LeafConnection> {
         let now = Clock.now();
         let mut idle = self.idle.borrow_mut();
         while let Some(last) = idle.pop() {
             if !last.connection.is_closed() && now < last.usable_until {
-                return Some(last.connection);
+                return Some(LeafConnection {
+                    connection: last.connection,
+                    rested: Some(now.since(last.rests_since)),
+                });
             }
         }
         None
@@ -225,10 +294,14 @@
         if connection.is_closed() || !self.is_listed() {
             return;
         }
-        let limit = idle_limit.unwrap_or(DEFAULT_IDLE_LIMIT);
+        let now = Clock.now();
+        let are_scarce = self.connect_backoff.get().is_scarce(now);
+        let own_limit = self.idle_policy.get().limit(now, are_scarce);
+        let limit = idle_limit.map_or(own_limit, |limit| limit.min(own_limit));
         self.idle.borrow_mut().push(IdleConnection {
             connection,
-            usable_until: Clock.now() + limit.min(DEFAULT_IDLE_LIMIT),
+            rests_since: now,
+            usable_until: now + limit,
         });
     }
 
@@ -258,6 +331,9 @@
     /// Notes that the request is handed to a connection now.
     pub fn set_sent(&self, now: Moment) {
         self.sent.set(Some(now));
+        let mut policy = self.leaf.idle_policy.get();
+        policy.on_use(now);
+        self.leaf.idle_policy.set(policy);
         self.leaf.breaker.borrow_mut().on_sent(now);
     }
 }
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -58,6 +58,11 @@
         missing.push(Rc::clone(leaf));
     }
 
+    /// Leafs with an entry.
+    pub fn listed(&self) -> Vec<Rc<LeafState>> {
+        self.leafs.borrow().clone()
+    }
+
     /// Whether any leaf may be sent requests.
     pub fn has_leafs(&self) -> bool {
         let now = Clock.now();
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -10,24 +10,27 @@
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, DirectoryChange, DirectoryDelta, LatencyProfile, LeafDirectory, Locality,
-    RouteTable, WeightedTurns,
+    Configuration, ConnectionShare, DaemonCounts, DirectoryChange, DirectoryDelta, LatencyProfile,
+    LeafDirectory, LeafEntry, Locality, RouteTable, SharedLeaf, WeightedTurns,
 };
-use tansylead_types::{LeafId, Moment, ServiceName};
+use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
 
-/// Share of a leaf's connections that all daemons together use.
-const CONNECTION_SHARE: f64 = 0.9;
 /// Requests that arrive in this first time of a daemon's life wait for what is being read.
 const STARTUP_WAIT: Duration = Duration::from_millis(80);
 /// Daemons that share a leaf's connections as long as they are not known.
 const ASSUMED_DAEMONS: usize = 8;
 /// Connections a leaf of an unconfigured service is taken to accept.
 const DEFAULT_CONNECTIONS: u32 = 16;
+/// Part of a leaf's connections before it is computed.
+const NO_SHARE: ConnectionShare = ConnectionShare {
+    connections: 1,
+    is_reserve: true,
+};
 
 /// One version of the configuration with its index.
 #[derive(Debug)]
@@ -74,8 +77,10 @@
     confirmed: RefCell<HashMap<Topic, Moment>>,
     changed: watch::Sender<u64>,
     stop: watch::Sender<StopPhase>,
-    daemons: Cell<usize>,
-    known_daemons: Cell<usize>,
+    /// Daemons that share budgets and connections.
+    daemons: RefCell<DaemonCounts>,
+    /// Daemons that membership knows of.
+    known_daemons: RefCell<DaemonCounts>,
     connections: Cell<usize>,
 }
 
@@ -83,6 +88,7 @@
     /// State of a daemon that knows nothing yet.
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Self {
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
+        let assumed = DaemonCounts::default().at_least(ASSUMED_DAEMONS, &locality.all_regions());
         Self {
             settings,
             names: Rc::new(names),
@@ -99,8 +105,8 @@
             confirmed: RefCell::default(),
             changed: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
-            daemons: Cell::new(ASSUMED_DAEMONS),
-            known_daemons: Cell::new(1),
+            daemons: RefCell::new(assumed),
+            known_daemons: RefCell::default(),
             connections: Cell::new(0),
         }
     }
@@ -131,7 +137,7 @@
             configuration: Rc::new(configuration),
             routes,
         }));
-        self.set_limits();
+        self.share_all_connections();
         self.notify();
     }
 
@@ -230,12 +236,12 @@
 
     /// Daemons that share budgets and connections, this one included.
     pub fn daemons(&self) -> usize {
-        self.daemons.get()
+        self.daemons.borrow().total()
     }
 
-    /// Sets the number of daemons known to run.
-    pub fn set_daemons(&self, daemons: usize) {
-        self.known_daemons.set(daemons);
+    /// Sets the daemons known to run.
+    pub fn set_daemons(&self, daemons: DaemonCounts) {
+        *self.known_daemons.borrow_mut() = daemons;
         self.count_daemons();
     }
 
@@ -243,14 +249,15 @@
     /// not know the others yet: until then it takes it that there are some.
     pub fn count_daemons(&self) {
         let young = Clock.now().since(self.started) < self.settings.bounds.word_limit();
-        let known = self.known_daemons.get();
+        let known = self.known_daemons.borrow();
         let daemons = if young {
-            known.max(ASSUMED_DAEMONS)
+            known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
         } else {
-            known
+            known.clone()
         };
-        if self.daemons.replace(daemons) != daemons {
-            self.set_limits();
+        if *self.daemons.borrow() != daemons {
+            *self.daemons.borrow_mut() = daemons;
+            self.share_all_connections();
         }
     }
 
@@ -294,17 +301,17 @@
         }
     }
 
-    fn put_leaf(&self, entry: tansylead_route::LeafEntry) {
+    fn put_leaf(&self, entry: LeafEntry) {
         if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
             leaf.update(entry);
             return;
         }
         let service = self.service(&entry.service);
         let distance = self.locality.distance(&entry.zone);
-        let limit = self.connection_limit(&entry.service);
-        let leaf = Rc::new(LeafState::new(entry.clone(), distance, limit));
+        let leaf = Rc::new(LeafState::new(entry.clone(), distance, NO_SHARE));
         service.add(Rc::clone(&leaf));
         self.leafs.borrow_mut().insert(entry.leaf, leaf);
+        self.share_connections(&service);
     }
 
     fn remove_leaf(&self, id: &LeafId) {
@@ -314,23 +321,43 @@
         leaf.set_missing(Clock.now());
         let service = self.service(&leaf.entry().service);
         service.remove(&leaf);
+        self.share_connections(&service);
+    }
+
+    fn share_all_connections(&self) {
+        for service in self.services.borrow().values() {
+            self.share_connections(service);
+        }
     }
 
-    fn connection_limit(&self, service: &ServiceName) -> u32 {
+    /// Computes this daemon's part of the connections of each leaf of a service.
+    fn share_connections(&self, service: &ServiceState) {
+        let Some(own_region) = self.locality.own_region() else {
+            return;
+        };
+        let leafs = service.listed();
+        let regions = leafs.iter().map(|leaf| leaf.entry().zone.clone());
+        let regions = regions.filter_map(|zone| self.locality.region(&zone).cloned());
+        let service_regions: BTreeSet<PlaceName> = regions.collect();
+        let daemons = self.daemons.borrow();
+        for leaf in leafs {
+            let entry = leaf.entry();
+            let shared = SharedLeaf {
+                leaf: &entry.leaf,
+                maximum_connections: self.maximum_connections(service.name()),
+                region: self.locality.region(&entry.zone),
+                service_regions: &service_regions,
+            };
+            leaf.set_share(shared.share(own_region, &daemons));
+        }
+    }
+
+    fn maximum_connections(&self, service: &ServiceName) -> u32 {
         let active = self.active.borrow();
         let configured = active
             .as_ref()
             .and_then(|active| active.configuration.services.get(service));
-        let maximum = configured.map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections);
-        let share = f64::from(maximum) * CONNECTION_SHARE / self.daemons.get() as f64;
-        (share as u32).max(1)
-    }
-
-    fn set_limits(&self) {
-        for leaf in self.leafs.borrow().values() {
-            let limit = self.connection_limit(&leaf.entry().service);
-            leaf.set_limit(limit);
-        }
+        configured.map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections)
     }
 
     fn forget_unused_routes(&self, configuration: &Configuration) {
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -6,10 +6,10 @@
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
-    CallerLimits, Configuration, DirectoryChange, DirectoryDelta, LeafEntry, LeafPhase, Revision,
-    Service,
+    CallerLimits, Configuration, DaemonCounts, DirectoryChange, DirectoryDelta, LeafEntry,
+    LeafPhase, Revision, Service,
 };
-use tansylead_types::{LeafId, ServiceName, ZoneName};
+use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
 
 const CAP: u32 = 40;
 
@@ -47,6 +47,12 @@
     gateway
 }
 
+/// So many daemons, all in the region of the leaf.
+fn daemons(count: usize) -> DaemonCounts {
+    let region = PlaceName::new("bangkok").expect("valid name");
+    DaemonCounts::new(vec![region; count], 0)
+}
+
 fn limit(gateway: &Gateway) -> u32 {
     let service = gateway.service(&ServiceName::new("disputes").expect("valid name"));
     let leaf = service.choose(&[], Duration::from_millis(10));
@@ -58,16 +64,16 @@
     // Regression: each daemon took itself for the only one (incident inc-b3d2).
     let gateway = gateway();
     assert!(limit(&gateway) <= CAP / 8, "{}", limit(&gateway));
-    gateway.set_daemons(1);
+    gateway.set_daemons(daemons(1));
     assert!(limit(&gateway) <= CAP / 8, "{}", limit(&gateway));
 }
 
 #[test]
 fn many_daemons_share_the_cap() {
     let gateway = gateway();
-    gateway.set_daemons(20);
+    gateway.set_daemons(daemons(20));
     assert!(limit(&gateway) * 20 <= CAP);
-    gateway.set_daemons(1_000);
+    gateway.set_daemons(daemons(1_000));
     assert_eq!(limit(&gateway), 1);
 }
 
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -1,7 +1,7 @@
 //! What the directory says of one leaf, and how far away it is.
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
@@ -58,6 +58,21 @@
         Self { zone, regions }
     }
 
+    /// Region of a zone, if the zone is known.
+    pub fn region(&self, zone: &ZoneName) -> Option<&PlaceName> {
+        self.regions.get(zone)
+    }
+
+    /// Region of the daemon, if its zone is known.
+    pub fn own_region(&self) -> Option<&PlaceName> {
+        self.region(&self.zone)
+    }
+
+    /// All regions of the deployment.
+    pub fn all_regions(&self) -> BTreeSet<PlaceName> {
+        self.regions.values().cloned().collect()
+    }
+
     /// Distance to a zone; an unknown zone counts as remote.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.zone {
--- a/crates/tansylead-route/src/leaf_choice.rs
+++ b/crates/tansylead-route/src/leaf_choice.rs
@@ -18,8 +18,14 @@
     pub in_flight: u32,
     /// Requests it should have at most from this daemon.
     pub limit: u32,
+    /// Whether this daemon has no part in its connections: used only if no other leaf can be.
+    pub is_reserve: bool,
     /// Recent latency relative to what is typical; 1 is average.
     pub slowness: f64,
+    /// Share of its recent answers that were failures.
+    pub failure_rate: f64,
+    /// Whether new connections to it wait because it has reset some.
+    pub resets_connections: bool,
     /// Whether a connection to it is free, so that no new one has to be opened.
     pub has_idle_connection: bool,
 }
@@ -28,10 +34,13 @@
 const CONNECT_WAYS: f64 = 1.0;
 /// Share of the typical latency by which a farther leaf must be ahead.
 const FARTHER_SHARE: f64 = 0.5;
+/// Cost of a failure, in typical latencies: another attempt, and a part of the scarce budget.
+const FAILURE_COST: f64 = 5.0;
 
 #[derive(Debug, PartialEq, PartialOrd)]
 struct Cost {
     avoided: bool,
+    reserve: bool,
     full: bool,
     seconds: f64,
     tie: u32,
@@ -68,11 +77,14 @@
     };
     let load = f64::from(candidate.in_flight) / f64::from(candidate.limit.max(1));
     let work = typical * candidate.slowness * (1.0 + load);
+    let failures = typical * candidate.failure_rate * FAILURE_COST;
+    let unconnected = candidate.resets_connections && !candidate.has_idle_connection;
     Cost {
         // A probe goes to the leaf that would be the best if it is sound.
-        avoided: candidate.verdict == BreakerVerdict::Avoid,
+        avoided: candidate.verdict == BreakerVerdict::Avoid || unconnected,
+        reserve: candidate.is_reserve,
         full: candidate.in_flight >= candidate.limit,
-        seconds: way * (1.0 + connect) + typical * farther + work,
+        seconds: way * (1.0 + connect) + typical * farther + work + failures,
         tie,
     }
 }
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -8,7 +8,11 @@
 mod breaker;
 mod budget;
 mod configuration;
+mod connect_backoff;
+mod connection_share;
 mod directory;
+mod failure_rate;
+mod idle_policy;
 mod latency;
 mod leaf;
 mod leaf_choice;
@@ -22,7 +26,11 @@
 pub use configuration::{
     CallerLimits, Configuration, Policy, Route, Service, ShardSet, Target, WeightedService,
 };
+pub use connect_backoff::ConnectBackoff;
+pub use connection_share::{ConnectionShare, DaemonCounts, SharedLeaf};
 pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory, Revision};
+pub use failure_rate::FailureRate;
+pub use idle_policy::IdlePolicy;
 pub use latency::LatencyProfile;
 pub use leaf::{Distance, LeafEntry, LeafPhase, Locality};
 pub use leaf_choice::{Candidate, choose_leaf};
--- a/crates/tansylead-route/tests/choice.rs
+++ b/crates/tansylead-route/tests/choice.rs
@@ -116,6 +116,9 @@
         in_flight: 0,
         limit: 4,
         slowness: 1.0,
+        is_reserve: false,
+        failure_rate: 0.0,
+        resets_connections: false,
         has_idle_connection: true,
     }
 }
@@ -208,3 +211,31 @@
     assert!(hurried.enough < hurried.end);
     assert_eq!(hurried.end, Duration::from_millis(100));
 }
+
+#[test]
+fn a_leaf_that_fails_many_requests_gives_way_to_a_farther_one() {
+    // Regression: a leaf that failed fast looked like the best of all.
+    let mut candidates = [candidate(Distance::Zone), candidate(Distance::Remote)];
+    candidates[0].failure_rate = 0.05;
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(0));
+    candidates[0].failure_rate = 0.4;
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
+}
+
+#[test]
+fn a_leaf_that_resets_connections_is_used_over_those_that_are_open() {
+    let mut candidates = [candidate(Distance::Zone), candidate(Distance::Remote)];
+    candidates[0].resets_connections = true;
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(0));
+    candidates[0].has_idle_connection = false;
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
+}
+
+#[test]
+fn a_reserve_is_used_only_if_no_other_leaf_is_sound() {
+    let mut candidates = [candidate(Distance::Zone), candidate(Distance::Remote)];
+    candidates[0].is_reserve = true;
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(1));
+    candidates[1].verdict = BreakerVerdict::Avoid;
+    assert_eq!(choose_leaf(&candidates, TYPICAL, 0), Some(0));
+}
--- /dev/null
+++ b/crates/tansylead-route/tests/leaf_health.rs
@@ -0,0 +1,102 @@
+//! What a leaf's answers and connections tell: failures, resets, and rests that were too long.
+
+use std::time::Duration;
+use tansylead_route::{ConnectBackoff, FailureRate, IdlePolicy};
+use tansylead_types::Moment;
+
+fn at(millis: u64) -> Moment {
+    Moment(1_000_000) + Duration::from_millis(millis)
+}
+
+#[test]
+fn failures_raise_the_rate_and_time_lowers_it() {
+    let mut failures = FailureRate::default();
+    for request in 0..10 {
+        failures.record(at(request * 10), true);
+    }
+    let rate = failures.rate(at(100));
+    assert!((0.5..1.0).contains(&rate), "{rate}");
+    assert!(failures.rate(at(10_100)) < rate / 16.0);
+}
+
+#[test]
+fn a_single_failure_among_many_answers_is_soon_forgotten() {
+    let mut failures = FailureRate::default();
+    failures.record(at(0), true);
+    for request in 1..=30 {
+        failures.record(at(request), false);
+    }
+    assert!(failures.rate(at(31)) < 0.01);
+}
+
+#[test]
+fn waits_between_new_connections_grow_until_one_is_answered() {
+    let mut backoff = ConnectBackoff::default();
+    assert!(!backoff.is_waiting(at(0)));
+    assert!(backoff.on_reset(at(0), 0.5));
+    assert!(backoff.is_waiting(at(50)));
+    assert!(!backoff.is_waiting(at(150)));
+    assert!(!backoff.on_reset(at(150), 0.5));
+    assert!(backoff.is_waiting(at(300)));
+    backoff.on_answer();
+    assert!(!backoff.is_waiting(at(301)));
+}
+
+#[test]
+fn connections_reset_together_lengthen_the_wait_once() {
+    let mut one = ConnectBackoff::default();
+    one.on_reset(at(0), 0.5);
+    let mut many = one;
+    for _ in 0..20 {
+        many.on_reset(at(1), 0.5);
+    }
+    assert!(!many.is_waiting(at(110)));
+}
+
+#[test]
+fn waits_between_new_connections_are_bounded() {
+    let mut backoff = ConnectBackoff::default();
+    let mut now = 0;
+    for _ in 0..50 {
+        backoff.on_reset(at(now), 1.0);
+        now += 5_000;
+    }
+    assert!(!backoff.is_waiting(at(now)));
+}
+
+fn used_every(gap_millis: u64) -> IdlePolicy {
+    let mut policy = IdlePolicy::default();
+    for request in 0..50 {
+        policy.on_use(at(request * gap_millis));
+    }
+    policy
+}
+
+#[test]
+fn connections_are_kept_for_a_few_gaps_between_requests() {
+    let now = at(60_000);
+    assert_eq!(used_every(10).limit(now, false), Duration::from_secs(1));
+    let limit = used_every(700).limit(now, false);
+    assert!(limit > Duration::from_millis(1_500), "{limit:?}");
+    // Nobody would use it in time.
+    assert_eq!(used_every(9_000).limit(now, false), Duration::from_secs(1));
+}
+
+#[test]
+fn connections_are_kept_where_new_ones_are_reset() {
+    let mut backoff = ConnectBackoff::default();
+    backoff.on_reset(at(0), 0.5);
+    assert!(backoff.is_scarce(at(1_000)));
+    let limit = used_every(10).limit(at(1_000), backoff.is_scarce(at(1_000)));
+    assert!(limit > Duration::from_secs(1));
+    assert!(!backoff.is_scarce(at(20_000)));
+}
+
+#[test]
+fn connections_are_given_up_before_a_leaf_forgets_them() {
+    let mut policy = used_every(700);
+    policy.on_forgotten(at(0), Duration::from_millis(400));
+    assert!(policy.limit(at(10), false) < Duration::from_millis(400));
+    assert!(policy.limit(at(10), true) < Duration::from_millis(400));
+    assert!(policy.limit(at(20_000), false) > Duration::from_secs(1));
+}
