Know slow leafs by a second late answer, and ask them again by use

Cause: late answers taught nothing about a leaf's slowness, so a slow leaf was probed again after each wait of the breaker, at most 2 s. A daemon of the grown Registry asks a leaf 1.4 times a second: every second or third query over 36 shards was a probe of some slow leaf and was late or incomplete.

Ruled out: raising the slowness at the second overdue answer.

Change: a late answer to a request sent after another late answer sets the slowness at once; it is forgotten after eight usual gaps between requests, 1 s to 5 s.

--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -8,16 +8,11 @@
 use std::time::Duration;
 use tansylead_route::{
     Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
-    IdlePolicy, LeafEntry, LeafPhase,
+    IdlePolicy, LeafEntry, LeafPhase, Slowness,
 };
 use tansylead_types::Moment;
 use tokio::sync::Semaphore;
 
-/// Weight of a new sample of slowness.
-const SLOWNESS_WEIGHT: f64 = 0.2;
-/// Slowness is forgotten after this time without answers.
-const SLOWNESS_LIFETIME: Duration = Duration::from_secs(5);
-
 /// The way there and back before it is measured.
 const UNMEASURED_ZONE_WAY: Duration = Duration::from_millis(1);
 const UNMEASURED_REGION_WAY: Duration = Duration::from_millis(4);
@@ -55,11 +50,10 @@
     is_reserve: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     breaker: RefCell<Breaker>,
-    slowness: Cell<f64>,
+    slowness: Cell<Slowness>,
     failures: Cell<FailureRate>,
     connect_backoff: Cell<ConnectBackoff>,
     idle_policy: Cell<IdlePolicy>,
-    answered_at: Cell<Moment>,
     /// Shortest time that a connection took to come up: the way there and back.
     way: Cell<Option<Duration>>,
 }
@@ -78,11 +72,10 @@
             is_reserve: Cell::new(share.is_reserve),
             idle: RefCell::new(Vec::new()),
             breaker: RefCell::new(Breaker::default()),
-            slowness: Cell::new(1.0),
+            slowness: Cell::default(),
             failures: Cell::default(),
             connect_backoff: Cell::default(),
             idle_policy: Cell::default(),
-            answered_at: Cell::new(Moment::default()),
             way: Cell::new(None),
         }
     }
@@ -150,7 +143,7 @@
 
     /// What the choice of a leaf needs to know.
     pub fn candidate(&self, now: Moment) -> Candidate {
-        let fresh = now.since(self.answered_at.get()) < SLOWNESS_LIFETIME;
+        let usual_gap = self.idle_policy.get().mean_gap().unwrap_or(Duration::MAX);
         Candidate {
             verdict: self.breaker.borrow().verdict(now),
             distance: self.distance,
@@ -158,7 +151,7 @@
             in_flight: self.in_flight.get(),
             limit: self.limit.get(),
             is_reserve: self.is_reserve.get(),
-            slowness: if fresh { self.slowness.get() } else { 1.0 },
+            slowness: self.slowness.get().factor(now, usual_gap),
             failure_rate: self.failures.get().rate(now),
             resets_connections: self.connect_backoff.get().is_waiting(now),
             has_idle_connection: !self.idle.borrow().is_empty(),
@@ -198,8 +191,10 @@
     /// slow; one that has not has stopped answering.
     pub fn on_overdue(&self, sent: Moment, delay: Duration, typical: Duration) {
         let now = Clock.now();
-        if self.answered_at.get() > sent {
-            self.note_slowness(now.since(sent), typical);
+        let mut slowness = self.slowness.get();
+        if slowness.answered_at() > sent {
+            slowness.on_waiting(ratio(now.since(sent), typical));
+            self.slowness.set(slowness);
             return;
         }
         if self.breaker.borrow_mut().on_overdue(now, sent, delay) {
@@ -258,19 +253,14 @@
         if closed {
             log::info!(leaf = self.entry().leaf.as_str(); "leaf sound again");
         }
-        self.answered_at.set(now);
+        let ratio = ratio(latency, typical);
+        let mut slowness = self.slowness.get();
         if timely {
-            self.note_slowness(latency, typical);
-        }
-    }
-
-    fn note_slowness(&self, latency: Duration, typical: Duration) {
-        if typical.is_zero() {
-            return;
+            slowness.on_timely(now, ratio);
+        } else {
+            slowness.on_late(now, sent, ratio);
         }
-        let ratio = latency.as_secs_f64() / typical.as_secs_f64();
-        let old = self.slowness.get();
-        self.slowness.set(old + SLOWNESS_WEIGHT * (ratio - old));
+        self.slowness.set(slowness);
     }
 
     /// An idle connection that the leaf has not closed, as far as is known.
@@ -347,3 +337,11 @@
         }
     }
 }
+
+/// How many times the typical latency something took; 1 if nothing is typical yet.
+fn ratio(latency: Duration, typical: Duration) -> f64 {
+    if typical.is_zero() {
+        return 1.0;
+    }
+    latency.as_secs_f64() / typical.as_secs_f64()
+}
--- a/crates/tansylead-route/src/breaker.rs
+++ b/crates/tansylead-route/src/breaker.rs
@@ -49,11 +49,6 @@
         }
     }
 
-    /// Whether the breaker is open.
-    pub fn is_open(&self) -> bool {
-        self.strikes > 0
-    }
-
     /// Notes that a request was sent.
     pub fn on_sent(&mut self, now: Moment) {
         if self.strikes > 0 && self.probe_since.is_none() {
--- a/crates/tansylead-route/src/idle_policy.rs
+++ b/crates/tansylead-route/src/idle_policy.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Mean gap between requests to the leaf; none before there were two.
+    pub fn mean_gap(&self) -> Option<Duration> {
+        self.mean_gap
+    }
+
     /// Notes that a connection was reset when it was used after resting for `rested`.
     pub fn on_forgotten(&mut self, now: Moment, rested: Duration) {
         let limit = rested.mul_f64(FORGOTTEN_SHARE);
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -19,6 +19,7 @@
 mod patience;
 mod records;
 mod route_table;
+mod slowness;
 mod weights;
 
 pub use breaker::{Breaker, BreakerVerdict};
@@ -37,4 +38,5 @@
 pub use patience::Patience;
 pub use records::{RECORD_BYTES, Record, TopRecords};
 pub use route_table::RouteTable;
+pub use slowness::Slowness;
 pub use weights::WeightedTurns;
--- a/crates/tansylead-route/tests/breaker.rs
+++ b/crates/tansylead-route/tests/breaker.rs
@@ -49,7 +49,7 @@
     let mut breaker = Breaker::default();
     breaker.on_overdue(at(50), at(0), DELAY);
     assert!(!breaker.on_answer(at(60), at(10), true));
-    assert!(breaker.is_open());
+    assert_ne!(breaker.verdict(at(60)), BreakerVerdict::Healthy);
 }
 
 #[test]
--- a/crates/tansylead-route/tests/leaf_health.rs
+++ b/crates/tansylead-route/tests/leaf_health.rs
@@ -1,7 +1,7 @@
 //! What a leaf's answers and connections tell: failures, resets, and rests that were too long.
 
 use std::time::Duration;
-use tansylead_route::{ConnectBackoff, FailureRate, IdlePolicy};
+use tansylead_route::{ConnectBackoff, FailureRate, IdlePolicy, Slowness};
 use tansylead_types::Moment;
 
 fn at(millis: u64) -> Moment {
@@ -100,3 +100,41 @@
     assert!(policy.limit(at(10), true) < Duration::from_millis(400));
     assert!(policy.limit(at(20_000), false) > Duration::from_secs(1));
 }
+
+/// Usual gap between requests to a leaf.
+const GAP: Duration = Duration::from_millis(700);
+
+#[test]
+fn answers_made_late_by_one_pause_do_not_make_a_leaf_slow() {
+    // Regression: two overdue answers of one pause sent everything to other regions for 5 s.
+    let mut slowness = Slowness::default();
+    slowness.on_late(at(300), at(0), 10.0);
+    slowness.on_late(at(301), at(160), 5.0);
+    assert!(slowness.factor(at(310), GAP) < 1.5);
+}
+
+#[test]
+fn a_late_answer_to_a_request_sent_after_a_late_one_shows_a_slow_leaf() {
+    let mut slowness = Slowness::default();
+    slowness.on_late(at(200), at(0), 7.0);
+    slowness.on_late(at(900), at(700), 7.0);
+    assert!(slowness.factor(at(910), GAP) > 6.0);
+    assert!(
+        slowness.factor(at(7_000), GAP) < 1.5,
+        "forgotten without answers"
+    );
+}
+
+#[test]
+fn timely_answers_make_a_slow_leaf_average_again() {
+    let mut slowness = Slowness::default();
+    slowness.on_late(at(200), at(0), 7.0);
+    slowness.on_timely(at(210), 1.0);
+    slowness.on_late(at(900), at(700), 7.0);
+    assert!(slowness.factor(at(910), GAP) < 1.5, "a single late answer");
+    slowness.on_late(at(1_900), at(1_700), 7.0);
+    for request in 0..30 {
+        slowness.on_timely(at(2_000 + request), 1.0);
+    }
+    assert!(slowness.factor(at(2_100), GAP) < 1.1);
+}
