--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -1,5 +1,6 @@
 //! One request of a caller: finds its route, bounds it, runs it, and writes the answer.
 
+use super::panic_guard::catch_panic;
 use crate::clock::Clock;
 use crate::execution::{Call, GatherQuery, Outcome, Refusal, RefusalReason, forward, gather};
 use crate::headers::{remove_connection_headers, set_retry_after};
@@ -29,7 +30,11 @@
     let arrived = Clock.now();
     let id = request.headers().get(&gateway.names.request).cloned();
     let mut log = RequestLog::new(Rc::clone(gateway), id.clone(), arrived);
-    let outcome = run(gateway, request, id.clone(), arrived, &mut log).await;
+    let running = run(gateway, request, id.clone(), arrived, &mut log);
+    let outcome = catch_panic(running).await.unwrap_or_else(|panic| {
+        log::error!(error:% = panic; "request panicked");
+        refused(RefusalReason::Failed)
+    });
     log.finish(&outcome);
     write_response(gateway, outcome, id)
 }
--- a/crates/tansylead-gateway/src/caller/server.rs
+++ b/crates/tansylead-gateway/src/caller/server.rs
@@ -5,6 +5,7 @@
 use super::handler::handle;
 use crate::clock::Clock;
 use crate::listener::{accept_each, bind};
+use crate::metrics::BadInput;
 use crate::state::{Gateway, StopPhase};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -80,8 +81,13 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
-        // Failures of a caller's connection concern that caller alone.
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => {
+            // Failures of a caller's connection concern that caller alone.
+            if ended.is_err_and(|error| error.is_parse()) {
+                gateway.metrics.on_bad_input(BadInput::CallerBytes);
+            }
+            return;
+        }
         () = until_idle_too_long(&gateway, &activity) => {}
     }
     connection.as_mut().graceful_shutdown();
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -5,6 +5,7 @@
 
 use super::view::ClusterView;
 use crate::clock::Clock;
+use crate::metrics::BadInput;
 use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic};
 use crate::state::Gateway;
 use std::rc::Rc;
@@ -80,7 +81,7 @@
         tokio::time::sleep(FIRST_READ_SPREAD.mul_f64(rand::random())).await;
         if let Ok(update) = self.source.read(self.topic, Freshness::Cached).await {
             self.position = Some(update.at);
-            self.apply(update.content);
+            self.apply(update);
         }
     }
 
@@ -135,14 +136,16 @@
         self.failures = 0;
         let is_read = self.position.is_none();
         self.position = Some(update.at);
-        self.apply(update.content);
+        self.apply(update);
         let current = if is_read { asked } else { Clock.now() };
         self.gateway.confirm(self.topic, current);
         self.gateway.announce_confirmation();
     }
 
-    fn apply(&self, content: SourceContent) {
-        match content {
+    fn apply(&self, update: SourceUpdate) {
+        let metrics = &self.gateway.metrics;
+        metrics.add_bad_input(BadInput::SourceEntry, update.passed_over);
+        match update.content {
             SourceContent::Configuration(Some(configuration)) => {
                 self.gateway.apply_configuration(*configuration);
             }
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -202,7 +202,7 @@
                     self.launch(progress, AttemptReason::NotSent, false);
                 }
             }
-            Some(AttemptEnd::Failed(_)) | None => {
+            Some(AttemptEnd::Failed(_) | AttemptEnd::Foreign(_)) | None => {
                 attempt.leaf.note_end(true);
                 progress.arrivals += 1;
                 progress.may_have_run = true;
@@ -317,6 +317,7 @@
             Some(AttemptEnd::Refused(reply)) => ("refused", reply.status.to_string()),
             Some(AttemptEnd::NotSent(error)) => ("not_sent", error.to_string()),
             Some(AttemptEnd::Failed(error)) => ("failed", error.to_string()),
+            Some(AttemptEnd::Foreign(error)) => ("foreign", error.to_string()),
             None => ("failed", "the attempt panicked".to_owned()),
         };
         self.gateway.metrics.on_attempt_end(end);
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -49,6 +49,8 @@
     NotSent(StepError),
     /// The leaf may have run the request; there is no answer that could be passed on.
     Failed(StepError),
+    /// The same: what came is an answer to another request.
+    Foreign(StepError),
 }
 
 /// Runs one attempt until its end. `sent` is set when the request is handed to a connection.
@@ -152,7 +154,7 @@
     reply: Reply,
 ) -> AttemptEnd {
     match names.leaf_word(reply.status, &reply.headers, request.id.as_ref()) {
-        LeafWord::Foreign => AttemptEnd::Failed(step_error(leaf, "answer to another request")),
+        LeafWord::Foreign => AttemptEnd::Foreign(step_error(leaf, "answer to another request")),
         LeafWord::OtherLeaf => {
             leaf.set_replaced();
             AttemptEnd::Refused(reply)
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -36,6 +36,25 @@
 /// A connection for metrics is closed after this time.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
 
+/// Input that could not be understood, and was passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BadInput {
+    /// A caller sent bytes that are no request; its connection ends.
+    CallerBytes,
+    /// The source has an entry that is none, or that cannot be used.
+    SourceEntry,
+}
+
+impl BadInput {
+    /// Name, for metrics.
+    fn label(self) -> &'static str {
+        match self {
+            BadInput::CallerBytes => "caller_bytes",
+            BadInput::SourceEntry => "source_entry",
+        }
+    }
+}
+
 /// All metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -46,6 +65,7 @@
     attempt_ends: IntCounterVec,
     denied: IntCounterVec,
     source_calls: IntCounterVec,
+    bad_input: IntCounterVec,
     configuration_version: IntGauge,
     configuration_age: Gauge,
     leafs_age: Gauge,
@@ -104,6 +124,12 @@
                 "Calls to the store by topic and result",
                 &["topic", "result"],
             ),
+            bad_input: counters(
+                &registry,
+                "tansylead_bad_input_total",
+                "Input that could not be understood and was passed over, by kind",
+                &["kind"],
+            ),
             configuration_version: gauge(
                 &registry,
                 "tansylead_configuration_version",
@@ -178,6 +204,17 @@
         self.source_calls.with_label_values(&labels).inc();
     }
 
+    /// Counts input that could not be understood.
+    pub fn on_bad_input(&self, kind: BadInput) {
+        self.add_bad_input(kind, 1);
+    }
+
+    /// Counts so many pieces of input that could not be understood.
+    pub fn add_bad_input(&self, kind: BadInput, count: u64) {
+        let counter = self.bad_input.with_label_values(&[kind.label()]);
+        counter.inc_by(count);
+    }
+
     fn route_label<'a>(&self, route: &'a str) -> &'a str {
         let mut routes = self.routes.borrow_mut();
         if routes.contains(route) {
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -290,7 +290,11 @@
                 entries: file.leafs,
             }),
         };
-        Ok(SourceUpdate { at, content })
+        Ok(SourceUpdate {
+            at,
+            content,
+            passed_over: 0,
+        })
     }
 }
 
--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -41,6 +41,8 @@
     pub at: Revision,
     /// What was found.
     pub content: SourceContent,
+    /// Entries that could not be understood and were passed over.
+    pub passed_over: u64,
 }
 
 /// Contents of an update.
