Write the last log lines before the process ends

Cause: the process ended while its lines still waited in the queue of the writing thread.

Change: a queue of its own (log_queue), whose last lines are waited for at the end of main, 200 ms at most. Tests: the last of 200 lines is written; an output that takes nothing holds nobody up.

Measured: tests of gateway and platform.

--- a/crates/tansylead-cli/src/gateway_command.rs
+++ b/crates/tansylead-cli/src/gateway_command.rs
@@ -53,7 +53,7 @@
         output_line!("both files can be used");
         return Ok(ExitStatus::Success);
     }
-    tansylead_gateway::logging::initialize(log::LevelFilter::Info)?;
+    let _last_lines = tansylead_gateway::logging::initialize(log::LevelFilter::Info)?;
     let source = RoutesFileSource::new(routes_path);
     let reload = move || GatewaySettings::load(&settings_path).wrap_err("load settings");
     tansylead_gateway::run(settings, HeaderNames::default(), source, reload)?;
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod explain;
 pub mod headers;
 pub mod leaf;
+pub mod log_queue;
 pub mod logging;
 pub mod metrics;
 mod request_log;
--- a/crates/tansylead-gateway/src/logging.rs
+++ b/crates/tansylead-gateway/src/logging.rs
@@ -6,22 +6,17 @@
 //! limits of their own (`request_log`).
 
 use crate::clock::Clock;
+use crate::log_queue::{LastLines, LogQueue};
 use eyre::WrapErr;
 use log::kv::{Key, Value, VisitSource};
 use parking_lot::Mutex;
 use std::collections::HashMap;
-use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
 /// Target of the lines of single requests; their number is limited where they are written.
 pub const REQUEST_TARGET: &str = "request";
 /// Lines of one kind written in a second; errors are not limited.
 pub const LINES_PER_SECOND: u32 = 20;
-/// Lines waiting to be written.
-const QUEUED_LINES: usize = 512;
-/// Stack of the writing thread, in bytes.
-const WRITER_STACK_BYTES: usize = 64 * 1024;
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
@@ -42,22 +37,19 @@
     SUPPRESSED_LINES.fetch_add(lines, Ordering::Relaxed);
 }
 
-/// Sends log lines of `level` and above to standard output.
-pub fn initialize(level: log::LevelFilter) -> eyre::Result<()> {
-    let (sender, receiver) = sync_channel(QUEUED_LINES);
-    std::thread::Builder::new()
-        .name("log-writer".to_owned())
-        .stack_size(WRITER_STACK_BYTES)
-        .spawn(move || write_lines(&receiver))
-        .wrap_err("start the log writer")?;
+/// Sends log lines of `level` and above to standard output, until the process ends.
+pub fn initialize(level: log::LevelFilter) -> eyre::Result<LastLines> {
+    let queue = LogQueue::start(std::io::stdout()).wrap_err("start the log writer")?;
+    let last_lines = queue.last_lines();
     let limits = Mutex::new(HashMap::new());
     fern::Dispatch::new()
         .level(level)
         .chain(fern::Output::call(move |record| {
-            queue_record(&sender, &limits, record);
+            queue_record(&queue, &limits, record);
         }))
         .apply()
-        .wrap_err("install the logger")
+        .wrap_err("install the logger")?;
+    Ok(last_lines)
 }
 
 /// Lines of one kind in the present second.
@@ -90,7 +82,7 @@
 
 type KindLimits = Mutex<HashMap<String, KindLimit>>;
 
-fn queue_record(sender: &SyncSender<String>, limits: &KindLimits, record: &log::Record<'_>) {
+fn queue_record(queue: &LogQueue, limits: &KindLimits, record: &log::Record<'_>) {
     let now = Clock.now();
     let event = record.args().to_string();
     let unlimited = record.target() == REQUEST_TARGET || record.level() == log::Level::Error;
@@ -117,18 +109,11 @@
     let _ = record.key_values().visit(&mut FieldVisitor(&mut fields));
     let mut line = serde_json::Value::Object(fields).to_string();
     line.push('\n');
-    if sender.try_send(line).is_err() {
+    if queue.push(line).is_err() {
         DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
     }
 }
 
-fn write_lines(receiver: &Receiver<String>) {
-    while let Ok(line) = receiver.recv() {
-        // A closed output must not end the daemon.
-        let _ = std::io::stdout().write_all(line.as_bytes());
-    }
-}
-
 struct FieldVisitor<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for FieldVisitor<'_> {
