Rank the watchers once for each change of the members

Cause: every look at a peer ranked all members anew for each member, n squared at each poll: 88 x 88 hashes a second, and four million at 2,000 daemons.

Change: the watchers are kept and ranked when the members change.

--- a/crates/tansylead-cluster/src/spread/readers.rs
+++ b/crates/tansylead-cluster/src/spread/readers.rs
@@ -43,11 +43,13 @@
         }
     }
 
+    /// The first `count` members.
+    pub fn first(&self, count: usize) -> impl Iterator<Item = NodeId> {
+        self.order.iter().take(count).map(|(_, node)| *node)
+    }
+
     /// Whether a node is among the first `count`.
     pub fn is_reader(&self, node: NodeId, count: usize) -> bool {
-        self.order
-            .iter()
-            .take(count)
-            .any(|(_, ranked)| *ranked == node)
+        self.first(count).any(|ranked| ranked == node)
     }
 }
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -2,6 +2,7 @@
 
 use rand::seq::SliceRandom;
 use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use tansylead_cluster::membership::MemberRecord;
 use tansylead_cluster::spread::ReaderRanking;
@@ -20,6 +21,8 @@
     /// Registered daemons that membership has not been told of yet.
     hints: RefCell<Option<Vec<SocketAddr>>>,
     members: RefCell<Vec<MemberRecord>>,
+    /// The members that watch the source; ranked anew whenever the members change.
+    watchers: RefCell<HashSet<NodeId>>,
     joined: Cell<bool>,
 }
 
@@ -33,6 +36,7 @@
             seeds: RefCell::new(seeds),
             hints: RefCell::default(),
             members: RefCell::default(),
+            watchers: RefCell::default(),
             joined: Cell::new(false),
         }
     }
@@ -60,10 +64,25 @@
 
     /// Replaces the members that run.
     pub fn set_members(&self, members: Vec<MemberRecord>, joined: bool) {
+        *self.watchers.borrow_mut() = self.rank_watchers(&members);
         *self.members.borrow_mut() = members;
         self.joined.set(joined);
     }
 
+    /// The first members of each region by rank.
+    fn rank_watchers(&self, members: &[MemberRecord]) -> HashSet<NodeId> {
+        let mut rankings: BTreeMap<&PlaceName, ReaderRanking> = BTreeMap::new();
+        for member in members {
+            let ranking = rankings
+                .entry(&member.place)
+                .or_insert_with(|| ReaderRanking::new(member.place.clone()));
+            ranking.update(member);
+        }
+        let each = WATCHERS.div_ceil(self.regions);
+        let watchers = rankings.values().flat_map(|ranking| ranking.first(each));
+        watchers.collect()
+    }
+
     /// Whether the member table was completed from a peer, or there is nobody to join.
     pub fn is_joined(&self) -> bool {
         self.joined.get()
@@ -71,7 +90,7 @@
 
     /// Whether this daemon watches the source.
     pub fn is_watcher(&self) -> bool {
-        self.is_watcher_of(&self.place, self.node)
+        self.watchers.borrow().contains(&self.node)
     }
 
     /// Addresses to keep a long poll open at, best first: watchers of the own region, other
@@ -113,7 +132,7 @@
     }
 
     fn feed_rank(&self, member: &MemberRecord) -> u8 {
-        let watches = self.is_watcher_of(&member.place, member.node());
+        let watches = self.watchers.borrow().contains(&member.node());
         match (watches, member.place == self.place) {
             (true, true) => 0,
             (true, false) => 1,
@@ -121,12 +140,4 @@
             (false, false) => 3,
         }
     }
-
-    fn is_watcher_of(&self, place: &PlaceName, node: NodeId) -> bool {
-        let mut ranking = ReaderRanking::new(place.clone());
-        for member in self.members.borrow().iter() {
-            ranking.update(member);
-        }
-        ranking.is_reader(node, WATCHERS.div_ceil(self.regions))
-    }
 }
--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -1,8 +1,10 @@
 //! Which peer a daemon polls, and how long a watch of the source lasts.
 
 use std::time::Duration;
-use tansylead_gateway::cluster::PeerTurn;
+use tansylead_cluster::membership::{MemberRecord, MemberState};
+use tansylead_gateway::cluster::{ClusterView, PeerTurn};
 use tansylead_gateway::settings::GatewayBounds;
+use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
 
 /// Polls until the turn is over.
 fn polls(mut turn: PeerTurn, is_best: bool) -> u32 {
@@ -51,3 +53,44 @@
     let old = Duration::from_secs(60);
     assert!(bounds.watch_wait(Some(old)) <= Duration::from_millis(200));
 }
+
+/// Members of two regions, as many in each, and one of them as the viewer.
+fn view(each: u16) -> (ClusterView, Vec<MemberRecord>) {
+    let mut members = Vec::new();
+    for (region, name) in ["north", "south"].into_iter().enumerate() {
+        for number in 0..each {
+            let address = ([10, 0, region as u8, 1], 1_000 + number).into();
+            members.push(MemberRecord {
+                instance: InstanceId {
+                    node: NodeId(address),
+                    boot: 1,
+                },
+                incarnation: 1,
+                place: PlaceName::new(name).expect("valid name"),
+                zone: ZoneName::new(name).expect("valid name"),
+                caller_address: address,
+                state: MemberState::Alive,
+            });
+        }
+    }
+    let own = &members[0];
+    let view = ClusterView::new(own.node(), own.place.clone(), 2, Vec::new());
+    view.set_members(members.clone(), true);
+    (view, members)
+}
+
+#[test]
+fn a_watcher_of_the_own_region_is_polled_first_and_every_daemon_agrees_who_that_is() {
+    let (view, members) = view(20);
+    let best = view.feed_peers()[0];
+    assert!(view.is_best_feed_peer(best));
+    assert!(view.is_in_own_region(best));
+    let watching = members.iter().filter(|member| {
+        let own = ClusterView::new(member.node(), member.place.clone(), 2, Vec::new());
+        own.set_members(members.clone(), true);
+        own.is_watcher()
+    });
+    let watching: Vec<NodeId> = watching.map(MemberRecord::node).collect();
+    assert_eq!(watching.len(), 4, "two in each region");
+    assert!(watching.contains(&NodeId(best)));
+}
