Choose a leaf once for a further attempt

Cause: a hedge chose its leaf three times (soundness, existence, start) and could name another one each time; launch and on_overdue had grown long.

Change: start, launch, launch_extra and replace_unsent, one step each; the leaf that was judged is the one that is asked.

--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -134,17 +134,27 @@
 
     /// Starts an attempt at the best leaf not tried yet. Returns whether one was started.
     fn launch(&self, progress: &mut Progress, reason: AttemptReason, must_be_sound: bool) -> bool {
-        let now = Clock.now();
-        if now >= self.end || self.settled.get() {
+        if self.is_over() {
             return false;
         }
         let Some(leaf) = self.choose(progress) else {
             self.deny("no_leaf");
             return false;
         };
-        if must_be_sound && leaf.verdict(now) == BreakerVerdict::Avoid {
+        if must_be_sound && is_avoided(&leaf) {
             return false;
         }
+        self.start(progress, leaf, reason);
+        true
+    }
+
+    /// Whether no attempt may start any more.
+    fn is_over(&self) -> bool {
+        Clock.now() >= self.end || self.settled.get()
+    }
+
+    /// Starts an attempt at a leaf.
+    fn start(&self, progress: &mut Progress, leaf: Rc<LeafState>, reason: AttemptReason) {
         progress.tried.push(leaf.entry().leaf.clone());
         let delay = self.overdue_delay(&leaf);
         let sent = Rc::new(Cell::new(None));
@@ -164,9 +174,8 @@
             overdue: delay,
         };
         self.trace.note(self.service.name(), decision);
-        let attempt = Attempt::start(leaf, now, delay, sent, run);
+        let attempt = Attempt::start(leaf, Clock.now(), delay, sent, run);
         progress.attempts.push(attempt);
-        true
     }
 
     fn on_end(
@@ -252,57 +261,55 @@
             }
         }
         if is_stuck_unsent {
-            // Nothing of them has reached a leaf: another leaf costs no budget.
-            let sent_elsewhere = progress.attempts.iter().any(Attempt::is_sent);
-            progress.not_sent += 1;
-            if !sent_elsewhere && progress.not_sent < MAXIMUM_NOT_SENT {
-                let launched = self.launch(progress, AttemptReason::NotSent, true);
-                if launched {
-                    let newest = progress.attempts.len() - 1;
-                    let mut index = 0;
-                    progress.attempts.retain(|attempt| {
-                        let keep = index == newest || attempt.is_sent();
-                        index += 1;
-                        keep
-                    });
-                }
-            }
-            return;
-        }
-        if self.route.policy.repeatable {
-            self.launch_hedge(progress);
+            self.replace_unsent(progress);
+        } else if self.route.policy.repeatable {
+            self.launch_extra(progress, ExtraAttempt::Hedge);
         }
     }
 
-    fn launch_hedge(&self, progress: &mut Progress) {
-        let now = Clock.now();
-        let Some(leaf) = self.choose(progress) else {
+    /// Goes to another leaf if nothing has reached one: that costs no budget.
+    fn replace_unsent(&self, progress: &mut Progress) {
+        progress.not_sent += 1;
+        let sent_elsewhere = progress.attempts.iter().any(Attempt::is_sent);
+        if sent_elsewhere || progress.not_sent >= MAXIMUM_NOT_SENT {
+            return;
+        }
+        if !self.launch(progress, AttemptReason::NotSent, true) {
             return;
-        };
-        if leaf.verdict(now) != BreakerVerdict::Avoid {
-            self.launch_extra(progress, ExtraAttempt::Hedge);
+        }
+        if let Some(newest) = progress.attempts.pop() {
+            progress.attempts.retain(Attempt::is_sent);
+            progress.attempts.push(newest);
         }
     }
 
+    /// Starts a further attempt that may reach a leaf, if attempts, time and budget allow it.
     fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
+        let leaf = self.choose(progress);
+        let is_hedge = kind == ExtraAttempt::Hedge;
+        if is_hedge && leaf.as_ref().is_none_or(is_avoided) {
+            // Waiting on is better than a leaf that does not answer either.
+            return;
+        }
         let open = progress.attempts.iter().filter(|attempt| attempt.is_sent());
         let sent = progress.arrivals + open.count() as u32;
-        let over = Clock.now() >= self.end || self.settled.get();
         if sent >= self.route.policy.maximum_attempts {
-            self.deny("attempts");
-        } else if over {
-            self.deny("end");
-        } else if self.choose(progress).is_none() {
-            self.deny("no_leaf");
-        } else if !self.service.try_take_extra(self.gateway.daemons(), kind) {
-            self.deny("budget");
-        } else {
-            let reason = match kind {
-                ExtraAttempt::Hedge => AttemptReason::Hedge,
-                ExtraAttempt::Retry => AttemptReason::Retry,
-            };
-            self.launch(progress, reason, false);
+            return self.deny("attempts");
+        }
+        if self.is_over() {
+            return self.deny("end");
+        }
+        let Some(leaf) = leaf else {
+            return self.deny("no_leaf");
+        };
+        if !self.service.try_take_extra(self.gateway.daemons(), kind) {
+            return self.deny("budget");
         }
+        let reason = match kind {
+            ExtraAttempt::Hedge => AttemptReason::Hedge,
+            ExtraAttempt::Retry => AttemptReason::Retry,
+        };
+        self.start(progress, leaf, reason);
     }
 
     fn deny(&self, reason: &'static str) {
@@ -366,3 +373,8 @@
         attempt.leaf.on_answer(sent, timely, latency, typical);
     }
 }
+
+/// Whether a leaf's breaker keeps new requests away from it.
+fn is_avoided(leaf: &Rc<LeafState>) -> bool {
+    leaf.verdict(Clock.now()) == BreakerVerdict::Avoid
+}
