Send what may not be repeated over fresh connections only; count bad times

Cause: idle connections are kept for up to 5 s now, and leafs may forget them: a request that may not be repeated is lost with such a connection, since it may have run.

Change: a request that may not be repeated uses a connection that rested 250 ms at most, or a new one; tansylead_bad_input_total{kind="caller_time"}.

Measured: tests of gateway and platform.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -5,6 +5,7 @@
 use crate::execution::{Call, GatherQuery, Outcome, Refusal, RefusalReason, forward, gather};
 use crate::headers::{remove_connection_headers, set_retry_after};
 use crate::leaf::OutgoingRequest;
+use crate::metrics::BadInput;
 use crate::request_log::{RequestLog, RequestTrace};
 use crate::state::{ActiveConfiguration, Gateway, StopPhase};
 use bytes::Bytes;
@@ -66,11 +67,13 @@
     if id.is_none() {
         return refused(RefusalReason::NoRequestId);
     }
-    let time_left = gateway
-        .names
-        .time_left(request.headers())
-        .unwrap_or(route.policy.timeout);
-    let outgoing = match read_request(request, id, limits).await {
+    let stated = gateway.names.time_left(request.headers());
+    let stated = stated.unwrap_or_else(|_| {
+        gateway.metrics.on_bad_input(BadInput::CallerTime);
+        None
+    });
+    let time_left = stated.unwrap_or(route.policy.timeout);
+    let outgoing = match read_request(request, id, limits, &route).await {
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
@@ -156,6 +159,7 @@
     request: Request<Incoming>,
     id: Option<HeaderValue>,
     limits: &CallerLimits,
+    route: &Route,
 ) -> Result<OutgoingRequest, RefusalReason> {
     let (head, body) = request.into_parts();
     let body = match Limited::new(body, limits.body_bytes).collect().await {
@@ -172,6 +176,7 @@
         headers,
         body,
         id,
+        repeatable: route.policy.repeatable,
     })
 }
 
--- a/crates/tansylead-gateway/src/headers.rs
+++ b/crates/tansylead-gateway/src/headers.rs
@@ -44,6 +44,11 @@
     }
 }
 
+/// The time that a caller says it will wait is no number of milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the caller's time is no number of milliseconds")]
+pub struct BadTimeLeft;
+
 /// What a leaf's answer says of the request it answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeafWord {
@@ -59,10 +64,13 @@
 
 impl HeaderNames {
     /// The caller's time left; none if it is absent or no number.
-    pub fn time_left(&self, headers: &HeaderMap) -> Option<Duration> {
-        let text = headers.get(&self.time_left)?.to_str().ok()?;
-        let millis: u64 = text.trim().parse().ok()?;
-        Some(Duration::from_millis(millis))
+    pub fn time_left(&self, headers: &HeaderMap) -> Result<Option<Duration>, BadTimeLeft> {
+        let Some(value) = headers.get(&self.time_left) else {
+            return Ok(None);
+        };
+        let text = value.to_str().map_err(|_| BadTimeLeft)?;
+        let millis: u64 = text.trim().parse().map_err(|_| BadTimeLeft)?;
+        Ok(Some(Duration::from_millis(millis)))
     }
 
     /// Writes what a leaf needs to know of one attempt.
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -22,6 +22,9 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(100);
 /// A connection to a leaf that falls silent ends after this time.
 const LEAF_SILENCE: Duration = Duration::from_secs(8);
+/// A request that may not be repeated goes only over a connection that has rested no longer: leafs
+/// may forget connections at rest, and what is lost with one may have run.
+const UNREPEATABLE_REST: Duration = Duration::from_millis(250);
 /// Bytes of the read buffer of a connection: a small answer with its headers.
 const READ_BUFFER_BYTES: usize = 2 * 1024;
 
@@ -38,6 +41,8 @@
     pub body: Bytes,
     /// The caller's id of the request.
     pub id: Option<HeaderValue>,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
 }
 
 /// How an attempt ended.
@@ -72,7 +77,7 @@
     let LeafConnection {
         mut connection,
         rested,
-    } = match connect(&leaf, connect_limit).await {
+    } = match connect(&leaf, &request, connect_limit).await {
         Ok(connected) => connected,
         Err(error) => return AttemptEnd::NotSent(error),
     };
@@ -113,9 +118,15 @@
 /// A connection to the leaf: one at rest if there is any, or a new one.
 async fn connect(
     leaf: &Rc<LeafState>,
+    request: &OutgoingRequest,
     connect_limit: Duration,
 ) -> Result<LeafConnection, StepError> {
-    while let Some(mut idle) = leaf.take_idle() {
+    let longest_rest = if request.repeatable {
+        Duration::MAX
+    } else {
+        UNREPEATABLE_REST
+    };
+    while let Some(mut idle) = leaf.take_idle(longest_rest) {
         if idle.connection.is_ready() || idle.connection.is_usable().await {
             return Ok(idle);
         }
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -263,11 +263,13 @@
         self.slowness.set(slowness);
     }
 
-    /// An idle connection that the leaf has not closed, as far as is known.
-    pub fn take_idle(&self) -> Option<LeafConnection> {
+    /// The idle connection that rested least, if that is no longer than `longest_rest` and the leaf
+    /// has not closed it, as far as is known.
+    pub fn take_idle(&self, longest_rest: Duration) -> Option<LeafConnection> {
         let now = Clock.now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(last) = idle.pop() {
+        let is_rested = |idle: &mut IdleConnection| now.since(idle.rests_since) <= longest_rest;
+        while let Some(last) = idle.pop_if(is_rested) {
             if !last.connection.is_closed() && now < last.usable_until {
                 return Some(LeafConnection {
                     connection: last.connection,
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -41,6 +41,8 @@
 pub enum BadInput {
     /// A caller sent bytes that are no request; its connection ends.
     CallerBytes,
+    /// A caller's time to wait is no number; the request is served without one.
+    CallerTime,
     /// The source has an entry that is none, or that cannot be used.
     SourceEntry,
 }
@@ -50,6 +52,7 @@
     fn label(self) -> &'static str {
         match self {
             BadInput::CallerBytes => "caller_bytes",
+            BadInput::CallerTime => "caller_time",
             BadInput::SourceEntry => "source_entry",
         }
     }
--- a/crates/tansylead-gateway/tests/attempts.rs
+++ b/crates/tansylead-gateway/tests/attempts.rs
@@ -12,29 +12,34 @@
 use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafPhase};
 use tansylead_types::{LeafId, ServiceName, ZoneName};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 const LIMIT: Duration = Duration::from_secs(5);
 const ID: &str = "own";
 
-/// A leaf that answers every request of its only connection with the same bytes.
+/// A leaf that answers every request with the same bytes.
 async fn leaf(answer: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
     let address = listener.local_addr().expect("bound");
     tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("accepts");
-        let mut buffer = [0; 1024];
-        while stream
-            .read(&mut buffer)
-            .await
-            .is_ok_and(|length| length > 0)
-        {
-            let _ = stream.write_all(answer.as_bytes()).await;
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, answer.clone()));
         }
     });
     address
 }
 
+async fn serve(mut stream: TcpStream, answer: String) {
+    let mut buffer = [0; 1024];
+    while stream
+        .read(&mut buffer)
+        .await
+        .is_ok_and(|length| length > 0)
+    {
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+}
+
 /// An answer with this id, or none.
 fn answer(id: Option<&str>) -> String {
     let name = HeaderNames::default().request;
@@ -60,12 +65,17 @@
 }
 
 async fn attempt(leaf: &Rc<LeafState>) -> AttemptEnd {
+    attempt_if(leaf, true).await
+}
+
+async fn attempt_if(leaf: &Rc<LeafState>, repeatable: bool) -> AttemptEnd {
     let request = OutgoingRequest {
         method: Method::GET,
         uri: Uri::from_static("/"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
         id: Some(HeaderValue::from_static(ID)),
+        repeatable,
     };
     let names = Rc::new(HeaderNames::default());
     let end = Clock.now() + LIMIT;
@@ -106,3 +116,20 @@
     assert!(matches!(end, AttemptEnd::Failed(_)), "{end:?}");
     assert!(leaf.candidate(Clock.now()).resets_connections);
 }
+
+#[tokio::test]
+async fn what_may_not_be_repeated_goes_over_no_connection_that_rested_long() {
+    let leaf = state(leaf(answer(Some(ID))).await);
+    attempt(&leaf).await;
+    attempt_if(&leaf, false).await;
+    assert_eq!(
+        leaf.idle_connections(),
+        1,
+        "one that has hardly rested is used"
+    );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    attempt_if(&leaf, false).await;
+    assert_eq!(leaf.idle_connections(), 2, "a new one was opened");
+    attempt(&leaf).await;
+    assert_eq!(leaf.idle_connections(), 2, "others use what there is");
+}
