Pass large configurations on from more watchers, two at a time

A version with 1,284 routes came into force at 26.03 s; one watcher passed it on to all 23 daemons of its region at once, over a link of 20 Mbit/s, and its requests to leafs stood behind it.

Ruled out: the processor (a lag of 102 ms once), the leafs (other daemons reached them in time).

Change: one watcher for eight daemons of a region, at least as many as before; two configurations on their way at a time, each for 800 ms at most, so that a peer that takes nothing keeps nobody from its turn.

--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -10,11 +10,17 @@
 use tansylead_route::{Configuration, DirectoryDelta};
 use tansylead_types::StepError;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio_util::codec::Framed;
 
 /// A connection without a request for this long is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Configurations on their way to peers at a time. All at once they would fill the link of a small
+/// machine, and requests to leafs would wait behind them.
+const CONFIGURATIONS_AT_A_TIME: usize = 2;
+/// Longest time for one reply to be taken by its peer.
+const SEND_LIMIT: Duration = Duration::from_millis(800);
 /// Longest wait that a request may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
@@ -22,18 +28,25 @@
 pub async fn serve_feed(gateway: Rc<Gateway>) -> Result<(), StepError> {
     let address = gateway.settings.peer_address;
     let listener = bind(address, "listen for peers").await?;
+    let turns = Rc::new(Semaphore::new(CONFIGURATIONS_AT_A_TIME));
     accept_each(listener, |stream, peer| {
         let gateway = Rc::clone(&gateway);
+        let turns = Rc::clone(&turns);
         spawn_local(async move {
             // A peer that goes away comes back by itself.
-            let _ = serve(gateway, stream, &peer.to_string()).await;
+            let _ = serve(gateway, &turns, stream, &peer.to_string()).await;
         });
     })
     .await;
     Ok(())
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream, peer: &str) -> Result<(), StepError> {
+async fn serve(
+    gateway: Rc<Gateway>,
+    turns: &Semaphore,
+    stream: TcpStream,
+    peer: &str,
+) -> Result<(), StepError> {
     let _ = stream.set_nodelay(true);
     let mut frames = Framed::new(stream, framing());
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_LIMIT, frames.next()).await {
@@ -42,7 +55,14 @@
             return Err(StepError::new("serve feed", peer, "another cluster"));
         }
         let reply = answer(&gateway, &request).await;
-        let sent = frames.send(encode(&reply, peer)?).await;
+        let _turn = match reply.configuration {
+            Some(_) => turns.acquire().await.ok(),
+            None => None,
+        };
+        let sending = frames.send(encode(&reply, peer)?);
+        // A peer that takes nothing must not keep others from their turn.
+        let sent = tokio::time::timeout(SEND_LIMIT, sending).await;
+        let sent = sent.map_err(|cause| StepError::new("send feed reply", peer, cause))?;
         sent.map_err(|cause| StepError::new("send feed reply", peer, cause))?;
     }
     Ok(())
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -10,6 +10,9 @@
 
 /// Daemons that watch the source, in all regions together, at least.
 const WATCHERS: usize = 3;
+/// Daemons of a region for each that watches the source, at most: a watcher passes every change on
+/// to the others, and a large one would fill the link of a small machine.
+const DAEMONS_PER_WATCHER: usize = 8;
 
 /// Members as one daemon sees them.
 #[derive(Debug)]
@@ -78,8 +81,11 @@
                 .or_insert_with(|| ReaderRanking::new(member.place.clone()));
             ranking.update(member);
         }
-        let each = WATCHERS.div_ceil(self.regions);
-        let watchers = rankings.values().flat_map(|ranking| ranking.first(each));
+        let least = WATCHERS.div_ceil(self.regions);
+        let watchers = rankings.values().flat_map(|ranking| {
+            let daemons = ranking.first(usize::MAX).count();
+            ranking.first(least.max(daemons.div_ceil(DAEMONS_PER_WATCHER)))
+        });
         watchers.collect()
     }
 
