--- a/crates/tansylead-daemon/src/leaf/attempt.rs
+++ b/crates/tansylead-daemon/src/leaf/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt: one shard of one query, asked once.
 
 use crate::clock::Clock;
-use crate::leaf::connection::{LeafConnection, LeafReply, SendFailure};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -10,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_cluster::claims::{ClaimSettings, check_before_dispatch};
+use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
 use tansylead_query::{AttemptResult, SendAttempt};
 use tansylead_types::leaf::{LEAF_SEARCH_PATH, LeafAnswer, LeafRefusal, LeafRequest};
 use tansylead_types::{QueryRequest, Repeatability, WallTime};
@@ -47,7 +47,7 @@
     /// For the engine.
     pub result: AttemptResult,
     /// Open connection on which nothing is in progress.
-    pub connection: Option<LeafConnection>,
+    pub connection: Option<HttpConnection>,
 }
 
 impl AttemptEnd {
@@ -68,7 +68,7 @@
 pub async fn run_attempt(
     context: Arc<QueryContext>,
     attempt: SendAttempt,
-    idle: Option<LeafConnection>,
+    idle: Option<HttpConnection>,
     target: LeafTarget,
 ) -> AttemptEnd {
     let time_left = target.clock.time_left(attempt.deadline);
@@ -90,10 +90,10 @@
             let connection = is_matched(&result, &attempt).then_some(connection);
             AttemptEnd { result, connection }
         }
-        Ok(Err(SendFailure::NotWritten(_))) => {
+        Ok(Err(ExchangeError::NotWritten(_))) => {
             AttemptEnd::without_connection(AttemptResult::NotSent)
         }
-        Ok(Err(SendFailure::MaybeReceived(_))) | Err(_) => {
+        Ok(Err(ExchangeError::MaybeReceived(_))) | Err(_) => {
             AttemptEnd::without_connection(AttemptResult::Failed)
         }
     }
@@ -113,10 +113,10 @@
 
 /// The idle connection if it is still open, or else a new one. Nothing is sent.
 pub(crate) async fn usable_connection(
-    idle: Option<LeafConnection>,
+    idle: Option<HttpConnection>,
     target: &LeafTarget,
     limit: Duration,
-) -> Option<LeafConnection> {
+) -> Option<HttpConnection> {
     if let Some(mut connection) = idle
         && connection.is_usable().await
     {
@@ -124,9 +124,10 @@
     }
     let permit = Arc::clone(&target.permits).try_acquire_owned().ok()?;
     let limit = target.connect_limit.min(limit);
-    let mut connection = LeafConnection::open(target.address, limit, permit)
-        .await
-        .ok()?;
+    let mut connection =
+        HttpConnection::open(target.address, ConnectOptions::within(limit), permit)
+            .await
+            .ok()?;
     connection.is_usable().await.then_some(connection)
 }
 
@@ -192,7 +193,7 @@
 
 /// Turns a whole reply into a result. Anything that is not a proper answer or a proper refusal to
 /// this very attempt counts as failed: the leaf may have run it.
-fn interpret(context: &QueryContext, attempt: &SendAttempt, reply: &LeafReply) -> AttemptResult {
+fn interpret(context: &QueryContext, attempt: &SendAttempt, reply: &Reply) -> AttemptResult {
     match reply.status {
         StatusCode::OK => match serde_json::from_slice::<LeafAnswer>(&reply.body) {
             Ok(answer) if answer.root == context.root && is_json(&answer.result) => {
--- a/crates/tansylead-daemon/src/leaf/health.rs
+++ b/crates/tansylead-daemon/src/leaf/health.rs
@@ -1,10 +1,10 @@
 //! Polling of one leaf's health endpoint. What it says may lag or lie; the engine weighs it.
 
 use crate::leaf::attempt::{LeafTarget, leaf_request, usable_connection};
-use crate::leaf::connection::LeafConnection;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use std::time::Duration;
+use tansylead_http::HttpConnection;
 use tansylead_types::leaf::{LEAF_HEALTH_PATH, LeafHealth};
 
 /// How a poll ended.
@@ -13,12 +13,12 @@
     /// The report; none if the leaf gave no proper one within the limit.
     pub report: Option<LeafHealth>,
     /// Open connection on which nothing is in progress.
-    pub connection: Option<LeafConnection>,
+    pub connection: Option<HttpConnection>,
 }
 
 /// Polls once, over the idle connection if it is still open.
 pub async fn poll_health(
-    idle: Option<LeafConnection>,
+    idle: Option<HttpConnection>,
     target: LeafTarget,
     limit: Duration,
 ) -> HealthPoll {
@@ -28,7 +28,7 @@
 }
 
 async fn poll_once(
-    idle: Option<LeafConnection>,
+    idle: Option<HttpConnection>,
     target: &LeafTarget,
     limit: Duration,
 ) -> Option<HealthPoll> {
--- a/crates/tansylead-daemon/src/leaf/mod.rs
+++ b/crates/tansylead-daemon/src/leaf/mod.rs
@@ -5,6 +5,5 @@
 //! is closed, so its bytes cannot reach another request.
 
 pub mod attempt;
-pub mod connection;
 pub mod health;
 pub mod pool;
--- a/crates/tansylead-daemon/src/leaf/pool.rs
+++ b/crates/tansylead-daemon/src/leaf/pool.rs
@@ -1,15 +1,15 @@
 //! Idle connections to one leaf, bounded and warmed. Owned by one root; no locks.
 
-use crate::leaf::connection::LeafConnection;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tansylead_http::HttpConnection;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Connections to one leaf.
 #[derive(Debug)]
 pub struct LeafPool {
     address: SocketAddr,
-    idle: Vec<LeafConnection>,
+    idle: Vec<HttpConnection>,
     permits: Arc<Semaphore>,
     capacity: usize,
     warming: usize,
@@ -43,7 +43,7 @@
     }
 
     /// The most recently used open idle connection.
-    pub fn take_idle(&mut self) -> Option<LeafConnection> {
+    pub fn take_idle(&mut self) -> Option<HttpConnection> {
         while let Some(connection) = self.idle.pop() {
             if !connection.is_closed() {
                 return Some(connection);
@@ -63,7 +63,7 @@
     }
 
     /// Takes back a connection whose last answer was read whole.
-    pub fn give_back(&mut self, connection: LeafConnection) {
+    pub fn give_back(&mut self, connection: HttpConnection) {
         if !connection.is_closed() {
             self.idle.push(connection);
         }
@@ -80,7 +80,7 @@
     }
 
     /// Notes the end of one warming.
-    pub fn warmed(&mut self, connection: Option<LeafConnection>) {
+    pub fn warmed(&mut self, connection: Option<HttpConnection>) {
         self.warming = self.warming.saturating_sub(1);
         if let Some(connection) = connection {
             self.give_back(connection);
--- a/crates/tansylead-daemon/src/root/actor/mod.rs
+++ b/crates/tansylead-daemon/src/root/actor/mod.rs
@@ -23,7 +23,6 @@
 use crate::clock::Clock;
 use crate::configuration::PlacementKey;
 use crate::leaf::attempt::AttemptEnd;
-use crate::leaf::connection::LeafConnection;
 use crate::leaf::health::HealthPoll;
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
@@ -34,6 +33,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tansylead_cluster::claims::ClaimSettings;
+use tansylead_http::HttpConnection;
 use tansylead_query::{RootEngine, RootEvent};
 use tansylead_types::{AttemptId, InstanceId, LeafId, Moment, QueryId};
 use tokio::sync::mpsc;
@@ -79,7 +79,7 @@
     /// A connection opened ahead of need; absent if it could not be opened.
     Warmed {
         leaf: LeafId,
-        connection: Option<LeafConnection>,
+        connection: Option<HttpConnection>,
     },
 }
 
--- a/crates/tansylead-daemon/src/root/actor/polls.rs
+++ b/crates/tansylead-daemon/src/root/actor/polls.rs
@@ -6,12 +6,12 @@
 use super::{Completion, Root, RootContext};
 use crate::clock::Clock;
 use crate::leaf::attempt::LeafTarget;
-use crate::leaf::connection::LeafConnection;
 use crate::leaf::health::{HealthPoll, poll_health};
 use crate::leaf::pool::LeafPool;
 use crate::root::leafs::RootLeaf;
 use rand::RngExt;
 use std::sync::Arc;
+use tansylead_http::{ConnectOptions, HttpConnection};
 use tansylead_query::RootEvent;
 use tansylead_types::{LeafId, Moment};
 use tokio::sync::mpsc;
@@ -80,7 +80,9 @@
     for permit in state.pool.permits_to_warm(wanted) {
         let (leaf, completions) = (name.clone(), completions.clone());
         tokio::spawn(async move {
-            let connection = LeafConnection::open(address, limit, permit).await.ok();
+            let connection = HttpConnection::open(address, ConnectOptions::within(limit), permit)
+                .await
+                .ok();
             let _ = completions.send(Completion::Warmed { leaf, connection });
         });
     }
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -6,7 +6,6 @@
 
 use super::attempts::{Attempt, NextEnd};
 use crate::clock::Clock;
-use crate::http_client::Reply;
 use crate::leaf::{AttemptEnd, LeafState, OutgoingRequest, ServiceState, run_attempt};
 use crate::request_log::{AttemptReason, Decision, RequestTrace};
 use crate::state::Gateway;
@@ -15,6 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_http::Reply;
 use tansylead_route::{BreakerVerdict, ExtraAttempt, Route};
 use tansylead_types::{LeafId, Moment};
 
--- a/crates/tansylead-gateway/src/execution/forward.rs
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -3,8 +3,8 @@
 use super::call::{Call, CallEnd, CallFailure};
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::headers::remove_connection_headers;
-use crate::http_client::Reply;
 use std::time::Duration;
+use tansylead_http::Reply;
 
 /// Share of the objective after which a caller may come back.
 const RETRY_AFTER_SHARE: u32 = 4;
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -6,7 +6,6 @@
 use super::call::{Call, CallEnd};
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::clock::Clock;
-use crate::http_client::Reply;
 use crate::leaf::OutgoingRequest;
 use crate::request_log::RequestTrace;
 use crate::state::Gateway;
@@ -18,6 +17,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_http::Reply;
 use tansylead_route::{Patience, Route, ShardSet, TopRecords};
 use tansylead_types::{Moment, ServiceName};
 use tokio::task::spawn_local;
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -6,7 +6,6 @@
 use super::leaf_state::{LeafConnection, LeafState};
 use crate::clock::Clock;
 use crate::headers::{HeaderNames, LeafWord};
-use crate::http_client::{ExchangeError, HttpConnection, Reply};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -14,6 +13,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
 use tansylead_types::{Moment, StepError};
 
 /// Longest answer that is taken from a leaf, in bytes.
@@ -22,6 +22,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(100);
 /// A connection to a leaf that falls silent ends after this time.
 const LEAF_SILENCE: Duration = Duration::from_secs(8);
+/// Bytes of the read buffer of a connection: a small answer with its headers.
+const READ_BUFFER_BYTES: usize = 2 * 1024;
 
 /// A caller's request as it goes to leafs.
 #[derive(Debug)]
@@ -120,7 +122,12 @@
     }
     let address = leaf.entry().address;
     let started = Clock.now();
-    let opened = HttpConnection::open(address, connect_limit, LEAF_SILENCE).await;
+    let options = ConnectOptions {
+        limit: connect_limit,
+        silence: Some(LEAF_SILENCE),
+        read_buffer_bytes: Some(READ_BUFFER_BYTES),
+    };
+    let opened = HttpConnection::open(address, options, ()).await;
     match &opened {
         Ok(_) => leaf.on_connected(Clock.now().since(started)),
         Err(_) => leaf.on_unreachable(connect_limit),
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -1,11 +1,11 @@
 //! What this daemon knows of one run of a leaf. Shared by all routes that use it.
 
 use crate::clock::Clock;
-use crate::http_client::HttpConnection;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_http::HttpConnection;
 use tansylead_route::{
     Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
     IdlePolicy, LeafEntry, LeafPhase, Slowness,
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod execution;
 pub mod explain;
 pub mod headers;
-pub mod http_client;
 pub mod leaf;
 pub mod logging;
 pub mod metrics;
--- a/crates/tansylead-gateway/src/http_client.rs
+++ b/crates/tansylead-http/src/connection.rs
@@ -1,4 +1,4 @@
-//! One HTTP/1.1 client connection, to a leaf or to the platform's store.
+//! An open connection: one request at a time, whole replies.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -11,11 +11,30 @@
 use std::time::Duration;
 use tansylead_types::{StepError, text_with_sources};
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
 use tokio_util::task::AbortOnDropHandle;
 
-/// Bytes of the read buffer of a connection: a small answer with its headers.
-const READ_BUFFER_BYTES: usize = 2 * 1024;
+/// How a connection is opened.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectOptions {
+    /// Time for it to come up.
+    pub limit: Duration,
+    /// A peer that is silent this long with data under way ends the connection; none leaves it to
+    /// the system.
+    pub silence: Option<Duration>,
+    /// Bytes of the read buffer; none for the library's own choice.
+    pub read_buffer_bytes: Option<usize>,
+}
+
+impl ConnectOptions {
+    /// Only a limit for the connection to come up.
+    pub fn within(limit: Duration) -> Self {
+        Self {
+            limit,
+            silence: None,
+            read_buffer_bytes: None,
+        }
+    }
+}
 
 /// A whole reply.
 #[derive(Debug)]
@@ -54,14 +73,14 @@
 }
 
 impl HttpConnection {
-    /// Connects within `limit`. If the peer falls silent with data under way, the connection ends
-    /// after `silence`.
+    /// Connects. `held` is dropped when the socket has been closed.
     pub async fn open(
         address: SocketAddr,
-        limit: Duration,
-        silence: Duration,
+        options: ConnectOptions,
+        held: impl Send + 'static,
     ) -> Result<Self, StepError> {
         const STEP: &str = "connect";
+        let limit = options.limit;
         let connecting = tokio::time::timeout(limit, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
@@ -71,13 +90,14 @@
                 return Err(StepError::new(STEP, address, cause));
             }
         };
-        set_options(&stream, silence);
+        set_options(&stream, options.silence);
         let (sender, connection) = http1::Builder::new()
-            .read_buf_exact_size(Some(READ_BUFFER_BYTES))
+            .read_buf_exact_size(options.read_buffer_bytes)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|cause| StepError::new(STEP, address, cause))?;
-        let driver = spawn_local(async move {
+        let driver = tokio::spawn(async move {
+            let _held = held;
             // Failures reach whoever waits for an answer on this connection.
             let _ = connection.await;
         });
@@ -129,15 +149,18 @@
     }
 }
 
-fn set_options(stream: &TcpStream, silence: Duration) {
+fn set_options(stream: &TcpStream, silence: Option<Duration>) {
     const PROBES: u32 = 2;
+    // An option that cannot be set only makes answers slower, or a dead peer noticed later.
+    let _ = stream.set_nodelay(true);
+    let Some(silence) = silence else {
+        return;
+    };
     let keepalive = TcpKeepalive::new()
         .with_time(silence / 2)
         .with_interval((silence / 4).max(Duration::from_secs(1)))
         .with_retries(PROBES);
     let socket = SockRef::from(stream);
-    // An option that cannot be set only makes a dead peer be noticed later.
-    let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
     let _ = socket.set_tcp_user_timeout(Some(silence));
 }
