Keep the decisions that explain a request, and sum up what bad requests waited for

Cause: a query over 36 shards makes 72 decisions on healthy parts and 64 were kept from the first, so overdue, hedged, denied and failed parts fell out and explain could not name the cause. Change: the decisions of a part that was answered at once are dropped when it is, all but the last such part; what is left is bounded at 128, and decisions on parts that went wrong take the place of those on parts that are merely open. Ends, denials and reasons are typed.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -6,7 +6,8 @@
 use crate::headers::{remove_connection_headers, set_retry_after};
 use crate::leaf::OutgoingRequest;
 use crate::metrics::BadInput;
-use crate::request_log::{RequestLog, RequestTrace};
+use crate::request_log::RequestLog;
+use crate::request_trace::RequestTrace;
 use crate::state::{ActiveConfiguration, Gateway, StopPhase};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -7,7 +7,9 @@
 use super::attempts::{Attempt, NextEnd};
 use crate::clock::Clock;
 use crate::leaf::{AttemptEnd, LeafState, OutgoingRequest, ServiceState, run_attempt};
-use crate::request_log::{AttemptReason, Decision, RequestTrace};
+use crate::request_trace::{
+    AttemptEndKind, AttemptReason, Decision, DenialReason, EndCause, RequestTrace,
+};
 use crate::state::Gateway;
 use hyper::StatusCode;
 use std::cell::Cell;
@@ -138,7 +140,7 @@
             return false;
         }
         let Some(leaf) = self.choose(progress) else {
-            self.deny("no_leaf");
+            self.deny(DenialReason::NoLeaf);
             return false;
         };
         if must_be_sound && is_avoided(&leaf) {
@@ -250,6 +252,7 @@
                 attempt.overdue = None;
                 let decision = Decision::Overdue {
                     leaf: Rc::clone(&attempt.leaf),
+                    is_sent: attempt.is_sent(),
                 };
                 self.trace.note(self.service.name(), decision);
                 match attempt.sent.get() {
@@ -289,21 +292,21 @@
         let is_hedge = kind == ExtraAttempt::Hedge;
         if is_hedge && leaf.as_ref().is_none_or(is_avoided) {
             // Waiting on is better than a leaf that does not answer either.
-            return;
+            return self.deny(DenialReason::NoSoundLeaf);
         }
         let open = progress.attempts.iter().filter(|attempt| attempt.is_sent());
         let sent = progress.arrivals + open.count() as u32;
         if sent >= self.route.policy.maximum_attempts {
-            return self.deny("attempts");
+            return self.deny(DenialReason::Attempts);
         }
         if self.is_over() {
-            return self.deny("end");
+            return self.deny(DenialReason::End);
         }
         let Some(leaf) = leaf else {
-            return self.deny("no_leaf");
+            return self.deny(DenialReason::NoLeaf);
         };
         if !self.service.try_take_extra(self.gateway.daemons(), kind) {
-            return self.deny("budget");
+            return self.deny(DenialReason::Budget);
         }
         let reason = match kind {
             ExtraAttempt::Hedge => AttemptReason::Hedge,
@@ -312,22 +315,35 @@
         self.start(progress, leaf, reason);
     }
 
-    fn deny(&self, reason: &'static str) {
-        self.gateway.metrics.on_denied(reason);
+    fn deny(&self, reason: DenialReason) {
+        self.gateway.metrics.on_denied(reason.label());
         self.trace
             .note(self.service.name(), Decision::Denied { reason });
     }
 
     fn note_end(&self, attempt: &Attempt, end: Option<&AttemptEnd>) {
         let (end, cause) = match end {
-            Some(AttemptEnd::Answered(reply)) => ("answered", reply.status.to_string()),
-            Some(AttemptEnd::Refused(reply)) => ("refused", reply.status.to_string()),
-            Some(AttemptEnd::NotSent(error)) => ("not_sent", error.to_string()),
-            Some(AttemptEnd::Failed(error)) => ("failed", error.to_string()),
-            Some(AttemptEnd::Foreign(error)) => ("foreign", error.to_string()),
-            None => ("failed", "the attempt panicked".to_owned()),
+            Some(AttemptEnd::Answered(reply)) => {
+                (AttemptEndKind::Answered, EndCause::Status(reply.status))
+            }
+            Some(AttemptEnd::Refused(reply)) => {
+                (AttemptEndKind::Refused, EndCause::Status(reply.status))
+            }
+            Some(AttemptEnd::NotSent(error)) => {
+                (AttemptEndKind::NotSent, EndCause::Error(error.to_string()))
+            }
+            Some(AttemptEnd::Failed(error)) => {
+                (AttemptEndKind::Failed, EndCause::Error(error.to_string()))
+            }
+            Some(AttemptEnd::Foreign(error)) => {
+                (AttemptEndKind::Foreign, EndCause::Error(error.to_string()))
+            }
+            None => {
+                let panicked = "the attempt panicked".to_owned();
+                (AttemptEndKind::Failed, EndCause::Error(panicked))
+            }
         };
-        self.gateway.metrics.on_attempt_end(end);
+        self.gateway.metrics.on_attempt_end(end.label());
         let decision = Decision::Ended {
             leaf: Rc::clone(&attempt.leaf),
             end,
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -7,7 +7,7 @@
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::clock::Clock;
 use crate::leaf::OutgoingRequest;
-use crate::request_log::RequestTrace;
+use crate::request_trace::RequestTrace;
 use crate::state::Gateway;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
--- a/crates/tansylead-gateway/src/explain/mod.rs
+++ b/crates/tansylead-gateway/src/explain/mod.rs
@@ -1,14 +1,16 @@
 //! From a request's id to its cause, by the logs alone.
 //!
 //! Reads the lines of `request_log` and of the daemon's other decisions from several daemons'
-//! logs, puts those of one request in order, and names the likely cause. Lines that are no log
-//! lines are counted and passed over.
+//! logs, puts those of one request in order, and names the likely cause; or sums up what all
+//! requests that ended badly waited for. Lines that are no log lines are counted and passed over.
 
 mod cause;
 mod log_line;
+mod summary;
 
 pub use cause::{Cause, ServiceTrouble};
 pub use log_line::{LogLine, RequestLine};
+pub use summary::{Summary, SummaryRow, summarize};
 
 use std::fmt::{self, Write as _};
 
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logging;
 pub mod metrics;
 mod request_log;
+pub mod request_trace;
 pub mod routes_file;
 pub mod settings;
 pub mod source;
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -1,24 +1,24 @@
 //! What is told of single requests.
 //!
-//! Every request remembers its decisions while it runs. When it ends badly (refused, failed, late,
-//! partial, or left by its caller) they are written, one line each, so that the engineer on call
-//! can go from the request's id to its cause. Whole requests are written first; when there are too
-//! many in a second, only their last lines, and then only their number. Healthy requests write one
-//! line each now and then.
+//! Every request remembers its decisions while it runs (`request_trace`). When it ends badly
+//! (refused, failed, late, partial, or left by its caller) they are written, one line each, so that
+//! the engineer on call can go from the request's id to its cause. Whole requests are written
+//! first; when there are too many in a second, only their last lines, which count what their parts
+//! waited for, and then only their number. Healthy requests write one line each now and then.
 
 use crate::clock::Clock;
 use crate::execution::Outcome;
-use crate::leaf::LeafState;
 use crate::logging::{REQUEST_TARGET, count_suppressed};
 use crate::metrics::Metrics;
+use crate::request_trace::{Decision, PartWait, RequestTrace, TracedDecision};
 use crate::state::Gateway;
 use hyper::header::HeaderValue;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tansylead_route::Route;
-use tansylead_types::{Moment, ServiceName};
+use tansylead_types::Moment;
 
 /// Requests written with all of their decisions in a second.
 pub const WHOLE_REQUESTS_PER_SECOND: u32 = 4;
@@ -26,100 +26,8 @@
 pub const REQUESTS_PER_SECOND: u32 = 20;
 /// Healthy requests written in a second.
 pub const HEALTHY_REQUESTS_PER_SECOND: u32 = 1;
-/// Decisions remembered for one request.
-const MAXIMUM_DECISIONS: usize = 64;
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
-/// Why an attempt was started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptReason {
-    /// It is the first.
-    First,
-    /// The one before was overdue.
-    Hedge,
-    /// The one before failed.
-    Retry,
-    /// The one before reached no leaf.
-    NotSent,
-}
-
-impl AttemptReason {
-    /// Name, for logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::First => "first",
-            Self::Hedge => "hedge",
-            Self::Retry => "retry",
-            Self::NotSent => "not_sent",
-        }
-    }
-}
-
-/// One decision that touched a request.
-#[derive(Debug)]
-pub enum Decision {
-    /// An attempt was started.
-    Started {
-        /// Leaf.
-        leaf: Rc<LeafState>,
-        /// Why.
-        reason: AttemptReason,
-        /// After this time its answer is overdue.
-        overdue: Duration,
-    },
-    /// An attempt ended.
-    Ended {
-        /// Leaf.
-        leaf: Rc<LeafState>,
-        /// How: `answered`, `refused`, `not_sent` or `failed`.
-        end: &'static str,
-        /// What was wrong.
-        cause: String,
-        /// Time since its start.
-        took: Duration,
-    },
-    /// An answer is overdue.
-    Overdue {
-        /// Leaf.
-        leaf: Rc<LeafState>,
-    },
-    /// Another attempt was not started.
-    Denied {
-        /// Why: `attempts`, `budget`, `no_leaf` or `end`.
-        reason: &'static str,
-    },
-}
-
-#[derive(Debug)]
-struct Entry {
-    at: Moment,
-    service: ServiceName,
-    decision: Decision,
-}
-
-/// The decisions of one request.
-#[derive(Debug, Default)]
-pub struct RequestTrace {
-    entries: RefCell<Vec<Entry>>,
-    omitted: Cell<usize>,
-}
-
-impl RequestTrace {
-    /// Remembers a decision.
-    pub fn note(&self, service: &ServiceName, decision: Decision) {
-        let mut entries = self.entries.borrow_mut();
-        if entries.len() >= MAXIMUM_DECISIONS {
-            self.omitted.set(self.omitted.get() + 1);
-            return;
-        }
-        entries.push(Entry {
-            at: Clock.now(),
-            service: service.clone(),
-            decision,
-        });
-    }
-}
-
 /// Lines written in the present second, by this daemon.
 #[derive(Debug, Default)]
 pub struct RequestLogLimits {
@@ -250,21 +158,38 @@
             outcome = outcome,
             missing = missing,
             took_ms = took.as_millis() as u64,
-            decisions = self.trace.entries.borrow().len() + self.trace.omitted.get();
+            unix_seconds = unix_seconds(),
+            waits = describe(&self.trace.waits()).as_str(),
+            decisions = self.trace.len();
             "request"
         );
     }
 
     fn write_decisions(&self, id: &str) {
-        for entry in self.trace.entries.borrow().iter() {
-            let after = entry.at.since(self.arrived).as_millis() as u64;
-            write_decision(id, entry.service.as_str(), after, &entry.decision);
-        }
+        self.trace.for_each(|traced| {
+            let after = traced.at.since(self.arrived).as_millis() as u64;
+            write_decision(id, after, traced);
+        });
     }
 }
 
-fn write_decision(id: &str, service: &str, after_ms: u64, decision: &Decision) {
-    match decision {
+/// The time of day, for people who read several daemons' logs; it decides nothing.
+fn unix_seconds() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
+
+/// Counted waits as text: `budget:2 connection:1`.
+fn describe(waits: &[(PartWait, usize)]) -> String {
+    let counts = waits
+        .iter()
+        .map(|(wait, count)| format!("{}:{count}", wait.label()));
+    counts.collect::<Vec<String>>().join(" ")
+}
+
+fn write_decision(id: &str, after_ms: u64, traced: &TracedDecision) {
+    let service = traced.service.as_str();
+    match &traced.decision {
         Decision::Started {
             leaf,
             reason,
@@ -287,21 +212,22 @@
             target: REQUEST_TARGET,
             request = id, service = service, after_ms = after_ms,
             leaf = leaf.entry().leaf.as_str(),
-            end = *end,
-            cause = cause.as_str(),
+            end = end.label(),
+            cause:% = cause,
             took_ms = took.as_millis() as u64;
             "attempt ended"
         ),
-        Decision::Overdue { leaf } => log::info!(
+        Decision::Overdue { leaf, is_sent } => log::info!(
             target: REQUEST_TARGET,
             request = id, service = service, after_ms = after_ms,
-            leaf = leaf.entry().leaf.as_str();
+            leaf = leaf.entry().leaf.as_str(),
+            sent = *is_sent;
             "attempt overdue"
         ),
         Decision::Denied { reason } => log::info!(
             target: REQUEST_TARGET,
             request = id, service = service, after_ms = after_ms,
-            reason = *reason;
+            reason = reason.label();
             "attempt denied"
         ),
     }
--- /dev/null
+++ b/crates/tansylead-gateway/src/request_trace.rs
@@ -0,0 +1,352 @@
+//! The decisions of one request, remembered while it runs.
+//!
+//! A query over many shards makes two decisions for each healthy part, which explain nothing. So
+//! the decisions of a part that was answered at once are dropped as soon as it is; only the last
+//! such part is kept, since it may be what the answer waited for. What is left is bounded, and
+//! decisions on parts that went wrong take the place of those on parts that are merely open.
+
+use crate::clock::Clock;
+use crate::leaf::LeafState;
+use hyper::StatusCode;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_types::{Moment, ServiceName};
+
+/// Decisions remembered for one request.
+pub const MAXIMUM_DECISIONS: usize = 128;
+
+/// Why an attempt was started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptReason {
+    /// It is the first.
+    First,
+    /// The one before was overdue.
+    Hedge,
+    /// The one before failed.
+    Retry,
+    /// The one before reached no leaf.
+    NotSent,
+}
+
+impl AttemptReason {
+    /// Name, for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
+/// Why a further attempt was not started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DenialReason {
+    /// The route allows no more attempts.
+    Attempts,
+    /// The budget of extra attempts is spent.
+    Budget,
+    /// No leaf is left that was not tried.
+    NoLeaf,
+    /// Every leaf that was not tried has stopped answering too.
+    NoSoundLeaf,
+    /// The time is up.
+    End,
+}
+
+impl DenialReason {
+    /// Name, for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::NoLeaf => "no_leaf",
+            Self::NoSoundLeaf => "no_sound_leaf",
+            Self::End => "end",
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEndKind {
+    /// The leaf answered.
+    Answered,
+    /// The leaf says that it did not run the request.
+    Refused,
+    /// Nothing was handed to a connection.
+    NotSent,
+    /// The leaf may have run the request, and gave no answer.
+    Failed,
+    /// An answer to another request came.
+    Foreign,
+}
+
+impl AttemptEndKind {
+    /// Name, for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::NotSent => "not_sent",
+            Self::Failed => "failed",
+            Self::Foreign => "foreign",
+        }
+    }
+}
+
+/// What an attempt ended with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EndCause {
+    /// The status of a leaf's answer.
+    Status(StatusCode),
+    /// What went wrong.
+    Error(String),
+}
+
+impl fmt::Display for EndCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Status(status) => status.fmt(formatter),
+            Self::Error(error) => formatter.write_str(error),
+        }
+    }
+}
+
+/// One decision that touched a request.
+#[derive(Debug)]
+pub enum Decision {
+    /// An attempt was started.
+    Started {
+        /// Leaf.
+        leaf: Rc<LeafState>,
+        /// Why.
+        reason: AttemptReason,
+        /// After this time its answer is overdue.
+        overdue: Duration,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Leaf.
+        leaf: Rc<LeafState>,
+        /// How.
+        end: AttemptEndKind,
+        /// With what.
+        cause: EndCause,
+        /// Time since its start.
+        took: Duration,
+    },
+    /// An answer is overdue.
+    Overdue {
+        /// Leaf.
+        leaf: Rc<LeafState>,
+        /// Whether the request was handed to a connection; if not, one is still awaited.
+        is_sent: bool,
+    },
+    /// Another attempt was not started.
+    Denied {
+        /// Why.
+        reason: DenialReason,
+    },
+}
+
+impl Decision {
+    fn is_first_start(&self) -> bool {
+        let reason = AttemptReason::First;
+        matches!(self, Self::Started { reason: started, .. } if *started == reason)
+    }
+
+    fn is_good_answer(&self) -> bool {
+        match self {
+            Self::Ended {
+                end: AttemptEndKind::Answered,
+                cause: EndCause::Status(status),
+                ..
+            } => status.is_success(),
+            _ => false,
+        }
+    }
+}
+
+/// A decision with its moment and part.
+#[derive(Debug)]
+pub struct TracedDecision {
+    /// When.
+    pub at: Moment,
+    /// Service concerned.
+    pub service: ServiceName,
+    /// The decision.
+    pub decision: Decision,
+}
+
+/// What a part of a request waited for when the request ended, or before it was answered late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PartWait {
+    /// An answer that was not overdue.
+    Answer,
+    /// A connection to a leaf.
+    Connection,
+    /// An overdue answer, with another attempt under way.
+    SecondAnswer,
+    /// An overdue answer; the attempts of the route were spent.
+    Attempts,
+    /// An overdue answer; the budget of extra attempts was spent.
+    Budget,
+    /// No leaf was left to try.
+    NoLeaf,
+    /// Every other leaf had stopped answering too.
+    NoSoundLeaf,
+    /// The time was up.
+    End,
+    /// A leaf failed or refused, and no attempt followed.
+    Failure,
+}
+
+impl PartWait {
+    /// Name, for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Connection => "connection",
+            Self::SecondAnswer => "second_answer",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::NoLeaf => "no_leaf",
+            Self::NoSoundLeaf => "no_sound_leaf",
+            Self::End => "end",
+            Self::Failure => "failure",
+        }
+    }
+
+    /// What is waited for after a decision, if that changes.
+    fn after(decision: &Decision) -> Option<Self> {
+        match decision {
+            Decision::Started { reason, .. } => Some(match reason {
+                AttemptReason::First => Self::Answer,
+                AttemptReason::NotSent => Self::Connection,
+                AttemptReason::Hedge | AttemptReason::Retry => Self::SecondAnswer,
+            }),
+            Decision::Overdue { is_sent: false, .. } => Some(Self::Connection),
+            Decision::Overdue { is_sent: true, .. } => Some(Self::SecondAnswer),
+            Decision::Denied { reason } => Some(match reason {
+                DenialReason::Attempts => Self::Attempts,
+                DenialReason::Budget => Self::Budget,
+                DenialReason::NoLeaf => Self::NoLeaf,
+                DenialReason::NoSoundLeaf => Self::NoSoundLeaf,
+                DenialReason::End => Self::End,
+            }),
+            Decision::Ended { .. } if decision.is_good_answer() => None,
+            Decision::Ended { .. } => Some(Self::Failure),
+        }
+    }
+}
+
+/// The decisions of one request.
+#[derive(Debug, Default)]
+pub struct RequestTrace {
+    decisions: RefCell<Vec<TracedDecision>>,
+    /// The last part that was answered at once: its start and its end.
+    last_healthy: RefCell<Option<[TracedDecision; 2]>>,
+    omitted: Cell<usize>,
+}
+
+impl RequestTrace {
+    /// Remembers a decision.
+    pub fn note(&self, service: &ServiceName, decision: Decision) {
+        let traced = TracedDecision {
+            at: Clock.now(),
+            service: service.clone(),
+            decision,
+        };
+        let mut decisions = self.decisions.borrow_mut();
+        if traced.decision.is_good_answer()
+            && let Some(start) = only_start(&decisions, service)
+        {
+            let start = decisions.remove(start);
+            *self.last_healthy.borrow_mut() = Some([start, traced]);
+            return;
+        }
+        if decisions.len() >= MAXIMUM_DECISIONS {
+            self.omitted.set(self.omitted.get() + 1);
+            match unremarkable(&decisions) {
+                Some(index) if !traced.decision.is_first_start() => {
+                    decisions.remove(index);
+                }
+                _ => return,
+            }
+        }
+        decisions.push(traced);
+    }
+
+    /// Number of decisions that are remembered or were left out for their number.
+    pub fn len(&self) -> usize {
+        let healthy = self
+            .last_healthy
+            .borrow()
+            .as_ref()
+            .map_or(0, |pair| pair.len());
+        self.decisions.borrow().len() + healthy + self.omitted.get()
+    }
+
+    /// Whether nothing was decided.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Passes the remembered decisions to `visit`, in order for each part.
+    pub fn for_each(&self, mut visit: impl FnMut(&TracedDecision)) {
+        self.last_healthy
+            .borrow()
+            .iter()
+            .flatten()
+            .for_each(&mut visit);
+        self.decisions.borrow().iter().for_each(visit);
+    }
+
+    /// What the parts that went wrong or are open waited for, and how many for each.
+    pub fn waits(&self) -> Vec<(PartWait, usize)> {
+        let mut parts: Vec<(ServiceName, PartWait)> = Vec::new();
+        for traced in self.decisions.borrow().iter() {
+            let Some(wait) = PartWait::after(&traced.decision) else {
+                continue;
+            };
+            match parts
+                .iter_mut()
+                .find(|(service, _)| *service == traced.service)
+            {
+                Some((_, last)) => *last = wait,
+                None => parts.push((traced.service.clone(), wait)),
+            }
+        }
+        let mut counts: Vec<(PartWait, usize)> = Vec::new();
+        for (_, wait) in parts {
+            match counts.iter_mut().find(|(counted, _)| *counted == wait) {
+                Some((_, count)) => *count += 1,
+                None => counts.push((wait, 1)),
+            }
+        }
+        counts.sort();
+        counts
+    }
+}
+
+/// Index of the start of a part's first attempt, if nothing else was decided on that part.
+fn only_start(decisions: &[TracedDecision], service: &ServiceName) -> Option<usize> {
+    let mut own = decisions
+        .iter()
+        .enumerate()
+        .filter(|(_, traced)| traced.service == *service);
+    let (index, traced) = own.next()?;
+    let is_alone = own.next().is_none();
+    (is_alone && traced.decision.is_first_start()).then_some(index)
+}
+
+/// Index of a decision on a part about which nothing is known but that it was started.
+fn unremarkable(decisions: &[TracedDecision]) -> Option<usize> {
+    decisions
+        .iter()
+        .position(|traced| only_start(decisions, &traced.service).is_some())
+}
--- a/crates/tansylead-gateway/tests/explain.rs
+++ b/crates/tansylead-gateway/tests/explain.rs
@@ -1,6 +1,6 @@
 //! From a request's id to its cause.
 
-use tansylead_gateway::explain::{Cause, DaemonLog, explain};
+use tansylead_gateway::explain::{Cause, DaemonLog, explain, summarize};
 
 const LOG: &str = r#"
 {"at_us":900000,"event":"leaf overdue","leaf":"i-2","level":"INFO"}
@@ -77,3 +77,29 @@
         .collect();
     assert_eq!(daemons, ["daemon-1", "daemon-2"]);
 }
+
+const ENDS: &str = r#"
+{"at_us":1,"event":"request","level":"INFO","request":"r1","route":"sweep","outcome":"partial","missing":2,"waits":"connection:1 budget:2","unix_seconds":50}
+{"at_us":2,"event":"request","level":"INFO","request":"r2","route":"sweep","outcome":"partial","missing":1,"waits":"budget:1","unix_seconds":51}
+{"at_us":3,"event":"request","level":"INFO","request":"r3","route":"sweep","outcome":"served","missing":0,"waits":"","unix_seconds":51}
+{"at_us":4,"event":"attempt overdue","level":"INFO","request":"r2","service":"shard-2","leaf":"i-2"}
+{"at_us":5,"event":"leaf overdue","level":"INFO","leaf":"i-2"}
+"#;
+
+#[test]
+fn a_summary_counts_what_bad_requests_waited_for() {
+    let log = DaemonLog {
+        name: "daemon-1".to_owned(),
+        text: ENDS.to_owned(),
+    };
+    let summary = summarize(&[log]);
+    assert_eq!(summary.by_route.len(), 1);
+    let row = &summary.by_route[&("sweep".to_owned(), "partial".to_owned())];
+    assert_eq!((row.requests, row.missing_parts), (2, 3));
+    assert_eq!(row.waits["budget"], 3);
+    assert_eq!(row.waits["connection"], 1);
+    assert_eq!(summary.by_second.len(), 2);
+    assert_eq!(summary.by_second[&(51, "partial".to_owned())].requests, 1);
+    let text = summary.to_string();
+    assert!(text.contains("budget:3 connection:1"), "{text}");
+}
