Tell refused callers to come back by their own deadline during an outage

Ruled out: holding requests until near the deadline (not acceptable); one constant (too late for short deadlines, too early for long ones). Change: where nothing is known, or a service has no leaf, Retry-After is a third of the time that the caller has left. Leafs that are merely full keep a quarter of the objective.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -18,11 +18,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_route::{CallerLimits, Route, Target};
+use tansylead_route::{CallerLimits, Route, Target, retry_after_outage};
 use tansylead_types::Moment;
 
-/// Time until a daemon without configuration is worth another try.
-const NO_CONFIGURATION_WAIT: Duration = Duration::from_millis(300);
+/// How long a caller is taken to wait if it does not say so and no route does either.
+const UNSTATED_TIME_LEFT: Duration = Duration::from_secs(1);
 
 /// Handles one request.
 pub(super) async fn handle(
@@ -49,10 +49,13 @@
     log: &mut RequestLog,
 ) -> Outcome {
     gateway.wait_until_known().await;
+    let stated = stated_time_left(gateway, &request);
     let Some(active) = gateway.active() else {
+        let waits = stated.unwrap_or(UNSTATED_TIME_LEFT);
+        let waits = waits.saturating_sub(Clock.now().since(arrived));
         let refusal = Refusal {
             reason: RefusalReason::NoConfiguration,
-            retry_after: Some(NO_CONFIGURATION_WAIT),
+            retry_after: Some(retry_after_outage(waits)),
         };
         return Outcome::Refused(refusal);
     };
@@ -68,11 +71,6 @@
     if id.is_none() {
         return refused(RefusalReason::NoRequestId);
     }
-    let stated = gateway.names.time_left(request.headers());
-    let stated = stated.unwrap_or_else(|_| {
-        gateway.metrics.on_bad_input(BadInput::CallerTime);
-        None
-    });
     let time_left = stated.unwrap_or(route.policy.timeout);
     let outgoing = match read_request(request, id, limits, &route).await {
         Ok(outgoing) => Rc::new(outgoing),
@@ -103,7 +101,7 @@
                 _ => gateway.with_turns(&route.name, |turns| turns.next(services)),
             };
             let Some(index) = index else {
-                return Outcome::Refused(Refusal::not_run(NO_CONFIGURATION_WAIT));
+                return Outcome::Refused(Refusal::not_run(retry_after_outage(time_left)));
             };
             let call = Call {
                 gateway: Rc::clone(gateway),
@@ -115,7 +113,7 @@
                 settled: Rc::new(Cell::new(false)),
                 trace: Rc::clone(trace),
             };
-            forward(call).await
+            forward(call, time_left).await
         }
         Target::Shards(set) => {
             let query = GatherQuery {
@@ -131,6 +129,15 @@
     }
 }
 
+/// How long the caller waits, if it says so.
+fn stated_time_left(gateway: &Gateway, request: &Request<Incoming>) -> Option<Duration> {
+    let stated = gateway.names.time_left(request.headers());
+    stated.unwrap_or_else(|_| {
+        gateway.metrics.on_bad_input(BadInput::CallerTime);
+        None
+    })
+}
+
 fn refused(reason: RefusalReason) -> Outcome {
     Outcome::Refused(Refusal::new(reason))
 }
--- a/crates/tansylead-gateway/src/execution/forward.rs
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -5,13 +5,15 @@
 use crate::headers::remove_connection_headers;
 use std::time::Duration;
 use tansylead_http::Reply;
+use tansylead_route::{retry_after_outage, retry_after_refusal};
 
-/// Share of the objective after which a caller may come back.
-const RETRY_AFTER_SHARE: u32 = 4;
-
-/// Runs a request to one service.
-pub async fn forward(call: Call) -> Outcome {
-    let retry_after = call.route.policy.objective / RETRY_AFTER_SHARE;
+/// Runs a request to one service. `time_left` is how long the caller waits.
+pub async fn forward(call: Call, time_left: Duration) -> Outcome {
+    let retry_after = if call.service.has_leafs() {
+        retry_after_refusal(call.route.policy.objective)
+    } else {
+        retry_after_outage(time_left)
+    };
     match call.run().await {
         CallEnd::Answered(reply) => pass_on(reply),
         CallEnd::Failed(failure) => refuse(failure, retry_after),
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -7,7 +7,7 @@
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::clock::Clock;
 use crate::leaf::OutgoingRequest;
-use crate::request_trace::RequestTrace;
+use crate::request_trace::{Decision, DenialReason, RequestTrace};
 use crate::state::Gateway;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -18,13 +18,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_http::Reply;
-use tansylead_route::{Patience, Route, ShardSet, TopRecords};
+use tansylead_route::{
+    Patience, Route, ShardSet, TopRecords, retry_after_outage, retry_after_refusal,
+};
 use tansylead_types::{Moment, ServiceName};
 use tokio::task::spawn_local;
 
-/// Share of the objective after which a caller may come back.
-const RETRY_AFTER_SHARE: u32 = 4;
-
 /// A query over shards.
 #[derive(Debug)]
 pub struct GatherQuery {
@@ -56,10 +55,9 @@
 pub async fn gather(query: GatherQuery, set: &ShardSet) -> Outcome {
     let policy = &query.route.policy;
     let patience = Patience::new(policy, query.time_left);
-    let retry_after = policy.objective / RETRY_AFTER_SHARE;
     let mut parts = Parts::new(set);
-    if reachable_shards(&query.gateway, set) < parts.needed {
-        return Outcome::Refused(Refusal::not_run(retry_after));
+    if query.reachable_shards(set) < parts.needed {
+        return Outcome::Refused(Refusal::not_run(retry_after_outage(query.time_left)));
     }
     let settled = Rc::new(Cell::new(false));
     let end = query.arrived + patience.end;
@@ -75,6 +73,7 @@
         return parts.into_outcome();
     }
     parts.may_have_run |= !calls.is_empty();
+    let retry_after = retry_after_refusal(policy.objective);
     Outcome::Refused(parts.refusal(timed_out, retry_after))
 }
 
@@ -103,12 +102,6 @@
     false
 }
 
-/// Shards with a leaf that takes requests.
-fn reachable_shards(gateway: &Gateway, set: &ShardSet) -> usize {
-    let services = set.shards.iter().map(|shard| gateway.service(shard));
-    services.filter(|service| service.has_leafs()).count()
-}
-
 /// Lets the calls that are still open go on for a while: their leafs are at work already.
 fn leave_to_finish(
     calls: FuturesUnordered<impl Future<Output = CallEnd> + 'static>,
@@ -125,6 +118,19 @@
 }
 
 impl GatherQuery {
+    /// Shards with a leaf that takes requests.
+    fn reachable_shards(&self, set: &ShardSet) -> usize {
+        let is_reachable = |shard: &&ServiceName| {
+            let reachable = self.gateway.service(shard).has_leafs();
+            if !reachable {
+                let reason = DenialReason::NoLeaf;
+                self.trace.note(shard, Decision::Denied { reason });
+            }
+            reachable
+        };
+        set.shards.iter().filter(is_reachable).count()
+    }
+
     fn call(&self, shard: &ServiceName, end: Moment, settled: &Rc<Cell<bool>>) -> Call {
         Call {
             gateway: Rc::clone(&self.gateway),
--- /dev/null
+++ b/crates/tansylead-route/tests/retry_after.rs
@@ -0,0 +1,18 @@
+//! When refused callers are told to come back.
+
+use std::time::Duration;
+use tansylead_route::{retry_after_outage, retry_after_refusal};
+
+#[test]
+fn in_an_outage_each_caller_comes_back_by_its_own_deadline() {
+    let short = retry_after_outage(Duration::from_millis(1_500));
+    let long = retry_after_outage(Duration::from_secs(12));
+    assert_eq!(short, Duration::from_millis(500));
+    assert_eq!(long, Duration::from_secs(4));
+}
+
+#[test]
+fn full_leafs_are_worth_another_try_well_within_the_objective() {
+    let objective = Duration::from_millis(200);
+    assert!(retry_after_refusal(objective) <= objective / 2);
+}
