Ask a silent source again and again while nothing is known

Ruled out: shorter limits for each read (a slow store would never be read). Change: while a topic is unknown, cached reads are started 0.2 s apart and more (growing by 15% to 1 s) beside those that are open; the first answer counts, or word from another daemon.

--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -8,9 +8,11 @@
 use crate::metrics::BadInput;
 use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic};
 use crate::state::Gateway;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::Revision;
+use tansylead_route::{FirstReadPace, Revision};
 
 /// Changes that come within this time are taken together.
 const GATHER_WAIT: Duration = Duration::from_millis(400);
@@ -76,11 +78,35 @@
 
     /// Takes in what the source has at hand, so that callers can be served at once. It may be some
     /// seconds old and confirms nothing.
+    ///
+    /// If the source does not answer, more reads are started beside those that are open, until one
+    /// is answered or other daemons tell: a call that a silent source has lost is never answered,
+    /// and nothing can be served before.
     async fn read_cached(&mut self) {
         tokio::time::sleep(FIRST_READ_SPREAD.mul_f64(rand::random())).await;
-        if let Ok(update) = self.source.read(self.topic, Freshness::Cached).await {
-            self.position = Some(update.at);
-            self.apply(update);
+        let source = Rc::clone(&self.source);
+        let mut pace = FirstReadPace::default();
+        let mut reads = FuturesUnordered::new();
+        while !self.is_known() {
+            reads.push(source.read(self.topic, Freshness::Cached));
+            let next_read = tokio::time::sleep(pace.next_wait(rand::random()));
+            tokio::pin!(next_read);
+            loop {
+                tokio::select! {
+                    Some(read) = reads.next() => if let Ok(update) = read {
+                        self.position = Some(update.at);
+                        return self.apply(update);
+                    },
+                    () = &mut next_read => break,
+                }
+            }
+        }
+    }
+
+    fn is_known(&self) -> bool {
+        match self.topic {
+            Topic::Configuration => self.gateway.version().is_some(),
+            Topic::Leafs => self.gateway.directory().revision().is_some(),
         }
     }
 
