Use leafs whose entries lapsed while the source was away until they are due back

Cause: entries lapse while the store is away; on its return the list lacks live leafs, which became the last resort at once, so everything went to the few that were listed, over connections opened anew; what had been learned of a leaf was forgotten when its entry came back. Ruled out: too few attempts or budget (110 refusals came within milliseconds of an attempt). The state of a leaf outlives the lapse. A leaf that said it was leaving stays so, whatever entry comes later.

--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
+use tansylead_route::Standing;
 use tansylead_types::{Moment, StepError};
 
 /// Longest answer that is taken from a leaf, in bytes.
@@ -81,7 +82,7 @@
         Ok(connected) => connected,
         Err(error) => return AttemptEnd::NotSent(error),
     };
-    if !leaf.is_usable(Clock.now(), missing_grace) {
+    if leaf.standing(Clock.now(), missing_grace) == Standing::Gone {
         return not_sent(&leaf, "leaf is leaving");
     }
     let now = Clock.now();
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -8,7 +8,7 @@
 use tansylead_http::HttpConnection;
 use tansylead_route::{
     Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
-    IdlePolicy, LeafEntry, LeafPhase, Slowness,
+    IdlePolicy, LeafEntry, LeafPhase, Listing, Slowness, Standing,
 };
 use tansylead_types::Moment;
 use tokio::sync::Semaphore;
@@ -39,8 +39,7 @@
 #[derive(Debug)]
 pub struct LeafState {
     entry: RefCell<LeafEntry>,
-    /// Since when its entry is missing.
-    missing_since: Cell<Option<Moment>>,
+    listing: Cell<Listing>,
     distance: Distance,
     in_flight: Cell<u32>,
     /// Bounds requests at a time, and with them connections: a new one is opened only if none is
@@ -64,7 +63,7 @@
         let limit = share.connections;
         Self {
             entry: RefCell::new(entry),
-            missing_since: Cell::new(None),
+            listing: Cell::default(),
             distance,
             in_flight: Cell::new(0),
             permits: Arc::new(Semaphore::new(limit as usize)),
@@ -90,34 +89,48 @@
         self.distance
     }
 
-    /// Takes in a newer entry.
-    pub fn update(&self, entry: LeafEntry) {
+    /// Takes in an entry that is new or has come back. A leaf that said it was leaving stays so.
+    pub fn update(&self, mut entry: LeafEntry) {
+        if self.entry.borrow().phase == LeafPhase::Draining {
+            entry.phase = LeafPhase::Draining;
+        }
         *self.entry.borrow_mut() = entry;
+        self.listing.set(self.listing.get().after_present());
     }
 
-    /// Notes that the entry is missing, and closes idle connections.
-    pub fn set_missing(&self, now: Moment) {
-        self.missing_since.set(Some(now));
-        self.idle.borrow_mut().clear();
+    /// Notes that the entry is missing. Connections are kept only if it may have lapsed while the
+    /// source was away.
+    pub fn set_missing(&self, now: Moment, source_was_away: bool) {
+        if self.listing.get() == Listing::Replaced {
+            return;
+        }
+        self.listing.set(Listing::Missing {
+            since: now,
+            source_was_away,
+        });
+        if !source_was_away {
+            self.idle.borrow_mut().clear();
+        }
     }
 
     /// Notes that another run of a leaf has the address.
     pub fn set_replaced(&self) {
-        self.set_missing(Moment::default());
+        self.listing.set(Listing::Replaced);
+        self.idle.borrow_mut().clear();
     }
 
-    /// Whether the leaf has an entry that says it takes new requests.
+    /// Whether the directory lists the leaf.
     pub fn is_listed(&self) -> bool {
-        self.missing_since.get().is_none() && self.entry.borrow().phase == LeafPhase::Ready
+        self.listing.get() == Listing::Listed
     }
 
-    /// Whether the leaf may be sent new requests if no other is left: it never said that it was
-    /// leaving, and its entry has not been missing for longer than `grace`. Entries lapse while the
-    /// store is down, though their leafs are sound.
-    pub fn is_usable(&self, now: Moment, grace: Duration) -> bool {
-        let since = self.missing_since.get();
-        let is_fresh = since.is_none_or(|since| now.since(since) < grace);
-        is_fresh && self.entry.borrow().phase == LeafPhase::Ready
+    /// How the leaf may be used for new requests. One whose entry went without a word is the last
+    /// resort for `grace`.
+    pub fn standing(&self, now: Moment, grace: Duration) -> Standing {
+        match self.entry.borrow().phase {
+            LeafPhase::Draining => Standing::Gone,
+            LeafPhase::Ready => self.listing.get().standing(now, grace),
+        }
     }
 
     /// Bounds the requests at a time by this daemon's part of the leaf's connections.
@@ -283,10 +296,11 @@
     /// Takes back a connection whose last answer was read whole. The leaf closes it after
     /// `idle_limit`, if it says so.
     pub fn give_back(&self, connection: HttpConnection, idle_limit: Option<Duration>) {
-        if connection.is_closed() || !self.is_listed() {
+        let now = Clock.now();
+        let is_regular = self.standing(now, Duration::ZERO) == Standing::Regular;
+        if connection.is_closed() || !is_regular {
             return;
         }
-        let now = Clock.now();
         let are_scarce = self.connect_backoff.get().is_scarce(now);
         let own_limit = self.idle_policy.get().limit(now, are_scarce);
         let limit = idle_limit.map_or(own_limit, |limit| limit.min(own_limit));
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -6,16 +6,15 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{Candidate, ExtraAttempt, RetryBudget, choose_leaf};
+use tansylead_route::{Candidate, ExtraAttempt, RetryBudget, Standing, choose_leaf};
 use tansylead_types::{LeafId, Moment, ServiceName};
 
 /// One service.
 #[derive(Debug)]
 pub struct ServiceState {
     name: ServiceName,
+    /// Leafs with an entry, and those whose entries went missing lately.
     leafs: RefCell<Vec<Rc<LeafState>>>,
-    /// Leafs whose entries went missing lately.
-    missing: RefCell<Vec<Rc<LeafState>>>,
     missing_grace: Duration,
     budget: RefCell<RetryBudget>,
 }
@@ -26,7 +25,6 @@
         Self {
             name,
             leafs: RefCell::default(),
-            missing: RefCell::default(),
             missing_grace: bounds.missing_grace(),
             budget: RefCell::new(RetryBudget::new(bounds.retry_budget(), started)),
         }
@@ -39,51 +37,65 @@
 
     /// Adds a leaf.
     pub fn add(&self, leaf: Rc<LeafState>) {
-        let id = leaf.entry().leaf.clone();
-        self.missing
-            .borrow_mut()
-            .retain(|known| known.entry().leaf != id);
+        self.forget_gone();
         self.leafs.borrow_mut().push(leaf);
     }
 
-    /// Takes a leaf out whose entry went missing; it is kept for a while as the last resort.
-    pub fn remove(&self, leaf: &Rc<LeafState>) {
+    /// A leaf whose entry went missing lately.
+    pub fn missing(&self, id: &LeafId) -> Option<Rc<LeafState>> {
+        let leafs = self.leafs.borrow();
+        let mut missing = leafs.iter().filter(|leaf| !leaf.is_listed());
+        missing.find(|leaf| leaf.entry().leaf == *id).cloned()
+    }
+
+    /// Forgets leafs whose entries have been missing for too long.
+    pub fn forget_gone(&self) {
         let now = Clock.now();
-        let id = leaf.entry().leaf.clone();
-        self.leafs
-            .borrow_mut()
-            .retain(|known| known.entry().leaf != id);
-        let mut missing = self.missing.borrow_mut();
-        missing.retain(|known| known.is_usable(now, self.missing_grace));
-        missing.push(Rc::clone(leaf));
+        let is_kept = |leaf: &Rc<LeafState>| {
+            leaf.is_listed() || leaf.standing(now, self.missing_grace) < Standing::Gone
+        };
+        self.leafs.borrow_mut().retain(is_kept);
+    }
+
+    /// Closes idle connections past their time.
+    pub fn close_expired(&self, now: Moment) {
+        self.forget_gone();
+        for leaf in self.leafs.borrow().iter() {
+            leaf.close_expired(now);
+        }
     }
 
-    /// Leafs with an entry.
-    pub fn listed(&self) -> Vec<Rc<LeafState>> {
-        self.leafs.borrow().clone()
+    /// Leafs that may be used like any other.
+    pub fn regular(&self) -> Vec<Rc<LeafState>> {
+        let now = Clock.now();
+        let leafs = self.leafs.borrow();
+        let regular = leafs
+            .iter()
+            .filter(|leaf| leaf.standing(now, self.missing_grace) == Standing::Regular);
+        regular.cloned().collect()
     }
 
     /// Whether any leaf may be sent requests.
     pub fn has_leafs(&self) -> bool {
         let now = Clock.now();
-        let is_usable = |leaf: &Rc<LeafState>| leaf.is_usable(now, self.missing_grace);
-        let listed = self.leafs.borrow().iter().any(|leaf| leaf.is_listed());
-        listed || self.missing.borrow().iter().any(is_usable)
+        let leafs = self.leafs.borrow();
+        let mut standings = leafs
+            .iter()
+            .map(|leaf| leaf.standing(now, self.missing_grace));
+        standings.any(|standing| standing < Standing::Gone)
     }
 
     /// The best leaf that is not in `excluded`, for a request that typically takes `typical`. Leafs
-    /// whose entries are missing come only if no leaf of the service is listed.
+    /// that are the last resort come only if no leaf of the service is regular.
     pub fn choose(&self, excluded: &[LeafId], typical: Duration) -> Option<Rc<LeafState>> {
         let now = Clock.now();
         let leafs = self.leafs.borrow();
-        if leafs.iter().any(|leaf| leaf.is_listed()) {
-            let listed = leafs.iter().filter(|leaf| leaf.is_listed());
-            return best(listed, excluded, typical, now);
+        let standing = |leaf: &Rc<LeafState>| leaf.standing(now, self.missing_grace);
+        let best_standing = leafs.iter().map(standing).min()?;
+        if best_standing == Standing::Gone {
+            return None;
         }
-        let missing = self.missing.borrow();
-        let usable = missing
-            .iter()
-            .filter(|leaf| leaf.is_usable(now, self.missing_grace));
+        let usable = leafs.iter().filter(|leaf| standing(leaf) == best_standing);
         best(usable, excluded, typical, now)
     }
 
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -144,6 +144,7 @@
     /// Takes in changes of the leaf directory.
     pub fn apply_directory(&self, delta: DirectoryDelta) {
         let before = self.directory.borrow().revision();
+        let source_was_away = self.is_word_of_leafs_old();
         let changes = self.directory.borrow_mut().apply(delta);
         for change in changes {
             match change {
@@ -152,8 +153,8 @@
                     self.put_leaf(entry);
                 }
                 DirectoryChange::Gone(leaf) => {
-                    log::info!(leaf = leaf.as_str(); "leaf gone");
-                    self.remove_leaf(&leaf);
+                    log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
+                    self.remove_leaf(&leaf, source_was_away);
                 }
             }
         }
@@ -296,8 +297,8 @@
     /// Closes leafs' idle connections past their time.
     pub fn close_expired(&self) {
         let now = Clock.now();
-        for leaf in self.leafs.borrow().values() {
-            leaf.close_expired(now);
+        for service in self.services.borrow().values() {
+            service.close_expired(now);
         }
     }
 
@@ -307,6 +308,12 @@
             return;
         }
         let service = self.service(&entry.service);
+        if let Some(leaf) = service.missing(&entry.leaf) {
+            let id = entry.leaf.clone();
+            leaf.update(entry);
+            self.leafs.borrow_mut().insert(id, leaf);
+            return self.share_connections(&service);
+        }
         let distance = self.locality.distance(&entry.zone);
         let leaf = Rc::new(LeafState::new(entry.clone(), distance, NO_SHARE));
         service.add(Rc::clone(&leaf));
@@ -314,16 +321,22 @@
         self.share_connections(&service);
     }
 
-    fn remove_leaf(&self, id: &LeafId) {
+    fn remove_leaf(&self, id: &LeafId, source_was_away: bool) {
         let Some(leaf) = self.leafs.borrow_mut().remove(id) else {
             return;
         };
-        leaf.set_missing(Clock.now());
+        leaf.set_missing(Clock.now(), source_was_away);
         let service = self.service(&leaf.entry().service);
-        service.remove(&leaf);
+        service.forget_gone();
         self.share_connections(&service);
     }
 
+    /// Whether nothing has been heard of the leafs for longer than their entries are relied on.
+    fn is_word_of_leafs_old(&self) -> bool {
+        let limit = self.settings.bounds.word_limit();
+        self.age(Topic::Leafs).is_some_and(|age| age > limit)
+    }
+
     fn share_all_connections(&self) {
         for service in self.services.borrow().values() {
             self.share_connections(service);
@@ -335,7 +348,7 @@
         let Some(own_region) = self.locality.own_region() else {
             return;
         };
-        let leafs = service.listed();
+        let leafs = service.regular();
         let regions = leafs.iter().map(|leaf| leaf.entry().zone.clone());
         let regions = regions.filter_map(|zone| self.locality.region(&zone).cloned());
         let service_regions: BTreeSet<PlaceName> = regions.collect();
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
+use tansylead_gateway::source::Topic;
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
@@ -115,3 +117,66 @@
     apply(&gateway, 3, vec![DirectoryChange::Gone(leaf)]);
     assert!(!has_leafs(&gateway));
 }
+
+/// Tells the gateway of a second leaf that stays listed.
+fn add_second_leaf(gateway: &Gateway, at: u64) {
+    let first = gateway.directory().entries().next().cloned();
+    let mut second = first.expect("a leaf");
+    second.leaf = LeafId::new("leaf-2").expect("valid name");
+    second.address = ([127, 0, 0, 1], 2).into();
+    apply(gateway, at, vec![DirectoryChange::Present(second)]);
+}
+
+fn regular_leafs(gateway: &Gateway) -> usize {
+    let service = ServiceName::new("disputes").expect("valid name");
+    gateway.service(&service).regular().len()
+}
+
+#[test]
+fn a_leaf_whose_entry_lapsed_while_the_source_was_away_is_used_like_any_other() {
+    // Regression: on the source's return the list lacks live leafs; they were dropped at once, and
+    // everything went to the few that were listed.
+    let gateway = gateway();
+    add_second_leaf(&gateway, 2);
+    let long_ago = Clock.now() - Duration::from_secs(10);
+    gateway.confirm(Topic::Leafs, long_ago);
+    let leaf = LeafId::new("leaf").expect("valid name");
+    apply(&gateway, 3, vec![DirectoryChange::Gone(leaf)]);
+    assert_eq!(regular_leafs(&gateway), 2);
+}
+
+#[test]
+fn a_leaf_whose_entry_goes_while_the_source_is_there_is_not_used_beside_others() {
+    let gateway = gateway();
+    add_second_leaf(&gateway, 2);
+    gateway.confirm(Topic::Leafs, Clock.now());
+    let leaf = LeafId::new("leaf").expect("valid name");
+    apply(&gateway, 3, vec![DirectoryChange::Gone(leaf)]);
+    assert_eq!(regular_leafs(&gateway), 1);
+}
+
+#[test]
+fn what_is_known_of_a_leaf_outlives_a_lapse_of_its_entry() {
+    let gateway = gateway();
+    let service = ServiceName::new("disputes").expect("valid name");
+    let entry = gateway.directory().entries().next().cloned();
+    let known = gateway.service(&service).regular().remove(0);
+    let leaf = LeafId::new("leaf").expect("valid name");
+    apply(&gateway, 2, vec![DirectoryChange::Gone(leaf)]);
+    let entry = entry.expect("a leaf");
+    apply(&gateway, 3, vec![DirectoryChange::Present(entry)]);
+    let back = gateway.service(&service).regular().remove(0);
+    assert!(Rc::ptr_eq(&known, &back));
+}
+
+#[test]
+fn a_leaf_that_said_it_was_leaving_is_never_taken_back() {
+    let gateway = gateway();
+    let entry = gateway.directory().entries().next().cloned();
+    let ready = entry.expect("a leaf");
+    let mut leaving = ready.clone();
+    leaving.phase = LeafPhase::Draining;
+    apply(&gateway, 2, vec![DirectoryChange::Present(leaving)]);
+    apply(&gateway, 3, vec![DirectoryChange::Present(ready)]);
+    assert!(!has_leafs(&gateway));
+}
