Tell daemons of a region of leafs that fall silent

Change: the first daemon whose request is overdue tells the daemons of its region by one datagram, and again when the leaf answers; a word loses against own answers and is forgotten after 0.5 s.

--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -1,5 +1,6 @@
 //! Drives the membership state machine over UDP.
 
+use super::news_codec::NewsCodec;
 use super::view::ClusterView;
 use crate::clock::Clock;
 use crate::state::{Gateway, StopPhase};
@@ -26,6 +27,7 @@
     view: Rc<ClusterView>,
     socket: UdpSocket,
     codec: GossipCodec,
+    news_codec: NewsCodec,
     local: LocalMember,
     membership: Membership,
 }
@@ -52,12 +54,14 @@
             caller_address: settings.caller_address,
         };
         let codec = GossipCodec::new(&settings.cluster);
+        let news_codec = NewsCodec::new(&settings.cluster);
         let membership = new_membership(&local, &settings.seeds);
         Ok(Self {
             gateway,
             view,
             socket,
             codec,
+            news_codec,
             local,
             membership,
         })
@@ -66,7 +70,8 @@
     /// Runs until its task is ended.
     pub async fn run(mut self) {
         let mut buffer = vec![0; MAXIMUM_PACKET_BYTES + 1];
-        let mut stop = self.gateway.stop_phases();
+        let gateway = Rc::clone(&self.gateway);
+        let mut stop = gateway.stop_phases();
         let mut leaving = false;
         self.feed(MembershipEvent::Wakeup);
         loop {
@@ -80,6 +85,7 @@
                         self.receive(from, &buffer[..length]);
                     }
                 }
+                () = gateway.news.added() => self.send_news(),
                 () = tokio::time::sleep_until(Clock.instant_at(wakeup)) => {
                     self.feed(MembershipEvent::Wakeup);
                 }
@@ -106,7 +112,21 @@
         self.feed(MembershipEvent::MachineList(list));
     }
 
+    /// Tells daemons of the own region the news of leafs.
+    fn send_news(&self) {
+        let datagrams = self.news_codec.encode(&self.gateway.news.take());
+        for peer in self.view.news_peers() {
+            for datagram in &datagrams {
+                // A datagram that cannot be sent now is as good as lost on the way.
+                let _ = self.socket.try_send_to(datagram, peer);
+            }
+        }
+    }
+
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
+        if let Some(news) = self.news_codec.decode(bytes) {
+            return self.gateway.apply_news(&news);
+        }
         if let Ok(packet) = self.codec.decode(bytes) {
             let packet = Box::new(packet);
             self.feed(MembershipEvent::Packet { from, packet });
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/news_codec.rs
@@ -0,0 +1,69 @@
+//! Datagrams with news of leafs, on the membership's socket: a frame of format and cluster hash
+//! around postcard-encoded news.
+//!
+//! Invariants: encoding yields no more than a datagram holds; decoding arbitrary bytes never panics.
+
+use tansylead_cluster::codec::MAXIMUM_PACKET_BYTES;
+use tansylead_route::LeafNews;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// First byte of such a datagram; membership's own begin with its protocol version.
+const FORMAT: u8 = 0x81;
+const HASH_BYTES: usize = 8;
+const HEADER_BYTES: usize = 1 + HASH_BYTES;
+
+/// Encodes and decodes news of one cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewsCodec {
+    cluster_hash: u64,
+}
+
+impl NewsCodec {
+    /// Codec for the cluster of this name.
+    pub fn new(cluster: &str) -> Self {
+        Self {
+            cluster_hash: xxh3_64(cluster.as_bytes()),
+        }
+    }
+
+    /// Datagrams that hold the news; those that fit into none are left out.
+    pub fn encode(&self, news: &[LeafNews]) -> Vec<Vec<u8>> {
+        let mut datagrams: Vec<Vec<u8>> = Vec::new();
+        for word in news {
+            let Ok(bytes) = postcard::to_allocvec(word) else {
+                continue;
+            };
+            let has_room =
+                |datagram: &&mut Vec<u8>| datagram.len() + bytes.len() <= MAXIMUM_PACKET_BYTES;
+            match datagrams.last_mut().filter(has_room) {
+                Some(datagram) => datagram.extend_from_slice(&bytes),
+                None if HEADER_BYTES + bytes.len() <= MAXIMUM_PACKET_BYTES => {
+                    let mut datagram = self.header();
+                    datagram.extend_from_slice(&bytes);
+                    datagrams.push(datagram);
+                }
+                None => {}
+            }
+        }
+        datagrams
+    }
+
+    /// The news of a datagram; none if it is of another format or cluster. What cannot be read ends
+    /// the news.
+    pub fn decode(&self, bytes: &[u8]) -> Option<Vec<LeafNews>> {
+        let mut rest = bytes.strip_prefix(self.header().as_slice())?;
+        let mut news = Vec::new();
+        while let Ok((word, after)) = postcard::take_from_bytes(rest) {
+            news.push(word);
+            rest = after;
+        }
+        Some(news)
+    }
+
+    fn header(&self) -> Vec<u8> {
+        let mut header = Vec::with_capacity(HEADER_BYTES);
+        header.push(FORMAT);
+        header.extend_from_slice(&self.cluster_hash.to_le_bytes());
+        header
+    }
+}
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -1,6 +1,6 @@
 //! The members that run, and who among them watches the source.
 
-use rand::seq::SliceRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -13,6 +13,8 @@
 /// Daemons of a region for each that watches the source, at most: a watcher passes every change on
 /// to the others, and a large one would fill the link of a small machine.
 const DAEMONS_PER_WATCHER: usize = 8;
+/// Daemons that are told news of leafs, at most: more would cost more than they save.
+const MAXIMUM_NEWS_PEERS: usize = 32;
 
 /// Members as one daemon sees them.
 #[derive(Debug)]
@@ -120,6 +122,17 @@
         addresses
     }
 
+    /// Daemons of the own region to tell news of leafs: all of them, or some by chance if they are
+    /// many.
+    pub fn news_peers(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let own_region = members
+            .iter()
+            .filter(|member| member.place == self.place && member.node() != self.node);
+        let peers = own_region.map(|member| member.node().0);
+        peers.sample(&mut rand::rng(), MAXIMUM_NEWS_PEERS)
+    }
+
     /// Whether a peer is known to run in the own region.
     pub fn is_in_own_region(&self, peer: SocketAddr) -> bool {
         let members = self.members.borrow();
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -256,9 +256,11 @@
                 };
                 self.trace.note(self.service.name(), decision);
                 match attempt.sent.get() {
-                    Some(sent) => attempt
-                        .leaf
-                        .on_overdue(sent, attempt.overdue_delay, typical),
+                    Some(sent) => {
+                        let delay = attempt.overdue_delay;
+                        let news = attempt.leaf.on_overdue(sent, delay, typical);
+                        self.gateway.news.tell(news);
+                    }
                     None => is_stuck_unsent = true,
                 }
             }
@@ -386,7 +388,8 @@
             profile.typical()
         });
         let typical = typical.unwrap_or(Duration::ZERO);
-        attempt.leaf.on_answer(sent, timely, latency, typical);
+        let news = attempt.leaf.on_answer(sent, timely, latency, typical);
+        self.gateway.news.tell(news);
     }
 }
 
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -8,7 +8,7 @@
 use tansylead_http::HttpConnection;
 use tansylead_route::{
     Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
-    IdlePolicy, LeafEntry, LeafPhase, Listing, Slowness, Standing,
+    IdlePolicy, LeafEntry, LeafNews, LeafPhase, Listing, RumoredSilence, Slowness, Standing,
 };
 use tansylead_types::Moment;
 use tokio::sync::Semaphore;
@@ -49,6 +49,8 @@
     is_reserve: Cell<bool>,
     idle: RefCell<Vec<IdleConnection>>,
     breaker: RefCell<Breaker>,
+    /// What other daemons say of its silence.
+    rumored_silence: Cell<RumoredSilence>,
     slowness: Cell<Slowness>,
     failures: Cell<FailureRate>,
     connect_backoff: Cell<ConnectBackoff>,
@@ -71,6 +73,7 @@
             is_reserve: Cell::new(share.is_reserve),
             idle: RefCell::new(Vec::new()),
             breaker: RefCell::new(Breaker::default()),
+            rumored_silence: Cell::default(),
             slowness: Cell::default(),
             failures: Cell::default(),
             connect_backoff: Cell::default(),
@@ -158,7 +161,7 @@
     pub fn candidate(&self, now: Moment) -> Candidate {
         let usual_gap = self.idle_policy.get().mean_gap().unwrap_or(Duration::MAX);
         Candidate {
-            verdict: self.breaker.borrow().verdict(now),
+            verdict: self.verdict(now),
             distance: self.distance,
             way: self.way(),
             in_flight: self.in_flight.get(),
@@ -171,11 +174,28 @@
         }
     }
 
-    /// Verdict of the breaker.
+    /// Whether the leaf may get a new request, by its breaker and by what other daemons say.
     pub fn verdict(&self, now: Moment) -> BreakerVerdict {
+        if self.rumored_silence.get().is_silent(now) {
+            return BreakerVerdict::Avoid;
+        }
         self.breaker.borrow().verdict(now)
     }
 
+    /// Takes in what another daemon says of the leaf.
+    pub fn on_news(&self, news: &LeafNews) {
+        let now = Clock.now();
+        let mut silence = self.rumored_silence.get();
+        match news {
+            LeafNews::Silent { for_millis, .. } => {
+                let since = now - Duration::from_millis((*for_millis).into());
+                silence.on_silent(now, since, self.slowness.get().answered_at());
+            }
+            LeafNews::Answering { .. } => silence.on_answering(),
+        }
+        self.rumored_silence.set(silence);
+    }
+
     /// Counts an attempt as in flight until the guard is dropped.
     pub fn begin(self: &Rc<Self>) -> OpenAttempt {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -201,18 +221,25 @@
     }
 
     /// Notes that an attempt sent at `sent` is overdue. A leaf that has answered others since is
-    /// slow; one that has not has stopped answering.
-    pub fn on_overdue(&self, sent: Moment, delay: Duration, typical: Duration) {
+    /// slow; one that has not has stopped answering. Returns what other daemons should be told.
+    pub fn on_overdue(&self, sent: Moment, delay: Duration, typical: Duration) -> Option<LeafNews> {
         let now = Clock.now();
         let mut slowness = self.slowness.get();
         if slowness.answered_at() > sent {
             slowness.on_waiting(ratio(now.since(sent), typical));
             self.slowness.set(slowness);
-            return;
+            return None;
         }
         if self.breaker.borrow_mut().on_overdue(now, sent, delay) {
             log::info!(leaf = self.entry().leaf.as_str(), delay_ms = delay.as_millis() as u64; "leaf overdue");
         }
+        let mut silence = self.rumored_silence.get();
+        let is_news = silence.on_found_silent(now);
+        self.rumored_silence.set(silence);
+        is_news.then(|| LeafNews::Silent {
+            leaf: self.entry().leaf.clone(),
+            for_millis: u32::try_from(now.since(sent).as_millis()).unwrap_or(u32::MAX),
+        })
     }
 
     /// Notes that the leaf could not be reached.
@@ -259,9 +286,19 @@
         }
     }
 
-    /// Notes an answer that took `latency`, of a kind that typically takes `typical`.
-    pub fn on_answer(&self, sent: Moment, timely: bool, latency: Duration, typical: Duration) {
+    /// Notes an answer that took `latency`, of a kind that typically takes `typical`. Returns what
+    /// other daemons should be told.
+    pub fn on_answer(
+        &self,
+        sent: Moment,
+        timely: bool,
+        latency: Duration,
+        typical: Duration,
+    ) -> Option<LeafNews> {
         let now = Clock.now();
+        let mut silence = self.rumored_silence.get();
+        let is_news = silence.on_answer();
+        self.rumored_silence.set(silence);
         let closed = self.breaker.borrow_mut().on_answer(now, sent, timely);
         if closed {
             log::info!(leaf = self.entry().leaf.as_str(); "leaf sound again");
@@ -274,6 +311,9 @@
             slowness.on_late(now, sent, ratio);
         }
         self.slowness.set(slowness);
+        is_news.then(|| LeafNews::Answering {
+            leaf: self.entry().leaf.clone(),
+        })
     }
 
     /// The idle connection that rested least, if that is no longer than `longest_rest` and the leaf
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -6,6 +6,7 @@
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
 use crate::metrics::Metrics;
+use crate::news_queue::NewsQueue;
 use crate::request_log::RequestLogLimits;
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
@@ -15,7 +16,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, ConnectionShare, DaemonCounts, DirectoryChange, DirectoryDelta, LatencyProfile,
-    LeafDirectory, LeafEntry, Locality, RouteTable, SharedLeaf, WeightedTurns,
+    LeafDirectory, LeafEntry, LeafNews, Locality, RouteTable, SharedLeaf, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -65,6 +66,8 @@
     pub metrics: Metrics,
     /// Limits of the lines of single requests.
     pub(crate) request_log_limits: RequestLogLimits,
+    /// News of leafs for other daemons.
+    pub(crate) news: NewsQueue,
     started: Moment,
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
@@ -94,6 +97,7 @@
             names: Rc::new(names),
             metrics: Metrics::new(),
             request_log_limits: RequestLogLimits::default(),
+            news: NewsQueue::default(),
             started: Clock.now(),
             locality,
             active: RefCell::default(),
@@ -163,6 +167,17 @@
         }
     }
 
+    /// Takes in what another daemon says of leafs.
+    pub fn apply_news(&self, news: &[LeafNews]) {
+        let leafs = self.leafs.borrow();
+        for word in news {
+            let (LeafNews::Silent { leaf, .. } | LeafNews::Answering { leaf }) = word;
+            if let Some(leaf) = leafs.get(leaf) {
+                leaf.on_news(word);
+            }
+        }
+    }
+
     /// The leaf directory.
     pub fn directory(&self) -> std::cell::Ref<'_, LeafDirectory> {
         self.directory.borrow()
--- /dev/null
+++ b/crates/tansylead-route/src/leaf_news.rs
@@ -0,0 +1,77 @@
+//! What daemons of a region tell one another about leafs that fall silent.
+//!
+//! A leaf that pauses answers nobody. The first daemon whose request is overdue tells the others, so
+//! that their new requests go elsewhere at once instead of finding out one by one; when its request
+//! is answered it tells that too. A word is only ever a hint: it loses against what a daemon has
+//! seen itself, and it is forgotten soon, so that a lost, late or wrong one does little harm.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tansylead_types::{LeafId, Moment};
+
+/// A word of silence is forgotten after this time, unless it is said again: longer than ordinary
+/// pauses, shorter than the time in which the entry of a dead leaf lapses.
+const LIFETIME: Duration = Duration::from_millis(500);
+
+/// One word about a leaf.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeafNews {
+    /// It has answered nothing.
+    Silent {
+        /// The leaf.
+        leaf: LeafId,
+        /// For how long, when this was said.
+        for_millis: u32,
+    },
+    /// It answers again.
+    Answering {
+        /// The leaf.
+        leaf: LeafId,
+    },
+}
+
+/// What is remembered of the words about one leaf.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RumoredSilence {
+    /// The leaf counts as silent until then.
+    until: Moment,
+    /// Whether this daemon has said so itself.
+    is_own: bool,
+}
+
+impl RumoredSilence {
+    /// Whether the leaf is said to be silent.
+    pub fn is_silent(&self, now: Moment) -> bool {
+        now < self.until
+    }
+
+    /// Takes in a word that the leaf has been silent since a moment. It counts for nothing if the
+    /// leaf has answered this daemon at `answered_at`, which is later.
+    pub fn on_silent(&mut self, now: Moment, since: Moment, answered_at: Moment) {
+        if answered_at <= since {
+            self.until = now + LIFETIME;
+        }
+    }
+
+    /// Notes that this daemon has found the leaf silent. Returns whether the others should be told:
+    /// not if one of them has just said so.
+    pub fn on_found_silent(&mut self, now: Moment) -> bool {
+        let is_news = !self.is_silent(now) || self.is_own;
+        self.until = now + LIFETIME;
+        self.is_own |= is_news;
+        is_news
+    }
+
+    /// Takes in a word that the leaf answers again.
+    pub fn on_answering(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Notes that the leaf has answered this daemon. Returns whether the others should be told:
+    /// only if this daemon had told them of the silence.
+    pub fn on_answer(&mut self) -> bool {
+        let was_own = self.is_own;
+        *self = Self::default();
+        was_own
+    }
+}
--- /dev/null
+++ b/crates/tansylead-route/tests/leaf_news.rs
@@ -0,0 +1,102 @@
+//! Words about silent leafs: they save others a wait, and a wrong one does little harm.
+
+use proptest::prelude::*;
+use std::time::Duration;
+use tansylead_route::RumoredSilence;
+use tansylead_types::Moment;
+
+/// The longest that a word may keep requests away without being said again.
+const LONGEST_EFFECT: Duration = Duration::from_millis(500);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+#[test]
+fn a_word_of_silence_holds_until_the_leaf_is_said_to_answer() {
+    let mut silence = RumoredSilence::default();
+    silence.on_silent(at(1_000), at(940), at(900));
+    assert!(silence.is_silent(at(1_100)));
+    silence.on_answering();
+    assert!(!silence.is_silent(at(1_100)));
+}
+
+#[test]
+fn own_answers_count_more_than_words() {
+    let mut silence = RumoredSilence::default();
+    silence.on_silent(at(1_000), at(940), at(950));
+    assert!(!silence.is_silent(at(1_000)), "it has answered since");
+    silence.on_silent(at(1_000), at(940), at(900));
+    assert!(!silence.on_answer(), "others told, so others tell");
+    assert!(!silence.is_silent(at(1_001)));
+}
+
+#[test]
+fn a_silence_is_told_once_and_its_end_by_who_told_it() {
+    let mut teller = RumoredSilence::default();
+    assert!(teller.on_found_silent(at(1_000)));
+    assert!(teller.on_answer());
+    assert!(!teller.on_answer());
+    let mut hearer = RumoredSilence::default();
+    hearer.on_silent(at(1_001), at(940), at(0));
+    assert!(!hearer.on_found_silent(at(1_010)));
+    assert!(!hearer.on_answer());
+}
+
+#[test]
+fn who_told_a_silence_tells_it_again_while_it_lasts() {
+    let mut teller = RumoredSilence::default();
+    assert!(teller.on_found_silent(at(1_000)));
+    assert!(teller.on_found_silent(at(1_200)));
+}
+
+/// A word, as it may come in any order, late, more than once, or from a daemon that is wrong.
+#[derive(Debug, Clone)]
+enum Step {
+    Silent { since_before: u64 },
+    Answering,
+    FoundSilent,
+    Answer,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..10_000_u64).prop_map(|since_before| Step::Silent { since_before }),
+        Just(Step::Answering),
+        Just(Step::FoundSilent),
+        Just(Step::Answer),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn whatever_is_said_the_leaf_is_used_again_soon_after_the_last_word(
+        steps in proptest::collection::vec((0..400_u64, step()), 1..60),
+    ) {
+        let mut silence = RumoredSilence::default();
+        let mut now = at(20_000);
+        let mut answered = Moment::default();
+        let mut last_word = now;
+        for (gap, step) in steps {
+            now = now + Duration::from_millis(gap);
+            match step {
+                Step::Silent { since_before } => {
+                    let since = now - Duration::from_millis(since_before);
+                    silence.on_silent(now, since, answered);
+                    last_word = now;
+                }
+                Step::Answering => silence.on_answering(),
+                Step::FoundSilent => {
+                    silence.on_found_silent(now);
+                    last_word = now;
+                }
+                Step::Answer => {
+                    silence.on_answer();
+                    answered = now;
+                    prop_assert!(!silence.is_silent(now), "it has just answered");
+                }
+            }
+            prop_assert!(!silence.is_silent(last_word + LONGEST_EFFECT));
+        }
+    }
+}
