Learn from attempts that were left to finish

Cause: an attempt whose call had its answer from another leaf was left to finish, but how it ended taught nothing: a leaf that had paused was kept out, and said to be silent, until a probe found it sound. Change: its answer counts like any other.

--- a/crates/tansylead-gateway/src/execution/attempts.rs
+++ b/crates/tansylead-gateway/src/execution/attempts.rs
@@ -52,15 +52,11 @@
         self.sent.get().is_some()
     }
 
-    /// Lets the attempt go on by itself, at most for `limit`.
-    pub(super) fn leave_to_finish(self, limit: Duration) {
-        if self.is_sent() && !self.task.is_finished() {
-            let task = self.task;
-            spawn_local(async move {
-                // Past the limit the handle is dropped, which ends the attempt.
-                let _ = tokio::time::timeout(limit, task).await;
-            });
-        }
+    /// Waits for the end, at most for `limit`; none if it has not come by then. Past the limit the
+    /// attempt is ended.
+    pub(super) async fn finish_within(&mut self, limit: Duration) -> Option<AttemptEnd> {
+        let end = tokio::time::timeout(limit, &mut self.task).await;
+        end.ok()?.ok()
     }
 }
 
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -19,6 +19,7 @@
 use tansylead_http::Reply;
 use tansylead_route::{BreakerVerdict, ExtraAttempt, Route};
 use tansylead_types::{LeafId, Moment};
+use tokio::task::spawn_local;
 
 /// Attempts that may fail before anything was sent; they reach no leaf and cost no budget.
 const MAXIMUM_NOT_SENT: u32 = 4;
@@ -128,9 +129,25 @@
         })
     }
 
+    /// Lets attempts whose answers are not needed any more finish: cutting them would cost a
+    /// connection each, and how they end tells something about their leafs.
     fn leave_losers(&self, progress: Progress) {
-        for attempt in progress.attempts {
-            attempt.leave_to_finish(self.route.policy.objective);
+        let limit = self.route.policy.objective;
+        for mut attempt in progress.attempts.into_iter().filter(Attempt::is_sent) {
+            let call = self.clone();
+            spawn_local(async move {
+                let end = attempt.finish_within(limit).await;
+                call.on_loser_end(&attempt, end);
+            });
+        }
+    }
+
+    /// Learns from the end of an attempt that was left to finish.
+    fn on_loser_end(&self, attempt: &Attempt, end: Option<AttemptEnd>) {
+        if let Some(AttemptEnd::Answered(reply)) = end
+            && !reply.status.is_server_error()
+        {
+            self.note_answer(attempt);
         }
     }
 
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -188,8 +188,14 @@
         let mut silence = self.rumored_silence.get();
         match news {
             LeafNews::Silent { for_millis, .. } => {
-                let since = now - Duration::from_millis((*for_millis).into());
-                silence.on_silent(now, since, self.slowness.get().answered_at());
+                let silent_for = Duration::from_millis((*for_millis).into());
+                let usual_gap = self.idle_policy.get().mean_gap();
+                if usual_gap.is_some_and(|gap| gap < silent_for) {
+                    // Requests go there so often that this daemon finds out for itself as soon.
+                    return;
+                }
+                let answered_at = self.slowness.get().answered_at();
+                silence.on_silent(now, now - silent_for, answered_at);
             }
             LeafNews::Answering { .. } => silence.on_answering(),
         }
