Leave a daemon's own findings to its breaker

Cause: a leaf that a daemon found silent itself was kept out for 0.5 s, also where its breaker would have probed it sooner. Change: only words of others keep requests away; a daemon remembers of its own finding only whether it has told it.

--- a/crates/tansylead-route/src/leaf_news.rs
+++ b/crates/tansylead-route/src/leaf_news.rs
@@ -33,14 +33,14 @@
 /// What is remembered of the words about one leaf.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RumoredSilence {
-    /// The leaf counts as silent until then.
+    /// Others say that the leaf is silent; it counts as such until then.
     until: Moment,
-    /// Whether this daemon has said so itself.
-    is_own: bool,
+    /// This daemon has told the others, and has not told them yet that the leaf answers.
+    has_told: bool,
 }
 
 impl RumoredSilence {
-    /// Whether the leaf is said to be silent.
+    /// Whether others say that the leaf is silent.
     pub fn is_silent(&self, now: Moment) -> bool {
         now < self.until
     }
@@ -53,25 +53,25 @@
         }
     }
 
-    /// Notes that this daemon has found the leaf silent. Returns whether the others should be told:
-    /// not if one of them has just said so.
+    /// Notes that this daemon has found the leaf silent; how it uses the leaf itself is its
+    /// breaker's matter. Returns whether the others should be told: not if one of them has just
+    /// said so.
     pub fn on_found_silent(&mut self, now: Moment) -> bool {
-        let is_news = !self.is_silent(now) || self.is_own;
-        self.until = now + LIFETIME;
-        self.is_own |= is_news;
+        let is_news = !self.is_silent(now);
+        self.has_told |= is_news;
         is_news
     }
 
     /// Takes in a word that the leaf answers again.
     pub fn on_answering(&mut self) {
-        *self = Self::default();
+        self.until = Moment::default();
     }
 
     /// Notes that the leaf has answered this daemon. Returns whether the others should be told:
     /// only if this daemon had told them of the silence.
     pub fn on_answer(&mut self) -> bool {
-        let was_own = self.is_own;
+        let had_told = self.has_told;
         *self = Self::default();
-        was_own
+        had_told
     }
 }
