--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CASES ?= 2000
 RUNS ?= 8
 
-.PHONY: build release test demo soak bench scale fuzz
+.PHONY: build release test demo soak bench fuzz
 
 build:
 	cargo build --workspace --locked
@@ -28,8 +28,5 @@
 bench: release
 	./target/release/tansylead-lab experiment examples/experiments/standard.toml
 
-scale: release
-	./target/release/tansylead-lab scale
-
 fuzz:
 	./.ci/fuzz $(SEED) $(CASES)
--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -81,15 +81,6 @@
     roots: Arc<RootService>,
 }
 
-/// The parts of a daemon that act together with its peers, running, without callers and roots.
-pub(crate) struct ControlAssembly {
-    pub(crate) shared: Shared,
-    pub(crate) configuration: watch::Receiver<Arc<ConfigurationView>>,
-    pub(crate) members: watch::Receiver<Arc<MemberView>>,
-    pub(crate) status: watch::Receiver<Arc<ClusterStatus>>,
-    pub(crate) tasks: JoinSet<()>,
-}
-
 /// Binds the addresses and puts a daemon together.
 pub(crate) async fn assemble(settings: Settings, tuning: Tuning) -> eyre::Result<Assembly> {
     let sockets = bind_peer_sockets(settings.peer_address).await?;
@@ -119,29 +110,6 @@
     })
 }
 
-/// Binds the peer address and starts what acts together with peers; nothing listens for callers.
-pub(crate) async fn assemble_control(
-    settings: Settings,
-    tuning: Tuning,
-) -> eyre::Result<ControlAssembly> {
-    let sockets = bind_peer_sockets(settings.peer_address).await?;
-    let caller_address = settings.caller_address;
-    let base = Base::new(settings, tuning, sockets.address)?;
-    let channels = Channels::new();
-    let shared = base.shared(&channels);
-    let configuration = channels.configuration.subscribe();
-    let members = channels.members.subscribe();
-    let status = channels.status.subscribe();
-    let tasks = base.spawn_control(channels, sockets, &shared, caller_address);
-    Ok(ControlAssembly {
-        shared,
-        configuration,
-        members,
-        status,
-        tasks,
-    })
-}
-
 async fn bind_peer_sockets(address: SocketAddr) -> Result<PeerSockets, StepError> {
     const STEP: &str = "listen for peers";
     let listener = peers::bind(NodeId(address)).await?;
--- a/crates/tansylead-daemon/src/lib.rs
+++ b/crates/tansylead-daemon/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod clock;
 pub mod cluster;
 pub mod configuration;
-pub mod control;
 pub mod daemon;
 pub mod frontend;
 pub mod http;
--- a/crates/tansylead-lab/src/lib.rs
+++ b/crates/tansylead-lab/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod logging;
 pub mod machines;
 pub mod process;
-pub mod scale;
 pub mod simulation;
 pub mod standin;
 pub mod store;
@@ -63,14 +62,6 @@
         command: simulation::command,
         run: simulation::run,
     },
-    Subcommand {
-        command: scale::command,
-        run: scale::run,
-    },
-    Subcommand {
-        command: scale::hollow::command,
-        run: scale::hollow::run,
-    },
 ];
 
 /// The command line of the whole program.
