--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -276,7 +276,7 @@
                     Some(sent) => {
                         let delay = attempt.overdue_delay;
                         let news = attempt.leaf.on_overdue(sent, delay, typical);
-                        self.gateway.news.tell(news);
+                        self.gateway.tell(news);
                     }
                     None => is_stuck_unsent = true,
                 }
@@ -406,7 +406,7 @@
         });
         let typical = typical.unwrap_or(Duration::ZERO);
         let news = attempt.leaf.on_answer(sent, timely, latency, typical);
-        self.gateway.news.tell(news);
+        self.gateway.tell(news);
     }
 }
 
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -58,6 +58,28 @@
     }
 }
 
+/// Which way words about leafs went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NewsDirection {
+    /// This daemon told others.
+    Told,
+    /// Others told this daemon.
+    Heard,
+    /// Not told: too many in a second.
+    Suppressed,
+}
+
+impl NewsDirection {
+    /// Name, for metrics.
+    fn label(self) -> &'static str {
+        match self {
+            NewsDirection::Told => "told",
+            NewsDirection::Heard => "heard",
+            NewsDirection::Suppressed => "suppressed",
+        }
+    }
+}
+
 /// All metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -68,6 +90,7 @@
     attempt_ends: IntCounterVec,
     denied: IntCounterVec,
     source_calls: IntCounterVec,
+    leaf_news: IntCounterVec,
     bad_input: IntCounterVec,
     configuration_version: IntGauge,
     configuration_age: Gauge,
@@ -121,6 +144,12 @@
                 "Further attempts that were not started, by reason",
                 &["reason"],
             ),
+            leaf_news: counters(
+                &registry,
+                "tansylead_leaf_news_total",
+                "Words to and from other daemons about silent leafs",
+                &["direction"],
+            ),
             source_calls: counters(
                 &registry,
                 "tansylead_source_calls_total",
@@ -201,6 +230,12 @@
         self.denied.with_label_values(&[reason]).inc();
     }
 
+    /// Counts words about silent leafs.
+    pub fn on_leaf_news(&self, direction: NewsDirection, words: usize) {
+        let counter = self.leaf_news.with_label_values(&[direction.label()]);
+        counter.inc_by(words as u64);
+    }
+
     /// Counts a call to the source.
     pub fn on_source_call(&self, topic: Topic, result: &str) {
         let labels = [topic.label(), result];
--- a/crates/tansylead-gateway/src/news_queue.rs
+++ b/crates/tansylead-gateway/src/news_queue.rs
@@ -19,21 +19,19 @@
 }
 
 impl NewsQueue {
-    /// Adds a word, if there is any and not too much was told in this second.
-    pub(crate) fn tell(&self, news: Option<LeafNews>) {
-        let Some(word) = news else {
-            return;
-        };
+    /// Adds a word. Returns whether it will be told: not if too much was told in this second.
+    pub(crate) fn add(&self, word: LeafNews) -> bool {
         let second = Clock.now().0 / MICROS_PER_SECOND;
         if self.second.replace(second) != second {
             self.told.set(0);
         }
         if self.told.get() >= WORDS_PER_SECOND {
-            return;
+            return false;
         }
         self.told.set(self.told.get() + 1);
         self.words.borrow_mut().push(word);
         self.added.notify_one();
+        true
     }
 
     /// Waits until words were added.
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, NewsDirection};
 use crate::news_queue::NewsQueue;
 use crate::request_log::RequestLogLimits;
 use crate::settings::GatewaySettings;
@@ -167,8 +167,22 @@
         }
     }
 
+    /// Tells the other daemons of the region a word about a leaf, if there is any.
+    pub(crate) fn tell(&self, news: Option<LeafNews>) {
+        let Some(word) = news else {
+            return;
+        };
+        let direction = if self.news.add(word) {
+            NewsDirection::Told
+        } else {
+            NewsDirection::Suppressed
+        };
+        self.metrics.on_leaf_news(direction, 1);
+    }
+
     /// Takes in what another daemon says of leafs.
     pub fn apply_news(&self, news: &[LeafNews]) {
+        self.metrics.on_leaf_news(NewsDirection::Heard, news.len());
         let leafs = self.leafs.borrow();
         for word in news {
             let (LeafNews::Silent { leaf, .. } | LeafNews::Answering { leaf }) = word;
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -8,8 +8,8 @@
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
-    CallerLimits, Configuration, DaemonCounts, DirectoryChange, DirectoryDelta, LeafEntry,
-    LeafPhase, Revision, Service,
+    BreakerVerdict, CallerLimits, Configuration, DaemonCounts, DirectoryChange, DirectoryDelta,
+    LeafEntry, LeafNews, LeafPhase, Revision, Service,
 };
 use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
 
@@ -180,3 +180,30 @@
     apply(&gateway, 3, vec![DirectoryChange::Present(ready)]);
     assert!(!has_leafs(&gateway));
 }
+
+fn verdict(gateway: &Gateway) -> BreakerVerdict {
+    let service = ServiceName::new("disputes").expect("valid name");
+    let leaf = gateway.service(&service).regular().remove(0);
+    leaf.verdict(Clock.now())
+}
+
+#[test]
+fn a_leaf_that_another_daemon_says_is_silent_is_avoided_until_it_answers() {
+    let gateway = gateway();
+    let leaf = LeafId::new("leaf").expect("valid name");
+    gateway.apply_news(&[LeafNews::Silent {
+        leaf: leaf.clone(),
+        for_millis: 60,
+    }]);
+    assert_eq!(verdict(&gateway), BreakerVerdict::Avoid);
+    gateway.apply_news(&[LeafNews::Answering { leaf }]);
+    assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
+}
+
+#[test]
+fn words_about_unknown_leafs_change_nothing() {
+    let gateway = gateway();
+    let leaf = LeafId::new("another").expect("valid name");
+    gateway.apply_news(&[LeafNews::Answering { leaf }]);
+    assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
+}
--- a/crates/tansylead-route/tests/leaf_health.rs
+++ b/crates/tansylead-route/tests/leaf_health.rs
@@ -101,6 +101,14 @@
     assert!(policy.limit(at(20_000), false) > Duration::from_secs(1));
 }
 
+#[test]
+fn an_answer_lost_on_a_connection_that_hardly_rested_says_nothing_of_rests() {
+    // Regression: each lost or spoiled answer kept the leaf's connections from being used again.
+    let mut policy = used_every(700);
+    policy.on_forgotten(at(0), Duration::from_millis(20));
+    assert!(policy.limit(at(10), false) > Duration::from_secs(1));
+}
+
 /// Usual gap between requests to a leaf.
 const GAP: Duration = Duration::from_millis(700);
 
