Tell daemons of a region of slow leafs

Cause: each daemon finds out about a slow leaf for itself, by two late answers, forgets it after some seconds and tries again; and a timely answer after that left most of the remembered slowness in place. Change: the daemon that has had a late answer after a late one tells its region how slow the leaf is, and who gets a timely answer from such a leaf tells that; a timely answer caps the factor at what still counts as timely.

--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -18,6 +18,9 @@
 const UNMEASURED_REGION_WAY: Duration = Duration::from_millis(4);
 const UNMEASURED_REMOTE_WAY: Duration = Duration::from_millis(30);
 
+/// Hundredths, for factors that travel between daemons.
+const PERCENT: f64 = 100.0;
+
 /// A connection at rest.
 #[derive(Debug)]
 struct IdleConnection {
@@ -188,16 +191,15 @@
         let mut silence = self.rumored_silence.get();
         match news {
             LeafNews::Silent { for_millis, .. } => {
-                let silent_for = Duration::from_millis((*for_millis).into());
-                let usual_gap = self.idle_policy.get().mean_gap();
-                if usual_gap.is_some_and(|gap| gap < silent_for) {
-                    // Requests go there so often that this daemon finds out for itself as soon.
-                    return;
-                }
-                let answered_at = self.slowness.get().answered_at();
-                silence.on_silent(now, now - silent_for, answered_at);
+                let since = now - Duration::from_millis((*for_millis).into());
+                silence.on_silent(now, since, self.slowness.get().answered_at());
             }
             LeafNews::Answering { .. } => silence.on_answering(),
+            LeafNews::Slow { percent, .. } => {
+                let mut slowness = self.slowness.get();
+                slowness.on_told(now, f64::from(*percent) / PERCENT);
+                self.slowness.set(slowness);
+            }
         }
         self.rumored_silence.set(silence);
     }
@@ -300,10 +302,14 @@
         timely: bool,
         latency: Duration,
         typical: Duration,
-    ) -> Option<LeafNews> {
+    ) -> Vec<LeafNews> {
         let now = Clock.now();
+        let mut news = Vec::new();
         let mut silence = self.rumored_silence.get();
-        let is_news = silence.on_answer();
+        if silence.on_answer() {
+            let leaf = self.entry().leaf.clone();
+            news.push(LeafNews::Answering { leaf });
+        }
         self.rumored_silence.set(silence);
         let closed = self.breaker.borrow_mut().on_answer(now, sent, timely);
         if closed {
@@ -311,15 +317,17 @@
         }
         let ratio = ratio(latency, typical);
         let mut slowness = self.slowness.get();
-        if timely {
-            slowness.on_timely(now, ratio);
-        } else {
-            slowness.on_late(now, sent, ratio);
-        }
+        let told_factor = match timely {
+            true => slowness.on_timely(now, ratio).then_some(1.0),
+            false => slowness.on_late(now, sent, ratio).then_some(ratio),
+        };
         self.slowness.set(slowness);
-        is_news.then(|| LeafNews::Answering {
-            leaf: self.entry().leaf.clone(),
-        })
+        if let Some(factor) = told_factor {
+            let leaf = self.entry().leaf.clone();
+            let percent = (factor * PERCENT) as u32;
+            news.push(LeafNews::Slow { leaf, percent });
+        }
+        news
     }
 
     /// The idle connection that rested least, if that is no longer than `longest_rest` and the leaf
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -167,17 +167,16 @@
         }
     }
 
-    /// Tells the other daemons of the region a word about a leaf, if there is any.
-    pub(crate) fn tell(&self, news: Option<LeafNews>) {
-        let Some(word) = news else {
-            return;
-        };
-        let direction = if self.news.add(word) {
-            NewsDirection::Told
-        } else {
-            NewsDirection::Suppressed
-        };
-        self.metrics.on_leaf_news(direction, 1);
+    /// Tells the other daemons of the region words about leafs.
+    pub(crate) fn tell(&self, news: impl IntoIterator<Item = LeafNews>) {
+        for word in news {
+            let direction = if self.news.add(word) {
+                NewsDirection::Told
+            } else {
+                NewsDirection::Suppressed
+            };
+            self.metrics.on_leaf_news(direction, 1);
+        }
     }
 
     /// Takes in what another daemon says of leafs.
@@ -185,8 +184,7 @@
         self.metrics.on_leaf_news(NewsDirection::Heard, news.len());
         let leafs = self.leafs.borrow();
         for word in news {
-            let (LeafNews::Silent { leaf, .. } | LeafNews::Answering { leaf }) = word;
-            if let Some(leaf) = leafs.get(leaf) {
+            if let Some(leaf) = leafs.get(word.leaf()) {
                 leaf.on_news(word);
             }
         }
--- a/crates/tansylead-route/src/leaf_news.rs
+++ b/crates/tansylead-route/src/leaf_news.rs
@@ -1,4 +1,4 @@
-//! What daemons of a region tell one another about leafs that fall silent.
+//! What daemons of a region tell one another about leafs that fall silent or are slow.
 //!
 //! A leaf that pauses answers nobody. The first daemon whose request is overdue tells the others, so
 //! that their new requests go elsewhere at once instead of finding out one by one; when its request
@@ -28,6 +28,22 @@
         /// The leaf.
         leaf: LeafId,
     },
+    /// It takes longer than others.
+    Slow {
+        /// The leaf.
+        leaf: LeafId,
+        /// How much longer than typical, in hundredths: 100 is average.
+        percent: u32,
+    },
+}
+
+impl LeafNews {
+    /// The leaf concerned.
+    pub fn leaf(&self) -> &LeafId {
+        match self {
+            Self::Silent { leaf, .. } | Self::Answering { leaf } | Self::Slow { leaf, .. } => leaf,
+        }
+    }
 }
 
 /// What is remembered of the words about one leaf.
--- a/crates/tansylead-route/src/slowness.rs
+++ b/crates/tansylead-route/src/slowness.rs
@@ -2,13 +2,16 @@
 //!
 //! A short pause makes the answers late that were under way, all at once; it says nothing about
 //! later requests. A leaf whose next answer is late too, to a request sent after the late one, is
-//! slow, and each further request to find out how slow would be late as well.
+//! slow, and each further request to find out how slow would be late as well. So a daemon that finds
+//! out tells others of its region, and they keep away without trying for themselves.
 
 use std::time::Duration;
 use tansylead_types::Moment;
 
 /// Weight of a new sample.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// A timely answer shows that a leaf is no slower than this: later ones count as late.
+const TIMELY_FACTOR: f64 = 2.2;
 /// Slowness is forgotten after so many usual gaps between requests without an answer: one request
 /// in so many finds out whether the leaf is still slow.
 const FORGOTTEN_GAPS: u32 = 8;
@@ -21,6 +24,8 @@
 pub struct Slowness {
     factor: f64,
     answered_at: Moment,
+    /// When something was last learned of the factor, from an answer or from another daemon.
+    learned_at: Moment,
     /// When the last late answer came, if no timely one came since.
     late_at: Option<Moment>,
 }
@@ -30,6 +35,7 @@
         Self {
             factor: 1.0,
             answered_at: Moment::default(),
+            learned_at: Moment::default(),
             late_at: None,
         }
     }
@@ -41,20 +47,34 @@
         self.answered_at
     }
 
-    /// Notes an answer in time that took `ratio` times what is typical.
-    pub fn on_timely(&mut self, now: Moment, ratio: f64) {
+    /// Notes an answer in time that took `ratio` times what is typical. Returns whether this shows
+    /// that a leaf thought to be slow is not.
+    pub fn on_timely(&mut self, now: Moment, ratio: f64) -> bool {
+        let was_slow = self.factor > TIMELY_FACTOR;
         self.answered_at = now;
+        self.learned_at = now;
         self.late_at = None;
+        self.factor = self.factor.min(TIMELY_FACTOR);
         self.add(ratio);
+        was_slow
     }
 
-    /// Notes a late answer to a request sent at `sent`.
-    pub fn on_late(&mut self, now: Moment, sent: Moment, ratio: f64) {
+    /// Notes a late answer to a request sent at `sent`. Returns whether this shows a slow leaf.
+    pub fn on_late(&mut self, now: Moment, sent: Moment, ratio: f64) -> bool {
         self.answered_at = now;
-        if self.late_at.is_some_and(|late_at| sent >= late_at) {
+        self.learned_at = now;
+        let is_slow = self.late_at.is_some_and(|late_at| sent >= late_at);
+        if is_slow {
             self.factor = self.factor.max(ratio);
         }
         self.late_at.get_or_insert(now);
+        is_slow
+    }
+
+    /// Takes in another daemon's word that the leaf takes `factor` times what is typical.
+    pub fn on_told(&mut self, now: Moment, factor: f64) {
+        self.factor = factor;
+        self.learned_at = now;
     }
 
     /// Notes that a request waits for `ratio` times what is typical, although others are answered.
@@ -66,7 +86,7 @@
     pub fn factor(&self, now: Moment, usual_gap: Duration) -> f64 {
         let gaps = usual_gap.saturating_mul(FORGOTTEN_GAPS);
         let lifetime = gaps.clamp(SHORTEST_LIFETIME, LONGEST_LIFETIME);
-        let is_fresh = now.since(self.answered_at) < lifetime;
+        let is_fresh = now.since(self.learned_at) < lifetime;
         if is_fresh { self.factor } else { 1.0 }
     }
 
--- a/crates/tansylead-route/tests/leaf_health.rs
+++ b/crates/tansylead-route/tests/leaf_health.rs
@@ -146,3 +146,35 @@
     }
     assert!(slowness.factor(at(2_100), GAP) < 1.1);
 }
+
+#[test]
+fn a_leaf_that_others_found_slow_is_avoided_without_trying() {
+    let mut slowness = Slowness::default();
+    slowness.on_told(at(1_000), 7.0);
+    assert!(slowness.factor(at(1_100), GAP) > 6.0);
+    assert!(slowness.factor(at(8_000), GAP) < 1.5, "forgotten");
+}
+
+#[test]
+fn a_timely_answer_counts_more_than_what_others_said() {
+    let mut slowness = Slowness::default();
+    slowness.on_told(at(1_000), 7.0);
+    assert!(slowness.on_timely(at(1_100), 1.0), "others should be told");
+    assert!(slowness.factor(at(1_110), GAP) < 2.3);
+    assert!(!slowness.on_timely(at(1_200), 1.0));
+}
+
+#[test]
+fn slowness_is_told_once_it_is_known() {
+    let mut slowness = Slowness::default();
+    assert!(!slowness.on_late(at(200), at(0), 7.0), "may be a pause");
+    assert!(slowness.on_late(at(900), at(700), 7.0));
+}
+
+#[test]
+fn words_of_others_are_no_answers_of_the_leaf() {
+    // A leaf that has answered nobody since a request was sent has stopped, whatever is said of it.
+    let mut slowness = Slowness::default();
+    slowness.on_told(at(1_000), 7.0);
+    assert_eq!(slowness.answered_at(), Moment::default());
+}
