Name reports on leafs as such; bound what a report may say

Reading the diff: 'news' and 'words' become reports. A reported slowness is clamped to 1 to 20, so that a wrong one makes a leaf neither attractive nor hopeless (test).

--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -1,6 +1,6 @@
 //! Drives the membership state machine over UDP.
 
-use super::news_codec::NewsCodec;
+use super::report_codec::ReportCodec;
 use super::view::ClusterView;
 use crate::clock::Clock;
 use crate::state::{Gateway, StopPhase};
@@ -27,7 +27,7 @@
     view: Rc<ClusterView>,
     socket: UdpSocket,
     codec: GossipCodec,
-    news_codec: NewsCodec,
+    report_codec: ReportCodec,
     local: LocalMember,
     membership: Membership,
 }
@@ -54,14 +54,14 @@
             caller_address: settings.caller_address,
         };
         let codec = GossipCodec::new(&settings.cluster);
-        let news_codec = NewsCodec::new(&settings.cluster);
+        let report_codec = ReportCodec::new(&settings.cluster);
         let membership = new_membership(&local, &settings.seeds);
         Ok(Self {
             gateway,
             view,
             socket,
             codec,
-            news_codec,
+            report_codec,
             local,
             membership,
         })
@@ -85,7 +85,7 @@
                         self.receive(from, &buffer[..length]);
                     }
                 }
-                () = gateway.news.added() => self.send_news(),
+                () = gateway.reports.added() => self.send_reports(),
                 () = tokio::time::sleep_until(Clock.instant_at(wakeup)) => {
                     self.feed(MembershipEvent::Wakeup);
                 }
@@ -112,10 +112,10 @@
         self.feed(MembershipEvent::MachineList(list));
     }
 
-    /// Tells daemons of the own region the news of leafs.
-    fn send_news(&self) {
-        let datagrams = self.news_codec.encode(&self.gateway.news.take());
-        for peer in self.view.news_peers() {
+    /// Tells daemons of the own region the reports on leafs.
+    fn send_reports(&self) {
+        let datagrams = self.report_codec.encode(&self.gateway.reports.take());
+        for peer in self.view.report_peers() {
             for datagram in &datagrams {
                 // A datagram that cannot be sent now is as good as lost on the way.
                 let _ = self.socket.try_send_to(datagram, peer);
@@ -124,8 +124,8 @@
     }
 
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
-        if let Some(news) = self.news_codec.decode(bytes) {
-            return self.gateway.apply_news(&news);
+        if let Some(reports) = self.report_codec.decode(bytes) {
+            return self.gateway.apply_reports(&reports);
         }
         if let Ok(packet) = self.codec.decode(bytes) {
             let packet = Box::new(packet);
--- a/crates/tansylead-gateway/src/cluster/registration.rs
+++ b/crates/tansylead-gateway/src/cluster/registration.rs
@@ -1,8 +1,7 @@
 //! Finding other daemons when the seeds are down or stale.
 //!
-//! The daemons that watch the source register their peer addresses with it, and so does one that has
-//! not joined the others through its seeds; it then asks the source for the addresses registered
-//! there. That is enough for any daemon to find the others, and spares the source a write for each.
+//! Each daemon registers its peer address with the source once. A daemon that has not joined the
+//! others through its seeds asks the source for the addresses registered there.
 
 use super::view::ClusterView;
 use crate::source::Source;
@@ -10,19 +9,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time for a daemon to join through its seeds, before it looks for others at the source; times a
-/// random factor of 0.5 to 1.5, so that daemons that start together spread out.
-const JOIN_WAIT: Duration = Duration::from_millis(1_500);
+/// Registrations of daemons that start together are spread over this time.
+const SPREAD: Duration = Duration::from_millis(1_500);
 /// Period at which it is looked whether the daemon has joined.
 const PERIOD: Duration = Duration::from_secs(2);
 
 /// Registers this daemon and looks for others, until the task is ended.
 pub async fn find_daemons<S: Source>(gateway: Rc<Gateway>, view: Rc<ClusterView>, source: Rc<S>) {
     let mut registered = false;
-    tokio::time::sleep(JOIN_WAIT.mul_f64(rand::random_range(0.5..1.5))).await;
+    tokio::time::sleep(SPREAD.mul_f64(rand::random())).await;
     loop {
-        let is_looked_for = view.is_watcher() || !view.is_joined();
-        if is_looked_for && !registered {
+        if !registered {
             let result = source.register(gateway.settings.peer_address).await;
             registered = result.is_ok();
         }
--- a/crates/tansylead-gateway/src/cluster/news_codec.rs
+++ b/crates/tansylead-gateway/src/cluster/report_codec.rs
@@ -1,10 +1,10 @@
-//! Datagrams with news of leafs, on the membership's socket: a frame of format and cluster hash
-//! around postcard-encoded news.
+//! Datagrams with reports on leafs, on the membership's socket: a frame of format and cluster hash
+//! around postcard-encoded reports.
 //!
 //! Invariants: encoding yields no more than a datagram holds; decoding arbitrary bytes never panics.
 
 use tansylead_cluster::codec::MAXIMUM_PACKET_BYTES;
-use tansylead_route::LeafNews;
+use tansylead_route::LeafReport;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// First byte of such a datagram; membership's own begin with its protocol version.
@@ -12,13 +12,13 @@
 const HASH_BYTES: usize = 8;
 const HEADER_BYTES: usize = 1 + HASH_BYTES;
 
-/// Encodes and decodes news of one cluster.
+/// Encodes and decodes reports of one cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NewsCodec {
+pub struct ReportCodec {
     cluster_hash: u64,
 }
 
-impl NewsCodec {
+impl ReportCodec {
     /// Codec for the cluster of this name.
     pub fn new(cluster: &str) -> Self {
         Self {
@@ -26,11 +26,11 @@
         }
     }
 
-    /// Datagrams that hold the news; those that fit into none are left out.
-    pub fn encode(&self, news: &[LeafNews]) -> Vec<Vec<u8>> {
+    /// Datagrams that hold the reports; those that fit into none are left out.
+    pub fn encode(&self, reports: &[LeafReport]) -> Vec<Vec<u8>> {
         let mut datagrams: Vec<Vec<u8>> = Vec::new();
-        for word in news {
-            let Ok(bytes) = postcard::to_allocvec(word) else {
+        for report in reports {
+            let Ok(bytes) = postcard::to_allocvec(report) else {
                 continue;
             };
             let has_room =
@@ -48,16 +48,16 @@
         datagrams
     }
 
-    /// The news of a datagram; none if it is of another format or cluster. What cannot be read ends
-    /// the news.
-    pub fn decode(&self, bytes: &[u8]) -> Option<Vec<LeafNews>> {
+    /// The reports of a datagram; none if it is of another format or cluster. What cannot be read ends
+    /// the reports.
+    pub fn decode(&self, bytes: &[u8]) -> Option<Vec<LeafReport>> {
         let mut rest = bytes.strip_prefix(self.header().as_slice())?;
-        let mut news = Vec::new();
-        while let Ok((word, after)) = postcard::take_from_bytes(rest) {
-            news.push(word);
+        let mut reports = Vec::new();
+        while let Ok((report, after)) = postcard::take_from_bytes(rest) {
+            reports.push(report);
             rest = after;
         }
-        Some(news)
+        Some(reports)
     }
 
     fn header(&self) -> Vec<u8> {
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -13,8 +13,8 @@
 /// Daemons of a region for each that watches the source, at most: a watcher passes every change on
 /// to the others, and a large one would fill the link of a small machine.
 const DAEMONS_PER_WATCHER: usize = 8;
-/// Daemons that are told news of leafs, at most: more would cost more than they save.
-const MAXIMUM_NEWS_PEERS: usize = 32;
+/// Daemons that are told reports on leafs, at most: more would cost more than they save.
+const MAXIMUM_REPORT_PEERS: usize = 32;
 
 /// Members as one daemon sees them.
 #[derive(Debug)]
@@ -122,15 +122,15 @@
         addresses
     }
 
-    /// Daemons of the own region to tell news of leafs: all of them, or some by chance if they are
+    /// Daemons of the own region to tell reports on leafs: all of them, or some by chance if they are
     /// many.
-    pub fn news_peers(&self) -> Vec<SocketAddr> {
+    pub fn report_peers(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
         let own_region = members
             .iter()
             .filter(|member| member.place == self.place && member.node() != self.node);
         let peers = own_region.map(|member| member.node().0);
-        peers.sample(&mut rand::rng(), MAXIMUM_NEWS_PEERS)
+        peers.sample(&mut rand::rng(), MAXIMUM_REPORT_PEERS)
     }
 
     /// Whether a peer is known to run in the own region.
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -275,8 +275,8 @@
                 match attempt.sent.get() {
                     Some(sent) => {
                         let delay = attempt.overdue_delay;
-                        let news = attempt.leaf.on_overdue(sent, delay, typical);
-                        self.gateway.tell(news);
+                        let report = attempt.leaf.on_overdue(sent, delay, typical);
+                        self.gateway.report(report);
                     }
                     None => is_stuck_unsent = true,
                 }
@@ -405,8 +405,8 @@
             profile.typical()
         });
         let typical = typical.unwrap_or(Duration::ZERO);
-        let news = attempt.leaf.on_answer(sent, timely, latency, typical);
-        self.gateway.tell(news);
+        let reports = attempt.leaf.on_answer(sent, timely, latency, typical);
+        self.gateway.report(reports);
     }
 }
 
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -8,7 +8,7 @@
 use tansylead_http::HttpConnection;
 use tansylead_route::{
     Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
-    IdlePolicy, LeafEntry, LeafNews, LeafPhase, Listing, RumoredSilence, Slowness, Standing,
+    IdlePolicy, LeafEntry, LeafPhase, LeafReport, Listing, ReportedSilence, Slowness, Standing,
 };
 use tansylead_types::Moment;
 use tokio::sync::Semaphore;
@@ -53,7 +53,7 @@
     idle: RefCell<Vec<IdleConnection>>,
     breaker: RefCell<Breaker>,
     /// What other daemons say of its silence.
-    rumored_silence: Cell<RumoredSilence>,
+    reported_silence: Cell<ReportedSilence>,
     slowness: Cell<Slowness>,
     failures: Cell<FailureRate>,
     connect_backoff: Cell<ConnectBackoff>,
@@ -76,7 +76,7 @@
             is_reserve: Cell::new(share.is_reserve),
             idle: RefCell::new(Vec::new()),
             breaker: RefCell::new(Breaker::default()),
-            rumored_silence: Cell::default(),
+            reported_silence: Cell::default(),
             slowness: Cell::default(),
             failures: Cell::default(),
             connect_backoff: Cell::default(),
@@ -179,29 +179,29 @@
 
     /// Whether the leaf may get a new request, by its breaker and by what other daemons say.
     pub fn verdict(&self, now: Moment) -> BreakerVerdict {
-        if self.rumored_silence.get().is_silent(now) {
+        if self.reported_silence.get().is_silent(now) {
             return BreakerVerdict::Avoid;
         }
         self.breaker.borrow().verdict(now)
     }
 
     /// Takes in what another daemon says of the leaf.
-    pub fn on_news(&self, news: &LeafNews) {
+    pub fn on_report(&self, report: &LeafReport) {
         let now = Clock.now();
-        let mut silence = self.rumored_silence.get();
-        match news {
-            LeafNews::Silent { for_millis, .. } => {
+        let mut silence = self.reported_silence.get();
+        match report {
+            LeafReport::Silent { for_millis, .. } => {
                 let since = now - Duration::from_millis((*for_millis).into());
                 silence.on_silent(now, since, self.slowness.get().answered_at());
             }
-            LeafNews::Answering { .. } => silence.on_answering(),
-            LeafNews::Slow { percent, .. } => {
+            LeafReport::Answering { .. } => silence.on_answering(),
+            LeafReport::Slow { percent, .. } => {
                 let mut slowness = self.slowness.get();
-                slowness.on_told(now, f64::from(*percent) / PERCENT);
+                slowness.on_reported(now, f64::from(*percent) / PERCENT);
                 self.slowness.set(slowness);
             }
         }
-        self.rumored_silence.set(silence);
+        self.reported_silence.set(silence);
     }
 
     /// Counts an attempt as in flight until the guard is dropped.
@@ -229,8 +229,13 @@
     }
 
     /// Notes that an attempt sent at `sent` is overdue. A leaf that has answered others since is
-    /// slow; one that has not has stopped answering. Returns what other daemons should be told.
-    pub fn on_overdue(&self, sent: Moment, delay: Duration, typical: Duration) -> Option<LeafNews> {
+    /// slow; one that has not has stopped answering. Returns a report for other daemons.
+    pub fn on_overdue(
+        &self,
+        sent: Moment,
+        delay: Duration,
+        typical: Duration,
+    ) -> Option<LeafReport> {
         let now = Clock.now();
         let mut slowness = self.slowness.get();
         if slowness.answered_at() > sent {
@@ -241,10 +246,10 @@
         if self.breaker.borrow_mut().on_overdue(now, sent, delay) {
             log::info!(leaf = self.entry().leaf.as_str(), delay_ms = delay.as_millis() as u64; "leaf overdue");
         }
-        let mut silence = self.rumored_silence.get();
-        let is_news = silence.on_found_silent(now);
-        self.rumored_silence.set(silence);
-        is_news.then(|| LeafNews::Silent {
+        let mut silence = self.reported_silence.get();
+        let should_report = silence.on_found_silent(now);
+        self.reported_silence.set(silence);
+        should_report.then(|| LeafReport::Silent {
             leaf: self.entry().leaf.clone(),
             for_millis: u32::try_from(now.since(sent).as_millis()).unwrap_or(u32::MAX),
         })
@@ -294,23 +299,23 @@
         }
     }
 
-    /// Notes an answer that took `latency`, of a kind that typically takes `typical`. Returns what
-    /// other daemons should be told.
+    /// Notes an answer that took `latency`, of a kind that typically takes `typical`. Returns
+    /// reports for other daemons.
     pub fn on_answer(
         &self,
         sent: Moment,
         timely: bool,
         latency: Duration,
         typical: Duration,
-    ) -> Vec<LeafNews> {
+    ) -> Vec<LeafReport> {
         let now = Clock.now();
-        let mut news = Vec::new();
-        let mut silence = self.rumored_silence.get();
+        let mut reports = Vec::new();
+        let mut silence = self.reported_silence.get();
         if silence.on_answer() {
             let leaf = self.entry().leaf.clone();
-            news.push(LeafNews::Answering { leaf });
+            reports.push(LeafReport::Answering { leaf });
         }
-        self.rumored_silence.set(silence);
+        self.reported_silence.set(silence);
         let closed = self.breaker.borrow_mut().on_answer(now, sent, timely);
         if closed {
             log::info!(leaf = self.entry().leaf.as_str(); "leaf sound again");
@@ -325,9 +330,9 @@
         if let Some(factor) = told_factor {
             let leaf = self.entry().leaf.clone();
             let percent = (factor * PERCENT) as u32;
-            news.push(LeafNews::Slow { leaf, percent });
+            reports.push(LeafReport::Slow { leaf, percent });
         }
-        news
+        reports
     }
 
     /// The idle connection that rested least, if that is no longer than `longest_rest` and the leaf
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod log_queue;
 pub mod logging;
 pub mod metrics;
-mod news_queue;
+mod report_queue;
 mod request_log;
 pub mod request_trace;
 pub mod routes_file;
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -58,24 +58,24 @@
     }
 }
 
-/// Which way words about leafs went.
+/// Which way reports on leafs went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NewsDirection {
-    /// This daemon told others.
-    Told,
-    /// Others told this daemon.
-    Heard,
-    /// Not told: too many in a second.
+pub enum ReportDirection {
+    /// To other daemons.
+    Sent,
+    /// From other daemons.
+    Received,
+    /// Not sent: too many in a second.
     Suppressed,
 }
 
-impl NewsDirection {
+impl ReportDirection {
     /// Name, for metrics.
     fn label(self) -> &'static str {
         match self {
-            NewsDirection::Told => "told",
-            NewsDirection::Heard => "heard",
-            NewsDirection::Suppressed => "suppressed",
+            ReportDirection::Sent => "sent",
+            ReportDirection::Received => "received",
+            ReportDirection::Suppressed => "suppressed",
         }
     }
 }
@@ -90,7 +90,7 @@
     attempt_ends: IntCounterVec,
     denied: IntCounterVec,
     source_calls: IntCounterVec,
-    leaf_news: IntCounterVec,
+    leaf_report: IntCounterVec,
     bad_input: IntCounterVec,
     configuration_version: IntGauge,
     configuration_age: Gauge,
@@ -144,10 +144,10 @@
                 "Further attempts that were not started, by reason",
                 &["reason"],
             ),
-            leaf_news: counters(
+            leaf_report: counters(
                 &registry,
-                "tansylead_leaf_news_total",
-                "Words to and from other daemons about silent leafs",
+                "tansylead_leaf_reports_total",
+                "Reports on leafs to and from other daemons",
                 &["direction"],
             ),
             source_calls: counters(
@@ -230,10 +230,10 @@
         self.denied.with_label_values(&[reason]).inc();
     }
 
-    /// Counts words about silent leafs.
-    pub fn on_leaf_news(&self, direction: NewsDirection, words: usize) {
-        let counter = self.leaf_news.with_label_values(&[direction.label()]);
-        counter.inc_by(words as u64);
+    /// Counts reports on leafs.
+    pub fn on_leaf_reports(&self, direction: ReportDirection, reports: usize) {
+        let counter = self.leaf_report.with_label_values(&[direction.label()]);
+        counter.inc_by(reports as u64);
     }
 
     /// Counts a call to the source.
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -5,8 +5,8 @@
 use crate::clock::Clock;
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
-use crate::metrics::{Metrics, NewsDirection};
-use crate::news_queue::NewsQueue;
+use crate::metrics::{Metrics, ReportDirection};
+use crate::report_queue::ReportQueue;
 use crate::request_log::RequestLogLimits;
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, ConnectionShare, DaemonCounts, DirectoryChange, DirectoryDelta, LatencyProfile,
-    LeafDirectory, LeafEntry, LeafNews, Locality, RouteTable, SharedLeaf, WeightedTurns,
+    LeafDirectory, LeafEntry, LeafReport, Locality, RouteTable, SharedLeaf, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -66,8 +66,8 @@
     pub metrics: Metrics,
     /// Limits of the lines of single requests.
     pub(crate) request_log_limits: RequestLogLimits,
-    /// News of leafs for other daemons.
-    pub(crate) news: NewsQueue,
+    /// Reports on leafs that wait to be sent to other daemons.
+    pub(crate) reports: ReportQueue,
     started: Moment,
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
@@ -97,7 +97,7 @@
             names: Rc::new(names),
             metrics: Metrics::new(),
             request_log_limits: RequestLogLimits::default(),
-            news: NewsQueue::default(),
+            reports: ReportQueue::default(),
             started: Clock.now(),
             locality,
             active: RefCell::default(),
@@ -167,25 +167,26 @@
         }
     }
 
-    /// Tells the other daemons of the region words about leafs.
-    pub(crate) fn tell(&self, news: impl IntoIterator<Item = LeafNews>) {
-        for word in news {
-            let direction = if self.news.add(word) {
-                NewsDirection::Told
+    /// Reports on leafs to the other daemons of the region.
+    pub(crate) fn report(&self, reports: impl IntoIterator<Item = LeafReport>) {
+        for report in reports {
+            let direction = if self.reports.add(report) {
+                ReportDirection::Sent
             } else {
-                NewsDirection::Suppressed
+                ReportDirection::Suppressed
             };
-            self.metrics.on_leaf_news(direction, 1);
+            self.metrics.on_leaf_reports(direction, 1);
         }
     }
 
     /// Takes in what another daemon says of leafs.
-    pub fn apply_news(&self, news: &[LeafNews]) {
-        self.metrics.on_leaf_news(NewsDirection::Heard, news.len());
+    pub fn apply_reports(&self, reports: &[LeafReport]) {
+        self.metrics
+            .on_leaf_reports(ReportDirection::Received, reports.len());
         let leafs = self.leafs.borrow();
-        for word in news {
-            if let Some(leaf) = leafs.get(word.leaf()) {
-                leaf.on_news(word);
+        for report in reports {
+            if let Some(leaf) = leafs.get(report.leaf()) {
+                leaf.on_report(report);
             }
         }
     }
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -9,7 +9,7 @@
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
     BreakerVerdict, CallerLimits, Configuration, DaemonCounts, DirectoryChange, DirectoryDelta,
-    LeafEntry, LeafNews, LeafPhase, Revision, Service,
+    LeafEntry, LeafPhase, LeafReport, Revision, Service,
 };
 use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
 
@@ -191,19 +191,19 @@
 fn a_leaf_that_another_daemon_says_is_silent_is_avoided_until_it_answers() {
     let gateway = gateway();
     let leaf = LeafId::new("leaf").expect("valid name");
-    gateway.apply_news(&[LeafNews::Silent {
+    gateway.apply_reports(&[LeafReport::Silent {
         leaf: leaf.clone(),
         for_millis: 60,
     }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Avoid);
-    gateway.apply_news(&[LeafNews::Answering { leaf }]);
+    gateway.apply_reports(&[LeafReport::Answering { leaf }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
 }
 
 #[test]
-fn words_about_unknown_leafs_change_nothing() {
+fn reports_on_unknown_leafs_change_nothing() {
     let gateway = gateway();
     let leaf = LeafId::new("another").expect("valid name");
-    gateway.apply_news(&[LeafNews::Answering { leaf }]);
+    gateway.apply_reports(&[LeafReport::Answering { leaf }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
 }
--- a/crates/tansylead-gateway/tests/leaf_news.rs
+++ b/crates/tansylead-gateway/tests/leaf_reports.rs
@@ -1,47 +1,47 @@
 //! Words about silent leafs between daemons: their datagrams, and what a daemon makes of them.
 
 use proptest::prelude::*;
-use tansylead_gateway::cluster::NewsCodec;
-use tansylead_route::LeafNews;
+use tansylead_gateway::cluster::ReportCodec;
+use tansylead_route::LeafReport;
 use tansylead_types::LeafId;
 
-fn silent(number: usize) -> LeafNews {
-    LeafNews::Silent {
+fn silent(number: usize) -> LeafReport {
+    LeafReport::Silent {
         leaf: LeafId::new(format!("i-{number:010}")).expect("valid name"),
         for_millis: 60,
     }
 }
 
-fn answering(number: usize) -> LeafNews {
-    LeafNews::Answering {
+fn answering(number: usize) -> LeafReport {
+    LeafReport::Answering {
         leaf: LeafId::new(format!("i-{number:010}")).expect("valid name"),
     }
 }
 
 #[test]
 fn many_words_travel_in_few_datagrams() {
-    let codec = NewsCodec::new("cluster");
-    let news: Vec<LeafNews> = (0..200)
+    let codec = ReportCodec::new("cluster");
+    let reports: Vec<LeafReport> = (0..200)
         .flat_map(|number| [silent(number), answering(number)])
         .collect();
-    let datagrams = codec.encode(&news);
+    let datagrams = codec.encode(&reports);
     assert!(datagrams.len() > 1);
     assert!(datagrams.iter().all(|datagram| datagram.len() <= 1_200));
     let read = datagrams
         .iter()
         .filter_map(|datagram| codec.decode(datagram));
-    assert_eq!(read.flatten().collect::<Vec<_>>(), news);
+    assert_eq!(read.flatten().collect::<Vec<_>>(), reports);
 }
 
 #[test]
-fn words_of_another_cluster_are_not_heeded() {
-    let datagrams = NewsCodec::new("other").encode(&[silent(1)]);
-    assert_eq!(NewsCodec::new("cluster").decode(&datagrams[0]), None);
+fn reports_of_another_cluster_are_not_heeded() {
+    let datagrams = ReportCodec::new("other").encode(&[silent(1)]);
+    assert_eq!(ReportCodec::new("cluster").decode(&datagrams[0]), None);
 }
 
 #[test]
 fn a_datagram_that_was_cut_gives_the_whole_words_before_the_cut() {
-    let codec = NewsCodec::new("cluster");
+    let codec = ReportCodec::new("cluster");
     let datagrams = codec.encode(&[silent(1), silent(2)]);
     let cut = &datagrams[0][..datagrams[0].len() - 1];
     assert_eq!(codec.decode(cut), Some(vec![silent(1)]));
@@ -50,10 +50,10 @@
 proptest! {
     #[test]
     fn no_bytes_make_decoding_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let codec = NewsCodec::new("cluster");
+        let codec = ReportCodec::new("cluster");
         let _ = codec.decode(&bytes);
         let mut framed = codec.encode(&[silent(1)]).remove(0);
         framed.extend_from_slice(&bytes);
-        prop_assert!(codec.decode(&framed).is_some_and(|news| news[0] == silent(1)));
+        prop_assert!(codec.decode(&framed).is_some_and(|reports| reports[0] == silent(1)));
     }
 }
--- a/crates/tansylead-route/src/leaf_news.rs
+++ b/crates/tansylead-route/src/leaf_report.rs
@@ -2,20 +2,20 @@
 //!
 //! A leaf that pauses answers nobody. The first daemon whose request is overdue tells the others, so
 //! that their new requests go elsewhere at once instead of finding out one by one; when its request
-//! is answered it tells that too. A word is only ever a hint: it loses against what a daemon has
+//! is answered it tells that too. A report is only ever a hint: it loses against what a daemon has
 //! seen itself, and it is forgotten soon, so that a lost, late or wrong one does little harm.
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tansylead_types::{LeafId, Moment};
 
-/// A word of silence is forgotten after this time, unless it is said again: longer than ordinary
+/// A report of silence is forgotten after this time, unless it is said again: longer than ordinary
 /// pauses, shorter than the time in which the entry of a dead leaf lapses.
 const LIFETIME: Duration = Duration::from_millis(500);
 
-/// One word about a leaf.
+/// One report about a leaf.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LeafNews {
+pub enum LeafReport {
     /// It has answered nothing.
     Silent {
         /// The leaf.
@@ -37,7 +37,7 @@
     },
 }
 
-impl LeafNews {
+impl LeafReport {
     /// The leaf concerned.
     pub fn leaf(&self) -> &LeafId {
         match self {
@@ -46,22 +46,22 @@
     }
 }
 
-/// What is remembered of the words about one leaf.
+/// What is remembered of the reports about one leaf.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct RumoredSilence {
+pub struct ReportedSilence {
     /// Others say that the leaf is silent; it counts as such until then.
     until: Moment,
     /// This daemon has told the others, and has not told them yet that the leaf answers.
     has_told: bool,
 }
 
-impl RumoredSilence {
+impl ReportedSilence {
     /// Whether others say that the leaf is silent.
     pub fn is_silent(&self, now: Moment) -> bool {
         now < self.until
     }
 
-    /// Takes in a word that the leaf has been silent since a moment. It counts for nothing if the
+    /// Takes in a report that the leaf has been silent since a moment. It counts for nothing if the
     /// leaf has answered this daemon at `answered_at`, which is later.
     pub fn on_silent(&mut self, now: Moment, since: Moment, answered_at: Moment) {
         if answered_at <= since {
@@ -78,7 +78,7 @@
         is_news
     }
 
-    /// Takes in a word that the leaf answers again.
+    /// Takes in a report that the leaf answers again.
     pub fn on_answering(&mut self) {
         self.until = Moment::default();
     }
--- a/crates/tansylead-route/src/slowness.rs
+++ b/crates/tansylead-route/src/slowness.rs
@@ -12,6 +12,8 @@
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// A timely answer shows that a leaf is no slower than this: later ones count as late.
 const TIMELY_FACTOR: f64 = 2.2;
+/// Largest factor that another daemon is believed.
+const LARGEST_REPORTED: f64 = 20.0;
 /// Slowness is forgotten after so many usual gaps between requests without an answer: one request
 /// in so many finds out whether the leaf is still slow.
 const FORGOTTEN_GAPS: u32 = 8;
@@ -71,9 +73,9 @@
         is_slow
     }
 
-    /// Takes in another daemon's word that the leaf takes `factor` times what is typical.
-    pub fn on_told(&mut self, now: Moment, factor: f64) {
-        self.factor = factor;
+    /// Takes in another daemon's report that the leaf takes `factor` times what is typical.
+    pub fn on_reported(&mut self, now: Moment, factor: f64) {
+        self.factor = factor.clamp(1.0, LARGEST_REPORTED);
         self.learned_at = now;
     }
 
--- a/crates/tansylead-route/tests/leaf_health.rs
+++ b/crates/tansylead-route/tests/leaf_health.rs
@@ -150,7 +150,7 @@
 #[test]
 fn a_leaf_that_others_found_slow_is_avoided_without_trying() {
     let mut slowness = Slowness::default();
-    slowness.on_told(at(1_000), 7.0);
+    slowness.on_reported(at(1_000), 7.0);
     assert!(slowness.factor(at(1_100), GAP) > 6.0);
     assert!(slowness.factor(at(8_000), GAP) < 1.5, "forgotten");
 }
@@ -158,7 +158,7 @@
 #[test]
 fn a_timely_answer_counts_more_than_what_others_said() {
     let mut slowness = Slowness::default();
-    slowness.on_told(at(1_000), 7.0);
+    slowness.on_reported(at(1_000), 7.0);
     assert!(slowness.on_timely(at(1_100), 1.0), "others should be told");
     assert!(slowness.factor(at(1_110), GAP) < 2.3);
     assert!(!slowness.on_timely(at(1_200), 1.0));
@@ -172,9 +172,19 @@
 }
 
 #[test]
-fn words_of_others_are_no_answers_of_the_leaf() {
+fn reports_of_others_are_no_answers_of_the_leaf() {
     // A leaf that has answered nobody since a request was sent has stopped, whatever is said of it.
     let mut slowness = Slowness::default();
-    slowness.on_told(at(1_000), 7.0);
+    slowness.on_reported(at(1_000), 7.0);
     assert_eq!(slowness.answered_at(), Moment::default());
 }
+
+#[test]
+fn a_wrong_report_makes_a_leaf_neither_attractive_nor_hopeless() {
+    for factor in [0.0, 1e9] {
+        let mut slowness = Slowness::default();
+        slowness.on_reported(at(1_000), factor);
+        let believed = slowness.factor(at(1_001), GAP);
+        assert!((1.0..=20.0).contains(&believed), "{believed}");
+    }
+}
--- a/crates/tansylead-route/tests/leaf_news.rs
+++ b/crates/tansylead-route/tests/leaf_report.rs
@@ -2,10 +2,10 @@
 
 use proptest::prelude::*;
 use std::time::Duration;
-use tansylead_route::RumoredSilence;
+use tansylead_route::ReportedSilence;
 use tansylead_types::Moment;
 
-/// The longest that a word may keep requests away without being said again.
+/// The longest that a report may keep requests away without being said again.
 const LONGEST_EFFECT: Duration = Duration::from_millis(500);
 
 fn at(millis: u64) -> Moment {
@@ -14,7 +14,7 @@
 
 #[test]
 fn a_word_of_silence_holds_until_the_leaf_is_said_to_answer() {
-    let mut silence = RumoredSilence::default();
+    let mut silence = ReportedSilence::default();
     silence.on_silent(at(1_000), at(940), at(900));
     assert!(silence.is_silent(at(1_100)));
     silence.on_answering();
@@ -23,7 +23,7 @@
 
 #[test]
 fn own_answers_count_more_than_words() {
-    let mut silence = RumoredSilence::default();
+    let mut silence = ReportedSilence::default();
     silence.on_silent(at(1_000), at(940), at(950));
     assert!(!silence.is_silent(at(1_000)), "it has answered since");
     silence.on_silent(at(1_000), at(940), at(900));
@@ -33,11 +33,11 @@
 
 #[test]
 fn a_silence_is_told_once_and_its_end_by_who_told_it() {
-    let mut teller = RumoredSilence::default();
+    let mut teller = ReportedSilence::default();
     assert!(teller.on_found_silent(at(1_000)));
     assert!(teller.on_answer());
     assert!(!teller.on_answer());
-    let mut hearer = RumoredSilence::default();
+    let mut hearer = ReportedSilence::default();
     hearer.on_silent(at(1_001), at(940), at(0));
     assert!(!hearer.on_found_silent(at(1_010)));
     assert!(!hearer.on_answer());
@@ -45,12 +45,12 @@
 
 #[test]
 fn who_told_a_silence_tells_it_again_while_it_lasts() {
-    let mut teller = RumoredSilence::default();
+    let mut teller = ReportedSilence::default();
     assert!(teller.on_found_silent(at(1_000)));
     assert!(teller.on_found_silent(at(1_200)));
 }
 
-/// A word, as it may come in any order, late, more than once, or from a daemon that is wrong.
+/// A report, as it may come in any order, late, more than once, or from a daemon that is wrong.
 #[derive(Debug, Clone)]
 enum Step {
     Silent { since_before: u64 },
@@ -73,7 +73,7 @@
     fn whatever_is_said_the_leaf_is_used_again_soon_after_the_last_word(
         steps in proptest::collection::vec((0..400_u64, step()), 1..60),
     ) {
-        let mut silence = RumoredSilence::default();
+        let mut silence = ReportedSilence::default();
         let mut now = at(20_000);
         let mut answered = Moment::default();
         let mut last_word = now;
