Judge a key that two daemons carry at once by both of its sendings

Traced by the record it prints: key demo-post-10 was sent through two daemons at once; the second sending claimed the key first and got the whole answer (77 ms), the first was told 'a request with this key is in progress' (81 ms, outcome unknown), as promised; the key ran once. The test took it for granted that the first sending wins. Change: one of the sendings must be answered whole, and the other (which was not looked at before) must be answered whole or told so; a key sent once must be answered whole, as before.

--- a/crates/tansylead-lab/tests/process_stops/posts.rs
+++ b/crates/tansylead-lab/tests/process_stops/posts.rs
@@ -2,7 +2,7 @@
 
 use crate::common::{HANG_LIMIT, Rates, finish, more_queries, plan, start};
 use std::time::Duration;
-use tansylead_lab::caller::{CallerReply, Traffic, Violation};
+use tansylead_lab::caller::{CallerReply, QueryRecord, Traffic, Violation};
 use tansylead_lab::store::{OutageMode, StoreFaults};
 use tansylead_types::Outcome;
 
@@ -79,8 +79,7 @@
         .filter(|record| record.due < FAULT_FREE);
     assert!(before_faults.clone().count() > 0);
     for record in before_faults {
-        let outcome = record.asked.reply().map(CallerReply::outcome);
-        assert_eq!(outcome, Some(Outcome::Complete), "{record:#?}");
+        assert_complete_once(record);
     }
     let broken: Vec<&Violation> = outcomes
         .violations
@@ -89,3 +88,16 @@
         .collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// A key that is sent through two daemons at once runs for the one that claims it first; the other
+/// is told that the request is in progress, or gets the same answer.
+fn assert_complete_once(record: &QueryRecord) {
+    let askings = std::iter::once(&record.asked).chain(&record.repeated);
+    let outcomes: Vec<Option<Outcome>> = askings
+        .map(|asked| asked.reply().map(CallerReply::outcome))
+        .collect();
+    assert!(outcomes.contains(&Some(Outcome::Complete)), "{record:#?}");
+    let is_told =
+        |outcome: &Option<Outcome>| matches!(outcome, Some(Outcome::Complete | Outcome::Unknown));
+    assert!(outcomes.iter().all(is_told), "{record:#?}");
+}
