Share the frame of datagrams between membership and reports

Found on the last read: report_codec.rs wrote the frame of tansylead-cluster's codec (version byte and cluster hash) anew, and allocated it for each datagram received, membership's own included. PacketFrame now serves both. The bytes are the same.

--- a/crates/tansylead-cluster/src/codec.rs
+++ b/crates/tansylead-cluster/src/codec.rs
@@ -20,6 +20,48 @@
 /// Bytes of the frame in front of the packet contents.
 pub const FRAME_HEADER_BYTES: usize = VERSION_BYTES + CLUSTER_HASH_BYTES;
 
+/// The frame in front of the contents of every packet: protocol version and cluster hash. Packets
+/// of several kinds share a socket under different versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PacketFrame {
+    version: u8,
+    cluster_hash: u64,
+}
+
+impl PacketFrame {
+    /// The frame of packets of this version within the cluster of this name.
+    pub fn new(version: u8, cluster: &str) -> Self {
+        Self {
+            version,
+            cluster_hash: xxh3_64(cluster.as_bytes()),
+        }
+    }
+
+    /// A packet without contents, with room for the longest.
+    pub fn begin(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(MAXIMUM_PACKET_BYTES);
+        bytes.push(self.version);
+        bytes.extend_from_slice(&self.cluster_hash.to_le_bytes());
+        bytes
+    }
+
+    /// The contents of a packet with this frame.
+    pub fn contents<'a>(&self, bytes: &'a [u8]) -> Result<&'a [u8], PacketError> {
+        let truncated = PacketError::Truncated { bytes: bytes.len() };
+        let (version, rest) = bytes.split_first().ok_or_else(|| truncated.clone())?;
+        if *version != self.version {
+            return Err(PacketError::ForeignVersion { version: *version });
+        }
+        let (cluster_hash, contents) = rest
+            .split_first_chunk::<CLUSTER_HASH_BYTES>()
+            .ok_or(truncated)?;
+        if u64::from_le_bytes(*cluster_hash) != self.cluster_hash {
+            return Err(PacketError::ForeignCluster);
+        }
+        Ok(contents)
+    }
+}
+
 /// Why bytes were not accepted as a packet, or a packet could not be encoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PacketError {
@@ -75,24 +117,23 @@
 /// Encodes and decodes the packets of one cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GossipCodec {
-    cluster_hash: u64,
+    frame: PacketFrame,
 }
 
 impl GossipCodec {
     /// Codec for the cluster of this name.
     pub fn new(cluster: &str) -> Self {
         Self {
-            cluster_hash: xxh3_64(cluster.as_bytes()),
+            frame: PacketFrame::new(PROTOCOL_VERSION, cluster),
         }
     }
 
     /// Bytes of a packet, frame included.
     pub fn encode(&self, packet: &GossipPacket) -> Result<Vec<u8>, PacketError> {
-        let mut bytes = Vec::with_capacity(MAXIMUM_PACKET_BYTES);
-        bytes.push(PROTOCOL_VERSION);
-        bytes.extend_from_slice(&self.cluster_hash.to_le_bytes());
-        let bytes = postcard::to_extend(packet, bytes).map_err(|error| PacketError::Malformed {
-            cause: error.to_string(),
+        let bytes = postcard::to_extend(packet, self.frame.begin()).map_err(|error| {
+            PacketError::Malformed {
+                cause: error.to_string(),
+            }
         })?;
         if bytes.len() > MAXIMUM_PACKET_BYTES {
             return Err(PacketError::TooLong { bytes: bytes.len() });
@@ -105,7 +146,7 @@
         if bytes.len() > MAXIMUM_PACKET_BYTES {
             return Err(PacketError::TooLong { bytes: bytes.len() });
         }
-        let contents = self.checked_contents(bytes)?;
+        let contents = self.frame.contents(bytes)?;
         let (packet, rest) =
             postcard::take_from_bytes(contents).map_err(|error| PacketError::Malformed {
                 cause: error.to_string(),
@@ -115,19 +156,4 @@
         }
         Ok(packet)
     }
-
-    fn checked_contents<'a>(&self, bytes: &'a [u8]) -> Result<&'a [u8], PacketError> {
-        let truncated = PacketError::Truncated { bytes: bytes.len() };
-        let (version, rest) = bytes.split_first().ok_or_else(|| truncated.clone())?;
-        if *version != PROTOCOL_VERSION {
-            return Err(PacketError::ForeignVersion { version: *version });
-        }
-        let (cluster_hash, contents) = rest
-            .split_first_chunk::<CLUSTER_HASH_BYTES>()
-            .ok_or(truncated)?;
-        if u64::from_le_bytes(*cluster_hash) != self.cluster_hash {
-            return Err(PacketError::ForeignCluster);
-        }
-        Ok(contents)
-    }
 }
--- a/crates/tansylead-gateway/src/cluster/report_codec.rs
+++ b/crates/tansylead-gateway/src/cluster/report_codec.rs
@@ -1,28 +1,25 @@
-//! Datagrams with reports on leafs, on the membership's socket: a frame of format and cluster hash
-//! around postcard-encoded reports.
+//! Datagrams with reports on leafs, on the membership's socket: membership's frame, under a version
+//! of their own, around postcard-encoded reports.
 //!
 //! Invariants: encoding yields no more than a datagram holds; decoding arbitrary bytes never panics.
 
-use tansylead_cluster::codec::MAXIMUM_PACKET_BYTES;
+use tansylead_cluster::codec::{FRAME_HEADER_BYTES, MAXIMUM_PACKET_BYTES, PacketFrame};
 use tansylead_route::LeafReport;
-use xxhash_rust::xxh3::xxh3_64;
 
-/// First byte of such a datagram; membership's own begin with its protocol version.
-const FORMAT: u8 = 0x81;
-const HASH_BYTES: usize = 8;
-const HEADER_BYTES: usize = 1 + HASH_BYTES;
+/// Version of such datagrams; membership's own have another.
+const VERSION: u8 = 0x81;
 
 /// Encodes and decodes reports of one cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportCodec {
-    cluster_hash: u64,
+    frame: PacketFrame,
 }
 
 impl ReportCodec {
     /// Codec for the cluster of this name.
     pub fn new(cluster: &str) -> Self {
         Self {
-            cluster_hash: xxh3_64(cluster.as_bytes()),
+            frame: PacketFrame::new(VERSION, cluster),
         }
     }
 
@@ -33,25 +30,27 @@
             let Ok(bytes) = postcard::to_allocvec(report) else {
                 continue;
             };
+            if FRAME_HEADER_BYTES + bytes.len() > MAXIMUM_PACKET_BYTES {
+                continue;
+            }
             let has_room =
-                |datagram: &&mut Vec<u8>| datagram.len() + bytes.len() <= MAXIMUM_PACKET_BYTES;
-            match datagrams.last_mut().filter(has_room) {
+                |datagram: &Vec<u8>| datagram.len() + bytes.len() <= MAXIMUM_PACKET_BYTES;
+            match datagrams.last_mut().filter(|datagram| has_room(datagram)) {
                 Some(datagram) => datagram.extend_from_slice(&bytes),
-                None if HEADER_BYTES + bytes.len() <= MAXIMUM_PACKET_BYTES => {
-                    let mut datagram = self.header();
+                None => {
+                    let mut datagram = self.frame.begin();
                     datagram.extend_from_slice(&bytes);
                     datagrams.push(datagram);
                 }
-                None => {}
             }
         }
         datagrams
     }
 
-    /// The reports of a datagram; none if it is of another format or cluster. What cannot be read ends
-    /// the reports.
+    /// The reports of a datagram; none if it is of another kind or cluster. What cannot be read
+    /// ends the reports.
     pub fn decode(&self, bytes: &[u8]) -> Option<Vec<LeafReport>> {
-        let mut rest = bytes.strip_prefix(self.header().as_slice())?;
+        let mut rest = self.frame.contents(bytes).ok()?;
         let mut reports = Vec::new();
         while let Ok((report, after)) = postcard::take_from_bytes(rest) {
             reports.push(report);
@@ -59,11 +58,4 @@
         }
         Some(reports)
     }
-
-    fn header(&self) -> Vec<u8> {
-        let mut header = Vec::with_capacity(HEADER_BYTES);
-        header.push(FORMAT);
-        header.extend_from_slice(&self.cluster_hash.to_le_bytes());
-        header
-    }
 }
