Ask whether a service has leafs only when a request failed

Found on the last read: each forwarded request looked through the leafs of its service for a time to come back that only a refusal needs. Now it is asked for with the refusal.

--- a/crates/tansylead-gateway/src/execution/forward.rs
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -3,20 +3,25 @@
 use super::call::{Call, CallEnd, CallFailure};
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::headers::remove_connection_headers;
+use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::Reply;
 use tansylead_route::{retry_after_outage, retry_after_refusal};
 
 /// Runs a request to one service. `time_left` is how long the caller waits.
 pub async fn forward(call: Call, time_left: Duration) -> Outcome {
-    let retry_after = if call.service.has_leafs() {
-        retry_after_refusal(call.route.policy.objective)
-    } else {
-        retry_after_outage(time_left)
-    };
+    let service = Rc::clone(&call.service);
+    let objective = call.route.policy.objective;
     match call.run().await {
         CallEnd::Answered(reply) => pass_on(reply),
-        CallEnd::Failed(failure) => refuse(failure, retry_after),
+        CallEnd::Failed(failure) => {
+            let retry_after = if service.has_leafs() {
+                retry_after_refusal(objective)
+            } else {
+                retry_after_outage(time_left)
+            };
+            refuse(failure, retry_after)
+        }
     }
 }
 
