--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -89,16 +89,10 @@
         let mut reads = FuturesUnordered::new();
         while !self.is_known() {
             reads.push(source.read(self.topic, Freshness::Cached));
-            let next_read = tokio::time::sleep(pace.next_wait(rand::random()));
-            tokio::pin!(next_read);
-            loop {
-                tokio::select! {
-                    Some(read) = reads.next() => if let Ok(update) = read {
-                        self.position = Some(update.at);
-                        return self.apply(update);
-                    },
-                    () = &mut next_read => break,
-                }
+            let wait = pace.next_wait(rand::random());
+            if let Ok(update) = tokio::time::timeout(wait, first_answer(&mut reads)).await {
+                self.position = Some(update.at);
+                return self.apply(update);
             }
         }
     }
@@ -209,6 +203,18 @@
     }
 }
 
+/// The first update that any of the reads gives; waits for ever if all of them fail.
+async fn first_answer(
+    reads: &mut FuturesUnordered<impl Future<Output = Result<SourceUpdate, SourceError>>>,
+) -> SourceUpdate {
+    while let Some(read) = reads.next().await {
+        if let Ok(update) = read {
+            return update;
+        }
+    }
+    std::future::pending().await
+}
+
 fn jittered(wait: Duration) -> Duration {
     wait.mul_f64(rand::random_range(0.5..1.5))
 }
