--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
-use tansylead_route::Standing;
+use tansylead_route::{SHORTEST_FORGOTTEN_REST, Standing};
 use tansylead_types::{Moment, StepError};
 
 /// Longest answer that is taken from a leaf, in bytes.
@@ -23,9 +23,6 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(100);
 /// A connection to a leaf that falls silent ends after this time.
 const LEAF_SILENCE: Duration = Duration::from_secs(8);
-/// A request that may not be repeated goes only over a connection that has rested no longer: leafs
-/// may forget connections at rest, and what is lost with one may have run.
-const UNREPEATABLE_REST: Duration = Duration::from_millis(250);
 /// Bytes of the read buffer of a connection: a small answer with its headers.
 const READ_BUFFER_BYTES: usize = 2 * 1024;
 
@@ -122,10 +119,11 @@
     request: &OutgoingRequest,
     connect_limit: Duration,
 ) -> Result<LeafConnection, StepError> {
+    // What is lost with a forgotten connection may have run.
     let longest_rest = if request.repeatable {
         Duration::MAX
     } else {
-        UNREPEATABLE_REST
+        SHORTEST_FORGOTTEN_REST
     };
     while let Some(mut idle) = leaf.take_idle(longest_rest) {
         if idle.connection.is_ready() || idle.connection.is_usable().await {
--- a/crates/tansylead-route/src/idle_policy.rs
+++ b/crates/tansylead-route/src/idle_policy.rs
@@ -18,8 +18,9 @@
 const GAP_WEIGHT: f64 = 0.2;
 /// Share of a rest that proved too long that is still allowed.
 const FORGOTTEN_SHARE: f64 = 0.5;
-/// No leaf forgets a connection after a shorter rest: what is lost on one is a lost answer.
-const SHORTEST_FORGOTTEN: Duration = Duration::from_millis(250);
+/// No leaf forgets a connection after a shorter rest: what is lost on one is a lost answer, and what
+/// may not be repeated goes over no other.
+pub const SHORTEST_FORGOTTEN_REST: Duration = Duration::from_millis(250);
 /// For so long a rest that proved too long is remembered.
 const FORGOTTEN_MEMORY: Duration = Duration::from_secs(10);
 
@@ -56,7 +57,7 @@
 
     /// Notes that a connection was reset when it was used after resting for `rested`.
     pub fn on_forgotten(&mut self, now: Moment, rested: Duration) {
-        if rested < SHORTEST_FORGOTTEN {
+        if rested < SHORTEST_FORGOTTEN_REST {
             return;
         }
         let limit = rested.mul_f64(FORGOTTEN_SHARE);
--- a/crates/tansylead-route/src/latency.rs
+++ b/crates/tansylead-route/src/latency.rs
@@ -18,7 +18,7 @@
 const QUANTILE: f64 = 0.75;
 /// An answer is overdue after the learned quantile times this: beyond 99 in 100 for latencies
 /// whose logarithms spread by up to 0.5.
-const OVERDUE_FACTOR: f64 = 2.2;
+pub(crate) const OVERDUE_FACTOR: f64 = 2.2;
 
 /// Latencies of one kind of request, without the time on the way.
 #[derive(Debug, Clone)]
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -36,7 +36,7 @@
 pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory, Revision};
 pub use failure_rate::FailureRate;
 pub use first_read_pace::FirstReadPace;
-pub use idle_policy::IdlePolicy;
+pub use idle_policy::{IdlePolicy, SHORTEST_FORGOTTEN_REST};
 pub use latency::LatencyProfile;
 pub use leaf::{Distance, LeafEntry, LeafPhase, Locality};
 pub use leaf_choice::{Candidate, choose_leaf};
--- a/crates/tansylead-route/src/slowness.rs
+++ b/crates/tansylead-route/src/slowness.rs
@@ -5,13 +5,12 @@
 //! slow, and each further request to find out how slow would be late as well. So a daemon that finds
 //! out tells others of its region, and they keep away without trying for themselves.
 
+use crate::latency::OVERDUE_FACTOR;
 use std::time::Duration;
 use tansylead_types::Moment;
 
 /// Weight of a new sample.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// A timely answer shows that a leaf is no slower than this: later ones count as late.
-const TIMELY_FACTOR: f64 = 2.2;
 /// Largest factor that another daemon is believed.
 const LARGEST_REPORTED: f64 = 20.0;
 /// Slowness is forgotten after so many usual gaps between requests without an answer: one request
@@ -52,11 +51,12 @@
     /// Notes an answer in time that took `ratio` times what is typical. Returns whether this shows
     /// that a leaf thought to be slow is not.
     pub fn on_timely(&mut self, now: Moment, ratio: f64) -> bool {
-        let was_slow = self.factor > TIMELY_FACTOR;
+        let was_slow = self.factor > OVERDUE_FACTOR;
         self.answered_at = now;
         self.learned_at = now;
         self.late_at = None;
-        self.factor = self.factor.min(TIMELY_FACTOR);
+        // A leaf that takes longer would have been late.
+        self.factor = self.factor.min(OVERDUE_FACTOR);
         self.add(ratio);
         was_slow
     }
