Bound lines and reports by one counter of a second; name the trace's count for what it is

Found on the last read: report_queue.rs counted 'so many in this second' as request_log.rs already did. PerSecondLimit serves both. RequestTrace::len needed an is_empty that nothing called; it is count now.

--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod log_queue;
 pub mod logging;
 pub mod metrics;
+mod per_second;
 mod report_queue;
 mod request_log;
 pub mod request_trace;
--- a/crates/tansylead-gateway/src/report_queue.rs
+++ b/crates/tansylead-gateway/src/report_queue.rs
@@ -1,34 +1,38 @@
 //! Reports on leafs that wait to be sent to other daemons. Bounded: what is too much is dropped.
 
 use crate::clock::Clock;
-use std::cell::{Cell, RefCell};
+use crate::per_second::PerSecondLimit;
+use std::cell::RefCell;
 use tansylead_route::LeafReport;
 use tokio::sync::Notify;
 
 /// Reports sent in a second, at most.
 const REPORTS_PER_SECOND: u32 = 50;
-const MICROS_PER_SECOND: u64 = 1_000_000;
 
 /// The queue.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ReportQueue {
     reports: RefCell<Vec<LeafReport>>,
-    second: Cell<u64>,
-    sent: Cell<u32>,
+    limit: PerSecondLimit,
     added: Notify,
 }
 
+impl Default for ReportQueue {
+    fn default() -> Self {
+        Self {
+            reports: RefCell::default(),
+            limit: PerSecondLimit::new(REPORTS_PER_SECOND),
+            added: Notify::new(),
+        }
+    }
+}
+
 impl ReportQueue {
     /// Adds a report. Returns whether it will be sent: not if too many were in this second.
     pub(crate) fn add(&self, report: LeafReport) -> bool {
-        let second = Clock.now().0 / MICROS_PER_SECOND;
-        if self.second.replace(second) != second {
-            self.sent.set(0);
-        }
-        if self.sent.get() >= REPORTS_PER_SECOND {
+        if !self.limit.try_take(Clock.now()) {
             return false;
         }
-        self.sent.set(self.sent.get() + 1);
         self.reports.borrow_mut().push(report);
         self.added.notify_one();
         true
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -10,10 +10,10 @@
 use crate::execution::Outcome;
 use crate::logging::{REQUEST_TARGET, count_suppressed};
 use crate::metrics::Metrics;
+use crate::per_second::PerSecondLimit;
 use crate::request_trace::{Decision, PartWait, RequestTrace, TracedDecision};
 use crate::state::Gateway;
 use hyper::header::HeaderValue;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -26,15 +26,23 @@
 pub const REQUESTS_PER_SECOND: u32 = 20;
 /// Healthy requests written in a second.
 pub const HEALTHY_REQUESTS_PER_SECOND: u32 = 1;
-const MICROS_PER_SECOND: u64 = 1_000_000;
 
 /// Lines written in the present second, by this daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestLogLimits {
-    second: Cell<u64>,
-    whole: Cell<u32>,
-    brief: Cell<u32>,
-    healthy: Cell<u32>,
+    whole: PerSecondLimit,
+    brief: PerSecondLimit,
+    healthy: PerSecondLimit,
+}
+
+impl Default for RequestLogLimits {
+    fn default() -> Self {
+        Self {
+            whole: PerSecondLimit::new(WHOLE_REQUESTS_PER_SECOND),
+            brief: PerSecondLimit::new(REQUESTS_PER_SECOND),
+            healthy: PerSecondLimit::new(HEALTHY_REQUESTS_PER_SECOND),
+        }
+    }
 }
 
 /// How much is written of a request.
@@ -47,30 +55,17 @@
 
 impl RequestLogLimits {
     fn admit(&self, now: Moment, healthy: bool) -> Detail {
-        let second = now.0 / MICROS_PER_SECOND;
-        if self.second.replace(second) != second {
-            self.whole.set(0);
-            self.brief.set(0);
-            self.healthy.set(0);
-        }
-        let take = |used: &Cell<u32>, limit: u32| {
-            let free = used.get() < limit;
-            if free {
-                used.set(used.get() + 1);
-            }
-            free
-        };
         if healthy {
-            return match take(&self.healthy, HEALTHY_REQUESTS_PER_SECOND) {
+            return match self.healthy.try_take(now) {
                 true => Detail::Brief,
                 false => Detail::Nothing,
             };
         }
-        if !take(&self.brief, REQUESTS_PER_SECOND) {
+        if !self.brief.try_take(now) {
             count_suppressed(1);
             return Detail::Nothing;
         }
-        match take(&self.whole, WHOLE_REQUESTS_PER_SECOND) {
+        match self.whole.try_take(now) {
             true => Detail::Whole,
             false => Detail::Brief,
         }
@@ -160,7 +155,7 @@
             took_ms = took.as_millis() as u64,
             unix_seconds = unix_seconds(),
             waits = describe(&self.trace.waits()).as_str(),
-            decisions = self.trace.len();
+            decisions = self.trace.count();
             "request"
         );
     }
--- a/crates/tansylead-gateway/src/request_trace.rs
+++ b/crates/tansylead-gateway/src/request_trace.rs
@@ -282,7 +282,7 @@
     }
 
     /// Number of decisions that are remembered or were left out for their number.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         let healthy = self
             .last_healthy
             .borrow()
@@ -291,11 +291,6 @@
         self.decisions.borrow().len() + healthy + self.omitted.get()
     }
 
-    /// Whether nothing was decided.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Passes the remembered decisions to `visit`, in order for each part.
     pub fn for_each(&self, mut visit: impl FnMut(&TracedDecision)) {
         self.last_healthy
--- a/crates/tansylead-gateway/tests/request_trace.rs
+++ b/crates/tansylead-gateway/tests/request_trace.rs
@@ -106,7 +106,7 @@
     let kept = services(&trace);
     assert_eq!(kept.len(), MAXIMUM_DECISIONS);
     assert_eq!(kept[0], "shard-1");
-    assert_eq!(trace.len(), MAXIMUM_DECISIONS + 1);
+    assert_eq!(trace.count(), MAXIMUM_DECISIONS + 1);
     assert!(trace.waits().contains(&(PartWait::Connection, 1)));
 }
 
