--- a/crates/tansylead-gateway/tests/attempts.rs
+++ b/crates/tansylead-gateway/tests/attempts.rs
@@ -1,5 +1,7 @@
 //! How one attempt at a leaf ends.
 
+mod common;
+
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
@@ -9,8 +11,7 @@
 use std::time::Duration;
 use tansylead_gateway::leaf::{AttemptEnd, LeafState, OutgoingRequest, run_attempt};
 use tansylead_gateway::{Clock, HeaderNames};
-use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafPhase};
-use tansylead_types::{LeafId, ServiceName, ZoneName};
+use tansylead_types::ServiceName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -48,20 +49,8 @@
 }
 
 fn state(address: SocketAddr) -> Rc<LeafState> {
-    let entry = LeafEntry {
-        leaf: LeafId::new("leaf").expect("valid name"),
-        service: ServiceName::new("service").expect("valid name"),
-        address,
-        zone: ZoneName::new("zone").expect("valid name"),
-        slots: 1,
-        phase: LeafPhase::Ready,
-        warmup_left: Duration::ZERO,
-    };
-    let share = ConnectionShare {
-        connections: 1,
-        is_reserve: false,
-    };
-    Rc::new(LeafState::new(entry, Distance::Zone, share))
+    let service = ServiceName::new("service").expect("valid name");
+    common::leaf("leaf", &service, address)
 }
 
 async fn attempt(leaf: &Rc<LeafState>) -> AttemptEnd {
--- /dev/null
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -0,0 +1,32 @@
+//! Leafs for tests.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_gateway::leaf::LeafState;
+use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafPhase};
+use tansylead_types::{LeafId, ServiceName, ZoneName};
+
+/// The entry of a leaf that takes requests.
+pub fn entry(name: &str, service: &ServiceName, address: SocketAddr) -> LeafEntry {
+    LeafEntry {
+        leaf: LeafId::new(name).expect("valid name"),
+        service: service.clone(),
+        address,
+        zone: ZoneName::new("bangkok-a").expect("valid name"),
+        slots: 5,
+        phase: LeafPhase::Ready,
+        warmup_left: Duration::ZERO,
+    }
+}
+
+/// A near leaf of which this daemon may use one connection.
+#[allow(dead_code, reason = "not every test file uses it")]
+pub fn leaf(name: &str, service: &ServiceName, address: SocketAddr) -> Rc<LeafState> {
+    let share = ConnectionShare {
+        connections: 1,
+        is_reserve: false,
+    };
+    let entry = entry(name, service, address);
+    Rc::new(LeafState::new(entry, Distance::Zone, share))
+}
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -1,4 +1,6 @@
-//! How many connections of a leaf a daemon takes for itself.
+//! What a daemon makes of the entries of leafs and of reports on them: connections, use.
+
+mod common;
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -9,9 +11,9 @@
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
     BreakerVerdict, CallerLimits, Configuration, DaemonCounts, DirectoryChange, DirectoryDelta,
-    LeafEntry, LeafPhase, LeafReport, Revision, Service,
+    LeafPhase, LeafReport, Revision, Service,
 };
-use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
+use tansylead_types::{LeafId, PlaceName, ServiceName};
 
 const CAP: u32 = 40;
 
@@ -36,15 +38,7 @@
     });
     gateway.apply_directory(DirectoryDelta::Everything {
         at: Revision(1),
-        entries: vec![LeafEntry {
-            leaf: LeafId::new("leaf").expect("valid name"),
-            service,
-            address: ([127, 0, 0, 1], 1).into(),
-            zone: ZoneName::new("bangkok-a").expect("valid name"),
-            slots: 5,
-            phase: LeafPhase::Ready,
-            warmup_left: Duration::ZERO,
-        }],
+        entries: vec![common::entry("leaf", &service, ([127, 0, 0, 1], 1).into())],
     });
     gateway
 }
--- a/crates/tansylead-gateway/tests/request_trace.rs
+++ b/crates/tansylead-gateway/tests/request_trace.rs
@@ -1,5 +1,7 @@
 //! Which decisions of a request are kept to explain it.
 
+mod common;
+
 use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,8 +10,7 @@
     AttemptEndKind, AttemptReason, Decision, DenialReason, EndCause, MAXIMUM_DECISIONS, PartWait,
     RequestTrace,
 };
-use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafPhase};
-use tansylead_types::{LeafId, ServiceName, ZoneName};
+use tansylead_types::ServiceName;
 
 const OVERDUE: Duration = Duration::from_millis(40);
 
@@ -18,20 +19,8 @@
 }
 
 fn leaf(service: &ServiceName) -> Rc<LeafState> {
-    let entry = LeafEntry {
-        leaf: LeafId::new(format!("leaf-of-{service}")).expect("valid name"),
-        service: service.clone(),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: ZoneName::new("bangkok-a").expect("valid name"),
-        slots: 5,
-        phase: LeafPhase::Ready,
-        warmup_left: Duration::ZERO,
-    };
-    let share = ConnectionShare {
-        connections: 1,
-        is_reserve: false,
-    };
-    Rc::new(LeafState::new(entry, Distance::Zone, share))
+    let name = format!("leaf-of-{service}");
+    common::leaf(&name, service, ([127, 0, 0, 1], 1).into())
 }
 
 fn start(trace: &RequestTrace, service: &ServiceName, reason: AttemptReason) {
