--- a/crates/tansylead-lab/src/deployment/in_force.rs
+++ b/crates/tansylead-lab/src/deployment/in_force.rs
@@ -67,12 +67,6 @@
 }
 
 impl RunningDeployment {
-    /// Waits until all daemons have a store revision in force.
-    pub async fn wait_in_force(&self, revision: u64, limit: Duration) -> eyre::Result<()> {
-        self.wait_for_status(limit, |status| status.revision >= revision)
-            .await
-    }
-
     /// Waits until all daemons hold a claim view with that many members.
     pub async fn wait_claim_view(&self, members: usize, limit: Duration) -> eyre::Result<()> {
         self.wait_for_status(limit, |status| status.claim_view_members >= members)
