--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -150,17 +150,22 @@
         let before = self.directory.borrow().revision();
         let source_was_away = self.is_word_of_leafs_old();
         let changes = self.directory.borrow_mut().apply(delta);
+        let mut changed_services: HashMap<ServiceName, Rc<ServiceState>> = HashMap::new();
         for change in changes {
-            match change {
+            let service = match change {
                 DirectoryChange::Present(entry) => {
                     log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
-                    self.put_leaf(entry);
+                    self.put_leaf(entry)
                 }
                 DirectoryChange::Gone(leaf) => {
                     log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
-                    self.remove_leaf(&leaf, source_was_away);
+                    self.remove_leaf(&leaf, source_was_away)
                 }
-            }
+            };
+            changed_services.extend(service.map(|service| (service.name().clone(), service)));
+        }
+        for service in changed_services.values() {
+            self.share_connections(service);
         }
         if self.directory.borrow().revision() != before {
             self.notify();
@@ -330,33 +335,33 @@
         }
     }
 
-    fn put_leaf(&self, entry: LeafEntry) {
+    /// Takes in an entry. Returns the service if its leafs are others than before.
+    fn put_leaf(&self, entry: LeafEntry) -> Option<Rc<ServiceState>> {
         if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
             leaf.update(entry);
-            return;
+            return None;
         }
         let service = self.service(&entry.service);
         if let Some(leaf) = service.missing(&entry.leaf) {
             let id = entry.leaf.clone();
             leaf.update(entry);
             self.leafs.borrow_mut().insert(id, leaf);
-            return self.share_connections(&service);
+            return Some(service);
         }
         let distance = self.locality.distance(&entry.zone);
         let leaf = Rc::new(LeafState::new(entry.clone(), distance, NO_SHARE));
         service.add(Rc::clone(&leaf));
         self.leafs.borrow_mut().insert(entry.leaf, leaf);
-        self.share_connections(&service);
+        Some(service)
     }
 
-    fn remove_leaf(&self, id: &LeafId, source_was_away: bool) {
-        let Some(leaf) = self.leafs.borrow_mut().remove(id) else {
-            return;
-        };
+    /// Takes a leaf out whose entry is missing. Returns its service, if the leaf was known.
+    fn remove_leaf(&self, id: &LeafId, source_was_away: bool) -> Option<Rc<ServiceState>> {
+        let leaf = self.leafs.borrow_mut().remove(id)?;
         leaf.set_missing(Clock.now(), source_was_away);
         let service = self.service(&leaf.entry().service);
         service.forget_gone();
-        self.share_connections(&service);
+        Some(service)
     }
 
     /// Whether nothing has been heard of the leafs for longer than their entries are relied on.
