Watch the source with few daemons; pass changes on along a tree

After a loss of all daemons 37 of 95 asked the source for themselves.

Change: one watcher a region (three in all at least); the others form a tree with a fan-out of 8 in rendezvous order, so that the link of a small machine still carries each change eight times at most, which is why there was one watcher for eight before. Before joining, seeds watch and the others poll them. What the cached read brought has as much time to be confirmed as any word may be old. Watchers register, and daemons that know nobody. A relay tells a fresher word at once: a confirmation that came while a poll was on its way used to be told a whole poll later; the way of a word is measured without the wait of its poll.

The test that counted one watcher for eight daemons is replaced by one that counts who polls whom: eight at most for any daemon, watcher or not. It was about the link, and the number of watchers no longer bounds that.

--- a/crates/tansylead-cluster/src/spread/mod.rs
+++ b/crates/tansylead-cluster/src/spread/mod.rs
@@ -4,6 +4,7 @@
 //! peers, and pulls from whoever holds more. See `docs/design/0004-configuration-spread.md`.
 
 mod event;
+mod feed_tree;
 mod in_force;
 mod machine;
 mod puller;
@@ -14,6 +15,7 @@
 mod store_reader;
 
 pub use event::{SpreadAction, SpreadEvent};
+pub use feed_tree::{FeedSources, FeedTree};
 pub use in_force::{InForceAction, InForceCheck, InForceEvent, InForceReport, InForceSettings};
 pub use machine::{NothingToServe, SpreadCounters, SpreadMachine};
 pub use readers::ReaderRanking;
--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -1,6 +1,8 @@
 //! Keeps a long poll open at one other daemon and takes in what is newer.
 
-use super::feed_message::{FeedReply, FeedRequest, decode, encode, framing, millis};
+use super::feed_message::{
+    FeedReply, FeedRequest, WordAges, decode, encode, framing, is_fresher, millis,
+};
 use super::peer_turn::PeerTurn;
 use super::view::ClusterView;
 use crate::clock::Clock;
@@ -87,6 +89,7 @@
             cluster: self.gateway.settings.cluster.clone(),
             version: self.gateway.version(),
             revision: self.gateway.directory().revision(),
+            ages: WordAges::of(&self.gateway),
             wants_whole_directory: self.wants_whole_directory(peer),
             wait_millis: millis(POLL_WAIT),
         };
@@ -114,44 +117,54 @@
         is_unknown || is_old || self.view.is_in_own_region(peer)
     }
 
-    fn take_in(&self, reply: FeedReply, asked: Moment, peer: SocketAddr) -> Result<(), StepError> {
+    fn take_in(
+        &self,
+        mut reply: FeedReply,
+        asked: Moment,
+        peer: SocketAddr,
+    ) -> Result<(), StepError> {
         let gateway = &self.gateway;
-        if let Some(configuration) = reply.configuration {
+        if let Some(configuration) = reply.configuration.take() {
             gateway.apply_configuration(configuration);
         }
-        if let Some(delta) = reply.directory {
+        if let Some(delta) = reply.directory.take() {
             gateway.apply_directory(delta);
         }
-        // The peer's word confirms what is held here only if the peer holds no less.
-        let now = Clock.now();
+        self.confirm(&reply, asked);
+        let limit = gateway.settings.bounds.word_limit();
+        if reply.ages.is_any_older_than(limit) {
+            return Err(StepError::new("poll peer", peer, "its word is old"));
+        }
+        Ok(())
+    }
+
+    /// The peer's word confirms what is held here only if the peer holds no less. Daemons that poll
+    /// this one are told at once: at their next poll the word would be older by a whole poll for each
+    /// daemon on the way from the source.
+    fn confirm(&self, reply: &FeedReply, asked: Moment) {
+        let gateway = &self.gateway;
+        let waited = Duration::from_millis(reply.waited_millis.into());
+        let way = Clock.now().since(asked).saturating_sub(waited);
+        let mut is_news = false;
         if reply.version >= gateway.version() {
-            self.confirm(
-                Topic::Configuration,
-                now,
-                asked,
-                reply.configuration_age_millis,
-            );
+            is_news |= self.confirm_topic(Topic::Configuration, reply.ages, way);
         }
         if reply.revision >= gateway.directory().revision() {
-            self.confirm(Topic::Leafs, now, asked, reply.leafs_age_millis);
+            is_news |= self.confirm_topic(Topic::Leafs, reply.ages, way);
         }
-        let limit = gateway.settings.bounds.word_limit();
-        let ages = [reply.configuration_age_millis, reply.leafs_age_millis];
-        let is_old =
-            |age: Option<u32>| age.is_none_or(|age| Duration::from_millis(age.into()) > limit);
-        if ages.into_iter().any(is_old) {
-            return Err(StepError::new("poll peer", peer, "its word is old"));
+        if is_news {
+            gateway.announce_confirmation();
         }
-        Ok(())
     }
 
-    /// The age was taken at some time between `asked` and `now`; the way back is counted in.
-    fn confirm(&self, topic: Topic, now: Moment, asked: Moment, age: Option<u32>) {
-        let Some(age) = age else {
-            return;
-        };
-        let way = now.since(asked).min(WAY_LIMIT / 4);
-        let age = Duration::from_millis(age.into()) + way;
-        self.gateway.confirm(topic, now - age);
+    /// Takes in a word that was as old as told when it left, and has been on its way for `way` at
+    /// most. Returns whether it is fresher than what was held, by as much as is worth passing on.
+    fn confirm_topic(&self, topic: Topic, ages: WordAges, way: Duration) -> bool {
+        let age = ages.age(topic).map(|age| age + way);
+        let held = self.gateway.age(topic);
+        if let Some(age) = age {
+            self.gateway.confirm(topic, Clock.now() - age);
+        }
+        is_fresher(age, held)
     }
 }
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -1,5 +1,7 @@
 //! Messages of the long poll between daemons: postcard in length-delimited frames over TCP.
 
+use crate::source::Topic;
+use crate::state::Gateway;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -11,6 +13,59 @@
 /// Largest frame, in bytes.
 const MAXIMUM_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// Words whose ages differ by less are the same word, measured twice.
+const FRESHER_BY: Duration = Duration::from_secs(1);
+
+/// Time since what a daemon holds of each topic was known to be current, in milliseconds; none if it
+/// never was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WordAges {
+    /// Of the configuration.
+    pub configuration: Option<u32>,
+    /// Of the leaf directory.
+    pub leafs: Option<u32>,
+}
+
+impl WordAges {
+    /// The ages at a daemon now.
+    pub(super) fn of(gateway: &Gateway) -> Self {
+        Self {
+            configuration: gateway.age(Topic::Configuration).map(millis),
+            leafs: gateway.age(Topic::Leafs).map(millis),
+        }
+    }
+
+    /// Age of one topic.
+    pub(super) fn age(self, topic: Topic) -> Option<Duration> {
+        let millis = match topic {
+            Topic::Configuration => self.configuration,
+            Topic::Leafs => self.leafs,
+        };
+        millis.map(|millis| Duration::from_millis(millis.into()))
+    }
+
+    /// Whether the word of any topic is fresher than in `other`, by as much as is worth telling.
+    pub fn is_fresher_than(self, other: Self) -> bool {
+        let topics = [Topic::Configuration, Topic::Leafs];
+        topics
+            .into_iter()
+            .any(|topic| is_fresher(self.age(topic), other.age(topic)))
+    }
+
+    /// Whether the word of any topic is older than `limit`.
+    pub(super) fn is_any_older_than(self, limit: Duration) -> bool {
+        let topics = [Topic::Configuration, Topic::Leafs];
+        topics
+            .into_iter()
+            .any(|topic| self.age(topic).is_none_or(|age| age > limit))
+    }
+}
+
+/// Whether a word of this age is fresher than another by as much as is worth telling.
+pub(super) fn is_fresher(age: Option<Duration>, other: Option<Duration>) -> bool {
+    age.is_some_and(|age| other.is_none_or(|other| other > age + FRESHER_BY))
+}
+
 /// What the asking daemon holds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct FeedRequest {
@@ -20,6 +75,8 @@
     pub(super) version: Option<u64>,
     /// Revision of the leaf directory.
     pub(super) revision: Option<Revision>,
+    /// How old its word is.
+    pub(super) ages: WordAges,
     /// Whether a whole directory is wanted where changes do not reach back far enough.
     pub(super) wants_whole_directory: bool,
     /// The answer may wait this long for news.
@@ -37,10 +94,10 @@
     pub(super) version: Option<u64>,
     /// Revision held by the answering daemon.
     pub(super) revision: Option<Revision>,
-    /// Time since the answering daemon's configuration was known to be current.
-    pub(super) configuration_age_millis: Option<u32>,
-    /// Time since the answering daemon's directory was known to be current.
-    pub(super) leafs_age_millis: Option<u32>,
+    /// How old the answering daemon's word is.
+    pub(super) ages: WordAges,
+    /// How long the answering daemon let the request wait, in milliseconds.
+    pub(super) waited_millis: u32,
 }
 
 /// Framing of the connection.
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -1,8 +1,8 @@
 //! Answers other daemons' long polls.
 
-use super::feed_message::{FeedReply, FeedRequest, decode, encode, framing, millis};
+use super::feed_message::{FeedReply, FeedRequest, WordAges, decode, encode, framing, millis};
+use crate::clock::Clock;
 use crate::listener::{accept_each, bind};
-use crate::source::Topic;
 use crate::state::Gateway;
 use futures_util::{SinkExt, StreamExt};
 use std::rc::Rc;
@@ -68,19 +68,23 @@
     Ok(())
 }
 
+/// Answers at once if there is news, or a word that is fresher than the asking daemon's; that may
+/// have come while its request was on the way. Otherwise the next change is waited for.
 async fn answer(gateway: &Gateway, request: &FeedRequest) -> FeedReply {
+    let arrived = Clock.now();
     let wait = Duration::from_millis(request.wait_millis.into()).min(LONGEST_WAIT);
     let mut changes = gateway.changes();
     changes.mark_unchanged();
-    let news = reply(gateway, request);
-    if news.configuration.is_some() || news.directory.is_some() {
+    let news = reply(gateway, request, Duration::ZERO);
+    let is_newer = news.configuration.is_some() || news.directory.is_some();
+    if is_newer || news.ages.is_fresher_than(request.ages) {
         return news;
     }
     let _ = tokio::time::timeout(wait, changes.changed()).await;
-    reply(gateway, request)
+    reply(gateway, request, Clock.now().since(arrived))
 }
 
-fn reply(gateway: &Gateway, request: &FeedRequest) -> FeedReply {
+fn reply(gateway: &Gateway, request: &FeedRequest, waited: Duration) -> FeedReply {
     let active = gateway.active();
     let held = active.as_ref().map(|active| &active.configuration);
     let newer = held.filter(|held| request.version.is_none_or(|version| held.version > version));
@@ -96,7 +100,7 @@
         directory,
         version: gateway.version(),
         revision,
-        configuration_age_millis: gateway.age(Topic::Configuration).map(millis),
-        leafs_age_millis: gateway.age(Topic::Leafs).map(millis),
+        ages: WordAges::of(gateway),
+        waited_millis: millis(waited),
     }
 }
--- a/crates/tansylead-gateway/src/cluster/registration.rs
+++ b/crates/tansylead-gateway/src/cluster/registration.rs
@@ -1,7 +1,8 @@
 //! Finding other daemons when the seeds are down or stale.
 //!
-//! Each daemon registers its peer address with the source once. A daemon that has not joined the
-//! others through its seeds asks the source for the addresses registered there.
+//! Some daemons register their peer address with the source: those that watch it, and those that know
+//! of no other daemon. So each region has some that can be found, and the calls do not grow with the
+//! fleet. A daemon that knows of no other, or has not joined for long, asks for the addresses.
 
 use super::view::ClusterView;
 use crate::source::Source;
@@ -9,26 +10,70 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Registrations of daemons that start together are spread over this time.
+/// Time in which a daemon hears of others through its seeds, if they run: membership asks them twice
+/// by then.
+const SEED_TIME: Duration = Duration::from_secs(2);
+/// First looks of daemons that start together are spread over this time.
 const SPREAD: Duration = Duration::from_millis(1_500);
 /// Period at which it is looked whether the daemon has joined.
 const PERIOD: Duration = Duration::from_secs(2);
+/// A fleet that starts at once joins within this time (measured with 95 daemons on the users' bench:
+/// 8 s); who has not joined by then needs help, even if it has heard of some daemons.
+const JOIN_LIMIT: Duration = Duration::from_secs(8);
 
-/// Registers this daemon and looks for others, until the task is ended.
+/// What a daemon does about finding and being found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RegistrationNeed {
+    /// It must be registered.
+    pub is_to_be_found: bool,
+    /// It must look for registered daemons.
+    pub is_lost: bool,
+}
+
+impl RegistrationNeed {
+    /// The need of a daemon with this view that started `uptime` ago.
+    pub fn new(view: &ClusterView, uptime: Duration) -> Self {
+        let is_lost = !view.is_joined() && (view.is_alone() || uptime > JOIN_LIMIT);
+        Self {
+            is_to_be_found: is_lost || view.is_watcher(),
+            is_lost,
+        }
+    }
+}
+
+/// Registers this daemon where it should be found, and looks for others, until the task is ended.
 pub async fn find_daemons<S: Source>(gateway: Rc<Gateway>, view: Rc<ClusterView>, source: Rc<S>) {
     let mut registered = false;
-    tokio::time::sleep(SPREAD.mul_f64(rand::random())).await;
+    tokio::time::sleep(SEED_TIME + SPREAD.mul_f64(rand::random())).await;
     loop {
-        if !registered {
-            let result = source.register(gateway.settings.peer_address).await;
-            registered = result.is_ok();
+        let need = RegistrationNeed::new(&view, gateway.uptime());
+        if need.is_to_be_found && !registered {
+            registered = register(&gateway, source.as_ref()).await;
+        }
+        if need.is_lost {
+            look_for_daemons(&view, source.as_ref()).await;
+        }
+        tokio::time::sleep(PERIOD.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+}
+
+/// Registers this daemon; returns whether the source has taken it.
+async fn register<S: Source>(gateway: &Gateway, source: &S) -> bool {
+    match source.register(gateway.settings.peer_address).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::info!(error:% = error; "registration failed; it is tried again");
+            false
         }
-        if !view.is_joined()
-            && let Ok(addresses) = source.registered().await
-        {
+    }
+}
+
+async fn look_for_daemons<S: Source>(view: &ClusterView, source: &S) {
+    match source.registered().await {
+        Ok(addresses) => {
             log::info!(daemons = addresses.len(); "looking for registered daemons");
             view.set_hints(addresses);
         }
-        tokio::time::sleep(PERIOD.mul_f64(rand::random_range(0.5..1.5))).await;
+        Err(error) => log::info!(error:% = error; "registered daemons could not be read"),
     }
 }
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -16,8 +16,6 @@
 
 /// Changes that come within this time are taken together.
 const GATHER_WAIT: Duration = Duration::from_millis(400);
-/// Time to join other daemons before the source is asked.
-const JOIN_WAIT: Duration = Duration::from_millis(900);
 /// The first reads of daemons that start together are spread over this time.
 const FIRST_READ_SPREAD: Duration = Duration::from_millis(20);
 /// Period at which the turn is looked at.
@@ -56,7 +54,6 @@
     /// Runs until its task is ended.
     pub async fn run(mut self) {
         self.read_cached().await;
-        self.wait_to_join().await;
         loop {
             self.wait_for_turn().await;
             let asked = Clock.now();
@@ -104,25 +101,18 @@
         }
     }
 
-    async fn wait_to_join(&self) {
-        let limit = Clock.now() + jittered(JOIN_WAIT);
-        while !self.view.is_joined() && Clock.now() < limit {
-            tokio::time::sleep(TURN_PERIOD / 4).await;
-        }
-        tokio::time::sleep(jittered(TURN_PERIOD)).await;
-    }
-
     async fn wait_for_turn(&mut self) {
-        let limit = self.gateway.settings.bounds.word_limit();
-        loop {
-            let is_old = self.gateway.age(self.topic).is_none_or(|age| age > limit);
-            if self.view.is_watcher() || is_old {
-                return;
-            }
+        while !self.view.is_watcher() && !self.is_word_old() {
             tokio::time::sleep(jittered(TURN_PERIOD)).await;
         }
     }
 
+    fn is_word_old(&self) -> bool {
+        let gateway = &self.gateway;
+        let bounds = &gateway.settings.bounds;
+        bounds.is_word_old(gateway.age(self.topic), gateway.uptime())
+    }
+
     fn watch_wait(&self) -> Duration {
         let age = self.gateway.age(self.topic);
         self.gateway.settings.bounds.watch_wait(age)
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -1,18 +1,22 @@
-//! The members that run, and who among them watches the source.
+//! The members that run, who among them watches the source, and whom each other one polls.
 
 use rand::seq::{IteratorRandom, SliceRandom};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use tansylead_cluster::membership::MemberRecord;
-use tansylead_cluster::spread::ReaderRanking;
+use tansylead_cluster::spread::{FeedSources, FeedTree, ReaderRanking};
 use tansylead_types::{NodeId, PlaceName};
 
-/// Daemons that watch the source, in all regions together, at least.
+/// Daemons that watch the source, in all regions together, at least: each of them sees every change,
+/// so more would cost calls and bring nothing sooner.
 const WATCHERS: usize = 3;
-/// Daemons of a region for each that watches the source, at most: a watcher passes every change on
-/// to the others, and a large one would fill the link of a small machine.
-const DAEMONS_PER_WATCHER: usize = 8;
+/// Daemons that poll any one daemon, at most: it passes every change on to each of them, and a large
+/// one would fill the link of a small machine.
+const FEED_FAN_OUT: usize = 8;
+/// Peers that are tried in turn while polls fail. Those of equal rank are drawn anew each time, so that
+/// a peer that knows nothing yet, such as a seed that has just started, is soon asked again.
+const FEED_CANDIDATES: usize = 6;
 /// Daemons that are told reports on leafs, at most: more would cost more than they save.
 const MAXIMUM_REPORT_PEERS: usize = 32;
 
@@ -23,14 +27,33 @@
     place: PlaceName,
     regions: usize,
     seeds: RefCell<Vec<SocketAddr>>,
+    /// Daemons that have registered with the source.
+    registered: RefCell<Vec<SocketAddr>>,
     /// Registered daemons that membership has not been told of yet.
     hints: RefCell<Option<Vec<SocketAddr>>>,
     members: RefCell<Vec<MemberRecord>>,
     /// The members that watch the source; ranked anew whenever the members change.
     watchers: RefCell<HashSet<NodeId>>,
+    /// Whom this daemon polls; found anew whenever the members change.
+    sources: RefCell<FeedSources>,
     joined: Cell<bool>,
 }
 
+/// How good a member is to poll; the least is the best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum FeedRank {
+    /// The parent in the tree of the own region.
+    Parent,
+    /// Another member of the own region that is nearer to the source.
+    Upstream,
+    /// A watcher of another region.
+    RemoteWatcher,
+    /// Any other member of the own region.
+    OwnRegion,
+    /// Any other member.
+    Remote,
+}
+
 impl ClusterView {
     /// A view of a daemon that knows of its seeds only.
     pub fn new(node: NodeId, place: PlaceName, regions: usize, seeds: Vec<SocketAddr>) -> Self {
@@ -39,9 +62,11 @@
             place,
             regions: regions.max(1),
             seeds: RefCell::new(seeds),
+            registered: RefCell::default(),
             hints: RefCell::default(),
             members: RefCell::default(),
             watchers: RefCell::default(),
+            sources: RefCell::default(),
             joined: Cell::new(false),
         }
     }
@@ -51,14 +76,9 @@
         *self.seeds.borrow_mut() = seeds;
     }
 
-    /// Adds daemons that have registered: to join through, and to poll like seeds.
+    /// Sets the daemons that have registered: to join through, and to poll like seeds.
     pub fn set_hints(&self, hints: Vec<SocketAddr>) {
-        let mut seeds = self.seeds.borrow_mut();
-        for hint in &hints {
-            if !seeds.contains(hint) {
-                seeds.push(*hint);
-            }
-        }
+        self.registered.borrow_mut().clone_from(&hints);
         *self.hints.borrow_mut() = Some(hints);
     }
 
@@ -69,26 +89,30 @@
 
     /// Replaces the members that run.
     pub fn set_members(&self, members: Vec<MemberRecord>, joined: bool) {
-        *self.watchers.borrow_mut() = self.rank_watchers(&members);
+        let trees = self.feed_trees(&members);
+        let watchers = trees.values().flat_map(FeedTree::readers);
+        *self.watchers.borrow_mut() = watchers.collect();
+        let own_tree = trees.get(&self.place);
+        let sources = own_tree.map(|tree| tree.sources(self.node));
+        *self.sources.borrow_mut() = sources.unwrap_or_default();
         *self.members.borrow_mut() = members;
         self.joined.set(joined);
     }
 
-    /// The first members of each region by rank.
-    fn rank_watchers(&self, members: &[MemberRecord]) -> HashSet<NodeId> {
-        let mut rankings: BTreeMap<&PlaceName, ReaderRanking> = BTreeMap::new();
+    /// The tree of each region.
+    fn feed_trees(&self, members: &[MemberRecord]) -> BTreeMap<PlaceName, FeedTree> {
+        let mut rankings: BTreeMap<PlaceName, ReaderRanking> = BTreeMap::new();
         for member in members {
             let ranking = rankings
-                .entry(&member.place)
+                .entry(member.place.clone())
                 .or_insert_with(|| ReaderRanking::new(member.place.clone()));
             ranking.update(member);
         }
-        let least = WATCHERS.div_ceil(self.regions);
-        let watchers = rankings.values().flat_map(|ranking| {
-            let daemons = ranking.first(usize::MAX).count();
-            ranking.first(least.max(daemons.div_ceil(DAEMONS_PER_WATCHER)))
-        });
-        watchers.collect()
+        let watchers = WATCHERS.div_ceil(self.regions);
+        let trees = rankings.into_iter();
+        trees
+            .map(|(place, ranking)| (place, FeedTree::new(&ranking, watchers, FEED_FAN_OUT)))
+            .collect()
     }
 
     /// Whether the member table was completed from a peer, or there is nobody to join.
@@ -96,30 +120,60 @@
         self.joined.get()
     }
 
-    /// Whether this daemon watches the source.
+    /// Whether no other daemon is known to run.
+    pub fn is_alone(&self) -> bool {
+        let members = self.members.borrow();
+        members.iter().all(|member| member.node() == self.node)
+    }
+
+    /// Whether this daemon watches the source. Until it has joined the others it cannot rank them:
+    /// then it watches if it is a seed, since the others poll seeds until they have joined.
     pub fn is_watcher(&self) -> bool {
-        self.watchers.borrow().contains(&self.node)
+        if self.joined.get() {
+            self.watchers.borrow().contains(&self.node)
+        } else {
+            self.seeds.borrow().contains(&self.node.0)
+        }
     }
 
-    /// Addresses to keep a long poll open at, best first: watchers of the own region, other
-    /// watchers, then anybody, then seeds.
+    /// A few addresses to keep a long poll open at, best first; before this daemon has joined the
+    /// others, seeds and registered daemons come first.
     pub fn feed_peers(&self) -> Vec<SocketAddr> {
+        let mut peers = Vec::new();
+        if !self.joined.get() || self.is_alone() {
+            peers = self.entry_points();
+        }
+        let members = self.ranked_members();
+        let others = members.into_iter().filter(|peer| !peers.contains(peer));
+        let others: Vec<SocketAddr> = others.collect();
+        peers.extend(others);
+        peers.truncate(FEED_CANDIDATES);
+        peers
+    }
+
+    /// Seeds in random order, then registered daemons in random order.
+    fn entry_points(&self) -> Vec<SocketAddr> {
+        let mut points: Vec<SocketAddr> = Vec::new();
+        for list in [&self.seeds, &self.registered] {
+            let mut list = list.borrow().clone();
+            list.shuffle(&mut rand::rng());
+            list.retain(|point| *point != self.node.0 && !points.contains(point));
+            points.extend(list);
+        }
+        points
+    }
+
+    /// The other members, best first.
+    fn ranked_members(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
-        let mut ranked: Vec<(u8, SocketAddr)> = members
+        let mut ranked: Vec<(FeedRank, SocketAddr)> = members
             .iter()
             .filter(|member| member.node() != self.node)
             .map(|member| (self.feed_rank(member), member.node().0))
             .collect();
         ranked.shuffle(&mut rand::rng());
         ranked.sort_by_key(|(rank, _)| *rank);
-        let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|(_, peer)| peer).collect();
-        if addresses.is_empty() {
-            let seeds = self.seeds.borrow();
-            let others = seeds.iter().filter(|seed| **seed != self.node.0);
-            addresses.extend(others);
-            addresses.shuffle(&mut rand::rng());
-        }
-        addresses
+        ranked.into_iter().map(|(_, peer)| peer).collect()
     }
 
     /// Daemons of the own region to tell reports on leafs: all of them, or some by chance if they are
@@ -142,6 +196,9 @@
 
     /// Whether no member would be a better peer to poll than this one.
     pub fn is_best_feed_peer(&self, peer: SocketAddr) -> bool {
+        if !self.joined.get() {
+            return self.seeds.borrow().contains(&peer);
+        }
         let members = self.members.borrow();
         let others = members.iter().filter(|member| member.node() != self.node);
         let best = others.clone().map(|member| self.feed_rank(member)).min();
@@ -150,13 +207,23 @@
         best.is_none() || own == best
     }
 
-    fn feed_rank(&self, member: &MemberRecord) -> u8 {
-        let watches = self.watchers.borrow().contains(&member.node());
-        match (watches, member.place == self.place) {
-            (true, true) => 0,
-            (true, false) => 1,
-            (false, true) => 2,
-            (false, false) => 3,
+    fn feed_rank(&self, member: &MemberRecord) -> FeedRank {
+        let node = member.node();
+        let sources = self.sources.borrow();
+        if sources.parent == Some(node) {
+            return FeedRank::Parent;
+        }
+        if sources.upstream.contains(&node) {
+            return FeedRank::Upstream;
+        }
+        let is_own_region = member.place == self.place;
+        if !is_own_region && self.watchers.borrow().contains(&node) {
+            return FeedRank::RemoteWatcher;
+        }
+        if is_own_region {
+            FeedRank::OwnRegion
+        } else {
+            FeedRank::Remote
         }
     }
 }
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -182,6 +182,14 @@
         confirm_within.saturating_sub(age).max(SHORTEST)
     }
 
+    /// Whether a word that was confirmed `age` ago is too old to rely on without asking the source.
+    /// What the first, cached read of a daemon brought is of unknown age: other daemons have as much
+    /// time to confirm it as any word may be old, so that a whole fleet that starts at once does not
+    /// ask the source daemon by daemon.
+    pub fn is_word_old(&self, age: Option<Duration>, uptime: Duration) -> bool {
+        age.unwrap_or(uptime) > self.word_limit()
+    }
+
     /// Oldest word about configuration and leafs that the daemon relies on without asking itself.
     pub fn word_limit(&self) -> Duration {
         /// Part of the tighter of the two bounds.
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -220,6 +220,11 @@
         Some(Clock.now().since(*moment))
     }
 
+    /// Time since this daemon started.
+    pub fn uptime(&self) -> Duration {
+        Clock.now().since(self.started)
+    }
+
     /// Whether configuration and leafs are known.
     pub fn knows_enough(&self) -> bool {
         self.active.borrow().is_some() && self.directory.borrow().revision().is_some()
@@ -282,7 +287,7 @@
     /// Counts the daemons that share budgets and connections. A daemon that has just started does
     /// not know the others yet: until then it takes it that there are some.
     pub fn count_daemons(&self) {
-        let young = Clock.now().since(self.started) < self.settings.bounds.word_limit();
+        let young = self.uptime() < self.settings.bounds.word_limit();
         let known = self.known_daemons.borrow();
         let daemons = if young {
             known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -1,8 +1,10 @@
 //! Which peer a daemon polls, and how long a watch of the source lasts.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_cluster::membership::{MemberRecord, MemberState};
-use tansylead_gateway::cluster::{ClusterView, PeerTurn};
+use tansylead_gateway::cluster::{ClusterView, PeerTurn, RegistrationNeed, WordAges};
 use tansylead_gateway::settings::GatewayBounds;
 use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
 
@@ -95,15 +97,150 @@
     assert!(watching.contains(&NodeId(best)));
 }
 
+/// The view of each member.
+fn all_views(members: &[MemberRecord]) -> Vec<(NodeId, ClusterView)> {
+    let of_member = |member: &MemberRecord| {
+        let view = ClusterView::new(member.node(), member.place.clone(), 2, Vec::new());
+        view.set_members(members.to_vec(), true);
+        (member.node(), view)
+    };
+    members.iter().map(of_member).collect()
+}
+
 #[test]
-fn a_watcher_passes_changes_on_to_few_daemons() {
+fn a_daemon_passes_changes_on_to_few_others() {
     // Regression: one watcher passed a large configuration on to 23 daemons, its link was full, and
     // requests reached leafs 0.6 s late, with more time than was left (hunt-1be7-3, grown Registry).
+    let (_, members) = view(48);
+    let mut polled: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for (_, own) in all_views(&members) {
+        if !own.is_watcher() {
+            let best = own.feed_peers()[0];
+            assert!(own.is_in_own_region(best));
+            *polled.entry(best).or_default() += 1;
+        }
+    }
+    assert!(polled.values().all(|daemons| *daemons <= 8), "{polled:?}");
+}
+
+#[test]
+fn the_daemons_that_watch_do_not_grow_in_number_with_the_fleet() {
+    // Regression: with one watcher for eight daemons, 95 daemons made 785 priced calls on a calm day.
+    for each in [4, 24, 400] {
+        let (_, members) = view(each);
+        let views = all_views(&members);
+        let watching = views.iter().filter(|(_, own)| own.is_watcher());
+        assert_eq!(watching.count(), 4, "two in each of two regions");
+    }
+}
+
+#[test]
+fn only_seeds_watch_before_they_have_joined_and_the_others_poll_them() {
+    // Regression: each of 95 daemons that started together asked the source for itself.
     let (_, members) = view(24);
-    let watching = members.iter().filter(|member| {
-        let own = ClusterView::new(member.node(), member.place.clone(), 2, Vec::new());
-        own.set_members(members.clone(), true);
-        own.is_watcher()
-    });
-    assert_eq!(watching.count(), 2 * 24 / 8);
+    let seeds: Vec<SocketAddr> = members[..2].iter().map(|seed| seed.node().0).collect();
+    for member in &members {
+        let own = ClusterView::new(member.node(), member.place.clone(), 2, seeds.clone());
+        own.set_members(members[..9].to_vec(), false);
+        let is_seed = seeds.contains(&member.node().0);
+        assert_eq!(own.is_watcher(), is_seed);
+        if !is_seed {
+            let best = own.feed_peers()[0];
+            assert!(seeds.contains(&best));
+            assert!(own.is_best_feed_peer(best));
+        }
+    }
+}
+
+#[test]
+fn a_daemon_whose_parent_fails_goes_to_others_nearer_to_the_source_first() {
+    let (_, members) = view(48);
+    let views = all_views(&members);
+    let watchers = views.iter().filter(|(_, own)| own.is_watcher());
+    let watchers: Vec<SocketAddr> = watchers.map(|(node, _)| node.0).collect();
+    for (node, own) in &views {
+        let peers = own.feed_peers();
+        assert!(!peers.contains(&node.0));
+        if own.is_watcher() {
+            assert!(own.is_in_own_region(peers[0]));
+            assert!(peers[..3].iter().all(|peer| watchers.contains(peer)));
+        } else {
+            assert!(own.is_in_own_region(peers[1]), "the other watcher at least");
+        }
+    }
+}
+
+#[test]
+fn a_daemon_that_has_not_joined_soon_asks_its_seeds_again() {
+    // Regression: after a loss of all daemons, seeds that knew nothing yet were left for members that
+    // knew nothing either, and 37 of 95 daemons asked the source for themselves.
+    let (_, members) = view(24);
+    let seeds: Vec<SocketAddr> = members[..3].iter().map(|seed| seed.node().0).collect();
+    let member = &members[10];
+    let own = ClusterView::new(member.node(), member.place.clone(), 2, seeds.clone());
+    own.set_members(members.clone(), false);
+    let peers = own.feed_peers();
+    let asked_seeds = peers.iter().filter(|peer| seeds.contains(peer));
+    assert!(2 * asked_seeds.count() >= peers.len());
+}
+
+#[test]
+fn a_daemon_alone_polls_seeds_and_registered_daemons() {
+    let seeds: Vec<SocketAddr> = vec![([10, 0, 0, 1], 1).into(), ([10, 0, 0, 2], 1).into()];
+    let registered: SocketAddr = ([10, 0, 0, 3], 1).into();
+    let place = PlaceName::new("north").expect("valid name");
+    let own = ClusterView::new(NodeId(seeds[0]), place, 2, seeds.clone());
+    own.set_hints(vec![registered, seeds[0]]);
+    assert!(own.is_alone());
+    assert_eq!(own.feed_peers(), vec![seeds[1], registered]);
+}
+
+#[test]
+fn a_word_of_unknown_age_counts_as_old_as_its_daemon() {
+    // Regression: 95 daemons that started together asked the source one by one to confirm what the
+    // cached read had brought, before the daemons that watch could tell them.
+    let bounds = GatewayBounds::default();
+    let limit = bounds.word_limit();
+    let moment = Duration::from_millis(1);
+    assert!(!bounds.is_word_old(None, limit));
+    assert!(bounds.is_word_old(None, limit + moment));
+    assert!(!bounds.is_word_old(Some(limit), limit * 10));
+    assert!(bounds.is_word_old(Some(limit + moment), limit * 10));
+}
+
+#[test]
+fn watchers_register_and_so_do_daemons_that_find_nobody() {
+    // Regression: 95 daemons made 95 registrations.
+    let (_, members) = view(24);
+    let young = Duration::from_secs(3);
+    let old = Duration::from_secs(30);
+    for (node, own) in all_views(&members) {
+        let need = RegistrationNeed::new(&own, old);
+        assert_eq!(need.is_to_be_found, own.is_watcher(), "{node}");
+        assert!(!need.is_lost);
+    }
+    let member = &members[5];
+    let own = ClusterView::new(member.node(), member.place.clone(), 2, Vec::new());
+    own.set_members(vec![member.clone()], false);
+    assert!(RegistrationNeed::new(&own, young).is_to_be_found, "alone");
+    assert!(RegistrationNeed::new(&own, young).is_lost, "alone");
+    own.set_members(members[..9].to_vec(), false);
+    assert!(!RegistrationNeed::new(&own, young).is_lost, "still joining");
+    assert!(RegistrationNeed::new(&own, old).is_lost, "never joined");
+}
+
+#[test]
+fn a_fresher_word_is_told_at_once_but_not_the_same_word_again() {
+    // Regression: a confirmation that came while a poll was on its way was told a whole poll later, and
+    // half of the daemons asked the source since their word had grown old meanwhile.
+    let ages = |configuration, leafs| WordAges {
+        configuration,
+        leafs,
+    };
+    let held = ages(Some(3_900), Some(3_900));
+    assert!(ages(Some(5), Some(3_880)).is_fresher_than(held));
+    assert!(ages(Some(3_880), Some(5)).is_fresher_than(held));
+    assert!(!ages(Some(3_880), Some(3_880)).is_fresher_than(held));
+    assert!(!ages(Some(3_910), None).is_fresher_than(held));
+    assert!(ages(None, Some(4_000)).is_fresher_than(ages(None, None)));
 }
