Lab: find missing replies by the daemon's progress, not by a clock

Change: past the deadline and a second a caller asks the daemon something else, again and again, and takes the reply for missing once twenty of these were answered. A daemon that answers others but not this request is found as before; one that stands still as a whole is waited for.

--- a/crates/tansylead-lab/src/caller/client.rs
+++ b/crates/tansylead-lab/src/caller/client.rs
@@ -34,8 +34,15 @@
 const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Header: unix milliseconds after which the request must not run any more.
 const EXPIRES_HEADER: &str = "tansylead-expires";
-/// How long a caller waits beyond its deadline before it gives up on a daemon.
+/// How long a caller waits beyond its deadline before it looks whether the daemon goes on without it.
 const PATIENCE_BEYOND_DEADLINE: Duration = Duration::from_secs(1);
+/// A reply counts as missing once its daemon has answered so many later requests. A clock would not
+/// do: beside busy processes a daemon may wait seconds for a processor.
+const LATER_ANSWERS: u32 = 20;
+/// Pause between those requests.
+const LATER_REQUEST_PAUSE: Duration = Duration::from_millis(50);
+/// What is asked then: any daemon that runs answers it.
+const LATER_REQUEST_PATH: &str = "/healthz";
 /// Callers close idle connections after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time allowed for connecting to a daemon.
@@ -104,7 +111,7 @@
     /// The connection broke after the request may have left.
     #[error("cut: {0}")]
     Cut(StepError),
-    /// No reply came although the deadline is long past.
+    /// No reply came although the deadline is past and the daemon has answered later requests.
     #[error("no reply: {0}")]
     NoReply(StepError),
 }
@@ -212,16 +219,18 @@
         let patience = request.deadline + PATIENCE_BEYOND_DEADLINE;
         tokio::time::sleep(self.one_way_delay).await;
         let exchange = self.exchange(daemon, http_request, began);
-        let reply = match tokio::time::timeout(patience, exchange).await {
+        tokio::pin!(exchange);
+        let reply = match tokio::time::timeout(patience, exchange.as_mut()).await {
             Ok(reply) => reply?,
-            Err(_) => {
-                let cause = format!("none within {patience:?}");
-                return Err(ExchangeFailure::NoReply(StepError::new(
-                    "wait for a reply",
-                    daemon,
-                    cause,
-                )));
-            }
+            Err(_) => tokio::select! {
+                biased;
+                reply = exchange => reply?,
+                () = self.later_answers(daemon) => {
+                    let cause = format!("none after {LATER_ANSWERS} later answers");
+                    let error = StepError::new("wait for a reply", daemon, cause);
+                    return Err(ExchangeFailure::NoReply(error));
+                }
+            },
         };
         tokio::time::sleep(self.one_way_delay).await;
         Ok(CallerReply {
@@ -230,6 +239,21 @@
         })
     }
 
+    /// Ends once the daemon has answered [`LATER_ANSWERS`] requests from now on.
+    async fn later_answers(&self, daemon: SocketAddr) {
+        let uri = format!("http://{daemon}{LATER_REQUEST_PATH}");
+        let mut answers = 0;
+        while answers < LATER_ANSWERS {
+            tokio::time::sleep(LATER_REQUEST_PAUSE).await;
+            let request = Request::get(&uri).body(Full::default());
+            let request = request.expect("an address and a constant path make a valid request");
+            // A daemon that cannot be asked shows no progress; its connections end if it has ended.
+            if self.client.request(request).await.is_ok() {
+                answers += 1;
+            }
+        }
+    }
+
     /// Asks daemons in turn until one gives a reply that ends the matter.
     ///
     /// The next daemon is asked when nothing was sent, and after any other failure or refusal only
