Admit a part of the queries while leafs refuse parts of them as full

Every query loses other parts to full leafs (5,491 refusals) while 27 of 30 are needed, so most are late or fail although the leafs work without a pause.

Change: each daemon admits a share of the queries of a route. The share falls when a query misses its objective while leafs refused parts of it, rises when one is in time and with time, and never falls below 0.3.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -14,7 +14,6 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -110,7 +109,7 @@
                 route: Arc::clone(&route),
                 request,
                 successes_only: false,
-                settled: Rc::new(Cell::new(false)),
+                shared: Rc::default(),
                 trace: Rc::clone(trace),
             };
             forward(call, time_left).await
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -45,12 +45,21 @@
     pub end: Moment,
     /// Only successes count as answers.
     pub successes_only: bool,
-    /// Set once the caller has its answer: nothing more is started.
-    pub settled: Rc<Cell<bool>>,
+    /// What the calls of one request share.
+    pub shared: Rc<SharedProgress>,
     /// Decisions of the request.
     pub trace: Rc<RequestTrace>,
 }
 
+/// What the calls of one request share.
+#[derive(Debug, Default)]
+pub struct SharedProgress {
+    /// Set once the caller has its answer: nothing more is started.
+    pub settled: Cell<bool>,
+    /// Whether a leaf has refused an attempt without running it.
+    pub was_refused: Cell<bool>,
+}
+
 /// How a call ended.
 #[derive(Debug)]
 pub enum CallEnd {
@@ -169,7 +178,7 @@
 
     /// Whether no attempt may start any more.
     fn is_over(&self) -> bool {
-        Clock.now() >= self.end || self.settled.get()
+        Clock.now() >= self.end || self.shared.settled.get()
     }
 
     /// Starts an attempt at a leaf.
@@ -220,6 +229,7 @@
                 self.retry(progress, true);
             }
             Some(AttemptEnd::Refused(_)) => {
+                self.shared.was_refused.set(true);
                 attempt.leaf.note_end(true);
                 progress.arrivals += 1;
                 self.retry(progress, false);
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -3,7 +3,7 @@
 //! Invariants: the shards are those of one version of the configuration; a part counts once; an
 //! answer has at least the parts that the route asks for, and says how many are missing.
 
-use super::call::{Call, CallEnd};
+use super::call::{Call, CallEnd, SharedProgress};
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::clock::Clock;
 use crate::leaf::OutgoingRequest;
@@ -12,7 +12,6 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::header::{HeaderName, HeaderValue};
-use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -59,16 +58,19 @@
     if query.reachable_shards(set) < parts.needed {
         return Outcome::Refused(Refusal::not_run(retry_after_outage(query.time_left)));
     }
-    let settled = Rc::new(Cell::new(false));
+    if !query.is_admitted() {
+        return Outcome::Refused(Refusal::overloaded(retry_after_outage(query.time_left)));
+    }
+    let shared = Rc::new(SharedProgress::default());
     let end = query.arrived + patience.end;
     let mut calls: FuturesUnordered<_> = set
         .shards
         .iter()
-        .map(|shard| query.call(shard, end, &settled).run())
+        .map(|shard| query.call(shard, end, &shared).run())
         .collect();
-    let timed_out = collect(&query, patience, &mut calls, &mut parts).await;
+    let timed_out = collect(&query, patience, &shared, &mut calls, &mut parts).await;
     if parts.are_enough() {
-        settled.set(true);
+        shared.settled.set(true);
         leave_to_finish(calls, policy.objective);
         return parts.into_outcome();
     }
@@ -81,6 +83,7 @@
 async fn collect(
     query: &GatherQuery,
     patience: Patience,
+    shared: &SharedProgress,
     calls: &mut FuturesUnordered<impl Future<Output = CallEnd>>,
     parts: &mut Parts,
 ) -> bool {
@@ -92,13 +95,19 @@
         tokio::select! {
             biased;
             Some(ended) = calls.next() => parts.take_in(ended, &query.gateway.names.signature),
-            () = &mut wait_enough, if !past_enough => past_enough = true,
+            () = &mut wait_enough, if !past_enough => {
+                past_enough = true;
+                query.note_progress(parts, shared);
+            }
             () = &mut wait_end => return true,
         }
         if past_enough && parts.are_enough() {
             break;
         }
     }
+    if !past_enough {
+        query.note_progress(parts, shared);
+    }
     false
 }
 
@@ -131,7 +140,31 @@
         set.shards.iter().filter(is_reachable).count()
     }
 
-    fn call(&self, shard: &ServiceName, end: Moment, settled: &Rc<Cell<bool>>) -> Call {
+    fn is_admitted(&self) -> bool {
+        self.gateway.with_admission(&self.route.name, |admission| {
+            admission.admits(Clock.now(), self.time_left, rand::random())
+        })
+    }
+
+    /// Tells admission, once the query has ended or its objective is over, whether it has enough parts.
+    fn note_progress(&self, parts: &Parts, shared: &SharedProgress) {
+        let now = Clock.now();
+        let route = self.route.name.as_str();
+        let change = self.gateway.with_admission(route, |admission| {
+            if parts.are_enough() {
+                admission.on_timely(now)
+            } else if shared.was_refused.get() {
+                admission.on_overload(now)
+            } else {
+                None
+            }
+        });
+        if let Some(change) = change {
+            log::info!(route = route, change = change.label(), in_time = parts.signatures.len(), needed = parts.needed; "admission of queries");
+        }
+    }
+
+    fn call(&self, shard: &ServiceName, end: Moment, shared: &Rc<SharedProgress>) -> Call {
         Call {
             gateway: Rc::clone(&self.gateway),
             service: self.gateway.service(shard),
@@ -139,7 +172,7 @@
             request: Rc::clone(&self.request),
             end,
             successes_only: true,
-            settled: Rc::clone(settled),
+            shared: Rc::clone(shared),
             trace: Rc::clone(&self.trace),
         }
     }
--- a/crates/tansylead-gateway/src/execution/outcome.rs
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -46,6 +46,8 @@
     NoConfiguration,
     /// No leaf can take the request; it has not run.
     NotRun,
+    /// Leafs are short of capacity, and this query was not admitted; it has not run.
+    Overloaded,
     /// No route takes the request.
     NoRoute,
     /// The request carries no id, so no answer could be told to be its own.
@@ -66,7 +68,9 @@
     /// Status towards the caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::NotRun | Self::Overloaded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -81,6 +85,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NotRun => "not_run",
+            Self::Overloaded => "overloaded",
             Self::NoRoute => "no_route",
             Self::NoRequestId => "no_request_id",
             Self::BodyTooLarge => "body_too_large",
@@ -108,4 +113,12 @@
             retry_after: Some(retry_after),
         }
     }
+
+    /// A refusal of a query that was not admitted, and has not run.
+    pub fn overloaded(retry_after: Duration) -> Self {
+        Self {
+            reason: RefusalReason::Overloaded,
+            retry_after: Some(retry_after),
+        }
+    }
 }
--- a/crates/tansylead-gateway/src/explain/cause.rs
+++ b/crates/tansylead-gateway/src/explain/cause.rs
@@ -55,6 +55,8 @@
     Served,
     /// The daemon knew no configuration yet.
     NoConfiguration,
+    /// Leafs were short of capacity, and the daemon admitted only a part of the queries.
+    Overloaded,
     /// The request itself was refused, for what it was.
     BadRequest {
         /// The outcome.
@@ -87,6 +89,7 @@
         match outcome.as_str() {
             "served" => Self::Served,
             "no_configuration" => Self::NoConfiguration,
+            "overloaded" => Self::Overloaded,
             "no_route" | "no_request_id" | "body_too_large" | "headers_too_large" | "bad_body" => {
                 Self::BadRequest { outcome }
             }
@@ -146,6 +149,10 @@
             Self::NoConfiguration => {
                 formatter.write_str("the daemon had just started and knew no configuration")
             }
+            Self::Overloaded => formatter.write_str(
+                "leafs refused parts of other queries as full, and only a part of the queries was \
+                 admitted; see `admission of queries` and what late queries of the second waited for",
+            ),
             Self::BadRequest { outcome } => {
                 write!(formatter, "the request itself: {outcome}")
             }
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -16,7 +16,8 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, ConnectionShare, DaemonCounts, DirectoryChange, DirectoryDelta, LatencyProfile,
-    LeafDirectory, LeafEntry, LeafReport, Locality, RouteTable, SharedLeaf, WeightedTurns,
+    LeafDirectory, LeafEntry, LeafReport, Locality, QueryAdmission, RouteTable, SharedLeaf,
+    WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -76,6 +77,7 @@
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
     turns: RefCell<HashMap<String, WeightedTurns>>,
+    admissions: RefCell<HashMap<String, QueryAdmission>>,
     /// Until when each topic was known to be current.
     confirmed: RefCell<HashMap<Topic, Moment>>,
     changed: watch::Sender<u64>,
@@ -106,6 +108,7 @@
             leafs: RefCell::default(),
             latencies: RefCell::default(),
             turns: RefCell::default(),
+            admissions: RefCell::default(),
             confirmed: RefCell::default(),
             changed: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
@@ -273,6 +276,16 @@
         use_turns(turns.entry(route.to_owned()).or_default())
     }
 
+    /// Admission of the queries of a route over shards.
+    pub fn with_admission<T>(
+        &self,
+        route: &str,
+        use_admission: impl FnOnce(&mut QueryAdmission) -> T,
+    ) -> T {
+        let mut admissions = self.admissions.borrow_mut();
+        use_admission(admissions.entry(route.to_owned()).or_default())
+    }
+
     /// Daemons that share budgets and connections, this one included.
     pub fn daemons(&self) -> usize {
         self.daemons.borrow().total()
@@ -415,6 +428,7 @@
         let is_used = |name: &String| configuration.routes.iter().any(|route| route.name == *name);
         self.latencies.borrow_mut().retain(|name, _| is_used(name));
         self.turns.borrow_mut().retain(|name, _| is_used(name));
+        self.admissions.borrow_mut().retain(|name, _| is_used(name));
     }
 
     fn notify(&self) {
