A daemon's word confirms only what its reply brought up to date

Cause, from the logs: right after the start the store's list lacks leafs whose entries lapsed while it was down; they are back a second later. Daemons that have not joined poll seeds, most in other regions, which leave whole directories out of their replies to spare bytes; but their word counted as a confirmation, since they hold no less. So what lacked 7 of 45 shards looked fresh until the daemon had polled its own region.

Ruled out: stale lists alone (the entries are back in the store and at the watchers at 37.83 s, 1.1 s after the start), admission (the refusals say that there is no leaf).

Change: a reply confirms leafs and configuration only if both sides hold the same after it was taken in; after a reply that tells of changes it does not bring, the whole directory is asked for, from far away too.

--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -9,6 +9,7 @@
 use crate::source::Topic;
 use crate::state::Gateway;
 use futures_util::{SinkExt, StreamExt};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,8 @@
     view: Rc<ClusterView>,
     /// Failures in a row; also how many of the best peers to pass over.
     failures: usize,
+    /// Whether the last reply told of changes of the leaf directory that it did not bring.
+    lacks_changes: Cell<bool>,
 }
 
 impl PeerFeed {
@@ -41,6 +44,7 @@
             gateway,
             view,
             failures: 0,
+            lacks_changes: Cell::new(false),
         }
     }
 
@@ -107,14 +111,15 @@
         replied.map_err(|cause| StepError::new("poll peer", peer, cause))?
     }
 
-    /// Whole directories are large and bytes between regions dear: from far away only if there is no
-    /// other way.
+    /// Whole directories are large and bytes between regions dear: from far away only if what is held
+    /// cannot be brought up to date by changes.
     fn wants_whole_directory(&self, peer: SocketAddr) -> bool {
         let gateway = &self.gateway;
         let limit = gateway.settings.bounds.word_limit();
         let is_unknown = gateway.directory().revision().is_none();
         let is_old = gateway.age(Topic::Leafs).is_some_and(|age| age > limit);
-        is_unknown || is_old || self.view.is_in_own_region(peer)
+        let cannot_follow = is_unknown || is_old || self.lacks_changes.get();
+        cannot_follow || self.view.is_in_own_region(peer)
     }
 
     fn take_in(
@@ -138,20 +143,23 @@
         Ok(())
     }
 
-    /// The peer's word confirms what is held here only if the peer holds no less. Daemons that poll
-    /// this one are told at once: at their next poll the word would be older by a whole poll for each
-    /// daemon on the way from the source.
+    /// The peer's word confirms what is held here only if the peer holds the same, now that its reply
+    /// was taken in: one that holds more may have left changes out. Daemons that poll this one are
+    /// told at once: at their next poll the word would be older by a whole poll for each daemon on the
+    /// way from the source.
     fn confirm(&self, reply: &FeedReply, asked: Moment) {
         let gateway = &self.gateway;
         let waited = Duration::from_millis(reply.waited_millis.into());
         let way = Clock.now().since(asked).saturating_sub(waited);
         let mut is_news = false;
-        if reply.version >= gateway.version() {
+        if reply.version == gateway.version() {
             is_news |= self.confirm_topic(Topic::Configuration, reply.ages, way);
         }
-        if reply.revision >= gateway.directory().revision() {
+        let revision = gateway.directory().revision();
+        if reply.revision == revision {
             is_news |= self.confirm_topic(Topic::Leafs, reply.ages, way);
         }
+        self.lacks_changes.set(reply.revision > revision);
         if is_news {
             gateway.announce_confirmation();
         }
