--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -80,7 +80,12 @@
         loop {
             let asked = Clock.now();
             let reply = self.poll(&mut frames, peer).await?;
-            self.take_in(reply, asked, peer)?;
+            let came_at_once = reply.waited_millis == 0;
+            let was_useful = self.take_in(reply, asked, peer)?;
+            if came_at_once && !was_useful {
+                // The peer thinks that it has news, and would answer at once again and again.
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
             if turn.on_answer(self.view.is_best_feed_peer(peer)) {
                 return Ok(());
             }
@@ -122,32 +127,35 @@
         cannot_follow || self.view.is_in_own_region(peer)
     }
 
+    /// Takes in what is newer. Returns whether anything was, or the word was fresher.
     fn take_in(
         &self,
         mut reply: FeedReply,
         asked: Moment,
         peer: SocketAddr,
-    ) -> Result<(), StepError> {
+    ) -> Result<bool, StepError> {
         let gateway = &self.gateway;
+        let held = (gateway.version(), gateway.directory().revision());
         if let Some(configuration) = reply.configuration.take() {
             gateway.apply_configuration(configuration);
         }
         if let Some(delta) = reply.directory.take() {
             gateway.apply_directory(delta);
         }
-        self.confirm(&reply, asked);
+        let is_fresher = self.confirm(&reply, asked);
+        let is_newer = (gateway.version(), gateway.directory().revision()) != held;
         let limit = gateway.settings.bounds.word_limit();
         if reply.ages.is_any_older_than(limit) {
             return Err(StepError::new("poll peer", peer, "its word is old"));
         }
-        Ok(())
+        Ok(is_newer || is_fresher)
     }
 
     /// The peer's word confirms what is held here only if the peer holds the same, now that its reply
     /// was taken in: one that holds more may have left changes out. Daemons that poll this one are
     /// told at once: at their next poll the word would be older by a whole poll for each daemon on the
-    /// way from the source.
-    fn confirm(&self, reply: &FeedReply, asked: Moment) {
+    /// way from the source. Returns whether the word is fresher than what was held.
+    fn confirm(&self, reply: &FeedReply, asked: Moment) -> bool {
         let gateway = &self.gateway;
         let waited = Duration::from_millis(reply.waited_millis.into());
         let way = Clock.now().since(asked).saturating_sub(waited);
@@ -163,6 +171,7 @@
         if is_news {
             gateway.announce_confirmation();
         }
+        is_news
     }
 
     /// Takes in a word that was as old as told when it left, and has been on its way for `way` at
--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
@@ -12,6 +13,8 @@
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{DirectoryDelta, LeafEntry, Revision};
 use tansylead_types::{NodeId, PlaceName, ServiceName};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::{LocalSet, spawn_local};
 
 /// Ends a test that would hang.
@@ -65,3 +68,61 @@
     };
     LocalSet::new().run_until(learning).await;
 }
+
+/// Passes connections on to `target` and counts the bytes sent there.
+async fn counting_relay(target: SocketAddr, bytes: Rc<Cell<usize>>) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    spawn_local(async move {
+        while let Ok((from, _)) = listener.accept().await {
+            let bytes = Rc::clone(&bytes);
+            spawn_local(relay(from, target, bytes));
+        }
+    });
+    address
+}
+
+async fn relay(from: TcpStream, target: SocketAddr, bytes: Rc<Cell<usize>>) {
+    let Ok(to) = TcpStream::connect(target).await else {
+        return;
+    };
+    let (mut from_read, mut from_write) = from.into_split();
+    let (mut to_read, mut to_write) = to.into_split();
+    spawn_local(async move { tokio::io::copy(&mut to_read, &mut from_write).await });
+    let mut buffer = [0; 1024];
+    while let Ok(length @ 1..) = from_read.read(&mut buffer).await {
+        bytes.set(bytes.get() + length);
+        if to_write.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_peer_that_answers_at_once_without_news_is_not_polled_without_a_pause() {
+    // Such a peer has a fresher word, but of an older revision than is held here. Polls without a pause
+    // send 100 kB and more in the time of the test; a slow machine sends less.
+    const MOST_BYTES: usize = 5_000;
+    let own = gateway(vec![leaf("listed")], Revision(10));
+    let peer = gateway(vec![leaf("listed")], Revision(5));
+    peer.confirm(Topic::Configuration, Clock.now());
+    peer.confirm(Topic::Leafs, Clock.now());
+    let place = PlaceName::new("elsewhere").expect("valid name");
+    let node = NodeId(own.settings.peer_address);
+    let polling = async {
+        let sent = Rc::new(Cell::new(0));
+        let seed = counting_relay(peer.settings.peer_address, Rc::clone(&sent)).await;
+        let view = Rc::new(ClusterView::new(node, place, 2, vec![seed]));
+        spawn_local(serve_feed(Rc::clone(&peer)));
+        spawn_local(PeerFeed::new(Rc::clone(&own), view).run());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(sent.get() < MOST_BYTES, "{} bytes", sent.get());
+        assert_eq!(
+            own.age(Topic::Leafs),
+            None,
+            "an older word confirms nothing"
+        );
+    };
+    LocalSet::new().run_until(polling).await;
+}
