--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -263,17 +263,12 @@
         route: &str,
         use_profile: impl FnOnce(&mut LatencyProfile) -> T,
     ) -> T {
-        let mut latencies = self.latencies.borrow_mut();
-        if let Some(profile) = latencies.get_mut(route) {
-            return use_profile(profile);
-        }
-        use_profile(latencies.entry(route.to_owned()).or_default())
+        with_route_state(&self.latencies, route, use_profile)
     }
 
     /// Turns among the weighted services of a route.
     pub fn with_turns<T>(&self, route: &str, use_turns: impl FnOnce(&mut WeightedTurns) -> T) -> T {
-        let mut turns = self.turns.borrow_mut();
-        use_turns(turns.entry(route.to_owned()).or_default())
+        with_route_state(&self.turns, route, use_turns)
     }
 
     /// Admission of the queries of a route over shards.
@@ -282,8 +277,7 @@
         route: &str,
         use_admission: impl FnOnce(&mut QueryAdmission) -> T,
     ) -> T {
-        let mut admissions = self.admissions.borrow_mut();
-        use_admission(admissions.entry(route.to_owned()).or_default())
+        with_route_state(&self.admissions, route, use_admission)
     }
 
     /// Daemons that share budgets and connections, this one included.
@@ -435,3 +429,16 @@
         self.changed.send_modify(|count| *count += 1);
     }
 }
+
+/// Uses what is known of a route; made if nothing is known yet. The name is copied only then.
+fn with_route_state<S: Default, T>(
+    states: &RefCell<HashMap<String, S>>,
+    route: &str,
+    use_state: impl FnOnce(&mut S) -> T,
+) -> T {
+    let mut states = states.borrow_mut();
+    if let Some(state) = states.get_mut(route) {
+        return use_state(state);
+    }
+    use_state(states.entry(route.to_owned()).or_default())
+}
