--- a/crates/tansylead-emulator/src/configuration.rs
+++ b/crates/tansylead-emulator/src/configuration.rs
@@ -42,6 +42,8 @@
     pub objective_millis: u64,
     /// Most leafs a request may be sent to.
     pub maximum_attempts: u32,
+    /// Regions whose leafs may serve its requests; any if there are none.
+    pub homes: Vec<String>,
 }
 
 impl RoutePlan {
@@ -70,6 +72,7 @@
             "slo_ms": self.objective_millis,
             "max_attempts": self.maximum_attempts,
             "priority": 1,
+            "allowed_regions": self.homes,
         });
         match &self.target {
             RouteTarget::Services(services) if services.len() == 1 => {
--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -8,6 +8,7 @@
 use crate::oracle::{CallerEnd, Oracle};
 use crate::proxy::Proxy;
 use crate::store::StoreServer;
+use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -64,6 +65,7 @@
                 timeout_millis: 3_000,
                 objective_millis: 400,
                 maximum_attempts: 2,
+                homes: Vec::new(),
             },
             lookup: single_route("lookup", "files", true),
             post: single_route("post", "payments", false),
@@ -84,6 +86,7 @@
         timeout_millis: 3_000,
         objective_millis: 500,
         maximum_attempts: if safe { 2 } else { 1 },
+        homes: Vec::new(),
     }
 }
 
@@ -215,6 +218,18 @@
         Ok(())
     }
 
+    /// Orders that nothing more be sent to the leafs of a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.store.put("evacuations", zone, json!({}));
+        self.oracle.evacuate(zone);
+    }
+
+    /// Takes the order back.
+    pub fn end_evacuation(&self, zone: &str) {
+        self.oracle.end_evacuation(zone);
+        self.store.delete("evacuations", zone);
+    }
+
     /// Callers' addresses of all daemons.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let daemons = self.daemons.iter();
@@ -251,7 +266,7 @@
         let regions: Vec<(String, String)> = plan
             .zones
             .iter()
-            .map(|zone| (zone.clone(), format!("region-{zone}")))
+            .map(|zone| (zone.clone(), region_of(zone)))
             .collect();
         let addresses: Vec<DaemonAddresses> =
             (0..plan.daemons).map(|_| DaemonAddresses::next()).collect();
@@ -279,6 +294,11 @@
     }
 }
 
+/// Region of a zone: each zone is a region of its own.
+pub fn region_of(zone: &str) -> String {
+    format!("region-{zone}")
+}
+
 /// Whether a daemon calls itself ready.
 pub async fn is_ready(address: SocketAddr, oracle: &Oracle) -> bool {
     let request = hyper::Request::builder()
--- a/crates/tansylead-emulator/src/leaf.rs
+++ b/crates/tansylead-emulator/src/leaf.rs
@@ -296,6 +296,7 @@
         request: id.to_owned(),
         service: plan.service.clone(),
         leaf: plan.id.clone(),
+        zone: plan.zone.clone(),
         status: if fails { 500 } else { 200 },
         body,
         at: Instant::now(),
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod deployment;
 pub mod leaf;
 pub mod oracle;
+mod place_rules;
 pub mod proxy;
 pub mod soak;
 pub mod store;
--- a/crates/tansylead-emulator/src/oracle.rs
+++ b/crates/tansylead-emulator/src/oracle.rs
@@ -1,6 +1,7 @@
 //! What callers and leafs have seen, and which promises that breaks.
 
 use crate::configuration::{RoutePlan, RouteTarget};
+use crate::place_rules::PlaceRules;
 use parking_lot::Mutex;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -18,6 +19,8 @@
     pub service: String,
     /// Leaf.
     pub leaf: String,
+    /// Zone of the leaf.
+    pub zone: String,
     /// Status the leaf answered with.
     pub status: u16,
     /// Body the leaf answered with.
@@ -62,6 +65,7 @@
     runs_of: HashMap<String, Vec<String>>,
     arrivals: Vec<Arrival>,
     draining: HashMap<String, Instant>,
+    places: PlaceRules,
     refused_unsafe: Vec<String>,
     violations: Vec<String>,
     counts: Counts,
@@ -124,10 +128,11 @@
     /// Notes a run, under its signature.
     pub fn run(&self, signature: &str, run: Run) {
         let mut seen = self.seen.lock();
-        if !seen.asked.contains_key(&run.request) {
-            let text = format!("UNASKED: {} ran {}", run.leaf, run.request);
-            seen.violations.push(text);
-        }
+        let broken = match seen.asked.get(&run.request) {
+            Some(asked) => seen.places.check(&run, &asked.route.homes),
+            None => Some(format!("UNASKED: {} ran {}", run.leaf, run.request)),
+        };
+        seen.violations.extend(broken);
         seen.runs.insert(signature.to_owned(), run);
     }
 
@@ -137,6 +142,16 @@
         seen.draining.insert(leaf.to_owned(), Instant::now());
     }
 
+    /// Notes that the order to empty a zone was acknowledged.
+    pub fn evacuate(&self, zone: &str) {
+        self.seen.lock().places.evacuate(zone);
+    }
+
+    /// Notes that the order to empty a zone is taken back.
+    pub fn end_evacuation(&self, zone: &str) {
+        self.seen.lock().places.end_evacuation(zone);
+    }
+
     /// Checks the end of a request.
     pub fn end(&self, request: &str, end: &CallerEnd) {
         let mut seen = self.seen.lock();
--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -3,7 +3,7 @@
 //! The seed fixes the order, kinds and places of faults and the callers' choices; what the
 //! machine's scheduler does is not fixed.
 
-use crate::deployment::{Deployment, DeploymentPlan};
+use crate::deployment::{Deployment, DeploymentPlan, region_of};
 use crate::leaf::LeafTrouble;
 use crate::oracle::{ArrivalBudget, Counts};
 use crate::proxy::LinkTrouble;
@@ -33,6 +33,12 @@
 /// A daemon's planned stop ends within this time.
 const STOP_LIMIT: Duration = Duration::from_millis(6_500);
 
+/// An evacuation lasts at least this long, so that it is in force for a while.
+const EVACUATION_REST: Duration = Duration::from_secs(4);
+/// Time in which a change of homes is in force: the daemons' default setting, with room for a busy
+/// machine.
+const HOMES_APPLY_LIMIT: Duration = Duration::from_millis(3_500);
+
 /// What a soak found.
 #[derive(Debug)]
 pub struct SoakReport {
@@ -102,11 +108,15 @@
     StoreLink(LinkTrouble, Duration),
     StoreForgets,
     Configuration,
+    /// A zone is emptied for this long.
+    Evacuation(Duration),
+    /// A route is confined to one region for this long.
+    Homes(Duration),
 }
 
 fn draw(random: &mut StdRng) -> Fault {
     let time = Duration::from_millis(random.random_range(300..3_000));
-    match random.random_range(0..13) {
+    match random.random_range(0..15) {
         0 | 1 => Fault::LeafTrouble(draw_leaf_trouble(random), time),
         2 => Fault::LeafCrash(time),
         3 => Fault::LeafLeaves,
@@ -118,6 +128,8 @@
         9 if random.random_bool(0.3) => Fault::AllDaemonsKilled,
         9 | 10 => Fault::Store(draw_store_trouble(random), time),
         11 => Fault::StoreLink(draw_link_trouble(random), time),
+        12 => Fault::Evacuation(EVACUATION_REST + time),
+        13 => Fault::Homes(time),
         _ if random.random_bool(0.4) => Fault::StoreForgets,
         _ => Fault::Configuration,
     }
@@ -223,10 +235,34 @@
             let routes = deployment.routes.all();
             deployment.configure(&routes);
         }
+        Fault::Evacuation(time) => {
+            let zone = deployment.leafs[leaf].plan.zone.clone();
+            deployment.evacuate(&zone);
+            tokio::time::sleep(time).await;
+            deployment.end_evacuation(&zone);
+        }
+        Fault::Homes(time) => confine_lookups(deployment, leaf, time).await,
     }
     Ok(())
 }
 
+/// Confines lookups to the region of a leaf for a while; others than the callers' go on asking for it.
+async fn confine_lookups(deployment: &mut Deployment, leaf: usize, time: Duration) {
+    let home = region_of(&deployment.leafs[leaf].plan.zone);
+    let mut routes = deployment.routes.clone();
+    routes.lookup.homes = vec![home];
+    deployment.configure(&routes.all());
+    tokio::time::sleep(HOMES_APPLY_LIMIT).await;
+    let daemons = deployment.daemons.len();
+    let deadline = Instant::now() + time;
+    let mut daemon = 0;
+    while Instant::now() < deadline {
+        deployment.call(daemon % daemons, &routes.lookup).await;
+        daemon += 1;
+    }
+    deployment.configure(&deployment.routes.all());
+}
+
 fn set_leaf_trouble(deployment: &Deployment, index: usize, trouble: LeafTrouble) {
     if let Some(leaf) = &deployment.leafs[index].leaf {
         leaf.set_trouble(trouble);
--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -2,7 +2,9 @@
 
 use super::panic_guard::catch_panic;
 use crate::clock::Clock;
-use crate::execution::{Call, GatherQuery, Outcome, Refusal, RefusalReason, forward, gather};
+use crate::execution::{
+    Call, GatherQuery, LeafAccess, Outcome, Refusal, RefusalReason, forward, gather,
+};
 use crate::headers::{remove_connection_headers, set_retry_after};
 use crate::leaf::OutgoingRequest;
 use crate::metrics::BadInput;
@@ -93,6 +95,7 @@
     time_left: Duration,
     trace: &Rc<RequestTrace>,
 ) -> Outcome {
+    let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(&route));
     match &route.target {
         Target::Services(services) => {
             let index = match services.len() {
@@ -107,6 +110,7 @@
                 service: gateway.service(&services[index].service),
                 end: arrived + time_left.min(route.policy.timeout),
                 route: Arc::clone(&route),
+                access,
                 request,
                 successes_only: false,
                 shared: Rc::default(),
@@ -118,6 +122,7 @@
             let query = GatherQuery {
                 gateway: Rc::clone(gateway),
                 route: Arc::clone(&route),
+                access,
                 request,
                 arrived,
                 time_left,
--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -98,6 +98,7 @@
             cluster: self.gateway.settings.cluster.clone(),
             version: self.gateway.version(),
             revision: self.gateway.directory().revision(),
+            evacuated: self.gateway.evacuated(),
             ages: WordAges::of(&self.gateway),
             wants_whole_directory: self.wants_whole_directory(peer),
             wait_millis: millis(POLL_WAIT),
@@ -135,17 +136,29 @@
         peer: SocketAddr,
     ) -> Result<bool, StepError> {
         let gateway = &self.gateway;
-        let held = (gateway.version(), gateway.directory().revision());
+        let held = (
+            gateway.version(),
+            gateway.directory().revision(),
+            gateway.evacuated(),
+        );
         if let Some(configuration) = reply.configuration.take() {
             gateway.apply_configuration(configuration);
         }
         if let Some(delta) = reply.directory.take() {
             gateway.apply_directory(delta);
         }
+        if let Some(zones) = reply.evacuated.clone() {
+            gateway.apply_evacuations(zones);
+        }
         let is_fresher = self.confirm(&reply, asked);
-        let is_newer = (gateway.version(), gateway.directory().revision()) != held;
+        let is_newer = (
+            gateway.version(),
+            gateway.directory().revision(),
+            gateway.evacuated(),
+        ) != held;
         let limit = gateway.settings.bounds.word_limit();
-        if reply.ages.is_any_older_than(limit) {
+        let topics = gateway.settings.bounds.topics();
+        if reply.ages.is_any_older_than(limit, topics) {
             return Err(StepError::new("poll peer", peer, "its word is old"));
         }
         Ok(is_newer || is_fresher)
@@ -167,6 +180,9 @@
         if reply.revision == revision {
             is_news |= self.confirm_topic(Topic::Leafs, reply.ages, way);
         }
+        if holds_the_same_zones(reply, gateway) {
+            is_news |= self.confirm_topic(Topic::Evacuations, reply.ages, way);
+        }
         self.lacks_changes.set(reply.revision > revision);
         if is_news {
             gateway.announce_confirmation();
@@ -185,3 +201,10 @@
         is_fresher(age, held)
     }
 }
+
+/// Whether the same zones are being emptied by what the peer holds and by what is held here.
+fn holds_the_same_zones(reply: &FeedReply, gateway: &Gateway) -> bool {
+    let told = reply.evacuated.as_ref().map(|told| &told.zones);
+    let held = gateway.evacuated();
+    told.is_some() && told == held.as_ref().map(|held| &held.zones)
+}
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use tansylead_route::{Configuration, DirectoryDelta, Revision};
+use tansylead_route::{Configuration, DirectoryDelta, EvacuatedZones, Revision};
 use tansylead_types::StepError;
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -24,6 +24,8 @@
     pub configuration: Option<u32>,
     /// Of the leaf directory.
     pub leafs: Option<u32>,
+    /// Of the zones that are being emptied.
+    pub evacuations: Option<u32>,
 }
 
 impl WordAges {
@@ -32,6 +34,7 @@
         Self {
             configuration: gateway.age(Topic::Configuration).map(millis),
             leafs: gateway.age(Topic::Leafs).map(millis),
+            evacuations: gateway.age(Topic::Evacuations).map(millis),
         }
     }
 
@@ -40,24 +43,23 @@
         let millis = match topic {
             Topic::Configuration => self.configuration,
             Topic::Leafs => self.leafs,
+            Topic::Evacuations => self.evacuations,
         };
         millis.map(|millis| Duration::from_millis(millis.into()))
     }
 
     /// Whether the word of any topic is fresher than in `other`, by as much as is worth telling.
     pub fn is_fresher_than(self, other: Self) -> bool {
-        let topics = [Topic::Configuration, Topic::Leafs];
+        let topics = [Topic::Configuration, Topic::Leafs, Topic::Evacuations];
         topics
             .into_iter()
             .any(|topic| is_fresher(self.age(topic), other.age(topic)))
     }
 
-    /// Whether the word of any topic is older than `limit`.
-    pub(super) fn is_any_older_than(self, limit: Duration) -> bool {
-        let topics = [Topic::Configuration, Topic::Leafs];
-        topics
-            .into_iter()
-            .any(|topic| self.age(topic).is_none_or(|age| age > limit))
+    /// Whether the word of any of these topics is older than `limit`.
+    pub(super) fn is_any_older_than(self, limit: Duration, topics: &[Topic]) -> bool {
+        let mut ages = topics.iter().map(|topic| self.age(*topic));
+        ages.any(|age| age.is_none_or(|age| age > limit))
     }
 }
 
@@ -75,6 +77,8 @@
     pub(super) version: Option<u64>,
     /// Revision of the leaf directory.
     pub(super) revision: Option<Revision>,
+    /// Zones that are being emptied.
+    pub(super) evacuated: Option<EvacuatedZones>,
     /// How old its word is.
     pub(super) ages: WordAges,
     /// Whether a whole directory is wanted where changes do not reach back far enough.
@@ -90,6 +94,8 @@
     pub(super) configuration: Option<Configuration>,
     /// What the asking daemon's directory lacks.
     pub(super) directory: Option<DirectoryDelta>,
+    /// The zones that are being emptied, as the answering daemon holds them.
+    pub(super) evacuated: Option<EvacuatedZones>,
     /// Version held by the answering daemon.
     pub(super) version: Option<u64>,
     /// Revision held by the answering daemon.
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -76,7 +76,9 @@
     let mut changes = gateway.changes();
     changes.mark_unchanged();
     let news = reply(gateway, request, Duration::ZERO);
-    let is_newer = news.configuration.is_some() || news.directory.is_some();
+    let is_newer = news.configuration.is_some()
+        || news.directory.is_some()
+        || has_news_of_evacuations(&news, request);
     if is_newer || news.ages.is_fresher_than(request.ages) {
         return news;
     }
@@ -84,6 +86,12 @@
     reply(gateway, request, Clock.now().since(arrived))
 }
 
+fn has_news_of_evacuations(reply: &FeedReply, request: &FeedRequest) -> bool {
+    let held = request.evacuated.as_ref();
+    let told = reply.evacuated.as_ref();
+    told.is_some_and(|told| told.is_news_for(held))
+}
+
 fn reply(gateway: &Gateway, request: &FeedRequest, waited: Duration) -> FeedReply {
     let active = gateway.active();
     let held = active.as_ref().map(|active| &active.configuration);
@@ -100,6 +108,7 @@
         directory,
         version: gateway.version(),
         revision,
+        evacuated: gateway.evacuated(),
         ages: WordAges::of(gateway),
         waited_millis: millis(waited),
     }
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -84,7 +84,7 @@
         let source = Rc::clone(&self.source);
         let mut pace = FirstReadPace::default();
         let mut reads = FuturesUnordered::new();
-        while !self.is_known() {
+        while !self.gateway.knows(self.topic) {
             reads.push(source.read(self.topic, Freshness::Cached));
             let wait = pace.next_wait(rand::random());
             if let Ok(update) = tokio::time::timeout(wait, first_answer(&mut reads)).await {
@@ -94,13 +94,6 @@
         }
     }
 
-    fn is_known(&self) -> bool {
-        match self.topic {
-            Topic::Configuration => self.gateway.version().is_some(),
-            Topic::Leafs => self.gateway.directory().revision().is_some(),
-        }
-    }
-
     async fn wait_for_turn(&mut self) {
         while !self.view.is_watcher() && !self.is_word_old() {
             tokio::time::sleep(jittered(TURN_PERIOD)).await;
@@ -138,7 +131,7 @@
     /// Where a watch goes on: peers may have brought the directory further than the last watch.
     fn known_position(&self) -> Option<Revision> {
         match self.topic {
-            Topic::Configuration => self.position,
+            Topic::Configuration | Topic::Evacuations => self.position,
             Topic::Leafs => self.position.max(self.gateway.directory().revision()),
         }
     }
@@ -165,6 +158,8 @@
             }
             SourceContent::Configuration(None) => {}
             SourceContent::Leafs(delta) => self.gateway.apply_directory(delta),
+            SourceContent::Evacuations(Some(zones)) => self.gateway.apply_evacuations(zones),
+            SourceContent::Evacuations(None) => {}
         }
     }
 
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::headers::HeaderNames;
 use crate::metrics::serve_metrics;
 use crate::settings::GatewaySettings;
-use crate::source::{Source, Topic};
+use crate::source::Source;
 use crate::state::{Gateway, StopPhase};
 use eyre::WrapErr;
 use std::collections::BTreeSet;
@@ -115,7 +115,7 @@
     spawn_local(PeerFeed::new(Rc::clone(gateway), Rc::clone(view)).run());
     spawn_local(until_failed("readiness", serve_ready(Rc::clone(gateway))));
     spawn_local(until_failed("peers", serve_feed(Rc::clone(gateway))));
-    for topic in [Topic::Configuration, Topic::Leafs] {
+    for &topic in gateway.settings.bounds.topics() {
         let feed = SourceFeed::new(
             Rc::clone(gateway),
             Rc::clone(view),
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -5,6 +5,7 @@
 //! budget; no attempt starts after the end.
 
 use super::attempts::{Attempt, NextEnd};
+use super::leaf_access::LeafAccess;
 use crate::clock::Clock;
 use crate::leaf::{AttemptEnd, LeafState, OutgoingRequest, ServiceState, run_attempt};
 use crate::request_trace::{
@@ -39,6 +40,8 @@
     pub service: Rc<ServiceState>,
     /// Route of the request.
     pub route: Arc<Route>,
+    /// Which leafs it may use.
+    pub access: LeafAccess,
     /// The request.
     pub request: Rc<OutgoingRequest>,
     /// When the call ends, answered or not.
@@ -186,12 +189,13 @@
         progress.tried.push(leaf.entry().leaf.clone());
         let delay = self.overdue_delay(&leaf);
         let sent = Rc::new(Cell::new(None));
+        let access = self.access.clone();
         let run = run_attempt(
             Rc::clone(&leaf),
             Rc::clone(&self.request),
             Rc::clone(&self.gateway.names),
             delay,
-            self.gateway.settings.bounds.missing_grace(),
+            move |leaf| access.may_use(leaf),
             self.end,
             Rc::clone(&sent),
         );
@@ -400,7 +404,9 @@
 
     /// The best leaf not tried yet.
     fn choose(&self, progress: &Progress) -> Option<Rc<LeafState>> {
-        self.service.choose(&progress.tried, self.typical())
+        let homes = &self.access.route_in_force().policy.homes;
+        let typical = self.typical();
+        self.service.choose(homes, &progress.tried, typical)
     }
 
     fn note_answer(&self, attempt: &Attempt) {
--- a/crates/tansylead-gateway/src/execution/forward.rs
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -11,11 +11,12 @@
 /// Runs a request to one service. `time_left` is how long the caller waits.
 pub async fn forward(call: Call, time_left: Duration) -> Outcome {
     let service = Rc::clone(&call.service);
+    let access = call.access.clone();
     let objective = call.route.policy.objective;
     match call.run().await {
         CallEnd::Answered(reply) => pass_on(reply),
         CallEnd::Failed(failure) => {
-            let retry_after = if service.has_leafs() {
+            let retry_after = if service.has_leafs(&access.route_in_force().policy.homes) {
                 retry_after_refusal(objective)
             } else {
                 retry_after_outage(time_left)
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -4,6 +4,7 @@
 //! answer has at least the parts that the route asks for, and says how many are missing.
 
 use super::call::{Call, CallEnd, SharedProgress};
+use super::leaf_access::LeafAccess;
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::clock::Clock;
 use crate::leaf::OutgoingRequest;
@@ -30,6 +31,8 @@
     pub gateway: Rc<Gateway>,
     /// Route of the query.
     pub route: Arc<Route>,
+    /// Which leafs it may use.
+    pub access: LeafAccess,
     /// The query.
     pub request: Rc<OutgoingRequest>,
     /// When it arrived.
@@ -127,10 +130,12 @@
 }
 
 impl GatherQuery {
-    /// Shards with a leaf that takes requests.
+    /// Shards with a leaf that takes this query.
     fn reachable_shards(&self, set: &ShardSet) -> usize {
+        let route = self.access.route_in_force();
         let is_reachable = |shard: &&ServiceName| {
-            let reachable = self.gateway.service(shard).has_leafs();
+            let service = self.gateway.service(shard);
+            let reachable = service.has_leafs(&route.policy.homes);
             if !reachable {
                 let reason = DenialReason::NoLeaf;
                 self.trace.note(shard, Decision::Denied { reason });
@@ -169,6 +174,7 @@
             gateway: Rc::clone(&self.gateway),
             service: self.gateway.service(shard),
             route: Arc::clone(&self.route),
+            access: self.access.clone(),
             request: Rc::clone(&self.request),
             end,
             successes_only: true,
--- a/crates/tansylead-gateway/src/execution/mod.rs
+++ b/crates/tansylead-gateway/src/execution/mod.rs
@@ -4,9 +4,11 @@
 mod call;
 mod forward;
 mod gather;
+mod leaf_access;
 mod outcome;
 
 pub use call::{Call, CallEnd, CallFailure};
 pub use forward::forward;
 pub use gather::{GatherQuery, gather};
+pub use leaf_access::LeafAccess;
 pub use outcome::{Outcome, Refusal, RefusalReason};
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
-use tansylead_route::{SHORTEST_FORGOTTEN_REST, Standing};
+use tansylead_route::SHORTEST_FORGOTTEN_REST;
 use tansylead_types::{Moment, StepError};
 
 /// Longest answer that is taken from a leaf, in bytes.
@@ -58,13 +58,14 @@
     Foreign(StepError),
 }
 
-/// Runs one attempt until its end. `sent` is set when the request is handed to a connection.
+/// Runs one attempt until its end. `may_use` tells, right before the request is handed over, whether
+/// it may still go to the leaf; `sent` is set when it is handed to a connection.
 pub async fn run_attempt(
     leaf: Rc<LeafState>,
     request: Rc<OutgoingRequest>,
     names: Rc<HeaderNames>,
     connect_limit: Duration,
-    missing_grace: Duration,
+    may_use: impl Fn(&LeafState) -> bool,
     end: Moment,
     sent: Rc<Cell<Option<Moment>>>,
 ) -> AttemptEnd {
@@ -79,8 +80,8 @@
         Ok(connected) => connected,
         Err(error) => return AttemptEnd::NotSent(error),
     };
-    if leaf.standing(Clock.now(), missing_grace) == Standing::Gone {
-        return not_sent(&leaf, "leaf is leaving");
+    if !may_use(&leaf) {
+        return not_sent(&leaf, "leaf may not be used any more");
     }
     let now = Clock.now();
     let time_left = end.since(now);
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -8,9 +8,10 @@
 use tansylead_http::HttpConnection;
 use tansylead_route::{
     Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
-    IdlePolicy, LeafEntry, LeafPhase, LeafReport, Listing, ReportedSilence, Slowness, Standing,
+    HomeRegions, IdlePolicy, LeafEntry, LeafLocation, LeafPhase, LeafReport, Listing,
+    ReportedSilence, Slowness, Standing,
 };
-use tansylead_types::Moment;
+use tansylead_types::{Moment, PlaceName};
 use tokio::sync::Semaphore;
 
 /// The way there and back before it is measured.
@@ -43,7 +44,9 @@
 pub struct LeafState {
     entry: RefCell<LeafEntry>,
     listing: Cell<Listing>,
-    distance: Distance,
+    location: LeafLocation,
+    /// Whether the leaf's zone is being emptied.
+    is_evacuated: Cell<bool>,
     in_flight: Cell<u32>,
     /// Bounds requests at a time, and with them connections: a new one is opened only if none is
     /// idle.
@@ -64,12 +67,13 @@
 
 impl LeafState {
     /// A leaf about which nothing is known but its entry.
-    pub fn new(entry: LeafEntry, distance: Distance, share: ConnectionShare) -> Self {
+    pub fn new(entry: LeafEntry, location: LeafLocation, share: ConnectionShare) -> Self {
         let limit = share.connections;
         Self {
             entry: RefCell::new(entry),
             listing: Cell::default(),
-            distance,
+            location,
+            is_evacuated: Cell::new(false),
             in_flight: Cell::new(0),
             permits: Arc::new(Semaphore::new(limit as usize)),
             limit: Cell::new(limit),
@@ -92,7 +96,7 @@
 
     /// Distance from this daemon.
     pub fn distance(&self) -> Distance {
-        self.distance
+        self.location.distance
     }
 
     /// Takes in an entry that is new or has come back. A leaf that said it was leaving stays so.
@@ -130,9 +134,35 @@
         self.listing.get() == Listing::Listed
     }
 
-    /// How the leaf may be used for new requests. One whose entry went without a word is the last
-    /// resort for `grace`.
+    /// Region of the leaf, if known.
+    pub fn region(&self) -> Option<&PlaceName> {
+        self.location.region.as_ref()
+    }
+
+    /// Notes whether the leaf's zone is being emptied. Its idle connections are closed then.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.set(is_evacuated);
+        if is_evacuated {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
+    /// How the leaf may be used for new requests that are confined to `homes`. Whatever sends
+    /// requests, or counts on a leaf for them, asks here.
+    pub fn standing_for(&self, homes: &HomeRegions, now: Moment, grace: Duration) -> Standing {
+        if homes.allow(self.region()) {
+            self.standing(now, grace)
+        } else {
+            Standing::Gone
+        }
+    }
+
+    /// How the leaf may be used for new requests of routes without homes. One whose entry went
+    /// without a word is the last resort for `grace`.
     pub fn standing(&self, now: Moment, grace: Duration) -> Standing {
+        if self.is_evacuated.get() {
+            return Standing::Gone;
+        }
         match self.entry.borrow().phase {
             LeafPhase::Draining => Standing::Gone,
             LeafPhase::Ready => self.listing.get().standing(now, grace),
@@ -165,7 +195,7 @@
         let usual_gap = self.idle_policy.get().mean_gap().unwrap_or(Duration::MAX);
         Candidate {
             verdict: self.verdict(now),
-            distance: self.distance,
+            distance: self.location.distance,
             way: self.way(),
             in_flight: self.in_flight.get(),
             limit: self.limit.get(),
@@ -215,7 +245,7 @@
 
     /// Time for the way there and back.
     pub fn way(&self) -> Duration {
-        self.way.get().unwrap_or(match self.distance {
+        self.way.get().unwrap_or(match self.location.distance {
             Distance::Zone => UNMEASURED_ZONE_WAY,
             Distance::Region => UNMEASURED_REGION_WAY,
             Distance::Remote => UNMEASURED_REMOTE_WAY,
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{Candidate, ExtraAttempt, RetryBudget, Standing, choose_leaf};
+use tansylead_route::{Candidate, ExtraAttempt, HomeRegions, RetryBudget, Standing, choose_leaf};
 use tansylead_types::{LeafId, Moment, ServiceName};
 
 /// One service.
@@ -75,22 +75,33 @@
         regular.cloned().collect()
     }
 
-    /// Whether any leaf may be sent requests.
-    pub fn has_leafs(&self) -> bool {
+    /// Whether any leaf may be sent requests that are confined to `homes`.
+    pub fn has_leafs(&self, homes: &HomeRegions) -> bool {
         let now = Clock.now();
         let leafs = self.leafs.borrow();
         let mut standings = leafs
             .iter()
-            .map(|leaf| leaf.standing(now, self.missing_grace));
+            .map(|leaf| leaf.standing_for(homes, now, self.missing_grace));
         standings.any(|standing| standing < Standing::Gone)
     }
 
-    /// The best leaf that is not in `excluded`, for a request that typically takes `typical`. Leafs
-    /// that are the last resort come only if no leaf of the service is regular.
-    pub fn choose(&self, excluded: &[LeafId], typical: Duration) -> Option<Rc<LeafState>> {
+    /// Leafs with an entry, and those whose entries went missing lately.
+    pub(crate) fn all(&self) -> Vec<Rc<LeafState>> {
+        self.leafs.borrow().clone()
+    }
+
+    /// The best leaf that is not in `excluded`, for a request that is confined to `homes` and
+    /// typically takes `typical`. Leafs that are the last resort come only if no leaf of the service
+    /// is regular.
+    pub fn choose(
+        &self,
+        homes: &HomeRegions,
+        excluded: &[LeafId],
+        typical: Duration,
+    ) -> Option<Rc<LeafState>> {
         let now = Clock.now();
         let leafs = self.leafs.borrow();
-        let standing = |leaf: &Rc<LeafState>| leaf.standing(now, self.missing_grace);
+        let standing = |leaf: &Rc<LeafState>| leaf.standing_for(homes, now, self.missing_grace);
         let best_standing = leafs.iter().map(standing).min()?;
         if best_standing == Standing::Gone {
             return None;
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -95,6 +95,8 @@
     configuration_version: IntGauge,
     configuration_age: Gauge,
     leafs_age: Gauge,
+    evacuations_age: Gauge,
+    evacuated_zones: IntGauge,
     leafs: IntGauge,
     daemons: IntGauge,
     caller_connections: IntGauge,
@@ -177,6 +179,16 @@
                 "tansylead_leafs_age_seconds",
                 "Time since the leaf directory was known to be current; -1 if never",
             ),
+            evacuations_age: seconds(
+                &registry,
+                "tansylead_evacuations_age_seconds",
+                "Time since the zones being emptied were known to be current; -1 if never",
+            ),
+            evacuated_zones: gauge(
+                &registry,
+                "tansylead_evacuated_zones",
+                "Zones that are being emptied",
+            ),
             leafs: gauge(&registry, "tansylead_leafs", "Leafs in the directory"),
             daemons: gauge(
                 &registry,
@@ -271,6 +283,9 @@
             .set(gateway.version().unwrap_or(0) as i64);
         self.configuration_age.set(age(Topic::Configuration));
         self.leafs_age.set(age(Topic::Leafs));
+        self.evacuations_age.set(age(Topic::Evacuations));
+        let evacuated = gateway.evacuated().unwrap_or_default();
+        self.evacuated_zones.set(evacuated.zones.len() as i64);
         self.leafs.set(gateway.directory().entries().count() as i64);
         self.daemons.set(gateway.daemons() as i64);
         self.caller_connections
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -150,6 +150,7 @@
             version = self.version.unwrap_or(0),
             configuration_age_ms = age(crate::source::Topic::Configuration),
             leafs_age_ms = age(crate::source::Topic::Leafs),
+            evacuations_age_ms = age(crate::source::Topic::Evacuations),
             outcome = outcome,
             missing = missing,
             took_ms = took.as_millis() as u64,
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -12,10 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_route::{
-    CallerLimits, Configuration, DirectoryDelta, LeafEntry, LeafPhase, Policy, Revision, Route,
-    Service, ShardSet, Target, WeightedService,
+    CallerLimits, Configuration, DirectoryDelta, EvacuatedZones, HomeRegions, LeafEntry, LeafPhase,
+    Policy, Revision, Route, Service, ShardSet, Target, WeightedService,
 };
-use tansylead_types::{LeafId, ServiceName, StepError, ZoneName};
+use tansylead_types::{LeafId, PlaceName, ServiceName, StepError, ZoneName};
 use tokio::time::Instant;
 
 /// Period at which the file is looked at.
@@ -69,6 +69,9 @@
     routes: Vec<RouteDocument>,
     #[serde(default)]
     leafs: Vec<LeafDocument>,
+    /// Zones that are being emptied: their leafs get nothing new.
+    #[serde(default)]
+    evacuated_zones: BTreeSet<ZoneName>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -100,6 +103,8 @@
     #[serde(default)]
     priority: u32,
     #[serde(default)]
+    homes: Vec<PlaceName>,
+    #[serde(default)]
     services: Vec<PartDocument>,
     #[serde(default)]
     shards: Vec<ServiceName>,
@@ -135,6 +140,8 @@
     pub configuration: Configuration,
     /// Leafs.
     pub leafs: Vec<LeafEntry>,
+    /// Zones that are being emptied.
+    pub evacuated_zones: BTreeSet<ZoneName>,
 }
 
 impl RoutesFile {
@@ -210,6 +217,7 @@
                 .into_iter()
                 .map(LeafDocument::into_entry)
                 .collect(),
+            evacuated_zones: self.evacuated_zones,
         }
     }
 }
@@ -240,6 +248,7 @@
                 timeout: Duration::from_millis(self.timeout_millis),
                 objective: Duration::from_millis(self.objective_millis),
                 priority: self.priority,
+                homes: HomeRegions::new(self.homes),
             },
         }
     }
@@ -263,7 +272,7 @@
     }
 }
 
-/// A routes file as a source. Its version is the position of both topics.
+/// A routes file as a source. Its version is the position of all topics.
 #[derive(Debug)]
 pub struct RoutesFileSource {
     path: PathBuf,
@@ -289,6 +298,10 @@
                 at,
                 entries: file.leafs,
             }),
+            Topic::Evacuations => SourceContent::Evacuations(Some(EvacuatedZones {
+                at,
+                zones: file.evacuated_zones,
+            })),
         };
         Ok(SourceUpdate {
             at,
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one gateway daemon.
 
 use crate::checked_file::{self, FileError};
+use crate::source::Topic;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -48,6 +49,11 @@
     pub configuration_limit_millis: f64,
     /// A leaving leaf must get nothing new this long after it said so.
     pub leaving_limit_millis: f64,
+    /// Whether zones can be emptied in this deployment; if not, the source is not asked for it.
+    pub follow_evacuations: bool,
+    /// Leafs of a zone that is being emptied must get nothing new this long after the order was
+    /// accepted.
+    pub evacuation_limit_millis: f64,
     /// Extra attempts allowed for each request to a service.
     pub retry_ratio: f64,
     /// Extra attempts allowed beyond the ratio, of all daemons together.
@@ -62,6 +68,8 @@
             stop_limit_seconds: 6.0,
             configuration_limit_millis: 3_000.0,
             leaving_limit_millis: 3_000.0,
+            follow_evacuations: true,
+            evacuation_limit_millis: 3_000.0,
             retry_ratio: 0.2,
             retry_slack: 20.0,
             retry_window_seconds: 10.0,
@@ -116,6 +124,7 @@
                 bounds.configuration_limit_millis,
             ),
             ("leaving_limit_millis", bounds.leaving_limit_millis),
+            ("evacuation_limit_millis", bounds.evacuation_limit_millis),
             ("retry_window_seconds", bounds.retry_window_seconds),
         ];
         let not_negative = [
@@ -190,13 +199,27 @@
         age.unwrap_or(uptime) > self.word_limit()
     }
 
-    /// Oldest word about configuration and leafs that the daemon relies on without asking itself.
+    /// What this daemon follows at the source.
+    pub fn topics(&self) -> &'static [Topic] {
+        const ALL: &[Topic] = &[Topic::Configuration, Topic::Leafs, Topic::Evacuations];
+        const WITHOUT_EVACUATIONS: &[Topic] = &[Topic::Configuration, Topic::Leafs];
+        if self.follow_evacuations {
+            ALL
+        } else {
+            WITHOUT_EVACUATIONS
+        }
+    }
+
+    /// Oldest word from the source that the daemon relies on without asking itself.
     pub fn word_limit(&self) -> Duration {
-        /// Part of the tighter of the two bounds.
+        /// Part of the tightest of the bounds.
         const SHARE: f64 = 0.8;
-        let limit = self
+        let mut limit = self
             .configuration_limit_millis
             .min(self.leaving_limit_millis);
+        if self.follow_evacuations {
+            limit = limit.min(self.evacuation_limit_millis);
+        }
         Duration::from_secs_f64(limit * SHARE / 1_000.0)
     }
 }
--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -1,9 +1,9 @@
-//! Where configuration and leafs come from, as the gateway sees it.
+//! Where configuration, leafs and evacuations come from, as the gateway sees it.
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tansylead_route::{Configuration, DirectoryDelta, Revision};
+use tansylead_route::{Configuration, DirectoryDelta, EvacuatedZones, Revision};
 use tansylead_types::StepError;
 
 /// What is read from the source; each topic is read on its own.
@@ -13,6 +13,8 @@
     Configuration,
     /// Leafs.
     Leafs,
+    /// Zones that are being emptied.
+    Evacuations,
 }
 
 impl Topic {
@@ -21,6 +23,7 @@
         match self {
             Topic::Configuration => "configuration",
             Topic::Leafs => "leafs",
+            Topic::Evacuations => "evacuations",
         }
     }
 }
@@ -52,6 +55,8 @@
     Configuration(Option<Box<Configuration>>),
     /// Leafs: all of them, or those that changed.
     Leafs(DirectoryDelta),
+    /// All zones that are being emptied; none if they have not changed.
+    Evacuations(Option<EvacuatedZones>),
 }
 
 /// Why a read or a watch gave nothing.
@@ -68,7 +73,7 @@
     Failed(StepError),
 }
 
-/// A source of configuration and leafs with versions and watches.
+/// A source of configuration, leafs and evacuations with versions and watches.
 pub trait Source: 'static {
     /// Reads a topic whole.
     fn read(
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -2,37 +2,31 @@
 //!
 //! Invariants: the configuration's version never goes down; no borrow is held over a wait.
 
+mod leafs;
+
 use crate::clock::Clock;
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
-use crate::metrics::{Metrics, ReportDirection};
+use crate::metrics::Metrics;
 use crate::report_queue::ReportQueue;
 use crate::request_log::RequestLogLimits;
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, ConnectionShare, DaemonCounts, DirectoryChange, DirectoryDelta, LatencyProfile,
-    LeafDirectory, LeafEntry, LeafReport, Locality, QueryAdmission, RouteTable, SharedLeaf,
-    WeightedTurns,
+    Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
+    QueryAdmission, RouteTable, WeightedTurns,
 };
-use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
+use tansylead_types::{LeafId, Moment, ServiceName};
 use tokio::sync::watch;
 
 /// Requests that arrive in this first time of a daemon's life wait for what is being read.
 const STARTUP_WAIT: Duration = Duration::from_millis(80);
 /// Daemons that share a leaf's connections as long as they are not known.
 const ASSUMED_DAEMONS: usize = 8;
-/// Connections a leaf of an unconfigured service is taken to accept.
-const DEFAULT_CONNECTIONS: u32 = 16;
-/// Part of a leaf's connections before it is computed.
-const NO_SHARE: ConnectionShare = ConnectionShare {
-    connections: 1,
-    is_reserve: true,
-};
 
 /// One version of the configuration with its index.
 #[derive(Debug)]
@@ -73,6 +67,8 @@
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
     directory: RefCell<LeafDirectory>,
+    /// None until it is known which zones are being emptied.
+    evacuated: RefCell<Option<EvacuatedZones>>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
@@ -104,6 +100,7 @@
             locality,
             active: RefCell::default(),
             directory: RefCell::default(),
+            evacuated: RefCell::default(),
             services: RefCell::default(),
             leafs: RefCell::default(),
             latencies: RefCell::default(),
@@ -148,62 +145,6 @@
         self.notify();
     }
 
-    /// Takes in changes of the leaf directory.
-    pub fn apply_directory(&self, delta: DirectoryDelta) {
-        let before = self.directory.borrow().revision();
-        let source_was_away = self.is_word_of_leafs_old();
-        let changes = self.directory.borrow_mut().apply(delta);
-        let mut changed_services: HashMap<ServiceName, Rc<ServiceState>> = HashMap::new();
-        for change in changes {
-            let service = match change {
-                DirectoryChange::Present(entry) => {
-                    log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
-                    self.put_leaf(entry)
-                }
-                DirectoryChange::Gone(leaf) => {
-                    log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
-                    self.remove_leaf(&leaf, source_was_away)
-                }
-            };
-            changed_services.extend(service.map(|service| (service.name().clone(), service)));
-        }
-        for service in changed_services.values() {
-            self.share_connections(service);
-        }
-        if self.directory.borrow().revision() != before {
-            self.notify();
-        }
-    }
-
-    /// Reports on leafs to the other daemons of the region.
-    pub(crate) fn report(&self, reports: impl IntoIterator<Item = LeafReport>) {
-        for report in reports {
-            let direction = if self.reports.add(report) {
-                ReportDirection::Sent
-            } else {
-                ReportDirection::Suppressed
-            };
-            self.metrics.on_leaf_reports(direction, 1);
-        }
-    }
-
-    /// Takes in what another daemon says of leafs.
-    pub fn apply_reports(&self, reports: &[LeafReport]) {
-        self.metrics
-            .on_leaf_reports(ReportDirection::Received, reports.len());
-        let leafs = self.leafs.borrow();
-        for report in reports {
-            if let Some(leaf) = leafs.get(report.leaf()) {
-                leaf.on_report(report);
-            }
-        }
-    }
-
-    /// The leaf directory.
-    pub fn directory(&self) -> std::cell::Ref<'_, LeafDirectory> {
-        self.directory.borrow()
-    }
-
     /// Notes that what is held of a topic was current at `moment`.
     pub fn confirm(&self, topic: Topic, moment: Moment) {
         let mut confirmed = self.confirmed.borrow_mut();
@@ -228,12 +169,25 @@
         Clock.now().since(self.started)
     }
 
-    /// Whether configuration and leafs are known.
+    /// Whether everything is known that the source tells.
     pub fn knows_enough(&self) -> bool {
-        self.active.borrow().is_some() && self.directory.borrow().revision().is_some()
+        self.settings
+            .bounds
+            .topics()
+            .iter()
+            .all(|topic| self.knows(*topic))
+    }
+
+    /// Whether a topic is known, however old the word is.
+    pub fn knows(&self, topic: Topic) -> bool {
+        match topic {
+            Topic::Configuration => self.active.borrow().is_some(),
+            Topic::Leafs => self.directory.borrow().revision().is_some(),
+            Topic::Evacuations => self.evacuated.borrow().is_some(),
+        }
     }
 
-    /// Waits for configuration and leafs, but not beyond the first moments of this daemon's life,
+    /// Waits until everything is known that the source tells, but not beyond the first moments of this daemon's life,
     /// in which they are being read.
     pub async fn wait_until_known(&self) {
         if self.knows_enough() {
@@ -245,18 +199,6 @@
         let _ = tokio::time::timeout(Clock.time_left(until), known).await;
     }
 
-    /// The state of a service; made if it is not known yet.
-    pub fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
-        if let Some(service) = self.services.borrow().get(name) {
-            return Rc::clone(service);
-        }
-        let bounds = &self.settings.bounds;
-        let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
-        let mut services = self.services.borrow_mut();
-        services.insert(name.clone(), Rc::clone(&service));
-        service
-    }
-
     /// Latencies of a route.
     pub fn with_latencies<T>(
         &self,
@@ -333,91 +275,6 @@
         &self.connections
     }
 
-    /// Idle connections to leafs.
-    pub fn idle_leaf_connections(&self) -> usize {
-        let leafs = self.leafs.borrow();
-        leafs.values().map(|leaf| leaf.idle_connections()).sum()
-    }
-
-    /// Closes leafs' idle connections past their time.
-    pub fn close_expired(&self) {
-        let now = Clock.now();
-        for service in self.services.borrow().values() {
-            service.close_expired(now);
-        }
-    }
-
-    /// Takes in an entry. Returns the service if its leafs are others than before.
-    fn put_leaf(&self, entry: LeafEntry) -> Option<Rc<ServiceState>> {
-        if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
-            leaf.update(entry);
-            return None;
-        }
-        let service = self.service(&entry.service);
-        if let Some(leaf) = service.missing(&entry.leaf) {
-            let id = entry.leaf.clone();
-            leaf.update(entry);
-            self.leafs.borrow_mut().insert(id, leaf);
-            return Some(service);
-        }
-        let distance = self.locality.distance(&entry.zone);
-        let leaf = Rc::new(LeafState::new(entry.clone(), distance, NO_SHARE));
-        service.add(Rc::clone(&leaf));
-        self.leafs.borrow_mut().insert(entry.leaf, leaf);
-        Some(service)
-    }
-
-    /// Takes a leaf out whose entry is missing. Returns its service, if the leaf was known.
-    fn remove_leaf(&self, id: &LeafId, source_was_away: bool) -> Option<Rc<ServiceState>> {
-        let leaf = self.leafs.borrow_mut().remove(id)?;
-        leaf.set_missing(Clock.now(), source_was_away);
-        let service = self.service(&leaf.entry().service);
-        service.forget_gone();
-        Some(service)
-    }
-
-    /// Whether nothing has been heard of the leafs for longer than their entries are relied on.
-    fn is_word_of_leafs_old(&self) -> bool {
-        let limit = self.settings.bounds.word_limit();
-        self.age(Topic::Leafs).is_some_and(|age| age > limit)
-    }
-
-    fn share_all_connections(&self) {
-        for service in self.services.borrow().values() {
-            self.share_connections(service);
-        }
-    }
-
-    /// Computes this daemon's part of the connections of each leaf of a service.
-    fn share_connections(&self, service: &ServiceState) {
-        let Some(own_region) = self.locality.own_region() else {
-            return;
-        };
-        let leafs = service.regular();
-        let regions = leafs.iter().map(|leaf| leaf.entry().zone.clone());
-        let regions = regions.filter_map(|zone| self.locality.region(&zone).cloned());
-        let service_regions: BTreeSet<PlaceName> = regions.collect();
-        let daemons = self.daemons.borrow();
-        for leaf in leafs {
-            let entry = leaf.entry();
-            let shared = SharedLeaf {
-                leaf: &entry.leaf,
-                maximum_connections: self.maximum_connections(service.name()),
-                region: self.locality.region(&entry.zone),
-                service_regions: &service_regions,
-            };
-            leaf.set_share(shared.share(own_region, &daemons));
-        }
-    }
-
-    fn maximum_connections(&self, service: &ServiceName) -> u32 {
-        let active = self.active.borrow();
-        let configured = active
-            .as_ref()
-            .and_then(|active| active.configuration.services.get(service));
-        configured.map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections)
-    }
-
     fn forget_unused_routes(&self, configuration: &Configuration) {
         let is_used = |name: &String| configuration.routes.iter().any(|route| route.name == *name);
         self.latencies.borrow_mut().retain(|name, _| is_used(name));
--- /dev/null
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -0,0 +1,210 @@
+//! What the daemon's state holds of leafs: the directory, the zones that are being emptied, the state
+//! of each leaf, and this daemon's part of its connections.
+
+use super::Gateway;
+use crate::clock::Clock;
+use crate::leaf::{LeafState, ServiceState};
+use crate::metrics::ReportDirection;
+use crate::source::Topic;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use tansylead_route::{
+    ConnectionShare, DirectoryChange, DirectoryDelta, EvacuatedZones, LeafDirectory, LeafEntry,
+    LeafReport, SharedLeaf,
+};
+use tansylead_types::{LeafId, PlaceName, ServiceName};
+
+/// Connections a leaf of an unconfigured service is taken to accept.
+const DEFAULT_CONNECTIONS: u32 = 16;
+/// Part of a leaf's connections before it is computed.
+const NO_SHARE: ConnectionShare = ConnectionShare {
+    connections: 1,
+    is_reserve: true,
+};
+
+impl Gateway {
+    /// Takes in changes of the leaf directory.
+    pub fn apply_directory(&self, delta: DirectoryDelta) {
+        let before = self.directory.borrow().revision();
+        let source_was_away = self.is_word_of_leafs_old();
+        let changes = self.directory.borrow_mut().apply(delta);
+        let mut changed_services: HashMap<ServiceName, Rc<ServiceState>> = HashMap::new();
+        for change in changes {
+            let service = match change {
+                DirectoryChange::Present(entry) => {
+                    log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
+                    self.put_leaf(entry)
+                }
+                DirectoryChange::Gone(leaf) => {
+                    log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
+                    self.remove_leaf(&leaf, source_was_away)
+                }
+            };
+            changed_services.extend(service.map(|service| (service.name().clone(), service)));
+        }
+        for service in changed_services.values() {
+            self.share_connections(service);
+        }
+        if self.directory.borrow().revision() != before {
+            self.notify();
+        }
+    }
+
+    /// Reports on leafs to the other daemons of the region.
+    pub(crate) fn report(&self, reports: impl IntoIterator<Item = LeafReport>) {
+        for report in reports {
+            let direction = if self.reports.add(report) {
+                ReportDirection::Sent
+            } else {
+                ReportDirection::Suppressed
+            };
+            self.metrics.on_leaf_reports(direction, 1);
+        }
+    }
+
+    /// Takes in what another daemon says of leafs.
+    pub fn apply_reports(&self, reports: &[LeafReport]) {
+        self.metrics
+            .on_leaf_reports(ReportDirection::Received, reports.len());
+        let leafs = self.leafs.borrow();
+        for report in reports {
+            if let Some(leaf) = leafs.get(report.leaf()) {
+                leaf.on_report(report);
+            }
+        }
+    }
+
+    /// Takes in the zones that are being emptied: their leafs get nothing new from now on.
+    pub fn apply_evacuations(&self, newer: EvacuatedZones) {
+        let mut held = self.evacuated.borrow_mut();
+        let is_first = held.is_none();
+        let zones = held.get_or_insert_default();
+        if !zones.apply(newer) && !is_first {
+            return;
+        }
+        log::info!(zones:? = zones.zones, revision = zones.at.0; "zones being emptied");
+        for service in self.services.borrow().values() {
+            for leaf in service.all() {
+                let is_evacuated = zones.contains(&leaf.entry().zone);
+                leaf.set_evacuated(is_evacuated);
+            }
+        }
+        drop(held);
+        self.share_all_connections();
+        self.notify();
+    }
+
+    /// The zones that are being emptied; none if nothing is known of them yet.
+    pub fn evacuated(&self) -> Option<EvacuatedZones> {
+        self.evacuated.borrow().clone()
+    }
+
+    fn is_evacuated(&self, entry: &LeafEntry) -> bool {
+        let evacuated = self.evacuated.borrow();
+        let evacuated = evacuated.as_ref();
+        evacuated.is_some_and(|zones| zones.contains(&entry.zone))
+    }
+
+    /// The leaf directory.
+    pub fn directory(&self) -> std::cell::Ref<'_, LeafDirectory> {
+        self.directory.borrow()
+    }
+
+    /// The state of a service; made if it is not known yet.
+    pub fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
+        if let Some(service) = self.services.borrow().get(name) {
+            return Rc::clone(service);
+        }
+        let bounds = &self.settings.bounds;
+        let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
+        let mut services = self.services.borrow_mut();
+        services.insert(name.clone(), Rc::clone(&service));
+        service
+    }
+
+    /// Idle connections to leafs.
+    pub fn idle_leaf_connections(&self) -> usize {
+        let leafs = self.leafs.borrow();
+        leafs.values().map(|leaf| leaf.idle_connections()).sum()
+    }
+
+    /// Closes leafs' idle connections past their time.
+    pub fn close_expired(&self) {
+        let now = Clock.now();
+        for service in self.services.borrow().values() {
+            service.close_expired(now);
+        }
+    }
+
+    /// Takes in an entry. Returns the service if its leafs are others than before.
+    fn put_leaf(&self, entry: LeafEntry) -> Option<Rc<ServiceState>> {
+        if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
+            leaf.update(entry);
+            return None;
+        }
+        let service = self.service(&entry.service);
+        if let Some(leaf) = service.missing(&entry.leaf) {
+            let id = entry.leaf.clone();
+            leaf.update(entry);
+            self.leafs.borrow_mut().insert(id, leaf);
+            return Some(service);
+        }
+        let location = self.locality.locate(&entry.zone);
+        let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE));
+        leaf.set_evacuated(self.is_evacuated(&entry));
+        service.add(Rc::clone(&leaf));
+        self.leafs.borrow_mut().insert(entry.leaf, leaf);
+        Some(service)
+    }
+
+    /// Takes a leaf out whose entry is missing. Returns its service, if the leaf was known.
+    fn remove_leaf(&self, id: &LeafId, source_was_away: bool) -> Option<Rc<ServiceState>> {
+        let leaf = self.leafs.borrow_mut().remove(id)?;
+        leaf.set_missing(Clock.now(), source_was_away);
+        let service = self.service(&leaf.entry().service);
+        service.forget_gone();
+        Some(service)
+    }
+
+    /// Whether nothing has been heard of the leafs for longer than their entries are relied on.
+    fn is_word_of_leafs_old(&self) -> bool {
+        let limit = self.settings.bounds.word_limit();
+        self.age(Topic::Leafs).is_some_and(|age| age > limit)
+    }
+
+    pub(super) fn share_all_connections(&self) {
+        for service in self.services.borrow().values() {
+            self.share_connections(service);
+        }
+    }
+
+    /// Computes this daemon's part of the connections of each leaf of a service.
+    fn share_connections(&self, service: &ServiceState) {
+        let Some(own_region) = self.locality.own_region() else {
+            return;
+        };
+        let leafs = service.regular();
+        let regions = leafs.iter().map(|leaf| leaf.entry().zone.clone());
+        let regions = regions.filter_map(|zone| self.locality.region(&zone).cloned());
+        let service_regions: BTreeSet<PlaceName> = regions.collect();
+        let daemons = self.daemons.borrow();
+        for leaf in leafs {
+            let entry = leaf.entry();
+            let shared = SharedLeaf {
+                leaf: &entry.leaf,
+                maximum_connections: self.maximum_connections(service.name()),
+                region: self.locality.region(&entry.zone),
+                service_regions: &service_regions,
+            };
+            leaf.set_share(shared.share(own_region, &daemons));
+        }
+    }
+
+    fn maximum_connections(&self, service: &ServiceName) -> u32 {
+        let active = self.active.borrow();
+        let configured = active
+            .as_ref()
+            .and_then(|active| active.configuration.services.get(service));
+        configured.map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections)
+    }
+}
--- a/crates/tansylead-gateway/tests/admission.rs
+++ b/crates/tansylead-gateway/tests/admission.rs
@@ -11,12 +11,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tansylead_gateway::execution::{GatherQuery, Outcome, RefusalReason, gather};
+use tansylead_gateway::execution::{GatherQuery, LeafAccess, Outcome, RefusalReason, gather};
 use tansylead_gateway::leaf::OutgoingRequest;
 use tansylead_gateway::request_trace::RequestTrace;
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
-use tansylead_route::{DirectoryDelta, Policy, Revision, Route, ShardSet, Target};
+use tansylead_route::{DirectoryDelta, HomeRegions, Policy, Revision, Route, ShardSet, Target};
 use tansylead_types::ServiceName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -83,6 +83,7 @@
             timeout: WAITS,
             objective: Duration::from_millis(250),
             priority: 1,
+            homes: HomeRegions::default(),
         },
     };
     let request = OutgoingRequest {
@@ -93,9 +94,11 @@
         id: Some(HeaderValue::from_static("own")),
         repeatable: true,
     };
+    let route = Arc::new(route);
     let query = GatherQuery {
         gateway: Rc::clone(gateway),
-        route: Arc::new(route),
+        access: LeafAccess::new(Rc::clone(gateway), Arc::clone(&route)),
+        route,
         request: Rc::new(request),
         arrived: Clock.now(),
         time_left,
--- a/crates/tansylead-gateway/tests/attempts.rs
+++ b/crates/tansylead-gateway/tests/attempts.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tansylead_gateway::leaf::{AttemptEnd, LeafState, OutgoingRequest, run_attempt};
 use tansylead_gateway::{Clock, HeaderNames};
+use tansylead_route::Standing;
 use tansylead_types::ServiceName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -70,7 +71,8 @@
     let end = Clock.now() + LIMIT;
     let sent = Rc::new(Cell::new(None));
     let leaf = Rc::clone(leaf);
-    run_attempt(leaf, Rc::new(request), names, LIMIT, LIMIT, end, sent).await
+    let may_use = |leaf: &LeafState| leaf.standing(Clock.now(), LIMIT) < Standing::Gone;
+    run_attempt(leaf, Rc::new(request), names, LIMIT, may_use, end, sent).await
 }
 
 #[tokio::test]
--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_gateway::leaf::LeafState;
-use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafPhase};
+use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafLocation, LeafPhase};
 use tansylead_types::{LeafId, ServiceName, ZoneName};
 
 /// The entry of a leaf that takes requests.
@@ -28,5 +28,9 @@
         is_reserve: false,
     };
     let entry = entry(name, service, address);
-    Rc::new(LeafState::new(entry, Distance::Zone, share))
+    let location = LeafLocation {
+        distance: Distance::Zone,
+        region: None,
+    };
+    Rc::new(LeafState::new(entry, location, share))
 }
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -11,7 +11,7 @@
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
     BreakerVerdict, CallerLimits, Configuration, DaemonCounts, DirectoryChange, DirectoryDelta,
-    LeafPhase, LeafReport, Revision, Service,
+    HomeRegions, LeafPhase, LeafReport, Revision, Service,
 };
 use tansylead_types::{LeafId, PlaceName, ServiceName};
 
@@ -51,7 +51,7 @@
 
 fn limit(gateway: &Gateway) -> u32 {
     let service = gateway.service(&ServiceName::new("disputes").expect("valid name"));
-    let leaf = service.choose(&[], Duration::from_millis(10));
+    let leaf = service.choose(&HomeRegions::default(), &[], Duration::from_millis(10));
     leaf.expect("a leaf").candidate(Clock.now()).limit
 }
 
@@ -83,7 +83,7 @@
 
 fn has_leafs(gateway: &Gateway) -> bool {
     let service = ServiceName::new("disputes").expect("valid name");
-    gateway.service(&service).has_leafs()
+    gateway.service(&service).has_leafs(&HomeRegions::default())
 }
 
 #[test]
@@ -94,9 +94,10 @@
     apply(&gateway, 2, vec![DirectoryChange::Gone(leaf)]);
     assert!(has_leafs(&gateway));
     let service = ServiceName::new("disputes").expect("valid name");
-    let chosen = gateway
-        .service(&service)
-        .choose(&[], Duration::from_millis(10));
+    let chosen =
+        gateway
+            .service(&service)
+            .choose(&HomeRegions::default(), &[], Duration::from_millis(10));
     assert!(chosen.is_some());
 }
 
--- a/crates/tansylead-route/src/configuration.rs
+++ b/crates/tansylead-route/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration of routed requests: routes, services and limits, as one immutable version.
 
+use crate::home_regions::HomeRegions;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -86,6 +87,8 @@
     pub objective: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
+    /// Regions whose leafs may serve the requests.
+    pub homes: HomeRegions,
 }
 
 /// A service as configured.
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -45,6 +45,15 @@
     Remote,
 }
 
+/// Where a leaf stands as seen from one daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeafLocation {
+    /// Distance from the daemon.
+    pub distance: Distance,
+    /// Region of the leaf's zone; none if the zone is in no known region.
+    pub region: Option<PlaceName>,
+}
+
 /// Where a daemon stands among the zones of the deployment.
 #[derive(Debug, Clone)]
 pub struct Locality {
@@ -73,6 +82,14 @@
         self.regions.values().cloned().collect()
     }
 
+    /// Where a leaf of this zone stands.
+    pub fn locate(&self, zone: &ZoneName) -> LeafLocation {
+        LeafLocation {
+            distance: self.distance(zone),
+            region: self.region(zone).cloned(),
+        }
+    }
+
     /// Distance to a zone; an unknown zone counts as remote.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.zone {
--- a/crates/tansylead-route/tests/choice.rs
+++ b/crates/tansylead-route/tests/choice.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_route::{
-    BreakerVerdict, CallerLimits, Candidate, Configuration, Distance, Patience, Policy, Route,
-    RouteTable, ShardSet, Target, WeightedService, WeightedTurns, choose_leaf,
+    BreakerVerdict, CallerLimits, Candidate, Configuration, Distance, HomeRegions, Patience,
+    Policy, Route, RouteTable, ShardSet, Target, WeightedService, WeightedTurns, choose_leaf,
 };
 use tansylead_types::ServiceName;
 
@@ -20,6 +20,7 @@
         timeout: Duration::from_secs(4),
         objective: Duration::from_millis(250),
         priority: 1,
+        homes: HomeRegions::default(),
     }
 }
 
