Bound what all daemons together send to a cold leaf

Cause: a leaf that comes back cold, or turns cold later, got as many requests as any other; what a service's configuration says a cold leaf bears was not read. Change: the entry's remaining warm-up sets until when a leaf is cold; a daemon takes its whole part of the requests of a second by the line of daemons that shares connections (one function, two uses), 0.8 of what the leaf bears, and none before it has had time to know the other daemons. Asked in LeafState::standing_for. The window is counted by SlidingCount, which the retry budget uses too.

--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 use tansylead_http::HttpConnection;
 use tansylead_route::{
-    Breaker, BreakerVerdict, Candidate, ConnectBackoff, ConnectionShare, Distance, FailureRate,
-    HomeRegions, IdlePolicy, LeafEntry, LeafLocation, LeafPhase, LeafReport, Listing,
+    Breaker, BreakerVerdict, Candidate, ColdLeafLimit, ConnectBackoff, ConnectionShare, Distance,
+    FailureRate, HomeRegions, IdlePolicy, LeafEntry, LeafLocation, LeafPhase, LeafReport, Listing,
     ReportedSilence, Slowness, Standing,
 };
 use tansylead_types::{Moment, PlaceName};
@@ -47,6 +47,7 @@
     location: LeafLocation,
     /// Whether the leaf's zone is being emptied.
     is_evacuated: Cell<bool>,
+    cold_limit: Cell<ColdLeafLimit>,
     in_flight: Cell<u32>,
     /// Bounds requests at a time, and with them connections: a new one is opened only if none is
     /// idle.
@@ -69,11 +70,14 @@
     /// A leaf about which nothing is known but its entry.
     pub fn new(entry: LeafEntry, location: LeafLocation, share: ConnectionShare) -> Self {
         let limit = share.connections;
+        let mut cold_limit = ColdLeafLimit::default();
+        cold_limit.on_told(Clock.now(), entry.warmup_left);
         Self {
             entry: RefCell::new(entry),
             listing: Cell::default(),
             location,
             is_evacuated: Cell::new(false),
+            cold_limit: Cell::new(cold_limit),
             in_flight: Cell::new(0),
             permits: Arc::new(Semaphore::new(limit as usize)),
             limit: Cell::new(limit),
@@ -104,6 +108,11 @@
         if self.entry.borrow().phase == LeafPhase::Draining {
             entry.phase = LeafPhase::Draining;
         }
+        if entry.warmup_left != self.entry.borrow().warmup_left {
+            let mut limit = self.cold_limit.get();
+            limit.on_told(Clock.now(), entry.warmup_left);
+            self.cold_limit.set(limit);
+        }
         *self.entry.borrow_mut() = entry;
         self.listing.set(self.listing.get().after_present());
     }
@@ -150,7 +159,8 @@
     /// How the leaf may be used for new requests that are confined to `homes`. Whatever sends
     /// requests, or counts on a leaf for them, asks here.
     pub fn standing_for(&self, homes: &HomeRegions, now: Moment, grace: Duration) -> Standing {
-        if homes.allow(self.region()) {
+        let may_serve = homes.allow(self.region()) && self.cold_limit.get().has_room(now);
+        if may_serve {
             self.standing(now, grace)
         } else {
             Standing::Gone
@@ -169,6 +179,14 @@
         }
     }
 
+    /// Sets this daemon's part of the requests of a second that the leaf bears while it is cold; none
+    /// if there is no bound.
+    pub fn set_cold_part(&self, part: Option<u32>) {
+        let mut limit = self.cold_limit.get();
+        limit.set_part(part);
+        self.cold_limit.set(limit);
+    }
+
     /// Bounds the requests at a time by this daemon's part of the leaf's connections.
     pub fn set_share(&self, share: ConnectionShare) {
         self.is_reserve.set(share.is_reserve);
@@ -430,6 +448,9 @@
         policy.on_use(now);
         self.leaf.idle_policy.set(policy);
         self.leaf.breaker.borrow_mut().on_sent(now);
+        let mut limit = self.leaf.cold_limit.get();
+        limit.on_sent(now);
+        self.leaf.cold_limit.set(limit);
     }
 }
 
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -88,6 +88,8 @@
 struct ServiceDocument {
     name: ServiceName,
     maximum_connections: u32,
+    #[serde(default)]
+    cold_requests_per_second: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -191,13 +193,11 @@
 
     fn into_file(self) -> RoutesFile {
         let services = self.services.into_iter().map(|service| {
-            let maximum_connections = service.maximum_connections;
-            (
-                service.name,
-                Service {
-                    maximum_connections,
-                },
-            )
+            let configured = Service {
+                maximum_connections: service.maximum_connections,
+                cold_requests_per_second: service.cold_requests_per_second,
+            };
+            (service.name, configured)
         });
         let routes = self.routes.into_iter().map(RouteDocument::into_route);
         RoutesFile {
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -50,6 +50,14 @@
     Ending,
 }
 
+/// Daemons that share what leafs bear.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct SharingDaemons {
+    counts: DaemonCounts,
+    /// Whether this daemon has had the time to learn of the others.
+    are_known: bool,
+}
+
 /// State shared by all tasks.
 #[derive(Debug)]
 pub struct Gateway {
@@ -79,7 +87,7 @@
     changed: watch::Sender<u64>,
     stop: watch::Sender<StopPhase>,
     /// Daemons that share budgets and connections.
-    daemons: RefCell<DaemonCounts>,
+    daemons: RefCell<SharingDaemons>,
     /// Daemons that membership knows of.
     known_daemons: RefCell<DaemonCounts>,
     connections: Cell<usize>,
@@ -89,7 +97,10 @@
     /// State of a daemon that knows nothing yet.
     pub fn new(settings: GatewaySettings, names: HeaderNames) -> Self {
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
-        let assumed = DaemonCounts::default().at_least(ASSUMED_DAEMONS, &locality.all_regions());
+        let assumed = SharingDaemons {
+            counts: DaemonCounts::default().at_least(ASSUMED_DAEMONS, &locality.all_regions()),
+            are_known: false,
+        };
         Self {
             settings,
             names: Rc::new(names),
@@ -224,7 +235,7 @@
 
     /// Daemons that share budgets and connections, this one included.
     pub fn daemons(&self) -> usize {
-        self.daemons.borrow().total()
+        self.daemons.borrow().counts.total()
     }
 
     /// Sets the daemons known to run.
@@ -236,13 +247,14 @@
     /// Counts the daemons that share budgets and connections. A daemon that has just started does
     /// not know the others yet: until then it takes it that there are some.
     pub fn count_daemons(&self) {
-        let young = self.uptime() < self.settings.bounds.word_limit();
+        let are_known = self.uptime() >= self.settings.bounds.word_limit();
         let known = self.known_daemons.borrow();
-        let daemons = if young {
-            known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
-        } else {
+        let counts = if are_known {
             known.clone()
+        } else {
+            known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
         };
+        let daemons = SharingDaemons { counts, are_known };
         if *self.daemons.borrow() != daemons {
             *self.daemons.borrow_mut() = daemons;
             self.share_all_connections();
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use tansylead_route::{
     ConnectionShare, DirectoryChange, DirectoryDelta, EvacuatedZones, LeafDirectory, LeafEntry,
-    LeafReport, SharedLeaf,
+    LeafReport, Service, SharedLeaf, cold_part,
 };
 use tansylead_types::{LeafId, PlaceName, ServiceName};
 
@@ -178,7 +178,8 @@
         }
     }
 
-    /// Computes this daemon's part of the connections of each leaf of a service.
+    /// Computes this daemon's part of what each leaf of a service bears: connections, and requests
+    /// while it is cold.
     fn share_connections(&self, service: &ServiceState) {
         let Some(own_region) = self.locality.own_region() else {
             return;
@@ -188,23 +189,33 @@
         let regions = regions.filter_map(|zone| self.locality.region(&zone).cloned());
         let service_regions: BTreeSet<PlaceName> = regions.collect();
         let daemons = self.daemons.borrow();
+        let configured = self.configured(service.name());
+        let maximum_connections = configured
+            .as_ref()
+            .map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections);
+        let cold_bound = configured.and_then(|service| service.cold_requests_per_second);
         for leaf in leafs {
             let entry = leaf.entry();
+            // All daemons may have just started: none takes a part before it knows the others.
+            let part = |bound| match daemons.are_known {
+                true => cold_part(&entry.leaf, bound, own_region, &daemons.counts),
+                false => 0,
+            };
+            leaf.set_cold_part(cold_bound.map(part));
             let shared = SharedLeaf {
                 leaf: &entry.leaf,
-                maximum_connections: self.maximum_connections(service.name()),
+                maximum_connections,
                 region: self.locality.region(&entry.zone),
                 service_regions: &service_regions,
             };
-            leaf.set_share(shared.share(own_region, &daemons));
+            leaf.set_share(shared.share(own_region, &daemons.counts));
         }
     }
 
-    fn maximum_connections(&self, service: &ServiceName) -> u32 {
+    /// What is configured of a service, if anything.
+    fn configured(&self, service: &ServiceName) -> Option<Service> {
         let active = self.active.borrow();
-        let configured = active
-            .as_ref()
-            .and_then(|active| active.configuration.services.get(service));
-        configured.map_or(DEFAULT_CONNECTIONS, |service| service.maximum_connections)
+        let active = active.as_ref()?;
+        active.configuration.services.get(service).cloned()
     }
 }
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -16,14 +16,31 @@
 use tansylead_types::{LeafId, PlaceName, ServiceName};
 
 const CAP: u32 = 40;
+/// Requests a second that a cold leaf bears.
+const COLD_BOUND: f64 = 20.0;
 
 fn gateway() -> Gateway {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
-    let settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
+    gateway_with(GatewaySettings::load(&root.join("settings.toml")).expect("settings"))
+}
+
+/// A daemon that relies on no word and so knows at once that no other daemon runs.
+fn lone_gateway() -> Gateway {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
+    let settings = GatewaySettings::load(&root.join("settings.toml"));
+    let mut settings = settings.expect("settings");
+    settings.bounds.configuration_limit_millis = f64::MIN_POSITIVE;
+    let gateway = gateway_with(settings);
+    gateway.set_daemons(daemons(1));
+    gateway
+}
+
+fn gateway_with(settings: GatewaySettings) -> Gateway {
     let gateway = Gateway::new(settings, HeaderNames::default());
     let service = ServiceName::new("disputes").expect("valid name");
     let configured = Service {
         maximum_connections: CAP,
+        cold_requests_per_second: Some(COLD_BOUND),
     };
     gateway.apply_configuration(Configuration {
         version: 1,
@@ -202,3 +219,52 @@
     gateway.apply_reports(&[LeafReport::Answering { leaf }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
 }
+
+/// Tells the gateway how much longer its leaf is cold.
+fn tell_cold(gateway: &Gateway, at: u64, left: Duration) {
+    let first = gateway.directory().entries().next().cloned();
+    let mut cold = first.expect("a leaf");
+    cold.warmup_left = left;
+    apply(gateway, at, vec![DirectoryChange::Present(cold)]);
+}
+
+/// Requests that may be sent to the leaf one right after the other, up to a limit.
+fn requests_with_room(gateway: &Gateway, limit: u32) -> u32 {
+    let service = ServiceName::new("disputes").expect("valid name");
+    let leaf = gateway.service(&service).regular().remove(0);
+    let mut sent = 0;
+    while sent < limit && has_leafs(gateway) {
+        leaf.begin().set_sent(Clock.now());
+        sent += 1;
+    }
+    sent
+}
+
+#[test]
+fn a_cold_leaf_gets_no_more_requests_than_it_bears() {
+    // Regression: a cold leaf got as many requests as any other.
+    let gateway = lone_gateway();
+    tell_cold(&gateway, 2, Duration::from_secs(60));
+    let sent = requests_with_room(&gateway, 100);
+    assert!(f64::from(sent) <= COLD_BOUND, "{sent}");
+    assert!(f64::from(sent) >= COLD_BOUND / 2.0, "{sent}");
+}
+
+#[test]
+fn a_leaf_that_becomes_cold_again_is_bounded_again_and_free_once_it_is_warm() {
+    let gateway = lone_gateway();
+    for round in 0..2 {
+        tell_cold(&gateway, 2 + 2 * round, Duration::from_secs(60));
+        assert!(requests_with_room(&gateway, 100) < 100);
+        tell_cold(&gateway, 3 + 2 * round, Duration::ZERO);
+        assert_eq!(requests_with_room(&gateway, 100), 100);
+    }
+}
+
+#[test]
+fn a_daemon_that_does_not_know_the_others_yet_leaves_cold_leafs_to_them() {
+    let gateway = gateway();
+    gateway.set_daemons(daemons(1));
+    tell_cold(&gateway, 2, Duration::from_secs(60));
+    assert_eq!(requests_with_room(&gateway, 100), 0);
+}
--- a/crates/tansylead-route/src/budget.rs
+++ b/crates/tansylead-route/src/budget.rs
@@ -5,11 +5,10 @@
 //! requests plus its part of the slack, so that the sum holds without any coordination but the
 //! number of daemons.
 
+use crate::sliding_count::SlidingCount;
 use std::time::Duration;
 use tansylead_types::Moment;
 
-/// Parts a window is counted in.
-const PARTS: usize = 10;
 /// Share of the bound that is used; the rest is kept for counts that differ at the edges of
 /// windows and for requests whose daemon is replaced.
 const USED_SHARE: f64 = 0.8;
@@ -39,20 +38,13 @@
     Hedge,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Part {
-    number: u64,
-    requests: u32,
-    extra: u32,
-}
-
 /// Counts of one service over a sliding window.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     settings: BudgetSettings,
     started: Moment,
-    /// One part more than the window has, so that the window is always covered whole.
-    parts: [Part; PARTS + 1],
+    requests: SlidingCount,
+    extra: SlidingCount,
 }
 
 impl RetryBudget {
@@ -61,36 +53,31 @@
         Self {
             settings,
             started,
-            parts: [Part::default(); PARTS + 1],
+            requests: SlidingCount::new(settings.window),
+            extra: SlidingCount::new(settings.window),
         }
     }
 
     /// Notes a request to the service.
     pub fn on_request(&mut self, now: Moment) {
-        self.part(now).requests += 1;
+        self.requests.add(now);
     }
 
     /// Takes one extra attempt if the bound allows it. `daemons` share the slack.
     pub fn try_take(&mut self, now: Moment, daemons: usize, kind: ExtraAttempt) -> bool {
-        let current = self.number(now);
-        let oldest = current.saturating_sub(PARTS as u64);
-        let live = self.parts.iter().filter(|part| part.number >= oldest);
-        let (requests, extra) = live.fold((0, 0), |(requests, extra), part| {
-            (requests + part.requests, extra + part.extra)
-        });
-        let allowance = self.allowance(now, requests, daemons);
+        let allowance = self.allowance(now, daemons);
         let usable = match kind {
             ExtraAttempt::Retry => allowance,
             ExtraAttempt::Hedge => allowance * (1.0 - RETRY_RESERVE),
         };
-        if f64::from(extra) + 1.0 > usable {
+        if f64::from(self.extra.sum(now)) + 1.0 > usable {
             return false;
         }
-        self.part(now).extra += 1;
+        self.extra.add(now);
         true
     }
 
-    fn allowance(&self, now: Moment, requests: u32, daemons: usize) -> f64 {
+    fn allowance(&self, now: Moment, daemons: usize) -> f64 {
         let young = now.since(self.started) < self.settings.window;
         let slack_share = if young {
             FIRST_WINDOW_SHARE
@@ -98,25 +85,6 @@
             USED_SHARE
         };
         let slack = self.settings.slack * slack_share / daemons.max(1) as f64;
-        f64::from(requests) * self.settings.ratio * USED_SHARE + slack
-    }
-
-    fn part(&mut self, now: Moment) -> &mut Part {
-        let number = self.number(now);
-        let part = &mut self.parts[(number % (PARTS as u64 + 1)) as usize];
-        if part.number != number {
-            *part = Part {
-                number,
-                ..Part::default()
-            };
-        }
-        part
-    }
-
-    /// Number of the part that `now` lies in; starts beyond the number of parts, so that empty
-    /// parts never count as recent.
-    fn number(&self, now: Moment) -> u64 {
-        let length = (self.settings.window / PARTS as u32).max(Duration::from_millis(1));
-        now.0 / length.as_micros() as u64 + PARTS as u64 + 1
+        f64::from(self.requests.sum(now)) * self.settings.ratio * USED_SHARE + slack
     }
 }
--- a/crates/tansylead-route/src/configuration.rs
+++ b/crates/tansylead-route/src/configuration.rs
@@ -96,6 +96,9 @@
 pub struct Service {
     /// Connections one leaf accepts from all callers together.
     pub maximum_connections: u32,
+    /// Requests a second that one leaf bears from all callers together while it is cold; none if it
+    /// bears as many as any other.
+    pub cold_requests_per_second: Option<f64>,
 }
 
 /// What callers may send and how long they may take.
--- a/crates/tansylead-route/src/connection_share.rs
+++ b/crates/tansylead-route/src/connection_share.rs
@@ -52,6 +52,40 @@
     pub fn total(&self) -> usize {
         self.by_region.values().sum::<usize>().max(1)
     }
+
+    /// The whole units of `amount`, which all daemons share by the weights of their regions, that fall
+    /// to the viewing daemon in `own_region`. The daemons stand in a line, by region and rank, and each
+    /// takes the units within its stretch of it. Where the line starts differs from leaf to leaf, so
+    /// that fractions of a unit fall to different daemons.
+    pub(crate) fn part(
+        &self,
+        amount: f64,
+        own_region: &PlaceName,
+        weight: impl Fn(&PlaceName) -> f64,
+        leaf: &LeafId,
+    ) -> u32 {
+        let own_weight = weight(own_region);
+        let mut all_weights = 0.0;
+        let mut weights_before = self.rank as f64 * own_weight;
+        for (region, count) in &self.by_region {
+            let weights = weight(region) * *count as f64;
+            all_weights += weights;
+            if region < own_region {
+                weights_before += weights;
+            }
+        }
+        let unit = amount / all_weights.max(weights_before + own_weight);
+        let start = weights_before * unit + offset(leaf);
+        let end = start + own_weight * unit;
+        (end.floor() - start.floor()) as u32
+    }
+}
+
+/// Where the line of daemons starts for a leaf, 0 to 1.
+fn offset(leaf: &LeafId) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    leaf.hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
 }
 
 /// What the share of a leaf's connections depends on, beside the daemons.
@@ -80,21 +114,9 @@
 impl SharedLeaf<'_> {
     /// The part of a daemon in `own_region`.
     pub fn share(&self, own_region: &PlaceName, daemons: &DaemonCounts) -> ConnectionShare {
-        let own_weight = self.weight(own_region);
-        let mut all_weights = 0.0;
-        let mut weights_before = daemons.rank as f64 * own_weight;
-        for (region, count) in &daemons.by_region {
-            let weights = self.weight(region) * *count as f64;
-            all_weights += weights;
-            if region < own_region {
-                weights_before += weights;
-            }
-        }
         let usable = f64::from(self.maximum_connections) * USED_SHARE;
-        let unit = usable / all_weights.max(weights_before + own_weight);
-        let start = weights_before * unit + self.offset();
-        let end = start + own_weight * unit;
-        let connections = (end.floor() - start.floor()) as u32;
+        let weight = |region: &PlaceName| self.weight(region);
+        let connections = daemons.part(usable, own_region, weight, self.leaf);
         ConnectionShare {
             connections: connections.max(1),
             is_reserve: connections == 0,
@@ -106,12 +128,4 @@
         let is_near = self.region == Some(region) || !self.service_regions.contains(region);
         if is_near { NEAR_WEIGHT } else { FAR_WEIGHT }
     }
-
-    /// Where the line of daemons starts, 0 to 1: differs from leaf to leaf, so that fractions of a
-    /// connection fall to different daemons.
-    fn offset(&self) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        self.leaf.hash(&mut hasher);
-        hasher.finish() as f64 / u64::MAX as f64
-    }
 }
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod breaker;
 mod budget;
+mod cold_leaf;
 mod configuration;
 mod connect_backoff;
 mod connection_share;
@@ -26,11 +27,13 @@
 mod records;
 mod retry_after;
 mod route_table;
+mod sliding_count;
 mod slowness;
 mod weights;
 
 pub use breaker::{Breaker, BreakerVerdict};
 pub use budget::{BudgetSettings, ExtraAttempt, RetryBudget};
+pub use cold_leaf::{ColdLeafLimit, cold_part};
 pub use configuration::{
     CallerLimits, Configuration, Policy, Route, Service, ShardSet, Target, WeightedService,
 };
