Start weighted turns of each daemon at a place of their own

Cause: all daemons of a fleet began with the same turns of a weighted route, and each sees one or two requests a second, so that shares were off until each had seen a whole sequence. Change: the turns start after a random number of them. The shares of a whole sequence are as exact as before.

--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -216,12 +216,13 @@
         route: &str,
         use_profile: impl FnOnce(&mut LatencyProfile) -> T,
     ) -> T {
-        with_route_state(&self.latencies, route, use_profile)
+        with_route_state(&self.latencies, route, LatencyProfile::default, use_profile)
     }
 
     /// Turns among the weighted services of a route.
     pub fn with_turns<T>(&self, route: &str, use_turns: impl FnOnce(&mut WeightedTurns) -> T) -> T {
-        with_route_state(&self.turns, route, use_turns)
+        let make = || WeightedTurns::starting_at(rand::random());
+        with_route_state(&self.turns, route, make, use_turns)
     }
 
     /// Admission of the queries of a route over shards.
@@ -230,7 +231,12 @@
         route: &str,
         use_admission: impl FnOnce(&mut QueryAdmission) -> T,
     ) -> T {
-        with_route_state(&self.admissions, route, use_admission)
+        with_route_state(
+            &self.admissions,
+            route,
+            QueryAdmission::default,
+            use_admission,
+        )
     }
 
     /// Daemons that share budgets and connections, this one included.
@@ -300,14 +306,15 @@
 }
 
 /// Uses what is known of a route; made if nothing is known yet. The name is copied only then.
-fn with_route_state<S: Default, T>(
+fn with_route_state<S, T>(
     states: &RefCell<HashMap<String, S>>,
     route: &str,
+    make: impl FnOnce() -> S,
     use_state: impl FnOnce(&mut S) -> T,
 ) -> T {
     let mut states = states.borrow_mut();
     if let Some(state) = states.get_mut(route) {
         return use_state(state);
     }
-    use_state(states.entry(route.to_owned()).or_default())
+    use_state(states.entry(route.to_owned()).or_insert_with(make))
 }
--- a/crates/tansylead-route/tests/choice.rs
+++ b/crates/tansylead-route/tests/choice.rs
@@ -1,5 +1,6 @@
 //! Routes, weights, leaf choice and patience.
 
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,6 +95,31 @@
     assert_eq!(counts, [50, 30, 20, 0]);
 }
 
+#[test]
+fn a_fleet_whose_daemons_see_few_requests_each_shares_them_by_weight() {
+    // Regression: all daemons began with the same turns, and three requests to each of them left the
+    // lightest service without any.
+    const DAEMONS: u32 = 65;
+    const REQUESTS: u32 = 3;
+    let weights = [0.5, 0.3, 0.2];
+    let services = weights.map(|weight| WeightedService {
+        service: service("s"),
+        weight,
+    });
+    let mut random = StdRng::seed_from_u64(1);
+    let mut counts = [0_u32; 3];
+    for _ in 0..DAEMONS {
+        let mut turns = WeightedTurns::starting_at(random.random());
+        for _ in 0..REQUESTS {
+            counts[turns.next(&services).expect("weights above zero")] += 1;
+        }
+    }
+    for (count, weight) in counts.into_iter().zip(weights) {
+        let share = f64::from(count) / f64::from(DAEMONS * REQUESTS);
+        assert!((share - weight).abs() < 0.1, "{share} instead of {weight}");
+    }
+}
+
 #[test]
 fn no_weight_no_turn() {
     let services = vec![WeightedService {
