--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -21,6 +21,8 @@
 const CONFIGURATIONS_AT_A_TIME: usize = 2;
 /// Longest time for one reply to be taken by its peer.
 const SEND_LIMIT: Duration = Duration::from_millis(800);
+/// A reply of so many bytes is logged: more than the changes of some leafs.
+const LARGE_REPLY_BYTES: usize = 4 * 1024;
 /// Longest wait that a request may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
@@ -59,7 +61,9 @@
             Some(_) => turns.acquire().await.ok(),
             None => None,
         };
-        let sending = frames.send(encode(&reply, peer)?);
+        let bytes = encode(&reply, peer)?;
+        note_large_reply(peer, &reply, bytes.len());
+        let sending = frames.send(bytes);
         // A peer that takes nothing must not keep others from their turn.
         let sent = tokio::time::timeout(SEND_LIMIT, sending).await;
         let sent = sent.map_err(|cause| StepError::new("send feed reply", peer, cause))?;
@@ -68,6 +72,16 @@
     Ok(())
 }
 
+/// Whole states fill the links of small machines: who sent them to whom explains late requests.
+fn note_large_reply(peer: &str, reply: &FeedReply, bytes: usize) {
+    if bytes < LARGE_REPLY_BYTES {
+        return;
+    }
+    let brings_configuration = reply.configuration.is_some();
+    let brings_directory = matches!(reply.directory, Some(DirectoryDelta::Everything { .. }));
+    log::info!(peer = peer, bytes = bytes, configuration = brings_configuration, whole_directory = brings_directory; "large feed reply");
+}
+
 /// Answers at once if there is news, or a word that is fresher than the asking daemon's; that may
 /// have come while its request was on the way. Otherwise the next change is waited for.
 async fn answer(gateway: &Gateway, request: &FeedRequest) -> FeedReply {
