--- a/crates/tansylead-emulator/src/configuration.rs
+++ b/crates/tansylead-emulator/src/configuration.rs
@@ -11,6 +11,9 @@
 /// Most bytes of a body.
 pub const MAXIMUM_BODY_BYTES: usize = 64 * 1024;
 
+/// Requests a second that a cold leaf bears from all daemons together.
+pub const COLD_REQUESTS_PER_SECOND: f64 = 8.0;
+
 /// What a route's requests go to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RouteTarget {
@@ -102,9 +105,14 @@
     let mut names: Vec<&str> = routes.iter().flat_map(RoutePlan::services).collect();
     names.sort_unstable();
     names.dedup();
-    let services = names.into_iter().map(
-        |name| json!({"name": name, "health_path": "/health", "max_conns": maximum_connections}),
-    );
+    let services = names.into_iter().map(|name| {
+        json!({
+            "name": name,
+            "health_path": "/health",
+            "max_conns": maximum_connections,
+            "warmup_per_s": COLD_REQUESTS_PER_SECOND,
+        })
+    });
     json!({
         "version": version,
         "routes": routes.iter().map(RoutePlan::document).collect::<Vec<_>>(),
--- a/crates/tansylead-emulator/src/leaf.rs
+++ b/crates/tansylead-emulator/src/leaf.rs
@@ -119,7 +119,7 @@
             accepting,
             connections,
         };
-        leaf.register("ready");
+        leaf.register("ready", Duration::ZERO);
         Ok(leaf)
     }
 
@@ -140,7 +140,7 @@
 
     /// Says that it is leaving. It serves on until it is dropped.
     pub fn drain(&self) {
-        self.register("draining");
+        self.register("draining", Duration::ZERO);
         self.shared.oracle.leave(&self.shared.plan.id);
     }
 
@@ -149,7 +149,18 @@
         self.store.delete("servers", &self.shared.plan.id);
     }
 
-    fn register(&self, state: &str) {
+    /// Says that it is cold for a while.
+    pub fn turn_cold(&self, length: Duration) {
+        self.register("ready", length);
+        self.shared.oracle.turn_cold(&self.shared.plan.id, length);
+    }
+
+    /// Says that it is warm.
+    pub fn turn_warm(&self) {
+        self.register("ready", Duration::ZERO);
+    }
+
+    fn register(&self, state: &str, warmup_left: Duration) {
         let plan = &self.shared.plan;
         let entry = json!({
             "service": plan.service,
@@ -158,7 +169,7 @@
             "version": "v1",
             "slots": plan.slots,
             "state": state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": warmup_left.as_millis() as u64,
             "seq": 1,
         });
         self.store.put("servers", &plan.id, entry);
@@ -266,7 +277,7 @@
         let instance = format!("Instance-Id: {}\r\n", plan.id);
         return refuse(stream, "421 Misdirected Request", id, &instance).await;
     }
-    shared.oracle.arrive(id, &plan.service);
+    shared.oracle.arrive(id, &plan.service, &plan.id);
     let trouble = *shared.trouble.lock();
     let is_full = shared.waiting.load(Ordering::Relaxed) >= QUEUE;
     if trouble == LeafTrouble::Full || is_full {
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod addresses;
 pub mod caller;
+mod cold_rule;
 pub mod configuration;
 pub mod daemon;
 pub mod demo;
@@ -18,3 +19,4 @@
 pub mod soak;
 pub mod store;
 pub mod traffic;
+mod zone_fault;
--- a/crates/tansylead-emulator/src/oracle.rs
+++ b/crates/tansylead-emulator/src/oracle.rs
@@ -1,5 +1,6 @@
 //! What callers and leafs have seen, and which promises that breaks.
 
+use crate::cold_rule::ColdRule;
 use crate::configuration::{RoutePlan, RouteTarget};
 use crate::place_rules::PlaceRules;
 use parking_lot::Mutex;
@@ -66,6 +67,7 @@
     arrivals: Vec<Arrival>,
     draining: HashMap<String, Instant>,
     places: PlaceRules,
+    cold: ColdRule,
     refused_unsafe: Vec<String>,
     violations: Vec<String>,
     counts: Counts,
@@ -111,8 +113,9 @@
     }
 
     /// Notes that a request reached a leaf, run or not.
-    pub fn arrive(&self, request: &str, service: &str) {
+    pub fn arrive(&self, request: &str, service: &str, leaf: &str) {
         let mut seen = self.seen.lock();
+        seen.cold.arrive(leaf);
         let earlier = seen.arrivals.len();
         let key = format!("{request}/{service}");
         let runs = seen.runs_of.entry(key).or_default();
@@ -142,6 +145,11 @@
         seen.draining.insert(leaf.to_owned(), Instant::now());
     }
 
+    /// Notes that a leaf says that it is cold for a while.
+    pub fn turn_cold(&self, leaf: &str, length: Duration) {
+        self.seen.lock().cold.turn_cold(leaf, length);
+    }
+
     /// Notes that the order to empty a zone was acknowledged.
     pub fn evacuate(&self, zone: &str) {
         self.seen.lock().places.evacuate(zone);
@@ -187,6 +195,7 @@
         violations.extend(seen.refused_but_run());
         violations.extend(seen.late_at_leaving(drain));
         violations.extend(seen.over_budget(budget));
+        violations.extend(seen.cold.violations());
         violations
     }
 }
--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -35,6 +35,8 @@
 
 /// An evacuation lasts at least this long, so that it is in force for a while.
 const EVACUATION_REST: Duration = Duration::from_secs(4);
+/// A leaf is cold at least this long, so that all daemons know it for a while.
+const COLD_REST: Duration = Duration::from_secs(4);
 /// Time in which a change of homes is in force: the daemons' default setting, with room for a busy
 /// machine.
 const HOMES_APPLY_LIMIT: Duration = Duration::from_millis(3_500);
@@ -112,11 +114,17 @@
     Evacuation(Duration),
     /// A route is confined to one region for this long.
     Homes(Duration),
+    /// A leaf is cold for this long.
+    LeafCold(Duration),
+    /// A zone is without power for this long.
+    ZoneLost(Duration),
+    /// A zone's leafs, and its daemons' links to the store, are cut for this long.
+    ZoneCut(Duration),
 }
 
 fn draw(random: &mut StdRng) -> Fault {
     let time = Duration::from_millis(random.random_range(300..3_000));
-    match random.random_range(0..15) {
+    match random.random_range(0..18) {
         0 | 1 => Fault::LeafTrouble(draw_leaf_trouble(random), time),
         2 => Fault::LeafCrash(time),
         3 => Fault::LeafLeaves,
@@ -130,6 +138,9 @@
         11 => Fault::StoreLink(draw_link_trouble(random), time),
         12 => Fault::Evacuation(EVACUATION_REST + time),
         13 => Fault::Homes(time),
+        14 => Fault::LeafCold(COLD_REST + time),
+        15 => Fault::ZoneLost(time),
+        16 => Fault::ZoneCut(time),
         _ if random.random_bool(0.4) => Fault::StoreForgets,
         _ => Fault::Configuration,
     }
@@ -241,6 +252,25 @@
             tokio::time::sleep(time).await;
             deployment.end_evacuation(&zone);
         }
+        Fault::LeafCold(time) => {
+            if let Some(cold) = &deployment.leafs[leaf].leaf {
+                cold.turn_cold(time);
+                tokio::time::sleep(time).await;
+                cold.turn_warm();
+            }
+        }
+        Fault::ZoneLost(time) => {
+            let zone = deployment.leafs[leaf].plan.zone.clone();
+            deployment.lose_zone(&zone);
+            tokio::time::sleep(time).await;
+            deployment.restore_zone(&zone).await?;
+        }
+        Fault::ZoneCut(time) => {
+            let zone = deployment.leafs[leaf].plan.zone.clone();
+            deployment.cut_zone(&zone, true);
+            tokio::time::sleep(time).await;
+            deployment.cut_zone(&zone, false);
+        }
         Fault::Homes(time) => confine_lookups(deployment, leaf, time).await,
     }
     Ok(())
