--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -45,6 +45,18 @@
         /// Service.
         service: ServiceName,
     },
+    /// The bound on requests to cold leafs is not above zero.
+    #[error(
+        "{path}: cold_requests_per_second of service {service} must be above zero, but is {value}"
+    )]
+    ColdBound {
+        /// File.
+        path: String,
+        /// Service.
+        service: ServiceName,
+        /// What it is.
+        value: f64,
+    },
     /// Two routes take the same requests.
     #[error("{path}: routes {first} and {second} have the same host and prefix")]
     SameRequests {
@@ -157,6 +169,27 @@
 
 impl RoutesDocument {
     fn check(&self, path: &str) -> Result<(), RoutesFileError> {
+        self.check_services(path)?;
+        self.check_routes(path)
+    }
+
+    fn check_services(&self, path: &str) -> Result<(), RoutesFileError> {
+        for service in &self.services {
+            let Some(value) = service.cold_requests_per_second else {
+                continue;
+            };
+            if !(value.is_finite() && value > 0.0) {
+                return Err(RoutesFileError::ColdBound {
+                    path: path.to_owned(),
+                    service: service.name.clone(),
+                    value,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_routes(&self, path: &str) -> Result<(), RoutesFileError> {
         let listed: BTreeSet<&ServiceName> =
             self.services.iter().map(|service| &service.name).collect();
         for (index, route) in self.routes.iter().enumerate() {
--- a/crates/tansylead-gateway/tests/files.rs
+++ b/crates/tansylead-gateway/tests/files.rs
@@ -80,6 +80,9 @@
     );
     let error = refused_routes("path_prefix = \"/dispute/\"", "path_prefix = \"/full/\"");
     assert!(error.contains("same host and prefix"), "{error}");
+    let bound = "cold_requests_per_second = ";
+    let error = refused_routes(&format!("{bound}20.0"), &format!("{bound}0.0"));
+    assert!(error.contains("disputes must be above zero"), "{error}");
     let error = refused_routes("slots = 5", "slost = 5");
     assert!(error.contains("slost"), "{error}");
 }
