Run queries over shards at the larger machines of a region

Ways: (a) every daemon runs what it receives; (b) the whole query goes one hop to a root. Change: members announce what their machine bears; where machines of a region differ, those of at least half of the largest run the queries of all, found by each daemon from the members alone. The query goes over a kept connection between daemons, one message each way, only where it may be repeated, its route's homes allow the region, and the root holds the same version of the configuration; else nothing has run and the daemon runs it itself. A query that a root may have run is not run again here. A breaker keeps queries from a root that is silent or out of reach. A planned stop waits for queries of other daemons.

--- a/crates/tansylead-cluster/src/membership/member.rs
+++ b/crates/tansylead-cluster/src/membership/member.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// What the machine of a daemon bears, in thousandths of a processor core.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Capacity(pub u16);
+
+impl Capacity {
+    /// A whole core.
+    pub const CORE: Self = Self(1_000);
+}
+
 /// One statement about one daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -45,6 +54,8 @@
     pub zone: ZoneName,
     /// HTTP address for callers.
     pub caller_address: SocketAddr,
+    /// What its machine bears.
+    pub capacity: Capacity,
     /// State.
     pub state: MemberState,
 }
@@ -84,6 +95,8 @@
     pub zone: ZoneName,
     /// HTTP address for callers.
     pub caller_address: SocketAddr,
+    /// What its machine bears.
+    pub capacity: Capacity,
 }
 
 impl LocalMember {
@@ -95,6 +108,7 @@
             place: self.place,
             zone: self.zone,
             caller_address: self.caller_address,
+            capacity: self.capacity,
             state: MemberState::Alive,
         }
     }
--- a/crates/tansylead-cluster/src/membership/mod.rs
+++ b/crates/tansylead-cluster/src/membership/mod.rs
@@ -30,7 +30,7 @@
 
 pub use event::{MembershipAction, MembershipEvent};
 pub use machine::{Membership, MembershipCounters};
-pub use member::{LocalMember, MemberRecord, MemberState, Precedence};
+pub use member::{Capacity, LocalMember, MemberRecord, MemberState, Precedence};
 pub use packet::{
     ConfigDigest, GossipMessage, GossipPacket, MemberPage, PageMember, PlaceSummary, Sequence,
 };
--- a/crates/tansylead-cluster/src/membership/packet.rs
+++ b/crates/tansylead-cluster/src/membership/packet.rs
@@ -1,6 +1,6 @@
 //! The UDP messages between daemons.
 
-use super::member::{MemberRecord, MemberState};
+use super::member::{Capacity, MemberRecord, MemberState};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
@@ -40,6 +40,8 @@
     pub zone: u8,
     /// HTTP address for callers.
     pub caller_address: SocketAddr,
+    /// What its machine bears.
+    pub capacity: Capacity,
     /// State.
     pub state: MemberState,
 }
--- a/crates/tansylead-cluster/src/membership/pages.rs
+++ b/crates/tansylead-cluster/src/membership/pages.rs
@@ -59,6 +59,7 @@
             place: page.place.clone(),
             zone: zone.clone(),
             caller_address: member.caller_address,
+            capacity: member.capacity,
             state: member.state,
         })
     })
@@ -79,6 +80,7 @@
         // A page holds fewer members, and so fewer zones, than a byte can count.
         zone: u8::try_from(zone).unwrap_or(u8::MAX),
         caller_address: record.caller_address,
+        capacity: record.capacity,
         state: record.state,
     }
 }
--- a/crates/tansylead-cluster/src/membership/sizes.rs
+++ b/crates/tansylead-cluster/src/membership/sizes.rs
@@ -47,6 +47,7 @@
         + name_bytes(record.place.as_str())
         + name_bytes(record.zone.as_str())
         + address_bytes(record.caller_address)
+        + number_bytes(u64::from(record.capacity.0))
         + VARIANT_BYTES
 }
 
@@ -57,6 +58,7 @@
         + number_bytes(member.incarnation)
         + number_bytes(u64::from(member.zone))
         + address_bytes(member.caller_address)
+        + number_bytes(u64::from(member.capacity.0))
         + VARIANT_BYTES
 }
 
--- a/crates/tansylead-cluster/tests/codec.rs
+++ b/crates/tansylead-cluster/tests/codec.rs
@@ -19,6 +19,7 @@
         place: PlaceName::new("bangkok").unwrap(),
         zone: ZoneName::new("bangkok-1").unwrap(),
         caller_address: address,
+        capacity: Capacity::CORE,
         state: MemberState::Suspect,
     }
 }
--- a/crates/tansylead-cluster/tests/common/mod.rs
+++ b/crates/tansylead-cluster/tests/common/mod.rs
@@ -207,6 +207,7 @@
             place: place.clone(),
             zone: ZoneName::new(format!("zone-{}", node.0.port() % 2)).unwrap(),
             caller_address: node.0,
+            capacity: Capacity::CORE,
         };
         let settings = MembershipSettings {
             expect_machine_list: self.seeds.is_empty(),
--- a/crates/tansylead-cluster/tests/feed_tree.rs
+++ b/crates/tansylead-cluster/tests/feed_tree.rs
@@ -1,7 +1,7 @@
 //! The tree by which changes spread within a place.
 
 use std::collections::{BTreeMap, BTreeSet};
-use tansylead_cluster::membership::{MemberRecord, MemberState};
+use tansylead_cluster::membership::{Capacity, MemberRecord, MemberState};
 use tansylead_cluster::spread::{FeedTree, ReaderRanking};
 use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
 
@@ -18,6 +18,7 @@
         place: PlaceName::new("north").expect("valid name"),
         zone: ZoneName::new("north").expect("valid name"),
         caller_address: address,
+        capacity: Capacity::CORE,
         state: MemberState::Alive,
     }
 }
--- a/crates/tansylead-cluster/tests/membership.rs
+++ b/crates/tansylead-cluster/tests/membership.rs
@@ -291,6 +291,7 @@
         place: PlaceName::new("bangkok").unwrap(),
         zone: ZoneName::new("bangkok-1").unwrap(),
         caller_address: ([10, 0, 0, 1], port).into(),
+        capacity: Capacity::CORE,
     };
     let now = Moment::from_millis(1);
     let machine = |local: LocalMember, seeds: Vec<NodeId>| {
@@ -338,6 +339,7 @@
         place: PlaceName::new(long("p", number % 7)).unwrap(),
         zone: ZoneName::new(long("z", number)).unwrap(),
         caller_address: ([0xfd00, 0, 0, 0, 0, 0, 0, number], 65_001).into(),
+        capacity: Capacity::CORE,
     };
     let codec = GossipCodec::new("simulated");
     let settings = MembershipSettings::default();
--- a/crates/tansylead-cluster/tests/spread.rs
+++ b/crates/tansylead-cluster/tests/spread.rs
@@ -6,7 +6,7 @@
 use common::{Faults, Simulation, Store, seconds, write_of};
 use std::collections::BTreeSet;
 use std::time::Duration;
-use tansylead_cluster::membership::{ConfigDigest, LocalMember, Sequence};
+use tansylead_cluster::membership::{Capacity, ConfigDigest, LocalMember, Sequence};
 use tansylead_cluster::spread::*;
 use tansylead_types::store::ObjectList;
 use tansylead_types::{
@@ -154,6 +154,7 @@
             place: PlaceName::new("bangkok").unwrap(),
             zone: ZoneName::new("bangkok-1").unwrap(),
             caller_address: node(number).0,
+            capacity: Capacity::CORE,
         };
         SpreadMachine::new(now, local, true, SpreadSettings::default(), 1)
     };
@@ -281,6 +282,7 @@
         place: PlaceName::new("bangkok").unwrap(),
         zone: ZoneName::new("bangkok-1").unwrap(),
         caller_address: node_of(0, number).0,
+        capacity: Capacity::CORE,
     };
     let settings = SpreadSettings::default();
     SpreadMachine::new(now, local, true, settings, u64::from(number))
--- a/crates/tansylead-daemon/src/assembly.rs
+++ b/crates/tansylead-daemon/src/assembly.rs
@@ -23,7 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_cluster::claims::ClaimSettings;
-use tansylead_cluster::membership::{LocalMember, Membership, MembershipSettings};
+use tansylead_cluster::membership::{Capacity, LocalMember, Membership, MembershipSettings};
 use tansylead_cluster::spread::SpreadMachine;
 use tansylead_types::{InstanceId, NodeId, Settings, StepError};
 use tokio::net::{TcpListener, UdpSocket};
@@ -371,6 +371,7 @@
             place: self.settings.place.clone(),
             zone: self.settings.zone.clone(),
             caller_address,
+            capacity: Capacity::CORE,
         }
     }
 
--- a/crates/tansylead-daemon/tests/routes.rs
+++ b/crates/tansylead-daemon/tests/routes.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tansylead_cluster::membership::{MemberRecord, MemberState};
+use tansylead_cluster::membership::{Capacity, MemberRecord, MemberState};
 use tansylead_daemon::cluster::MemberView;
 use tansylead_daemon::configuration::ConfigurationView;
 use tansylead_daemon::metrics::Metrics;
@@ -34,6 +34,7 @@
         place: "bangkok".parse().expect("name"),
         zone: format!("zone-{port}").parse().expect("name"),
         caller_address: node(port).0,
+        capacity: Capacity::CORE,
         state,
     }
 }
--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -3,7 +3,7 @@
 use super::panic_guard::catch_panic;
 use crate::clock::Clock;
 use crate::execution::{
-    Call, GatherQuery, LeafAccess, Outcome, Refusal, RefusalReason, forward, gather,
+    Call, GatherQuery, LeafAccess, Outcome, QueryAtRoot, Refusal, RefusalReason, forward, gather,
 };
 use crate::headers::{remove_connection_headers, set_retry_after};
 use crate::leaf::OutgoingRequest;
@@ -77,7 +77,22 @@
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
-    let execution = execute(gateway, route, outgoing, arrived, time_left, &log.trace);
+    let trace = Rc::clone(&log.trace);
+    let execution = async {
+        let at_root = QueryAtRoot {
+            gateway,
+            route: &route,
+            version: active.configuration.version,
+            request: &outgoing,
+            arrived,
+            time_left,
+            trace: &trace,
+        };
+        match at_root.run().await {
+            Some(outcome) => outcome,
+            None => execute(gateway, &route, &outgoing, arrived, time_left, &trace).await,
+        }
+    };
     let mut stop = gateway.stop_phases();
     tokio::select! {
         outcome = execution => outcome,
@@ -89,13 +104,13 @@
 
 async fn execute(
     gateway: &Rc<Gateway>,
-    route: Arc<Route>,
-    request: Rc<OutgoingRequest>,
+    route: &Arc<Route>,
+    request: &Rc<OutgoingRequest>,
     arrived: Moment,
     time_left: Duration,
     trace: &Rc<RequestTrace>,
 ) -> Outcome {
-    let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(&route));
+    let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(route));
     match &route.target {
         Target::Services(services) => {
             let index = match services.len() {
@@ -109,9 +124,9 @@
                 gateway: Rc::clone(gateway),
                 service: gateway.service(&services[index].service),
                 end: arrived + time_left.min(route.policy.timeout),
-                route: Arc::clone(&route),
+                route: Arc::clone(route),
                 access,
-                request,
+                request: Rc::clone(request),
                 successes_only: false,
                 shared: Rc::default(),
                 trace: Rc::clone(trace),
@@ -121,9 +136,9 @@
         Target::Shards(set) => {
             let query = GatherQuery {
                 gateway: Rc::clone(gateway),
-                route: Arc::clone(&route),
+                route: Arc::clone(route),
                 access,
-                request,
+                request: Rc::clone(request),
                 arrived,
                 time_left,
                 trace: Rc::clone(trace),
--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -1,8 +1,7 @@
 //! Keeps a long poll open at one other daemon and takes in what is newer.
 
-use super::feed_message::{
-    FeedReply, FeedRequest, WordAges, decode, encode, framing, is_fresher, millis,
-};
+use super::feed_message::{FeedReply, FeedRequest, WordAges, decode, encode, is_fresher, millis};
+use super::peer_server::{Frames, PeerRequest, frames};
 use super::peer_turn::PeerTurn;
 use super::view::ClusterView;
 use crate::clock::Clock;
@@ -15,7 +14,6 @@
 use std::time::Duration;
 use tansylead_types::{Moment, StepError};
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// A poll without news is answered after this time.
 const POLL_WAIT: Duration = Duration::from_secs(1);
@@ -24,8 +22,6 @@
 /// Wait after a failure, times a random factor of 0.5 to 1.5.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// The long poll at another daemon.
 #[derive(Debug)]
 pub struct PeerFeed {
@@ -74,8 +70,7 @@
         let connected =
             connecting.map_err(|cause| StepError::new("connect to peer", peer, cause))?;
         let stream = connected.map_err(|cause| StepError::new("connect to peer", peer, cause))?;
-        let _ = stream.set_nodelay(true);
-        let mut frames = Framed::new(stream, framing());
+        let mut frames = frames(stream);
         let mut turn = PeerTurn::new(self.failures > 0);
         loop {
             let asked = Clock.now();
@@ -104,7 +99,9 @@
             wait_millis: millis(POLL_WAIT),
         };
         let exchange = async {
-            let sent = frames.send(encode(&request, &name)?).await;
+            let sent = frames
+                .send(encode(&PeerRequest::Feed(request), &name)?)
+                .await;
             sent.map_err(|cause| StepError::new("send feed request", peer, cause))?;
             match frames.next().await {
                 Some(Ok(frame)) => decode(&frame, &name),
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -1,75 +1,50 @@
 //! Answers other daemons' long polls.
 
-use super::feed_message::{FeedReply, FeedRequest, WordAges, decode, encode, framing, millis};
+use super::feed_message::{FeedReply, FeedRequest, WordAges, encode, millis};
 use crate::clock::Clock;
-use crate::listener::{accept_each, bind};
 use crate::state::Gateway;
-use futures_util::{SinkExt, StreamExt};
-use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{Configuration, DirectoryDelta};
 use tansylead_types::StepError;
-use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
-use tokio::task::spawn_local;
-use tokio_util::codec::Framed;
+use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio_util::bytes::Bytes;
 
-/// A connection without a request for this long is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// Configurations on their way to peers at a time. All at once they would fill the link of a small
 /// machine, and requests to leafs would wait behind them.
 const CONFIGURATIONS_AT_A_TIME: usize = 2;
-/// Longest time for one reply to be taken by its peer.
-const SEND_LIMIT: Duration = Duration::from_millis(800);
 /// A reply of so many bytes is logged: more than the changes of some leafs.
 const LARGE_REPLY_BYTES: usize = 4 * 1024;
 /// Longest wait that a request may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
-/// Serves long polls until the task is ended.
-pub async fn serve_feed(gateway: Rc<Gateway>) -> Result<(), StepError> {
-    let address = gateway.settings.peer_address;
-    let listener = bind(address, "listen for peers").await?;
-    let turns = Rc::new(Semaphore::new(CONFIGURATIONS_AT_A_TIME));
-    accept_each(listener, |stream, peer| {
-        let gateway = Rc::clone(&gateway);
-        let turns = Rc::clone(&turns);
-        spawn_local(async move {
-            // A peer that goes away comes back by itself.
-            let _ = serve(gateway, &turns, stream, &peer.to_string()).await;
-        });
-    })
-    .await;
-    Ok(())
+/// Whose turn it is to send configurations.
+#[derive(Debug)]
+pub(super) struct FeedTurns(Semaphore);
+
+impl Default for FeedTurns {
+    fn default() -> Self {
+        Self(Semaphore::new(CONFIGURATIONS_AT_A_TIME))
+    }
 }
 
-async fn serve(
-    gateway: Rc<Gateway>,
-    turns: &Semaphore,
-    stream: TcpStream,
+/// The bytes of the reply to a poll, and the turn to send them, which lasts until it is dropped.
+pub(super) async fn answer_poll<'a>(
+    gateway: &Gateway,
+    turns: &'a FeedTurns,
+    request: &FeedRequest,
     peer: &str,
-) -> Result<(), StepError> {
-    let _ = stream.set_nodelay(true);
-    let mut frames = Framed::new(stream, framing());
-    while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_LIMIT, frames.next()).await {
-        let request: FeedRequest = decode(&frame, peer)?;
-        if request.cluster != gateway.settings.cluster {
-            return Err(StepError::new("serve feed", peer, "another cluster"));
-        }
-        let reply = answer(&gateway, &request).await;
-        let _turn = match reply.configuration {
-            Some(_) => turns.acquire().await.ok(),
-            None => None,
-        };
-        let bytes = encode(&reply, peer)?;
-        note_large_reply(peer, &reply, bytes.len());
-        let sending = frames.send(bytes);
-        // A peer that takes nothing must not keep others from their turn.
-        let sent = tokio::time::timeout(SEND_LIMIT, sending).await;
-        let sent = sent.map_err(|cause| StepError::new("send feed reply", peer, cause))?;
-        sent.map_err(|cause| StepError::new("send feed reply", peer, cause))?;
+) -> Result<(Bytes, Option<SemaphorePermit<'a>>), StepError> {
+    if request.cluster != gateway.settings.cluster {
+        return Err(StepError::new("serve feed", peer, "another cluster"));
     }
-    Ok(())
+    let reply = answer(gateway, request).await;
+    let turn = match reply.configuration {
+        Some(_) => turns.0.acquire().await.ok(),
+        None => None,
+    };
+    let bytes = encode(&reply, peer)?;
+    note_large_reply(peer, &reply, bytes.len());
+    Ok((bytes, turn))
 }
 
 /// Whole states fill the links of small machines: who sent them to whom explains late requests.
--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -52,6 +52,7 @@
             place,
             zone: settings.zone.clone(),
             caller_address: settings.caller_address,
+            capacity: settings.capacity(),
         };
         let codec = GossipCodec::new(&settings.cluster);
         let report_codec = ReportCodec::new(&settings.cluster);
@@ -187,6 +188,9 @@
     fn publish(&self) {
         self.gateway.set_daemons(self.count_daemons());
         let live: Vec<MemberRecord> = self.membership.live_members().cloned().collect();
+        let own = &self.local;
+        let roots = &self.gateway.roots;
+        roots.update(&live, own.instance.node, &own.place);
         self.view.set_members(live, self.membership.is_joined());
     }
 }
--- a/crates/tansylead-gateway/src/cluster/mod.rs
+++ b/crates/tansylead-gateway/src/cluster/mod.rs
@@ -1,4 +1,5 @@
-//! What daemons share: who runs, configuration, and the leaf directory.
+//! What daemons share: who runs, configuration, leafs, evacuations, and queries over shards that the
+//! larger machines of a region run for the others.
 //!
 //! One daemon of each region or a few, chosen by rank, watch the source. Every other daemon keeps a
 //! long poll open at one daemon of its region that stands nearer to the source in a tree over the
@@ -9,8 +10,12 @@
 mod feed_client;
 mod feed_message;
 mod feed_server;
+mod forwarded_query;
 mod members;
+mod peer_server;
 mod peer_turn;
+mod query_roots;
+mod query_server;
 mod registration;
 mod report_codec;
 mod source_feed;
@@ -18,9 +23,11 @@
 
 pub use feed_client::PeerFeed;
 pub use feed_message::WordAges;
-pub use feed_server::serve_feed;
+pub use forwarded_query::{ForwardedQuery, ForwardedReply};
 pub use members::MemberDriver;
+pub use peer_server::serve_peers;
 pub use peer_turn::PeerTurn;
+pub use query_roots::{AskError, QueryRoots, RootPeer};
 pub use registration::{RegistrationNeed, find_daemons};
 pub use report_codec::ReportCodec;
 pub use source_feed::SourceFeed;
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -0,0 +1,231 @@
+//! The roots of the own region as this daemon knows them: connections, and whether they answer.
+
+use super::feed_message::{decode, encode};
+use super::forwarded_query::{ForwardedQuery, ForwardedReply};
+use super::peer_server::{Frames, IDLE_LIMIT, PeerRequest, frames};
+use crate::clock::Clock;
+use futures_util::{SinkExt, StreamExt};
+use rand::seq::IndexedRandom;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_cluster::membership::MemberRecord;
+use tansylead_route::{Breaker, BreakerVerdict, RootCandidate, query_roots};
+use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, StepError, ZoneName};
+use tokio::net::TcpStream;
+
+/// A connection that rested longer is not used again: its root closes it soon.
+const LONGEST_REST: Duration = IDLE_LIMIT.checked_div(2).expect("not zero");
+
+/// Why a root gave no reply.
+#[derive(Debug)]
+pub enum AskError {
+    /// The query was not sent whole, so the root has not run it.
+    NotSent(StepError),
+    /// The root may have run it.
+    MaybeRun(StepError),
+}
+
+/// A connection at rest.
+#[derive(Debug)]
+struct IdleConnection {
+    frames: Frames,
+    rests_since: Moment,
+}
+
+/// One run of a daemon that is a root.
+#[derive(Debug)]
+pub struct RootPeer {
+    instance: InstanceId,
+    zone: ZoneName,
+    idle: RefCell<Vec<IdleConnection>>,
+    breaker: RefCell<Breaker>,
+    answered_at: Cell<Moment>,
+}
+
+/// The roots of the own region.
+#[derive(Debug, Default)]
+pub struct QueryRoots {
+    /// Roots other than this daemon; none if this daemon runs its queries itself.
+    peers: RefCell<Vec<Rc<RootPeer>>>,
+}
+
+impl QueryRoots {
+    /// Finds the roots among the members that run.
+    pub fn update(&self, members: &[MemberRecord], own: NodeId, region: &PlaceName) {
+        let of_region = members
+            .iter()
+            .filter(|member| member.place == *region && member.state.takes_work());
+        let candidates: Vec<RootCandidate<&MemberRecord>> = of_region
+            .map(|member| RootCandidate {
+                daemon: member,
+                capacity: member.capacity.0,
+            })
+            .collect();
+        let roots = query_roots(&candidates);
+        let is_own_root = roots.iter().any(|root| root.node() == own);
+        let others: Vec<Rc<RootPeer>> = if is_own_root {
+            Vec::new()
+        } else {
+            roots.into_iter().map(|root| self.peer(root)).collect()
+        };
+        let before = self.peers.replace(others).len();
+        let now = self.peers.borrow().len();
+        if before != now {
+            log::info!(roots = now, is_own_root = is_own_root; "roots of the region changed");
+        }
+    }
+
+    /// A root that is expected to answer, of the own zone if there is one; none if there is none, or
+    /// this daemon runs queries itself.
+    pub fn choose(&self, now: Moment, own_zone: &ZoneName) -> Option<Rc<RootPeer>> {
+        let peers = self.peers.borrow();
+        let usable: Vec<&Rc<RootPeer>> = peers
+            .iter()
+            .filter(|root| root.breaker.borrow().verdict(now) != BreakerVerdict::Avoid)
+            .collect();
+        let near: Vec<&Rc<RootPeer>> = usable
+            .iter()
+            .copied()
+            .filter(|root| root.zone == *own_zone)
+            .collect();
+        let candidates = if near.is_empty() { usable } else { near };
+        candidates
+            .choose(&mut rand::rng())
+            .map(|root| Rc::clone(root))
+    }
+
+    /// Closes connections that have rested too long.
+    pub fn close_expired(&self, now: Moment) {
+        for root in self.peers.borrow().iter() {
+            let mut idle = root.idle.borrow_mut();
+            idle.retain(|idle| now.since(idle.rests_since) < LONGEST_REST);
+        }
+    }
+
+    /// What is known of a root, or a root of which nothing is known yet.
+    fn peer(&self, member: &MemberRecord) -> Rc<RootPeer> {
+        let peers = self.peers.borrow();
+        let known = peers.iter().find(|peer| peer.instance == member.instance);
+        known.map_or_else(|| Rc::new(RootPeer::new(member)), Rc::clone)
+    }
+}
+
+impl RootPeer {
+    fn new(member: &MemberRecord) -> Self {
+        Self {
+            instance: member.instance,
+            zone: member.zone.clone(),
+            idle: RefCell::default(),
+            breaker: RefCell::default(),
+            answered_at: Cell::default(),
+        }
+    }
+
+    /// Its peer address.
+    pub fn address(&self) -> SocketAddr {
+        self.instance.node.0
+    }
+
+    /// Asks the root to run a query. Dropping the future ends the query there.
+    pub async fn ask(
+        &self,
+        query: ForwardedQuery,
+        connect_limit: Duration,
+    ) -> Result<ForwardedReply, AskError> {
+        let peer = self.address().to_string();
+        let bytes =
+            encode(&PeerRequest::Query(Box::new(query)), &peer).map_err(AskError::NotSent)?;
+        let mut frames = self
+            .connect(connect_limit)
+            .await
+            .map_err(AskError::NotSent)?;
+        self.breaker.borrow_mut().on_sent(Clock.now());
+        let sent = frames.send(bytes).await;
+        // A root reads only whole messages, and this one was not written whole.
+        sent.map_err(|cause| AskError::NotSent(StepError::new("ask root", &peer, cause)))?;
+        let reply = match frames.next().await {
+            Some(Ok(frame)) => decode(&frame, &peer).map_err(AskError::MaybeRun)?,
+            Some(Err(cause)) => {
+                let error = StepError::new("read root's reply", &peer, cause);
+                return Err(AskError::MaybeRun(error));
+            }
+            None => {
+                let error = StepError::new("read root's reply", &peer, "closed");
+                return Err(AskError::MaybeRun(error));
+            }
+        };
+        self.idle.borrow_mut().push(IdleConnection {
+            frames,
+            rests_since: Clock.now(),
+        });
+        Ok(reply)
+    }
+
+    /// Notes a reply to a query sent at `sent`; `timely` if it came within its objective.
+    pub fn on_answer(&self, sent: Moment, timely: bool) {
+        let now = Clock.now();
+        self.answered_at.set(now);
+        if self.breaker.borrow_mut().on_answer(now, sent, timely) {
+            log::info!(root:% = self.address(); "root sound again");
+        }
+    }
+
+    /// Notes that a reply to a query sent at `sent` is late. Nothing is held against a root that has
+    /// answered others since: it waits for leafs.
+    pub fn on_overdue(&self, sent: Moment, delay: Duration) {
+        if !self.is_silent_since(sent) {
+            return;
+        }
+        let opened = self
+            .breaker
+            .borrow_mut()
+            .on_overdue(Clock.now(), sent, delay);
+        if opened {
+            log::info!(root:% = self.address(), delay_ms = delay.as_millis() as u64; "root overdue");
+        }
+    }
+
+    /// Notes that the root could not be reached, or closed a connection.
+    pub fn on_unreachable(&self, delay: Duration) {
+        self.idle.borrow_mut().clear();
+        if self.breaker.borrow_mut().on_unreachable(Clock.now(), delay) {
+            log::info!(root:% = self.address(); "root unreachable");
+        }
+    }
+
+    /// Whether the root has answered nothing since a query was sent.
+    pub fn is_silent_since(&self, sent: Moment) -> bool {
+        self.answered_at.get() <= sent
+    }
+
+    async fn connect(&self, limit: Duration) -> Result<Frames, StepError> {
+        while let Some(idle) = self.take_idle() {
+            if is_open(&idle) {
+                return Ok(idle);
+            }
+        }
+        let address = self.address();
+        let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+        let connected =
+            connecting.map_err(|cause| StepError::new("connect to root", address, cause))?;
+        let stream =
+            connected.map_err(|cause| StepError::new("connect to root", address, cause))?;
+        Ok(frames(stream))
+    }
+
+    fn take_idle(&self) -> Option<Frames> {
+        let now = Clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let is_fresh = |idle: &mut IdleConnection| now.since(idle.rests_since) < LONGEST_REST;
+        idle.pop_if(is_fresh).map(|idle| idle.frames)
+    }
+}
+
+/// Whether a connection at rest is still open, as far as is known: its root sends nothing unasked.
+fn is_open(frames: &Frames) -> bool {
+    let mut byte = [0];
+    let read = frames.get_ref().try_read(&mut byte);
+    read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/cluster/query_server.rs
@@ -0,0 +1,102 @@
+//! Runs queries over shards that other daemons hand on to this one.
+
+use super::forwarded_query::{ForwardedQuery, ForwardedReply};
+use crate::clock::Clock;
+use crate::execution::{GatherQuery, LeafAccess, Refusal, RefusalReason, gather};
+use crate::request_log::RequestLog;
+use crate::state::{Gateway, StopPhase};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_route::{Route, ShardSet, Target};
+use tansylead_types::StepError;
+
+/// Time kept for the merged answer's way back through the daemon that forwarded the query: a few
+/// milliseconds of a small machine and a way between zones (users' sites: up to 1.4 ms).
+const WAY_BACK: Duration = Duration::from_millis(6);
+
+/// Runs a query for another daemon. Dropping the future ends its attempts.
+pub(super) async fn run_forwarded(
+    gateway: &Rc<Gateway>,
+    query: ForwardedQuery,
+    peer: &str,
+) -> Result<ForwardedReply, StepError> {
+    let Some(route) = find_route(gateway, &query) else {
+        gateway.metrics.on_forwarded("declined_here");
+        return Ok(ForwardedReply::Declined);
+    };
+    let Target::Shards(set) = &route.target else {
+        return Ok(ForwardedReply::Declined);
+    };
+    gateway.metrics.on_forwarded("run_here");
+    let _running = RunningForPeer::new(Rc::clone(gateway));
+    let outcome = run(gateway, &route, set, query, peer).await?;
+    Ok(outcome)
+}
+
+/// The route of a query that this daemon may run: of the same version, repeatable, over shards.
+fn find_route(gateway: &Gateway, query: &ForwardedQuery) -> Option<Arc<Route>> {
+    let active = gateway.active()?;
+    let may_run = query.cluster == gateway.settings.cluster
+        && active.configuration.version == query.version
+        && gateway.knows_enough()
+        && gateway.stop_phase() < StopPhase::Closing;
+    let route = active.routes.find(&query.host, query.path())?;
+    let is_over_shards = matches!(route.target, Target::Shards(_));
+    let fits = may_run && is_over_shards && route.policy.repeatable;
+    fits.then(|| Arc::clone(route))
+}
+
+async fn run(
+    gateway: &Rc<Gateway>,
+    route: &Arc<Route>,
+    set: &ShardSet,
+    query: ForwardedQuery,
+    peer: &str,
+) -> Result<ForwardedReply, StepError> {
+    let arrived = Clock.now() - query.held() - WAY_BACK;
+    let time_left = query.time_left();
+    let version = query.version;
+    let request = Rc::new(query.into_request()?);
+    let mut log = RequestLog::for_peer(Rc::clone(gateway), request.id.clone(), arrived, peer);
+    log.version = Some(version);
+    log.route = Some(Arc::clone(route));
+    let execution = GatherQuery {
+        gateway: Rc::clone(gateway),
+        access: LeafAccess::new(Rc::clone(gateway), Arc::clone(route)),
+        route: Arc::clone(route),
+        request,
+        arrived,
+        time_left,
+        trace: Rc::clone(&log.trace),
+    };
+    let mut stop = gateway.stop_phases();
+    let outcome = tokio::select! {
+        outcome = gather(execution, set) => outcome,
+        _ = stop.wait_for(|phase| *phase >= StopPhase::Ending) => {
+            crate::execution::Outcome::Refused(Refusal::new(RefusalReason::Failed))
+        }
+    };
+    log.finish(&outcome);
+    Ok(ForwardedReply::new(outcome))
+}
+
+/// Counts a query of another daemon while it runs: a planned stop waits for it.
+struct RunningForPeer {
+    gateway: Rc<Gateway>,
+}
+
+impl RunningForPeer {
+    fn new(gateway: Rc<Gateway>) -> Self {
+        let running = gateway.running_for_peers();
+        running.set(running.get() + 1);
+        Self { gateway }
+    }
+}
+
+impl Drop for RunningForPeer {
+    fn drop(&mut self) {
+        let running = self.gateway.running_for_peers();
+        running.set(running.get().saturating_sub(1));
+    }
+}
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::{CallerServer, serve_ready};
 use crate::clock::Clock;
-use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, find_daemons, serve_feed};
+use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, find_daemons, serve_peers};
 use crate::headers::HeaderNames;
 use crate::metrics::serve_metrics;
 use crate::settings::GatewaySettings;
@@ -114,7 +114,7 @@
     spawn_local(members.run());
     spawn_local(PeerFeed::new(Rc::clone(gateway), Rc::clone(view)).run());
     spawn_local(until_failed("readiness", serve_ready(Rc::clone(gateway))));
-    spawn_local(until_failed("peers", serve_feed(Rc::clone(gateway))));
+    spawn_local(until_failed("peers", serve_peers(Rc::clone(gateway))));
     for &topic in gateway.settings.bounds.topics() {
         let feed = SourceFeed::new(
             Rc::clone(gateway),
@@ -144,6 +144,7 @@
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         gateway.close_expired();
+        gateway.roots.close_expired(Clock.now());
         gateway.count_daemons();
     }
 }
@@ -195,10 +196,11 @@
     tokio::time::sleep(limit.mul_f64(CLOSING_SHARE)).await;
     gateway.set_stop_phase(StopPhase::Closing);
     let ending = started + limit.mul_f64(ENDING_SHARE);
-    while gateway.connections().get() > 0 && Clock.now() < ending {
+    let is_in_use = || gateway.connections().get() + gateway.running_for_peers().get() > 0;
+    while is_in_use() && Clock.now() < ending {
         tokio::time::sleep(CHECK_PERIOD).await;
     }
-    if gateway.connections().get() > 0 {
+    if is_in_use() {
         gateway.set_stop_phase(StopPhase::Ending);
         tokio::time::sleep(FLUSH_TIME).await;
     }
--- a/crates/tansylead-gateway/src/execution/mod.rs
+++ b/crates/tansylead-gateway/src/execution/mod.rs
@@ -1,5 +1,6 @@
 //! Runs routed requests: one answer of one service, and answers merged from many shards.
 
+mod at_root;
 mod attempts;
 mod call;
 mod forward;
@@ -7,6 +8,7 @@
 mod leaf_access;
 mod outcome;
 
+pub use at_root::QueryAtRoot;
 pub use call::{Call, CallEnd, CallFailure};
 pub use forward::forward;
 pub use gather::{GatherQuery, gather};
--- a/crates/tansylead-gateway/src/execution/outcome.rs
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// How a request ended.
@@ -40,7 +41,7 @@
 }
 
 /// Reasons for a refusal. The first group promises that nothing has run and nothing will.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
     /// No configuration yet.
     NoConfiguration,
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -89,6 +89,7 @@
     attempts: IntCounterVec,
     attempt_ends: IntCounterVec,
     denied: IntCounterVec,
+    forwarded: IntCounterVec,
     source_calls: IntCounterVec,
     leaf_report: IntCounterVec,
     bad_input: IntCounterVec,
@@ -140,6 +141,12 @@
                 "Ended attempts by how they ended",
                 &["end"],
             ),
+            forwarded: counters(
+                &registry,
+                "tansylead_forwarded_queries_total",
+                "Queries over shards handed to a root, or run for another daemon",
+                &["result"],
+            ),
             denied: counters(
                 &registry,
                 "tansylead_attempts_denied_total",
@@ -227,6 +234,11 @@
         self.request_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a query that was handed to a root, or came from another daemon, by what became of it.
+    pub fn on_forwarded(&self, result: &str) {
+        self.forwarded.with_label_values(&[result]).inc();
+    }
+
     /// Counts an attempt that was started.
     pub fn on_attempt(&self, reason: &str) {
         self.attempts.with_label_values(&[reason]).inc();
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -84,6 +84,8 @@
     pub route: Option<Arc<Route>>,
     /// Version of the configuration that decided.
     pub version: Option<u64>,
+    /// The daemon that asked for it; none if a caller did.
+    asked_by: Option<String>,
     finished: bool,
 }
 
@@ -97,10 +99,23 @@
             trace: Rc::default(),
             route: None,
             version: None,
+            asked_by: None,
             finished: false,
         }
     }
 
+    /// The log of a query that another daemon handed on. It is counted there, not here.
+    pub fn for_peer(
+        gateway: Rc<Gateway>,
+        id: Option<HeaderValue>,
+        arrived: Moment,
+        peer: &str,
+    ) -> Self {
+        let mut log = Self::new(gateway, id, arrived);
+        log.asked_by = Some(peer.to_owned());
+        log
+    }
+
     /// Notes the end of the request.
     pub fn finish(&mut self, outcome: &Outcome) {
         self.finished = true;
@@ -126,9 +141,10 @@
 
     fn end(&self, outcome: &'static str, missing: usize, took: Duration) {
         let route = self.route.as_ref().map(|route| route.name.as_str());
-        self.gateway
-            .metrics
-            .on_request(route.unwrap_or(""), outcome, took);
+        if self.asked_by.is_none() {
+            let metrics = &self.gateway.metrics;
+            metrics.on_request(route.unwrap_or(""), outcome, took);
+        }
         let healthy = outcome == Metrics::SERVED;
         let detail = self.gateway.request_log_limits.admit(Clock.now(), healthy);
         if detail == Detail::Nothing {
@@ -153,6 +169,8 @@
             evacuations_age_ms = age(crate::source::Topic::Evacuations),
             outcome = outcome,
             missing = missing,
+            root = self.trace.root().map(|root| root.to_string()).as_deref().unwrap_or(""),
+            asked_by = self.asked_by.as_deref().unwrap_or(""),
             took_ms = took.as_millis() as u64,
             unix_seconds = unix_seconds(),
             waits = describe(&self.trace.waits()).as_str(),
--- a/crates/tansylead-gateway/src/request_trace.rs
+++ b/crates/tansylead-gateway/src/request_trace.rs
@@ -10,6 +10,7 @@
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_types::{Moment, ServiceName};
@@ -251,9 +252,26 @@
     /// The last part that was answered at once: its start and its end.
     last_healthy: RefCell<Option<[TracedDecision; 2]>>,
     omitted: Cell<usize>,
+    /// The daemon that ran the query for this one.
+    root: Cell<Option<SocketAddr>>,
 }
 
 impl RequestTrace {
+    /// Notes which daemon runs the query for this one.
+    pub fn set_root(&self, root: SocketAddr) {
+        self.root.set(Some(root));
+    }
+
+    /// Notes that this daemon runs the query itself after all.
+    pub fn clear_root(&self) {
+        self.root.set(None);
+    }
+
+    /// The daemon that ran the query for this one; none if this one did.
+    pub fn root(&self) -> Option<SocketAddr> {
+        self.root.get()
+    }
+
     /// Remembers a decision.
     pub fn note(&self, service: &ServiceName, decision: Decision) {
         let traced = TracedDecision {
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use tansylead_cluster::membership::Capacity;
 use tansylead_route::BudgetSettings;
 use tansylead_types::{PlaceName, ZoneName};
 
@@ -37,6 +38,21 @@
     /// Time limits and budgets.
     #[serde(default)]
     pub bounds: GatewayBounds,
+    /// Processor of this machine, in cores.
+    #[serde(default = "one_core")]
+    pub processor_cores: f64,
+    /// Whether the larger machines of a region run queries over shards for the others. All daemons of
+    /// a deployment must be set alike.
+    #[serde(default = "yes")]
+    pub queries_at_roots: bool,
+}
+
+fn one_core() -> f64 {
+    1.0
+}
+
+fn yes() -> bool {
+    true
 }
 
 /// Time limits and budgets of a gateway daemon.
@@ -113,11 +129,19 @@
         Ok(settings)
     }
 
+    /// What this machine bears, as other daemons are told.
+    pub fn capacity(&self) -> Capacity {
+        let whole = f64::from(Capacity::CORE.0) * self.processor_cores;
+        // Larger machines than can be told count as the largest that can.
+        Capacity(whole.clamp(1.0, f64::from(u16::MAX)) as u16)
+    }
+
     fn check(&self, path: &str) -> Result<(), SettingsError> {
         const POSITIVE: &str = "above zero";
         const NOT_NEGATIVE: &str = "zero or more";
         let bounds = &self.bounds;
         let positive = [
+            ("processor_cores", self.processor_cores),
             ("stop_limit_seconds", bounds.stop_limit_seconds),
             (
                 "configuration_limit_millis",
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -5,6 +5,7 @@
 mod leafs;
 
 use crate::clock::Clock;
+use crate::cluster::QueryRoots;
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
 use crate::metrics::Metrics;
@@ -20,7 +21,7 @@
     Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
     QueryAdmission, RouteTable, WeightedTurns,
 };
-use tansylead_types::{LeafId, Moment, ServiceName};
+use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
 
 /// Requests that arrive in this first time of a daemon's life wait for what is being read.
@@ -91,6 +92,9 @@
     /// Daemons that membership knows of.
     known_daemons: RefCell<DaemonCounts>,
     connections: Cell<usize>,
+    running_for_peers: Cell<usize>,
+    /// The daemons of the region that run queries over shards for this one.
+    pub roots: QueryRoots,
 }
 
 impl Gateway {
@@ -123,6 +127,8 @@
             daemons: RefCell::new(assumed),
             known_daemons: RefCell::default(),
             connections: Cell::new(0),
+            running_for_peers: Cell::new(0),
+            roots: QueryRoots::default(),
         }
     }
 
@@ -288,6 +294,16 @@
         self.stop.send_replace(phase);
     }
 
+    /// Region of this daemon, if its zone is known.
+    pub fn own_region(&self) -> Option<&PlaceName> {
+        self.locality.own_region()
+    }
+
+    /// Queries that run for other daemons.
+    pub fn running_for_peers(&self) -> &Cell<usize> {
+        &self.running_for_peers
+    }
+
     /// Callers' connections.
     pub fn connections(&self) -> &Cell<usize> {
         &self.connections
--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_gateway::cluster::{ClusterView, PeerFeed, serve_feed};
+use tansylead_gateway::cluster::{ClusterView, PeerFeed, serve_peers};
 use tansylead_gateway::source::Topic;
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
@@ -55,7 +55,7 @@
     let node = NodeId(own.settings.peer_address);
     let view = Rc::new(ClusterView::new(node, place, 2, seeds));
     let learning = async {
-        spawn_local(serve_feed(Rc::clone(&peer)));
+        spawn_local(serve_peers(Rc::clone(&peer)));
         spawn_local(PeerFeed::new(Rc::clone(&own), view).run());
         let mut changes = own.changes();
         let confirmed = changes.wait_for(|_| own.age(Topic::Leafs).is_some());
@@ -114,7 +114,7 @@
         let sent = Rc::new(Cell::new(0));
         let seed = counting_relay(peer.settings.peer_address, Rc::clone(&sent)).await;
         let view = Rc::new(ClusterView::new(node, place, 2, vec![seed]));
-        spawn_local(serve_feed(Rc::clone(&peer)));
+        spawn_local(serve_peers(Rc::clone(&peer)));
         spawn_local(PeerFeed::new(Rc::clone(&own), view).run());
         tokio::time::sleep(Duration::from_secs(1)).await;
         assert!(sent.get() < MOST_BYTES, "{} bytes", sent.get());
--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tansylead_cluster::membership::{MemberRecord, MemberState};
+use tansylead_cluster::membership::{Capacity, MemberRecord, MemberState};
 use tansylead_gateway::cluster::{ClusterView, PeerTurn, RegistrationNeed, WordAges};
 use tansylead_gateway::settings::GatewayBounds;
 use tansylead_types::{InstanceId, NodeId, PlaceName, ZoneName};
@@ -71,6 +71,7 @@
                 place: PlaceName::new(name).expect("valid name"),
                 zone: ZoneName::new(name).expect("valid name"),
                 caller_address: address,
+                capacity: Capacity::CORE,
                 state: MemberState::Alive,
             });
         }
--- a/crates/tansylead-lab/src/simulation/daemon/mod.rs
+++ b/crates/tansylead-lab/src/simulation/daemon/mod.rs
@@ -34,7 +34,9 @@
 use root::{PendingWrite, Root};
 use std::collections::{BTreeMap, BTreeSet};
 use tansylead_cluster::claims::ClaimHolder;
-use tansylead_cluster::membership::{GossipPacket, LocalMember, Membership, MembershipSettings};
+use tansylead_cluster::membership::{
+    Capacity, GossipPacket, LocalMember, Membership, MembershipSettings,
+};
 use tansylead_cluster::routing::{LeavingNotice, ServicePlaces};
 use tansylead_cluster::spread::{SpreadMachine, SpreadSettings};
 use tansylead_types::{
@@ -153,6 +155,7 @@
             place: place.clone(),
             zone: zone_name(daemon_place(index), daemon_zone(index)),
             caller_address: daemon_caller_address(index),
+            capacity: Capacity::CORE,
         };
         let seeds = (0..DAEMONS).map(daemon_node).collect();
         let settings = MembershipSettings::default();
