--- a/crates/tansylead-emulator/src/daemon.rs
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -59,6 +59,8 @@
     pub folder: PathBuf,
     /// Program.
     pub program: PathBuf,
+    /// Processor that the settings state, in cores.
+    pub processor_cores: f64,
 }
 
 /// A daemon's process. It is killed when dropped.
@@ -182,6 +184,7 @@
              peer_address = \"{}\"\n\
              metrics_address = \"{}\"\n\
              store_address = \"{}\"\n\
+             processor_cores = {}\n\
              seeds = [{}]\n\
              [regions]\n{}\n",
             plan.zone,
@@ -190,6 +193,7 @@
             plan.addresses.peer,
             plan.addresses.metrics,
             plan.store,
+            plan.processor_cores,
             seeds.join(", "),
             regions.join("\n"),
         );
--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -18,6 +18,9 @@
 
 /// Page of the store's lists: small, so that lists have several.
 const STORE_PAGE: usize = 5;
+/// What the settings say of large and of other machines, in cores; all run on the same one.
+const LARGE_CORES: f64 = 0.5;
+const SMALL_CORES: f64 = 0.12;
 /// Connections a leaf accepts.
 const LEAF_CONNECTIONS: u32 = 41;
 /// Period at which a condition is looked at.
@@ -36,6 +39,8 @@
     pub program: PathBuf,
     /// The seeds name daemons that are gone.
     pub stale_seeds: bool,
+    /// Daemons, from the first on, whose machines are larger than the others'.
+    pub large_daemons: usize,
 }
 
 /// Routes of a deployment.
@@ -287,6 +292,11 @@
                 seeds: seeds.clone(),
                 folder: self.folder.path().to_owned(),
                 program: plan.program.clone(),
+                processor_cores: if index < plan.large_daemons {
+                    LARGE_CORES
+                } else {
+                    SMALL_CORES
+                },
             })?;
             self.daemons.push(ProxiedDaemon { daemon, store_link });
         }
--- a/crates/tansylead-emulator/src/main.rs
+++ b/crates/tansylead-emulator/src/main.rs
@@ -42,6 +42,13 @@
     command
         .arg(number("daemons", "Daemons").default_value("5"))
         .arg(number("shards", "Shards of the query route").default_value("4"))
+        .arg(
+            number(
+                "large-daemons",
+                "Daemons whose machines are larger than the others'",
+            )
+            .default_value("0"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
@@ -59,6 +66,7 @@
         shards: value(matches, "shards").max(1) as usize,
         program: program.unwrap_or_default(),
         stale_seeds: false,
+        large_daemons: value(matches, "large-daemons") as usize,
     }
 }
 
