--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -190,7 +190,8 @@
         let live: Vec<MemberRecord> = self.membership.live_members().cloned().collect();
         let own = &self.local;
         let roots = &self.gateway.roots;
-        roots.update(&live, own.instance.node, &own.place);
+        let runners = roots.update(&live, own.instance.node, &own.place);
+        self.gateway.set_runners(runners);
         self.view.set_members(live, self.membership.is_joined());
     }
 }
--- a/crates/tansylead-gateway/src/cluster/query_roots.rs
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -7,11 +7,12 @@
 use futures_util::{SinkExt, StreamExt};
 use rand::seq::IndexedRandom;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_cluster::membership::MemberRecord;
-use tansylead_route::{Breaker, BreakerVerdict, RootCandidate, query_roots};
+use tansylead_route::{Breaker, BreakerVerdict, QueryRunners, RootCandidate, query_roots};
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, StepError, ZoneName};
 use tokio::net::TcpStream;
 
@@ -52,19 +53,37 @@
 }
 
 impl QueryRoots {
-    /// Finds the roots among the members that run.
-    pub fn update(&self, members: &[MemberRecord], own: NodeId, region: &PlaceName) {
-        let of_region = members
-            .iter()
-            .filter(|member| member.place == *region && member.state.takes_work());
-        let candidates: Vec<RootCandidate<&MemberRecord>> = of_region
-            .map(|member| RootCandidate {
-                daemon: member,
-                capacity: member.capacity.0,
-            })
-            .collect();
-        let roots = query_roots(&candidates);
-        let is_own_root = roots.iter().any(|root| root.node() == own);
+    /// Finds the roots among the members that run. Returns who runs queries in all regions.
+    pub fn update(
+        &self,
+        members: &[MemberRecord],
+        own: NodeId,
+        region: &PlaceName,
+    ) -> QueryRunners {
+        let mut regions: BTreeMap<&PlaceName, Vec<RootCandidate<&MemberRecord>>> = BTreeMap::new();
+        for member in members.iter().filter(|member| member.state.takes_work()) {
+            regions
+                .entry(&member.place)
+                .or_default()
+                .push(RootCandidate {
+                    daemon: member,
+                    capacity: member.capacity.0,
+                });
+        }
+        let mut runners = QueryRunners::default();
+        for (place, candidates) in &regions {
+            let roots = query_roots(candidates);
+            runners.add_region(candidates.len(), roots.len());
+            if *place == region {
+                let is_own_root = roots.iter().any(|root| root.node() == own);
+                runners.set_is_runner(is_own_root || roots.is_empty());
+                self.set_roots(roots, is_own_root);
+            }
+        }
+        runners
+    }
+
+    fn set_roots(&self, roots: Vec<&MemberRecord>, is_own_root: bool) {
         let others: Vec<Rc<RootPeer>> = if is_own_root {
             Vec::new()
         } else {
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -338,7 +338,7 @@
         let Some(leaf) = leaf else {
             return self.deny(DenialReason::NoLeaf);
         };
-        if !self.service.try_take_extra(self.gateway.daemons(), kind) {
+        if !self.service.try_take_extra(kind) {
             return self.deny(DenialReason::Budget);
         }
         let reason = match kind {
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -3,7 +3,7 @@
 use super::leaf_state::LeafState;
 use crate::clock::Clock;
 use crate::settings::GatewayBounds;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{Candidate, ExtraAttempt, HomeRegions, RetryBudget, Standing, choose_leaf};
@@ -17,6 +17,8 @@
     leafs: RefCell<Vec<Rc<LeafState>>>,
     missing_grace: Duration,
     budget: RefCell<RetryBudget>,
+    /// This daemon's part of the slack of extra attempts.
+    slack_share: Cell<f64>,
 }
 
 impl ServiceState {
@@ -27,6 +29,7 @@
             leafs: RefCell::default(),
             missing_grace: bounds.missing_grace(),
             budget: RefCell::new(RetryBudget::new(bounds.retry_budget(), started)),
+            slack_share: Cell::new(0.0),
         }
     }
 
@@ -115,11 +118,15 @@
         self.budget.borrow_mut().on_request(Clock.now());
     }
 
+    /// Sets this daemon's part of the slack of extra attempts, 0 to 1.
+    pub fn set_slack_share(&self, share: f64) {
+        self.slack_share.set(share);
+    }
+
     /// Takes one extra attempt from the budget, if it allows one.
-    pub fn try_take_extra(&self, daemons: usize, kind: ExtraAttempt) -> bool {
-        self.budget
-            .borrow_mut()
-            .try_take(Clock.now(), daemons, kind)
+    pub fn try_take_extra(&self, kind: ExtraAttempt) -> bool {
+        let mut budget = self.budget.borrow_mut();
+        budget.try_take(Clock.now(), self.slack_share.get(), kind)
     }
 }
 
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -14,12 +14,12 @@
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
     Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
-    QueryAdmission, RouteTable, WeightedTurns,
+    QueryAdmission, QueryRunners, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -36,6 +36,8 @@
     pub configuration: Rc<Configuration>,
     /// Its routes by host and prefix.
     pub routes: RouteTable,
+    /// The services that are shards of a route.
+    pub shards: HashSet<ServiceName>,
 }
 
 /// How far a planned stop has come.
@@ -55,6 +57,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct SharingDaemons {
     counts: DaemonCounts,
+    /// Those that run queries over shards.
+    runners: QueryRunners,
     /// Whether this daemon has had the time to learn of the others.
     are_known: bool,
 }
@@ -91,6 +95,8 @@
     daemons: RefCell<SharingDaemons>,
     /// Daemons that membership knows of.
     known_daemons: RefCell<DaemonCounts>,
+    /// Those of them that run queries over shards.
+    known_runners: Cell<QueryRunners>,
     connections: Cell<usize>,
     running_for_peers: Cell<usize>,
     /// The daemons of the region that run queries over shards for this one.
@@ -103,6 +109,7 @@
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
         let assumed = SharingDaemons {
             counts: DaemonCounts::default().at_least(ASSUMED_DAEMONS, &locality.all_regions()),
+            runners: QueryRunners::default(),
             are_known: false,
         };
         Self {
@@ -126,6 +133,7 @@
             stop: watch::Sender::new(StopPhase::Serving),
             daemons: RefCell::new(assumed),
             known_daemons: RefCell::default(),
+            known_runners: Cell::default(),
             connections: Cell::new(0),
             running_for_peers: Cell::new(0),
             roots: QueryRoots::default(),
@@ -153,10 +161,12 @@
         }
         log::info!(version = configuration.version, routes = configuration.routes.len(); "configuration in force");
         let routes = RouteTable::new(&configuration);
+        let shards = configuration.shards().cloned().collect();
         self.forget_unused_routes(&configuration);
         *self.active.borrow_mut() = Some(Rc::new(ActiveConfiguration {
             configuration: Rc::new(configuration),
             routes,
+            shards,
         }));
         self.share_all_connections();
         self.notify();
@@ -256,6 +266,12 @@
         self.count_daemons();
     }
 
+    /// Sets how many of the daemons run queries over shards.
+    pub fn set_runners(&self, runners: QueryRunners) {
+        self.known_runners.set(runners);
+        self.count_daemons();
+    }
+
     /// Counts the daemons that share budgets and connections. A daemon that has just started does
     /// not know the others yet: until then it takes it that there are some.
     pub fn count_daemons(&self) {
@@ -266,7 +282,12 @@
         } else {
             known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
         };
-        let daemons = SharingDaemons { counts, are_known };
+        let runners = self.known_runners.get();
+        let daemons = SharingDaemons {
+            counts,
+            runners,
+            are_known,
+        };
         if *self.daemons.borrow() != daemons {
             *self.daemons.borrow_mut() = daemons;
             self.share_all_connections();
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -117,6 +117,7 @@
         }
         let bounds = &self.settings.bounds;
         let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
+        self.share_budget(&service);
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
         service
@@ -175,9 +176,34 @@
     pub(super) fn share_all_connections(&self) {
         for service in self.services.borrow().values() {
             self.share_connections(service);
+            self.share_budget(service);
         }
     }
 
+    /// Computes this daemon's part of the slack of extra attempts at a service. Those at shards are
+    /// nearly all made by the daemons that run queries.
+    fn share_budget(&self, service: &ServiceState) {
+        let daemons = self.daemons.borrow();
+        let equal = 1.0 / daemons.counts.total() as f64;
+        let of_runners = match self.is_shard(service.name()) {
+            true => daemons.runners.slack_share(),
+            false => None,
+        };
+        let share = match of_runners {
+            Some(share) if daemons.are_known => share,
+            Some(share) => share.min(equal),
+            None => equal,
+        };
+        service.set_slack_share(share);
+    }
+
+    fn is_shard(&self, service: &ServiceName) -> bool {
+        let active = self.active.borrow();
+        active
+            .as_ref()
+            .is_some_and(|active| active.shards.contains(service))
+    }
+
     /// Computes this daemon's part of what each leaf of a service bears: connections, and requests
     /// while it is cold.
     fn share_connections(&self, service: &ServiceState) {
--- a/crates/tansylead-route/src/budget.rs
+++ b/crates/tansylead-route/src/budget.rs
@@ -3,7 +3,7 @@
 //! The bound holds for all daemons together and for any window: extra attempts in a window are at
 //! most `ratio` times the requests, plus `slack`. Each daemon spends at most `ratio` times its own
 //! requests plus its part of the slack, so that the sum holds without any coordination but the
-//! number of daemons.
+//! number of daemons, and of roots among them.
 
 use crate::sliding_count::SlidingCount;
 use std::time::Duration;
@@ -63,9 +63,10 @@
         self.requests.add(now);
     }
 
-    /// Takes one extra attempt if the bound allows it. `daemons` share the slack.
-    pub fn try_take(&mut self, now: Moment, daemons: usize, kind: ExtraAttempt) -> bool {
-        let allowance = self.allowance(now, daemons);
+    /// Takes one extra attempt if the bound allows it. `slack_share` is this daemon's part of the
+    /// slack, 0 to 1; the parts of all daemons add up to 1 at most.
+    pub fn try_take(&mut self, now: Moment, slack_share: f64, kind: ExtraAttempt) -> bool {
+        let allowance = self.allowance(now, slack_share);
         let usable = match kind {
             ExtraAttempt::Retry => allowance,
             ExtraAttempt::Hedge => allowance * (1.0 - RETRY_RESERVE),
@@ -77,14 +78,14 @@
         true
     }
 
-    fn allowance(&self, now: Moment, daemons: usize) -> f64 {
+    fn allowance(&self, now: Moment, slack_share: f64) -> f64 {
         let young = now.since(self.started) < self.settings.window;
-        let slack_share = if young {
+        let used_share = if young {
             FIRST_WINDOW_SHARE
         } else {
             USED_SHARE
         };
-        let slack = self.settings.slack * slack_share / daemons.max(1) as f64;
+        let slack = self.settings.slack * used_share * slack_share;
         f64::from(self.requests.sum(now)) * self.settings.ratio * USED_SHARE + slack
     }
 }
--- a/crates/tansylead-route/src/configuration.rs
+++ b/crates/tansylead-route/src/configuration.rs
@@ -20,6 +20,16 @@
     pub limits: CallerLimits,
 }
 
+impl Configuration {
+    /// The services that are shards of a route; some may come several times.
+    pub fn shards(&self) -> impl Iterator<Item = &ServiceName> {
+        self.routes.iter().flat_map(|route| match &route.target {
+            Target::Shards(set) => set.shards.as_slice(),
+            Target::Services(_) => &[],
+        })
+    }
+}
+
 /// One route: which requests it takes, where they go, and under which policy.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -53,7 +53,7 @@
 pub use listing::{Listing, Standing};
 pub use patience::Patience;
 pub use query_admission::{AdmissionChange, QueryAdmission};
-pub use query_roots::{RootCandidate, query_roots};
+pub use query_roots::{QueryRunners, RootCandidate, query_roots};
 pub use records::{RECORD_BYTES, Record, TopRecords};
 pub use retry_after::{retry_after_outage, retry_after_refusal};
 pub use route_table::RouteTable;
--- a/crates/tansylead-route/src/query_roots.rs
+++ b/crates/tansylead-route/src/query_roots.rs
@@ -39,3 +39,47 @@
     }
     large.into_iter().map(|root| root.daemon.clone()).collect()
 }
+
+/// Part of the slack of extra attempts at shards that the daemons which run queries share. The rest is
+/// for the others, which run queries only where no root can: nearly all attempts are the roots'.
+const RUNNERS_SLACK_PART: f64 = 0.75;
+
+/// How many daemons run queries over shards, in all regions together, as one of them sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueryRunners {
+    runners: usize,
+    others: usize,
+    is_runner: bool,
+}
+
+impl QueryRunners {
+    /// Counts a region with this many daemons, of which `roots` are roots; none if every daemon runs
+    /// what it receives.
+    pub fn add_region(&mut self, daemons: usize, roots: usize) {
+        if roots == 0 {
+            self.runners += daemons;
+        } else {
+            self.runners += roots;
+            self.others += daemons.saturating_sub(roots);
+        }
+    }
+
+    /// Says whether the viewing daemon runs queries.
+    pub fn set_is_runner(&mut self, is_runner: bool) {
+        self.is_runner = is_runner;
+    }
+
+    /// The viewing daemon's part of the slack of extra attempts at a shard, 0 to 1; none if all
+    /// daemons run queries alike.
+    pub fn slack_share(&self) -> Option<f64> {
+        if self.others == 0 || self.runners == 0 {
+            return None;
+        }
+        let share = if self.is_runner {
+            RUNNERS_SLACK_PART / self.runners as f64
+        } else {
+            (1.0 - RUNNERS_SLACK_PART) / self.others as f64
+        };
+        Some(share)
+    }
+}
--- a/crates/tansylead-route/tests/budget.rs
+++ b/crates/tansylead-route/tests/budget.rs
@@ -54,7 +54,7 @@
             }
             requests.push((now, step.requests));
             for _ in 0..step.extra {
-                if budget.try_take(now, daemons, ExtraAttempt::Retry) {
+                if budget.try_take(now, 1.0 / daemons as f64, ExtraAttempt::Retry) {
                     extra.push((now, 1));
                 }
             }
@@ -74,11 +74,11 @@
     let now = Moment::from_millis(60_000);
     let mut budget = RetryBudget::new(SETTINGS, Moment::default());
     let mut hedges = 0;
-    while budget.try_take(now, 1, ExtraAttempt::Hedge) {
+    while budget.try_take(now, 1.0, ExtraAttempt::Hedge) {
         hedges += 1;
     }
     assert!(hedges > 0);
-    assert!(budget.try_take(now, 1, ExtraAttempt::Retry));
+    assert!(budget.try_take(now, 1.0, ExtraAttempt::Retry));
 }
 
 #[test]
@@ -86,7 +86,7 @@
     let spend = |now: Moment| {
         let mut budget = RetryBudget::new(SETTINGS, Moment::default());
         let mut taken = 0;
-        while budget.try_take(now, 1, ExtraAttempt::Retry) {
+        while budget.try_take(now, 1.0, ExtraAttempt::Retry) {
             taken += 1;
         }
         taken
--- a/crates/tansylead-route/tests/query_roots.rs
+++ b/crates/tansylead-route/tests/query_roots.rs
@@ -1,7 +1,7 @@
 //! Who runs queries over shards.
 
 use proptest::prelude::*;
-use tansylead_route::{RootCandidate, query_roots};
+use tansylead_route::{QueryRunners, RootCandidate, query_roots};
 
 fn candidates(capacities: &[u16]) -> Vec<RootCandidate<usize>> {
     let numbered = capacities.iter().enumerate();
@@ -32,6 +32,33 @@
     assert!(query_roots(&candidates(&capacities)).is_empty());
 }
 
+#[test]
+fn parts_of_the_slack_add_up_to_no_more_than_all_of_it() {
+    let sees = |is_runner| {
+        let mut runners = QueryRunners::default();
+        // Two regions with four roots each, and one whose three daemons are alike.
+        runners.add_region(22, 4);
+        runners.add_region(21, 4);
+        runners.add_region(3, 0);
+        runners.set_is_runner(is_runner);
+        runners.slack_share().expect("they differ")
+    };
+    let total = sees(true) * 11.0 + sees(false) * 35.0;
+    assert!(total <= 1.0 + 1e-9, "{total}");
+    assert!(
+        sees(true) > 4.0 / 46.0,
+        "runners have several times an equal part"
+    );
+}
+
+#[test]
+fn where_all_daemons_run_queries_no_one_has_a_part_of_its_own() {
+    let mut runners = QueryRunners::default();
+    runners.add_region(9, 0);
+    runners.set_is_runner(true);
+    assert_eq!(runners.slack_share(), None);
+}
+
 proptest! {
     #[test]
     fn roots_do_not_depend_on_the_order_and_are_large(
