--- a/crates/tansylead-gateway/src/cluster/peer_server.rs
+++ b/crates/tansylead-gateway/src/cluster/peer_server.rs
@@ -13,10 +13,13 @@
 use tansylead_types::StepError;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio_util::bytes::Bytes;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// A connection without a request for this long is closed.
-pub(super) const IDLE_LIMIT: Duration = Duration::from_secs(10);
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// A connection that rested longer is not used for another request: its server may be about to close it.
+pub(super) const REUSE_LIMIT: Duration = Duration::from_secs(5);
 /// Longest time for one reply to be taken by its peer.
 const SEND_LIMIT: Duration = Duration::from_millis(800);
 
@@ -67,11 +70,11 @@
         match decode(&frame, peer)? {
             PeerRequest::Feed(request) => {
                 let (reply, _turn) = answer_poll(&gateway, turns, &request, peer).await?;
-                send(&mut frames, &reply, peer).await?;
+                send(&mut frames, reply, peer).await?;
             }
             PeerRequest::Query(query) => {
                 let reply = run_while_connected(&gateway, &mut frames, *query, peer).await?;
-                send(&mut frames, &encode(&reply, peer)?, peer).await?;
+                send(&mut frames, encode(&reply, peer)?, peer).await?;
             }
         }
     }
@@ -92,13 +95,9 @@
     }
 }
 
-async fn send(
-    frames: &mut Frames,
-    bytes: &tokio_util::bytes::Bytes,
-    peer: &str,
-) -> Result<(), StepError> {
+async fn send(frames: &mut Frames, bytes: Bytes, peer: &str) -> Result<(), StepError> {
     // A peer that takes nothing must not keep others from their turn.
-    let sent = tokio::time::timeout(SEND_LIMIT, frames.send(bytes.clone())).await;
+    let sent = tokio::time::timeout(SEND_LIMIT, frames.send(bytes)).await;
     let sent = sent.map_err(|cause| StepError::new("send reply to peer", peer, cause))?;
     sent.map_err(|cause| StepError::new("send reply to peer", peer, cause))
 }
--- a/crates/tansylead-gateway/src/cluster/query_roots.rs
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -2,7 +2,7 @@
 
 use super::feed_message::{decode, encode};
 use super::forwarded_query::{ForwardedQuery, ForwardedReply};
-use super::peer_server::{Frames, IDLE_LIMIT, PeerRequest, frames};
+use super::peer_server::{Frames, PeerRequest, REUSE_LIMIT, frames};
 use crate::clock::Clock;
 use futures_util::{SinkExt, StreamExt};
 use rand::seq::IndexedRandom;
@@ -16,9 +16,6 @@
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, StepError, ZoneName};
 use tokio::net::TcpStream;
 
-/// A connection that rested longer is not used again: its root closes it soon.
-const LONGEST_REST: Duration = IDLE_LIMIT.checked_div(2).expect("not zero");
-
 /// Why a root gave no reply.
 #[derive(Debug)]
 pub enum AskError {
@@ -119,7 +116,7 @@
     pub fn close_expired(&self, now: Moment) {
         for root in self.peers.borrow().iter() {
             let mut idle = root.idle.borrow_mut();
-            idle.retain(|idle| now.since(idle.rests_since) < LONGEST_REST);
+            idle.retain(|idle| now.since(idle.rests_since) < REUSE_LIMIT);
         }
     }
 
@@ -237,7 +234,7 @@
     fn take_idle(&self) -> Option<Frames> {
         let now = Clock.now();
         let mut idle = self.idle.borrow_mut();
-        let is_fresh = |idle: &mut IdleConnection| now.since(idle.rests_since) < LONGEST_REST;
+        let is_fresh = |idle: &mut IdleConnection| now.since(idle.rests_since) < REUSE_LIMIT;
         idle.pop_if(is_fresh).map(|idle| idle.frames)
     }
 }
--- a/crates/tansylead-gateway/src/cluster/query_server.rs
+++ b/crates/tansylead-gateway/src/cluster/query_server.rs
@@ -2,7 +2,8 @@
 
 use super::forwarded_query::{ForwardedQuery, ForwardedReply};
 use crate::clock::Clock;
-use crate::execution::{GatherQuery, LeafAccess, Refusal, RefusalReason, gather};
+use crate::execution::{GatherQuery, LeafAccess, Outcome, Refusal, RefusalReason, gather};
+use crate::metrics::ForwardedResult;
 use crate::request_log::RequestLog;
 use crate::state::{Gateway, StopPhase};
 use std::rc::Rc;
@@ -22,16 +23,15 @@
     peer: &str,
 ) -> Result<ForwardedReply, StepError> {
     let Some(route) = find_route(gateway, &query) else {
-        gateway.metrics.on_forwarded("declined_here");
+        gateway.metrics.on_forwarded(ForwardedResult::DeclinedHere);
         return Ok(ForwardedReply::Declined);
     };
     let Target::Shards(set) = &route.target else {
         return Ok(ForwardedReply::Declined);
     };
-    gateway.metrics.on_forwarded("run_here");
+    gateway.metrics.on_forwarded(ForwardedResult::RunHere);
     let _running = RunningForPeer::new(Rc::clone(gateway));
-    let outcome = run(gateway, &route, set, query, peer).await?;
-    Ok(outcome)
+    run(gateway, &route, set, query, peer).await
 }
 
 /// The route of a query that this daemon may run: of the same version, repeatable, over shards.
@@ -74,7 +74,7 @@
     let outcome = tokio::select! {
         outcome = gather(execution, set) => outcome,
         _ = stop.wait_for(|phase| *phase >= StopPhase::Ending) => {
-            crate::execution::Outcome::Refused(Refusal::new(RefusalReason::Failed))
+            Outcome::Refused(Refusal::new(RefusalReason::Failed))
         }
     };
     log.finish(&outcome);
--- a/crates/tansylead-gateway/src/execution/at_root.rs
+++ b/crates/tansylead-gateway/src/execution/at_root.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::cluster::{AskError, ForwardedQuery, ForwardedReply, RootPeer};
 use crate::leaf::OutgoingRequest;
+use crate::metrics::ForwardedResult;
 use crate::request_trace::RequestTrace;
 use crate::state::Gateway;
 use std::rc::Rc;
@@ -113,15 +114,15 @@
 
     fn finish(&self, root: &RootPeer, sent: Moment, waited: Waited) -> Option<Outcome> {
         let refused = |reason| Some(Outcome::Refused(Refusal::new(reason)));
-        let (label, outcome) = match waited {
+        let (result, outcome) = match waited {
             Waited::Replied {
                 reply: Ok(reply),
                 is_overdue,
             } => {
                 root.on_answer(sent, !is_overdue);
                 match reply.into_outcome() {
-                    Some(outcome) => ("answered", Some(outcome)),
-                    None => ("declined", None),
+                    Some(outcome) => (ForwardedResult::Answered, Some(outcome)),
+                    None => (ForwardedResult::Declined, None),
                 }
             }
             Waited::Replied {
@@ -130,7 +131,7 @@
             } => {
                 log::debug!(error:% = error; "query not sent to root");
                 root.on_unreachable(self.route.policy.objective);
-                ("not_sent", None)
+                (ForwardedResult::NotSent, None)
             }
             Waited::Replied {
                 reply: Err(AskError::MaybeRun(error)),
@@ -138,12 +139,12 @@
             } => {
                 log::info!(error:% = error; "root lost with a query");
                 root.on_unreachable(self.route.policy.objective);
-                ("failed", refused(RefusalReason::Failed))
+                (ForwardedResult::Failed, refused(RefusalReason::Failed))
             }
-            Waited::Silent => ("silent", refused(RefusalReason::Failed)),
-            Waited::TimedOut => ("timed_out", refused(RefusalReason::TimedOut)),
+            Waited::Silent => (ForwardedResult::Silent, refused(RefusalReason::Failed)),
+            Waited::TimedOut => (ForwardedResult::TimedOut, refused(RefusalReason::TimedOut)),
         };
-        self.gateway.metrics.on_forwarded(label);
+        self.gateway.metrics.on_forwarded(result);
         if outcome.is_none() {
             self.trace.clear_root();
         }
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -3,7 +3,8 @@
 //! Invariants: `NotRun` is said only if nothing was handed to a connection or the leaf itself said
 //! so. A connection is used again only after a whole answer that carries the request's id.
 
-use super::leaf_state::{LeafConnection, LeafState};
+use super::idle_connections::LeafConnection;
+use super::leaf_state::LeafState;
 use crate::clock::Clock;
 use crate::headers::{HeaderNames, LeafWord};
 use bytes::Bytes;
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -1,5 +1,6 @@
 //! What this daemon knows of one run of a leaf. Shared by all routes that use it.
 
+use super::idle_connections::{IdleConnections, LeafConnection};
 use crate::clock::Clock;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -22,23 +23,6 @@
 /// Hundredths, for factors that travel between daemons.
 const PERCENT: f64 = 100.0;
 
-/// A connection at rest.
-#[derive(Debug)]
-struct IdleConnection {
-    connection: HttpConnection,
-    rests_since: Moment,
-    usable_until: Moment,
-}
-
-/// A connection for one attempt.
-#[derive(Debug)]
-pub struct LeafConnection {
-    /// The connection.
-    pub connection: HttpConnection,
-    /// How long it has rested; none if it is new.
-    pub rested: Option<Duration>,
-}
-
 /// One run of a leaf.
 #[derive(Debug)]
 pub struct LeafState {
@@ -54,7 +38,7 @@
     permits: Arc<Semaphore>,
     limit: Cell<u32>,
     is_reserve: Cell<bool>,
-    idle: RefCell<Vec<IdleConnection>>,
+    idle: IdleConnections,
     breaker: RefCell<Breaker>,
     /// What other daemons say of its silence.
     reported_silence: Cell<ReportedSilence>,
@@ -82,7 +66,7 @@
             permits: Arc::new(Semaphore::new(limit as usize)),
             limit: Cell::new(limit),
             is_reserve: Cell::new(share.is_reserve),
-            idle: RefCell::new(Vec::new()),
+            idle: IdleConnections::default(),
             breaker: RefCell::new(Breaker::default()),
             reported_silence: Cell::default(),
             slowness: Cell::default(),
@@ -128,14 +112,14 @@
             source_was_away,
         });
         if !source_was_away {
-            self.idle.borrow_mut().clear();
+            self.idle.close_all();
         }
     }
 
     /// Notes that another run of a leaf has the address.
     pub fn set_replaced(&self) {
         self.listing.set(Listing::Replaced);
-        self.idle.borrow_mut().clear();
+        self.idle.close_all();
     }
 
     /// Whether the directory lists the leaf.
@@ -152,7 +136,7 @@
     pub fn set_evacuated(&self, is_evacuated: bool) {
         self.is_evacuated.set(is_evacuated);
         if is_evacuated {
-            self.idle.borrow_mut().clear();
+            self.idle.close_all();
         }
     }
 
@@ -221,7 +205,7 @@
             slowness: self.slowness.get().factor(now, usual_gap),
             failure_rate: self.failures.get().rate(now),
             resets_connections: self.connect_backoff.get().is_waiting(now),
-            has_idle_connection: !self.idle.borrow().is_empty(),
+            has_idle_connection: self.idle.count() > 0,
         }
     }
 
@@ -386,18 +370,7 @@
     /// The idle connection that rested least, if that is no longer than `longest_rest` and the leaf
     /// has not closed it, as far as is known.
     pub fn take_idle(&self, longest_rest: Duration) -> Option<LeafConnection> {
-        let now = Clock.now();
-        let mut idle = self.idle.borrow_mut();
-        let is_rested = |idle: &mut IdleConnection| now.since(idle.rests_since) <= longest_rest;
-        while let Some(last) = idle.pop_if(is_rested) {
-            if !last.connection.is_closed() && now < last.usable_until {
-                return Some(LeafConnection {
-                    connection: last.connection,
-                    rested: Some(now.since(last.rests_since)),
-                });
-            }
-        }
-        None
+        self.idle.take(Clock.now(), longest_rest)
     }
 
     /// Takes back a connection whose last answer was read whole. The leaf closes it after
@@ -411,25 +384,17 @@
         let are_scarce = self.connect_backoff.get().is_scarce(now);
         let own_limit = self.idle_policy.get().limit(now, are_scarce);
         let limit = idle_limit.map_or(own_limit, |limit| limit.min(own_limit));
-        self.idle.borrow_mut().push(IdleConnection {
-            connection,
-            rests_since: now,
-            usable_until: now + limit,
-        });
+        self.idle.put(connection, now, limit);
     }
 
     /// Closes idle connections past their time.
     pub fn close_expired(&self, now: Moment) {
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| !idle.connection.is_closed() && now < idle.usable_until);
-        if idle.is_empty() {
-            idle.shrink_to_fit();
-        }
+        self.idle.close_expired(now);
     }
 
     /// Number of idle connections.
     pub fn idle_connections(&self) -> usize {
-        self.idle.borrow().len()
+        self.idle.count()
     }
 }
 
--- a/crates/tansylead-gateway/src/leaf/mod.rs
+++ b/crates/tansylead-gateway/src/leaf/mod.rs
@@ -1,6 +1,7 @@
 //! Leafs as this daemon knows them: connections, load, soundness, and single attempts.
 
 mod attempt;
+mod idle_connections;
 mod leaf_state;
 mod service_state;
 
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -58,6 +58,42 @@
     }
 }
 
+/// What became of a query that was handed to a root, or came from another daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardedResult {
+    /// The root answered or refused it.
+    Answered,
+    /// The root holds another version, or is stopping; it runs here.
+    Declined,
+    /// The root could not be reached; it runs here.
+    NotSent,
+    /// The connection to the root ended under it.
+    Failed,
+    /// The root answers nobody.
+    Silent,
+    /// The time was up.
+    TimedOut,
+    /// It runs here for another daemon.
+    RunHere,
+    /// It came from another daemon and does not run here.
+    DeclinedHere,
+}
+
+impl ForwardedResult {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Declined => "declined",
+            Self::NotSent => "not_sent",
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+            Self::TimedOut => "timed_out",
+            Self::RunHere => "run_here",
+            Self::DeclinedHere => "declined_here",
+        }
+    }
+}
+
 /// Which way reports on leafs went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportDirection {
@@ -234,9 +270,9 @@
         self.request_seconds.observe(took.as_secs_f64());
     }
 
-    /// Counts a query that was handed to a root, or came from another daemon, by what became of it.
-    pub fn on_forwarded(&self, result: &str) {
-        self.forwarded.with_label_values(&[result]).inc();
+    /// Counts a query that was handed to a root, or came from another daemon.
+    pub fn on_forwarded(&self, result: ForwardedResult) {
+        self.forwarded.with_label_values(&[result.label()]).inc();
     }
 
     /// Counts an attempt that was started.
