Take the version a route was found in for its leafs, not the one at the first attempt

Found while reading the change: a version that came while a request's body was read, or while a root declined its query, was taken for the route's own, and its homes did not bind the request.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -78,11 +78,13 @@
         Err(reason) => return refused(reason),
     };
     let trace = Rc::clone(&log.trace);
+    let version = active.configuration.version;
+    let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(&route), version);
     let execution = async {
         let at_root = QueryAtRoot {
             gateway,
             route: &route,
-            version: active.configuration.version,
+            version,
             request: &outgoing,
             arrived,
             time_left,
@@ -90,7 +92,12 @@
         };
         match at_root.run().await {
             Some(outcome) => outcome,
-            None => execute(gateway, &route, &outgoing, arrived, time_left, &trace).await,
+            None => {
+                execute(
+                    gateway, access, &route, &outgoing, arrived, time_left, &trace,
+                )
+                .await
+            }
         }
     };
     let mut stop = gateway.stop_phases();
@@ -104,13 +111,13 @@
 
 async fn execute(
     gateway: &Rc<Gateway>,
+    access: LeafAccess,
     route: &Arc<Route>,
     request: &Rc<OutgoingRequest>,
     arrived: Moment,
     time_left: Duration,
     trace: &Rc<RequestTrace>,
 ) -> Outcome {
-    let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(route));
     match &route.target {
         Target::Services(services) => {
             let index = match services.len() {
--- a/crates/tansylead-gateway/src/cluster/query_server.rs
+++ b/crates/tansylead-gateway/src/cluster/query_server.rs
@@ -63,7 +63,7 @@
     log.route = Some(Arc::clone(route));
     let execution = GatherQuery {
         gateway: Rc::clone(gateway),
-        access: LeafAccess::new(Rc::clone(gateway), Arc::clone(route)),
+        access: LeafAccess::new(Rc::clone(gateway), Arc::clone(route), version),
         route: Arc::clone(route),
         request,
         arrived,
--- a/crates/tansylead-gateway/src/execution/leaf_access.rs
+++ b/crates/tansylead-gateway/src/execution/leaf_access.rs
@@ -15,14 +15,13 @@
 pub struct LeafAccess {
     gateway: Rc<Gateway>,
     route: Arc<Route>,
-    /// Version that the route was found in; none if there was no configuration.
-    version: Option<u64>,
+    /// Version that the route was found in.
+    version: u64,
 }
 
 impl LeafAccess {
-    /// Access of a request to this route of the configuration in force.
-    pub fn new(gateway: Rc<Gateway>, route: Arc<Route>) -> Self {
-        let version = gateway.version();
+    /// Access of a request whose route was found in this version of the configuration.
+    pub fn new(gateway: Rc<Gateway>, route: Arc<Route>, version: u64) -> Self {
         Self {
             gateway,
             route,
@@ -33,7 +32,7 @@
     /// The route as it is in force now, or as the request found it if it was removed since.
     pub fn route_in_force(&self) -> Arc<Route> {
         let active = self.gateway.active();
-        let newer = active.filter(|active| Some(active.configuration.version) != self.version);
+        let newer = active.filter(|active| active.configuration.version != self.version);
         let current = newer.and_then(|newer| self.find_in(&newer));
         current.unwrap_or_else(|| Arc::clone(&self.route))
     }
--- a/crates/tansylead-gateway/tests/admission.rs
+++ b/crates/tansylead-gateway/tests/admission.rs
@@ -97,7 +97,7 @@
     let route = Arc::new(route);
     let query = GatherQuery {
         gateway: Rc::clone(gateway),
-        access: LeafAccess::new(Rc::clone(gateway), Arc::clone(&route)),
+        access: LeafAccess::new(Rc::clone(gateway), Arc::clone(&route), 1),
         route,
         request: Rc::new(request),
         arrived: Clock.now(),
