--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -151,8 +151,9 @@
         }
     }
 
-    /// How the leaf may be used for new requests of routes without homes. One whose entry went
-    /// without a word is the last resort for `grace`.
+    /// How the leaf may be used at all, whatever a route is confined to and however little a cold leaf
+    /// bears: connections are shared and kept by it. One whose entry went without a word is the last
+    /// resort for `grace`.
     pub fn standing(&self, now: Moment, grace: Duration) -> Standing {
         if self.is_evacuated.get() {
             return Standing::Gone;
