--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod report_queue;
 mod request_log;
 pub mod request_trace;
+pub mod roll_out;
 pub mod routes_file;
 pub mod settings;
 pub mod source;
--- /dev/null
+++ b/crates/tansylead-gateway/src/roll_out/mod.rs
@@ -0,0 +1,6 @@
+//! Roll-outs in this daemon: which leafs a request may use by their version, what is seen of both sides,
+//! and the judges that conclude.
+
+mod service_versions;
+
+pub use service_versions::ServiceVersions;
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -301,6 +301,8 @@
                 LeafPhase::Ready
             },
             warmup_left: Duration::ZERO,
+            version: None,
+            changed_at: Revision::default(),
         }
     }
 }
--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -3,8 +3,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tansylead_route::{Configuration, DirectoryDelta, EvacuatedZones, Revision};
-use tansylead_types::StepError;
+use tansylead_route::{
+    Configuration, DirectoryDelta, EvacuatedZones, Revision, RollOut, RollOutState, RollOuts,
+};
+use tansylead_types::{ServiceName, StepError};
 
 /// What is read from the source; each topic is read on its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -15,6 +17,8 @@
     Leafs,
     /// Zones that are being emptied.
     Evacuations,
+    /// Orders to roll out, and how far each has come.
+    RollOuts,
 }
 
 impl Topic {
@@ -24,6 +28,7 @@
             Topic::Configuration => "configuration",
             Topic::Leafs => "leafs",
             Topic::Evacuations => "evacuations",
+            Topic::RollOuts => "roll_outs",
         }
     }
 }
@@ -57,6 +62,17 @@
     Leafs(DirectoryDelta),
     /// All zones that are being emptied; none if they have not changed.
     Evacuations(Option<EvacuatedZones>),
+    /// All orders to roll out; none if they have not changed.
+    RollOuts(Option<RollOuts>),
+}
+
+/// How a conditional write ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WriteEnd {
+    /// It was done; the object's revision is this one now.
+    Written(Revision),
+    /// The object had changed before, or is gone: this is how it stands now.
+    Conflict(Option<Box<RollOut>>),
 }
 
 /// Why a read or a watch gave nothing.
@@ -90,6 +106,20 @@
         wait: Duration,
     ) -> impl Future<Output = Result<SourceUpdate, SourceError>>;
 
+    /// Writes how far a roll-out has come, if order and state are still as in `roll_out`. After an error other
+    /// than [`SourceError::Refused`] the write may have been done, or may be done later.
+    fn write_roll_out_state(
+        &self,
+        roll_out: &RollOut,
+        state: RollOutState,
+    ) -> impl Future<Output = Result<WriteEnd, SourceError>>;
+
+    /// Reads the order for one service as it stands now; none if there is none.
+    fn read_roll_out(
+        &self,
+        service: &ServiceName,
+    ) -> impl Future<Output = Result<Option<RollOut>, SourceError>>;
+
     /// Registers a daemon's peer address, so that others find it when the seeds are down or stale.
     /// Registering again changes nothing.
     fn register(&self, peer: SocketAddr) -> impl Future<Output = Result<(), SourceError>>;
--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_gateway::leaf::LeafState;
-use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafLocation, LeafPhase};
+use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafLocation, LeafPhase, Revision};
 use tansylead_types::{LeafId, ServiceName, ZoneName};
 
 /// The entry of a leaf that takes requests.
@@ -17,6 +17,8 @@
         slots: 5,
         phase: LeafPhase::Ready,
         warmup_left: Duration::ZERO,
+        version: None,
+        changed_at: Revision::default(),
     }
 }
 
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -3,8 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use crate::directory::Revision;
 use std::time::Duration;
-use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
+use tansylead_types::{LeafId, PlaceName, ServiceName, SoftwareVersion, ZoneName};
 
 /// One run of a leaf, as the directory knows it. Every start of a leaf has a new id.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +24,10 @@
     pub phase: LeafPhase,
     /// How much longer it is slow after its start, when the entry was written.
     pub warmup_left: Duration,
+    /// Version of its software, if the source tells one.
+    pub version: Option<SoftwareVersion>,
+    /// Revision of the source at which this entry was last changed, as far as the source tells.
+    pub changed_at: Revision,
 }
 
 /// Whether a leaf takes new requests.
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -27,6 +27,7 @@
 mod query_roots;
 mod records;
 mod retry_after;
+mod roll_out;
 mod route_table;
 mod sliding_count;
 mod slowness;
@@ -56,6 +57,11 @@
 pub use query_roots::{QueryRunners, RootCandidate, query_roots};
 pub use records::{RECORD_BYTES, Record, TopRecords};
 pub use retry_after::{retry_after_outage, retry_after_refusal};
+pub use roll_out::{
+    Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
+    RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RouteEvidence,
+    Stage, TrialContext, TrialVerdict, VersionCounts,
+};
 pub use route_table::RouteTable;
 pub use slowness::Slowness;
 pub use weights::WeightedTurns;
--- /dev/null
+++ b/crates/tansylead-route/src/roll_out/order.rs
@@ -0,0 +1,108 @@
+//! The operator's orders to roll out, and how far each has come.
+//!
+//! There is at most one order for a service, and there are few in all, so the set is always passed on
+//! whole. Invariant: the revision never goes down, so a set that arrives late changes nothing.
+
+use crate::directory::Revision;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tansylead_types::{ServiceName, SoftwareVersion};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Identifies one order. A later order for the same service and version has another one, unless it
+/// cannot be told apart from the earlier one by what the source says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrderId(pub u64);
+
+impl OrderId {
+    /// The id of an order. `made` is what the source says of when the order was first given; it must not
+    /// change while the order stands.
+    pub fn new(
+        service: &ServiceName,
+        target: &SoftwareVersion,
+        duration: Duration,
+        made: &str,
+    ) -> Self {
+        let text = format!("{service}/{target}/{}/{made}", duration.as_millis());
+        Self(xxh3_64(text.as_bytes()))
+    }
+}
+
+/// How far a roll-out has come, as the source says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum RollOutState {
+    /// Ordered; nobody has noted a beginning.
+    Ordered,
+    /// The target version is under trial.
+    Running,
+    /// All requests go to the target version; the old leafs are stopped.
+    Completed,
+    /// The target version gets nothing any more.
+    RolledBack,
+}
+
+impl RollOutState {
+    /// Whether the roll-out has ended.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+
+    /// Name, for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Ordered => "ordered",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled_back",
+        }
+    }
+}
+
+/// One order to roll out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RollOut {
+    /// The order.
+    pub order: OrderId,
+    /// Service to be moved.
+    pub service: ServiceName,
+    /// Version that it moves to.
+    pub target: SoftwareVersion,
+    /// Time from the order until the roll-out should have ended.
+    pub duration: Duration,
+    /// How far it has come.
+    pub state: RollOutState,
+    /// Revision of the last change of order or state; a conditional write names it.
+    pub changed_at: Revision,
+}
+
+/// All orders, as they were at one revision of the source.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RollOuts {
+    /// Revision up to which the source is known.
+    pub at: Revision,
+    /// The orders.
+    pub orders: BTreeMap<ServiceName, RollOut>,
+}
+
+impl RollOuts {
+    /// The order for a service.
+    pub fn get(&self, service: &ServiceName) -> Option<&RollOut> {
+        self.orders.get(service)
+    }
+
+    /// Takes in a set of the same or a later revision. Returns whether the orders differ from before.
+    pub fn apply(&mut self, newer: Self) -> bool {
+        if newer.at < self.at {
+            return false;
+        }
+        let has_changed = newer.orders != self.orders;
+        *self = newer;
+        has_changed
+    }
+
+    /// Whether a replica that holds `held` lacks a change that this set has.
+    pub fn is_news_for(&self, held: Option<&Self>) -> bool {
+        held.is_none_or(|held| held.at < self.at && held.orders != self.orders)
+    }
+}
--- a/crates/tansylead-route/tests/directory.rs
+++ b/crates/tansylead-route/tests/directory.rs
@@ -20,6 +20,8 @@
         slots,
         phase: LeafPhase::Ready,
         warmup_left: Duration::ZERO,
+        version: None,
+        changed_at: Revision::default(),
     }
 }
 
--- a/crates/tansylead-types/src/ids.rs
+++ b/crates/tansylead-types/src/ids.rs
@@ -96,6 +96,11 @@
     LeafId,
     "leaf name"
 );
+name_type!(
+    /// Version of the software that a leaf runs. Versions are compared for equality only.
+    SoftwareVersion,
+    "software version"
+);
 name_type!(
     /// Name of one shard, unique inside a snapshot of a service.
     ShardId,
--- a/crates/tansylead-types/src/lib.rs
+++ b/crates/tansylead-types/src/lib.rs
@@ -26,7 +26,7 @@
 pub use error::{PeerAddress, StepError, text_with_sources};
 pub use ids::{
     AttemptId, ChangeId, IdempotencyKey, LeafId, PlaceName, QueryId, RequestId, ServiceName,
-    ShardId, SnapshotVersion, ZoneName,
+    ShardId, SnapshotVersion, SoftwareVersion, ZoneName,
 };
 pub use in_force::InForceAnswer;
 pub use moment::{Moment, WallTime};
