--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -26,6 +26,8 @@
     pub leafs: Option<u32>,
     /// Of the zones that are being emptied.
     pub evacuations: Option<u32>,
+    /// Of the orders to roll out.
+    pub roll_outs: Option<u32>,
 }
 
 impl WordAges {
@@ -35,6 +37,7 @@
             configuration: gateway.age(Topic::Configuration).map(millis),
             leafs: gateway.age(Topic::Leafs).map(millis),
             evacuations: gateway.age(Topic::Evacuations).map(millis),
+            roll_outs: gateway.age(Topic::RollOuts).map(millis),
         }
     }
 
@@ -44,13 +47,19 @@
             Topic::Configuration => self.configuration,
             Topic::Leafs => self.leafs,
             Topic::Evacuations => self.evacuations,
+            Topic::RollOuts => self.roll_outs,
         };
         millis.map(|millis| Duration::from_millis(millis.into()))
     }
 
     /// Whether the word of any topic is fresher than in `other`, by as much as is worth telling.
     pub fn is_fresher_than(self, other: Self) -> bool {
-        let topics = [Topic::Configuration, Topic::Leafs, Topic::Evacuations];
+        let topics = [
+            Topic::Configuration,
+            Topic::Leafs,
+            Topic::Evacuations,
+            Topic::RollOuts,
+        ];
         topics
             .into_iter()
             .any(|topic| is_fresher(self.age(topic), other.age(topic)))
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -131,7 +131,7 @@
     /// Where a watch goes on: peers may have brought the directory further than the last watch.
     fn known_position(&self) -> Option<Revision> {
         match self.topic {
-            Topic::Configuration | Topic::Evacuations => self.position,
+            Topic::Configuration | Topic::Evacuations | Topic::RollOuts => self.position,
             Topic::Leafs => self.position.max(self.gateway.directory().revision()),
         }
     }
@@ -160,6 +160,8 @@
             SourceContent::Leafs(delta) => self.gateway.apply_directory(delta),
             SourceContent::Evacuations(Some(zones)) => self.gateway.apply_evacuations(zones),
             SourceContent::Evacuations(None) => {}
+            SourceContent::RollOuts(Some(roll_outs)) => self.gateway.apply_roll_outs(roll_outs),
+            SourceContent::RollOuts(None) => {}
         }
     }
 
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -2,6 +2,7 @@
 
 use super::leaf_state::LeafState;
 use crate::clock::Clock;
+use crate::roll_out::ServiceVersions;
 use crate::settings::GatewayBounds;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -19,6 +20,8 @@
     budget: RefCell<RetryBudget>,
     /// This daemon's part of the slack of extra attempts.
     slack_share: Cell<f64>,
+    /// Software versions of the leafs, and the order to roll out that stands.
+    versions: Rc<ServiceVersions>,
 }
 
 impl ServiceState {
@@ -30,6 +33,7 @@
             missing_grace: bounds.missing_grace(),
             budget: RefCell::new(RetryBudget::new(bounds.retry_budget(), started)),
             slack_share: Cell::new(0.0),
+            versions: Rc::default(),
         }
     }
 
@@ -38,6 +42,11 @@
         &self.name
     }
 
+    /// What is known of the versions of its leafs.
+    pub fn versions(&self) -> &Rc<ServiceVersions> {
+        &self.versions
+    }
+
     /// Adds a leaf.
     pub fn add(&self, leaf: Rc<LeafState>) {
         self.forget_gone();
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -4,16 +4,17 @@
 //! used is refused with its reason and changes nothing.
 
 use crate::checked_file::{self, FileError};
-use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic};
+use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic, WriteEnd};
 use serde::Deserialize;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_route::{
     CallerLimits, Configuration, DirectoryDelta, EvacuatedZones, HomeRegions, LeafEntry, LeafPhase,
-    Policy, Revision, Route, Service, ShardSet, Target, WeightedService,
+    Policy, Revision, RollOut, RollOutState, RollOuts, Route, Service, ShardSet, Target,
+    WeightedService,
 };
 use tansylead_types::{LeafId, PlaceName, ServiceName, StepError, ZoneName};
 use tokio::time::Instant;
@@ -337,6 +338,10 @@
                 at,
                 zones: file.evacuated_zones,
             })),
+            Topic::RollOuts => SourceContent::RollOuts(Some(RollOuts {
+                at,
+                orders: BTreeMap::new(),
+            })),
         };
         Ok(SourceUpdate {
             at,
@@ -367,6 +372,22 @@
         }
     }
 
+    /// A file is its operator's to write.
+    async fn write_roll_out_state(
+        &self,
+        _: &RollOut,
+        _: RollOutState,
+    ) -> Result<WriteEnd, SourceError> {
+        let path = self.path.display();
+        let cause = "a routes file is written by its operator only";
+        let error = StepError::new("write state of roll-out", path, cause);
+        Err(SourceError::Refused(error))
+    }
+
+    async fn read_roll_out(&self, _: &ServiceName) -> Result<Option<RollOut>, SourceError> {
+        Ok(None)
+    }
+
     /// A file registers nobody: the seeds must do.
     async fn register(&self, _: SocketAddr) -> Result<(), SourceError> {
         Ok(())
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::time::Duration;
 use tansylead_cluster::membership::Capacity;
-use tansylead_route::BudgetSettings;
+use tansylead_route::{BudgetSettings, ExposureBounds};
 use tansylead_types::{PlaceName, ZoneName};
 
 /// Settings of one gateway daemon.
@@ -70,6 +70,16 @@
     /// Leafs of a zone that is being emptied must get nothing new this long after the order was
     /// accepted.
     pub evacuation_limit_millis: f64,
+    /// Whether services can be rolled out in this deployment; if not, the source is not asked for it, and the
+    /// versions of leafs mean nothing.
+    pub follow_roll_outs: bool,
+    /// Sends to a version under trial, as a share of the requests to its service from the order to its
+    /// deadline, of all daemons together.
+    pub exposure_share: f64,
+    /// Sends to a version under trial beyond that share, of all daemons together.
+    pub exposure_slack: f64,
+    /// A bad version must get nothing this long after its answers have shown it.
+    pub roll_back_limit_millis: f64,
     /// Extra attempts allowed for each request to a service.
     pub retry_ratio: f64,
     /// Extra attempts allowed beyond the ratio, of all daemons together.
@@ -86,6 +96,10 @@
             leaving_limit_millis: 3_000.0,
             follow_evacuations: true,
             evacuation_limit_millis: 3_000.0,
+            follow_roll_outs: true,
+            exposure_share: 0.1,
+            exposure_slack: 20.0,
+            roll_back_limit_millis: 5_000.0,
             retry_ratio: 0.2,
             retry_slack: 20.0,
             retry_window_seconds: 10.0,
@@ -150,10 +164,13 @@
             ("leaving_limit_millis", bounds.leaving_limit_millis),
             ("evacuation_limit_millis", bounds.evacuation_limit_millis),
             ("retry_window_seconds", bounds.retry_window_seconds),
+            ("roll_back_limit_millis", bounds.roll_back_limit_millis),
         ];
         let not_negative = [
             ("retry_ratio", bounds.retry_ratio),
             ("retry_slack", bounds.retry_slack),
+            ("exposure_share", bounds.exposure_share),
+            ("exposure_slack", bounds.exposure_slack),
         ];
         let out_of_range = |field, value, expected| SettingsError::OutOfRange {
             path: path.to_owned(),
@@ -191,6 +208,14 @@
         }
     }
 
+    /// Bounds on the use of a version under trial.
+    pub fn exposure(&self) -> ExposureBounds {
+        ExposureBounds {
+            share: self.exposure_share,
+            slack: self.exposure_slack,
+        }
+    }
+
     /// After a stop signal the process is killed this much later.
     pub fn stop_limit(&self) -> Duration {
         Duration::from_secs_f64(self.stop_limit_seconds)
@@ -225,12 +250,20 @@
 
     /// What this daemon follows at the source.
     pub fn topics(&self) -> &'static [Topic] {
-        const ALL: &[Topic] = &[Topic::Configuration, Topic::Leafs, Topic::Evacuations];
-        const WITHOUT_EVACUATIONS: &[Topic] = &[Topic::Configuration, Topic::Leafs];
-        if self.follow_evacuations {
-            ALL
-        } else {
-            WITHOUT_EVACUATIONS
+        const BASIC: &[Topic] = &[Topic::Configuration, Topic::Leafs];
+        const EVACUATIONS: &[Topic] = &[Topic::Configuration, Topic::Leafs, Topic::Evacuations];
+        const ROLL_OUTS: &[Topic] = &[Topic::Configuration, Topic::Leafs, Topic::RollOuts];
+        const ALL: &[Topic] = &[
+            Topic::Configuration,
+            Topic::Leafs,
+            Topic::Evacuations,
+            Topic::RollOuts,
+        ];
+        match (self.follow_evacuations, self.follow_roll_outs) {
+            (true, true) => ALL,
+            (true, false) => EVACUATIONS,
+            (false, true) => ROLL_OUTS,
+            (false, false) => BASIC,
         }
     }
 
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -3,6 +3,7 @@
 //! Invariants: the configuration's version never goes down; no borrow is held over a wait.
 
 mod leafs;
+mod roll_outs;
 
 use crate::clock::Clock;
 use crate::cluster::QueryRoots;
@@ -19,7 +20,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
-    QueryAdmission, QueryRunners, RouteTable, WeightedTurns,
+    QueryAdmission, QueryRunners, RollOuts, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -82,6 +83,8 @@
     directory: RefCell<LeafDirectory>,
     /// None until it is known which zones are being emptied.
     evacuated: RefCell<Option<EvacuatedZones>>,
+    /// None until it is known what is ordered.
+    roll_outs: RefCell<Option<RollOuts>>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
@@ -123,6 +126,7 @@
             active: RefCell::default(),
             directory: RefCell::default(),
             evacuated: RefCell::default(),
+            roll_outs: RefCell::default(),
             services: RefCell::default(),
             leafs: RefCell::default(),
             latencies: RefCell::default(),
@@ -211,6 +215,7 @@
             Topic::Configuration => self.active.borrow().is_some(),
             Topic::Leafs => self.directory.borrow().revision().is_some(),
             Topic::Evacuations => self.evacuated.borrow().is_some(),
+            Topic::RollOuts => self.roll_outs.borrow().is_some(),
         }
     }
 
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -118,6 +118,10 @@
         let bounds = &self.settings.bounds;
         let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
         self.share_budget(&service);
+        if let Some(roll_outs) = self.roll_outs.borrow().as_ref() {
+            let order = roll_outs.get(name);
+            service.versions().apply(Clock.now(), order, roll_outs.at);
+        }
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
         service
--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -239,6 +239,7 @@
         configuration,
         leafs,
         evacuations: Some(0),
+        roll_outs: Some(0),
     };
     let held = ages(Some(3_900), Some(3_900));
     assert!(ages(Some(5), Some(3_880)).is_fresher_than(held));
--- a/crates/tansylead-gateway/tests/query_roots.rs
+++ b/crates/tansylead-gateway/tests/query_roots.rs
@@ -93,7 +93,14 @@
         entries: vec![common::entry("leaf", &shard(), leaf)],
     });
     gateway.apply_evacuations(EvacuatedZones::default());
-    for topic in [Topic::Configuration, Topic::Leafs, Topic::Evacuations] {
+    gateway.apply_roll_outs(RollOuts::default());
+    let topics = [
+        Topic::Configuration,
+        Topic::Leafs,
+        Topic::Evacuations,
+        Topic::RollOuts,
+    ];
+    for topic in topics {
         gateway.confirm(topic, Clock.now());
     }
     Rc::new(gateway)
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -1,9 +1,9 @@
 //! What the directory says of one leaf, and how far away it is.
 
+use crate::directory::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use crate::directory::Revision;
 use std::time::Duration;
 use tansylead_types::{LeafId, PlaceName, ServiceName, SoftwareVersion, ZoneName};
 
