--- a/crates/tansylead-gateway/tests/query_roots.rs
+++ b/crates/tansylead-gateway/tests/query_roots.rs
@@ -22,7 +22,7 @@
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
 use tansylead_route::{
     CallerLimits, Configuration, DirectoryDelta, EvacuatedZones, HomeRegions, Policy, Revision,
-    Route, ShardSet, Target,
+    RollOuts, Route, ShardSet, Target,
 };
 use tansylead_types::{InstanceId, NodeId, PlaceName, ServiceName, ZoneName};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
