--- a/crates/tansylead-daemon/src/peers/link.rs
+++ b/crates/tansylead-daemon/src/peers/link.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_http::end_after_silence;
 use tansylead_types::{Moment, NodeId, StepError};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -22,6 +23,9 @@
 type FrameSink = SplitSink<FramedStream, bytes::Bytes>;
 type FrameSource = SplitStream<FramedStream>;
 
+/// A link whose peer is silent this long ends; the next call opens another.
+pub(super) const LINK_SILENCE: Duration = Duration::from_secs(2);
+
 /// How a call on a link ended without a response.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -119,6 +123,7 @@
     stream
         .set_nodelay(true)
         .map_err(|cause| failed(cause.to_string()))?;
+    end_after_silence(&stream, LINK_SILENCE);
     let mut framed = Framed::new(stream, hello_codec());
     let bytes = encode_message(hello).map_err(|cause| failed(cause.to_string()))?;
     framed
--- a/crates/tansylead-daemon/src/peers/server.rs
+++ b/crates/tansylead-daemon/src/peers/server.rs
@@ -1,6 +1,7 @@
 //! Answers the requests of peers.
 
 use super::codec::{MAXIMUM_FRAME_BYTES, decode_message, encode_message, hello_codec};
+use super::link::LINK_SILENCE;
 use super::message::{
     ClientFrame, Hello, HelloReply, PEER_PROTOCOL_VERSION, PeerNotice, PeerRequest, PeerResponse,
     RequestNumber, ServerFrame,
@@ -11,6 +12,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tansylead_http::end_after_silence;
 use tansylead_types::{InstanceId, NodeId, StepError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -110,6 +112,7 @@
     traffic: TrafficCounters,
 ) {
     let _ = stream.set_nodelay(true);
+    end_after_silence(&stream, LINK_SILENCE);
     let framed = Framed::new(stream, hello_codec());
     let greeting = tokio::time::timeout(limits.handshake, greet(framed, &local));
     let Ok(Ok((from, framed))) = greeting.await else {
--- a/crates/tansylead-gateway/src/cluster/peer_server.rs
+++ b/crates/tansylead-gateway/src/cluster/peer_server.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_http::end_after_silence;
 use tansylead_types::StepError;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -35,10 +36,15 @@
     Query(Box<ForwardedQuery>),
 }
 
+/// A connection to another daemon that is silent this long ends. Connections at rest are asked by the system
+/// after half of it, which costs little: there are few.
+const PEER_SILENCE: Duration = Duration::from_secs(2);
+
 /// Frames over a connection that was just made or accepted.
 pub(super) fn frames(stream: TcpStream) -> Frames {
     // An option that cannot be set only makes answers slower.
     let _ = stream.set_nodelay(true);
+    end_after_silence(&stream, PEER_SILENCE);
     Framed::new(stream, framing())
 }
 
--- a/crates/tansylead-http/src/connection.rs
+++ b/crates/tansylead-http/src/connection.rs
@@ -1,36 +1,40 @@
 //! An open connection: one request at a time, whole replies.
 
+use crate::silence::end_after_silence;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_types::{StepError, text_with_sources};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
+/// Silence that ends a connection unless its user states another limit: requests have deadlines of their own,
+/// and a link that was cut for some seconds may bring the answer yet.
+const USUAL_SILENCE: Duration = Duration::from_secs(8);
+
 /// How a connection is opened.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectOptions {
     /// Time for it to come up.
     pub limit: Duration,
-    /// A peer that is silent this long with data under way ends the connection; none leaves it to
-    /// the system.
+    /// A peer that is silent this long ends the connection, in use or at rest; none leaves it to the
+    /// system.
     pub silence: Option<Duration>,
     /// Bytes of the read buffer; none for the library's own choice.
     pub read_buffer_bytes: Option<usize>,
 }
 
 impl ConnectOptions {
-    /// Only a limit for the connection to come up.
+    /// A limit for the connection to come up, and the usual one for silence.
     pub fn within(limit: Duration) -> Self {
         Self {
             limit,
-            silence: None,
+            silence: Some(USUAL_SILENCE),
             read_buffer_bytes: None,
         }
     }
@@ -150,19 +154,11 @@
 }
 
 fn set_options(stream: &TcpStream, silence: Option<Duration>) {
-    const PROBES: u32 = 2;
-    // An option that cannot be set only makes answers slower, or a dead peer noticed later.
+    // An option that cannot be set only makes answers slower.
     let _ = stream.set_nodelay(true);
-    let Some(silence) = silence else {
-        return;
-    };
-    let keepalive = TcpKeepalive::new()
-        .with_time(silence / 2)
-        .with_interval((silence / 4).max(Duration::from_secs(1)))
-        .with_retries(PROBES);
-    let socket = SockRef::from(stream);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(silence));
+    if let Some(silence) = silence {
+        end_after_silence(stream, silence);
+    }
 }
 
 async fn read_reply(
--- a/crates/tansylead-http/src/lib.rs
+++ b/crates/tansylead-http/src/lib.rs
@@ -5,5 +5,7 @@
 //! and never repeats one. Pools and choices belong to its users.
 
 mod connection;
+mod silence;
 
 pub use connection::{ConnectOptions, ExchangeError, HttpConnection, Reply};
+pub use silence::end_after_silence;
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod connect_backoff;
 mod connection_share;
+mod connection_silence;
 mod directory;
 mod evacuated_zones;
 mod failure_rate;
@@ -41,6 +42,7 @@
 };
 pub use connect_backoff::ConnectBackoff;
 pub use connection_share::{ConnectionShare, DaemonCounts, SharedLeaf};
+pub use connection_silence::{ConnectionSilence, SilenceLimit};
 pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory, Revision};
 pub use evacuated_zones::EvacuatedZones;
 pub use failure_rate::FailureRate;
