--- a/crates/tansylead-cluster/src/claims/member.rs
+++ b/crates/tansylead-cluster/src/claims/member.rs
@@ -2,10 +2,10 @@
 //! claims of earlier views when the view changes. Runs on every daemon; grants only in views that
 //! name this very instance.
 
+use super::adopted_view::{AdoptedView, EarlyHandover, copy_request};
 use super::event::{ClaimMemberEvent, ClaimTime};
 use super::expiry::is_expiry_too_long;
 use super::group::claim_group;
-use super::lease::QuorumLease;
 use super::message::{
     ClaimHolder, ClaimId, ClaimKey, ClaimMemberStatus, ClaimRefusal, ClaimRequest,
     ClaimRequestBody, ClaimResponse, ClaimResponseBody, CopiedPage,
@@ -22,27 +22,6 @@
 /// Epochs in which the member was complete that it remembers.
 const REMEMBERED_EPOCHS: usize = 16;
 
-/// A view the member has adopted and its progress in it.
-#[derive(Debug, Clone)]
-struct AdoptedView {
-    view: ClaimView,
-    lease: QuorumLease,
-    transfer: Transfer,
-    next_heartbeat: Moment,
-    next_copy: Moment,
-    /// Members of this view that have fetched all they need from this daemon.
-    handed_over: BTreeSet<InstanceId>,
-}
-
-impl AdoptedView {
-    fn has_member(&self, instance: InstanceId) -> bool {
-        self.view
-            .members
-            .iter()
-            .any(|member| member.instance == instance)
-    }
-}
-
 /// The state machine of one claim member.
 #[derive(Debug, Clone)]
 pub struct ClaimMember {
@@ -58,33 +37,6 @@
     next_sweep: Moment,
 }
 
-/// A view's members often ask for claims before this daemon has learned the view.
-#[derive(Debug, Clone, Default)]
-struct EarlyHandover {
-    epoch: u64,
-    handed_over: BTreeSet<InstanceId>,
-}
-
-impl EarlyHandover {
-    fn note(&mut self, epoch: u64, asker: InstanceId) {
-        if epoch > self.epoch {
-            self.epoch = epoch;
-            self.handed_over.clear();
-        }
-        if epoch == self.epoch {
-            self.handed_over.insert(asker);
-        }
-    }
-
-    fn take(&mut self, epoch: u64) -> BTreeSet<InstanceId> {
-        if epoch == self.epoch {
-            std::mem::take(&mut self.handed_over)
-        } else {
-            BTreeSet::new()
-        }
-    }
-}
-
 impl ClaimMember {
     /// A member that has just started: it knows no view and holds nothing.
     pub fn new(me: InstanceId, settings: ClaimSettings, now: Moment) -> Self {
@@ -200,14 +152,7 @@
         }
         let transfer = Transfer::new(self.me, &view, generation, &self.complete_epochs);
         let handed_over = self.early_handover.take(view.epoch);
-        self.adopted = Some(AdoptedView {
-            view,
-            lease: QuorumLease::default(),
-            transfer,
-            next_heartbeat: now,
-            next_copy: now,
-            handed_over,
-        });
+        self.adopted = Some(AdoptedView::new(view, transfer, now, handed_over));
     }
 
     /// Returns the request for the next page, if there is one.
@@ -276,11 +221,11 @@
         }
         if time.now >= adopted.next_heartbeat {
             adopted.next_heartbeat = time.now + self.settings.heartbeat_period;
-            requests.extend(heartbeats(me, &adopted.view, time.now));
+            requests.extend(adopted.heartbeats(me, time.now));
         }
         if time.now >= adopted.next_copy {
             adopted.next_copy = time.now + self.settings.copy_retry;
-            requests.extend(copy_requests(me, adopted));
+            requests.extend(adopted.copy_requests(me));
         }
         requests
     }
@@ -437,40 +382,3 @@
         })
     }
 }
-
-fn heartbeats(me: InstanceId, view: &ClaimView, now: Moment) -> Vec<ClaimRequest> {
-    let others = view.members.iter().filter(|member| member.instance != me);
-    others
-        .map(|member| ClaimRequest {
-            epoch: view.epoch,
-            from: me,
-            to: member.instance,
-            body: ClaimRequestBody::Heartbeat { sent: now },
-        })
-        .collect()
-}
-
-fn copy_requests(me: InstanceId, adopted: &AdoptedView) -> Vec<ClaimRequest> {
-    let unfinished = adopted.transfer.unfinished().into_iter();
-    unfinished
-        .map(|(source, after)| copy_request(me, &adopted.view, source, after))
-        .collect()
-}
-
-fn copy_request(
-    me: InstanceId,
-    view: &ClaimView,
-    source: InstanceId,
-    after: Option<ClaimKey>,
-) -> ClaimRequest {
-    let body = ClaimRequestBody::Copy {
-        view: view.clone(),
-        after,
-    };
-    ClaimRequest {
-        epoch: view.epoch,
-        from: me,
-        to: source,
-        body,
-    }
-}
--- a/crates/tansylead-cluster/src/claims/mod.rs
+++ b/crates/tansylead-cluster/src/claims/mod.rs
@@ -25,6 +25,7 @@
 //! 4. [`AnswerCache::finish`], also for `unknown`; or, if the request truthfully did not run,
 //!    [`AnswerCache::not_run`] and [`release_requests`].
 
+mod adopted_view;
 mod answers;
 mod event;
 mod expiry;
