--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -71,7 +71,7 @@
     sent: Rc<Cell<Option<Moment>>>,
 ) -> AttemptEnd {
     let open = leaf.begin();
-    let Ok(_permit) = leaf.permits().acquire_owned().await else {
+    let Ok(_permit) = leaf.connections().permits().acquire_owned().await else {
         return not_sent(&leaf, "no permit");
     };
     let LeafConnection {
@@ -98,7 +98,7 @@
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
     match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
         Ok(Ok(reply)) => {
-            leaf.on_connection_answer(rested);
+            leaf.connections().on_answer(rested);
             finish(&leaf, &request, &names, connection, reply)
         }
         Ok(Err(error)) => {
@@ -127,7 +127,8 @@
     } else {
         SHORTEST_FORGOTTEN_REST
     };
-    while let Some(mut idle) = leaf.take_idle(longest_rest) {
+    let connections = leaf.connections();
+    while let Some(mut idle) = connections.take_idle(Clock.now(), longest_rest) {
         if idle.connection.is_ready() || idle.connection.is_usable().await {
             return Ok(idle);
         }
@@ -141,7 +142,7 @@
     };
     let opened = HttpConnection::open(address, options, ()).await;
     match &opened {
-        Ok(_) => leaf.on_connected(Clock.now().since(started)),
+        Ok(_) => connections.on_connected(Clock.now().since(started)),
         Err(_) => leaf.on_unreachable(connect_limit),
     }
     opened.map(|connection| LeafConnection {
--- /dev/null
+++ b/crates/tansylead-gateway/src/leaf/leaf_standing.rs
@@ -0,0 +1,108 @@
+//! Whether one leaf may be used: by its entry, its zone, and what it bears while it is cold.
+
+use crate::clock::Clock;
+use std::cell::{Cell, Ref, RefCell};
+use std::time::Duration;
+use tansylead_route::{ColdLeafLimit, LeafEntry, LeafPhase, Listing, Standing};
+use tansylead_types::Moment;
+
+/// What decides whether a leaf may be used.
+#[derive(Debug)]
+pub(super) struct LeafStanding {
+    entry: RefCell<LeafEntry>,
+    listing: Cell<Listing>,
+    /// Whether the leaf's zone is being emptied.
+    is_evacuated: Cell<bool>,
+    cold_limit: Cell<ColdLeafLimit>,
+}
+
+impl LeafStanding {
+    /// A leaf that is listed.
+    pub(super) fn new(entry: LeafEntry) -> Self {
+        let mut cold_limit = ColdLeafLimit::default();
+        cold_limit.on_told(Clock.now(), entry.warmup_left);
+        Self {
+            entry: RefCell::new(entry),
+            listing: Cell::default(),
+            is_evacuated: Cell::new(false),
+            cold_limit: Cell::new(cold_limit),
+        }
+    }
+
+    /// The directory's entry.
+    pub(super) fn entry(&self) -> Ref<'_, LeafEntry> {
+        self.entry.borrow()
+    }
+
+    /// Takes in an entry that is new or has come back. A leaf that said it was leaving stays so.
+    pub(super) fn update(&self, mut entry: LeafEntry) {
+        if self.entry.borrow().phase == LeafPhase::Draining {
+            entry.phase = LeafPhase::Draining;
+        }
+        if entry.warmup_left != self.entry.borrow().warmup_left {
+            let mut limit = self.cold_limit.get();
+            limit.on_told(Clock.now(), entry.warmup_left);
+            self.cold_limit.set(limit);
+        }
+        *self.entry.borrow_mut() = entry;
+        self.listing.set(self.listing.get().after_present());
+    }
+
+    /// Notes that the entry is missing. Returns whether that says anything new.
+    pub(super) fn set_missing(&self, now: Moment, source_was_away: bool) -> bool {
+        let is_news = self.listing.get() != Listing::Replaced;
+        if is_news {
+            self.listing.set(Listing::Missing {
+                since: now,
+                source_was_away,
+            });
+        }
+        is_news
+    }
+
+    /// Notes that another run of a leaf has the address.
+    pub(super) fn set_replaced(&self) {
+        self.listing.set(Listing::Replaced);
+    }
+
+    /// Whether the directory lists the leaf.
+    pub(super) fn is_listed(&self) -> bool {
+        self.listing.get() == Listing::Listed
+    }
+
+    /// Notes whether the leaf's zone is being emptied.
+    pub(super) fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.set(is_evacuated);
+    }
+
+    /// Whether the leaf bears another request; always, unless it is cold.
+    pub(super) fn has_room(&self, now: Moment) -> bool {
+        self.cold_limit.get().has_room(now)
+    }
+
+    /// Sets this daemon's part of the requests of a second that the leaf bears while it is cold; none
+    /// if there is no bound.
+    pub(super) fn set_cold_part(&self, part: Option<u32>) {
+        let mut limit = self.cold_limit.get();
+        limit.set_part(part);
+        self.cold_limit.set(limit);
+    }
+
+    /// Notes that a request is handed to a connection.
+    pub(super) fn on_sent(&self, now: Moment) {
+        let mut limit = self.cold_limit.get();
+        limit.on_sent(now);
+        self.cold_limit.set(limit);
+    }
+
+    /// How the leaf may be used, by its entry and its zone.
+    pub(super) fn standing(&self, now: Moment, grace: Duration) -> Standing {
+        if self.is_evacuated.get() {
+            return Standing::Gone;
+        }
+        match self.entry.borrow().phase {
+            LeafPhase::Draining => Standing::Gone,
+            LeafPhase::Ready => self.listing.get().standing(now, grace),
+        }
+    }
+}
--- a/crates/tansylead-gateway/src/leaf/mod.rs
+++ b/crates/tansylead-gateway/src/leaf/mod.rs
@@ -2,9 +2,14 @@
 
 mod attempt;
 mod idle_connections;
+mod leaf_connections;
+mod leaf_health;
+mod leaf_standing;
 mod leaf_state;
+mod open_attempt;
 mod service_state;
 
 pub use attempt::{AttemptEnd, OutgoingRequest, run_attempt};
-pub use leaf_state::{LeafState, OpenAttempt};
+pub use leaf_state::LeafState;
+pub use open_attempt::OpenAttempt;
 pub use service_state::ServiceState;
