--- a/crates/tansylead-gateway/src/cluster/query_roots.rs
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -157,7 +157,7 @@
             .connect(connect_limit)
             .await
             .map_err(AskError::NotSent)?;
-        self.breaker.borrow_mut().on_sent(Clock.now());
+        let _open = OpenQuery::begin(self);
         let sent = frames.send(bytes).await;
         // A root reads only whole messages, and this one was not written whole.
         sent.map_err(|cause| AskError::NotSent(StepError::new("ask root", &peer, cause)))?;
@@ -239,6 +239,26 @@
     }
 }
 
+/// One query at a root; ends when dropped, also if its caller leaves.
+struct OpenQuery<'a> {
+    root: &'a RootPeer,
+    sent: Moment,
+}
+
+impl<'a> OpenQuery<'a> {
+    fn begin(root: &'a RootPeer) -> Self {
+        let sent = Clock.now();
+        root.breaker.borrow_mut().on_sent(sent);
+        Self { root, sent }
+    }
+}
+
+impl Drop for OpenQuery<'_> {
+    fn drop(&mut self) {
+        self.root.breaker.borrow_mut().on_abandoned(self.sent);
+    }
+}
+
 /// Whether a connection at rest is still open, as far as is known: its root sends nothing unasked.
 fn is_open(frames: &Frames) -> bool {
     let mut byte = [0];
--- a/crates/tansylead-gateway/tests/query_roots.rs
+++ b/crates/tansylead-gateway/tests/query_roots.rs
@@ -295,6 +295,39 @@
     drop(listener);
 }
 
+#[tokio::test]
+async fn a_caller_that_leaves_does_not_keep_its_probe_at_a_root_open() {
+    // Regression: the probe stayed open for good, and the root was avoided until its process was a new
+    // one.
+    let listeners = [
+        TcpListener::bind("127.0.0.1:0").await.expect("binds"),
+        TcpListener::bind("127.0.0.1:0").await.expect("binds"),
+    ];
+    let own = gateway(VERSION, free_address());
+    set_roots(
+        &own,
+        listeners
+            .each_ref()
+            .map(|listener| listener.local_addr().expect("bound")),
+    );
+    let zone = &own.settings.zone;
+    // Which root is chosen is chance; in so many turns both are.
+    for _ in 0..100 {
+        let root = own.roots.choose(Clock.now(), zone).expect("a root is due");
+        root.on_overdue(Clock.now(), Duration::ZERO);
+    }
+    for _ in 0..2 {
+        let root = own.roots.choose(Clock.now(), zone);
+        let root = root.expect("a root can be probed");
+        let query = ForwardedQuery::new("c", VERSION, "h", &request(), Duration::ZERO, WAITS);
+        let asking = root.ask(query, WAITS);
+        let caller_leaves = tokio::time::timeout(OBJECTIVE, asking).await;
+        assert!(caller_leaves.is_err(), "the root answers nothing");
+    }
+    let due = own.roots.choose(Clock.now(), zone);
+    assert!(due.is_some(), "a root can be probed again");
+}
+
 fn refusals() -> impl Strategy<Value = Refusal> {
     let reasons = prop_oneof![
         Just(RefusalReason::NotRun),
