--- a/crates/tansylead-route/src/roll_out/evidence.rs
+++ b/crates/tansylead-route/src/roll_out/evidence.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Buckets of latencies.
 pub const LATENCY_BUCKETS: usize = 20;
@@ -19,6 +20,11 @@
     pub counts: [u32; LATENCY_BUCKETS],
 }
 
+/// Hash of a route's name, for evidence.
+pub fn route_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
 impl LatencyCounts {
     /// Counts a latency.
     pub fn add(&mut self, latency: Duration) {
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -8,11 +8,16 @@
 mod grant;
 mod order;
 mod trial;
+mod version_gate;
+mod version_memory;
 
-pub use evidence::{LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts};
+pub use evidence::{
+    LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts, route_hash,
+};
 pub use grant::{Grant, Stage};
 pub use order::{OrderId, RollOut, RollOutState, RollOuts};
 pub use trial::{
     Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
     TrialVerdict,
 };
+pub use version_gate::{VersionGate, VersionUse};
--- /dev/null
+++ b/crates/tansylead-route/tests/version_gate.rs
@@ -0,0 +1,410 @@
+//! What the leafs of a service may be used for by their version.
+
+use proptest::prelude::*;
+use std::time::Duration;
+use tansylead_route::{
+    Grant, OrderId, Revision, RollOut, RollOutState, Stage, VersionGate, VersionUse,
+};
+use tansylead_types::{Moment, ServiceName, SoftwareVersion};
+
+const NOW: Moment = Moment(1_000_000);
+const VALID: Duration = Duration::from_secs(1);
+/// Revision of the first word on orders, and of the leafs that ran before.
+const BEFORE: Revision = Revision(10);
+const ORDERED: Revision = Revision(20);
+const ENDED: Revision = Revision(30);
+const LATER: Revision = Revision(40);
+
+fn version(name: &str) -> SoftwareVersion {
+    SoftwareVersion::new(name).expect("valid name")
+}
+
+fn order(id: u64, target: &str, state: RollOutState, changed_at: Revision) -> RollOut {
+    RollOut {
+        order: OrderId(id),
+        service: ServiceName::new("search").expect("valid name"),
+        target: version(target),
+        duration: Duration::from_secs(12),
+        state,
+        changed_at,
+    }
+}
+
+fn grant(stage: Stage, limit: u64) -> Grant {
+    Grant {
+        stage,
+        limit,
+        valid: VALID,
+    }
+}
+
+/// A service with leafs of `old`, of which the orders are known.
+fn gate() -> VersionGate {
+    let mut gate = VersionGate::default();
+    gate.on_shown(&version("old"), BEFORE);
+    gate.apply(None, BEFORE);
+    gate
+}
+
+/// The same with an order to roll out `new`.
+fn gate_under_trial() -> VersionGate {
+    let mut gate = gate();
+    gate.on_shown(&version("new"), LATER);
+    gate.apply(
+        Some(&order(1, "new", RollOutState::Running, ORDERED)),
+        ORDERED,
+    );
+    gate
+}
+
+fn use_of(gate: &VersionGate, name: &str, changed_at: Revision) -> VersionUse {
+    gate.use_of(NOW, Some(&version(name)), changed_at, false)
+}
+
+fn use_of_old(gate: &VersionGate) -> VersionUse {
+    use_of(gate, "old", BEFORE)
+}
+
+fn use_of_new(gate: &VersionGate) -> VersionUse {
+    use_of(gate, "new", LATER)
+}
+
+#[test]
+fn without_an_order_every_leaf_is_plain() {
+    let gate = gate();
+    assert_eq!(use_of_old(&gate), VersionUse::Plain);
+    assert_eq!(use_of(&gate, "another", BEFORE), VersionUse::Plain);
+    let unversioned = gate.use_of(NOW, None, LATER, true);
+    assert_eq!(unversioned, VersionUse::Plain);
+}
+
+#[test]
+fn nothing_goes_to_a_version_under_trial_without_a_grant() {
+    for state in [RollOutState::Ordered, RollOutState::Running] {
+        let mut gate = gate();
+        gate.apply(Some(&order(1, "new", state, ORDERED)), ORDERED);
+        assert_eq!(use_of_new(&gate), VersionUse::NotGranted);
+        assert_eq!(use_of_old(&gate), VersionUse::Plain);
+    }
+}
+
+#[test]
+fn sends_end_with_the_grant() {
+    for stage in [Stage::Trial, Stage::Shift] {
+        let mut gate = gate_under_trial();
+        gate.on_grant(NOW, OrderId(1), grant(stage, 2));
+        for _ in 0..2 {
+            assert_eq!(use_of_new(&gate), VersionUse::Granted(stage));
+            assert_eq!(gate.on_sent(Some(&version("new"))), Some(stage));
+        }
+        assert_eq!(use_of_new(&gate), VersionUse::NotGranted);
+        assert_eq!(use_of_old(&gate), VersionUse::Plain);
+    }
+}
+
+#[test]
+fn a_grant_is_a_total_and_replaces_the_one_before() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 2));
+    gate.on_sent(Some(&version("new")));
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 2));
+    assert_eq!(gate.sends_left(NOW), 1, "a grant that comes twice");
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 1));
+    assert_eq!(gate.sends_left(NOW), 0, "one that allows less");
+}
+
+#[test]
+fn sends_to_other_versions_use_up_nothing() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 1));
+    assert_eq!(gate.on_sent(Some(&version("old"))), None);
+    assert_eq!(gate.on_sent(None), None);
+    assert_eq!(gate.sends_left(NOW), 1);
+}
+
+#[test]
+fn an_expired_grant_allows_nothing() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 5));
+    let new = version("new");
+    let at = |moment| gate.use_of(moment, Some(&new), LATER, false);
+    let last = NOW + VALID - Duration::from_micros(1);
+    assert_eq!(at(last), VersionUse::Granted(Stage::Trial));
+    assert_eq!(at(NOW + VALID), VersionUse::NotGranted);
+}
+
+#[test]
+fn a_grant_for_another_order_allows_nothing() {
+    let mut gate = gate_under_trial();
+    assert_eq!(gate.on_grant(NOW, OrderId(2), grant(Stage::Trial, 5)), None);
+    assert_eq!(use_of_new(&gate), VersionUse::NotGranted);
+}
+
+#[test]
+fn in_commit_everything_goes_to_the_target_also_when_the_grant_has_expired() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Commit, 0));
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 1));
+    let later = NOW + VALID * 10;
+    let target = gate.use_of(later, Some(&version("new")), LATER, false);
+    let other = gate.use_of(later, Some(&version("old")), BEFORE, false);
+    assert_eq!((target, other), (VersionUse::Plain, VersionUse::Gone));
+    assert_eq!(gate.stage(), Some(Stage::Commit));
+}
+
+#[test]
+fn back_is_remembered_until_the_source_says_otherwise() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Back, 0));
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 100));
+    let new = version("new");
+    for is_word_old in [false, true] {
+        let target = gate.use_of(NOW, Some(&new), LATER, is_word_old);
+        assert_eq!(target, VersionUse::Gone);
+    }
+    let running = order(1, "new", RollOutState::Running, Revision(25));
+    gate.apply(Some(&running), Revision(25));
+    assert_eq!(use_of_new(&gate), VersionUse::Gone);
+    let completed = order(1, "new", RollOutState::Completed, ENDED);
+    gate.apply(Some(&completed), ENDED);
+    assert_eq!(use_of_new(&gate), VersionUse::Plain);
+}
+
+#[test]
+fn a_completion_stops_the_old_leafs_and_spares_later_ones() {
+    let mut gate = gate_under_trial();
+    let completed = order(1, "new", RollOutState::Completed, ENDED);
+    gate.apply(Some(&completed), ENDED);
+    assert_eq!(use_of_old(&gate), VersionUse::Gone);
+    assert_eq!(gate.use_of(NOW, None, BEFORE, false), VersionUse::Gone);
+    assert_eq!(use_of(&gate, "new", BEFORE), VersionUse::Plain);
+    assert_eq!(use_of_new(&gate), VersionUse::Plain);
+    gate.on_shown(&version("newest"), LATER);
+    gate.apply(Some(&completed), LATER);
+    assert_eq!(use_of(&gate, "newest", LATER), VersionUse::Plain);
+}
+
+#[test]
+fn old_leafs_stay_stopped_when_the_order_is_gone_or_followed_by_another() {
+    let mut gate = gate_under_trial();
+    let completed = order(1, "new", RollOutState::Completed, ENDED);
+    gate.apply(Some(&completed), ENDED);
+    gate.apply(None, Revision(31));
+    assert_eq!(use_of_old(&gate), VersionUse::Gone);
+    assert_eq!(use_of_new(&gate), VersionUse::Plain);
+    gate.apply(
+        Some(&order(2, "newest", RollOutState::Ordered, LATER)),
+        LATER,
+    );
+    assert_eq!(use_of_old(&gate), VersionUse::Gone);
+    assert_eq!(use_of_new(&gate), VersionUse::Plain);
+}
+
+#[test]
+fn a_later_change_of_a_completed_order_stops_no_more_leafs() {
+    let mut gate = gate_under_trial();
+    let completed = |at| order(1, "new", RollOutState::Completed, at);
+    gate.apply(Some(&completed(ENDED)), ENDED);
+    gate.on_shown(&version("newest"), Revision(35));
+    gate.apply(Some(&completed(LATER)), LATER);
+    assert_eq!(use_of(&gate, "newest", Revision(35)), VersionUse::Plain);
+}
+
+#[test]
+fn a_version_that_was_rolled_back_gets_nothing_for_good() {
+    let mut gate = gate_under_trial();
+    let rolled_back = order(1, "new", RollOutState::RolledBack, ENDED);
+    gate.apply(Some(&rolled_back), ENDED);
+    assert_eq!(use_of_new(&gate), VersionUse::Gone);
+    assert_eq!(use_of_old(&gate), VersionUse::Plain);
+    gate.apply(None, LATER);
+    assert_eq!(use_of_new(&gate), VersionUse::Gone, "the object is gone");
+    let other = order(2, "newest", RollOutState::Running, Revision(50));
+    gate.apply(Some(&other), Revision(50));
+    assert_eq!(
+        use_of_new(&gate),
+        VersionUse::Gone,
+        "another version's order"
+    );
+    let again = order(3, "new", RollOutState::Ordered, Revision(60));
+    gate.apply(Some(&again), Revision(60));
+    assert_eq!(use_of_new(&gate), VersionUse::NotGranted, "a new order");
+}
+
+#[test]
+fn an_order_given_again_that_cannot_be_told_from_the_first_begins_anew() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 9));
+    gate.on_sent(Some(&version("new")));
+    let rolled_back = order(1, "new", RollOutState::RolledBack, ENDED);
+    assert!(!gate.apply(Some(&rolled_back), ENDED));
+    let again = order(1, "new", RollOutState::Ordered, LATER);
+    assert!(gate.apply(Some(&again), LATER));
+    assert_eq!(use_of_new(&gate), VersionUse::NotGranted);
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 1));
+    assert_eq!(gate.sends_left(NOW), 1, "totals begin anew");
+}
+
+#[test]
+fn the_version_of_an_order_that_was_taken_back_is_the_last_resort() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 9));
+    gate.apply(None, LATER);
+    assert_eq!(use_of_new(&gate), VersionUse::LastResort);
+    assert_eq!(use_of_old(&gate), VersionUse::Plain);
+    let again = order(2, "new", RollOutState::Ordered, Revision(50));
+    gate.apply(Some(&again), Revision(50));
+    assert_eq!(use_of_new(&gate), VersionUse::NotGranted);
+}
+
+#[test]
+fn another_order_takes_the_place_of_one_that_has_not_ended() {
+    let mut gate = gate_under_trial();
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Shift, 9));
+    let other = order(2, "newest", RollOutState::Ordered, LATER);
+    assert!(gate.apply(Some(&other), LATER));
+    assert_eq!(use_of_new(&gate), VersionUse::LastResort);
+    assert_eq!(use_of(&gate, "newest", LATER), VersionUse::NotGranted);
+    assert_eq!(gate.stage(), None);
+}
+
+#[test]
+fn an_unknown_version_is_held_until_the_orders_are_known() {
+    let mut gate = gate();
+    gate.on_shown(&version("new"), ENDED);
+    assert_eq!(use_of(&gate, "new", ENDED), VersionUse::LastResort);
+    assert_eq!(use_of(&gate, "old", ENDED), VersionUse::Plain, "known");
+    gate.apply(None, ORDERED);
+    assert_eq!(use_of(&gate, "new", ENDED), VersionUse::LastResort);
+    gate.apply(None, ENDED);
+    assert_eq!(use_of(&gate, "new", ENDED), VersionUse::Plain);
+    assert_eq!(use_of(&gate, "new", LATER), VersionUse::Plain, "known now");
+}
+
+#[test]
+fn before_the_first_word_on_orders_versions_are_the_last_resort() {
+    let mut gate = VersionGate::default();
+    gate.on_shown(&version("old"), BEFORE);
+    assert_eq!(use_of_old(&gate), VersionUse::LastResort);
+    let unversioned = gate.use_of(NOW, None, BEFORE, false);
+    assert_eq!(unversioned, VersionUse::Plain);
+}
+
+#[test]
+fn if_the_word_is_old_the_target_is_the_last_resort() {
+    let mut gate = gate_under_trial();
+    let new = version("new");
+    let at = |gate: &VersionGate| gate.use_of(NOW, Some(&new), LATER, true);
+    assert_eq!(at(&gate), VersionUse::LastResort);
+    gate.on_grant(NOW, OrderId(1), grant(Stage::Trial, 1));
+    assert_eq!(at(&gate), VersionUse::Granted(Stage::Trial));
+    let old = gate.use_of(NOW, Some(&version("old")), BEFORE, true);
+    assert_eq!(old, VersionUse::Plain);
+}
+
+#[test]
+fn a_word_that_comes_late_changes_nothing() {
+    let mut gate = gate_under_trial();
+    let rolled_back = order(1, "new", RollOutState::RolledBack, ENDED);
+    gate.apply(Some(&rolled_back), ENDED);
+    let running = order(1, "new", RollOutState::Running, ORDERED);
+    assert!(!gate.apply(Some(&running), ORDERED));
+    assert_eq!(use_of_new(&gate), VersionUse::Gone);
+}
+
+#[test]
+fn a_stage_is_told_once() {
+    let mut gate = gate_under_trial();
+    let mut tell = |stage| gate.on_grant(NOW, OrderId(1), grant(stage, 1));
+    assert_eq!(tell(Stage::Trial), Some(Stage::Trial));
+    assert_eq!(tell(Stage::Trial), None);
+    assert_eq!(tell(Stage::Shift), Some(Stage::Shift));
+    assert_eq!(tell(Stage::Back), Some(Stage::Back));
+    assert_eq!(tell(Stage::Shift), None);
+    assert_eq!(tell(Stage::Commit), None);
+}
+
+/// Something that happens to a gate.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Granted(Stage, u64),
+    /// A send to the target, if the gate allows one.
+    Sent,
+    Passed(u64),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let stages = prop_oneof![
+        4 => Just(Stage::Trial),
+        4 => Just(Stage::Shift),
+        1 => Just(Stage::Back),
+    ];
+    let event = prop_oneof![
+        (stages, 0..20_u64).prop_map(|(stage, limit)| Event::Granted(stage, limit)),
+        Just(Event::Sent),
+        Just(Event::Sent),
+        (0..1_500_u64).prop_map(Event::Passed),
+    ];
+    proptest::collection::vec(event, 0..80)
+}
+
+proptest! {
+    #[test]
+    fn sends_stay_within_the_grant_that_holds(events in events()) {
+        let mut gate = gate_under_trial();
+        let new = version("new");
+        let (mut now, mut sends) = (NOW, 0);
+        let mut held: Option<(u64, Moment)> = None;
+        let mut is_back = false;
+        for event in events {
+            match event {
+                Event::Granted(stage, limit) => {
+                    gate.on_grant(now, OrderId(1), grant(stage, limit));
+                    held = Some((limit, now + VALID));
+                    is_back |= stage == Stage::Back;
+                }
+                Event::Sent => {
+                    let allowed = gate.use_of(now, Some(&new), LATER, false);
+                    if matches!(allowed, VersionUse::Granted(_)) {
+                        gate.on_sent(Some(&new));
+                        sends += 1;
+                        let (limit, until) = held.expect("a grant");
+                        prop_assert!(sends <= limit && now < until && !is_back);
+                    } else {
+                        let room = held.is_some_and(|(limit, until)| sends < limit && now < until);
+                        prop_assert!(is_back || !room, "a grant with room is used");
+                        prop_assert!(matches!(allowed, VersionUse::NotGranted | VersionUse::Gone));
+                    }
+                }
+                Event::Passed(millis) => now = now + Duration::from_millis(millis),
+            }
+        }
+    }
+
+    #[test]
+    fn old_leafs_are_usable_as_long_as_nothing_was_committed(events in events()) {
+        let mut gate = gate_under_trial();
+        for event in events {
+            if let Event::Granted(stage, limit) = event {
+                gate.on_grant(NOW, OrderId(1), grant(stage, limit));
+            }
+            prop_assert_eq!(use_of_old(&gate), VersionUse::Plain);
+        }
+    }
+
+    #[test]
+    fn what_was_rolled_back_stays_so_whatever_follows(
+        states in proptest::collection::vec((0..3_usize, any::<bool>()), 0..10),
+    ) {
+        let mut gate = gate_under_trial();
+        let rolled_back = order(1, "new", RollOutState::RolledBack, ENDED);
+        gate.apply(Some(&rolled_back), ENDED);
+        let targets = ["a", "b", "c"];
+        for (step, (target, stands)) in states.into_iter().enumerate() {
+            let at = Revision(50 + step as u64);
+            let next = order(10 + step as u64, targets[target], RollOutState::Running, at);
+            gate.apply(stands.then_some(&next), at);
+            prop_assert_eq!(use_of_new(&gate), VersionUse::Gone);
+        }
+    }
+}
