--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -11,6 +11,7 @@
 use crate::request_trace::{
     AttemptEndKind, AttemptReason, Decision, DenialReason, EndCause, RequestTrace,
 };
+use crate::roll_out::SendTerms;
 use crate::state::Gateway;
 use hyper::StatusCode;
 use std::cell::Cell;
@@ -18,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_http::Reply;
-use tansylead_route::{BreakerVerdict, ExtraAttempt, Route};
+use tansylead_route::{BreakerVerdict, ExtraAttempt, Route, route_hash};
 use tansylead_types::{LeafId, Moment};
 use tokio::task::spawn_local;
 
@@ -91,6 +92,8 @@
     not_sent: u32,
     may_have_run: bool,
     reply: Option<Reply>,
+    /// Whether any attempt was sent.
+    is_sent: Rc<Cell<bool>>,
 }
 
 impl Call {
@@ -104,6 +107,7 @@
             not_sent: 0,
             may_have_run: false,
             reply: None,
+            is_sent: Rc::default(),
         };
         self.launch(&mut progress, AttemptReason::First, false);
         while !progress.attempts.is_empty() {
@@ -168,7 +172,8 @@
         if self.is_over() {
             return false;
         }
-        let Some(leaf) = self.choose(progress) else {
+        let is_first = reason == AttemptReason::First;
+        let Some(leaf) = self.choose(progress, is_first) else {
             self.deny(DenialReason::NoLeaf);
             return false;
         };
@@ -190,13 +195,18 @@
         let delay = self.overdue_delay(&leaf);
         let sent = Rc::new(Cell::new(None));
         let access = self.access.clone();
+        let terms = SendTerms {
+            route: route_hash(&self.route.name),
+            overdue_delay: delay,
+            end: self.end,
+            is_request_sent: Rc::clone(&progress.is_sent),
+        };
         let run = run_attempt(
             Rc::clone(&leaf),
             Rc::clone(&self.request),
             Rc::clone(&self.gateway.names),
-            delay,
             move |leaf| access.may_use(leaf),
-            self.end,
+            terms,
             Rc::clone(&sent),
         );
         self.gateway.metrics.on_attempt(reason.label());
@@ -321,7 +331,7 @@
 
     /// Starts a further attempt that may reach a leaf, if attempts, time and budget allow it.
     fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
-        let leaf = self.choose(progress);
+        let leaf = self.choose(progress, false);
         let is_hedge = kind == ExtraAttempt::Hedge;
         if is_hedge && leaf.as_ref().is_none_or(is_avoided) {
             // Waiting on is better than a leaf that does not answer either.
@@ -403,10 +413,13 @@
     }
 
     /// The best leaf not tried yet.
-    fn choose(&self, progress: &Progress) -> Option<Rc<LeafState>> {
+    fn choose(&self, progress: &Progress, is_first: bool) -> Option<Rc<LeafState>> {
         let homes = &self.access.route_in_force().policy.homes;
-        let typical = self.typical();
-        self.service.choose(homes, &progress.tried, typical)
+        let (service, tried, typical) = (&self.service, &progress.tried, self.typical());
+        match is_first {
+            true => service.choose(homes, tried, typical),
+            false => service.choose_further(homes, tried, typical),
+        }
     }
 
     fn note_answer(&self, attempt: &Attempt) {
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -7,10 +7,11 @@
 use super::leaf_state::LeafState;
 use crate::clock::Clock;
 use crate::headers::{HeaderNames, LeafWord};
+use crate::roll_out::{SendEnd, SendTerms};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,14 +61,14 @@
 }
 
 /// Runs one attempt until its end. `may_use` tells, right before the request is handed over, whether
-/// it may still go to the leaf; `sent` is set when it is handed to a connection.
+/// it may still go to the leaf; `sent` is set when it is handed to a connection. A connection must come
+/// up within the time after which an answer is overdue.
 pub async fn run_attempt(
     leaf: Rc<LeafState>,
     request: Rc<OutgoingRequest>,
     names: Rc<HeaderNames>,
-    connect_limit: Duration,
     may_use: impl Fn(&LeafState) -> bool,
-    end: Moment,
+    terms: SendTerms,
     sent: Rc<Cell<Option<Moment>>>,
 ) -> AttemptEnd {
     let open = leaf.begin();
@@ -77,15 +78,16 @@
     let LeafConnection {
         mut connection,
         rested,
-    } = match connect(&leaf, &request, connect_limit).await {
+    } = match connect(&leaf, &request, terms.overdue_delay).await {
         Ok(connected) => connected,
         Err(error) => return AttemptEnd::NotSent(error),
     };
     if !may_use(&leaf) {
+        leaf.on_withheld(Clock.now());
         return not_sent(&leaf, "leaf may not be used any more");
     }
     let now = Clock.now();
-    let time_left = end.since(now);
+    let time_left = terms.end.since(now);
     if time_left.as_millis() == 0 {
         return not_sent(&leaf, "no time left");
     }
@@ -93,10 +95,10 @@
         Ok(outgoing) => outgoing,
         Err(error) => return AttemptEnd::NotSent(error),
     };
-    open.set_sent(now);
+    open.set_sent(now, &terms);
     sent.set(Some(now));
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
-    match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
+    let ended = match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
         Ok(Ok(reply)) => {
             leaf.connections().on_answer(rested);
             finish(&leaf, &request, &names, connection, reply)
@@ -112,6 +114,21 @@
             }
         }
         Err(_) => AttemptEnd::Failed(step_error(&leaf, "no answer in time")),
+    };
+    open.set_end(as_evidence(&ended));
+    ended
+}
+
+/// What the end of an attempt that was sent says of the leaf's version.
+fn as_evidence(ended: &AttemptEnd) -> SendEnd {
+    match ended {
+        AttemptEnd::Answered(reply) if reply.status.is_server_error() => SendEnd::Failed,
+        AttemptEnd::Answered(reply) if reply.status == StatusCode::TOO_MANY_REQUESTS => {
+            SendEnd::NotRun
+        }
+        AttemptEnd::Answered(_) => SendEnd::Good,
+        AttemptEnd::Refused(_) | AttemptEnd::NotSent(_) => SendEnd::NotRun,
+        AttemptEnd::Failed(_) | AttemptEnd::Foreign(_) => SendEnd::Failed,
     }
 }
 
--- a/crates/tansylead-gateway/src/leaf/leaf_standing.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_standing.rs
@@ -1,4 +1,5 @@
-//! Whether one leaf may be used: by its entry, its zone, and what it bears while it is cold.
+//! Whether one leaf may be used: by its entry, its zone, and what it bears while it is cold. What its
+//! version says is `roll_out::ServiceVersions`.
 
 use crate::clock::Clock;
 use std::cell::{Cell, Ref, RefCell};
@@ -80,6 +81,11 @@
         self.cold_limit.get().has_room(now)
     }
 
+    /// Whether the leaf is cold.
+    pub(super) fn is_cold(&self, now: Moment) -> bool {
+        self.cold_limit.get().is_cold(now)
+    }
+
     /// Sets this daemon's part of the requests of a second that the leaf bears while it is cold; none
     /// if there is no bound.
     pub(super) fn set_cold_part(&self, part: Option<u32>) {
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -5,13 +5,14 @@
 use super::leaf_standing::LeafStanding;
 use super::open_attempt::OpenAttempt;
 use crate::clock::Clock;
+use crate::roll_out::{SendTarget, SendTerms, ServiceVersions, VersionSend};
 use std::cell::{Cell, Ref};
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::HttpConnection;
 use tansylead_route::{
     BreakerVerdict, Candidate, ConnectionShare, Distance, HomeRegions, LeafEntry, LeafLocation,
-    LeafReport, Standing,
+    LeafReport, Stage, Standing, VersionUse,
 };
 use tansylead_types::{Moment, PlaceName};
 
@@ -24,6 +25,8 @@
 #[derive(Debug)]
 pub struct LeafState {
     standing: LeafStanding,
+    /// Versions of its service.
+    versions: Rc<ServiceVersions>,
     location: LeafLocation,
     in_flight: Cell<u32>,
     connections: LeafConnections,
@@ -32,9 +35,16 @@
 
 impl LeafState {
     /// A leaf about which nothing is known but its entry.
-    pub fn new(entry: LeafEntry, location: LeafLocation, share: ConnectionShare) -> Self {
+    pub fn new(
+        entry: LeafEntry,
+        location: LeafLocation,
+        share: ConnectionShare,
+        versions: Rc<ServiceVersions>,
+    ) -> Self {
+        versions.on_entry(&entry);
         Self {
             standing: LeafStanding::new(entry),
+            versions,
             location,
             in_flight: Cell::new(0),
             connections: LeafConnections::new(share),
@@ -59,6 +69,7 @@
 
     /// Takes in an entry that is new or has come back. A leaf that said it was leaving stays so.
     pub fn update(&self, entry: LeafEntry) {
+        self.versions.on_entry(&entry);
         self.standing.update(entry);
     }
 
@@ -94,18 +105,51 @@
     /// requests, or counts on a leaf for them, asks here.
     pub fn standing_for(&self, homes: &HomeRegions, now: Moment, grace: Duration) -> Standing {
         let may_serve = homes.allow(self.region()) && self.standing.has_room(now);
-        if may_serve {
-            self.standing(now, grace)
-        } else {
-            Standing::Gone
+        if !may_serve {
+            return Standing::Gone;
+        }
+        let standing = self.standing.standing(now, grace);
+        match self.versions.use_of(now, &self.entry()) {
+            VersionUse::Plain | VersionUse::Granted(_) => standing,
+            VersionUse::LastResort => standing.max(Standing::LastResort),
+            VersionUse::NotGranted | VersionUse::Gone => Standing::Gone,
         }
     }
 
-    /// How the leaf may be used at all, whatever a route is confined to and however little a cold leaf
-    /// bears: connections are shared and kept by it. One whose entry went without a word is the last
-    /// resort for `grace`.
+    /// How the leaf may be used at all, whatever a route is confined to, however little a cold leaf
+    /// bears, and whatever is granted to its version: connections are shared and kept by it. One whose
+    /// entry went without a word is the last resort for `grace`.
     pub fn standing(&self, now: Moment, grace: Duration) -> Standing {
-        self.standing.standing(now, grace)
+        match self.versions.use_of(now, &self.entry()) {
+            VersionUse::Gone => Standing::Gone,
+            _ => self.standing.standing(now, grace),
+        }
+    }
+
+    /// Versions of its service.
+    pub(super) fn versions(&self) -> &ServiceVersions {
+        &self.versions
+    }
+
+    /// The stage of the trial that the leaf's version is the target of; none if it is of none.
+    pub fn trial_stage(&self) -> Option<Stage> {
+        self.versions.trial_stage(&self.entry())
+    }
+
+    /// Notes that the leaf may not be used any more when a request was about to be handed over.
+    pub(super) fn on_withheld(&self, now: Moment) {
+        self.versions.on_withheld(now, &self.entry());
+    }
+
+    /// Counts a request that is handed to a connection, as evidence on the leaf's version.
+    pub(super) fn begin_send(&self, now: Moment, terms: &SendTerms) -> Option<VersionSend> {
+        let target = SendTarget {
+            way: self.way(),
+            is_cold: self.standing.is_cold(now),
+        };
+        let version = &self.entry().version;
+        self.versions
+            .begin_send(now, version.as_ref(), target, terms)
     }
 
     /// Sets this daemon's part of the requests of a second that the leaf bears while it is cold; none
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -2,12 +2,14 @@
 
 use super::leaf_state::LeafState;
 use crate::clock::Clock;
-use crate::roll_out::ServiceVersions;
+use crate::roll_out::{RollOutContext, ServiceVersions};
 use crate::settings::GatewayBounds;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{Candidate, ExtraAttempt, HomeRegions, RetryBudget, Standing, choose_leaf};
+use tansylead_route::{
+    BreakerVerdict, Candidate, ExtraAttempt, HomeRegions, RetryBudget, Stage, Standing, choose_leaf,
+};
 use tansylead_types::{LeafId, Moment, ServiceName};
 
 /// One service.
@@ -26,14 +28,19 @@
 
 impl ServiceState {
     /// A service without leafs.
-    pub fn new(name: ServiceName, bounds: &GatewayBounds, started: Moment) -> Self {
+    pub fn new(
+        name: ServiceName,
+        bounds: &GatewayBounds,
+        started: Moment,
+        roll_outs: Rc<RollOutContext>,
+    ) -> Self {
         Self {
             name,
             leafs: RefCell::default(),
             missing_grace: bounds.missing_grace(),
             budget: RefCell::new(RetryBudget::new(bounds.retry_budget(), started)),
             slack_share: Cell::new(0.0),
-            versions: Rc::default(),
+            versions: Rc::new(ServiceVersions::new(roll_outs)),
         }
     }
 
@@ -102,18 +109,52 @@
         self.leafs.borrow().clone()
     }
 
-    /// The best leaf that is not in `excluded`, for a request that is confined to `homes` and
-    /// typically takes `typical`. Leafs that are the last resort come only if no leaf of the service
-    /// is regular.
+    /// The best leaf for the first attempt of a request that is confined to `homes` and typically takes
+    /// `typical`, of those that are not in `excluded`. Leafs that are the last resort come only if no
+    /// leaf of the service is regular. Leafs of a version under trial come first, as far as the request
+    /// should go there and one of them is sound; otherwise they are the last resort.
     pub fn choose(
         &self,
         homes: &HomeRegions,
         excluded: &[LeafId],
         typical: Duration,
+    ) -> Option<Rc<LeafState>> {
+        self.choose_for(true, homes, excluded, typical)
+    }
+
+    /// The same for any further attempt.
+    pub fn choose_further(
+        &self,
+        homes: &HomeRegions,
+        excluded: &[LeafId],
+        typical: Duration,
+    ) -> Option<Rc<LeafState>> {
+        self.choose_for(false, homes, excluded, typical)
+    }
+
+    fn choose_for(
+        &self,
+        is_first: bool,
+        homes: &HomeRegions,
+        excluded: &[LeafId],
+        typical: Duration,
     ) -> Option<Rc<LeafState>> {
         let now = Clock.now();
         let leafs = self.leafs.borrow();
-        let standing = |leaf: &Rc<LeafState>| leaf.standing_for(homes, now, self.missing_grace);
+        let standing_for = |leaf: &Rc<LeafState>| leaf.standing_for(homes, now, self.missing_grace);
+        if let Some(stage) = self.versions.preferred_stage(now, is_first) {
+            let targets = leafs.iter().filter(|leaf| {
+                leaf.trial_stage().is_some() && standing_for(leaf) == Standing::Regular
+            });
+            let target = best(targets, excluded, typical, now);
+            if let Some(target) = target.filter(|leaf| can_take_trial(leaf, stage, now)) {
+                return Some(target);
+            }
+        }
+        let standing = |leaf: &Rc<LeafState>| match leaf.trial_stage() {
+            Some(Stage::Trial | Stage::Shift) => standing_for(leaf).max(Standing::LastResort),
+            _ => standing_for(leaf),
+        };
         let best_standing = leafs.iter().map(standing).min()?;
         if best_standing == Standing::Gone {
             return None;
@@ -139,6 +180,16 @@
     }
 }
 
+/// Whether a leaf of a version under trial is sound enough to be preferred. In `Trial` a request does not
+/// wait there for others to end; in `Shift` that is where all of them go.
+fn can_take_trial(leaf: &LeafState, stage: Stage, now: Moment) -> bool {
+    let candidate = leaf.candidate(now);
+    let is_sound = candidate.verdict != BreakerVerdict::Avoid;
+    let is_reachable = candidate.has_idle_connection || !candidate.resets_connections;
+    let has_room = stage != Stage::Trial || candidate.in_flight < candidate.limit;
+    is_sound && is_reachable && has_room
+}
+
 fn best<'a>(
     leafs: impl Iterator<Item = &'a Rc<LeafState>>,
     excluded: &[LeafId],
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::listener::{accept_each, bind};
 use crate::logging;
+use crate::roll_out::RollOutMetrics;
 use crate::source::Topic;
 use crate::state::Gateway;
 use bytes::Bytes;
@@ -140,6 +141,8 @@
     idle_leaf_connections: IntGauge,
     lines_dropped: IntGauge,
     lines_suppressed: IntGauge,
+    /// What goes to versions under trial.
+    pub roll_outs: RollOutMetrics,
     routes: RefCell<HashSet<String>>,
 }
 
@@ -258,6 +261,7 @@
                 "tansylead_log_lines_suppressed",
                 "Log lines not written because there were too many of their kind",
             ),
+            roll_outs: RollOutMetrics::new(&registry),
             routes: RefCell::default(),
             registry,
         }
--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -1,32 +1,234 @@
 //! What this daemon knows of the versions of one service: the order that stands, the grant of the judge it
 //! follows, and what it has seen of both sides.
 
-use std::cell::RefCell;
-use tansylead_route::{Grant, OrderId, Revision, RollOut, RollOutEvidence};
-use tansylead_types::{Moment, NodeId};
+use super::context::RollOutContext;
+use super::evidence_log::EvidenceLog;
+use super::running_sends::RunningSends;
+use super::version_send::{SendResult, SendTarget, SendTerms, VersionSend};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tansylead_route::{
+    Grant, LeafEntry, OrderId, Revision, RollOut, RollOutEvidence, Stage, VersionGate, VersionUse,
+};
+use tansylead_types::{Moment, NodeId, SoftwareVersion};
+use tokio::sync::Notify;
 
 /// Versions of one service. Shared by the service and each of its leafs.
 #[derive(Debug, Default)]
 pub struct ServiceVersions {
-    order: RefCell<Option<RollOut>>,
+    context: Rc<RollOutContext>,
+    gate: RefCell<VersionGate>,
+    /// Whether an order has not ended: most services have none, and do nothing more then.
+    is_under_trial: Cell<bool>,
+    evidence: RefCell<Option<Box<EvidenceLog>>>,
+    running: RunningSends,
+    /// Attempts that will be sent to the version under trial if they still may be then.
+    waiting: Cell<u32>,
 }
 
 impl ServiceVersions {
+    /// Versions of a service of which nothing is known.
+    pub fn new(context: Rc<RollOutContext>) -> Self {
+        Self {
+            context,
+            ..Self::default()
+        }
+    }
+
     /// Takes in the order for the service, none if there is none, as it was at a revision of the source.
     pub fn apply(&self, now: Moment, order: Option<&RollOut>, known_up_to: Revision) {
-        let _ = (now, known_up_to);
-        *self.order.borrow_mut() = order.cloned();
+        let mut gate = self.gate.borrow_mut();
+        let ended = gate.trial().map(|trial| trial.service.clone());
+        let is_another = gate.apply(order, known_up_to);
+        let trial = gate.trial();
+        self.is_under_trial.set(trial.is_some());
+        let mut evidence = self.evidence.borrow_mut();
+        match trial {
+            None => *evidence = None,
+            Some(trial) if is_another => *evidence = Some(Box::new(EvidenceLog::new(trial.order))),
+            Some(_) => {}
+        }
+        match (ended, trial) {
+            (Some(service), None) => self.context.metrics.forget(service.as_str()),
+            (_, Some(_)) if is_another => self.tell_sends_left(&gate, now),
+            _ => return,
+        }
+        self.context.notify();
     }
 
     /// Takes in the grant of the judge that is followed now.
     pub fn on_grant(&self, now: Moment, order: OrderId, judge: NodeId, grant: Grant) {
-        let _ = (now, order, judge, grant);
+        let mut gate = self.gate.borrow_mut();
+        let changed = gate.on_grant(now, order, grant);
+        self.tell_sends_left(&gate, now);
+        if let (Some(stage), Some(trial)) = (changed, gate.trial()) {
+            log::info!(order = trial.order.0, service = trial.service.as_str(), target = trial.target.as_str(), stage = stage.label(), judge:% = judge; "roll-out stage");
+            self.context.notify();
+        }
+    }
+
+    /// Notes what the entry of a leaf shows.
+    pub fn on_entry(&self, entry: &LeafEntry) {
+        if let Some(version) = &entry.version
+            && self.context.follows_roll_outs()
+        {
+            let mut gate = self.gate.borrow_mut();
+            gate.on_shown(version, entry.changed_at);
+        }
+    }
+
+    /// What a leaf may be used for by its version.
+    pub fn use_of(&self, now: Moment, entry: &LeafEntry) -> VersionUse {
+        if !self.context.follows_roll_outs() {
+            return VersionUse::Plain;
+        }
+        let is_word_old = self.context.is_word_old(now);
+        let gate = self.gate.borrow();
+        gate.use_of(now, entry.version.as_ref(), entry.changed_at, is_word_old)
+    }
+
+    /// The stage of the trial that a leaf is the target of; none if it is of none. `Trial` before the
+    /// first grant.
+    pub fn trial_stage(&self, entry: &LeafEntry) -> Option<Stage> {
+        if !self.is_under_trial.get() {
+            return None;
+        }
+        let gate = self.gate.borrow();
+        let is_target = gate.is_under_trial(entry.version.as_ref());
+        is_target.then(|| gate.stage().unwrap_or(Stage::Trial))
+    }
+
+    /// The stage in which an attempt should go to the version under trial now, if it should: only first
+    /// attempts do in `Trial`, and only as far as the grant reaches beyond those that wait for a
+    /// connection already.
+    pub fn preferred_stage(&self, now: Moment, is_first: bool) -> Option<Stage> {
+        if !self.is_under_trial.get() {
+            return None;
+        }
+        let gate = self.gate.borrow();
+        let stage = gate.stage()?;
+        let is_wanted = match stage {
+            Stage::Trial => is_first,
+            Stage::Shift => true,
+            Stage::Commit | Stage::Back => false,
+        };
+        let has_room = gate.sends_left(now) > u64::from(self.waiting.get());
+        (is_wanted && has_room).then_some(stage)
+    }
+
+    /// Notes that an attempt at a leaf of the version under trial waits to be sent.
+    pub(crate) fn on_waiting(&self) {
+        self.waiting.set(self.waiting.get() + 1);
+    }
+
+    /// Notes that an attempt that waited was sent, or has ended.
+    pub(crate) fn on_waited(&self) {
+        self.waiting.set(self.waiting.get().saturating_sub(1));
+    }
+
+    /// Notes that a leaf may not be used any more when a request was about to be handed over.
+    pub(crate) fn on_withheld(&self, now: Moment, entry: &LeafEntry) {
+        if self.trial_stage(entry).is_some() && self.use_of(now, entry) != VersionUse::Plain {
+            self.context.metrics.on_grant_gone();
+        }
+    }
+
+    /// Counts a request that is handed to a leaf of this version now; none if versions mean nothing.
+    pub(crate) fn begin_send(
+        self: &Rc<Self>,
+        now: Moment,
+        version: Option<&SoftwareVersion>,
+        target: SendTarget,
+        terms: &SendTerms,
+    ) -> Option<VersionSend> {
+        let is_first_send = !terms.is_request_sent.replace(true);
+        if !self.context.follows_roll_outs() {
+            return None;
+        }
+        let index = self.running.begin(version);
+        let order = self.count_send(now, version, is_first_send);
+        let versions = Rc::clone(self);
+        let terms = terms.clone();
+        Some(VersionSend::new(versions, index, order, terms, target, now))
+    }
+
+    fn count_send(
+        &self,
+        now: Moment,
+        version: Option<&SoftwareVersion>,
+        is_first_send: bool,
+    ) -> Option<(OrderId, bool)> {
+        let mut evidence = self.evidence.borrow_mut();
+        let evidence = evidence.as_mut()?;
+        if is_first_send {
+            evidence.on_request();
+        }
+        let mut gate = self.gate.borrow_mut();
+        let stage = gate.on_sent(version);
+        if let Some(stage) = stage {
+            evidence.on_new_send();
+            self.context.metrics.on_send(stage);
+            self.tell_sends_left(&gate, now);
+        }
+        Some((evidence.order(), stage.is_some()))
+    }
+
+    /// Counts the result of an attempt that was sent under an order.
+    pub(super) fn on_result(&self, order: OrderId, result: &SendResult) {
+        let mut evidence = self.evidence.borrow_mut();
+        let current = evidence.as_mut().filter(|log| log.order() == order);
+        if let Some(current) = current {
+            current.on_end(result);
+        }
+    }
+
+    /// Counts the end of an attempt.
+    pub(super) fn on_send_end(&self, version: usize) {
+        let before = self.running_on_old_in_shift();
+        self.running.end(version);
+        if before.is_some_and(|before| before > 0) && self.running_on_old_in_shift() == Some(0) {
+            self.context.notify();
+        }
+    }
+
+    fn running_on_old_in_shift(&self) -> Option<u32> {
+        if !self.is_under_trial.get() {
+            return None;
+        }
+        let gate = self.gate.borrow();
+        let trial = gate.trial()?;
+        let is_shifting = gate.stage() == Some(Stage::Shift);
+        is_shifting.then(|| self.running.by_side(&trial.target).0)
     }
 
     /// The order that is under trial, with what this daemon has seen since it knows of it.
     pub fn evidence(&self) -> Option<(RollOut, RollOutEvidence)> {
-        let order = self.order.borrow();
-        let order = order.as_ref().filter(|order| !order.state.is_final())?;
-        Some((order.clone(), RollOutEvidence::default()))
+        let gate = self.gate.borrow();
+        let trial = gate.trial()?;
+        let log = self.evidence.borrow();
+        let mut evidence = log.as_ref()?.totals().clone();
+        let (old, new) = self.running.by_side(&trial.target);
+        evidence.running_on_old = old;
+        evidence.running_on_new = new;
+        Some((trial.clone(), evidence))
+    }
+
+    /// The stage that this daemon was granted last under the order that has not ended.
+    pub fn stage(&self) -> Option<Stage> {
+        self.gate.borrow().stage()
+    }
+
+    /// Wakes whoever reports on any service; see [`RollOutContext::changed`].
+    pub fn changed(&self) -> &Notify {
+        self.context.changed()
+    }
+
+    fn tell_sends_left(&self, gate: &VersionGate, now: Moment) {
+        if let Some(trial) = gate.trial() {
+            let left = gate.sends_left(now);
+            self.context
+                .metrics
+                .set_sends_left(trial.service.as_str(), left);
+        }
     }
 }
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::metrics::Metrics;
 use crate::report_queue::ReportQueue;
 use crate::request_log::RequestLogLimits;
+use crate::roll_out::RollOutContext;
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
 use std::cell::{Cell, RefCell};
@@ -85,6 +86,7 @@
     evacuated: RefCell<Option<EvacuatedZones>>,
     /// None until it is known what is ordered.
     roll_outs: RefCell<Option<RollOuts>>,
+    roll_out_context: Rc<RollOutContext>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
@@ -115,18 +117,21 @@
             runners: QueryRunners::default(),
             are_known: false,
         };
+        let (started, metrics) = (Clock.now(), Metrics::new());
+        let context = RollOutContext::new(&settings.bounds, started, metrics.roll_outs.clone());
         Self {
             settings,
             names: Rc::new(names),
-            metrics: Metrics::new(),
+            metrics,
             request_log_limits: RequestLogLimits::default(),
             reports: ReportQueue::default(),
-            started: Clock.now(),
+            started,
             locality,
             active: RefCell::default(),
             directory: RefCell::default(),
             evacuated: RefCell::default(),
             roll_outs: RefCell::default(),
+            roll_out_context: Rc::new(context),
             services: RefCell::default(),
             leafs: RefCell::default(),
             latencies: RefCell::default(),
@@ -181,6 +186,14 @@
         let mut confirmed = self.confirmed.borrow_mut();
         let held = confirmed.entry(topic).or_insert(moment);
         *held = (*held).max(moment);
+        if topic == Topic::RollOuts {
+            self.roll_out_context.confirm(moment);
+        }
+    }
+
+    /// What the versions of all services share.
+    pub fn roll_out_context(&self) -> &RollOutContext {
+        &self.roll_out_context
     }
 
     /// Tells daemons that poll this one that its word is fresh.
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -116,7 +116,9 @@
             return Rc::clone(service);
         }
         let bounds = &self.settings.bounds;
-        let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
+        let versions = Rc::clone(&self.roll_out_context);
+        let service = ServiceState::new(name.clone(), bounds, self.started, versions);
+        let service = Rc::new(service);
         self.share_budget(&service);
         if let Some(roll_outs) = self.roll_outs.borrow().as_ref() {
             let order = roll_outs.get(name);
@@ -155,7 +157,8 @@
             return Some(service);
         }
         let location = self.locality.locate(&entry.zone);
-        let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE));
+        let versions = Rc::clone(service.versions());
+        let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE, versions));
         leaf.set_evacuated(self.is_evacuated(&entry));
         service.add(Rc::clone(&leaf));
         self.leafs.borrow_mut().insert(entry.leaf, leaf);
--- a/crates/tansylead-gateway/tests/attempts.rs
+++ b/crates/tansylead-gateway/tests/attempts.rs
@@ -68,11 +68,11 @@
         repeatable,
     };
     let names = Rc::new(HeaderNames::default());
-    let end = Clock.now() + LIMIT;
     let sent = Rc::new(Cell::new(None));
     let leaf = Rc::clone(leaf);
     let may_use = |leaf: &LeafState| leaf.standing(Clock.now(), LIMIT) < Standing::Gone;
-    run_attempt(leaf, Rc::new(request), names, LIMIT, may_use, end, sent).await
+    let terms = common::terms(LIMIT);
+    run_attempt(leaf, Rc::new(request), names, may_use, terms, sent).await
 }
 
 #[tokio::test]
--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_gateway::Clock;
 use tansylead_gateway::leaf::LeafState;
+use tansylead_gateway::roll_out::SendTerms;
 use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafLocation, LeafPhase, Revision};
 use tansylead_types::{LeafId, ServiceName, ZoneName};
 
@@ -34,5 +36,16 @@
         distance: Distance::Zone,
         region: None,
     };
-    Rc::new(LeafState::new(entry, location, share))
+    Rc::new(LeafState::new(entry, location, share, Rc::default()))
+}
+
+/// What an attempt is bound to that ends after `limit`, when an answer is also overdue.
+#[allow(dead_code, reason = "not every test file uses it")]
+pub fn terms(limit: Duration) -> SendTerms {
+    SendTerms {
+        route: 0,
+        overdue_delay: limit,
+        end: Clock.now() + limit,
+        is_request_sent: Rc::default(),
+    }
 }
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -234,7 +234,8 @@
     let leaf = gateway.service(&service).regular().remove(0);
     let mut sent = 0;
     while sent < limit && has_leafs(gateway) {
-        leaf.begin().set_sent(Clock.now());
+        let limit = Duration::from_secs(1);
+        leaf.begin().set_sent(Clock.now(), &common::terms(limit));
         sent += 1;
     }
     sent
