--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -214,6 +214,7 @@
             leaf: Rc::clone(&leaf),
             reason,
             overdue: delay,
+            trial: leaf.trial_stage(),
         };
         self.trace.note(self.service.name(), decision);
         let attempt = Attempt::start(leaf, Clock.now(), delay, sent, run);
--- a/crates/tansylead-gateway/src/explain/cause.rs
+++ b/crates/tansylead-gateway/src/explain/cause.rs
@@ -14,6 +14,8 @@
     pub overdue: Vec<String>,
     /// Ends of attempts that were no answer, with their leafs.
     pub failures: Vec<String>,
+    /// Leafs of a version under trial that it was meant for, with version and stage.
+    pub under_trial: Vec<String>,
     /// Why no further attempt was started.
     pub denied: Vec<String>,
     /// Whether an answer came in the end.
@@ -40,6 +42,10 @@
         if !self.failures.is_empty() {
             write!(formatter, "; failed: {}", joined(&self.failures))?;
         }
+        if !self.under_trial.is_empty() {
+            let leafs = joined(&self.under_trial);
+            write!(formatter, "; under trial: {leafs}")?;
+        }
         if !self.denied.is_empty() {
             let reasons = joined(&self.denied);
             write!(formatter, "; no further attempt for: {reasons}")?;
@@ -110,6 +116,7 @@
                 service,
                 overdue: Vec::new(),
                 failures: Vec::new(),
+                under_trial: Vec::new(),
                 denied: Vec::new(),
                 answered: false,
             });
@@ -134,10 +141,18 @@
             let cause = line.line.text("cause");
             trouble.failures.push(format!("{leaf} {end} ({cause})"));
         }
-        RequestEvent::Started | RequestEvent::Last | RequestEvent::Other => {}
+        RequestEvent::Started => trouble.under_trial.extend(under_trial(line, &leaf)),
+        RequestEvent::Last | RequestEvent::Other => {}
     }
 }
 
+/// Version and stage of an attempt that was meant for a version under trial.
+fn under_trial(line: &RequestLine, leaf: &str) -> Option<String> {
+    let stage = line.line.text("trial");
+    let version = line.line.text("version");
+    (!stage.is_empty()).then(|| format!("{leaf} of {version} ({stage})"))
+}
+
 fn is_good_answer(line: &RequestLine) -> bool {
     line.line.text("end") == "answered" && !line.line.text("cause").starts_with('5')
 }
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use crate::execution::Outcome;
+use crate::leaf::LeafState;
 use crate::logging::{REQUEST_TARGET, count_suppressed};
 use crate::metrics::Metrics;
 use crate::per_second::PerSecondLimit;
@@ -17,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
-use tansylead_route::Route;
+use tansylead_route::{Route, Stage};
 use tansylead_types::Moment;
 
 /// Requests written with all of their decisions in a second.
@@ -208,11 +209,14 @@
             leaf,
             reason,
             overdue,
+            trial,
         } => log::info!(
             target: REQUEST_TARGET,
             request = id, service = service, after_ms = after_ms,
             leaf = leaf.entry().leaf.as_str(),
+            version = version(leaf).as_str(),
             reason = reason.label(),
+            trial = trial.map_or("", Stage::label),
             distance:? = leaf.distance(),
             overdue_ms = overdue.as_millis() as u64;
             "attempt started"
@@ -226,6 +230,7 @@
             target: REQUEST_TARGET,
             request = id, service = service, after_ms = after_ms,
             leaf = leaf.entry().leaf.as_str(),
+            version = version(leaf).as_str(),
             end = end.label(),
             cause:% = cause,
             took_ms = took.as_millis() as u64;
@@ -247,6 +252,13 @@
     }
 }
 
+/// Version of a leaf's software; empty if the source tells none.
+fn version(leaf: &LeafState) -> String {
+    let entry = leaf.entry();
+    let version = entry.version.as_ref();
+    version.map_or(String::new(), |version| version.as_str().to_owned())
+}
+
 impl Drop for RequestLog {
     fn drop(&mut self) {
         if !self.finished {
--- a/crates/tansylead-gateway/src/request_trace.rs
+++ b/crates/tansylead-gateway/src/request_trace.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_route::Stage;
 use tansylead_types::{Moment, ServiceName};
 
 /// Decisions remembered for one request.
@@ -128,6 +129,8 @@
         reason: AttemptReason,
         /// After this time its answer is overdue.
         overdue: Duration,
+        /// The stage of the trial that the leaf's version is the target of; none if it is of none.
+        trial: Option<Stage>,
     },
     /// An attempt ended.
     Ended {
--- a/crates/tansylead-gateway/tests/explain.rs
+++ b/crates/tansylead-gateway/tests/explain.rs
@@ -103,3 +103,25 @@
     let text = summary.to_string();
     assert!(text.contains("budget:3 connection:1"), "{text}");
 }
+
+#[test]
+fn a_failure_at_a_version_under_trial_is_traced_to_the_version() {
+    let text = r#"
+{"at_us":1,"event":"attempt started","request":"r1","service":"search","leaf":"i-7","version":"v2","trial":"trial","reason":"first","after_ms":0}
+{"at_us":2,"event":"attempt ended","request":"r1","service":"search","leaf":"i-7","version":"v2","end":"answered","cause":"500 Internal Server Error","after_ms":9,"took_ms":9}
+{"at_us":3,"event":"attempt started","request":"r1","service":"search","leaf":"i-1","version":"v1","trial":"","reason":"retry","after_ms":9}
+{"at_us":4,"event":"attempt ended","request":"r1","service":"search","leaf":"i-1","version":"v1","end":"answered","cause":"200 OK","after_ms":300,"took_ms":291}
+{"at_us":5,"event":"request","request":"r1","outcome":"late","missing":0,"took_ms":300,"route":"query","version":7}
+"#;
+    let log = DaemonLog {
+        name: "daemon-1".to_owned(),
+        text: text.to_owned(),
+    };
+    let explanation = explain("r1", &[log]);
+    let Cause::Services { troubles, .. } = &explanation.stories[0].cause else {
+        panic!("unexpected cause {:?}", explanation.stories[0].cause);
+    };
+    assert_eq!(troubles[0].under_trial, ["i-7 of v2 (trial)"]);
+    let told = explanation.to_string();
+    assert!(told.contains("under trial: i-7 of v2 (trial)"), "{told}");
+}
--- a/crates/tansylead-gateway/tests/request_trace.rs
+++ b/crates/tansylead-gateway/tests/request_trace.rs
@@ -30,6 +30,7 @@
         leaf,
         reason,
         overdue,
+        trial: None,
     };
     trace.note(service, decision);
 }
