--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! Leafs for tests.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+pub mod versions;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
