--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/call_extra.rs
@@ -0,0 +1,101 @@
+//! Further attempts of a call: hedges when an answer is overdue, retries after a failure, and another
+//! leaf where nothing was sent.
+
+use super::attempts::Attempt;
+use super::call::{Call, MAXIMUM_NOT_SENT, Progress};
+use crate::clock::Clock;
+use crate::leaf::LeafState;
+use crate::request_trace::{AttemptReason, Decision, DenialReason};
+use std::rc::Rc;
+use tansylead_route::{BreakerVerdict, ExtraAttempt};
+
+impl Call {
+    /// Starts another attempt after one that failed, if that is allowed.
+    pub(super) fn retry(&self, progress: &mut Progress, may_have_run: bool) {
+        let policy = &self.route.policy;
+        let allowed = policy.repeatable || !may_have_run;
+        if !allowed || !progress.attempts.is_empty() {
+            return;
+        }
+        self.launch_extra(progress, ExtraAttempt::Retry);
+    }
+
+    pub(super) fn on_overdue(&self, progress: &mut Progress) {
+        let now = Clock.now();
+        let typical = self.typical();
+        let mut is_stuck_unsent = false;
+        for attempt in &mut progress.attempts {
+            if attempt.overdue.is_some_and(|overdue| overdue <= now) {
+                attempt.overdue = None;
+                let decision = Decision::Overdue {
+                    leaf: Rc::clone(&attempt.leaf),
+                    is_sent: attempt.is_sent(),
+                };
+                self.trace.note(self.service.name(), decision);
+                match attempt.sent.get() {
+                    Some(sent) => {
+                        let delay = attempt.overdue_delay;
+                        let report = attempt.leaf.on_overdue(sent, delay, typical);
+                        self.gateway.report(report);
+                    }
+                    None => is_stuck_unsent = true,
+                }
+            }
+        }
+        if is_stuck_unsent {
+            self.replace_unsent(progress);
+        } else if self.route.policy.repeatable {
+            self.launch_extra(progress, ExtraAttempt::Hedge);
+        }
+    }
+
+    /// Goes to another leaf if nothing has reached one: that costs no budget.
+    fn replace_unsent(&self, progress: &mut Progress) {
+        progress.not_sent += 1;
+        let sent_elsewhere = progress.attempts.iter().any(Attempt::is_sent);
+        if sent_elsewhere || progress.not_sent >= MAXIMUM_NOT_SENT {
+            return;
+        }
+        if !self.launch(progress, AttemptReason::NotSent, true) {
+            return;
+        }
+        if let Some(newest) = progress.attempts.pop() {
+            progress.attempts.retain(Attempt::is_sent);
+            progress.attempts.push(newest);
+        }
+    }
+
+    /// Starts a further attempt that may reach a leaf, if attempts, time and budget allow it.
+    fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
+        let leaf = self.choose(progress, false);
+        let is_hedge = kind == ExtraAttempt::Hedge;
+        if is_hedge && leaf.as_ref().is_none_or(is_avoided) {
+            // Waiting on is better than a leaf that does not answer either.
+            return self.deny(DenialReason::NoSoundLeaf);
+        }
+        let open = progress.attempts.iter().filter(|attempt| attempt.is_sent());
+        let sent = progress.arrivals + open.count() as u32;
+        if sent >= self.route.policy.maximum_attempts {
+            return self.deny(DenialReason::Attempts);
+        }
+        if self.is_over() {
+            return self.deny(DenialReason::End);
+        }
+        let Some(leaf) = leaf else {
+            return self.deny(DenialReason::NoLeaf);
+        };
+        if !self.service.try_take_extra(kind) {
+            return self.deny(DenialReason::Budget);
+        }
+        let reason = match kind {
+            ExtraAttempt::Hedge => AttemptReason::Hedge,
+            ExtraAttempt::Retry => AttemptReason::Retry,
+        };
+        self.start(progress, leaf, reason);
+    }
+}
+
+/// Whether a leaf's breaker keeps new requests away from it.
+pub(super) fn is_avoided(leaf: &Rc<LeafState>) -> bool {
+    leaf.verdict(Clock.now()) == BreakerVerdict::Avoid
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -0,0 +1,98 @@
+//! What a call notes of its attempts: for the request's trace, for metrics, and for the choice of leafs
+//! and the delays of later requests.
+
+use super::attempts::Attempt;
+use super::call::Call;
+use crate::clock::Clock;
+use crate::leaf::{AttemptEnd, LeafState};
+use crate::request_trace::{AttemptEndKind, Decision, DenialReason, EndCause};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Before latencies are learned, an answer is overdue after this share of the objective.
+const UNLEARNED_OVERDUE_SHARE: f64 = 0.4;
+/// Typical latency before it is learned, as a share of the objective.
+const UNLEARNED_TYPICAL_SHARE: f64 = 0.2;
+/// Ways to a leaf and back within the overdue delay: one to connect and one to ask.
+const WAYS: u32 = 2;
+
+impl Call {
+    /// Learns from the end of an attempt that was left to finish.
+    pub(super) fn on_loser_end(&self, attempt: &Attempt, end: Option<AttemptEnd>) {
+        if let Some(AttemptEnd::Answered(reply)) = end
+            && !reply.status.is_server_error()
+        {
+            self.note_answer(attempt);
+        }
+    }
+
+    pub(super) fn deny(&self, reason: DenialReason) {
+        self.gateway.metrics.on_denied(reason.label());
+        self.trace
+            .note(self.service.name(), Decision::Denied { reason });
+    }
+
+    pub(super) fn note_end(&self, attempt: &Attempt, end: Option<&AttemptEnd>) {
+        let (end, cause) = match end {
+            Some(AttemptEnd::Answered(reply)) => {
+                (AttemptEndKind::Answered, EndCause::Status(reply.status))
+            }
+            Some(AttemptEnd::Refused(reply)) => {
+                (AttemptEndKind::Refused, EndCause::Status(reply.status))
+            }
+            Some(AttemptEnd::NotSent(error)) => {
+                (AttemptEndKind::NotSent, EndCause::Error(error.to_string()))
+            }
+            Some(AttemptEnd::Failed(error)) => {
+                (AttemptEndKind::Failed, EndCause::Error(error.to_string()))
+            }
+            Some(AttemptEnd::Foreign(error)) => {
+                (AttemptEndKind::Foreign, EndCause::Error(error.to_string()))
+            }
+            None => {
+                let panicked = "the attempt panicked".to_owned();
+                (AttemptEndKind::Failed, EndCause::Error(panicked))
+            }
+        };
+        self.gateway.metrics.on_attempt_end(end.label());
+        let decision = Decision::Ended {
+            leaf: Rc::clone(&attempt.leaf),
+            end,
+            cause,
+            took: Clock.now().since(attempt.started),
+        };
+        self.trace.note(self.service.name(), decision);
+    }
+
+    pub(super) fn overdue_delay(&self, leaf: &LeafState) -> Duration {
+        let learned = self
+            .gateway
+            .with_latencies(&self.route.name, |profile| profile.overdue());
+        let unlearned = self.route.policy.objective.mul_f64(UNLEARNED_OVERDUE_SHARE);
+        learned.unwrap_or(unlearned) + leaf.way() * WAYS
+    }
+
+    pub(super) fn typical(&self) -> Duration {
+        let learned = self
+            .gateway
+            .with_latencies(&self.route.name, |profile| profile.typical());
+        let unlearned = self.route.policy.objective.mul_f64(UNLEARNED_TYPICAL_SHARE);
+        learned.unwrap_or(unlearned)
+    }
+
+    pub(super) fn note_answer(&self, attempt: &Attempt) {
+        let Some(sent) = attempt.sent.get() else {
+            return;
+        };
+        let now = Clock.now();
+        let latency = now.since(sent).saturating_sub(attempt.leaf.way());
+        let timely = now.since(attempt.started) < attempt.overdue_delay;
+        let typical = self.gateway.with_latencies(&self.route.name, |profile| {
+            profile.record(now, latency);
+            profile.typical()
+        });
+        let typical = typical.unwrap_or(Duration::ZERO);
+        let reports = attempt.leaf.on_answer(sent, timely, latency, typical);
+        self.gateway.report(reports);
+    }
+}
--- a/crates/tansylead-gateway/src/execution/forward.rs
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -1,6 +1,7 @@
 //! A request to one leaf of one service; the answer is passed on unchanged.
 
-use super::call::{Call, CallEnd, CallFailure};
+use super::call::Call;
+use super::call_end::{CallEnd, CallFailure};
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::headers::remove_connection_headers;
 use std::rc::Rc;
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -3,7 +3,8 @@
 //! Invariants: the shards are those of one version of the configuration; a part counts once; an
 //! answer has at least the parts that the route asks for, and says how many are missing.
 
-use super::call::{Call, CallEnd, SharedProgress};
+use super::call::Call;
+use super::call_end::{CallEnd, SharedProgress};
 use super::leaf_access::LeafAccess;
 use super::outcome::{Outcome, Refusal, RefusalReason};
 use crate::clock::Clock;
--- a/crates/tansylead-gateway/src/execution/mod.rs
+++ b/crates/tansylead-gateway/src/execution/mod.rs
@@ -3,13 +3,17 @@
 mod at_root;
 mod attempts;
 mod call;
+mod call_end;
+mod call_extra;
+mod call_notes;
 mod forward;
 mod gather;
 mod leaf_access;
 mod outcome;
 
 pub use at_root::QueryAtRoot;
-pub use call::{Call, CallEnd, CallFailure};
+pub use call::Call;
+pub use call_end::{CallEnd, CallFailure, SharedProgress};
 pub use forward::forward;
 pub use gather::{GatherQuery, gather};
 pub use leaf_access::LeafAccess;
