--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Leafs for tests.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+pub mod fleet;
 #[allow(dead_code, reason = "not every test file uses it")]
 pub mod versions;
 
--- /dev/null
+++ b/crates/tansylead-gateway/tests/roll_out_metrics.rs
@@ -0,0 +1,61 @@
+//! What metrics tell of versions under trial.
+
+mod common;
+
+use common::fleet::settings;
+use common::terms;
+use common::versions::{
+    BEFORE, FakeLeaf, ORDERED, STARTED, entry_of, grant, judge, order, service,
+};
+use prometheus::{Registry, TextEncoder};
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_gateway::Clock;
+use tansylead_gateway::leaf::LeafState;
+use tansylead_gateway::roll_out::{RollOutContext, RollOutMetrics, ServiceVersions};
+use tansylead_route::{ConnectionShare, Distance, LeafLocation, OrderId, RollOutState, Stage};
+
+fn text(registry: &Registry) -> String {
+    let families = registry.gather();
+    let text = TextEncoder::new().encode_to_string(&families);
+    text.expect("can be written")
+}
+
+#[tokio::test]
+async fn sends_and_what_is_left_of_the_grant_are_told_while_the_trial_lasts() {
+    let registry = Registry::new();
+    let metrics = RollOutMetrics::new(&registry);
+    let context = RollOutContext::new(&settings().bounds, Clock.now(), metrics);
+    let versions = Rc::new(ServiceVersions::new(Rc::new(context)));
+    let fake = FakeLeaf::good().await;
+    let entry = entry_of("i-new", &service(), fake.address, "new", STARTED);
+    let location = LeafLocation {
+        distance: Distance::Zone,
+        region: None,
+    };
+    let share = ConnectionShare {
+        connections: 1,
+        is_reserve: false,
+    };
+    let leaf = Rc::new(LeafState::new(entry, location, share, Rc::clone(&versions)));
+    let running = order(&service(), RollOutState::Running, ORDERED);
+    versions.apply(Clock.now(), None, BEFORE);
+    versions.apply(Clock.now(), Some(&running), ORDERED);
+    let grant = grant(Stage::Trial, 3);
+    versions.on_grant(Clock.now(), OrderId(1), judge(), grant);
+    leaf.begin()
+        .set_sent(Clock.now(), &terms(Duration::from_secs(1)));
+    let told = text(&registry);
+    let lines = [
+        "tansylead_roll_out_sends_total{stage=\"trial\"} 1",
+        "tansylead_roll_out_sends_left{service=\"search\"} 2",
+        "tansylead_roll_out_grant_gone_total 0",
+    ];
+    for line in lines {
+        assert!(told.contains(line), "{line} in {told}");
+    }
+    let ended = order(&service(), RollOutState::RolledBack, STARTED);
+    versions.apply(Clock.now(), Some(&ended), STARTED);
+    let told = text(&registry);
+    assert!(!told.contains("tansylead_roll_out_sends_left{"), "{told}");
+}
