--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #[allow(dead_code, reason = "not every test file uses it")]
 pub mod fleet;
 #[allow(dead_code, reason = "not every test file uses it")]
+pub mod trial;
+#[allow(dead_code, reason = "not every test file uses it")]
 pub mod versions;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/tansylead-gateway/tests/common/trial.rs
@@ -0,0 +1,117 @@
+//! A service with an order and one connection to a leaf of each version, for tests of single attempts.
+
+use super::terms;
+use super::versions::{
+    BEFORE, Behaviour, FakeLeaf, ORDERED, STARTED, entry_of, judge, order, request, service,
+};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_gateway::leaf::{AttemptEnd, LeafState, run_attempt};
+use tansylead_gateway::roll_out::{SendTerms, ServiceVersions};
+use tansylead_gateway::{Clock, HeaderNames};
+use tansylead_route::{
+    ConnectionShare, Distance, Grant, HomeRegions, LeafLocation, OrderId, Revision,
+    RollOutEvidence, RollOutState, Standing,
+};
+use tokio::task::{JoinHandle, spawn_local};
+
+/// Longer than any attempt takes.
+pub const LIMIT: Duration = Duration::from_secs(5);
+/// Time after which an answer is overdue, where that matters.
+pub const OVERDUE: Duration = Duration::from_millis(200);
+/// No time.
+pub const AT_ONCE: Duration = Duration::ZERO;
+/// Answers well at once.
+pub const GOOD: Behaviour = Behaviour::Answer(200, AT_ONCE);
+
+/// A leaf of this version, with one connection.
+pub fn leaf_of(
+    versions: &Rc<ServiceVersions>,
+    name: &str,
+    fake: &FakeLeaf,
+    software: &str,
+    changed_at: Revision,
+) -> Rc<LeafState> {
+    let share = ConnectionShare {
+        connections: 1,
+        is_reserve: false,
+    };
+    let location = LeafLocation {
+        distance: Distance::Zone,
+        region: None,
+    };
+    let entry = entry_of(name, &service(), fake.address, software, changed_at);
+    Rc::new(LeafState::new(entry, location, share, Rc::clone(versions)))
+}
+
+/// A service with an order, and one connection to a leaf of each version.
+pub struct Trial {
+    /// What is known of the versions.
+    pub versions: Rc<ServiceVersions>,
+    /// A leaf that ran before.
+    pub old: Rc<LeafState>,
+    /// A leaf of the target version.
+    pub new: Rc<LeafState>,
+}
+
+impl Trial {
+    /// The order stands, and nothing is granted yet.
+    pub fn new(old: &FakeLeaf, new: &FakeLeaf) -> Self {
+        let versions: Rc<ServiceVersions> = Rc::default();
+        let old = leaf_of(&versions, "i-old", old, "old", BEFORE);
+        let new = leaf_of(&versions, "i-new", new, "new", STARTED);
+        let ordered = order(&service(), RollOutState::Running, ORDERED);
+        versions.apply(Clock.now(), None, BEFORE);
+        versions.apply(Clock.now(), Some(&ordered), ORDERED);
+        Self { versions, old, new }
+    }
+
+    /// Takes in a grant.
+    pub fn grant(&self, grant: Grant) {
+        let now = Clock.now();
+        self.versions.on_grant(now, OrderId(1), judge(), grant);
+    }
+
+    /// What was seen of both sides.
+    pub fn evidence(&self) -> RollOutEvidence {
+        self.versions.evidence().expect("an order").1
+    }
+}
+
+/// Runs an attempt.
+pub async fn attempt_within(leaf: &Rc<LeafState>, terms: SendTerms) -> AttemptEnd {
+    let names = Rc::new(HeaderNames::default());
+    let sent = Rc::new(Cell::new(None));
+    let homes = HomeRegions::default();
+    let may_use =
+        move |leaf: &LeafState| leaf.standing_for(&homes, Clock.now(), LIMIT) < Standing::Gone;
+    run_attempt(Rc::clone(leaf), request(true), names, may_use, terms, sent).await
+}
+
+/// Starts an attempt.
+pub fn start(leaf: &Rc<LeafState>) -> JoinHandle<AttemptEnd> {
+    let leaf = Rc::clone(leaf);
+    spawn_local(async move { attempt_within(&leaf, terms(LIMIT)).await })
+}
+
+/// Waits until the leaf has so many requests.
+pub async fn wait_for(leaf: &FakeLeaf, requests: u32) {
+    while leaf.served() < requests {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Whether an attempt was sent and answered; if not, it was not sent.
+pub async fn is_answered(attempt: JoinHandle<AttemptEnd>) -> bool {
+    match attempt.await.expect("no panic") {
+        AttemptEnd::Answered(_) => true,
+        AttemptEnd::NotSent(_) => false,
+        end => panic!("{end:?}"),
+    }
+}
+
+/// A leaf that works until it is told to answer.
+pub async fn working() -> FakeLeaf {
+    FakeLeaf::start(Behaviour::Work).await
+}
