--- a/crates/tansylead-gateway/src/roll_out/context.rs
+++ b/crates/tansylead-gateway/src/roll_out/context.rs
@@ -38,7 +38,7 @@
     }
 
     /// Wakes whoever reports: a stage has changed, or the last attempt on old leafs has ended in
-    /// [`Shift`](tansylead_route::Stage::Shift). It serves one waiter, and remembers one signal for it.
+    /// [`Shift`](tansylead_route::Stage::Shift) or later. It serves one waiter, and remembers one signal for it.
     pub fn changed(&self) -> &Notify {
         &self.changed
     }
--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -184,21 +184,22 @@
 
     /// Counts the end of an attempt.
     pub(super) fn on_send_end(&self, version: usize) {
-        let before = self.running_on_old_in_shift();
+        let before = self.left_on_old();
         self.running.end(version);
-        if before.is_some_and(|before| before > 0) && self.running_on_old_in_shift() == Some(0) {
+        if before.is_some_and(|before| before > 0) && self.left_on_old() == Some(0) {
             self.context.notify();
         }
     }
 
-    fn running_on_old_in_shift(&self) -> Option<u32> {
+    /// Attempts that run on old leafs when all requests move to the target; none if they do not.
+    fn left_on_old(&self) -> Option<u32> {
         if !self.is_under_trial.get() {
             return None;
         }
         let gate = self.gate.borrow();
         let trial = gate.trial()?;
-        let is_shifting = gate.stage() == Some(Stage::Shift);
-        is_shifting.then(|| self.running.by_side(&trial.target).0)
+        let is_moving = matches!(gate.stage(), Some(Stage::Shift | Stage::Commit));
+        is_moving.then(|| self.running.by_side(&trial.target).0)
     }
 
     /// The order that is under trial, with what this daemon has seen since it knows of it.
--- a/crates/tansylead-gateway/tests/roll_out_evidence.rs
+++ b/crates/tansylead-gateway/tests/roll_out_evidence.rs
@@ -118,13 +118,19 @@
 }
 
 #[tokio::test]
-async fn the_end_of_the_last_attempt_on_old_leafs_is_told_in_the_shift() {
+async fn the_end_of_the_last_attempt_on_old_leafs_is_told_when_requests_move() {
+    for stage in [Stage::Shift, Stage::Commit] {
+        the_end_is_told_in(stage).await;
+    }
+}
+
+async fn the_end_is_told_in(stage: Stage) {
     let (old, new) = (working().await, FakeLeaf::good().await);
     let trial = Trial::new(&old, &new);
     let attempts = async {
         let attempt = start(&trial.old);
         wait_for(&old, 1).await;
-        trial.grant(grant(Stage::Shift, 100));
+        trial.grant(grant(stage, 100));
         trial.versions.changed().notified().await;
         assert_eq!(trial.evidence().running_on_old, 1);
         old.set(GOOD);
