--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -128,7 +128,11 @@
 
     /// Notes that a leaf may not be used any more when a request was about to be handed over.
     pub(crate) fn on_withheld(&self, now: Moment, entry: &LeafEntry) {
-        if self.trial_stage(entry).is_some() && self.use_of(now, entry) != VersionUse::Plain {
+        let is_withheld = matches!(
+            self.use_of(now, entry),
+            VersionUse::NotGranted | VersionUse::Gone
+        );
+        if self.trial_stage(entry).is_some() && is_withheld {
             self.context.metrics.on_grant_gone();
         }
     }
--- a/crates/tansylead-gateway/tests/roll_out_metrics.rs
+++ b/crates/tansylead-gateway/tests/roll_out_metrics.rs
@@ -4,16 +4,17 @@
 
 use common::fleet::settings;
 use common::terms;
-use common::versions::{
-    BEFORE, FakeLeaf, ORDERED, STARTED, entry_of, grant, judge, order, service,
-};
+use common::trial::{LIMIT, attempt_within, leaf_of};
+use common::versions::{BEFORE, FakeLeaf, ORDERED, STARTED, grant, judge, order, service};
 use prometheus::{Registry, TextEncoder};
 use std::rc::Rc;
-use std::time::Duration;
 use tansylead_gateway::Clock;
-use tansylead_gateway::leaf::LeafState;
 use tansylead_gateway::roll_out::{RollOutContext, RollOutMetrics, ServiceVersions};
-use tansylead_route::{ConnectionShare, Distance, LeafLocation, OrderId, RollOutState, Stage};
+use tansylead_route::{Grant, OrderId, RollOutState, Stage};
+
+fn grant_of(sends: u64) -> Grant {
+    grant(Stage::Trial, sends)
+}
 
 fn text(registry: &Registry) -> String {
     let families = registry.gather();
@@ -28,23 +29,12 @@
     let context = RollOutContext::new(&settings().bounds, Clock.now(), metrics);
     let versions = Rc::new(ServiceVersions::new(Rc::new(context)));
     let fake = FakeLeaf::good().await;
-    let entry = entry_of("i-new", &service(), fake.address, "new", STARTED);
-    let location = LeafLocation {
-        distance: Distance::Zone,
-        region: None,
-    };
-    let share = ConnectionShare {
-        connections: 1,
-        is_reserve: false,
-    };
-    let leaf = Rc::new(LeafState::new(entry, location, share, Rc::clone(&versions)));
+    let leaf = leaf_of(&versions, "i-new", &fake, "new", STARTED);
     let running = order(&service(), RollOutState::Running, ORDERED);
     versions.apply(Clock.now(), None, BEFORE);
     versions.apply(Clock.now(), Some(&running), ORDERED);
-    let grant = grant(Stage::Trial, 3);
-    versions.on_grant(Clock.now(), OrderId(1), judge(), grant);
-    leaf.begin()
-        .set_sent(Clock.now(), &terms(Duration::from_secs(1)));
+    versions.on_grant(Clock.now(), OrderId(1), judge(), grant_of(3));
+    leaf.begin().set_sent(Clock.now(), &terms(LIMIT));
     let told = text(&registry);
     let lines = [
         "tansylead_roll_out_sends_total{stage=\"trial\"} 1",
@@ -54,6 +44,13 @@
     for line in lines {
         assert!(told.contains(line), "{line} in {told}");
     }
+    versions.on_grant(Clock.now(), OrderId(1), judge(), grant_of(1));
+    attempt_within(&leaf, terms(LIMIT)).await;
+    let told = text(&registry);
+    assert!(
+        told.contains("tansylead_roll_out_grant_gone_total 1"),
+        "{told}"
+    );
     let ended = order(&service(), RollOutState::RolledBack, STARTED);
     versions.apply(Clock.now(), Some(&ended), STARTED);
     let told = text(&registry);
