--- a/crates/tansylead-gateway/src/cluster/query_roots.rs
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -112,6 +112,13 @@
             .map(|root| Rc::clone(root))
     }
 
+    /// Closes all connections at rest.
+    pub fn close_idle(&self) {
+        for root in self.peers.borrow().iter() {
+            root.idle.borrow_mut().clear();
+        }
+    }
+
     /// Closes connections that have rested too long.
     pub fn close_expired(&self, now: Moment) {
         for root in self.peers.borrow().iter() {
@@ -194,6 +201,8 @@
         if !self.is_silent_since(sent) {
             return;
         }
+        // Perhaps only its connections are silent: the next query opens a new one.
+        self.idle.borrow_mut().clear();
         let opened = self
             .breaker
             .borrow_mut()
--- a/crates/tansylead-gateway/src/execution/attempts.rs
+++ b/crates/tansylead-gateway/src/execution/attempts.rs
@@ -4,7 +4,7 @@
 //! answer leaves the others to finish instead, for a while: cutting them would cost a connection
 //! each and save the leaf nothing.
 
-use crate::leaf::{AttemptEnd, LeafState};
+use crate::leaf::{AttemptEnd, HandOver, LeafState};
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
@@ -20,7 +20,7 @@
 pub(super) struct Attempt {
     pub(super) leaf: Rc<LeafState>,
     pub(super) started: Moment,
-    pub(super) sent: Rc<Cell<Option<Moment>>>,
+    pub(super) sent: Rc<Cell<Option<HandOver>>>,
     /// When an answer is overdue; none once that was noted.
     pub(super) overdue: Option<Moment>,
     /// The delay behind `overdue`.
@@ -34,7 +34,7 @@
         leaf: Rc<LeafState>,
         started: Moment,
         overdue_delay: Duration,
-        sent: Rc<Cell<Option<Moment>>>,
+        sent: Rc<Cell<Option<HandOver>>>,
         run: impl Future<Output = AttemptEnd> + 'static,
     ) -> Self {
         Self {
--- a/crates/tansylead-gateway/src/execution/call_extra.rs
+++ b/crates/tansylead-gateway/src/execution/call_extra.rs
@@ -35,8 +35,11 @@
                 match attempt.sent.get() {
                     Some(sent) => {
                         let delay = attempt.overdue_delay;
-                        let report = attempt.leaf.on_overdue(sent, delay, typical);
+                        let report = attempt.leaf.on_overdue(sent.at, delay, typical);
                         self.gateway.report(report);
+                        if sent.on_kept {
+                            self.note_kept_overdue(attempt, sent.at);
+                        }
                     }
                     None => is_stuck_unsent = true,
                 }
--- a/crates/tansylead-gateway/src/execution/call_notes.rs
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -8,6 +8,7 @@
 use crate::request_trace::{AttemptEndKind, Decision, DenialReason, EndCause};
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_types::Moment;
 
 /// Before latencies are learned, an answer is overdue after this share of the objective.
 const UNLEARNED_OVERDUE_SHARE: f64 = 0.4;
@@ -17,8 +18,27 @@
 const WAYS: u32 = 2;
 
 impl Call {
+    /// Notes that an answer of any kind has come: the connection lives.
+    fn note_sign_of_life(&self, attempt: &Attempt) {
+        if attempt.sent.get().is_some_and(|sent| sent.on_kept) {
+            let now = Clock.now();
+            attempt.leaf.on_kept_answer(now);
+            self.gateway.on_kept_answer(now);
+        }
+    }
+
+    /// Notes that no answer has come in the usual time on a connection that had been kept.
+    pub(super) fn note_kept_overdue(&self, attempt: &Attempt, sent: Moment) {
+        let now = Clock.now();
+        attempt.leaf.on_kept_overdue(now, sent);
+        self.gateway.on_kept_overdue(now, sent);
+    }
+
     /// Learns from the end of an attempt that was left to finish.
     pub(super) fn on_loser_end(&self, attempt: &Attempt, end: Option<AttemptEnd>) {
+        if let Some(AttemptEnd::Answered(_) | AttemptEnd::Refused(_)) = end {
+            self.note_sign_of_life(attempt);
+        }
         if let Some(AttemptEnd::Answered(reply)) = end
             && !reply.status.is_server_error()
         {
@@ -33,6 +53,9 @@
     }
 
     pub(super) fn note_end(&self, attempt: &Attempt, end: Option<&AttemptEnd>) {
+        if let Some(AttemptEnd::Answered(_) | AttemptEnd::Refused(_)) = end {
+            self.note_sign_of_life(attempt);
+        }
         let (end, cause) = match end {
             Some(AttemptEnd::Answered(reply)) => {
                 (AttemptEndKind::Answered, EndCause::Status(reply.status))
@@ -85,14 +108,14 @@
             return;
         };
         let now = Clock.now();
-        let latency = now.since(sent).saturating_sub(attempt.leaf.way());
+        let latency = now.since(sent.at).saturating_sub(attempt.leaf.way());
         let timely = now.since(attempt.started) < attempt.overdue_delay;
         let typical = self.gateway.with_latencies(&self.route.name, |profile| {
             profile.record(now, latency);
             profile.typical()
         });
         let typical = typical.unwrap_or(Duration::ZERO);
-        let reports = attempt.leaf.on_answer(sent, timely, latency, typical);
+        let reports = attempt.leaf.on_answer(sent.at, timely, latency, typical);
         self.gateway.report(reports);
     }
 }
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -45,6 +45,15 @@
     pub repeatable: bool,
 }
 
+/// That a request was handed to a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HandOver {
+    /// When.
+    pub at: Moment,
+    /// Whether the connection had been kept from an earlier request.
+    pub on_kept: bool,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -69,7 +78,7 @@
     names: Rc<HeaderNames>,
     may_use: impl Fn(&LeafState) -> bool,
     terms: SendTerms,
-    sent: Rc<Cell<Option<Moment>>>,
+    sent: Rc<Cell<Option<HandOver>>>,
 ) -> AttemptEnd {
     let open = leaf.begin();
     let Ok(_permit) = leaf.connections().permits().acquire_owned().await else {
@@ -96,7 +105,10 @@
         Err(error) => return AttemptEnd::NotSent(error),
     };
     open.set_sent(now, &terms);
-    sent.set(Some(now));
+    sent.set(Some(HandOver {
+        at: now,
+        on_kept: rested.is_some(),
+    }));
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
     let ended = match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
         Ok(Ok(reply)) => {
--- a/crates/tansylead-gateway/src/leaf/leaf_connections.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_connections.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tansylead_http::HttpConnection;
-use tansylead_route::{ConnectBackoff, ConnectionShare, IdlePolicy};
+use tansylead_route::{
+    ConnectBackoff, ConnectionShare, ConnectionSilence, IdlePolicy, SilenceLimit,
+};
 use tansylead_types::Moment;
 use tokio::sync::Semaphore;
 
@@ -23,6 +25,8 @@
     idle_policy: Cell<IdlePolicy>,
     /// Shortest time that a connection took to come up: the way there and back.
     way: Cell<Option<Duration>>,
+    /// Whether anything comes on those that were kept.
+    silence: Cell<ConnectionSilence>,
 }
 
 impl LeafConnections {
@@ -36,6 +40,7 @@
             backoff: Cell::default(),
             idle_policy: Cell::default(),
             way: Cell::new(None),
+            silence: Cell::default(),
         }
     }
 
@@ -122,6 +127,26 @@
         }
     }
 
+    /// Notes an answer on a connection that had been kept.
+    pub(super) fn on_kept_answer(&self, now: Moment) {
+        let mut silence = self.silence.get();
+        silence.on_answer(now);
+        self.silence.set(silence);
+    }
+
+    /// Notes that an answer is overdue on a connection that had been kept. Closes the others that were
+    /// kept, and tells so, if all of them have most likely gone silent.
+    pub(super) fn on_kept_overdue(&self, now: Moment, sent: Moment) -> bool {
+        let mut silence = self.silence.get();
+        let is_lost = silence.on_overdue(now, sent, SilenceLimit::ONE_LEAF);
+        self.silence.set(silence);
+        let closes = is_lost && self.idle.count() > 0;
+        if closes {
+            self.idle.close_all();
+        }
+        closes
+    }
+
     /// The idle connection that rested least, if that is no longer than `longest_rest`.
     pub(super) fn take_idle(&self, now: Moment, longest_rest: Duration) -> Option<LeafConnection> {
         self.idle.take(now, longest_rest)
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -276,6 +276,23 @@
             .on_answer(leaf, Clock.now(), sent, timely, ratio)
     }
 
+    /// Notes an answer on a connection that had been kept.
+    pub fn on_kept_answer(&self, now: Moment) {
+        self.connections.on_kept_answer(now);
+    }
+
+    /// Notes that the answer to a request sent at `sent` is overdue on a connection that had been kept.
+    pub fn on_kept_overdue(&self, now: Moment, sent: Moment) {
+        if self.connections.on_kept_overdue(now, sent) {
+            log::info!(leaf = self.entry().leaf.as_str(); "kept connections silent, closed");
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.connections.close_idle();
+    }
+
     /// Takes back a connection whose last answer was read whole. The leaf closes it after
     /// `idle_limit`, if it says so.
     pub fn give_back(&self, connection: HttpConnection, idle_limit: Option<Duration>) {
--- a/crates/tansylead-gateway/src/leaf/mod.rs
+++ b/crates/tansylead-gateway/src/leaf/mod.rs
@@ -9,7 +9,7 @@
 mod open_attempt;
 mod service_state;
 
-pub use attempt::{AttemptEnd, OutgoingRequest, run_attempt};
+pub use attempt::{AttemptEnd, HandOver, OutgoingRequest, run_attempt};
 pub use leaf_state::LeafState;
 pub use open_attempt::OpenAttempt;
 pub use service_state::ServiceState;
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariants: the configuration's version never goes down; no borrow is held over a wait.
 
+mod kept_connections;
 mod leafs;
 mod roll_outs;
 
@@ -20,8 +21,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
-    QueryAdmission, QueryRunners, RollOuts, RouteTable, WeightedTurns,
+    Configuration, ConnectionSilence, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory,
+    Locality, QueryAdmission, QueryRunners, RollOuts, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -102,6 +103,8 @@
     known_daemons: RefCell<DaemonCounts>,
     /// Those of them that run queries over shards.
     known_runners: Cell<QueryRunners>,
+    /// Whether anything comes on connections to leafs that were kept.
+    kept_silence: Cell<ConnectionSilence>,
     connections: Cell<usize>,
     running_for_peers: Cell<usize>,
     /// The daemons of the region that run queries over shards for this one.
@@ -143,6 +146,7 @@
             daemons: RefCell::new(assumed),
             known_daemons: RefCell::default(),
             known_runners: Cell::default(),
+            kept_silence: Cell::default(),
             connections: Cell::new(0),
             running_for_peers: Cell::new(0),
             roots: QueryRoots::default(),
--- a/crates/tansylead-route/src/connection_silence.rs
+++ b/crates/tansylead-route/src/connection_silence.rs
@@ -11,71 +11,56 @@
 /// When silence counts as a loss of the connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SilenceLimit {
-    /// Time without any answer since the first request that has none.
-    pub time: Duration,
-    /// Requests without an answer, at least.
-    pub requests: u32,
+    /// Time without any answer, from the first request that is overdue on.
+    time: Duration,
+    /// Requests that are overdue, at least.
+    requests: u32,
 }
 
 impl SilenceLimit {
     /// For the connections to one leaf. Longer than ordinary pauses of leafs (users' sites: 300 ms at most).
-    pub const ONE_PEER: Self = Self {
+    pub const ONE_LEAF: Self = Self {
         time: Duration::from_millis(500),
         requests: 1,
     };
-    /// For all connections of a daemon. Leafs do not all pause at once, so that a shorter time will do; more
-    /// than one query's parts wait in it on a busy machine.
-    pub const ALL_PEERS: Self = Self {
+    /// For all connections of a daemon. Leafs do not all pause at once, so that a shorter time will do, though
+    /// one longer than tasks wait for the processor of a small machine.
+    pub const ALL_LEAFS: Self = Self {
         time: Duration::from_millis(300),
         requests: 3,
     };
 }
 
-/// What has come on a group of kept connections since requests were sent on them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What has come on a group of kept connections since requests on them became overdue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ConnectionSilence {
-    limit: SilenceLimit,
-    /// Requests sent since the last answer.
-    unanswered: u32,
     answered_at: Moment,
-    /// When the first request was sent that was found overdue since the last answer.
-    silent_since: Option<Moment>,
+    /// Requests found overdue since the last answer.
+    overdue: u32,
+    /// When the first of them was sent.
+    since: Moment,
 }
 
 impl ConnectionSilence {
-    /// Connections on which nothing has been sent.
-    pub fn new(limit: SilenceLimit) -> Self {
-        Self {
-            limit,
-            unanswered: 0,
-            answered_at: Moment::default(),
-            silent_since: None,
-        }
-    }
-
-    /// Notes that a request is sent on a kept connection.
-    pub fn on_sent(&mut self) {
-        self.unanswered = self.unanswered.saturating_add(1);
-    }
-
     /// Notes that an answer has come on a kept connection.
     pub fn on_answer(&mut self, now: Moment) {
         self.answered_at = now;
-        self.unanswered = 0;
-        self.silent_since = None;
+        self.overdue = 0;
     }
 
     /// Notes that the answer to a request that was sent at `sent` on a kept connection is overdue. Returns
     /// whether the connections that have been kept so far should be closed; then counting begins anew.
-    pub fn on_overdue(&mut self, now: Moment, sent: Moment) -> bool {
+    pub fn on_overdue(&mut self, now: Moment, sent: Moment, limit: SilenceLimit) -> bool {
         if self.answered_at > sent {
             return false;
         }
-        let since = *self.silent_since.get_or_insert(sent);
-        let is_lost = now.since(since) >= self.limit.time && self.unanswered >= self.limit.requests;
+        if self.overdue == 0 {
+            self.since = sent;
+        }
+        self.overdue = self.overdue.saturating_add(1);
+        let is_lost = now.since(self.since) >= limit.time && self.overdue >= limit.requests;
         if is_lost {
-            self.unanswered = 0;
-            self.silent_since = None;
+            self.overdue = 0;
         }
         is_lost
     }
--- a/crates/tansylead-route/tests/connection_silence.rs
+++ b/crates/tansylead-route/tests/connection_silence.rs
@@ -10,51 +10,47 @@
 
 #[test]
 fn connections_that_answer_nothing_for_longer_than_a_pause_are_given_up() {
-    let mut silence = ConnectionSilence::new(SilenceLimit::ONE_PEER);
-    silence.on_sent();
-    assert!(!silence.on_overdue(at(100), at(0)), "may be a pause");
-    silence.on_sent();
+    let mut silence = ConnectionSilence::default();
+    let limit = SilenceLimit::ONE_LEAF;
     assert!(
-        silence.on_overdue(at(600), at(500)),
+        !silence.on_overdue(at(200), at(100), limit),
+        "may be a pause"
+    );
+    assert!(
+        silence.on_overdue(at(700), at(600), limit),
         "no pause lasts so long"
     );
 }
 
 #[test]
 fn an_answer_shows_that_the_connections_live() {
-    let mut silence = ConnectionSilence::new(SilenceLimit::ONE_PEER);
-    silence.on_sent();
-    assert!(!silence.on_overdue(at(100), at(0)));
-    silence.on_answer(at(200));
-    silence.on_sent();
+    let mut silence = ConnectionSilence::default();
+    let limit = SilenceLimit::ONE_LEAF;
+    assert!(!silence.on_overdue(at(200), at(100), limit));
+    silence.on_answer(at(300));
     assert!(
-        !silence.on_overdue(at(700), at(600)),
+        !silence.on_overdue(at(800), at(700), limit),
         "silent for 100 ms only"
     );
     assert!(
-        !silence.on_overdue(at(800), at(100)),
+        !silence.on_overdue(at(900), at(200), limit),
         "sent before the answer"
     );
 }
 
 #[test]
 fn a_daemon_gives_up_all_connections_only_if_no_leaf_answers_on_any() {
-    let mut silence = ConnectionSilence::new(SilenceLimit::ALL_PEERS);
-    for _ in 0..36 {
-        silence.on_sent();
-    }
+    let mut silence = ConnectionSilence::default();
+    let limit = SilenceLimit::ALL_LEAFS;
     // One leaf of many pauses.
-    silence.on_answer(at(20));
-    assert!(!silence.on_overdue(at(400), at(0)));
+    silence.on_answer(at(120));
+    assert!(!silence.on_overdue(at(500), at(100), limit));
     // Nothing answers any more.
-    silence.on_sent();
-    silence.on_sent();
-    assert!(!silence.on_overdue(at(500), at(400)));
+    assert!(!silence.on_overdue(at(600), at(500), limit));
     assert!(
-        !silence.on_overdue(at(750), at(650)),
+        !silence.on_overdue(at(850), at(750), limit),
         "two requests prove nothing"
     );
-    silence.on_sent();
-    assert!(silence.on_overdue(at(800), at(700)));
-    assert!(!silence.on_overdue(at(850), at(700)), "counted anew");
+    assert!(silence.on_overdue(at(900), at(800), limit));
+    assert!(!silence.on_overdue(at(950), at(850), limit), "counted anew");
 }
