--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, DirectoryDelta, EvacuatedZones, Revision, RollOut, RollOutState, RollOuts,
+    WriteFailure,
 };
 use tansylead_types::{ServiceName, StepError};
 
+pub use tansylead_route::WriteEnd;
+
 /// What is read from the source; each topic is read on its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Topic {
@@ -66,15 +69,6 @@
     RollOuts(Option<RollOuts>),
 }
 
-/// How a conditional write ended.
-#[derive(Debug, Clone, PartialEq)]
-pub enum WriteEnd {
-    /// It was done; the object's revision is this one now.
-    Written(Revision),
-    /// The object had changed before, or is gone: this is how it stands now.
-    Conflict(Option<Box<RollOut>>),
-}
-
 /// Why a read or a watch gave nothing.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub enum SourceError {
@@ -89,7 +83,17 @@
     Failed(StepError),
 }
 
-/// A source of configuration, leafs and evacuations with versions and watches.
+impl SourceError {
+    /// What the error says of a conditional write.
+    pub fn write_failure(&self) -> WriteFailure {
+        match self {
+            SourceError::Refused(_) => WriteFailure::Refused,
+            SourceError::HistoryGone | SourceError::Failed(_) => WriteFailure::Unknown,
+        }
+    }
+}
+
+/// A source of configuration, leafs, evacuations and roll-outs with versions and watches.
 pub trait Source: 'static {
     /// Reads a topic whole.
     fn read(
--- a/crates/tansylead-route/src/directory.rs
+++ b/crates/tansylead-route/src/directory.rs
@@ -138,12 +138,9 @@
     fn record(&mut self, at: Revision, changes: Vec<DirectoryChange>) -> Vec<DirectoryChange> {
         self.at = Some(at);
         let mut made = Vec::new();
-        for change in changes {
-            let changed = match &change {
-                DirectoryChange::Present(entry) => {
-                    let old = self.entries.insert(entry.leaf.clone(), entry.clone());
-                    old.as_ref() != Some(entry)
-                }
+        for mut change in changes {
+            let changed = match &mut change {
+                DirectoryChange::Present(entry) => self.put(entry),
                 DirectoryChange::Gone(leaf) => self.entries.remove(leaf).is_some(),
             };
             if changed {
@@ -154,6 +151,18 @@
         made
     }
 
+    /// Holds an entry. Returns whether it says anything else than before; a later revision alone does not.
+    fn put(&mut self, entry: &mut LeafEntry) -> bool {
+        let Some(held) = self.entries.get_mut(&entry.leaf) else {
+            self.entries.insert(entry.leaf.clone(), entry.clone());
+            return true;
+        };
+        entry.keep_earliest_revision(held);
+        let changed = !entry.says_the_same_as(held);
+        *held = entry.clone();
+        changed
+    }
+
     fn log_change(&mut self, at: Revision, change: DirectoryChange) {
         if at <= self.log_start {
             return;
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -26,10 +26,48 @@
     pub warmup_left: Duration,
     /// Version of its software, if the source tells one.
     pub version: Option<SoftwareVersion>,
-    /// Revision of the source at which this entry was last changed, as far as the source tells.
+    /// Revision of the source at which this entry was last changed, as far as the source tells; the earliest
+    /// that was heard of this run.
     pub changed_at: Revision,
 }
 
+impl LeafEntry {
+    /// Takes over the earlier of the two revisions if both entries are of one run. A run keeps its service,
+    /// address and version; other changes of its entry must not make it look younger than it is.
+    pub fn keep_earliest_revision(&mut self, held: &Self) {
+        let is_same_run = self.leaf == held.leaf
+            && self.service == held.service
+            && self.address == held.address
+            && self.version == held.version;
+        if is_same_run {
+            self.changed_at = self.changed_at.min(held.changed_at);
+        }
+    }
+
+    /// Whether two entries say the same of their leaf, whatever the revision.
+    pub fn says_the_same_as(&self, other: &Self) -> bool {
+        let Self {
+            leaf,
+            service,
+            address,
+            zone,
+            slots,
+            phase,
+            warmup_left,
+            version,
+            changed_at: _,
+        } = self;
+        *leaf == other.leaf
+            && *service == other.service
+            && *address == other.address
+            && *zone == other.zone
+            && *slots == other.slots
+            && *phase == other.phase
+            && *warmup_left == other.warmup_left
+            && *version == other.version
+    }
+}
+
 /// Whether a leaf takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeafPhase {
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -59,8 +59,9 @@
 pub use retry_after::{retry_after_outage, retry_after_refusal};
 pub use roll_out::{
     Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
-    RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RouteEvidence,
-    Stage, TrialContext, TrialVerdict, VersionCounts,
+    RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RollOutsMark,
+    RouteEvidence, Stage, StateWrite, StateWriteEnd, TrialContext, TrialVerdict, VersionCounts,
+    WriteEnd, WriteFailure, WriteStep,
 };
 pub use route_table::RouteTable;
 pub use slowness::Slowness;
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -7,11 +7,13 @@
 mod evidence;
 mod grant;
 mod order;
+mod state_write;
 mod trial;
 
 pub use evidence::{LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts};
 pub use grant::{Grant, Stage};
-pub use order::{OrderId, RollOut, RollOutState, RollOuts};
+pub use order::{OrderId, RollOut, RollOutState, RollOuts, RollOutsMark};
+pub use state_write::{StateWrite, StateWriteEnd, WriteEnd, WriteFailure, WriteStep};
 pub use trial::{
     Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
     TrialVerdict,
--- a/crates/tansylead-route/src/roll_out/order.rs
+++ b/crates/tansylead-route/src/roll_out/order.rs
@@ -101,8 +101,49 @@
         has_changed
     }
 
-    /// Whether a replica that holds `held` lacks a change that this set has.
-    pub fn is_news_for(&self, held: Option<&Self>) -> bool {
-        held.is_none_or(|held| held.at < self.at && held.orders != self.orders)
+    /// What is held, in a few bytes.
+    pub fn mark(&self) -> RollOutsMark {
+        RollOutsMark {
+            at: self.at,
+            digest: self.digest(),
+        }
+    }
+
+    /// Whether a replica with the mark `held` lacks a change that this set has.
+    pub fn is_news_for(&self, held: Option<RollOutsMark>) -> bool {
+        held.is_none_or(|held| held.at < self.at && held.digest != self.digest())
+    }
+
+    /// Notes that a replica whose orders have the same digest is known up to a later revision: nothing
+    /// has changed until then. Returns whether the orders are known further than before.
+    pub fn advance(&mut self, other: RollOutsMark) -> bool {
+        let is_further = other.at > self.at && other.digest == self.digest();
+        if is_further {
+            self.at = other.at;
+        }
+        is_further
     }
+
+    /// Equal for equal orders; zero if there are none.
+    fn digest(&self) -> u64 {
+        if self.orders.is_empty() {
+            return 0;
+        }
+        let orders = self.orders.values();
+        let texts = orders.map(|order| {
+            let state = order.state.label();
+            let revision = order.changed_at.0;
+            format!("{}/{:x}/{state}/{revision}", order.service, order.order.0)
+        });
+        xxh3_64(texts.collect::<Vec<_>>().join(" ").as_bytes())
+    }
+}
+
+/// What a replica holds of the orders: enough to tell whether another one holds the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RollOutsMark {
+    /// Revision up to which the orders are known.
+    pub at: Revision,
+    /// Equal for equal orders; zero if there are none.
+    pub digest: u64,
 }
--- a/crates/tansylead-route/tests/directory.rs
+++ b/crates/tansylead-route/tests/directory.rs
@@ -5,7 +5,7 @@
 use tansylead_route::{
     DirectoryChange, DirectoryDelta, LeafDirectory, LeafEntry, LeafPhase, Revision,
 };
-use tansylead_types::{LeafId, ServiceName, ZoneName};
+use tansylead_types::{LeafId, ServiceName, SoftwareVersion, ZoneName};
 
 fn leaf(number: u8) -> LeafId {
     LeafId::new(format!("leaf-{number}")).expect("valid name")
@@ -93,3 +93,65 @@
     assert!(directory.apply(gap).is_empty());
     assert_eq!(entries(&directory).len(), 1);
 }
+
+/// A delta with one entry that the source last changed at this revision.
+fn present(after: u64, at: u64, mut entry: LeafEntry) -> DirectoryDelta {
+    entry.changed_at = Revision(at);
+    DirectoryDelta::Changes {
+        after: Revision(after),
+        at: Revision(at),
+        changes: vec![DirectoryChange::Present(entry)],
+    }
+}
+
+fn held_revision(directory: &LeafDirectory) -> Revision {
+    let entry = directory.entries().next().expect("one entry");
+    entry.changed_at
+}
+
+#[test]
+fn a_later_revision_alone_is_no_change_and_the_earliest_is_kept() {
+    let mut directory = LeafDirectory::default();
+    directory.apply(everything(1, &[]));
+    assert_eq!(directory.apply(present(1, 5, entry(1, 1))).len(), 1);
+    assert!(directory.apply(present(5, 8, entry(1, 1))).is_empty());
+    assert_eq!(held_revision(&directory), Revision(5));
+    assert_eq!(directory.revision(), Some(Revision(8)));
+    // A change of the same run is one, but the run is as old as it was.
+    let changes = directory.apply(present(8, 9, entry(1, 2)));
+    let [DirectoryChange::Present(changed)] = changes.as_slice() else {
+        panic!("one change: {changes:?}");
+    };
+    assert_eq!((changed.slots, changed.changed_at), (2, Revision(5)));
+    let Some(DirectoryDelta::Changes { changes, .. }) = directory.delta_after(Some(Revision(8)))
+    else {
+        panic!("the log reaches back");
+    };
+    assert_eq!(changes, vec![DirectoryChange::Present(changed.clone())]);
+}
+
+#[test]
+fn an_earlier_revision_from_a_peer_is_taken_without_a_change() {
+    let mut directory = LeafDirectory::default();
+    directory.apply(everything(1, &[]));
+    directory.apply(present(1, 8, entry(1, 1)));
+    let mut earlier = entry(1, 1);
+    earlier.changed_at = Revision(5);
+    let peer = DirectoryDelta::Everything {
+        at: Revision(9),
+        entries: vec![earlier],
+    };
+    assert!(directory.apply(peer).is_empty());
+    assert_eq!(held_revision(&directory), Revision(5));
+}
+
+#[test]
+fn another_version_under_the_same_name_is_another_run() {
+    let mut directory = LeafDirectory::default();
+    directory.apply(everything(1, &[]));
+    directory.apply(present(1, 5, entry(1, 1)));
+    let mut newer = entry(1, 1);
+    newer.version = Some(SoftwareVersion::new("v2").expect("valid name"));
+    assert_eq!(directory.apply(present(5, 8, newer)).len(), 1);
+    assert_eq!(held_revision(&directory), Revision(8));
+}
--- /dev/null
+++ b/crates/tansylead-route/tests/roll_out_state_write.rs
@@ -0,0 +1,298 @@
+//! The state of a roll-out comes into the source, whatever becomes of the answers.
+
+use proptest::prelude::*;
+use std::time::Duration;
+use tansylead_route::{
+    OrderId, Revision, RollOut, RollOutState, StateWrite, StateWriteEnd, WriteEnd, WriteFailure,
+    WriteStep,
+};
+use tansylead_types::{Moment, ServiceName, SoftwareVersion};
+
+/// Without jitter to either side.
+const MIDDLE: f64 = 0.5;
+
+fn order(made: &str, state: RollOutState, changed_at: u64) -> RollOut {
+    let service = ServiceName::new("service").expect("valid name");
+    let target = SoftwareVersion::new("v2").expect("valid name");
+    let duration = Duration::from_secs(20);
+    RollOut {
+        order: OrderId::new(&service, &target, duration, made),
+        service,
+        target,
+        duration,
+        state,
+        changed_at: Revision(changed_at),
+    }
+}
+
+fn running() -> RollOut {
+    order("first", RollOutState::Running, 7)
+}
+
+fn completion() -> StateWrite {
+    StateWrite::new(running(), RollOutState::Completed)
+}
+
+fn now() -> Moment {
+    Moment::from_millis(1_000)
+}
+
+/// The wait before the next call, zero if there is none.
+fn wait(write: &StateWrite, now: Moment) -> Duration {
+    match write.next(now) {
+        WriteStep::WaitUntil(moment) => moment.since(now),
+        _ => Duration::ZERO,
+    }
+}
+
+#[test]
+fn a_write_that_is_done_ends_it() {
+    let mut write = completion();
+    let step = write.next(now());
+    assert_eq!(
+        step,
+        WriteStep::Write {
+            roll_out: running()
+        }
+    );
+    write.on_write(now(), Ok(WriteEnd::Written(Revision(9))), MIDDLE);
+    let end = StateWriteEnd::Stands(Revision(9));
+    assert_eq!(write.next(now()), WriteStep::Ended(end));
+}
+
+#[test]
+fn nothing_is_written_if_the_state_stands_or_the_roll_out_has_ended() {
+    for (state, end) in [
+        (RollOutState::Completed, StateWriteEnd::Stands(Revision(7))),
+        (
+            RollOutState::RolledBack,
+            StateWriteEnd::EndedAs(RollOutState::RolledBack),
+        ),
+    ] {
+        let write = StateWrite::new(order("first", state, 7), RollOutState::Completed);
+        assert_eq!(write.next(now()), WriteStep::Ended(end));
+    }
+}
+
+#[test]
+fn a_lost_answer_is_read_back_before_anything_else_is_written() {
+    let mut write = completion();
+    write.on_write(now(), Err(WriteFailure::Unknown), MIDDLE);
+    assert_eq!(write.next(now()), WriteStep::Read);
+    write.on_read(now(), Err(WriteFailure::Refused), MIDDLE);
+    let waited = now() + wait(&write, now());
+    assert!(waited > now());
+    assert_eq!(write.next(waited), WriteStep::Read, "still unknown");
+    let done = order("first", RollOutState::Completed, 8);
+    write.on_read(waited, Ok(Some(&done)), MIDDLE);
+    let end = StateWriteEnd::Stands(Revision(8));
+    assert_eq!(write.next(waited), WriteStep::Ended(end));
+}
+
+#[test]
+fn a_lost_write_that_was_not_done_is_written_again_after_a_wait() {
+    let mut write = completion();
+    write.on_write(now(), Err(WriteFailure::Unknown), MIDDLE);
+    write.on_read(now(), Ok(Some(&running())), MIDDLE);
+    let waited = now() + wait(&write, now());
+    assert!(waited > now());
+    let again = WriteStep::Write {
+        roll_out: running(),
+    };
+    assert_eq!(write.next(waited), again);
+}
+
+#[test]
+fn a_write_that_is_done_seconds_later_ends_in_a_conflict_that_shows_it() {
+    let mut write = completion();
+    write.on_write(now(), Err(WriteFailure::Unknown), MIDDLE);
+    write.on_read(now(), Ok(Some(&running())), MIDDLE);
+    // The first write is done now, and the second finds that its condition no longer holds.
+    let done = order("first", RollOutState::Completed, 8);
+    let conflict = WriteEnd::Conflict(Some(Box::new(done)));
+    write.on_write(now(), Ok(conflict), MIDDLE);
+    let end = StateWriteEnd::Stands(Revision(8));
+    assert_eq!(write.next(now()), WriteStep::Ended(end));
+}
+
+#[test]
+fn a_conflict_with_an_open_state_is_written_at_once_under_the_new_revision() {
+    let ordered = order("first", RollOutState::Ordered, 5);
+    let mut write = StateWrite::new(ordered, RollOutState::RolledBack);
+    let conflict = WriteEnd::Conflict(Some(Box::new(running())));
+    write.on_write(now(), Ok(conflict), MIDDLE);
+    let again = WriteStep::Write {
+        roll_out: running(),
+    };
+    assert_eq!(write.next(now()), again);
+}
+
+#[test]
+fn an_order_that_ended_otherwise_was_replaced_or_is_gone_is_left_alone() {
+    let otherwise = order("first", RollOutState::RolledBack, 8);
+    let other = order("second", RollOutState::Ordered, 8);
+    for (found, end) in [
+        (
+            Some(otherwise),
+            StateWriteEnd::EndedAs(RollOutState::RolledBack),
+        ),
+        (Some(other), StateWriteEnd::Replaced),
+        (None, StateWriteEnd::Gone),
+    ] {
+        let mut by_read = completion();
+        by_read.on_write(now(), Err(WriteFailure::Unknown), MIDDLE);
+        by_read.on_read(now(), Ok(found.as_ref()), MIDDLE);
+        assert_eq!(by_read.next(now()), WriteStep::Ended(end));
+        let mut by_write = completion();
+        by_write.on_write(now(), Ok(WriteEnd::Conflict(found.map(Box::new))), MIDDLE);
+        assert_eq!(by_write.next(now()), WriteStep::Ended(end));
+    }
+}
+
+#[test]
+fn refusals_are_tried_again_with_growing_bounded_jittered_waits() {
+    let mut write = completion();
+    let mut waits = Vec::new();
+    for _ in 0..8 {
+        write.on_write(now(), Err(WriteFailure::Refused), MIDDLE);
+        waits.push(wait(&write, now()));
+    }
+    assert!(waits.is_sorted());
+    assert!(waits[0] > Duration::ZERO && waits[0] < waits[1]);
+    assert_eq!(waits[6], waits[7]);
+    let spread: Vec<Duration> = [0.0, 1.0]
+        .map(|random| {
+            let mut write = completion();
+            write.on_write(now(), Err(WriteFailure::Refused), random);
+            wait(&write, now())
+        })
+        .to_vec();
+    assert!(spread[0] < waits[0] && waits[0] < spread[1]);
+}
+
+#[test]
+fn news_ends_it_but_old_news_does_not() {
+    let mut write = completion();
+    write.on_write(now(), Err(WriteFailure::Unknown), MIDDLE);
+    write.on_news(&order("first", RollOutState::Completed, 6));
+    assert_eq!(write.next(now()), WriteStep::Read);
+    write.on_news(&order("first", RollOutState::Completed, 8));
+    let end = StateWriteEnd::Stands(Revision(8));
+    assert_eq!(write.next(now()), WriteStep::Ended(end));
+}
+
+/// A source that loses, refuses and delays.
+#[derive(Debug)]
+struct Source {
+    stands: RollOut,
+    late: Vec<(Revision, RollOutState)>,
+}
+
+impl Source {
+    fn write(&mut self, condition: Revision, state: RollOutState) -> WriteEnd {
+        if self.stands.changed_at != condition {
+            return WriteEnd::Conflict(Some(Box::new(self.stands.clone())));
+        }
+        self.stands.state = state;
+        self.stands.changed_at.0 += 1;
+        WriteEnd::Written(self.stands.changed_at)
+    }
+
+    fn do_late_writes(&mut self) {
+        for (condition, state) in std::mem::take(&mut self.late) {
+            self.write(condition, state);
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Answered,
+    Refused,
+    Lost,
+    Late,
+    LateWritesAreDone,
+}
+
+fn fates() -> impl Strategy<Value = Vec<Fate>> {
+    let fate = prop_oneof![
+        Just(Fate::Answered),
+        Just(Fate::Refused),
+        Just(Fate::Lost),
+        Just(Fate::Late),
+        Just(Fate::LateWritesAreDone),
+    ];
+    proptest::collection::vec(fate, 0..40)
+}
+
+fn step(write: &mut StateWrite, source: &mut Source, now: Moment, fate: Fate) {
+    if matches!(fate, Fate::LateWritesAreDone) {
+        return source.do_late_writes();
+    }
+    match write.next(now) {
+        WriteStep::Write { roll_out } => {
+            let condition = roll_out.changed_at;
+            let result = match fate {
+                Fate::Refused => Err(WriteFailure::Refused),
+                Fate::Answered => Ok(source.write(condition, write.wanted())),
+                Fate::Lost => {
+                    source.write(condition, write.wanted());
+                    Err(WriteFailure::Unknown)
+                }
+                _ => {
+                    source.late.push((condition, write.wanted()));
+                    Err(WriteFailure::Unknown)
+                }
+            };
+            write.on_write(now, result, MIDDLE);
+        }
+        WriteStep::Read => {
+            let result = match fate {
+                Fate::Answered => Ok(Some(&source.stands)),
+                Fate::Refused => Err(WriteFailure::Refused),
+                _ => Err(WriteFailure::Unknown),
+            };
+            write.on_read(now, result, MIDDLE);
+        }
+        WriteStep::WaitUntil(_) | WriteStep::Ended(_) => {}
+    }
+}
+
+proptest! {
+    /// Two judges that disagree: one end stands, is never changed again, and both learn of it.
+    #[test]
+    fn whatever_is_lost_or_late_one_end_stands_and_each_writer_learns_it(
+        turns in proptest::collection::vec(any::<bool>(), 60),
+        fates in fates(),
+    ) {
+        let mut source = Source { stands: running(), late: Vec::new() };
+        let mut writers = [
+            completion(),
+            StateWrite::new(running(), RollOutState::RolledBack),
+        ];
+        let mut ended_as = None;
+        let mut now = now();
+        let calm = std::iter::repeat_n(Fate::Answered, 20);
+        for (turn, fate) in turns.iter().zip(fates.into_iter().chain(calm)) {
+            now = now + Duration::from_secs(2);
+            step(&mut writers[usize::from(*turn)], &mut source, now, fate);
+            if let Some(state) = ended_as {
+                prop_assert_eq!(source.stands.state, state, "an ended roll-out is left alone");
+            } else if source.stands.state.is_final() {
+                ended_as = Some(source.stands.state);
+            }
+        }
+        for write in &mut writers {
+            for _ in 0..4 {
+                now = now + Duration::from_secs(2);
+                step(write, &mut source, now, Fate::Answered);
+            }
+            let is_wanted = source.stands.state == write.wanted();
+            let end = match write.next(now) {
+                WriteStep::Ended(end) => end,
+                other => return Err(TestCaseError::fail(format!("{other:?}"))),
+            };
+            prop_assert_eq!(matches!(end, StateWriteEnd::Stands(_)), is_wanted);
+        }
+    }
+}
