--- a/crates/tansylead-emulator/src/store/mod.rs
+++ b/crates/tansylead-emulator/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's store: objects by kind and name, with revisions, history and watches.
 
+mod calls;
 mod objects;
 mod server;
 
--- a/crates/tansylead-emulator/src/store/objects.rs
+++ b/crates/tansylead-emulator/src/store/objects.rs
@@ -26,6 +26,9 @@
     /// Revision of its last change.
     #[serde(default)]
     pub revision: u64,
+    /// Revision at which it was made; stays while the object is there.
+    #[serde(default)]
+    pub made: u64,
 }
 
 /// One change.
@@ -135,7 +138,7 @@
         if let Ok(present) = self.get(kind, name) {
             return Err(StoreError::Conflict(Box::new(present)));
         }
-        Ok(self.put(kind, name, spec, Value::Null))
+        Ok(self.put(kind, name, spec))
     }
 
     /// Replaces what an object's writer states, if the revision is still the object's.
@@ -145,40 +148,84 @@
         name: &str,
         spec: Value,
         expected: Option<u64>,
+    ) -> Result<StoredObject, StoreError> {
+        let present = self.get_expected(kind, name, expected)?;
+        Ok(self.store(kind, present.clone(), StoredObject { spec, ..present }))
+    }
+
+    /// Replaces what is observed of an object, if the revision is still the object's.
+    pub fn replace_status(
+        &mut self,
+        kind: &str,
+        name: &str,
+        status: Value,
+        expected: Option<u64>,
+    ) -> Result<StoredObject, StoreError> {
+        let present = self.get_expected(kind, name, expected)?;
+        Ok(self.store(kind, present.clone(), StoredObject { status, ..present }))
+    }
+
+    /// Makes an object, or replaces what its writer states.
+    pub fn put(&mut self, kind: &str, name: &str, spec: Value) -> StoredObject {
+        if let Ok(present) = self.get(kind, name) {
+            return self.store(kind, present.clone(), StoredObject { spec, ..present });
+        }
+        let made = self.revision + 1;
+        let meta = ObjectMeta {
+            name: name.to_owned(),
+            revision: made,
+            made,
+        };
+        let status = Value::Null;
+        self.insert(kind, StoredObject { meta, spec, status })
+    }
+
+    /// Removes an object, if the revision is still the object's.
+    pub fn delete(
+        &mut self,
+        kind: &str,
+        name: &str,
+        expected: Option<u64>,
+    ) -> Result<StoredObject, StoreError> {
+        let object = self.get_expected(kind, name, expected)?;
+        if let Some(objects) = self.kinds.get_mut(kind) {
+            objects.remove(name);
+        }
+        self.revision += 1;
+        self.log(kind, true, object.clone());
+        Ok(object)
+    }
+
+    fn get_expected(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Option<u64>,
     ) -> Result<StoredObject, StoreError> {
         let present = self.get(kind, name)?;
         if expected.is_some_and(|expected| expected != present.meta.revision) {
             return Err(StoreError::Conflict(Box::new(present)));
         }
-        Ok(self.put(kind, name, spec, present.status))
+        Ok(present)
+    }
+
+    /// A write that changes nothing raises no revision and is no event.
+    fn store(&mut self, kind: &str, present: StoredObject, wanted: StoredObject) -> StoredObject {
+        if present == wanted {
+            return present;
+        }
+        self.insert(kind, wanted)
     }
 
-    /// Makes or replaces an object.
-    pub fn put(&mut self, kind: &str, name: &str, spec: Value, status: Value) -> StoredObject {
+    fn insert(&mut self, kind: &str, mut object: StoredObject) -> StoredObject {
         self.revision += 1;
-        let object = StoredObject {
-            meta: ObjectMeta {
-                name: name.to_owned(),
-                revision: self.revision,
-            },
-            spec,
-            status,
-        };
+        object.meta.revision = self.revision;
         let objects = self.kinds.entry(kind.to_owned()).or_default();
-        objects.insert(name.to_owned(), object.clone());
+        objects.insert(object.meta.name.clone(), object.clone());
         self.log(kind, false, object.clone());
         object
     }
 
-    /// Removes an object.
-    pub fn delete(&mut self, kind: &str, name: &str) -> Result<(), StoreError> {
-        let objects = self.kinds.get_mut(kind).ok_or(StoreError::NotFound)?;
-        let object = objects.remove(name).ok_or(StoreError::NotFound)?;
-        self.revision += 1;
-        self.log(kind, true, object);
-        Ok(())
-    }
-
     /// Forgets the history: watches from earlier revisions find it gone.
     pub fn forget_history(&mut self) {
         self.history.clear();
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -1,8 +1,9 @@
 //! The store over HTTP, with its troubles.
 
-use super::objects::{ObjectStore, StoreError};
+use super::calls::{Call, empty, handle};
+use super::objects::{ObjectStore, StoredObject};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -10,8 +11,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rand::RngExt;
-use serde_json::{Value, json};
-use std::collections::HashMap;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +36,8 @@
     Slow(Duration),
     /// It does what it is asked and, with this probability, closes without an answer.
     LosesAnswers(f64),
+    /// It closes without an answer to a write, and does it after this time if its condition still holds.
+    WritesLate(Duration),
 }
 
 /// An answer, or a closed connection.
@@ -53,11 +55,12 @@
 
 impl std::error::Error for ConnectionClosed {}
 
+/// What all connections share.
 #[derive(Debug)]
-struct Shared {
-    objects: Mutex<ObjectStore>,
+pub(super) struct Shared {
+    pub(super) objects: Mutex<ObjectStore>,
     trouble: Mutex<StoreTrouble>,
-    changed: watch::Sender<u64>,
+    pub(super) changed: watch::Sender<u64>,
 }
 
 /// The store; clones share it.
@@ -68,9 +71,10 @@
 }
 
 impl StoreServer {
-    /// Starts an empty store at an address.
+    /// Starts an empty store at an address; port 0 lets the system choose one.
     pub async fn start(address: SocketAddr, page: usize) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             objects: Mutex::new(ObjectStore::new(page)),
             trouble: Mutex::default(),
@@ -97,20 +101,31 @@
 
     /// Makes or replaces an object, as the operator and the leafs do.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.shared
-            .objects
-            .lock()
-            .put(kind, name, spec, Value::Null);
+        self.shared.objects.lock().put(kind, name, spec);
         self.notify();
     }
 
     /// Removes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         // An object that is gone already stays gone.
-        let _ = self.shared.objects.lock().delete(kind, name);
+        let _ = self.shared.objects.lock().delete(kind, name, None);
         self.notify();
     }
 
+    /// An object as it stands now.
+    pub fn get(&self, kind: &str, name: &str) -> Option<StoredObject> {
+        self.shared.objects.lock().get(kind, name).ok()
+    }
+
+    /// Replaces what is observed of an object. Returns whether the object was there.
+    pub fn set_status(&self, kind: &str, name: &str, status: Value) -> bool {
+        let mut objects = self.shared.objects.lock();
+        let replaced = objects.replace_status(kind, name, status, None);
+        drop(objects);
+        self.notify();
+        replaced.is_ok()
+    }
+
     /// Forgets the history.
     pub fn forget_history(&self) {
         self.shared.objects.lock().forget_history();
@@ -132,17 +147,24 @@
         .await;
 }
 
-async fn answer(shared: &Shared, request: Request<Incoming>) -> Answer {
+async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
     let trouble = *shared.trouble.lock();
     match trouble {
         StoreTrouble::None | StoreTrouble::LosesAnswers(_) => {}
+        StoreTrouble::WritesLate(time) if request.method() != Method::GET => {
+            return write_late(shared, request, time).await;
+        }
+        StoreTrouble::WritesLate(_) => {}
         StoreTrouble::Silent => std::future::pending().await,
         StoreTrouble::Busy => return Ok(empty(StatusCode::SERVICE_UNAVAILABLE)),
         StoreTrouble::Throttled => return Ok(empty(StatusCode::TOO_MANY_REQUESTS)),
         StoreTrouble::Reset => return Err(ConnectionClosed),
         StoreTrouble::Slow(time) => tokio::time::sleep(time).await,
     }
-    let response = handle(shared, request).await;
+    let Ok(call) = Call::receive(request).await else {
+        return Ok(empty(StatusCode::BAD_REQUEST));
+    };
+    let response = handle(shared, call).await;
     if let StoreTrouble::LosesAnswers(probability) = trouble
         && rand::rng().random_bool(probability)
     {
@@ -151,116 +173,16 @@
     Ok(response)
 }
 
-async fn handle(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let path = request.uri().path().to_owned();
-    let query = parse_query(request.uri().query().unwrap_or(""));
-    let method = request.method().clone();
-    let body = match request.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return empty(StatusCode::BAD_REQUEST),
-    };
-    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
-    match (method, segments.as_slice()) {
-        (Method::GET, ["objects", kind]) => match query.get("watch") {
-            Some(after) => watch_kind(shared, kind, after, &query).await,
-            None => {
-                let after = query.get("after").map_or("", String::as_str);
-                reply(&shared.objects.lock().list(kind, after))
-            }
-        },
-        (Method::GET, ["objects", kind, name]) => {
-            let found = shared.objects.lock().get(kind, name);
-            result(found)
-        }
-        (Method::POST, ["objects", kind]) => write(shared, &body, |objects, object| {
-            let name = text(&object["meta"]["name"]);
-            objects.create(kind, &name, object["spec"].clone())
-        }),
-        (Method::PUT, ["objects", kind, name]) => write(shared, &body, |objects, object| {
-            let expected = object["meta"]["revision"].as_u64();
-            objects.replace(kind, name, object["spec"].clone(), expected)
-        }),
-        _ => empty(StatusCode::NOT_FOUND),
-    }
-}
-
-async fn watch_kind(
-    shared: &Shared,
-    kind: &str,
-    after: &str,
-    query: &HashMap<String, String>,
-) -> Response<Full<Bytes>> {
-    const LONGEST_WAIT_MILLIS: u64 = 30_000;
-    let Ok(after) = after.parse::<u64>() else {
-        return empty(StatusCode::BAD_REQUEST);
-    };
-    let wait = query.get("wait_ms").and_then(|wait| wait.parse().ok());
-    let wait = Duration::from_millis(wait.unwrap_or(0).min(LONGEST_WAIT_MILLIS));
-    let mut changed = shared.changed.subscribe();
-    let deadline = tokio::time::Instant::now() + wait;
-    loop {
-        {
-            let objects = shared.objects.lock();
-            match objects.changes(kind, after) {
-                Err(_) => return empty(StatusCode::GONE),
-                Ok(events) if !events.is_empty() || wait.is_zero() => {
-                    return reply(&json!({"events": events, "at": objects.revision()}));
-                }
-                Ok(_) => {}
-            }
-        }
-        let waited = tokio::time::timeout_at(deadline, changed.changed()).await;
-        if waited.is_err() {
-            let at = shared.objects.lock().revision();
-            return reply(&json!({"events": [], "at": at}));
-        }
-    }
-}
-
-fn write<T: serde::Serialize>(
-    shared: &Shared,
-    body: &[u8],
-    change: impl FnOnce(&mut ObjectStore, &Value) -> Result<T, StoreError>,
-) -> Response<Full<Bytes>> {
-    let Ok(object) = serde_json::from_slice::<Value>(body) else {
-        return empty(StatusCode::BAD_REQUEST);
-    };
-    let changed = change(&mut shared.objects.lock(), &object);
-    shared.changed.send_modify(|count| *count += 1);
-    result(changed)
-}
-
-fn result<T: serde::Serialize>(result: Result<T, StoreError>) -> Response<Full<Bytes>> {
-    match result {
-        Ok(value) => reply(&value),
-        Err(StoreError::NotFound) => empty(StatusCode::NOT_FOUND),
-        Err(StoreError::HistoryGone) => empty(StatusCode::GONE),
-        Err(StoreError::Conflict(object)) => {
-            let mut response = reply(&object);
-            *response.status_mut() = StatusCode::CONFLICT;
-            response
-        }
+/// Takes a write and closes without an answer; the write is done later.
+async fn write_late(shared: &Arc<Shared>, request: Request<Incoming>, time: Duration) -> Answer {
+    // A call that did not come whole is never done.
+    if let Ok(call) = Call::receive(request).await {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            // Whoever asked is no longer there to be told.
+            let _ = handle(&shared, call).await;
+        });
     }
-}
-
-fn reply<T: serde::Serialize>(value: &T) -> Response<Full<Bytes>> {
-    let bytes = serde_json::to_vec(value).unwrap_or_default();
-    Response::new(Full::new(Bytes::from(bytes)))
-}
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::new()));
-    *response.status_mut() = status;
-    response
-}
-
-fn text(value: &Value) -> String {
-    value.as_str().unwrap_or_default().to_owned()
-}
-
-fn parse_query(query: &str) -> HashMap<String, String> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
+    Err(ConnectionClosed)
 }
