--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_route::{EvacuatedZones, Revision, RollOutsMark};
 use tansylead_types::{Moment, StepError};
 use tokio::net::TcpStream;
 
@@ -94,6 +95,8 @@
             version: self.gateway.version(),
             revision: self.gateway.directory().revision(),
             evacuated: self.gateway.evacuated(),
+            roll_outs: self.gateway.roll_outs_mark(),
+            roll_outs_needed_up_to: self.gateway.needed_roll_outs(),
             ages: WordAges::of(&self.gateway),
             wants_whole_directory: self.wants_whole_directory(peer),
             wait_millis: millis(POLL_WAIT),
@@ -133,11 +136,7 @@
         peer: SocketAddr,
     ) -> Result<bool, StepError> {
         let gateway = &self.gateway;
-        let held = (
-            gateway.version(),
-            gateway.directory().revision(),
-            gateway.evacuated(),
-        );
+        let held = Held::of(gateway);
         if let Some(configuration) = reply.configuration.take() {
             gateway.apply_configuration(configuration);
         }
@@ -147,12 +146,14 @@
         if let Some(zones) = reply.evacuated.clone() {
             gateway.apply_evacuations(zones);
         }
+        if let Some(roll_outs) = reply.roll_outs.take() {
+            gateway.apply_roll_outs(roll_outs);
+        }
+        if let Some(mark) = reply.roll_outs_held {
+            gateway.advance_roll_outs(mark);
+        }
         let is_fresher = self.confirm(&reply, asked);
-        let is_newer = (
-            gateway.version(),
-            gateway.directory().revision(),
-            gateway.evacuated(),
-        ) != held;
+        let is_newer = Held::of(gateway) != held;
         let limit = gateway.settings.bounds.word_limit();
         let topics = gateway.settings.bounds.topics();
         if reply.ages.is_any_older_than(limit, topics) {
@@ -180,6 +181,9 @@
         if holds_the_same_zones(reply, gateway) {
             is_news |= self.confirm_topic(Topic::Evacuations, reply.ages, way);
         }
+        if holds_the_same_orders(reply, gateway) {
+            is_news |= self.confirm_topic(Topic::RollOuts, reply.ages, way);
+        }
         self.lacks_changes.set(reply.revision > revision);
         if is_news {
             gateway.announce_confirmation();
@@ -199,6 +203,32 @@
     }
 }
 
+/// What a daemon holds of each topic.
+#[derive(Debug, PartialEq)]
+struct Held {
+    version: Option<u64>,
+    revision: Option<Revision>,
+    evacuated: Option<EvacuatedZones>,
+    roll_outs: Option<RollOutsMark>,
+}
+
+impl Held {
+    fn of(gateway: &Gateway) -> Self {
+        Self {
+            version: gateway.version(),
+            revision: gateway.directory().revision(),
+            evacuated: gateway.evacuated(),
+            roll_outs: gateway.roll_outs_mark(),
+        }
+    }
+}
+
+/// Whether the same orders to roll out stand by what the peer holds and by what is held here.
+fn holds_the_same_orders(reply: &FeedReply, gateway: &Gateway) -> bool {
+    let told = reply.roll_outs_held.map(|held| held.digest);
+    told.is_some() && told == gateway.roll_outs_mark().map(|held| held.digest)
+}
+
 /// Whether the same zones are being emptied by what the peer holds and by what is held here.
 fn holds_the_same_zones(reply: &FeedReply, gateway: &Gateway) -> bool {
     let told = reply.evacuated.as_ref().map(|told| &told.zones);
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -5,7 +5,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use tansylead_route::{Configuration, DirectoryDelta, EvacuatedZones, Revision};
+use tansylead_route::{
+    Configuration, DirectoryDelta, EvacuatedZones, Revision, RollOuts, RollOutsMark,
+};
 use tansylead_types::StepError;
 use tokio_util::bytes::Bytes;
 use tokio_util::codec::LengthDelimitedCodec;
@@ -88,6 +90,10 @@
     pub(super) revision: Option<Revision>,
     /// Zones that are being emptied.
     pub(super) evacuated: Option<EvacuatedZones>,
+    /// Orders to roll out.
+    pub(super) roll_outs: Option<RollOutsMark>,
+    /// The orders must be known up to this revision, and are not.
+    pub(super) roll_outs_needed_up_to: Option<Revision>,
     /// How old its word is.
     pub(super) ages: WordAges,
     /// Whether a whole directory is wanted where changes do not reach back far enough.
@@ -105,6 +111,10 @@
     pub(super) directory: Option<DirectoryDelta>,
     /// The zones that are being emptied, as the answering daemon holds them.
     pub(super) evacuated: Option<EvacuatedZones>,
+    /// All orders to roll out, if the asking daemon lacks a change of them.
+    pub(super) roll_outs: Option<RollOuts>,
+    /// Orders to roll out that the answering daemon holds.
+    pub(super) roll_outs_held: Option<RollOutsMark>,
     /// Version held by the answering daemon.
     pub(super) version: Option<u64>,
     /// Revision held by the answering daemon.
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::state::Gateway;
 use std::time::Duration;
-use tansylead_route::{Configuration, DirectoryDelta};
+use tansylead_route::{Configuration, DirectoryDelta, RollOuts};
 use tansylead_types::StepError;
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio_util::bytes::Bytes;
@@ -67,7 +67,8 @@
     let news = reply(gateway, request, Duration::ZERO);
     let is_newer = news.configuration.is_some()
         || news.directory.is_some()
-        || has_news_of_evacuations(&news, request);
+        || has_news_of_evacuations(&news, request)
+        || has_news_of_roll_outs(&news, request);
     if is_newer || news.ages.is_fresher_than(request.ages) {
         return news;
     }
@@ -81,6 +82,13 @@
     told.is_some_and(|told| told.is_news_for(held))
 }
 
+/// Also if the orders have not changed, but are known as far as the asking daemon needs them.
+fn has_news_of_roll_outs(reply: &FeedReply, request: &FeedRequest) -> bool {
+    let at = reply.roll_outs_held.map(|held| held.at);
+    let needed = request.roll_outs_needed_up_to;
+    reply.roll_outs.is_some() || needed.is_some_and(|needed| at >= Some(needed))
+}
+
 fn reply(gateway: &Gateway, request: &FeedRequest, waited: Duration) -> FeedReply {
     let active = gateway.active();
     let held = active.as_ref().map(|active| &active.configuration);
@@ -92,12 +100,16 @@
         !is_whole || request.wants_whole_directory
     });
     let revision = gateway.directory().revision();
+    let roll_outs = gateway.roll_outs();
+    let roll_outs_held = roll_outs.as_ref().map(RollOuts::mark);
     FeedReply {
         configuration,
         directory,
         version: gateway.version(),
         revision,
         evacuated: gateway.evacuated(),
+        roll_outs: roll_outs.filter(|held| held.is_news_for(request.roll_outs)),
+        roll_outs_held,
         ages: WordAges::of(gateway),
         waited_millis: millis(waited),
     }
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{FirstReadPace, Revision};
+use tansylead_types::Moment;
 
 /// Changes that come within this time are taken together.
 const GATHER_WAIT: Duration = Duration::from_millis(400);
@@ -26,6 +27,9 @@
 const LONGEST_RETRY: Duration = Duration::from_secs(2);
 /// Doublings of the wait at most.
 const MAXIMUM_DOUBLINGS: u32 = 4;
+/// Shortest time between reads of the orders to roll out because leafs of new versions appeared: the first
+/// leafs of an order appear together, and calls are priced.
+const NEEDED_READ_PERIOD: Duration = Duration::from_millis(200);
 
 /// The feed of one topic.
 #[derive(Debug)]
@@ -36,8 +40,13 @@
     topic: Topic,
     position: Option<Revision>,
     failures: u32,
+    /// When the orders to roll out were last read because leafs needed it.
+    last_needed_read: Option<Moment>,
 }
 
+/// An answer of the source, and the moment at which it was current.
+type Answer = (Result<SourceUpdate, SourceError>, Moment);
+
 impl<S: Source> SourceFeed<S> {
     /// A feed that has read nothing.
     pub fn new(gateway: Rc<Gateway>, view: Rc<ClusterView>, source: Rc<S>, topic: Topic) -> Self {
@@ -48,6 +57,7 @@
             topic,
             position: None,
             failures: 0,
+            last_needed_read: None,
         }
     }
 
@@ -58,14 +68,14 @@
             self.wait_for_turn().await;
             let asked = Clock.now();
             let wait = self.watch_wait();
-            let result = self.ask(wait).await;
+            let (result, current) = self.ask(wait).await;
             self.count(&result);
             match result {
                 Ok(update) => {
                     let waited = Clock.now().since(asked);
-                    self.take_in(update, asked);
+                    self.take_in(update, current);
                     if waited < wait {
-                        tokio::time::sleep(jittered(GATHER_WAIT)).await;
+                        self.gather().await;
                     }
                 }
                 Err(error) => self.on_error(error).await,
@@ -111,13 +121,60 @@
         self.gateway.settings.bounds.watch_wait(age)
     }
 
-    async fn ask(&self, wait: Duration) -> Result<SourceUpdate, SourceError> {
-        match self.known_position() {
-            Some(position) => self.source.watch(self.topic, position, wait).await,
-            None => self.source.read(self.topic, Freshness::Current).await,
+    /// Watches, or reads if nothing is known yet, or if leafs that have appeared need the orders to roll
+    /// out at once.
+    async fn ask(&mut self, wait: Duration) -> Answer {
+        let Some(position) = self.known_position() else {
+            return self.read().await;
+        };
+        let source = Rc::clone(&self.source);
+        let watched = tokio::select! {
+            biased;
+            () = self.until_needed() => None,
+            result = source.watch(self.topic, position, wait) => Some(result),
+        };
+        match watched {
+            Some(result) => (result, Clock.now()),
+            None => {
+                self.last_needed_read = Some(Clock.now());
+                self.read().await
+            }
+        }
+    }
+
+    async fn read(&self) -> Answer {
+        let asked = Clock.now();
+        let result = self.source.read(self.topic, Freshness::Current).await;
+        (result, asked)
+    }
+
+    /// Lets further changes come that are taken together with the next answer.
+    async fn gather(&self) {
+        tokio::select! {
+            () = self.until_needed() => {}
+            () = tokio::time::sleep(jittered(GATHER_WAIT)) => {}
         }
     }
 
+    /// Waits until leafs that have appeared need the orders to roll out, but not too soon after the last
+    /// time. For other topics it waits for ever.
+    async fn until_needed(&self) {
+        if self.topic != Topic::RollOuts {
+            return std::future::pending().await;
+        }
+        let mut changes = self.gateway.changes();
+        let is_needed = |_: &u64| self.gateway.needed_roll_outs().is_some();
+        while changes.wait_for(is_needed).await.is_ok() {
+            let next = self.last_needed_read.map(|last| last + NEEDED_READ_PERIOD);
+            let wait = next.map_or(Duration::ZERO, |next| Clock.time_left(next));
+            if wait.is_zero() {
+                return;
+            }
+            tokio::time::sleep(wait).await;
+        }
+        std::future::pending().await
+    }
+
     fn count(&self, result: &Result<SourceUpdate, SourceError>) {
         let label = match result {
             Ok(_) => "answered",
@@ -128,23 +185,25 @@
         self.gateway.metrics.on_source_call(self.topic, label);
     }
 
-    /// Where a watch goes on: peers may have brought the directory further than the last watch.
+    /// Where a watch goes on: peers may have brought the topic further than the last watch.
     fn known_position(&self) -> Option<Revision> {
         match self.topic {
-            Topic::Configuration | Topic::Evacuations | Topic::RollOuts => self.position,
+            Topic::Configuration | Topic::Evacuations => self.position,
             Topic::Leafs => self.position.max(self.gateway.directory().revision()),
+            Topic::RollOuts => {
+                let held = self.gateway.roll_outs_mark().map(|held| held.at);
+                self.position.max(held)
+            }
         }
     }
 
-    fn take_in(&mut self, update: SourceUpdate, asked: tansylead_types::Moment) {
+    fn take_in(&mut self, update: SourceUpdate, current: Moment) {
         if self.failures > 0 {
             log::info!(topic = self.topic.label(), failures = self.failures; "source regained");
         }
         self.failures = 0;
-        let is_read = self.position.is_none();
         self.position = Some(update.at);
         self.apply(update);
-        let current = if is_read { asked } else { Clock.now() };
         self.gateway.confirm(self.topic, current);
         self.gateway.announce_confirmation();
     }
@@ -161,7 +220,7 @@
             SourceContent::Evacuations(Some(zones)) => self.gateway.apply_evacuations(zones),
             SourceContent::Evacuations(None) => {}
             SourceContent::RollOuts(Some(roll_outs)) => self.gateway.apply_roll_outs(roll_outs),
-            SourceContent::RollOuts(None) => {}
+            SourceContent::RollOuts(None) => self.gateway.advance_roll_outs_to(update.at),
         }
     }
 
@@ -182,8 +241,9 @@
     }
 
     async fn read_anew(&mut self) {
-        let asked = Clock.now();
-        match self.source.read(self.topic, Freshness::Current).await {
+        let (result, asked) = self.read().await;
+        self.count(&result);
+        match result {
             Ok(update) => self.take_in(update, asked),
             Err(_) => tokio::time::sleep(jittered(FIRST_RETRY)).await,
         }
--- a/crates/tansylead-gateway/src/settings.rs
+++ b/crates/tansylead-gateway/src/settings.rs
@@ -153,6 +153,7 @@
     fn check(&self, path: &str) -> Result<(), SettingsError> {
         const POSITIVE: &str = "above zero";
         const NOT_NEGATIVE: &str = "zero or more";
+        const SHARE: &str = "from 0 to 1";
         let bounds = &self.bounds;
         let positive = [
             ("processor_cores", self.processor_cores),
@@ -169,7 +170,6 @@
         let not_negative = [
             ("retry_ratio", bounds.retry_ratio),
             ("retry_slack", bounds.retry_slack),
-            ("exposure_share", bounds.exposure_share),
             ("exposure_slack", bounds.exposure_slack),
         ];
         let out_of_range = |field, value, expected| SettingsError::OutOfRange {
@@ -188,6 +188,10 @@
                 return Err(out_of_range(field, value, NOT_NEGATIVE));
             }
         }
+        let share = bounds.exposure_share;
+        if !(0.0..=1.0).contains(&share) {
+            return Err(out_of_range("exposure_share", share, SHARE));
+        }
         if !self.regions.contains_key(&self.zone) {
             return Err(SettingsError::UnknownZone {
                 path: path.to_owned(),
@@ -277,6 +281,9 @@
         if self.follow_evacuations {
             limit = limit.min(self.evacuation_limit_millis);
         }
+        if self.follow_roll_outs {
+            limit = limit.min(self.roll_back_limit_millis);
+        }
         Duration::from_secs_f64(limit * SHARE / 1_000.0)
     }
 }
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
-    QueryAdmission, QueryRunners, RollOuts, RouteTable, WeightedTurns,
+    QueryAdmission, QueryRunners, Revision, RollOuts, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -85,6 +85,8 @@
     evacuated: RefCell<Option<EvacuatedZones>>,
     /// None until it is known what is ordered.
     roll_outs: RefCell<Option<RollOuts>>,
+    /// Revision up to which the orders must be known for the leafs that are held.
+    roll_outs_needed: Cell<Revision>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
@@ -127,6 +129,7 @@
             directory: RefCell::default(),
             evacuated: RefCell::default(),
             roll_outs: RefCell::default(),
+            roll_outs_needed: Cell::default(),
             services: RefCell::default(),
             leafs: RefCell::default(),
             latencies: RefCell::default(),
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -148,6 +148,7 @@
             return None;
         }
         let service = self.service(&entry.service);
+        self.note_version(&entry, &service);
         if let Some(leaf) = service.missing(&entry.leaf) {
             let id = entry.leaf.clone();
             leaf.update(entry);
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -1,38 +1,113 @@
 //! What the daemon's state holds of roll-outs: the orders as the source tells them, handed on to the
-//! services that they concern.
+//! services that they concern, and how far they must be known for the leafs that are held.
 
 use super::Gateway;
 use crate::clock::Clock;
-use tansylead_route::RollOuts;
+use crate::leaf::ServiceState;
+use tansylead_route::{LeafEntry, Revision, RollOut, RollOuts, RollOutsMark};
 
 impl Gateway {
-    /// Takes in the orders to roll out.
+    /// Takes in the orders to roll out. A set that arrives late changes nothing.
     pub fn apply_roll_outs(&self, newer: RollOuts) {
-        let mut held = self.roll_outs.borrow_mut();
+        let held = self.roll_outs.borrow().clone();
         let is_first = held.is_none();
-        let roll_outs = held.get_or_insert_default();
-        if newer.at < roll_outs.at {
+        let before = held.unwrap_or_default();
+        let mut after = before.clone();
+        let has_changed = after.apply(newer);
+        if !is_first && after == before {
             return;
         }
-        let has_changed = roll_outs.apply(newer);
-        if has_changed {
-            for roll_out in roll_outs.orders.values() {
-                log::info!(service = roll_out.service.as_str(), target = roll_out.target.as_str(), state = roll_out.state.label(), revision = roll_outs.at.0; "roll-out");
-            }
+        log_changes(&before, &after);
+        let was_needed = self.needed_roll_outs().is_some();
+        self.hold_roll_outs(after);
+        let is_met = was_needed && self.needed_roll_outs().is_none();
+        if has_changed || is_first || is_met {
+            self.notify();
         }
-        let now = Clock.now();
-        for service in self.services.borrow().values() {
-            let order = roll_outs.get(service.name());
-            service.versions().apply(now, order, roll_outs.at);
+    }
+
+    /// Notes that another replica, or the source itself, has the orders that are held here, as they were
+    /// at a later revision.
+    pub fn advance_roll_outs(&self, other: RollOutsMark) {
+        let Some(mut held) = self.roll_outs.borrow().clone() else {
+            return;
+        };
+        let was_needed = self.needed_roll_outs().is_some();
+        if !held.advance(other) {
+            return;
         }
-        drop(held);
-        if has_changed || is_first {
+        self.hold_roll_outs(held);
+        if was_needed && self.needed_roll_outs().is_none() {
+            // Daemons that poll this one need the same.
             self.notify();
         }
     }
 
+    /// Notes that the source has told of no change up to a revision.
+    pub fn advance_roll_outs_to(&self, at: Revision) {
+        if let Some(held) = self.roll_outs_mark() {
+            self.advance_roll_outs(RollOutsMark { at, ..held });
+        }
+    }
+
     /// The orders to roll out; none if nothing is known of them yet.
     pub fn roll_outs(&self) -> Option<RollOuts> {
         self.roll_outs.borrow().clone()
     }
+
+    /// What is held of the orders, in a few bytes; none if nothing is known of them yet.
+    pub fn roll_outs_mark(&self) -> Option<RollOutsMark> {
+        self.roll_outs.borrow().as_ref().map(RollOuts::mark)
+    }
+
+    /// The revision up to which the orders must be known, if they are not known so far: a leaf of a version
+    /// that is new to its service may be the first one of an order that has not been heard of.
+    pub fn needed_roll_outs(&self) -> Option<Revision> {
+        let needed = self.roll_outs_needed.get();
+        let known = self.roll_outs.borrow().as_ref().map(|held| held.at);
+        (needed > known.unwrap_or_default()).then_some(needed)
+    }
+
+    /// Notes an entry that has appeared at a service.
+    pub(super) fn note_version(&self, entry: &LeafEntry, service: &ServiceState) {
+        if !self.settings.bounds.follow_roll_outs || entry.version.is_none() {
+            return;
+        }
+        let leafs = service.all();
+        let mut others = leafs.iter().filter(|leaf| leaf.entry().leaf != entry.leaf);
+        if others.any(|other| other.entry().version == entry.version) {
+            return;
+        }
+        let needed = self.roll_outs_needed.get().max(entry.changed_at);
+        self.roll_outs_needed.set(needed);
+    }
+
+    fn hold_roll_outs(&self, roll_outs: RollOuts) {
+        let now = Clock.now();
+        for service in self.services.borrow().values() {
+            let order = roll_outs.get(service.name());
+            service.versions().apply(now, order, roll_outs.at);
+        }
+        *self.roll_outs.borrow_mut() = Some(roll_outs);
+    }
+}
+
+/// One line for each order that has come, changed or gone.
+fn log_changes(before: &RollOuts, after: &RollOuts) {
+    for order in after.orders.values() {
+        let earlier = before.get(&order.service);
+        if earlier != Some(order) {
+            log_order(order, earlier);
+        }
+    }
+    let gone = before.orders.values();
+    for order in gone.filter(|order| after.get(&order.service).is_none()) {
+        log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), revision = after.at.0; "roll-out taken back");
+    }
+}
+
+fn log_order(order: &RollOut, earlier: Option<&RollOut>) {
+    let earlier = earlier.filter(|earlier| earlier.order == order.order);
+    let state_before = earlier.map_or("none", |earlier| earlier.state.label());
+    log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), state_before = state_before, duration_ms = order.duration.as_millis() as u64, revision = order.changed_at.0; "roll-out changed");
 }
--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -56,6 +56,20 @@
     assert!(bounds.watch_wait(Some(old)) <= Duration::from_millis(200));
 }
 
+#[test]
+fn a_roll_back_is_heard_of_in_time_where_services_can_be_rolled_out() {
+    let bounds = GatewayBounds {
+        roll_back_limit_millis: 1_000.0,
+        ..GatewayBounds::default()
+    };
+    assert!(bounds.word_limit() < Duration::from_secs(1));
+    let without = GatewayBounds {
+        follow_roll_outs: false,
+        ..bounds
+    };
+    assert!(without.word_limit() > Duration::from_secs(1));
+}
+
 /// Members of two regions, as many in each, and one of them as the viewer.
 fn view(each: u16) -> (ClusterView, Vec<MemberRecord>) {
     let mut members = Vec::new();
--- a/crates/tansylead-gateway/tests/files.rs
+++ b/crates/tansylead-gateway/tests/files.rs
@@ -53,6 +53,26 @@
         error.contains("stop_limit_seconds must be above zero"),
         "{error}"
     );
+    for share in ["-0.1", "1.1", "nan"] {
+        let error = refused_settings("exposure_share = 0.1", &format!("exposure_share = {share}"));
+        assert!(
+            error.contains("exposure_share must be from 0 to 1"),
+            "{error}"
+        );
+    }
+    let error = refused_settings("exposure_slack = 20", "exposure_slack = -1");
+    assert!(
+        error.contains("exposure_slack must be zero or more"),
+        "{error}"
+    );
+    let error = refused_settings(
+        "roll_back_limit_millis = 5000",
+        "roll_back_limit_millis = 0",
+    );
+    assert!(
+        error.contains("roll_back_limit_millis must be above zero"),
+        "{error}"
+    );
     let error = refused_settings("zone = \"bangkok-a\"", "zone = \"phuket-a\"");
     assert!(error.contains("zone phuket-a is not among"), "{error}");
     let error = refused_settings("cluster =", "clutser =");
