--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -1,11 +1,15 @@
 //! Leafs for tests.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_gateway::leaf::LeafState;
-use tansylead_route::{ConnectionShare, Distance, LeafEntry, LeafLocation, LeafPhase, Revision};
-use tansylead_types::{LeafId, ServiceName, ZoneName};
+use tansylead_route::{
+    ConnectionShare, Distance, LeafEntry, LeafLocation, LeafPhase, OrderId, Revision, RollOut,
+    RollOutState, RollOuts,
+};
+use tansylead_types::{LeafId, ServiceName, SoftwareVersion, ZoneName};
 
 /// The entry of a leaf that takes requests.
 pub fn entry(name: &str, service: &ServiceName, address: SocketAddr) -> LeafEntry {
@@ -36,3 +40,23 @@
     };
     Rc::new(LeafState::new(entry, location, share))
 }
+
+/// One order in this state, known up to a revision.
+#[allow(dead_code, reason = "not every test file uses it")]
+pub fn orders(service: &str, target: &str, state: RollOutState, at: Revision) -> RollOuts {
+    let service = ServiceName::new(service).expect("valid name");
+    let target = SoftwareVersion::new(target).expect("valid name");
+    let duration = Duration::from_secs(20);
+    let order = RollOut {
+        order: OrderId::new(&service, &target, duration, "made"),
+        service: service.clone(),
+        target,
+        duration,
+        state,
+        changed_at: at,
+    };
+    RollOuts {
+        at,
+        orders: BTreeMap::from([(service, order)]),
+    }
+}
--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::cell::Cell;
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
@@ -11,8 +12,8 @@
 use tansylead_gateway::source::Topic;
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
-use tansylead_route::{DirectoryDelta, LeafEntry, Revision};
-use tansylead_types::{NodeId, PlaceName, ServiceName};
+use tansylead_route::{DirectoryDelta, LeafEntry, Revision, RollOutState, RollOuts};
+use tansylead_types::{NodeId, PlaceName, ServiceName, SoftwareVersion};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{LocalSet, spawn_local};
@@ -126,3 +127,103 @@
     };
     LocalSet::new().run_until(polling).await;
 }
+
+/// The orders at a daemon: one in this state, known up to a revision.
+fn orders(state: RollOutState, at: u64) -> RollOuts {
+    common::orders("shard", "v2", state, Revision(at))
+}
+
+/// Runs a test while `own` polls `peer`.
+async fn while_polling(peer: &Rc<Gateway>, own: &Rc<Gateway>, test: impl Future<Output = ()>) {
+    let place = PlaceName::new("elsewhere").expect("valid name");
+    let seeds = vec![peer.settings.peer_address];
+    let node = NodeId(own.settings.peer_address);
+    let view = Rc::new(ClusterView::new(node, place, 2, seeds));
+    let running = async {
+        spawn_local(serve_peers(Rc::clone(peer)));
+        spawn_local(PeerFeed::new(Rc::clone(own), view).run());
+        let ended = tokio::time::timeout(HANG_LIMIT, test).await;
+        ended.expect("the daemons agree");
+    };
+    LocalSet::new().run_until(running).await;
+}
+
+async fn wait_for(gateway: &Gateway, condition: impl Fn() -> bool) {
+    let mut changes = gateway.changes();
+    let changed = changes.wait_for(|_| condition()).await;
+    changed.expect("the daemon runs");
+}
+
+/// The state of the only order.
+fn state(gateway: &Gateway) -> Option<RollOutState> {
+    let held = gateway.roll_outs()?;
+    held.orders.values().next().map(|order| order.state)
+}
+
+#[tokio::test]
+async fn orders_and_their_changes_are_passed_on_and_confirmed() {
+    let peer = gateway(Vec::new(), Revision(1));
+    let own = gateway(Vec::new(), Revision(1));
+    peer.apply_roll_outs(orders(RollOutState::Running, 10));
+    peer.confirm(Topic::RollOuts, Clock.now());
+    while_polling(&peer, &own, async {
+        wait_for(&own, || own.age(Topic::RollOuts).is_some()).await;
+        assert_eq!(own.roll_outs(), peer.roll_outs());
+        peer.apply_roll_outs(orders(RollOutState::RolledBack, 20));
+        wait_for(&own, || state(&own) == Some(RollOutState::RolledBack)).await;
+        assert_eq!(own.roll_outs(), peer.roll_outs());
+        // The order is taken back.
+        let none = RollOuts {
+            at: Revision(30),
+            ..RollOuts::default()
+        };
+        peer.apply_roll_outs(none.clone());
+        wait_for(&own, || state(&own).is_none()).await;
+        assert_eq!(own.roll_outs(), Some(none));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_peer_that_is_behind_changes_and_confirms_nothing() {
+    let peer = gateway(Vec::new(), Revision(1));
+    let own = gateway(Vec::new(), Revision(1));
+    let newer = orders(RollOutState::Completed, 20);
+    peer.apply_roll_outs(orders(RollOutState::Running, 10));
+    peer.confirm(Topic::RollOuts, Clock.now());
+    peer.confirm(Topic::Configuration, Clock.now());
+    own.apply_roll_outs(newer.clone());
+    while_polling(&peer, &own, async {
+        // The reply that confirms the directory has brought the orders too.
+        peer.confirm(Topic::Leafs, Clock.now());
+        wait_for(&own, || own.age(Topic::Leafs).is_some()).await;
+        assert_eq!(own.roll_outs(), Some(newer));
+        assert_eq!(own.age(Topic::RollOuts), None);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_later_revision_of_unchanged_orders_reaches_a_daemon_that_needs_it() {
+    let mut first = leaf("first");
+    first.version = SoftwareVersion::new("v3").ok();
+    first.changed_at = Revision(15);
+    let peer = gateway(Vec::new(), Revision(1));
+    let own = gateway(Vec::new(), Revision(1));
+    for daemon in [&peer, &own] {
+        daemon.apply_roll_outs(orders(RollOutState::Running, 10));
+    }
+    own.apply_directory(DirectoryDelta::Everything {
+        at: Revision(15),
+        entries: vec![first],
+    });
+    assert_eq!(own.needed_roll_outs(), Some(Revision(15)));
+    while_polling(&peer, &own, async {
+        tokio::task::yield_now().await;
+        peer.advance_roll_outs_to(Revision(16));
+        peer.announce_confirmation();
+        wait_for(&own, || own.needed_roll_outs().is_none()).await;
+        assert_eq!(own.roll_outs(), peer.roll_outs());
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/tansylead-gateway/tests/roll_outs_needed.rs
@@ -0,0 +1,207 @@
+//! How far the orders to roll out must be known for the leafs that are held, and how the source is read for it.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_gateway::cluster::{ClusterView, SourceFeed};
+use tansylead_gateway::source::{
+    Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic, WriteEnd,
+};
+use tansylead_gateway::state::Gateway;
+use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
+use tansylead_route::{
+    DirectoryChange, DirectoryDelta, LeafEntry, Revision, RollOut, RollOutState, RollOuts,
+};
+use tansylead_types::{NodeId, PlaceName, ServiceName, SoftwareVersion, StepError};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Ends a test that would hang.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
+/// The shortest time between reads that leafs need.
+const READ_PERIOD: Duration = Duration::from_millis(200);
+
+fn gateway(follow_roll_outs: bool) -> Gateway {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
+    let mut settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
+    settings.bounds.follow_roll_outs = follow_roll_outs;
+    let gateway = Gateway::new(settings, HeaderNames::default());
+    gateway.apply_directory(DirectoryDelta::Everything {
+        at: Revision(1),
+        entries: Vec::new(),
+    });
+    gateway
+}
+
+fn leaf(name: &str, version: &str, changed_at: u64) -> LeafEntry {
+    let service = ServiceName::new("desk").expect("valid name");
+    let mut entry = common::entry(name, &service, ([127, 0, 0, 1], 1).into());
+    entry.version = SoftwareVersion::new(version).ok();
+    entry.changed_at = Revision(changed_at);
+    entry
+}
+
+/// A leaf's entry appears.
+fn appear(gateway: &Gateway, entry: LeafEntry) {
+    let after = gateway.directory().revision().expect("known");
+    gateway.apply_directory(DirectoryDelta::Changes {
+        after,
+        at: after.max(entry.changed_at),
+        changes: vec![DirectoryChange::Present(entry)],
+    });
+}
+
+fn no_orders(at: u64) -> RollOuts {
+    RollOuts {
+        at: Revision(at),
+        ..RollOuts::default()
+    }
+}
+
+#[test]
+fn the_first_leaf_of_a_version_needs_the_orders_up_to_its_entry() {
+    let gateway = gateway(true);
+    gateway.apply_roll_outs(no_orders(10));
+    appear(&gateway, leaf("a", "v1", 5));
+    assert_eq!(gateway.needed_roll_outs(), None, "older than the orders");
+    appear(&gateway, leaf("b", "v1", 12));
+    assert_eq!(gateway.needed_roll_outs(), None, "a known version");
+    appear(&gateway, leaf("c", "v2", 13));
+    appear(&gateway, leaf("d", "v2", 14));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
+    gateway.advance_roll_outs_to(Revision(12));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
+    gateway.advance_roll_outs_to(Revision(13));
+    assert_eq!(gateway.needed_roll_outs(), None);
+}
+
+#[test]
+fn a_leaf_without_a_version_or_a_deployment_without_roll_outs_needs_nothing() {
+    let followed = gateway(true);
+    followed.apply_roll_outs(no_orders(10));
+    let mut unversioned = leaf("a", "v1", 12);
+    unversioned.version = None;
+    appear(&followed, unversioned);
+    assert_eq!(followed.needed_roll_outs(), None);
+    let not_followed = gateway(false);
+    appear(&not_followed, leaf("a", "v1", 12));
+    assert_eq!(not_followed.needed_roll_outs(), None);
+}
+
+#[test]
+fn a_set_that_arrives_late_changes_nothing() {
+    let gateway = gateway(true);
+    let newest = common::orders("desk", "v2", RollOutState::RolledBack, Revision(20));
+    gateway.apply_roll_outs(newest.clone());
+    gateway.apply_roll_outs(no_orders(19));
+    let earlier = common::orders("desk", "v2", RollOutState::Running, Revision(15));
+    gateway.apply_roll_outs(earlier);
+    assert_eq!(gateway.roll_outs(), Some(newest));
+}
+
+/// A source without changes: a watch waits for its time to pass, and each read is of a later revision.
+#[derive(Debug, Default)]
+struct QuietSource {
+    /// Revision of the source; rises with each leaf.
+    revision: Cell<u64>,
+    reads: Cell<u32>,
+    asked: RefCell<Vec<Freshness>>,
+}
+
+fn update(at: u64, content: Option<RollOuts>) -> SourceUpdate {
+    SourceUpdate {
+        at: Revision(at),
+        content: SourceContent::RollOuts(content),
+        passed_over: 0,
+    }
+}
+
+impl Source for QuietSource {
+    async fn read(&self, _: Topic, freshness: Freshness) -> Result<SourceUpdate, SourceError> {
+        self.asked.borrow_mut().push(freshness);
+        if freshness == Freshness::Current {
+            self.reads.set(self.reads.get() + 1);
+        }
+        let at = self.revision.get();
+        Ok(update(at, Some(no_orders(at))))
+    }
+
+    async fn watch(&self, _: Topic, _: Revision, _: Duration) -> Result<SourceUpdate, SourceError> {
+        // Longer than the test: what is learned is learned by reads.
+        std::future::pending().await
+    }
+
+    async fn write_roll_out_state(
+        &self,
+        _: &RollOut,
+        _: RollOutState,
+    ) -> Result<WriteEnd, SourceError> {
+        let error = StepError::new("write state of roll-out", "quiet source", "read only");
+        Err(SourceError::Refused(error))
+    }
+
+    async fn read_roll_out(&self, _: &ServiceName) -> Result<Option<RollOut>, SourceError> {
+        Ok(None)
+    }
+
+    async fn register(&self, _: SocketAddr) -> Result<(), SourceError> {
+        Ok(())
+    }
+
+    async fn registered(&self) -> Result<Vec<SocketAddr>, SourceError> {
+        Ok(Vec::new())
+    }
+}
+
+async fn until_not_needed(gateway: &Gateway) {
+    let mut changes = gateway.changes();
+    let met = changes.wait_for(|_| gateway.needed_roll_outs().is_none());
+    let met = tokio::time::timeout(HANG_LIMIT, met).await;
+    met.expect("the source is read").expect("the daemon runs");
+}
+
+#[tokio::test]
+async fn a_daemon_that_watches_reads_the_orders_at_once_but_not_for_each_leaf() {
+    const LEAFS: u64 = 20;
+    let gateway = Rc::new(gateway(true));
+    let source = Rc::new(QuietSource::default());
+    source.revision.set(10);
+    let place = PlaceName::new("bangkok").expect("valid name");
+    let own = gateway.settings.peer_address;
+    let view = ClusterView::new(NodeId(own), place, 2, vec![own]);
+    let feed = SourceFeed::new(
+        Rc::clone(&gateway),
+        Rc::new(view),
+        Rc::clone(&source),
+        Topic::RollOuts,
+    );
+    let watching = async {
+        spawn_local(feed.run());
+        let mut changes = gateway.changes();
+        let known = changes.wait_for(|_| gateway.knows(Topic::RollOuts)).await;
+        known.expect("the daemon runs");
+        assert_eq!(source.reads.get(), 0, "only the cached read so far");
+        let began = Clock.now();
+        for number in 0..LEAFS {
+            // Each is the first leaf of its version.
+            let revision = source.revision.get() + 1;
+            source.revision.set(revision);
+            let name = format!("leaf-{number}");
+            appear(&gateway, leaf(&name, &format!("v{number}"), revision));
+            if number == 0 {
+                until_not_needed(&gateway).await;
+                assert_eq!(source.reads.get(), 1);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        until_not_needed(&gateway).await;
+        let periods = Clock.now().since(began).as_millis() / READ_PERIOD.as_millis();
+        let most = u32::try_from(periods).expect("small") + 1;
+        assert!(source.reads.get() <= most, "{}", source.reads.get());
+        assert_eq!(source.asked.borrow()[0], Freshness::Cached);
+    };
+    LocalSet::new().run_until(watching).await;
+}
