--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -96,7 +96,8 @@
 fn log_changes(before: &RollOuts, after: &RollOuts) {
     for order in after.orders.values() {
         let earlier = before.get(&order.service);
-        if earlier != Some(order) {
+        let earlier = earlier.filter(|earlier| earlier.order == order.order);
+        if earlier.is_none_or(|earlier| earlier.state != order.state) {
             log_order(order, earlier);
         }
     }
@@ -107,7 +108,6 @@
 }
 
 fn log_order(order: &RollOut, earlier: Option<&RollOut>) {
-    let earlier = earlier.filter(|earlier| earlier.order == order.order);
     let state_before = earlier.map_or("none", |earlier| earlier.state.label());
     log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), state_before = state_before, duration_ms = order.duration.as_millis() as u64, revision = order.changed_at.0; "roll-out changed");
 }
--- a/crates/tansylead-gateway/tests/files.rs
+++ b/crates/tansylead-gateway/tests/files.rs
@@ -1,8 +1,12 @@
 //! Settings and routes files: what is taken, and what is refused with its reason.
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 use tansylead_gateway::GatewaySettings;
-use tansylead_gateway::routes_file::RoutesFile;
+use tansylead_gateway::routes_file::{RoutesFile, RoutesFileSource};
+use tansylead_gateway::source::{Freshness, Source, SourceContent, SourceError, Topic};
+use tansylead_route::RollOutState;
+use tansylead_types::{ServiceName, SoftwareVersion};
 
 fn example(name: &str) -> PathBuf {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
@@ -39,6 +43,15 @@
     let routes = RoutesFile::load(&example("routes.toml")).expect("routes");
     assert_eq!(routes.configuration.version, 1);
     assert_eq!(routes.leafs.len(), 3);
+    let versions: Vec<_> = routes.leafs.iter().map(|leaf| &leaf.version).collect();
+    assert!(versions[..2].iter().all(|version| version.is_none()));
+    let v7 = SoftwareVersion::new("v7").expect("valid name");
+    assert_eq!(versions[2], &Some(v7.clone()));
+    let disputes = ServiceName::new("disputes").expect("valid name");
+    let roll_out = &routes.roll_outs[&disputes];
+    assert_eq!(roll_out.target, v7);
+    assert_eq!(roll_out.state, RollOutState::Completed);
+    assert_eq!(roll_out.duration, Duration::from_secs(20));
 }
 
 #[test]
@@ -106,3 +119,50 @@
     let error = refused_routes("slots = 5", "slost = 5");
     assert!(error.contains("slost"), "{error}");
 }
+
+#[test]
+fn orders_to_roll_out_that_cannot_be_used_are_refused_with_their_service() {
+    let service = "[[roll_outs]]\nservice = \"disputes\"";
+    let error = refused_routes(service, "[[roll_outs]]\nservice = \"absent\"");
+    assert!(
+        error.contains("roll-out names service absent, which is not listed"),
+        "{error}"
+    );
+    for duration in ["0", "-1.5", "nan", "inf"] {
+        let changed = format!("duration_seconds = {duration}");
+        let error = refused_routes("duration_seconds = 20", &changed);
+        assert!(error.contains("disputes must be above zero"), "{error}");
+    }
+    let second = format!("{service}\ntarget = \"v8\"\nduration_seconds = 5\n\n{service}");
+    let error = refused_routes(service, &second);
+    assert!(error.contains("disputes has more than one"), "{error}");
+    let error = refused_routes("target = \"v7\"", "target = \"\"");
+    assert!(error.contains("is not a valid software version"), "{error}");
+    let error = refused_routes("state = \"completed\"", "state = \"paused\"");
+    assert!(error.contains("paused"), "{error}");
+    let error = refused_routes("version = \"v7\"", "version = \"seven of nine\"");
+    assert!(error.contains("seven of nine"), "{error}");
+}
+
+#[tokio::test]
+async fn a_routes_file_tells_its_orders_and_is_written_by_its_operator_only() {
+    let source = RoutesFileSource::new(example("routes.toml"));
+    let update = source.read(Topic::RollOuts, Freshness::Current).await;
+    let SourceContent::RollOuts(Some(orders)) = update.expect("read").content else {
+        panic!("no orders");
+    };
+    let disputes = ServiceName::new("disputes").expect("valid name");
+    let order = orders.get(&disputes).expect("one order");
+    let found = source.read_roll_out(&disputes).await;
+    assert_eq!(found.as_ref().map(Option::as_ref), Ok(Some(order)));
+    let unlisted = ServiceName::new("court-notices-1").expect("valid name");
+    assert_eq!(source.read_roll_out(&unlisted).await, Ok(None));
+    let written = source.write_roll_out_state(order, RollOutState::RolledBack);
+    let Err(SourceError::Refused(error)) = written.await else {
+        panic!("written");
+    };
+    assert!(
+        error.to_string().contains("by its operator only"),
+        "{error}"
+    );
+}
