--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -2,30 +2,23 @@
 //!
 //! Label sets are bounded: routes beyond [`MAXIMUM_ROUTES`] share one label.
 
-use crate::clock::Clock;
-use crate::listener::{accept_each, bind};
+mod labels;
+mod registry;
+mod roll_outs;
+mod server;
+
 use crate::logging;
-use crate::source::Topic;
+use crate::source::{SourceError, Topic, WriteEnd};
 use crate::state::Gateway;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use prometheus::{
-    Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-};
+use prometheus::{Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Registry, TextEncoder};
+use registry::{counters, gauge, register, seconds};
+use roll_outs::RollOutMetrics;
 use std::cell::RefCell;
 use std::collections::HashSet;
-use std::convert::Infallible;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
-use tansylead_types::StepError;
-use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+
+pub use labels::{BadInput, ForwardedResult, ReportDirection};
+pub use server::serve_metrics;
 
 /// Routes with a label of their own.
 const MAXIMUM_ROUTES: usize = 64;
@@ -33,88 +26,6 @@
 const OTHER_ROUTES: &str = "other";
 /// Bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
-/// A connection for metrics is closed after this time.
-const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
-
-/// Input that could not be understood, and was passed over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BadInput {
-    /// A caller sent bytes that are no request; its connection ends.
-    CallerBytes,
-    /// A caller's time to wait is no number; the request is served without one.
-    CallerTime,
-    /// The source has an entry that is none, or that cannot be used.
-    SourceEntry,
-}
-
-impl BadInput {
-    /// Name, for metrics.
-    fn label(self) -> &'static str {
-        match self {
-            BadInput::CallerBytes => "caller_bytes",
-            BadInput::CallerTime => "caller_time",
-            BadInput::SourceEntry => "source_entry",
-        }
-    }
-}
-
-/// What became of a query that was handed to a root, or came from another daemon.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ForwardedResult {
-    /// The root answered or refused it.
-    Answered,
-    /// The root holds another version, or is stopping; it runs here.
-    Declined,
-    /// The root could not be reached; it runs here.
-    NotSent,
-    /// The connection to the root ended under it.
-    Failed,
-    /// The root answers nobody.
-    Silent,
-    /// The time was up.
-    TimedOut,
-    /// It runs here for another daemon.
-    RunHere,
-    /// It came from another daemon and does not run here.
-    DeclinedHere,
-}
-
-impl ForwardedResult {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Declined => "declined",
-            Self::NotSent => "not_sent",
-            Self::Failed => "failed",
-            Self::Silent => "silent",
-            Self::TimedOut => "timed_out",
-            Self::RunHere => "run_here",
-            Self::DeclinedHere => "declined_here",
-        }
-    }
-}
-
-/// Which way reports on leafs went.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReportDirection {
-    /// To other daemons.
-    Sent,
-    /// From other daemons.
-    Received,
-    /// Not sent: too many in a second.
-    Suppressed,
-}
-
-impl ReportDirection {
-    /// Name, for metrics.
-    fn label(self) -> &'static str {
-        match self {
-            ReportDirection::Sent => "sent",
-            ReportDirection::Received => "received",
-            ReportDirection::Suppressed => "suppressed",
-        }
-    }
-}
 
 /// All metrics of a daemon.
 #[derive(Debug)]
@@ -140,6 +51,7 @@
     idle_leaf_connections: IntGauge,
     lines_dropped: IntGauge,
     lines_suppressed: IntGauge,
+    roll_outs: RollOutMetrics,
     routes: RefCell<HashSet<String>>,
 }
 
@@ -258,6 +170,7 @@
                 "tansylead_log_lines_suppressed",
                 "Log lines not written because there were too many of their kind",
             ),
+            roll_outs: RollOutMetrics::new(&registry),
             routes: RefCell::default(),
             registry,
         }
@@ -302,6 +215,11 @@
         self.source_calls.with_label_values(&labels).inc();
     }
 
+    /// Counts a call to write the state of a roll-out.
+    pub fn on_roll_out_write(&self, result: &Result<WriteEnd, SourceError>) {
+        self.roll_outs.on_write(result);
+    }
+
     /// Counts input that could not be understood.
     pub fn on_bad_input(&self, kind: BadInput) {
         self.add_bad_input(kind, 1);
@@ -325,6 +243,7 @@
         route
     }
 
+    /// All metrics as text.
     fn text(&self, gateway: &Gateway) -> String {
         let age = |topic| gateway.age(topic).map_or(-1.0, |age| age.as_secs_f64());
         self.configuration_version
@@ -334,6 +253,7 @@
         self.evacuations_age.set(age(Topic::Evacuations));
         let evacuated = gateway.evacuated().unwrap_or_default();
         self.evacuated_zones.set(evacuated.zones.len() as i64);
+        self.roll_outs.update(gateway);
         self.leafs.set(gateway.directory().entries().count() as i64);
         self.daemons.set(gateway.daemons() as i64);
         self.caller_connections
@@ -355,61 +275,3 @@
         Self::new()
     }
 }
-
-fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &T) {
-    registry
-        .register(Box::new(metric.clone()))
-        .expect("names are unique");
-}
-
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let counters =
-        IntCounterVec::new(Opts::new(name, help), labels).expect("constant options are valid");
-    register(registry, &counters);
-    counters
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(name, help).expect("constant options are valid");
-    register(registry, &gauge);
-    gauge
-}
-
-fn seconds(registry: &Registry, name: &str, help: &str) -> Gauge {
-    let gauge = Gauge::new(name, help).expect("constant options are valid");
-    register(registry, &gauge);
-    gauge
-}
-
-/// Serves the metrics as text until the task is ended.
-pub async fn serve_metrics(gateway: Rc<Gateway>, address: SocketAddr) -> Result<(), StepError> {
-    let listener = bind(address, "listen for metrics").await?;
-    accept_each(listener, |stream, _| {
-        spawn_local(serve(Rc::clone(&gateway), stream));
-    })
-    .await;
-    Ok(())
-}
-
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    let service = service_fn(move |request| {
-        let response = answer(&gateway, &request);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    // A scraper that goes away comes back by itself.
-    let _ = tokio::time::timeout(CONNECTION_LIMIT, connection).await;
-}
-
-fn answer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    const PATH: &str = "/metrics";
-    if request.uri().path() != PATH {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = StatusCode::NOT_FOUND;
-        return response;
-    }
-    let started = Clock.now();
-    let text = gateway.metrics.text(gateway);
-    log::debug!(took_us = Clock.now().since(started).as_micros() as u64; "metrics served");
-    Response::new(Full::new(Bytes::from(text)))
-}
