--- a/crates/tansylead-gateway/src/cluster/mod.rs
+++ b/crates/tansylead-gateway/src/cluster/mod.rs
@@ -1,4 +1,4 @@
-//! What daemons share: who runs, configuration, leafs, evacuations, and queries over shards that the
+//! What daemons share: who runs, configuration, leafs, evacuations, roll-outs, and queries over shards that the
 //! larger machines of a region run for the others.
 //!
 //! One daemon of each region or a few, chosen by rank, watch the source. Every other daemon keeps a
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -142,19 +142,21 @@
     }
 
     /// Takes in an entry. Returns the service if its leafs are others than before.
-    fn put_leaf(&self, entry: LeafEntry) -> Option<Rc<ServiceState>> {
+    fn put_leaf(&self, mut entry: LeafEntry) -> Option<Rc<ServiceState>> {
         if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
             leaf.update(entry);
             return None;
         }
         let service = self.service(&entry.service);
-        self.note_version(&entry, &service);
         if let Some(leaf) = service.missing(&entry.leaf) {
+            // Its run is as old as it was before the entry went missing.
+            entry.keep_earliest_revision(&leaf.entry());
             let id = entry.leaf.clone();
             leaf.update(entry);
             self.leafs.borrow_mut().insert(id, leaf);
             return Some(service);
         }
+        self.note_version(&entry, &service);
         let location = self.locality.locate(&entry.zone);
         let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE));
         leaf.set_evacuated(self.is_evacuated(&entry));
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -68,14 +68,14 @@
         (needed > known.unwrap_or_default()).then_some(needed)
     }
 
-    /// Notes an entry that has appeared at a service.
+    /// Notes a leaf that is about to be added to a service.
     pub(super) fn note_version(&self, entry: &LeafEntry, service: &ServiceState) {
         if !self.settings.bounds.follow_roll_outs || entry.version.is_none() {
             return;
         }
         let leafs = service.all();
-        let mut others = leafs.iter().filter(|leaf| leaf.entry().leaf != entry.leaf);
-        if others.any(|other| other.entry().version == entry.version) {
+        let mut versions = leafs.iter().map(|leaf| leaf.entry().version.clone());
+        if versions.any(|version| version == entry.version) {
             return;
         }
         let needed = self.roll_outs_needed.get().max(entry.changed_at);
--- a/crates/tansylead-gateway/tests/roll_outs_needed.rs
+++ b/crates/tansylead-gateway/tests/roll_outs_needed.rs
@@ -78,6 +78,24 @@
     assert_eq!(gateway.needed_roll_outs(), None);
 }
 
+#[test]
+fn a_leaf_whose_entry_comes_back_is_as_old_as_it_was() {
+    let gateway = gateway(true);
+    gateway.apply_roll_outs(no_orders(10));
+    appear(&gateway, leaf("a", "v1", 5));
+    let service = gateway.service(&ServiceName::new("desk").expect("valid name"));
+    let only = service.regular()[0].entry().leaf.clone();
+    let gone = DirectoryDelta::Changes {
+        after: Revision(5),
+        at: Revision(11),
+        changes: vec![DirectoryChange::Gone(only)],
+    };
+    gateway.apply_directory(gone);
+    appear(&gateway, leaf("a", "v1", 12));
+    assert_eq!(gateway.needed_roll_outs(), None);
+    assert_eq!(service.regular()[0].entry().changed_at, Revision(5));
+}
+
 #[test]
 fn a_leaf_without_a_version_or_a_deployment_without_roll_outs_needs_nothing() {
     let followed = gateway(true);
