--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -227,3 +227,19 @@
     })
     .await;
 }
+
+#[test]
+fn a_poll_tells_of_no_orders_in_a_few_bytes() {
+    // In the request what is held and what is needed, in the reply what is newer and what is held.
+    const MOST_BYTES: usize = 8;
+    let none = RollOuts {
+        at: Revision(10_000_000),
+        ..RollOuts::default()
+    };
+    let asked = postcard::to_stdvec(&(Some(none.mark()), None::<Revision>));
+    let told = postcard::to_stdvec(&(None::<RollOuts>, Some(none.mark())));
+    for message in [asked, told] {
+        let bytes = message.expect("encodes").len();
+        assert!(bytes <= MOST_BYTES, "{bytes} bytes");
+    }
+}
