--- a/crates/tansylead-route/tests/roll_out_state_write.rs
+++ b/crates/tansylead-route/tests/roll_out_state_write.rs
@@ -1,6 +1,7 @@
 //! The state of a roll-out comes into the source, whatever becomes of the answers.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::Duration;
 use tansylead_route::{
     OrderId, Revision, RollOut, RollOutState, StateWrite, StateWriteEnd, WriteEnd, WriteFailure,
@@ -259,6 +260,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
     /// Two judges that disagree: one end stands, is never changed again, and both learn of it.
     #[test]
     fn whatever_is_lost_or_late_one_end_stands_and_each_writer_learns_it(
