--- a/crates/tansylead-route/tests/roll_out_state_write.rs
+++ b/crates/tansylead-route/tests/roll_out_state_write.rs
@@ -263,6 +263,7 @@
     #![proptest_config(ProptestConfig {
         cases: 1_000,
         rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
         ..ProptestConfig::default()
     })]
 
