--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, ConnectionSilence, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory,
-    Locality, QueryAdmission, QueryRunners, RollOuts, RouteTable, WeightedTurns,
+    Locality, QueryAdmission, QueryRunners, Revision, RollOuts, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -88,6 +88,8 @@
     /// None until it is known what is ordered.
     roll_outs: RefCell<Option<RollOuts>>,
     roll_out_context: Rc<RollOutContext>,
+    /// Revision up to which the orders must be known for the leafs that are held.
+    roll_outs_needed: Cell<Revision>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
@@ -135,6 +137,7 @@
             evacuated: RefCell::default(),
             roll_outs: RefCell::default(),
             roll_out_context: Rc::new(context),
+            roll_outs_needed: Cell::default(),
             services: RefCell::default(),
             leafs: RefCell::default(),
             latencies: RefCell::default(),
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod grant;
 mod order;
+mod state_write;
 mod trial;
 mod version_gate;
 mod version_memory;
@@ -15,7 +16,8 @@
     LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts, route_hash,
 };
 pub use grant::{Grant, Stage};
-pub use order::{OrderId, RollOut, RollOutState, RollOuts};
+pub use order::{OrderId, RollOut, RollOutState, RollOuts, RollOutsMark};
+pub use state_write::{StateWrite, StateWriteEnd, WriteEnd, WriteFailure, WriteStep};
 pub use trial::{
     Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
     TrialVerdict,
