--- a/crates/tansylead-gateway/src/cluster/mod.rs
+++ b/crates/tansylead-gateway/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 //! asks the source itself, so a source that refuses some daemons, and daemons that are cut off, do no
 //! harm as long as any path is left.
 
+mod datagram_codec;
 mod feed_client;
 mod feed_message;
 mod feed_server;
@@ -18,9 +19,11 @@
 mod query_server;
 mod registration;
 mod report_codec;
+mod roll_out_codec;
 mod source_feed;
 mod view;
 
+pub use datagram_codec::{DatagramCodec, DatagramMessage, EncodedDatagrams, MAXIMUM_MESSAGE_BYTES};
 pub use feed_client::PeerFeed;
 pub use feed_message::WordAges;
 pub use forwarded_query::{ForwardedQuery, ForwardedReply};
@@ -30,5 +33,6 @@
 pub use query_roots::{AskError, QueryRoots, RootPeer};
 pub use registration::{RegistrationNeed, find_daemons};
 pub use report_codec::ReportCodec;
+pub use roll_out_codec::{RollOutCodec, fit_report};
 pub use source_feed::SourceFeed;
 pub use view::ClusterView;
--- /dev/null
+++ b/crates/tansylead-gateway/src/roll_out/message.rs
@@ -0,0 +1,31 @@
+//! What daemons and the judges of a roll-out tell one another.
+
+use serde::{Deserialize, Serialize};
+use tansylead_route::{Grant, OrderId, RollOutReport};
+use tansylead_types::{NodeId, ServiceName};
+
+/// The answer of a judge to a report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantMessage {
+    /// Service.
+    pub service: ServiceName,
+    /// Order.
+    pub order: OrderId,
+    /// The judge.
+    pub judge: NodeId,
+    /// Life of the reporter, as in the report.
+    pub life: u64,
+    /// Number of the report that it answers: the reporter takes answers in this order.
+    pub sequence: u64,
+    /// What the reporter may send.
+    pub grant: Grant,
+}
+
+/// A message between daemons about a roll-out.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RollOutMessage {
+    /// To a judge.
+    Report(RollOutReport),
+    /// From a judge.
+    Grant(GrantMessage),
+}
