--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -1,9 +1,12 @@
 //! Drives the membership state machine over UDP.
 
 use super::report_codec::ReportCodec;
+use super::roll_out_codec::RollOutCodec;
 use super::view::ClusterView;
 use crate::clock::Clock;
+use crate::roll_out::{RollOutLink, RollOutMessage};
 use crate::state::{Gateway, StopPhase};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -28,6 +31,8 @@
     socket: UdpSocket,
     codec: GossipCodec,
     report_codec: ReportCodec,
+    roll_out_codec: RollOutCodec,
+    roll_outs: Rc<RollOutLink>,
     local: LocalMember,
     membership: Membership,
 }
@@ -37,6 +42,7 @@
     pub async fn bind(
         gateway: Rc<Gateway>,
         view: Rc<ClusterView>,
+        roll_outs: Rc<RollOutLink>,
         place: PlaceName,
     ) -> Result<Self, StepError> {
         let settings = &gateway.settings;
@@ -56,6 +62,8 @@
         };
         let codec = GossipCodec::new(&settings.cluster);
         let report_codec = ReportCodec::new(&settings.cluster);
+        let roll_out_codec = RollOutCodec::new(&settings.cluster);
+        view.set_life(local.instance.boot);
         let membership = new_membership(&local, &settings.seeds);
         Ok(Self {
             gateway,
@@ -63,6 +71,8 @@
             socket,
             codec,
             report_codec,
+            roll_out_codec,
+            roll_outs,
             local,
             membership,
         })
@@ -72,9 +82,14 @@
     pub async fn run(mut self) {
         let mut buffer = vec![0; MAXIMUM_PACKET_BYTES + 1];
         let gateway = Rc::clone(&self.gateway);
+        let roll_outs = Rc::clone(&self.roll_outs);
         let mut stop = gateway.stop_phases();
         let mut leaving = false;
         self.feed(MembershipEvent::Wakeup);
+        if self.membership.is_joined() {
+            // There is nobody to join: no event will tell of that.
+            self.publish();
+        }
         loop {
             self.take_hints();
             let now = Clock.now();
@@ -87,6 +102,7 @@
                     }
                 }
                 () = gateway.reports.added() => self.send_reports(),
+                () = roll_outs.to_send() => self.send_roll_out_messages(),
                 () = tokio::time::sleep_until(Clock.instant_at(wakeup)) => {
                     self.feed(MembershipEvent::Wakeup);
                 }
@@ -124,10 +140,31 @@
         }
     }
 
+    /// Sends reports to judges of roll-outs, and their answers; those to one peer go together.
+    fn send_roll_out_messages(&self) {
+        let mut by_peer: BTreeMap<NodeId, Vec<RollOutMessage>> = BTreeMap::new();
+        for (peer, message) in self.roll_outs.take_to_send() {
+            by_peer.entry(peer).or_default().push(message);
+        }
+        for (peer, messages) in by_peer {
+            let encoded = self.roll_out_codec.encode_counted(&messages);
+            if encoded.left_out > 0 {
+                log::warn!(peer:% = peer, messages = encoded.left_out; "messages of roll-outs fit into no datagram");
+            }
+            for datagram in encoded.datagrams {
+                // A datagram that cannot be sent now is as good as lost on the way.
+                let _ = self.socket.try_send_to(&datagram, peer.0);
+            }
+        }
+    }
+
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         if let Some(reports) = self.report_codec.decode(bytes) {
             return self.gateway.apply_reports(&reports);
         }
+        if let Some(messages) = self.roll_out_codec.decode(bytes) {
+            return self.roll_outs.receive(messages);
+        }
         if let Ok(packet) = self.codec.decode(bytes) {
             let packet = Box::new(packet);
             self.feed(MembershipEvent::Packet { from, packet });
@@ -167,6 +204,7 @@
     fn succeed(&mut self, by: InstanceId) {
         log::warn!(boot = by.boot; "own address was held by a later run; starting membership anew");
         self.local.instance.boot = by.boot + 1;
+        self.view.set_life(self.local.instance.boot);
         self.membership = new_membership(&self.local, &self.gateway.settings.seeds);
         self.feed(MembershipEvent::Wakeup);
     }
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -5,8 +5,9 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use tansylead_cluster::membership::MemberRecord;
+use tansylead_cluster::routing::judges;
 use tansylead_cluster::spread::{FeedSources, FeedTree, ReaderRanking};
-use tansylead_types::{NodeId, PlaceName};
+use tansylead_types::{NodeId, PlaceName, ServiceName};
 
 /// Daemons that watch the source, in all regions together, at least: each of them sees every change,
 /// so more would cost calls and bring nothing sooner.
@@ -37,6 +38,10 @@
     /// Whom this daemon polls; found anew whenever the members change.
     sources: RefCell<FeedSources>,
     joined: Cell<bool>,
+    /// Rises whenever the members change.
+    members_version: Cell<u64>,
+    /// This daemon's run, as membership tells it to the others.
+    life: Cell<u64>,
 }
 
 /// How good a member is to poll; the least is the best.
@@ -68,6 +73,8 @@
             watchers: RefCell::default(),
             sources: RefCell::default(),
             joined: Cell::new(false),
+            members_version: Cell::new(0),
+            life: Cell::new(0),
         }
     }
 
@@ -96,9 +103,36 @@
         let sources = own_tree.map(|tree| tree.sources(self.node));
         *self.sources.borrow_mut() = sources.unwrap_or_default();
         *self.members.borrow_mut() = members;
+        self.members_version.set(self.members_version.get() + 1);
         self.joined.set(joined);
     }
 
+    /// Rises whenever the members change.
+    pub fn members_version(&self) -> u64 {
+        self.members_version.get()
+    }
+
+    /// The members that run, this daemon included.
+    pub fn member_nodes(&self) -> Vec<NodeId> {
+        let members = self.members.borrow();
+        members.iter().map(MemberRecord::node).collect()
+    }
+
+    /// The judges of the roll-outs of a service, best first.
+    pub fn judges(&self, service: &ServiceName) -> Vec<NodeId> {
+        judges(service, self.members.borrow().iter())
+    }
+
+    /// Sets this daemon's run, as membership tells it to the others: later runs are greater.
+    pub fn set_life(&self, life: u64) {
+        self.life.set(life);
+    }
+
+    /// This daemon's run.
+    pub fn life(&self) -> u64 {
+        self.life.get()
+    }
+
     /// The tree of each region.
     fn feed_trees(&self, members: &[MemberRecord]) -> BTreeMap<PlaceName, FeedTree> {
         let mut rankings: BTreeMap<PlaceName, ReaderRanking> = BTreeMap::new();
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, find_daemons, serve_peers};
 use crate::headers::HeaderNames;
 use crate::metrics::serve_metrics;
+use crate::roll_out::{RollOutLink, RollOutTask};
 use crate::settings::GatewaySettings;
 use crate::source::Source;
 use crate::state::{Gateway, StopPhase};
@@ -109,7 +110,9 @@
 ) -> Result<(), RunError> {
     let place = place_of(&gateway.settings)?;
     let server = CallerServer::bind(Rc::clone(gateway)).await?;
-    let members = MemberDriver::bind(Rc::clone(gateway), Rc::clone(view), place).await?;
+    let roll_outs = Rc::new(RollOutLink::default());
+    let link = Rc::clone(&roll_outs);
+    let members = MemberDriver::bind(Rc::clone(gateway), Rc::clone(view), link, place).await?;
     spawn_local(server.run());
     spawn_local(members.run());
     spawn_local(PeerFeed::new(Rc::clone(gateway), Rc::clone(view)).run());
@@ -124,6 +127,11 @@
         );
         spawn_local(feed.run());
     }
+    if gateway.settings.bounds.follow_roll_outs {
+        let (gateway, view) = (Rc::clone(gateway), Rc::clone(view));
+        let task = RollOutTask::new(gateway, view, roll_outs, Rc::clone(&source));
+        spawn_local(task.run());
+    }
     if let Some(address) = gateway.settings.metrics_address {
         let metrics = serve_metrics(Rc::clone(gateway), address);
         spawn_local(until_failed("metrics", metrics));
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// Where parts of the daemon register metrics of their own.
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Counts the end of a request.
     pub fn on_request(&self, route: &str, outcome: &str, took: Duration) {
         let route = self.route_label(route);
--- /dev/null
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -0,0 +1,243 @@
+//! The trials that this daemon judges: reports in, grants and conclusions out.
+//!
+//! Invariants: a trial is kept as long as its order stands and has not ended, also while other daemons are
+//! ranked as its judges; only a ranked judge takes reports in and looks at its trials.
+
+use super::message::GrantMessage;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tansylead_route::{
+    Conclusion, ConclusionReason, ExposureBounds, OrderId, RollOut, RollOutReport, RollOutState,
+    RollOutTrial, RollOuts, Stage, TrialContext,
+};
+use tansylead_types::{Moment, NodeId, ServiceName};
+
+/// A judge is followed if a report has said so within this time: one quiet period and a half.
+const FOLLOWED_LIMIT: Duration = Duration::from_millis(1_500);
+/// Longest time before the deadline at which all requests begin to move over (design note 0011).
+const LONGEST_SHIFT: Duration = Duration::from_millis(2_500);
+/// The same as a share of a short roll-out.
+const SHIFT_SHARE: f64 = 0.25;
+/// The source is asked from this long before the shift on: one slow answer and another one.
+const SOURCE_LEAD: Duration = Duration::from_millis(1_500);
+/// It is asked until this long after the deadline: by then the trial has concluded.
+const SOURCE_FOLLOW_UP: Duration = Duration::from_secs(2);
+
+/// Why a report was not taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportRefusal {
+    /// This daemon does not rank as a judge of the service.
+    NotJudge,
+    /// No such order is known to run.
+    UnknownOrder,
+}
+
+/// What the judge knows beside the reports when it looks at its trials.
+#[derive(Debug, Clone, Copy)]
+pub struct JudgeContext<'a> {
+    /// Daemons that run, this one included.
+    pub members: &'a [NodeId],
+    /// Whether the source has answered this daemon lately.
+    pub is_source_fresh: bool,
+}
+
+/// What came of a look at one trial.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TrialLook {
+    /// The order as it was last heard of.
+    pub roll_out: RollOut,
+    /// Stage now.
+    pub stage: Stage,
+    /// Whether the stage is another one than at the last look.
+    pub is_new_stage: bool,
+    /// What is to be written to the source.
+    pub write: Option<(Conclusion, ConclusionReason)>,
+    /// Whether it is to be noted at the source that the trial runs.
+    pub is_beginning: bool,
+    /// Whether the trial may conclude soon, so that it matters whether the source answers.
+    pub needs_source: bool,
+}
+
+#[derive(Debug)]
+struct JudgedOrder {
+    trial: RollOutTrial,
+    roll_out: RollOut,
+    /// When a report last said that this judge is followed.
+    followed_at: Option<Moment>,
+    /// When the first daemon learned of the order.
+    known_since: Moment,
+    stage: Option<Stage>,
+}
+
+/// The trials of one daemon.
+#[derive(Debug)]
+pub struct Judge {
+    node: NodeId,
+    bounds: ExposureBounds,
+    /// Orders that stand and have not ended.
+    orders: BTreeMap<ServiceName, RollOut>,
+    trials: BTreeMap<ServiceName, JudgedOrder>,
+}
+
+impl Judge {
+    /// A judge that knows of no order.
+    pub fn new(node: NodeId, bounds: ExposureBounds) -> Self {
+        Self {
+            node,
+            bounds,
+            orders: BTreeMap::new(),
+            trials: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in the orders as they are known now: trials of orders that have ended, are gone or were replaced
+    /// end.
+    pub fn set_orders(&mut self, orders: &RollOuts) {
+        let running = orders.orders.iter();
+        let running = running.filter(|(_, order)| !order.state.is_final());
+        self.orders = running
+            .map(|(service, order)| (service.clone(), order.clone()))
+            .collect();
+        let orders = &self.orders;
+        self.trials.retain(|service, judged| {
+            let order = orders.get(service);
+            let stands = order.filter(|order| order.order == judged.roll_out.order);
+            if let Some(order) = stands {
+                judged.note(order);
+            }
+            stands.is_some()
+        });
+    }
+
+    /// Takes in what was read or written of an order.
+    pub fn on_standing(&mut self, roll_out: &RollOut) {
+        if let Some(judged) = self.trials.get_mut(&roll_out.service) {
+            judged.note(roll_out);
+        }
+    }
+
+    /// Takes in a report and answers it. `rank` is this daemon's place among the judges of the service.
+    pub fn on_report(
+        &mut self,
+        now: Moment,
+        report: &RollOutReport,
+        rank: Option<usize>,
+    ) -> Result<GrantMessage, ReportRefusal> {
+        rank.ok_or(ReportRefusal::NotJudge)?;
+        let node = self.node;
+        let judged = self.trial(now, &report.service, Some(report.order));
+        let judged = judged.ok_or(ReportRefusal::UnknownOrder)?;
+        judged.on_report(now, report, node);
+        let grant = judged.trial.grant(now, report.reporter);
+        Ok(GrantMessage {
+            service: report.service.clone(),
+            order: report.order,
+            judge: node,
+            life: report.life,
+            sequence: report.sequence,
+            grant,
+        })
+    }
+
+    /// Looks at all trials of which this daemon is a judge.
+    pub fn look(
+        &mut self,
+        now: Moment,
+        context: JudgeContext<'_>,
+        mut rank_of: impl FnMut(&ServiceName) -> Option<usize>,
+    ) -> Vec<TrialLook> {
+        let services: Vec<ServiceName> = self.orders.keys().cloned().collect();
+        let mut looks = Vec::new();
+        for service in services {
+            let Some(rank) = rank_of(&service) else {
+                continue;
+            };
+            if let Some(judged) = self.trial(now, &service, None) {
+                looks.push(judged.look(now, context, rank));
+            }
+        }
+        looks
+    }
+
+    /// Stages of all trials.
+    pub fn stages(&self) -> impl Iterator<Item = Stage> {
+        self.trials.values().filter_map(|judged| judged.stage)
+    }
+
+    /// The trial of a service's order; begun if there is none yet.
+    fn trial(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        order: Option<OrderId>,
+    ) -> Option<&mut JudgedOrder> {
+        let roll_out = self.orders.get(service)?;
+        if order.is_some_and(|order| order != roll_out.order) {
+            return None;
+        }
+        let make = || JudgedOrder::new(roll_out.clone(), self.bounds, self.node, now);
+        let judged = self.trials.entry(service.clone());
+        Some(judged.or_insert_with(make))
+    }
+}
+
+impl JudgedOrder {
+    fn new(roll_out: RollOut, bounds: ExposureBounds, judge: NodeId, now: Moment) -> Self {
+        Self {
+            trial: RollOutTrial::new(roll_out.clone(), bounds, judge, now),
+            roll_out,
+            followed_at: None,
+            known_since: now,
+            stage: None,
+        }
+    }
+
+    fn note(&mut self, standing: &RollOut) {
+        let is_same = standing.order == self.roll_out.order;
+        if is_same && standing.changed_at > self.roll_out.changed_at {
+            self.roll_out = standing.clone();
+        }
+    }
+
+    fn on_report(&mut self, now: Moment, report: &RollOutReport, judge: NodeId) {
+        let known_for = Duration::from_millis(u64::from(report.known_for_millis));
+        self.known_since = self.known_since.min(now - known_for);
+        if report.follows == Some(judge) {
+            self.followed_at = Some(now);
+        }
+        self.trial.on_report(now, report);
+    }
+
+    fn look(&mut self, now: Moment, context: JudgeContext<'_>, rank: usize) -> TrialLook {
+        // Once it has concluded, only the write itself can tell whether the source takes it.
+        let has_concluded = self.stage.is_some_and(|stage| stage >= Stage::Commit);
+        let trial_context = TrialContext {
+            members: context.members,
+            rank,
+            is_source_fresh: context.is_source_fresh || has_concluded,
+        };
+        let verdict = self.trial.look(now, trial_context);
+        let is_new_stage = self.stage.replace(verdict.stage) != Some(verdict.stage);
+        let is_followed = self.is_followed(now);
+        TrialLook {
+            roll_out: self.roll_out.clone(),
+            stage: verdict.stage,
+            is_new_stage,
+            write: verdict.write,
+            is_beginning: rank == 0 && is_followed && self.roll_out.state == RollOutState::Ordered,
+            needs_source: is_followed && self.may_conclude_soon(now),
+        }
+    }
+
+    fn is_followed(&self, now: Moment) -> bool {
+        let followed_at = self.followed_at;
+        followed_at.is_some_and(|at| now.since(at) <= FOLLOWED_LIMIT)
+    }
+
+    fn may_conclude_soon(&self, now: Moment) -> bool {
+        let duration = self.roll_out.duration;
+        let shift = LONGEST_SHIFT.min(duration.mul_f64(SHIFT_SHARE));
+        let known_for = now.since(self.known_since);
+        known_for + shift + SOURCE_LEAD >= duration && known_for <= duration + SOURCE_FOLLOW_UP
+    }
+}
--- a/crates/tansylead-gateway/src/roll_out/mod.rs
+++ b/crates/tansylead-gateway/src/roll_out/mod.rs
@@ -1,14 +1,31 @@
 //! Roll-outs in this daemon: which leafs a request may use by their version, what is seen of both sides,
 //! and the judges that conclude.
 
+mod judge;
+mod judge_metrics;
 mod judge_seats;
+mod link;
 mod message;
+mod pause_guard;
+mod ranked_judges;
 mod report_pace;
 mod reporter;
+mod reporters;
+mod roll_out_task;
 mod service_versions;
+mod source_calls;
+mod source_check;
+mod source_contact;
+mod state_writes;
 
+pub use judge::{Judge, JudgeContext, ReportRefusal, TrialLook};
+pub use judge_metrics::{JudgeMetrics, MessageFate, MessageKind};
 pub use judge_seats::{FollowedGrant, SILENCE_LIMIT};
+pub use link::RollOutLink;
 pub use message::{GrantMessage, RollOutMessage};
+pub use pause_guard::PauseGuard;
 pub use report_pace::{BUSY_PERIOD, QUIET_PERIOD, REPORTS_PER_SECOND, report_period};
 pub use reporter::{AnswerEnd, Fleet, Reporter};
+pub use roll_out_task::RollOutTask;
 pub use service_versions::ServiceVersions;
+pub use source_calls::{SourceCalls, StateWriteEnd};
--- /dev/null
+++ b/crates/tansylead-gateway/src/roll_out/pause_guard.rs
@@ -0,0 +1,44 @@
+//! Notices that this process did not run for a while.
+//!
+//! What waited in the socket meanwhile looks as if it had just come, although it is old: a judge that was frozen
+//! would take daemons that follow another one by now for its own.
+
+use std::time::Duration;
+use tansylead_types::Moment;
+
+/// A longer time between two looks, which come every few tens of milliseconds, is a pause: as long as a
+/// silent judge is still followed.
+const PAUSE_LIMIT: Duration = Duration::from_millis(600);
+/// Messages are passed over for this long after a pause: a few rounds of reading a full socket, and as long as
+/// a busy reporter takes to report again.
+const DISTRUST: Duration = Duration::from_millis(250);
+
+/// Watches the times of the looks.
+#[derive(Debug, Default)]
+pub struct PauseGuard {
+    looked_at: Option<Moment>,
+    distrusts_until: Option<Moment>,
+}
+
+impl PauseGuard {
+    /// Notes a look. Returns how long this process did not run, if it was paused.
+    pub fn look(&mut self, now: Moment) -> Option<Duration> {
+        let gap = self.looked_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.looked_at = Some(now);
+        if gap <= PAUSE_LIMIT {
+            return None;
+        }
+        self.distrusts_until = Some(now + DISTRUST);
+        Some(gap)
+    }
+
+    /// Notes that no looks will come until there is something to do.
+    pub fn rest(&mut self) {
+        self.looked_at = None;
+    }
+
+    /// Whether messages that come now may have waited during a pause.
+    pub fn distrusts(&self, now: Moment) -> bool {
+        self.distrusts_until.is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -0,0 +1,261 @@
+//! The task of one daemon for roll-outs: it reports to the judges, judges the trials that it is ranked for, and
+//! writes conclusions to the source. It does nothing while no roll-out runs.
+
+use super::judge::{Judge, JudgeContext, ReportRefusal, TrialLook};
+use super::judge_metrics::{JudgeMetrics, MessageFate, MessageKind, conclusion_label};
+use super::link::RollOutLink;
+use super::message::{GrantMessage, RollOutMessage};
+use super::pause_guard::PauseGuard;
+use super::ranked_judges::RankedJudges;
+use super::reporters::Reporters;
+use super::source_calls::{SourceCalls, StateWriteEnd};
+use super::source_check::SourceCheck;
+use super::state_writes::{EndedWrite, StateWrites};
+use crate::clock::Clock;
+use crate::cluster::ClusterView;
+use crate::source::Source;
+use crate::state::Gateway;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_route::{Conclusion, ConclusionReason, RollOut, RollOutReport, RollOutState};
+use tansylead_types::{Moment, NodeId};
+use tokio::sync::mpsc;
+
+/// Period at which it is looked whether reports are due: a part of the shortest period between reports.
+const TICK: Duration = Duration::from_millis(50);
+/// Ticks from one look at the trials to the next: four looks a second.
+const TICKS_EACH_LOOK: u32 = 5;
+
+/// The task.
+#[derive(Debug)]
+pub struct RollOutTask<S> {
+    gateway: Rc<Gateway>,
+    view: Rc<ClusterView>,
+    link: Rc<RollOutLink>,
+    node: NodeId,
+    metrics: Rc<JudgeMetrics>,
+    ranked: RankedJudges,
+    reporters: Reporters,
+    judge: Judge,
+    calls: Rc<SourceCalls<S>>,
+    check: SourceCheck<S>,
+    writes: StateWrites<S>,
+    ended_writes: mpsc::UnboundedReceiver<EndedWrite>,
+    pauses: PauseGuard,
+    ticks: u32,
+}
+
+impl<S: Source> RollOutTask<S> {
+    /// A task that knows of no order yet.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        view: Rc<ClusterView>,
+        link: Rc<RollOutLink>,
+        source: Rc<S>,
+    ) -> Self {
+        let node = NodeId(gateway.settings.peer_address);
+        let metrics = Rc::new(JudgeMetrics::new(gateway.metrics.registry()));
+        let calls = Rc::new(SourceCalls::new(Rc::clone(&gateway), source));
+        let (ended, ended_writes) = mpsc::unbounded_channel();
+        Self {
+            node,
+            ranked: RankedJudges::new(Rc::clone(&view)),
+            reporters: Reporters::new(Rc::clone(&gateway), Rc::clone(&metrics)),
+            judge: Judge::new(node, gateway.settings.bounds.exposure()),
+            check: SourceCheck::new(Rc::clone(&calls)),
+            writes: StateWrites::new(Rc::clone(&calls), ended),
+            calls,
+            ended_writes,
+            pauses: PauseGuard::default(),
+            ticks: 0,
+            gateway,
+            view,
+            link,
+            metrics,
+        }
+    }
+
+    /// Runs until its task is ended.
+    pub async fn run(mut self) {
+        let mut changes = self.gateway.changes();
+        let link = Rc::clone(&self.link);
+        self.take_in_orders();
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let is_active = !self.reporters.is_empty();
+            if !is_active {
+                self.pauses.rest();
+            }
+            tokio::select! {
+                _ = changes.changed() => self.take_in_orders(),
+                () = link.received() => self.receive_all(),
+                Some(ended) = self.ended_writes.recv() => self.on_ended_write(ended),
+                _ = ticks.tick(), if is_active => self.tick(),
+            }
+        }
+    }
+
+    fn take_in_orders(&mut self) {
+        let Some(orders) = self.gateway.roll_outs() else {
+            return;
+        };
+        self.reporters.set_orders(Clock.now(), &orders);
+        self.judge.set_orders(&orders);
+        self.writes.set_orders(&orders);
+        self.metrics.set_trials(self.judge.stages());
+    }
+
+    fn tick(&mut self) {
+        let now = Clock.now();
+        self.notice_pause(now);
+        let reports = self.reporters.look(now, &mut self.ranked, self.view.life());
+        for report in reports {
+            self.send_report(now, report);
+        }
+        self.ticks += 1;
+        if self.ticks >= TICKS_EACH_LOOK {
+            self.ticks = 0;
+            self.look(now);
+        }
+        self.metrics.on_overflow(self.link.take_dropped());
+    }
+
+    fn notice_pause(&mut self, now: Moment) {
+        if let Some(pause) = self.pauses.look(now) {
+            let millis = pause.as_millis() as u64;
+            log::warn!(paused_ms = millis; "did not run; what came meanwhile about roll-outs is passed over");
+        }
+    }
+
+    fn send_report(&mut self, now: Moment, report: RollOutReport) {
+        for judge in self.ranked.judges(&report.service).iter() {
+            self.metrics
+                .on_message(MessageKind::Report, MessageFate::Sent);
+            if *judge == self.node {
+                self.on_report(now, &report);
+            } else {
+                self.link
+                    .send(*judge, RollOutMessage::Report(report.clone()));
+            }
+        }
+    }
+
+    fn receive_all(&mut self) {
+        let now = Clock.now();
+        if !self.reporters.is_empty() {
+            self.notice_pause(now);
+        }
+        for message in self.link.take_received() {
+            let is_distrusted = self.pauses.distrusts(now);
+            match message {
+                RollOutMessage::Report(_) if is_distrusted => self
+                    .metrics
+                    .on_message(MessageKind::Report, MessageFate::AfterPause),
+                RollOutMessage::Grant(_) if is_distrusted => self
+                    .metrics
+                    .on_message(MessageKind::Grant, MessageFate::AfterPause),
+                RollOutMessage::Report(report) => self.on_report(now, &report),
+                RollOutMessage::Grant(grant) => self.on_grant(now, &grant),
+            }
+        }
+    }
+
+    /// Judges a report, and answers it.
+    fn on_report(&mut self, now: Moment, report: &RollOutReport) {
+        let rank = self.ranked.rank(&report.service, self.node);
+        let fate = match self.judge.on_report(now, report, rank) {
+            Ok(grant) => {
+                self.answer(now, report.reporter, grant);
+                MessageFate::Received
+            }
+            Err(ReportRefusal::NotJudge) => MessageFate::NotJudge,
+            Err(ReportRefusal::UnknownOrder) => MessageFate::UnknownOrder,
+        };
+        self.metrics.on_message(MessageKind::Report, fate);
+    }
+
+    fn answer(&mut self, now: Moment, reporter: NodeId, grant: GrantMessage) {
+        self.metrics
+            .on_message(MessageKind::Grant, MessageFate::Sent);
+        if reporter == self.node {
+            self.on_grant(now, &grant);
+        } else {
+            self.link.send(reporter, RollOutMessage::Grant(grant));
+        }
+    }
+
+    fn on_grant(&mut self, now: Moment, grant: &GrantMessage) {
+        self.reporters.on_answer(now, grant, &mut self.ranked);
+    }
+
+    /// Looks at the trials.
+    fn look(&mut self, now: Moment) {
+        let members = self.ranked.members();
+        let context = JudgeContext {
+            members: &members,
+            is_source_fresh: self.calls.is_fresh(),
+        };
+        let (ranked, node) = (&mut self.ranked, self.node);
+        let looks = self
+            .judge
+            .look(now, context, |service| ranked.rank(service, node));
+        for look in looks {
+            self.on_look(now, look);
+        }
+        for roll_out in self.check.take_found() {
+            self.judge.on_standing(&roll_out);
+        }
+        self.metrics.set_trials(self.judge.stages());
+    }
+
+    fn on_look(&mut self, now: Moment, look: TrialLook) {
+        if look.is_new_stage {
+            log_counts(&look, "stage", "trial has another stage");
+        }
+        if let Some((conclusion, reason)) = look.write {
+            return self.conclude(&look, conclusion, reason);
+        }
+        if look.is_beginning {
+            self.writes.start(&look.roll_out, RollOutState::Running);
+        }
+        if look.needs_source {
+            self.check.ask(now, &look.roll_out);
+        }
+    }
+
+    fn conclude(&mut self, look: &TrialLook, conclusion: Conclusion, reason: ConclusionReason) {
+        let wanted = match conclusion {
+            Conclusion::Complete => RollOutState::Completed,
+            Conclusion::RollBack => RollOutState::RolledBack,
+        };
+        if !self.writes.start(&look.roll_out, wanted) {
+            return;
+        }
+        self.metrics.on_conclusion(conclusion, reason);
+        log_counts(look, reason.label(), conclusion_label(conclusion));
+    }
+
+    fn on_ended_write(&mut self, ended: EndedWrite) {
+        let EndedWrite {
+            roll_out,
+            wanted,
+            end,
+        } = ended;
+        self.metrics.on_write(wanted, end.label());
+        log::info!(service = roll_out.service.as_str(), state = wanted.label(), end = end.label(); "writing of a roll-out ended");
+        if let StateWriteEnd::Stands(changed_at) = end {
+            self.judge.on_standing(&RollOut {
+                state: wanted,
+                changed_at,
+                ..roll_out
+            });
+        }
+    }
+}
+
+fn log_counts(look: &TrialLook, why: &str, what: &str) {
+    let service = look.roll_out.service.as_str();
+    let target = look.roll_out.target.as_str();
+    log::info!(service = service, target = target, stage = look.stage.label(), why = why; "{what}");
+}
--- /dev/null
+++ b/crates/tansylead-gateway/src/roll_out/source_calls.rs
@@ -0,0 +1,200 @@
+//! The calls to the source that a judge makes: writing a state until it stands, reading one order, and bringing
+//! what stands into force here.
+
+use super::source_contact::SourceContact;
+use crate::clock::Clock;
+use crate::source::{Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic, WriteEnd};
+use crate::state::Gateway;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_route::{Revision, RollOut, RollOutState};
+use tansylead_types::{ServiceName, StepError};
+
+/// A call without an answer is given up after this time: it is within the time for a shift.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+/// First wait after a failure.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait after a failure: a source that is back is noticed soon.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+/// How the writing of a state ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateWriteEnd {
+    /// The state stands as wanted.
+    Stands(Revision),
+    /// The roll-out has ended, but not as wanted.
+    EndedAs(RollOutState),
+    /// Another order stands for the service.
+    Replaced,
+    /// The order was taken back.
+    Gone,
+}
+
+impl StateWriteEnd {
+    /// Name, for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Stands(_) => "stands",
+            Self::EndedAs(_) => "ended_otherwise",
+            Self::Replaced => "replaced",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// The source as a judge calls it.
+#[derive(Debug)]
+pub struct SourceCalls<S> {
+    gateway: Rc<Gateway>,
+    source: Rc<S>,
+    contact: SourceContact,
+}
+
+impl<S: Source> SourceCalls<S> {
+    /// Calls to a source that has not answered yet.
+    pub fn new(gateway: Rc<Gateway>, source: Rc<S>) -> Self {
+        Self {
+            gateway,
+            source,
+            contact: SourceContact::default(),
+        }
+    }
+
+    /// Whether the source has answered one of these calls lately.
+    pub fn is_fresh(&self) -> bool {
+        self.contact.is_fresh(Clock.now())
+    }
+
+    /// Writes a state until it stands, or the order has ended otherwise, however long that takes.
+    pub async fn write_until_it_stands(
+        &self,
+        mut roll_out: RollOut,
+        wanted: RollOutState,
+    ) -> StateWriteEnd {
+        let mut wait = FIRST_WAIT;
+        loop {
+            let found = match self.write(&roll_out, wanted).await {
+                Ok(WriteEnd::Written(revision)) => return StateWriteEnd::Stands(revision),
+                Ok(WriteEnd::Conflict(found)) => found.map(|found| *found),
+                Err(SourceError::Refused(_)) => Some(roll_out.clone()),
+                Err(_) => self.read_back(&roll_out.service).await,
+            };
+            let end = end_of(found.as_ref(), &roll_out, wanted);
+            let (None, Some(found)) = (end, found) else {
+                return end.unwrap_or(StateWriteEnd::Gone);
+            };
+            if found == roll_out {
+                pause(&mut wait).await;
+            }
+            roll_out = found;
+        }
+    }
+
+    /// Reads an order as it stands now.
+    pub async fn read(&self, service: &ServiceName) -> Result<Option<RollOut>, SourceError> {
+        let call = self.source.read_roll_out(service);
+        self.answered("read roll-out", service, call).await
+    }
+
+    /// Reads all orders and applies them here, until that has succeeded.
+    ///
+    /// A single order that is newer than the others known here cannot be applied alone: the orders are known
+    /// up to one revision, below which leafs are judged by them.
+    pub async fn bring_into_force(&self) {
+        let mut wait = FIRST_WAIT;
+        loop {
+            let call = self.source.read(Topic::RollOuts, Freshness::Current);
+            match self.answered("read roll-outs", "all", call).await {
+                Ok(SourceUpdate {
+                    content: SourceContent::RollOuts(Some(roll_outs)),
+                    ..
+                }) => return self.gateway.apply_roll_outs(roll_outs),
+                Ok(_) => return,
+                Err(error) => log::warn!(error:% = error; "roll-outs could not be read"),
+            }
+            pause(&mut wait).await;
+        }
+    }
+
+    async fn write(
+        &self,
+        roll_out: &RollOut,
+        wanted: RollOutState,
+    ) -> Result<WriteEnd, SourceError> {
+        let call = self.source.write_roll_out_state(roll_out, wanted);
+        let result = self
+            .answered("write roll-out", &roll_out.service, call)
+            .await;
+        let service = roll_out.service.as_str();
+        let (state, under) = (wanted.label(), roll_out.changed_at.0);
+        match &result {
+            Ok(WriteEnd::Written(revision)) => {
+                log::info!(service = service, state = state, under = under, revision = revision.0; "roll-out written");
+            }
+            Ok(WriteEnd::Conflict(found)) => {
+                let found = found.as_ref().map_or("gone", |found| found.state.label());
+                log::info!(service = service, state = state, under = under, found = found; "roll-out changed before it was written");
+            }
+            Err(error) => {
+                log::warn!(service = service, state = state, under = under, error:% = error; "roll-out not known to be written");
+            }
+        }
+        result
+    }
+
+    /// Reads an order until that has succeeded.
+    async fn read_back(&self, service: &ServiceName) -> Option<RollOut> {
+        let mut wait = FIRST_WAIT;
+        loop {
+            match self.read(service).await {
+                Ok(found) => return found,
+                Err(error) => {
+                    log::warn!(service = service.as_str(), error:% = error; "roll-out could not be read back");
+                }
+            }
+            pause(&mut wait).await;
+        }
+    }
+
+    async fn answered<T>(
+        &self,
+        step: &'static str,
+        what: impl std::fmt::Display,
+        call: impl Future<Output = Result<T, SourceError>>,
+    ) -> Result<T, SourceError> {
+        let result = tokio::time::timeout(CALL_LIMIT, call).await;
+        let result = result.unwrap_or_else(|_| {
+            let error = StepError::new(step, what, "no answer in time");
+            Err(SourceError::Failed(error))
+        });
+        self.contact.on_call(Clock.now(), &result);
+        result
+    }
+}
+
+/// How the writing has ended if the order stands like this; none if it goes on.
+fn end_of(
+    found: Option<&RollOut>,
+    roll_out: &RollOut,
+    wanted: RollOutState,
+) -> Option<StateWriteEnd> {
+    let Some(found) = found else {
+        return Some(StateWriteEnd::Gone);
+    };
+    if found.order != roll_out.order {
+        Some(StateWriteEnd::Replaced)
+    } else if found.state == wanted {
+        Some(StateWriteEnd::Stands(found.changed_at))
+    } else if found.state.is_final() {
+        Some(StateWriteEnd::EndedAs(found.state))
+    } else {
+        None
+    }
+}
+
+/// Waits before a call is repeated; the next wait is longer.
+async fn pause(wait: &mut Duration) {
+    tokio::time::sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
+    *wait = (*wait * 2).min(LONGEST_WAIT);
+}
