--- /dev/null
+++ b/crates/tansylead-gateway/tests/roll_out_world/mod.rs
@@ -0,0 +1,17 @@
+//! Parts of a world in which services are rolled out.
+
+pub mod faulty_source;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use tansylead_gateway::state::Gateway;
+use tansylead_gateway::{GatewaySettings, HeaderNames};
+
+/// The state of a daemon with this peer address.
+pub fn gateway(peer_address: SocketAddr) -> Rc<Gateway> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
+    let mut settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
+    settings.peer_address = peer_address;
+    Rc::new(Gateway::new(settings, HeaderNames::default()))
+}
