--- /dev/null
+++ b/crates/tansylead-gateway/tests/roll_out_judge.rs
@@ -0,0 +1,163 @@
+//! The trials of one judge: which reports it takes in, and when they end.
+
+mod roll_out_world;
+
+use roll_out_world::faulty_source::{FaultySource, order, service};
+use std::time::Duration;
+use tansylead_gateway::roll_out::{Judge, JudgeContext, PauseGuard, ReportRefusal};
+use tansylead_route::{
+    ExposureBounds, OrderId, Revision, RollOutEvidence, RollOutReport, RollOutState,
+};
+use tansylead_types::{Moment, NodeId};
+
+const DURATION: Duration = Duration::from_secs(20);
+const BOUNDS: ExposureBounds = ExposureBounds {
+    share: 0.1,
+    slack: 20.0,
+};
+
+fn node(number: u16) -> NodeId {
+    NodeId(([10, 0, 0, 1], number).into())
+}
+
+fn report(order: u64, sequence: u64, follows: Option<NodeId>) -> RollOutReport {
+    RollOutReport {
+        service: service(),
+        order: OrderId(order),
+        reporter: node(5),
+        life: 3,
+        sequence,
+        known_for_millis: 100,
+        follows,
+        stage: None,
+        evidence: RollOutEvidence::default(),
+    }
+}
+
+fn judge(source: &FaultySource) -> Judge {
+    let mut judge = Judge::new(node(1), BOUNDS);
+    judge.set_orders(&source.orders());
+    judge
+}
+
+fn ordered() -> FaultySource {
+    let source = FaultySource::new();
+    source.give(1, DURATION);
+    source
+}
+
+#[test]
+fn an_answer_names_the_report_that_it_answers() {
+    let mut judge = judge(&ordered());
+    let now = Moment::from_millis(1_000);
+    let answer = judge
+        .on_report(now, &report(1, 8, None), Some(2))
+        .expect("a judge");
+    assert_eq!((answer.judge, answer.order), (node(1), OrderId(1)));
+    assert_eq!((answer.life, answer.sequence), (3, 8));
+}
+
+#[test]
+fn reports_of_other_orders_and_to_others_than_judges_are_not_taken_in() {
+    let source = ordered();
+    let mut judge = judge(&source);
+    let now = Moment::from_millis(1_000);
+    let refused = judge.on_report(now, &report(1, 1, None), None);
+    assert_eq!(refused, Err(ReportRefusal::NotJudge));
+    let refused = judge.on_report(now, &report(2, 1, None), Some(0));
+    assert_eq!(refused, Err(ReportRefusal::UnknownOrder));
+    source.set_state(RollOutState::RolledBack);
+    judge.set_orders(&source.orders());
+    let refused = judge.on_report(now, &report(1, 2, None), Some(0));
+    assert_eq!(refused, Err(ReportRefusal::UnknownOrder));
+}
+
+fn context(members: &[NodeId]) -> JudgeContext<'_> {
+    JudgeContext {
+        members,
+        is_source_fresh: false,
+    }
+}
+
+#[test]
+fn only_the_first_judge_notes_a_beginning_once_it_is_followed_and_until_it_stands() {
+    let members = [node(1), node(5)];
+    let source = ordered();
+    let mut judge = judge(&source);
+    let now = Moment::from_millis(1_000);
+    let is_beginning = |judge: &mut Judge, rank| {
+        let looks = judge.look(now, context(&members), |_| rank);
+        looks.iter().any(|look| look.is_beginning)
+    };
+    assert!(!is_beginning(&mut judge, Some(0)), "followed by nobody");
+    let followed = report(1, 1, Some(node(1)));
+    judge.on_report(now, &followed, Some(0)).expect("a judge");
+    assert!(is_beginning(&mut judge, Some(0)));
+    assert!(!is_beginning(&mut judge, Some(1)));
+    assert!(!is_beginning(&mut judge, None));
+    let mut running = order(1, DURATION, Revision(99));
+    running.state = RollOutState::Running;
+    judge.on_standing(&running);
+    assert!(!is_beginning(&mut judge, Some(0)));
+}
+
+#[test]
+fn the_source_is_asked_only_by_a_followed_judge_near_the_end() {
+    let members = [node(1), node(5)];
+    let mut judge = judge(&ordered());
+    for (millis, follows, expected) in [
+        (1_000, Some(node(1)), false),
+        (16_500, Some(node(1)), true),
+        (20_000, Some(node(1)), true),
+        (20_500, Some(node(2)), true),
+        (21_900, Some(node(2)), false),
+        (30_000, Some(node(1)), false),
+    ] {
+        let now = Moment::from_millis(millis);
+        let mut report = report(1, millis, follows);
+        report.known_for_millis = millis as u32;
+        judge.on_report(now, &report, Some(0)).expect("a judge");
+        let looks = judge.look(now, context(&members), |_| Some(0));
+        assert_eq!(looks[0].needs_source, expected, "{millis}");
+    }
+}
+
+#[test]
+fn an_order_that_replaces_another_begins_a_trial_of_its_own() {
+    let source = ordered();
+    let mut judge = judge(&source);
+    let now = Moment::from_millis(1_000);
+    judge
+        .on_report(now, &report(1, 1, None), Some(0))
+        .expect("a judge");
+    source.give(2, DURATION);
+    judge.set_orders(&source.orders());
+    let refused = judge.on_report(now, &report(1, 2, None), Some(0));
+    assert_eq!(refused, Err(ReportRefusal::UnknownOrder));
+    let answer = judge.on_report(now, &report(2, 3, None), Some(0));
+    assert_eq!(answer.map(|answer| answer.order), Ok(OrderId(2)));
+}
+
+#[test]
+fn what_comes_right_after_a_pause_is_distrusted() {
+    let mut pauses = PauseGuard::default();
+    for millis in (0..2_000).step_by(50) {
+        let now = Moment::from_millis(millis);
+        assert_eq!(pauses.look(now), None);
+        assert!(!pauses.distrusts(now));
+    }
+    let woken = Moment::from_millis(9_000);
+    assert!(pauses.look(woken).is_some());
+    assert!(pauses.distrusts(woken));
+    let later = Moment::from_millis(9_300);
+    assert_eq!(pauses.look(later), None);
+    assert!(!pauses.distrusts(later));
+}
+
+#[test]
+fn a_rest_is_no_pause() {
+    let mut pauses = PauseGuard::default();
+    pauses.look(Moment::from_millis(0));
+    pauses.rest();
+    assert_eq!(pauses.look(Moment::from_millis(9_000)), None);
+}
--- a/crates/tansylead-gateway/tests/roll_out_world/mod.rs
+++ b/crates/tansylead-gateway/tests/roll_out_world/mod.rs
@@ -1,6 +1,9 @@
 //! Parts of a world in which services are rolled out.
 
+#[allow(dead_code, reason = "not every test file needs all of it")]
 pub mod faulty_source;
+#[allow(dead_code, reason = "not every test file has a fleet")]
+pub mod fleet;
 
 use std::net::SocketAddr;
 use std::path::Path;
