--- a/crates/tansylead-gateway/src/roll_out/source_contact.rs
+++ b/crates/tansylead-gateway/src/roll_out/source_contact.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 use tansylead_types::Moment;
 
-/// An answer older than this says nothing of now: one call a second and its time.
-const FRESH_LIMIT: Duration = Duration::from_millis(1_500);
+/// An answer older than this says nothing of now: calls are made once a second, and one of them may fail.
+const FRESH_LIMIT: Duration = Duration::from_millis(2_200);
 
 /// Contact to the source.
 #[derive(Debug, Default)]
