--- a/crates/tansylead-gateway/src/roll_out/judge_metrics.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge_metrics.rs
@@ -75,7 +75,7 @@
     judge_changes: IntCounter,
     trials: IntGaugeVec,
     conclusions: IntCounterVec,
-    writes: IntCounterVec,
+    states: IntCounterVec,
 }
 
 impl JudgeMetrics {
@@ -110,10 +110,10 @@
                 "Conclusions of this daemon's trials by reason",
                 &["conclusion", "reason"],
             ),
-            writes: counters(
+            states: counters(
                 registry,
-                "tansylead_roll_out_writes_total",
-                "States of roll-outs that were to be written, by how that ended",
+                "tansylead_roll_out_states_total",
+                "States that were to be brought into the source, by how that ended",
                 &["state", "end"],
             ),
         }
@@ -156,9 +156,9 @@
         self.conclusions.with_label_values(&labels).inc();
     }
 
-    /// Counts the end of a write.
-    pub fn on_write(&self, state: RollOutState, end: &str) {
-        self.writes.with_label_values(&[state.label(), end]).inc();
+    /// Counts the end of bringing a state into the source.
+    pub fn on_state(&self, state: RollOutState, end: &str) {
+        self.states.with_label_values(&[state.label(), end]).inc();
     }
 }
 
--- a/crates/tansylead-gateway/src/roll_out/reporter.rs
+++ b/crates/tansylead-gateway/src/roll_out/reporter.rs
@@ -84,7 +84,8 @@
         self.seats.followed()
     }
 
-    /// The stage that was granted last. A conclusion stays: other judges take it over from the reports.
+    /// The stage that was granted last. The first conclusion stays, as in what requests do: other judges take
+    /// it over from the reports.
     pub fn stage(&self) -> Option<Stage> {
         self.stage
     }
@@ -147,12 +148,10 @@
     /// The grant of the judge that is followed, if it is new.
     pub fn take_grant(&mut self, now: Moment) -> Option<FollowedGrant> {
         let followed = self.seats.take_grant(now)?;
-        let granted = followed.grant.stage;
-        let is_conclusion = |stage: &Stage| *stage >= Stage::Commit;
-        self.stage = match self.stage.filter(is_conclusion) {
-            Some(concluded) if !is_conclusion(&granted) => Some(concluded),
-            _ => Some(granted),
-        };
+        let has_concluded = self.stage.is_some_and(|stage| stage >= Stage::Commit);
+        if !has_concluded {
+            self.stage = Some(followed.grant.stage);
+        }
         Some(followed)
     }
 
--- a/crates/tansylead-gateway/src/roll_out/reporters.rs
+++ b/crates/tansylead-gateway/src/roll_out/reporters.rs
@@ -108,14 +108,9 @@
             log::info!(service = service.as_str(), judge:% = judge; "another judge is followed");
         }
         let order = reporter.order();
-        let stage = reporter.stage();
         let Some(followed) = reporter.take_grant(now) else {
             return;
         };
-        if stage != reporter.stage() {
-            let stage = followed.grant.stage.label();
-            log::info!(service = service.as_str(), stage = stage, judge:% = followed.judge; "roll-out has another stage");
-        }
         let service = self.gateway.service(service);
         let versions = service.versions();
         versions.on_grant(now, order, followed.judge, followed.grant);
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -242,7 +242,7 @@
             wanted,
             end,
         } = ended;
-        self.metrics.on_write(wanted, end.label());
+        self.metrics.on_state(wanted, end.label());
         log::info!(service = roll_out.service.as_str(), state = wanted.label(), end = end.label(); "writing of a roll-out ended");
         if let StateWriteEnd::Stands(changed_at) = end {
             self.judge.on_standing(&RollOut {
--- a/crates/tansylead-gateway/tests/roll_out_reporter.rs
+++ b/crates/tansylead-gateway/tests/roll_out_reporter.rs
@@ -302,24 +302,23 @@
 }
 
 #[test]
-fn reports_tell_judge_and_stage_and_a_conclusion_stays() {
-    let mut daemon = Daemon::new();
-    let first = daemon.next_report();
-    assert_eq!((first.follows, first.stage, first.life), (None, None, LIFE));
-    daemon.answered(node(1), &first, grant(1, Stage::Commit));
-    daemon.reporter.take_grant(daemon.now());
-    let second = daemon.next_report();
-    assert!(second.sequence > first.sequence);
-    assert_eq!(
-        (second.follows, second.stage),
-        (Some(node(1)), Some(Stage::Commit))
-    );
-    daemon.answered(node(1), &second, grant(1, Stage::Trial));
-    daemon.reporter.take_grant(daemon.now());
-    assert_eq!(daemon.reporter.stage(), Some(Stage::Commit));
-    daemon.evidence.requests += 1;
-    let third = daemon.next_report();
-    daemon.answered(node(1), &third, grant(1, Stage::Back));
-    daemon.reporter.take_grant(daemon.now());
-    assert_eq!(daemon.reporter.stage(), Some(Stage::Back));
+fn reports_tell_judge_and_stage_and_the_first_conclusion_stays() {
+    for (concluded, other) in [(Stage::Commit, Stage::Back), (Stage::Back, Stage::Commit)] {
+        let mut daemon = Daemon::new();
+        let first = daemon.next_report();
+        assert_eq!((first.follows, first.stage, first.life), (None, None, LIFE));
+        let mut last = first.sequence;
+        let granted = [Stage::Trial, Stage::Shift, concluded, Stage::Trial, other];
+        let told = [Stage::Trial, Stage::Shift, concluded, concluded, concluded];
+        let mut report = first;
+        for (granted, told) in granted.into_iter().zip(told) {
+            daemon.answered(node(1), &report, grant(1, granted));
+            daemon.reporter.take_grant(daemon.now());
+            daemon.evidence.requests += 1;
+            report = daemon.next_report();
+            assert!(report.sequence > last);
+            last = report.sequence;
+            assert_eq!((report.follows, report.stage), (Some(node(1)), Some(told)));
+        }
+    }
 }
