--- a/crates/tansylead-gateway/tests/roll_out_world/fleet.rs
+++ b/crates/tansylead-gateway/tests/roll_out_world/fleet.rs
@@ -74,7 +74,7 @@
         view.set_life(1);
         Self {
             node,
-            gateway: gateway(node.0),
+            gateway: gateway(node.0, Vec::new()),
             view: Rc::new(view),
             link: Rc::default(),
             source,
--- a/crates/tansylead-gateway/tests/roll_out_world/mod.rs
+++ b/crates/tansylead-gateway/tests/roll_out_world/mod.rs
@@ -11,10 +11,11 @@
 use tansylead_gateway::state::Gateway;
 use tansylead_gateway::{GatewaySettings, HeaderNames};
 
-/// The state of a daemon with this peer address.
-pub fn gateway(peer_address: SocketAddr) -> Rc<Gateway> {
+/// The state of a daemon with this peer address and these seeds.
+pub fn gateway(peer_address: SocketAddr, seeds: Vec<SocketAddr>) -> Rc<Gateway> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
     let mut settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
     settings.peer_address = peer_address;
+    settings.seeds = seeds;
     Rc::new(Gateway::new(settings, HeaderNames::default()))
 }
--- a/crates/tansylead-gateway/tests/roll_out_writes.rs
+++ b/crates/tansylead-gateway/tests/roll_out_writes.rs
@@ -15,7 +15,7 @@
 const DURATION: Duration = Duration::from_secs(20);
 
 fn calls(source: &Rc<FaultySource>) -> SourceCalls<FaultySource> {
-    let gateway = gateway(([127, 0, 0, 1], 1).into());
+    let gateway = gateway(([127, 0, 0, 1], 1).into(), Vec::new());
     SourceCalls::new(gateway, Rc::clone(source))
 }
 
@@ -158,7 +158,7 @@
 async fn what_stands_is_in_force_here_once_the_source_tells_it() {
     let source = Rc::new(FaultySource::new());
     let held = source.give(1, DURATION);
-    let gateway = gateway(([127, 0, 0, 1], 1).into());
+    let gateway = gateway(([127, 0, 0, 1], 1).into(), Vec::new());
     gateway.apply_roll_outs(source.orders());
     let calls = SourceCalls::new(Rc::clone(&gateway), Rc::clone(&source));
     assert!(!calls.is_fresh());
