--- a/crates/tansylead-gateway/src/roll_out/reporter.rs
+++ b/crates/tansylead-gateway/src/roll_out/reporter.rs
@@ -5,7 +5,7 @@
 
 use super::judge_seats::{FollowedGrant, JudgeSeats, SILENCE_LIMIT};
 use super::message::GrantMessage;
-use super::report_pace::report_period;
+use super::report_pace::{QUIET_PERIOD, report_period};
 use std::collections::VecDeque;
 use tansylead_route::{OrderId, RollOut, RollOutEvidence, RollOutReport, Stage};
 use tansylead_types::{Moment, NodeId, ServiceName};
@@ -132,10 +132,8 @@
 
     /// Takes in the answer of a judge.
     pub fn on_answer(&mut self, now: Moment, message: &GrantMessage) -> AnswerEnd {
-        let is_recent = self.sent.iter().any(|(sequence, sent)| {
-            *sequence == message.sequence && now.since(*sent) <= SILENCE_LIMIT
-        });
-        if message.life != self.life || message.order != self.order || !is_recent {
+        let is_own = message.life == self.life && message.order == self.order;
+        if !is_own || !self.was_sent_lately(now, message.sequence) {
             return AnswerEnd::Late;
         }
         if self.seats.on_answer(now, message) {
@@ -155,6 +153,17 @@
         Some(followed)
     }
 
+    /// Whether a report is recent enough for its answer to be heeded. After the last one a judge may grant
+    /// something unasked until the next is due.
+    fn was_sent_lately(&self, now: Moment, number: u64) -> bool {
+        let until_next = QUIET_PERIOD + SILENCE_LIMIT;
+        self.sent.iter().any(|(sequence, sent)| {
+            let is_last = *sequence == self.sequence;
+            let limit = if is_last { until_next } else { SILENCE_LIMIT };
+            *sequence == number && now.since(*sent) <= limit
+        })
+    }
+
     fn note_sent(&mut self, now: Moment) {
         let is_old = |sent: &(u64, Moment)| now.since(sent.1) > SILENCE_LIMIT;
         while self.sent.front().is_some_and(is_old) {
--- a/crates/tansylead-gateway/tests/roll_out_codec.rs
+++ b/crates/tansylead-gateway/tests/roll_out_codec.rs
@@ -73,6 +73,7 @@
         judge: node(2),
         life: 3,
         sequence,
+        turn: 0,
         grant: Grant {
             stage: Stage::Shift,
             limit: 40,
--- a/crates/tansylead-gateway/tests/roll_out_reporter.rs
+++ b/crates/tansylead-gateway/tests/roll_out_reporter.rs
@@ -47,6 +47,7 @@
         judge,
         life: report.life,
         sequence: report.sequence,
+        turn: 0,
         grant,
     }
 }
@@ -284,6 +285,33 @@
     assert_eq!(daemon.reporter.take_grant(daemon.now()), None);
 }
 
+#[test]
+fn what_is_granted_unasked_is_heeded_until_the_next_report_is_due_and_in_its_order() {
+    let mut daemon = Daemon::new();
+    daemon.run(2_000, &judges(), grant(1, Stage::Trial));
+    let report = daemon.next_report();
+    daemon.answered(node(1), &report, grant(2, Stage::Trial));
+    daemon.millis += 900;
+    let unasked = |turn, limit| GrantMessage {
+        turn,
+        ..answer(node(1), &report, grant(limit, Stage::Shift))
+    };
+    let now = daemon.now();
+    for (turn, limit, end) in [
+        (2, 30, AnswerEnd::Heeded),
+        (1, 20, AnswerEnd::Superseded),
+        (2, 30, AnswerEnd::Superseded),
+        (3, 40, AnswerEnd::Heeded),
+    ] {
+        assert_eq!(daemon.reporter.on_answer(now, &unasked(turn, limit)), end);
+    }
+    let taken = daemon.reporter.take_grant(now).expect("new");
+    assert_eq!(taken.grant.limit, 40);
+    daemon.millis += 2_000;
+    let late = daemon.reporter.on_answer(daemon.now(), &unasked(4, 50));
+    assert_eq!(late, AnswerEnd::Late);
+}
+
 #[test]
 fn a_grant_that_was_kept_for_the_next_judge_is_valid_for_what_is_left_of_it() {
     let mut daemon = Daemon::new();
--- a/crates/tansylead-gateway/tests/roll_out_sockets.rs
+++ b/crates/tansylead-gateway/tests/roll_out_sockets.rs
@@ -38,6 +38,7 @@
         judge: NodeId(([10, 0, 0, 1], 1).into()),
         life: 1,
         sequence,
+        turn: 0,
         grant: Grant {
             stage: Stage::Trial,
             limit: 1,
