--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -60,7 +60,7 @@
 pub use roll_out::{
     Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
     RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RouteEvidence,
-    Stage, TrialContext, TrialVerdict, VersionCounts,
+    Stage, TrialContext, TrialCounts, TrialVerdict, VersionCounts,
 };
 pub use route_table::RouteTable;
 pub use slowness::Slowness;
--- /dev/null
+++ b/crates/tansylead-route/src/roll_out/cumulative_sum.rs
@@ -0,0 +1,47 @@
+//! One-sided sequential test: is a share of answers higher than it should be?
+
+/// Sum of log-likelihoods at which the higher share is taken as shown: 200 times as likely as the usual
+/// one. In trials good versions passed in 0.99 of roll-outs.
+pub(crate) const SHOWN: f64 = 5.298;
+/// Sum above which nothing is concluded in favour: 20 times as likely. Answers to come settle it.
+pub(crate) const SUSPECTED: f64 = 2.996;
+/// Part of [`SHOWN`] that one look can add. A leaf that crashes breaks all that runs there in one moment;
+/// a version is bad in at least three looks.
+const MOST_AT_ONCE: f64 = 0.4;
+
+/// A share to test for: the usual one, and the one that would be bad.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Shares {
+    /// Share if all is well.
+    pub(crate) usual: f64,
+    /// Share that should be noticed.
+    pub(crate) raised: f64,
+}
+
+impl Shares {
+    /// Log-likelihood ratio of `hits` among `hits + misses` answers.
+    pub(crate) fn log_ratio(self, hits: u64, misses: u64) -> f64 {
+        let of_hit = (self.raised / self.usual).ln();
+        let of_miss = ((1.0 - self.raised) / (1.0 - self.usual)).ln();
+        hits as f64 * of_hit + misses as f64 * of_miss
+    }
+}
+
+/// Cumulative sum of log-likelihood ratios that never falls below zero, so that a version that turns bad
+/// late is found as fast as one that was bad at once.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct CumulativeSum {
+    sum: f64,
+}
+
+impl CumulativeSum {
+    /// Adds the log-likelihood ratio of the answers since the last look.
+    pub(crate) fn add(&mut self, log_ratio: f64) {
+        self.sum = (self.sum + log_ratio.min(SHOWN * MOST_AT_ONCE)).max(0.0);
+    }
+
+    /// Whether the sum has reached a limit.
+    pub(crate) fn has_reached(&self, limit: f64) -> bool {
+        self.sum >= limit
+    }
+}
--- a/crates/tansylead-route/src/roll_out/evidence.rs
+++ b/crates/tansylead-route/src/roll_out/evidence.rs
@@ -19,6 +19,11 @@
     pub counts: [u32; LATENCY_BUCKETS],
 }
 
+/// Upper end of a bucket, in milliseconds.
+pub(crate) fn bucket_end_millis(bucket: usize) -> f64 {
+    FIRST_BUCKET_MILLIS * BUCKET_FACTOR.powi(bucket as i32)
+}
+
 impl LatencyCounts {
     /// Counts a latency.
     pub fn add(&mut self, latency: Duration) {
--- /dev/null
+++ b/crates/tansylead-route/src/roll_out/judgement.rs
@@ -0,0 +1,174 @@
+//! Whether the target version answers as well as the old leafs, from totals taken one after the other.
+//!
+//! What both sides answered between two looks is compared, route by route: a share of failures, and a
+//! share of late answers, each tested for every route and for all together.
+//!
+//! Limits. Counts do not say which leaf answered. One leaf of the target version that fails for a while
+//! looks like a version that is bad in part; only what breaks in a single moment is told apart, because no
+//! single look can condemn. While all requests go to the target version there is nothing to compare with
+//! in the same seconds: a fault that begins then and strikes any version counts against the new one.
+
+use super::cumulative_sum::{CumulativeSum, SHOWN, SUSPECTED};
+use super::reference::Reference;
+use super::totals::{RouteTotals, Totals};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Answers of the target version that are enough to judge by. If three in ten are bad, eight good ones in
+/// a row come by chance in one of seventeen cases; the tests before and after add to that.
+const ENOUGH_ANSWERS: u64 = 8;
+/// A service with few requests is judged by fewer: this part of them, but no less than the least.
+const ENOUGH_PART: u64 = 4;
+const LEAST_ANSWERS: u64 = 3;
+/// Attempts that may run unanswered at the target version beyond what the old leafs' mean time gives: so
+/// many times that, and so many besides. Slow answers show by this before they come.
+const WAITING_FACTOR: f64 = 3.0;
+const WAITING_BESIDES: f64 = 4.0;
+
+/// What the answers say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// Too many are bad. Stays.
+    Failing,
+    /// Too many are late. Stays.
+    Slow,
+    /// Nothing against the target version.
+    GoodSoFar,
+    /// Too few to say anything in favour.
+    NotEnough,
+}
+
+/// Both tests, for one route or for all.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tests {
+    failing: CumulativeSum,
+    slow: CumulativeSum,
+}
+
+impl Tests {
+    fn add(&mut self, ratios: LogRatios) {
+        self.failing.add(ratios.failing);
+        self.slow.add(ratios.slow);
+    }
+
+    fn finding(&self, limit: f64) -> Option<Finding> {
+        if self.failing.has_reached(limit) {
+            return Some(Finding::Failing);
+        }
+        self.slow.has_reached(limit).then_some(Finding::Slow)
+    }
+}
+
+/// What the answers since the last look add to the tests.
+#[derive(Debug, Clone, Copy, Default)]
+struct LogRatios {
+    failing: f64,
+    slow: f64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteJudgement {
+    seen: RouteTotals,
+    reference: Reference,
+    tests: Tests,
+}
+
+impl RouteJudgement {
+    fn look(&mut self, span: Duration, totals: &RouteTotals) -> LogRatios {
+        let old = totals.old.since(&self.seen.old);
+        let new = totals.new.since(&self.seen.new);
+        self.seen = *totals;
+        self.reference.add(span, &old);
+        let failures = self.reference.failures();
+        let mut ratios = LogRatios {
+            failing: failures.log_ratio(new.failed, new.good),
+            slow: 0.0,
+        };
+        if let Some(bound) = self.reference.late_bound() {
+            let late = bound.late(&new);
+            let timed: u64 = new.latencies.iter().sum();
+            ratios.slow = bound.shares.log_ratio(late, timed - late);
+        }
+        self.tests.add(ratios);
+        ratios
+    }
+}
+
+/// The judgement so far.
+#[derive(Debug, Default)]
+pub(crate) struct Judgement {
+    routes: BTreeMap<u32, RouteJudgement>,
+    all: Tests,
+    condemned: Option<Finding>,
+    requests: u64,
+    running_on_new: u64,
+}
+
+impl Judgement {
+    /// Takes in totals, `span` after those before.
+    pub(crate) fn look(&mut self, span: Duration, totals: &Totals) {
+        let mut sum = LogRatios::default();
+        for (route, totals) in &totals.routes {
+            let judgement = self.routes.entry(*route).or_default();
+            let ratios = judgement.look(span, totals);
+            sum.failing += ratios.failing;
+            sum.slow += ratios.slow;
+        }
+        self.all.add(sum);
+        self.requests = totals.requests;
+        self.running_on_new = totals.running_on_new;
+        self.condemned = self.condemned.or_else(|| self.against(SHOWN));
+    }
+
+    /// What all answers say.
+    pub(crate) fn finding(&self) -> Finding {
+        if let Some(condemned) = self.condemned {
+            return condemned;
+        }
+        let has_enough = self.new_answers() >= self.enough();
+        if has_enough {
+            Finding::GoodSoFar
+        } else {
+            Finding::NotEnough
+        }
+    }
+
+    /// What would speak against the target version, were the next answers like the last ones, or were
+    /// those that are awaited at `rate` attempts a second late.
+    pub(crate) fn suspicion(&self, rate: f64) -> Option<Finding> {
+        let tested = self.condemned.or_else(|| self.against(SUSPECTED));
+        tested.or_else(|| self.has_piled_up(rate).then_some(Finding::Slow))
+    }
+
+    /// Answers of the target version.
+    pub(crate) fn new_answers(&self) -> u64 {
+        let routes = self.routes.values();
+        routes.map(|route| route.seen.new.answers()).sum()
+    }
+
+    fn enough(&self) -> u64 {
+        (self.requests / ENOUGH_PART).clamp(LEAST_ANSWERS, ENOUGH_ANSWERS)
+    }
+
+    fn against(&self, limit: f64) -> Option<Finding> {
+        // Among many routes one looks bad by chance more easily.
+        let limit_of_one = limit + (self.routes.len().max(1) as f64).ln();
+        let of_routes = self.routes.values();
+        let worst = || {
+            of_routes
+                .filter_map(|route| route.tests.finding(limit_of_one))
+                .next()
+        };
+        self.all.finding(limit).or_else(worst)
+    }
+
+    fn has_piled_up(&self, rate: f64) -> bool {
+        let routes = self.routes.values();
+        let slowest = routes.filter_map(|route| route.reference.mean_millis());
+        let Some(mean) = slowest.reduce(f64::max) else {
+            return false;
+        };
+        let usual = rate * mean / 1_000.0;
+        self.running_on_new as f64 > usual * WAITING_FACTOR + WAITING_BESIDES
+    }
+}
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -4,9 +4,16 @@
 //! requests while their answers are compared with those of the old leafs; then either all requests move
 //! over, or the target version gets nothing any more. Nothing here opens a socket or reads a clock.
 
+mod conclusion;
+mod cumulative_sum;
 mod evidence;
+mod exposure;
 mod grant;
+mod judgement;
 mod order;
+mod pace;
+mod reference;
+mod totals;
 mod trial;
 
 pub use evidence::{LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts};
@@ -14,5 +21,5 @@
 pub use order::{OrderId, RollOut, RollOutState, RollOuts};
 pub use trial::{
     Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
-    TrialVerdict,
+    TrialCounts, TrialVerdict,
 };
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -1,12 +1,35 @@
 //! One roll-out as its judge sees it: reports of all daemons in, stage and grants out.
 
+use super::conclusion::HeardConclusion;
 use super::evidence::RollOutEvidence;
+use super::exposure::Exposure;
 use super::grant::{Grant, Stage};
-use super::order::{OrderId, RollOut};
+use super::judgement::{Finding, Judgement};
+use super::order::{OrderId, RollOut, RollOutState};
+use super::pace::Progress;
+use super::totals::{MergedTotals, Totals};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId, ServiceName};
 
+/// Reports within this time say who is followed: several report periods of a daemon with few requests.
+const LATELY: Duration = Duration::from_millis(1_500);
+/// A member that is silent for longer is not waited for: its grant has expired.
+const SILENT: Duration = Duration::from_secs(2);
+/// Looks come four times a second. After a longer gap this daemon was frozen, and what it remembers of
+/// others is old.
+const FROZEN: Duration = Duration::from_secs(1);
+/// A judge that starts during a roll-out, or was frozen, listens for this long before it leads: daemons that
+/// follow another one have reported by then.
+const LISTENS_FIRST: Duration = Duration::from_millis(600);
+/// Least time of the shift, so that answers under the whole load are seen.
+const LEAST_SHIFT: Duration = Duration::from_millis(500);
+/// How long after the deadline a shift may go on, or be waited for once the source is back.
+const LATEST_SHIFT: Duration = Duration::from_secs(4);
+/// If most daemons have known of the order for this much longer than this one, then not all were lost.
+/// Daemons that are started together learn of it within less.
+const KNOWN_LONGER: Duration = Duration::from_secs(1);
+
 /// Bounds on the use of a version under trial, of all daemons together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ExposureBounds {
@@ -99,22 +122,75 @@
     pub write: Option<(Conclusion, ConclusionReason)>,
 }
 
+/// Counts behind a judgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TrialCounts {
+    /// Requests to the service.
+    pub requests: u64,
+    /// Sends to the target version.
+    pub new_sends: u64,
+    /// Good answers of old leafs.
+    pub old_good: u64,
+    /// Bad answers of old leafs.
+    pub old_failed: u64,
+    /// Good answers of the target version.
+    pub new_good: u64,
+    /// Bad answers of the target version.
+    pub new_failed: u64,
+}
+
 /// The trial of one order at one judge.
 #[derive(Debug)]
 pub struct RollOutTrial {
     roll_out: RollOut,
-    bounds: ExposureBounds,
+    judge: NodeId,
     began: Moment,
+    totals: MergedTotals,
+    sum: Totals,
+    judgement: Judgement,
+    exposure: Exposure,
+    progress: Progress,
+    /// What the daemon knew of the order for longer than this one.
+    head_start: Duration,
+    requests_at_deadline: Option<u64>,
+    looked_at: Option<Moment>,
+    /// Since when this judge has heard reports, if it missed some before.
+    listens_since: Option<Moment>,
+    is_leading: bool,
+    stage: Stage,
+    shift_began: Option<Moment>,
+    /// Whether a report has told of a shift, begun by whichever judge.
+    has_shift_begun: bool,
+    /// When the source last could not be written to at a time at which the shift was due.
+    waited_for_source: Option<Moment>,
+    own: Option<(Conclusion, ConclusionReason)>,
+    heard: Option<HeardConclusion>,
 }
 
 impl RollOutTrial {
     /// A trial of which nothing is known yet. `judge` is this daemon.
     pub fn new(roll_out: RollOut, bounds: ExposureBounds, judge: NodeId, now: Moment) -> Self {
-        let _ = judge;
+        let has_slack = roll_out.state == RollOutState::Ordered;
         Self {
             roll_out,
-            bounds,
+            judge,
             began: now,
+            totals: MergedTotals::default(),
+            sum: Totals::default(),
+            judgement: Judgement::default(),
+            exposure: Exposure::new(bounds, judge, has_slack),
+            progress: Progress::default(),
+            head_start: Duration::ZERO,
+            requests_at_deadline: None,
+            looked_at: None,
+            listens_since: (!has_slack).then_some(now),
+            is_leading: false,
+            stage: Stage::Trial,
+            shift_began: None,
+            has_shift_begun: false,
+            waited_for_source: None,
+            own: None,
+            heard: None,
         }
     }
 
@@ -123,27 +199,230 @@
         self.roll_out.order
     }
 
+    /// The counts behind the last look, for the log.
+    pub fn counts(&self) -> TrialCounts {
+        let mut counts = TrialCounts {
+            requests: self.sum.requests,
+            new_sends: self.sum.new_sends,
+            ..TrialCounts::default()
+        };
+        for route in self.sum.routes.values() {
+            counts.old_good += route.old.good;
+            counts.old_failed += route.old.failed;
+            counts.new_good += route.new.good;
+            counts.new_failed += route.new.failed;
+        }
+        counts
+    }
+
     /// Takes in a report. One of an earlier life, or older than the last one, changes nothing.
     pub fn on_report(&mut self, now: Moment, report: &RollOutReport) {
-        let _ = (now, report);
+        if report.order != self.roll_out.order || !self.totals.on_report(now, report) {
+            return;
+        }
+        let known_for = Duration::from_millis(u64::from(report.known_for_millis));
+        let known_here = now.since(self.began);
+        self.head_start = self.head_start.max(known_for.saturating_sub(known_here));
+        self.has_shift_begun |= report.stage == Some(Stage::Shift);
+        let (life, sends) = (report.life, report.evidence.new_sends);
+        self.exposure.on_report(now, report.reporter, life, sends);
     }
 
     /// Looks at the trial; called a few times each second.
     pub fn look(&mut self, now: Moment, context: TrialContext<'_>) -> TrialVerdict {
-        let _ = (now.since(self.began), context, self.bounds);
+        self.refresh(now);
+        self.is_leading = self.leads(now, context.rank);
+        self.take_over_conclusion(now);
+        if self.is_leading && self.own.is_none() && self.heard.is_none() {
+            self.advance(now, context);
+        }
         TrialVerdict {
-            stage: Stage::Trial,
-            write: None,
+            stage: self.stage,
+            write: self.write(now, context),
         }
     }
 
     /// What a daemon that has reported may send from now on.
     pub fn grant(&mut self, now: Moment, reporter: NodeId) -> Grant {
-        let _ = (now, reporter);
-        Grant {
-            stage: Stage::Trial,
-            limit: 0,
-            valid: Duration::ZERO,
+        let Some(known) = self.totals.reporter(reporter) else {
+            return Grant {
+                stage: self.stage,
+                limit: 0,
+                valid: Duration::ZERO,
+            };
+        };
+        let hands_out = matches!(self.stage, Stage::Trial | Stage::Shift);
+        if !hands_out || !self.is_leading || self.was_frozen(now) {
+            return self.exposure.grant_none(self.stage, known);
+        }
+        let pace = self.progress.pace(self.stage, &self.exposure);
+        self.exposure
+            .grant(now, pace, &self.totals, reporter, known)
+    }
+
+    /// Brings totals, judgement and progress up to date, whether this judge leads or not.
+    fn refresh(&mut self, now: Moment) {
+        if self.was_frozen(now) {
+            self.totals.forget_recent();
+            self.listens_since = Some(now);
+        }
+        let span = self.looked_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.looked_at = Some(now);
+        self.sum = self.totals.sum();
+        self.judgement.look(span, &self.sum);
+        let elapsed = now.since(self.began) + self.head_start;
+        if elapsed >= self.roll_out.duration {
+            self.requests_at_deadline.get_or_insert(self.sum.requests);
+        }
+        self.progress = Progress {
+            elapsed,
+            duration: self.roll_out.duration,
+            requests: self.requests_at_deadline.unwrap_or(self.sum.requests),
+            rate: self.totals.rate(now, SILENT),
+            new_sends: self.sum.new_sends,
+        };
+        if self.have_most_known_longer(now) {
+            self.exposure.restore_slack();
+        }
+    }
+
+    fn was_frozen(&self, now: Moment) -> bool {
+        self.looked_at.is_some_and(|at| now.since(at) > FROZEN)
+    }
+
+    fn have_most_known_longer(&self, now: Moment) -> bool {
+        let known_here = now.since(self.began);
+        let heard = self.totals.heard(now, LATELY);
+        let known: Vec<Duration> = heard
+            .map(|(_, reporter)| reporter.known_for + now.since(reporter.heard_at))
+            .collect();
+        let longer = known
+            .iter()
+            .filter(|known| **known >= known_here + KNOWN_LONGER);
+        longer.count() * 2 > known.len()
+    }
+
+    /// Whether this judge is followed by more than half, or is first and nobody follows anybody yet.
+    fn leads(&self, now: Moment, rank: usize) -> bool {
+        if self
+            .listens_since
+            .is_some_and(|since| now.since(since) < LISTENS_FIRST)
+        {
+            return false;
+        }
+        let heard = || self.totals.heard(now, LATELY);
+        let following = heard().filter(|(_, reporter)| reporter.follows == Some(self.judge));
+        let mut reporters = self.totals.reporters();
+        let nobody_follows = rank == 0 && reporters.all(|reporter| reporter.follows.is_none());
+        following.count() * 2 > heard().count() || nobody_follows
+    }
+
+    /// Adopts what another judge has concluded, as reports tell.
+    fn take_over_conclusion(&mut self, now: Moment) {
+        if self.own.is_some() {
+            return;
+        }
+        let stages = self.totals.heard(now, LATELY);
+        let stages = stages.filter_map(|(_, reporter)| reporter.stage);
+        if self.heard.is_none() {
+            self.heard = HeardConclusion::among(now, stages);
+        }
+        if let Some(heard) = self.heard {
+            self.stage = heard.stage();
+        }
+    }
+
+    /// What to write now.
+    fn write(
+        &self,
+        now: Moment,
+        context: TrialContext<'_>,
+    ) -> Option<(Conclusion, ConclusionReason)> {
+        if !context.is_source_fresh {
+            return None;
+        }
+        let heard = || self.heard.filter(|heard| heard.is_due(now, context.rank));
+        self.own
+            .or_else(|| heard().map(|heard| (heard.conclusion(), ConclusionReason::TakenOver)))
+    }
+
+    /// Goes on to the next stage if it is time.
+    fn advance(&mut self, now: Moment, context: TrialContext<'_>) {
+        match self.judgement.finding() {
+            Finding::Failing => return self.go_back(ConclusionReason::Failing),
+            Finding::Slow => return self.go_back(ConclusionReason::Slow),
+            Finding::NotEnough if self.progress.is_over() => {
+                return self.go_back(ConclusionReason::NoEvidence);
+            }
+            Finding::NotEnough => self.stage = Stage::Trial,
+            Finding::GoodSoFar if self.stage == Stage::Shift => self.go_on_shifting(now, context),
+            Finding::GoodSoFar => self.begin_shift(now, context),
+        }
+        if matches!(self.stage, Stage::Trial | Stage::Shift) {
+            self.end_if_late(now);
+        }
+    }
+
+    fn go_back(&mut self, reason: ConclusionReason) {
+        self.stage = Stage::Back;
+        self.own = Some((Conclusion::RollBack, reason));
+    }
+
+    fn begin_shift(&mut self, now: Moment, context: TrialContext<'_>) {
+        if self.progress.elapsed < self.progress.shift_begins() {
+            return;
+        }
+        if !context.is_source_fresh {
+            self.waited_for_source = Some(now);
+            return;
+        }
+        let spent = self.exposure.spent(now, &self.totals, self.sum.new_sends);
+        if self.has_shift_begun || self.progress.has_room(&self.exposure, spent) {
+            self.stage = Stage::Shift;
+            self.shift_began = Some(now);
+        }
+    }
+
+    fn go_on_shifting(&mut self, now: Moment, context: TrialContext<'_>) {
+        if !context.is_source_fresh {
+            self.stage = Stage::Trial;
+            self.waited_for_source = Some(now);
+            return;
+        }
+        let began = self.shift_began.unwrap_or(now);
+        let is_done = now.since(began) >= LEAST_SHIFT && self.has_shifted(now, began, context);
+        if is_done && self.judgement.suspicion(self.progress.rate).is_none() {
+            self.stage = Stage::Commit;
+            self.own = Some((Conclusion::Complete, ConclusionReason::AsGood));
+        }
+    }
+
+    /// Whether nothing runs on old leafs at members that can be heard, and nothing new will.
+    fn has_shifted(&self, now: Moment, began: Moment, context: TrialContext<'_>) -> bool {
+        let members = context.members.iter();
+        let mut known = members.filter_map(|member| self.totals.reporter(*member));
+        known.all(|reporter| {
+            let is_silent = !reporter.was_heard(now, SILENT);
+            let says_so = reporter.heard_at >= began && reporter.stage == Some(Stage::Shift);
+            is_silent || (says_so && reporter.evidence.running_on_old == 0)
+        })
+    }
+
+    /// After the deadline: back, unless the source kept the shift from being done.
+    fn end_if_late(&mut self, now: Moment) {
+        let waited = self.waited_for_source;
+        let is_excused = waited.is_some_and(|at| now.since(at) < LATEST_SHIFT);
+        let is_waiting = is_excused && self.stage == Stage::Trial;
+        if !self.progress.is_over() || is_waiting {
+            return;
+        }
+        let latest = self.progress.duration + LATEST_SHIFT;
+        let is_shifting = self.stage == Stage::Shift && self.progress.elapsed < latest;
+        match self.judgement.suspicion(self.progress.rate) {
+            Some(Finding::Slow) => self.go_back(ConclusionReason::Slow),
+            Some(_) => self.go_back(ConclusionReason::Failing),
+            None if is_excused || is_shifting => {}
+            None => self.go_back(ConclusionReason::NoRoom),
         }
     }
 }
