--- a/crates/tansylead-route/examples/roll_out_table.rs
+++ b/crates/tansylead-route/examples/roll_out_table.rs
@@ -13,6 +13,7 @@
 const RATES: [(f64, f64); 4] = [(21.0, 90.0), (36.0, 4.0), (63.0, 11.0), (99.0, 11.0)];
 const DURATIONS: [u64; 3] = [6, 12, 30];
 const ROLL_OUTS: u64 = 40;
+const THREADS: u64 = 4;
 
 fn setting(rate: (f64, f64), seconds: u64, bad: Badness) -> Setting {
     Setting {
@@ -34,12 +35,29 @@
     }
 }
 
+/// Plays in a few threads.
+fn play_all(setting: &Setting, roll_outs: u64) -> Vec<Outcome> {
+    let part = |first: u64| (first..roll_outs).step_by(THREADS as usize);
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|first| {
+                let seeds = part(first);
+                scope.spawn(move || seeds.map(|seed| play(setting, seed)).collect::<Vec<_>>())
+            })
+            .collect();
+        let joined = threads
+            .into_iter()
+            .map(|thread| thread.join().expect("a thread plays"));
+        joined.flatten().collect()
+    })
+}
+
 fn row(name: &str, rate: (f64, f64), seconds: u64, change: &dyn Fn(&mut Setting)) {
     let asked = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let roll_outs: u64 = asked.unwrap_or(ROLL_OUTS);
     let mut setting = setting(rate, seconds, Badness::default());
     change(&mut setting);
-    let outcomes: Vec<Outcome> = (0..roll_outs).map(|seed| play(&setting, seed)).collect();
+    let outcomes = play_all(&setting, roll_outs);
     let part = |conclusion| {
         let ended = outcomes.iter().filter(|outcome| outcome.is(conclusion));
         ended.count() as f64 / roll_outs as f64
--- a/crates/tansylead-route/src/roll_out/exposure.rs
+++ b/crates/tansylead-route/src/roll_out/exposure.rs
@@ -20,10 +20,12 @@
 const VALID_MARGIN: Duration = Duration::from_millis(250);
 /// In the shift a daemon gets what it is expected to send in two report periods.
 const GRANTED_AHEAD: Duration = Duration::from_millis(400);
-/// A daemon had a request lately: time in which one with a request a second most likely gets another.
-const BUSY: Duration = Duration::from_millis(1_500);
+/// A daemon had a request lately: one with a request in three seconds is worth a token.
+const BUSY: Duration = Duration::from_secs(3);
 /// A daemon that reports: several report periods.
 const HEARD: Duration = Duration::from_millis(1_000);
+/// Least chance assumed that a token is used, so that no daemon gets many.
+const LEAST_CHANCE: f64 = 0.2;
 /// Daemons for each free token that may take it: more than one, as the first in turn may be silent.
 const IN_TURN_FACTOR: f64 = 2.0;
 
@@ -133,13 +135,13 @@
         reporter: &Reporter,
     ) -> Grant {
         let new_sends = reporter.evidence.new_sends;
-        let free = pace.target - self.spent(now, totals, pace.new_sends);
         let held = self.held.get(&node).copied();
         let held = held.filter(|held| held.is_valid(now) && held.limit > new_sends);
         let holds = held.map_or(0, |held| held.limit - new_sends);
+        let free = pace.allowance - self.spent(now, totals, pace.new_sends);
         let wanted = match pace.stage {
             Stage::Shift => tokens_ahead(reporter),
-            _ => self.tokens_in_turn(now, totals, node, free),
+            _ => self.tokens_in_turn(now, totals, node, self.due(pace, totals)),
         };
         let more = wanted.saturating_sub(holds).min(free.max(0.0) as u64);
         let limit = new_sends + holds + more;
@@ -152,14 +154,25 @@
         if limit > new_sends {
             self.note_tokens(now, node, reporter, limit, expires, more > 0);
         }
-        let valid = (expires - VALID_MARGIN).since(now);
         Grant {
             stage: pace.stage,
             limit,
-            valid,
+            valid: (expires - VALID_MARGIN).since(now),
         }
     }
 
+    /// Sends that are due by the pace, beyond those that the tokens held most likely make.
+    fn due(&self, pace: Pace, totals: &MergedTotals) -> f64 {
+        let held = self.held.iter();
+        let expected: f64 = held
+            .filter_map(|(node, held)| {
+                let reporter = totals.reporter(*node)?;
+                Some(held.unspent() as f64 * chance_of_use(reporter))
+            })
+            .sum();
+        pace.target - pace.new_sends as f64 - expected
+    }
+
     fn note_tokens(
         &mut self,
         now: Moment,
@@ -185,15 +198,19 @@
     }
 
     /// Tokens for a daemon in the trial: one if it is its turn, more if there are more than daemons.
-    fn tokens_in_turn(&self, now: Moment, totals: &MergedTotals, node: NodeId, free: f64) -> u64 {
+    fn tokens_in_turn(&self, now: Moment, totals: &MergedTotals, node: NodeId, due: f64) -> u64 {
         let is_busy = |reporter: &Reporter| {
             reporter
                 .busy_at
                 .is_some_and(|busy_at| now.since(busy_at) <= BUSY)
         };
-        if free < 1.0 || !totals.reporter(node).is_some_and(is_busy) {
+        let Some(reporter) = totals.reporter(node).filter(|reporter| is_busy(reporter)) else {
+            return 0;
+        };
+        if due <= 0.0 {
             return 0;
         }
+        let tokens = due / chance_of_use(reporter).max(LEAST_CHANCE);
         let own_turn = self.turns.get(&node);
         let busy = || {
             totals
@@ -201,13 +218,18 @@
                 .filter(|(_, reporter)| is_busy(reporter))
         };
         let before = busy().filter(|(other, _)| self.turns.get(other) < own_turn);
-        if before.count() as f64 >= free * IN_TURN_FACTOR {
+        if before.count() as f64 >= tokens.max(1.0) * IN_TURN_FACTOR {
             return 0;
         }
-        (free / busy().count().max(1) as f64).ceil() as u64
+        (tokens / busy().count().max(1) as f64).ceil() as u64
     }
 }
 
+/// Chance that a daemon has a request while a grant is valid.
+fn chance_of_use(reporter: &Reporter) -> f64 {
+    1.0 - (-reporter.rate * VALID.as_secs_f64()).exp()
+}
+
 /// What a daemon is expected to send in the time that a grant is to last.
 fn tokens_ahead(reporter: &Reporter) -> u64 {
     (reporter.rate * GRANTED_AHEAD.as_secs_f64())
--- a/crates/tansylead-route/src/roll_out/judgement.rs
+++ b/crates/tansylead-route/src/roll_out/judgement.rs
@@ -9,8 +9,8 @@
 //! in the same seconds: a fault that begins then and strikes any version counts against the new one.
 
 use super::cumulative_sum::{CumulativeSum, SHOWN, SUSPECTED};
-use super::reference::Reference;
-use super::totals::{RouteTotals, Totals};
+use super::reference::{Reference, failures_to_test};
+use super::totals::{RouteTotals, SideTotals, Totals};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -20,6 +20,9 @@
 /// A service with few requests is judged by fewer: this part of them, but no less than the least.
 const ENOUGH_PART: u64 = 4;
 const LEAST_ANSWERS: u64 = 3;
+/// The limit that shows something holds for a test of so many answers; it rises with their number, as
+/// there are more chances to reach it by accident.
+const ANSWERS_OF_ONE_TEST: f64 = 75.0;
 /// Attempts that may run unanswered at the target version beyond what the old leafs' mean time gives: so
 /// many times that, and so many besides. Slow answers show by this before they come.
 const WAITING_FACTOR: f64 = 3.0;
@@ -74,21 +77,27 @@
 }
 
 impl RouteJudgement {
-    fn look(&mut self, span: Duration, totals: &RouteTotals) -> LogRatios {
-        let old = totals.old.since(&self.seen.old);
-        let new = totals.new.since(&self.seen.new);
-        self.seen = *totals;
-        self.reference.add(span, &old);
-        let failures = self.reference.failures();
-        let mut ratios = LogRatios {
-            failing: failures.log_ratio(new.failed, new.good),
-            slow: 0.0,
+    /// Takes in totals; returns what came since the last look.
+    fn take_in(&mut self, span: Duration, totals: &RouteTotals) -> RouteTotals {
+        let added = RouteTotals {
+            old: totals.old.since(&self.seen.old),
+            new: totals.new.since(&self.seen.new),
         };
-        if let Some(bound) = self.reference.late_bound() {
-            let late = bound.late(&new);
+        self.seen = *totals;
+        self.reference.add(span, &added.old);
+        added
+    }
+
+    /// Tests new answers. A fault that strikes all routes shows soonest in `usual_of_all`.
+    fn test(&mut self, new: &SideTotals, usual_of_all: f64) -> LogRatios {
+        let usual = self.reference.usual_failures().max(usual_of_all);
+        let failing = failures_to_test(usual).log_ratio(new.failed, new.good);
+        let slow = self.reference.late_bound().map_or(0.0, |bound| {
+            let late = bound.late(new);
             let timed: u64 = new.latencies.iter().sum();
-            ratios.slow = bound.shares.log_ratio(late, timed - late);
-        }
+            bound.shares.log_ratio(late, timed - late)
+        });
+        let ratios = LogRatios { failing, slow };
         self.tests.add(ratios);
         ratios
     }
@@ -98,6 +107,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Judgement {
     routes: BTreeMap<u32, RouteJudgement>,
+    /// Old leafs on all routes.
+    reference: Reference,
     all: Tests,
     condemned: Option<Finding>,
     requests: u64,
@@ -107,17 +118,33 @@
 impl Judgement {
     /// Takes in totals, `span` after those before.
     pub(crate) fn look(&mut self, span: Duration, totals: &Totals) {
-        let mut sum = LogRatios::default();
+        let mut added_old = SideTotals::default();
+        let mut added_new = Vec::with_capacity(totals.routes.len());
         for (route, totals) in &totals.routes {
             let judgement = self.routes.entry(*route).or_default();
-            let ratios = judgement.look(span, totals);
+            let added = judgement.take_in(span, totals);
+            added_old.merge(&added.old);
+            added_new.push((*route, added.new));
+        }
+        self.reference.add(span, &added_old);
+        self.requests = totals.requests;
+        self.running_on_new = totals.running_on_new;
+        self.test(&added_new);
+        let many_answers = self.new_answers() as f64 / ANSWERS_OF_ONE_TEST;
+        let limit = SHOWN + many_answers.max(1.0).ln();
+        self.condemned = self.condemned.or_else(|| self.against(limit));
+    }
+
+    fn test(&mut self, added: &[(u32, SideTotals)]) {
+        let usual = self.reference.usual_failures();
+        let mut sum = LogRatios::default();
+        for (route, new) in added {
+            let judgement = self.routes.entry(*route).or_default();
+            let ratios = judgement.test(new, usual);
             sum.failing += ratios.failing;
             sum.slow += ratios.slow;
         }
         self.all.add(sum);
-        self.requests = totals.requests;
-        self.running_on_new = totals.running_on_new;
-        self.condemned = self.condemned.or_else(|| self.against(SHOWN));
     }
 
     /// What all answers say.
--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -20,12 +20,14 @@
 /// Part of the allowance that the trial may use if not even a short shift leaves more.
 const LEAST_TRIAL_PART: f64 = 0.25;
 
-/// What may be spent in all, by the end of the current moment.
+/// What may be spent at a moment.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Pace {
     /// Stage that tokens are handed out for.
     pub(crate) stage: Stage,
-    /// Sends that may be spent in all.
+    /// Sends that may be made in all now, with tokens that may still be used.
+    pub(crate) allowance: f64,
+    /// Sends that should have been made by now.
     pub(crate) target: f64,
     /// Sends made so far.
     pub(crate) new_sends: u64,
@@ -68,10 +70,11 @@
         let allowance = exposure.allowance(self.requests as f64);
         let target = match stage {
             Stage::Shift => allowance,
-            _ => self.trial_target(exposure).min(allowance),
+            _ => self.trial_target(exposure),
         };
         Pace {
             stage,
+            allowance,
             target,
             new_sends: self.new_sends,
         }
--- a/crates/tansylead-route/src/roll_out/reference.rs
+++ b/crates/tansylead-route/src/roll_out/reference.rs
@@ -15,8 +15,9 @@
 const LONG_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Failures of a sound service, where no answer tells more: one in a hundred.
 const PRIOR_FAILURES: f64 = 0.01;
-/// Answers that this prior stands for: few, so that a second of real ones outweighs it.
-const PRIOR_ANSWERS: f64 = 20.0;
+/// Answers that this prior stands for, in either memory: few, so that real ones outweigh it.
+const PRIOR_SHORT: f64 = 5.0;
+const PRIOR_LONG: f64 = 20.0;
 /// Failures beyond the usual share that should be noticed, and how that grows with the usual share, which
 /// is known the less well the higher it is. One in a hundred against one in ten, on a quiet day.
 const RAISED_FAILURES: f64 = 0.08;
@@ -32,7 +33,15 @@
 const LEAST_LATE: f64 = 0.04;
 /// Late answers beyond the usual share that should be noticed. Twice as slow, with log-normal times that
 /// spread by 0.35 to 0.5, makes 0.4 to 0.65 late.
-const RAISED_LATE: f64 = 0.3;
+const RAISED_LATE: f64 = 0.25;
+const RAISED_FACTOR_LATE: f64 = 1.5;
+
+/// Shares of failures to test for, by what is usual.
+pub(crate) fn failures_to_test(usual: f64) -> Shares {
+    let usual = usual.clamp(PRIOR_FAILURES, MOST_USUAL);
+    let raised = (usual * RAISED_FACTOR + RAISED_FAILURES).min(MOST_RAISED);
+    Shares { usual, raised }
+}
 
 /// Answers of old leafs, the newer ones with more weight.
 #[derive(Debug, Clone, Copy, Default)]
@@ -52,9 +61,17 @@
         }
     }
 
-    fn failures(&self) -> f64 {
-        let failed = self.failed + PRIOR_FAILURES * PRIOR_ANSWERS;
-        failed / (self.answers + PRIOR_ANSWERS)
+    /// Share of failures, with a prior that stands for so many answers.
+    fn failures(&self, prior: f64) -> f64 {
+        (self.failed + PRIOR_FAILURES * prior) / (self.answers + prior)
+    }
+
+    fn latencies(&self) -> f64 {
+        self.latencies.iter().sum()
+    }
+
+    fn late(&self, bucket: usize) -> f64 {
+        self.latencies[bucket + 1..].iter().sum()
     }
 }
 
@@ -89,24 +106,27 @@
         }
     }
 
-    /// Shares of failures to test for.
-    pub(crate) fn failures(&self) -> Shares {
-        let seen = self.short.failures().max(self.long.failures());
-        let usual = seen.clamp(PRIOR_FAILURES, MOST_USUAL);
-        let raised = (usual * RAISED_FACTOR + RAISED_FAILURES).min(MOST_RAISED);
-        Shares { usual, raised }
+    /// Share of failures that is usual now.
+    pub(crate) fn usual_failures(&self) -> f64 {
+        let short = self.short.failures(PRIOR_SHORT);
+        short.max(self.long.failures(PRIOR_LONG))
     }
 
     /// What is late, if enough old answers tell.
     pub(crate) fn late_bound(&self) -> Option<LateBound> {
-        let total: f64 = self.long.latencies.iter().sum();
+        let total = self.long.latencies();
         if total < ENOUGH_LATENCIES {
             return None;
         }
-        let beyond = |bucket: usize| self.long.latencies[bucket + 1..].iter().sum::<f64>() / total;
-        let bucket = (0..LATENCY_BUCKETS - 1).find(|bucket| beyond(*bucket) <= LATE_SHARE)?;
-        let usual = beyond(bucket).max(LEAST_LATE);
-        let raised = usual + RAISED_LATE;
+        let share = |bucket: usize| self.long.late(bucket) / total;
+        let bucket = (0..LATENCY_BUCKETS - 1).find(|bucket| share(*bucket) <= LATE_SHARE)?;
+        let long = share(bucket).max(LEAST_LATE);
+        // One standard error more: the bound was chosen by the same answers.
+        let long = long + (long * (1.0 - long) / total).sqrt();
+        let short = self.short.late(bucket) + long * PRIOR_SHORT;
+        let short = short / (self.short.latencies() + PRIOR_SHORT);
+        let usual = long.max(short).min(MOST_USUAL);
+        let raised = (usual * RAISED_FACTOR_LATE + RAISED_LATE).min(MOST_RAISED);
         Some(LateBound {
             bucket,
             shares: Shares { usual, raised },
--- a/crates/tansylead-route/src/roll_out/totals.rs
+++ b/crates/tansylead-route/src/roll_out/totals.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Adds the counts of another route.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        self.good += other.good;
+        self.failed += other.failed;
+        for (total, count) in self.latencies.iter_mut().zip(other.latencies) {
+            *total += count;
+        }
+    }
+
     /// What was added since `earlier`.
     pub(crate) fn since(&self, earlier: &Self) -> Self {
         let mut latencies = self.latencies;
--- a/crates/tansylead-route/tests/roll_out_world/daemon.rs
+++ b/crates/tansylead-route/tests/roll_out_world/daemon.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 use tansylead_route::{Grant, RollOut, RollOutEvidence, RollOutReport, RouteEvidence, Stage};
 
-/// Periods of reports in milliseconds: while requests come, and otherwise.
+/// Periods of reports in milliseconds: while requests come or in the shift, and otherwise.
 const BUSY_PERIOD: u64 = 200;
 const IDLE_PERIOD: u64 = 1_000;
-/// A judge that has not answered for longer is not followed.
+/// A judge that leaves a report unanswered for longer is not followed.
 const FOLLOWED_FOR: u64 = 600;
 
 struct Running {
@@ -30,6 +30,8 @@
 pub struct Daemon {
     report: RollOutReport,
     judges: [Option<Heard>; super::JUDGES],
+    /// When the first report was sent that each judge has not answered.
+    unanswered: [Option<u64>; super::JUDGES],
     running: Vec<Running>,
     reports_at: u64,
     last_request: Option<u64>,
@@ -53,6 +55,7 @@
         Self {
             report,
             judges: [None; super::JUDGES],
+            unanswered: [None; super::JUDGES],
             running: Vec::new(),
             reports_at: first_report,
             last_request: None,
@@ -68,7 +71,9 @@
     fn followed(&self, now: u64) -> Option<(usize, Heard)> {
         let judges = self.judges.iter().enumerate();
         let mut heard = judges.filter_map(|(judge, heard)| Some((judge, (*heard)?)));
-        heard.find(|(_, heard)| now - heard.at <= FOLLOWED_FOR)
+        heard.find(|(judge, _)| {
+            self.unanswered[*judge].is_none_or(|sent| now - sent <= FOLLOWED_FOR)
+        })
     }
 
     /// The judge followed, its word if it is valid.
@@ -160,6 +165,7 @@
     }
 
     pub fn on_grant(&mut self, now: u64, judge: usize, grant: Grant) {
+        self.unanswered[judge] = None;
         self.judges[judge] = Some(Heard { at: now, grant });
         let stage = self.stage(now).map(|(stage, _)| stage);
         if stage != self.report.stage {
@@ -171,7 +177,11 @@
         if now < self.reports_at {
             return None;
         }
-        let is_busy = self.last_request.is_some_and(|at| now - at <= BUSY_PERIOD);
+        let has_requests = self.last_request.is_some_and(|at| now - at <= BUSY_PERIOD);
+        let is_busy = has_requests || self.report.stage == Some(Stage::Shift);
+        for unanswered in &mut self.unanswered {
+            unanswered.get_or_insert(now);
+        }
         self.reports_at = now + if is_busy { BUSY_PERIOD } else { IDLE_PERIOD };
         self.report.sequence += 1;
         self.report.known_for_millis = now as u32;
