--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -15,6 +15,8 @@
 /// Time of all requests that the trial leaves for the shift: a report period for the stage to arrive, what
 /// runs on old leafs, the report of it and a look, and as much again.
 const SHIFT_SECONDS: f64 = 1.0;
+/// Sends that it leaves at least, so that there are answers under load to judge by.
+const LEAST_SHIFT_SENDS: f64 = 28.0;
 /// Least time that a shift can be done in.
 const LEAST_SHIFT_SECONDS: f64 = 0.6;
 /// The completion is concluded so long before the deadline: a look and a write to a slow source.
@@ -69,13 +71,13 @@
     }
 
     /// Whether a shift that is done in time can go on a little, so that more answers come under load.
-    pub(crate) fn has_time_to_see(&self, exposure: &Exposure, spent: f64) -> bool {
+    pub(crate) fn has_time_to_see(&self, exposure: &Exposure, gone: f64) -> bool {
         let must_end = self.duration.saturating_sub(TIME_TO_COMPLETE);
-        self.elapsed < must_end && self.left(exposure, spent) >= self.rate * SEE_SECONDS
+        self.elapsed < must_end && self.left(exposure, gone) >= self.rate * SEE_SECONDS
     }
 
-    fn left(&self, exposure: &Exposure, spent: f64) -> f64 {
-        exposure.allowance(self.requests as f64) - spent
+    fn left(&self, exposure: &Exposure, gone: f64) -> f64 {
+        exposure.allowance(self.requests as f64) - gone
     }
 
     /// What may be spent now.
@@ -103,7 +105,7 @@
             seconds_left + LEAST_SHIFT_SECONDS
         };
         let allowance = exposure.allowance(self.requests as f64 + self.rate * ahead);
-        let after_shift = allowance - self.rate * SHIFT_SECONDS;
+        let after_shift = allowance - (self.rate * SHIFT_SECONDS).max(LEAST_SHIFT_SENDS);
         let after_short = allowance - self.rate * LEAST_SHIFT_SECONDS;
         let budget = after_shift.max(after_short.min(allowance * LEAST_TRIAL_PART));
         let part = self.elapsed.as_secs_f64() / begins.as_secs_f64().max(f64::MIN_POSITIVE);
--- a/crates/tansylead-route/src/roll_out/reference.rs
+++ b/crates/tansylead-route/src/roll_out/reference.rs
@@ -70,23 +70,35 @@
         self.latencies.iter().sum()
     }
 
+    /// Answers beyond a bucket.
     fn late(&self, bucket: usize) -> f64 {
         self.latencies[bucket + 1..].iter().sum()
     }
 }
 
-/// A latency bucket beyond which an answer is late, and how many should be.
+/// A latency bucket beyond which an answer is late, and what share usually is.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LateBound {
     bucket: usize,
-    /// Shares of late answers to test for.
-    pub(crate) shares: Shares,
+    usual: f64,
 }
 
 impl LateBound {
-    /// Late answers among those counted.
-    pub(crate) fn late(&self, side: &SideTotals) -> u64 {
-        side.latencies[self.bucket + 1..].iter().sum()
+    /// Answers with a known time, as if those that are late were failures.
+    pub(crate) fn split(&self, side: &SideTotals) -> SideTotals {
+        let (timely, late) = side.latencies.split_at(self.bucket + 1);
+        SideTotals {
+            good: timely.iter().sum(),
+            failed: late.iter().sum(),
+            ..SideTotals::default()
+        }
+    }
+
+    /// Shares of late answers to test for; `usual_of_all` is usual on all routes together.
+    pub(crate) fn shares(&self, usual_of_all: f64) -> Shares {
+        let usual = self.usual.max(usual_of_all).min(MOST_USUAL);
+        let raised = (usual * RAISED_FACTOR_LATE + RAISED_LATE).min(MOST_RAISED);
+        Shares { usual, raised }
     }
 }
 
@@ -125,11 +137,9 @@
         let long = long + (long * (1.0 - long) / total).sqrt();
         let short = self.short.late(bucket) + long * PRIOR_SHORT;
         let short = short / (self.short.latencies() + PRIOR_SHORT);
-        let usual = long.max(short).min(MOST_USUAL);
-        let raised = (usual * RAISED_FACTOR_LATE + RAISED_LATE).min(MOST_RAISED);
         Some(LateBound {
             bucket,
-            shares: Shares { usual, raised },
+            usual: long.max(short),
         })
     }
 
