--- a/crates/tansylead-route/src/roll_out/conclusion.rs
+++ b/crates/tansylead-route/src/roll_out/conclusion.rs
@@ -1,7 +1,7 @@
 //! What another judge has concluded, as the stages in reports tell.
 
 use super::grant::Stage;
-use super::trial::Conclusion;
+use super::verdict::Conclusion;
 use std::time::Duration;
 use tansylead_types::Moment;
 
--- a/crates/tansylead-route/src/roll_out/exposure.rs
+++ b/crates/tansylead-route/src/roll_out/exposure.rs
@@ -7,7 +7,6 @@
 use super::grant::Stage;
 use super::pace::Pace;
 use super::totals::{MergedTotals, Reporter};
-use super::trial::ExposureBounds;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId};
@@ -29,6 +28,15 @@
 /// Daemons for each free token that may take it: more than one, as the first in turn may be silent.
 const IN_TURN_FACTOR: f64 = 2.0;
 
+/// Bounds on the use of a version under trial, of all daemons together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExposureBounds {
+    /// Sends to the target version, as a share of the requests to the service from the order to its deadline.
+    pub share: f64,
+    /// Sends beyond that share.
+    pub slack: f64,
+}
+
 /// Tokens that a daemon holds.
 #[derive(Debug, Clone, Copy)]
 struct Held {
--- a/crates/tansylead-route/src/roll_out/judgement.rs
+++ b/crates/tansylead-route/src/roll_out/judgement.rs
@@ -8,7 +8,7 @@
 //! single look can condemn. While all requests go to the target version there is nothing to compare with
 //! in the same seconds: a fault that begins then and strikes any version counts against the new one.
 
-use super::cumulative_sum::{CumulativeSum, SHOWN, SUSPECTED};
+use super::cumulative_sum::{CumulativeSum, DOUBTFUL, SHOWN, SUSPECTED};
 use super::reference::{Reference, failures_to_test};
 use super::totals::{RouteTotals, SideTotals, Totals};
 use std::collections::BTreeMap;
@@ -60,6 +60,13 @@
         }
         self.slow.has_reached(limit).then_some(Finding::Slow)
     }
+
+    fn hint(&self, limit: f64) -> Option<Finding> {
+        if self.failing.hints(limit) {
+            return Some(Finding::Failing);
+        }
+        self.slow.hints(limit).then_some(Finding::Slow)
+    }
 }
 
 /// What the answers since the last look add to the tests.
@@ -175,13 +182,18 @@
         }
     }
 
-    /// What would speak against the target version, were the next answers like the last ones, or were
-    /// those that are awaited at `rate` attempts a second late.
+    /// What may speak against the target version at the last moment: by answers that came, or by attempts
+    /// that wait for theirs, at `rate` attempts a second.
     pub(crate) fn suspicion(&self, rate: f64) -> Option<Finding> {
-        let tested = self.condemned.or_else(|| self.against(SUSPECTED));
+        let tested = self.condemned.or_else(|| self.hint(SUSPECTED));
         tested.or_else(|| self.has_piled_up(rate).then_some(Finding::Slow))
     }
 
+    /// Whether it is worth to wait for more answers.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.hint(DOUBTFUL).is_some()
+    }
+
     /// Answers of the target version.
     pub(crate) fn new_answers(&self) -> u64 {
         let routes = self.routes.values();
@@ -193,15 +205,24 @@
     }
 
     fn against(&self, limit: f64) -> Option<Finding> {
-        // Among many routes one looks bad by chance more easily.
-        let limit_of_one = limit + (self.routes.len().max(1) as f64).ln();
-        let of_routes = self.routes.values();
-        let worst = || {
-            of_routes
-                .filter_map(|route| route.tests.finding(limit_of_one))
-                .next()
-        };
-        self.all.finding(limit).or_else(worst)
+        let of_one = self.limit_of_one(limit);
+        let routes = self.routes.values();
+        let worst = routes
+            .filter_map(|route| route.tests.finding(of_one))
+            .next();
+        self.all.finding(limit).or(worst)
+    }
+
+    fn hint(&self, limit: f64) -> Option<Finding> {
+        let of_one = self.limit_of_one(limit);
+        let routes = self.routes.values();
+        let worst = routes.filter_map(|route| route.tests.hint(of_one)).next();
+        self.all.hint(limit).or(worst)
+    }
+
+    /// Among many routes one looks bad by chance more easily.
+    fn limit_of_one(&self, limit: f64) -> f64 {
+        limit + (self.routes.len().max(1) as f64).ln()
     }
 
     fn has_piled_up(&self, rate: f64) -> bool {
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -10,16 +10,19 @@
 mod exposure;
 mod grant;
 mod judgement;
+mod leadership;
 mod order;
 mod pace;
 mod reference;
+mod report;
 mod totals;
 mod trial;
+mod verdict;
 
 pub use evidence::{LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts};
+pub use exposure::ExposureBounds;
 pub use grant::{Grant, Stage};
 pub use order::{OrderId, RollOut, RollOutState, RollOuts};
-pub use trial::{
-    Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
-    TrialCounts, TrialVerdict,
-};
+pub use report::RollOutReport;
+pub use trial::RollOutTrial;
+pub use verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
--- a/crates/tansylead-route/src/roll_out/totals.rs
+++ b/crates/tansylead-route/src/roll_out/totals.rs
@@ -5,7 +5,7 @@
 
 use super::evidence::{LATENCY_BUCKETS, RollOutEvidence, VersionCounts};
 use super::grant::Stage;
-use super::trial::RollOutReport;
+use super::report::RollOutReport;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId};
@@ -19,6 +19,9 @@
 /// Memory of a daemon's rate of requests: long enough to smooth one request a second.
 const RATE_MEMORY: Duration = Duration::from_secs(2);
 
+/// A member that is silent for longer is not waited for: its grant has expired.
+pub(crate) const SILENT: Duration = Duration::from_secs(2);
+
 /// What became of attempts at the leafs of one side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) struct SideTotals {
@@ -205,12 +208,12 @@
         }
     }
 
-    /// Sums over all daemons; what runs now, over those that reported within `span`.
-    pub(crate) fn sum(&self, now: Moment, span: Duration) -> Totals {
+    /// Sums over all daemons; what runs now, over those that are not silent.
+    pub(crate) fn sum(&self, now: Moment) -> Totals {
         let mut totals = self.earlier.clone();
         for reporter in self.reporters.values() {
             totals.add_lasting(&reporter.evidence);
-            if reporter.was_heard(now, span) {
+            if reporter.was_heard(now, SILENT) {
                 totals.running_on_new += u64::from(reporter.evidence.running_on_new);
             }
         }
@@ -239,9 +242,9 @@
             .map(|(node, reporter)| (*node, reporter))
     }
 
-    /// Requests a second of the daemons that reported within `span`.
-    pub(crate) fn rate(&self, now: Moment, span: Duration) -> f64 {
-        self.heard(now, span)
+    /// Requests a second of the daemons that are not silent.
+    pub(crate) fn rate(&self, now: Moment) -> f64 {
+        self.heard(now, SILENT)
             .map(|(_, reporter)| reporter.rate)
             .sum()
     }
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -1,27 +1,18 @@
 //! One roll-out as its judge sees it: reports of all daemons in, stage and grants out.
 
 use super::conclusion::HeardConclusion;
-use super::evidence::RollOutEvidence;
-use super::exposure::Exposure;
+use super::exposure::{Exposure, ExposureBounds};
 use super::grant::{Grant, Stage};
 use super::judgement::{Finding, Judgement};
+use super::leadership::{FROZEN, LATELY, Leadership};
 use super::order::{OrderId, RollOut, RollOutState};
 use super::pace::Progress;
-use super::totals::{MergedTotals, Totals};
-use serde::{Deserialize, Serialize};
+use super::report::RollOutReport;
+use super::totals::{MergedTotals, SILENT, Totals};
+use super::verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
 use std::time::Duration;
-use tansylead_types::{Moment, NodeId, ServiceName};
+use tansylead_types::{Moment, NodeId};
 
-/// Reports within this time say who is followed: several report periods of a daemon with few requests.
-const LATELY: Duration = Duration::from_millis(1_500);
-/// A member that is silent for longer is not waited for: its grant has expired.
-const SILENT: Duration = Duration::from_secs(2);
-/// Looks come four times a second. After a longer gap this daemon was frozen, and what it remembers of
-/// others is old.
-const FROZEN: Duration = Duration::from_secs(1);
-/// A judge that starts during a roll-out, or was frozen, listens for this long before it leads: daemons that
-/// follow another one have reported by then.
-const LISTENS_FIRST: Duration = Duration::from_millis(600);
 /// Least time of the shift, so that answers under the whole load are seen.
 const LEAST_SHIFT: Duration = Duration::from_millis(500);
 /// Answers under the whole load that are waited for while there is room: of a version bad in three of ten,
@@ -29,124 +20,10 @@
 const ANSWERS_UNDER_LOAD: u64 = 24;
 /// How long after the deadline a shift may go on, or be waited for once the source is back.
 const LATEST_SHIFT: Duration = Duration::from_secs(4);
-/// If most daemons have known of the order for this much longer than this one, then not all were lost.
-/// Daemons that are started together learn of it within less.
-const KNOWN_LONGER: Duration = Duration::from_secs(1);
-
-/// Bounds on the use of a version under trial, of all daemons together.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ExposureBounds {
-    /// Sends to the target version, as a share of the requests to the service from the order to its deadline.
-    pub share: f64,
-    /// Sends beyond that share.
-    pub slack: f64,
-}
-
-/// What one daemon tells the judges of a roll-out.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RollOutReport {
-    /// Service.
-    pub service: ServiceName,
-    /// Order.
-    pub order: OrderId,
-    /// The daemon.
-    pub reporter: NodeId,
-    /// Its life: a restart begins a new one, with totals that begin anew. Later lives are greater.
-    pub life: u64,
-    /// Rises with each report of a life.
-    pub sequence: u64,
-    /// How long the daemon has known of the order, in milliseconds.
-    pub known_for_millis: u32,
-    /// The judge whose grants it follows.
-    pub follows: Option<NodeId>,
-    /// The stage that it was granted last.
-    pub stage: Option<Stage>,
-    /// What it has seen.
-    pub evidence: RollOutEvidence,
-}
-
-/// What the judge knows beside the reports.
-#[derive(Debug, Clone, Copy)]
-pub struct TrialContext<'a> {
-    /// Daemons that run and can be reached, this one included.
-    pub members: &'a [NodeId],
-    /// Place of this judge among those that the members rank for the service; 0 is first.
-    pub rank: usize,
-    /// Whether the source has answered this daemon lately, so that a conclusion can be written.
-    pub is_source_fresh: bool,
-}
-
-/// How a roll-out ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Conclusion {
-    /// All requests go to the target version.
-    Complete,
-    /// The target version gets nothing any more.
-    RollBack,
-}
-
-/// Why a judge concluded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConclusionReason {
-    /// Answers of the target version are as good as the old ones.
-    AsGood,
-    /// Too many of its answers are bad.
-    Failing,
-    /// Its answers come too slowly.
-    Slow,
-    /// No leaf of the target version answered enough to judge it.
-    NoEvidence,
-    /// The bound on sends leaves no room to move all requests over in time.
-    NoRoom,
-    /// Another judge concluded so and seems unable to write it.
-    TakenOver,
-}
-
-impl ConclusionReason {
-    /// Name, for logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::AsGood => "as_good",
-            Self::Failing => "failing",
-            Self::Slow => "slow",
-            Self::NoEvidence => "no_evidence",
-            Self::NoRoom => "no_room",
-            Self::TakenOver => "taken_over",
-        }
-    }
-}
-
-/// What the judge wants after a look at the trial.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TrialVerdict {
-    /// What daemons that follow this judge do.
-    pub stage: Stage,
-    /// What this judge is to write to the source now, if anything.
-    pub write: Option<(Conclusion, ConclusionReason)>,
-}
-
-/// Counts behind a judgement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct TrialCounts {
-    /// Requests to the service.
-    pub requests: u64,
-    /// Sends to the target version.
-    pub new_sends: u64,
-    /// Good answers of old leafs.
-    pub old_good: u64,
-    /// Bad answers of old leafs.
-    pub old_failed: u64,
-    /// Good answers of the target version.
-    pub new_good: u64,
-    /// Bad answers of the target version.
-    pub new_failed: u64,
-}
-
 /// The trial of one order at one judge.
 #[derive(Debug)]
 pub struct RollOutTrial {
     roll_out: RollOut,
-    judge: NodeId,
     began: Moment,
     totals: MergedTotals,
     sum: Totals,
@@ -157,9 +34,7 @@
     head_start: Duration,
     requests_at_deadline: Option<u64>,
     looked_at: Option<Moment>,
-    /// Since when this judge has heard reports, if it missed some before.
-    listens_since: Option<Moment>,
-    is_leading: bool,
+    leadership: Leadership,
     stage: Stage,
     shift_began: Option<Moment>,
     answers_before_shift: u64,
@@ -177,7 +52,6 @@
         let has_slack = roll_out.state == RollOutState::Ordered;
         Self {
             roll_out,
-            judge,
             began: now,
             totals: MergedTotals::default(),
             sum: Totals::default(),
@@ -187,8 +61,7 @@
             head_start: Duration::ZERO,
             requests_at_deadline: None,
             looked_at: None,
-            listens_since: (!has_slack).then_some(now),
-            is_leading: false,
+            leadership: Leadership::new(judge, now, !has_slack),
             stage: Stage::Trial,
             shift_began: None,
             answers_before_shift: 0,
@@ -236,9 +109,9 @@
     /// Looks at the trial; called a few times each second.
     pub fn look(&mut self, now: Moment, context: TrialContext<'_>) -> TrialVerdict {
         self.refresh(now);
-        self.is_leading = self.leads(now, context.rank);
+        self.leadership.look(now, context.rank, &self.totals);
         self.take_over_conclusion(now);
-        if self.is_leading && self.own.is_none() && self.heard.is_none() {
+        if self.leadership.leads() && self.own.is_none() && self.heard.is_none() {
             self.advance(now, context);
         }
         TrialVerdict {
@@ -257,7 +130,7 @@
             };
         };
         let hands_out = matches!(self.stage, Stage::Trial | Stage::Shift);
-        if !hands_out || !self.is_leading || self.was_frozen(now) {
+        if !hands_out || !self.leadership.leads() || self.was_frozen(now) {
             return self.exposure.grant_none(self.stage, known);
         }
         let pace = self.progress.pace(self.stage, &self.exposure);
@@ -269,11 +142,11 @@
     fn refresh(&mut self, now: Moment) {
         if self.was_frozen(now) {
             self.totals.forget_recent();
-            self.listens_since = Some(now);
+            self.leadership.on_thaw(now);
         }
         let span = self.looked_at.map_or(Duration::ZERO, |at| now.since(at));
         self.looked_at = Some(now);
-        self.sum = self.totals.sum(now, SILENT);
+        self.sum = self.totals.sum(now);
         self.judgement.look(span, &self.sum);
         let elapsed = now.since(self.began) + self.head_start;
         if elapsed >= self.roll_out.duration {
@@ -283,10 +156,10 @@
             elapsed,
             duration: self.roll_out.duration,
             requests: self.requests_at_deadline.unwrap_or(self.sum.requests),
-            rate: self.totals.rate(now, SILENT),
+            rate: self.totals.rate(now),
             new_sends: self.sum.new_sends,
         };
-        if self.have_most_known_longer(now) {
+        if self.leadership.have_most_known_longer(now, &self.totals) {
             self.exposure.restore_slack();
         }
     }
@@ -295,33 +168,6 @@
         self.looked_at.is_some_and(|at| now.since(at) > FROZEN)
     }
 
-    fn have_most_known_longer(&self, now: Moment) -> bool {
-        let known_here = now.since(self.began);
-        let heard = self.totals.heard(now, LATELY);
-        let known: Vec<Duration> = heard
-            .map(|(_, reporter)| reporter.known_for + now.since(reporter.heard_at))
-            .collect();
-        let longer = known
-            .iter()
-            .filter(|known| **known >= known_here + KNOWN_LONGER);
-        longer.count() * 2 > known.len()
-    }
-
-    /// Whether this judge is followed by more than half, or is first and nobody follows anybody yet.
-    fn leads(&self, now: Moment, rank: usize) -> bool {
-        if self
-            .listens_since
-            .is_some_and(|since| now.since(since) < LISTENS_FIRST)
-        {
-            return false;
-        }
-        let heard = || self.totals.heard(now, LATELY);
-        let following = heard().filter(|(_, reporter)| reporter.follows == Some(self.judge));
-        let mut reporters = self.totals.reporters();
-        let nobody_follows = rank == 0 && reporters.all(|reporter| reporter.follows.is_none());
-        following.count() * 2 > heard().count() || nobody_follows
-    }
-
     /// Adopts what another judge has concluded, as reports tell.
     fn take_over_conclusion(&mut self, now: Moment) {
         if self.own.is_some() {
@@ -409,8 +255,9 @@
     /// Whether enough answers came under load, or there is no room to wait for more.
     fn has_seen_load(&self, now: Moment) -> bool {
         let came = self.judgement.new_answers() - self.answers_before_shift;
+        let is_enough = came >= ANSWERS_UNDER_LOAD && !self.judgement.is_doubtful();
         let gone = self.exposure.gone(now, &self.totals, self.sum.new_sends);
-        came >= ANSWERS_UNDER_LOAD || !self.progress.has_time_to_see(&self.exposure, gone)
+        is_enough || !self.progress.has_time_to_see(&self.exposure, gone)
     }
 
     /// Whether nothing runs on old leafs at members that can be heard, and nothing new will.
