--- a/crates/tansylead-route/examples/roll_out_table.rs
+++ b/crates/tansylead-route/examples/roll_out_table.rs
@@ -5,7 +5,7 @@
 #[path = "../tests/roll_out_world/mod.rs"]
 mod roll_out_world;
 
-use roll_out_world::{Badness, Outcome, Service, Setting, Trouble, play};
+use roll_out_world::{BOUNDS, Badness, Outcome, Service, Setting, Trouble, play};
 use std::time::Duration;
 use tansylead_route::Conclusion;
 
@@ -32,6 +32,7 @@
         loss: 0.01,
         are_stages_pushed: true,
         judge_killed_at: None,
+        judge_cut: None,
         source_away: None,
     }
 }
@@ -66,7 +67,7 @@
     let mean = |count: &dyn Fn(&Outcome) -> f64| {
         outcomes.iter().map(count).sum::<f64>() / roll_outs as f64
     };
-    let bound = |outcome: &Outcome| 0.1 * outcome.requests as f64 + 50.0;
+    let bound = |outcome: &Outcome| BOUNDS.share * outcome.requests as f64 + BOUNDS.slack;
     let used = mean(&|outcome| outcome.sends as f64 / bound(outcome));
     let bad = mean(&|outcome| outcome.bad as f64);
     let ended = mean(&|outcome| outcome.ended.map_or(0.0, |(_, _, at)| at as f64)) / 1_000.0;
--- a/crates/tansylead-route/src/roll_out/conclusion.rs
+++ b/crates/tansylead-route/src/roll_out/conclusion.rs
@@ -1,4 +1,4 @@
-//! What another judge has concluded, as the stages in reports tell.
+//! What another judge has concluded, as the first report of it tells.
 
 use super::grant::Stage;
 use super::verdict::Conclusion;
@@ -16,18 +16,15 @@
 }
 
 impl HeardConclusion {
-    /// The conclusion that these stages tell of, if any. If they tell of both, what more of them say.
-    pub(crate) fn among(now: Moment, stages: impl Iterator<Item = Stage>) -> Option<Self> {
-        let (mut commits, mut backs) = (0_usize, 0_usize);
-        for stage in stages {
-            match stage {
-                Stage::Commit => commits += 1,
-                Stage::Back => backs += 1,
-                Stage::Trial | Stage::Shift => {}
-            }
-        }
-        (commits + backs > 0).then_some(Self {
-            is_complete: commits > backs,
+    /// The conclusion that a stage tells of, if any.
+    pub(crate) fn of(now: Moment, stage: Stage) -> Option<Self> {
+        let is_complete = match stage {
+            Stage::Commit => true,
+            Stage::Back => false,
+            Stage::Trial | Stage::Shift => return None,
+        };
+        Some(Self {
+            is_complete,
             since: now,
         })
     }
--- a/crates/tansylead-route/src/roll_out/exposure.rs
+++ b/crates/tansylead-route/src/roll_out/exposure.rs
@@ -114,19 +114,19 @@
     }
 
     /// Sends made, and those that may be made under grants that stand.
-    pub(crate) fn spent(&self, now: Moment, totals: &MergedTotals, new_sends: u64) -> f64 {
+    fn spent(&self, now: Moment, totals: &MergedTotals) -> f64 {
         let held: u64 = self.held.values().map(Held::unspent).sum();
-        self.gone(now, totals, new_sends) + held as f64
+        self.gone(now, totals) + held as f64
     }
 
     /// Sends made, and those that others may have granted or seen. Tokens held serve any stage.
-    pub(crate) fn gone(&self, now: Moment, totals: &MergedTotals, new_sends: u64) -> f64 {
+    pub(crate) fn gone(&self, now: Moment, totals: &MergedTotals) -> f64 {
         let of_others: u64 = totals
             .heard(now, VALID + VALID_MARGIN)
             .filter(|(_, reporter)| reporter.follows.is_some_and(|judge| judge != self.judge))
             .map(|(_, reporter)| tokens_ahead(reporter))
             .sum();
-        (new_sends + self.unaccounted + of_others) as f64
+        (totals.new_sends() + self.unaccounted + of_others) as f64
     }
 
     /// A grant without tokens beyond those that the daemon holds.
@@ -151,7 +151,7 @@
         let held = self.held.get(&node).copied();
         let held = held.filter(|held| held.is_valid(now) && held.limit > new_sends);
         let holds = held.map_or(0, |held| held.limit - new_sends);
-        let free = pace.allowance - self.spent(now, totals, pace.new_sends);
+        let free = pace.allowance - self.spent(now, totals);
         let wanted = match pace.stage {
             Stage::Shift => tokens_ahead(reporter),
             _ => self.tokens_in_turn(now, totals, node, self.due(pace, totals)),
@@ -183,7 +183,7 @@
                 Some(held.unspent() as f64 * chance_of_use(reporter))
             })
             .sum();
-        pace.target - pace.new_sends as f64 - expected
+        pace.target - totals.new_sends() as f64 - expected
     }
 
     fn note_tokens(
--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -20,7 +20,7 @@
 /// Least time that a shift can be done in.
 const LEAST_SHIFT_SECONDS: f64 = 0.6;
 /// The completion is concluded so long before the deadline: a look and a write to a slow source.
-const TIME_TO_COMPLETE: Duration = Duration::from_millis(750);
+const TIME_TO_COMPLETE: Duration = Duration::from_millis(500);
 /// Time of all requests that must be left for a shift that goes on: a look and the reports to it.
 const SEE_SECONDS: f64 = 0.3;
 /// Part of the allowance that the trial may use if not even a short shift leaves more.
@@ -35,8 +35,6 @@
     pub(crate) allowance: f64,
     /// Sends that should have been made by now.
     pub(crate) target: f64,
-    /// Sends made so far.
-    pub(crate) new_sends: u64,
 }
 
 /// Where a roll-out stands.
@@ -50,8 +48,6 @@
     pub(crate) requests: u64,
     /// Requests a second.
     pub(crate) rate: f64,
-    /// Sends to the target version.
-    pub(crate) new_sends: u64,
 }
 
 impl Progress {
@@ -91,7 +87,6 @@
             stage,
             allowance,
             target,
-            new_sends: self.new_sends,
         }
     }
 
--- a/crates/tansylead-route/src/roll_out/totals.rs
+++ b/crates/tansylead-route/src/roll_out/totals.rs
@@ -220,6 +220,13 @@
         totals
     }
 
+    /// Sends to the target version, by the newest reports.
+    pub(crate) fn new_sends(&self) -> u64 {
+        let reporters = self.reporters.values();
+        let sends: u64 = reporters.map(|reporter| reporter.evidence.new_sends).sum();
+        self.earlier.new_sends + sends
+    }
+
     /// The daemon's newest report.
     pub(crate) fn reporter(&self, node: NodeId) -> Option<&Reporter> {
         self.reporters.get(&node)
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -102,6 +102,7 @@
         let known_here = now.since(self.began);
         self.head_start = self.head_start.max(known_for.saturating_sub(known_here));
         self.has_shift_begun |= report.stage == Some(Stage::Shift);
+        self.take_over(now, report.stage);
         let (life, sends) = (report.life, report.evidence.new_sends);
         self.exposure.on_report(now, report.reporter, life, sends);
     }
@@ -110,9 +111,11 @@
     pub fn look(&mut self, now: Moment, context: TrialContext<'_>) -> TrialVerdict {
         self.refresh(now);
         self.leadership.look(now, context.rank, &self.totals);
-        self.take_over_conclusion(now);
-        if self.leadership.leads() && self.own.is_none() && self.heard.is_none() {
+        let is_open = self.own.is_none() && self.heard.is_none();
+        if is_open && self.leadership.leads() {
             self.advance(now, context);
+        } else if is_open {
+            self.keep_up(now);
         }
         TrialVerdict {
             stage: self.stage,
@@ -166,7 +169,6 @@
             duration: self.roll_out.duration,
             requests: self.requests_at_deadline.unwrap_or(self.sum.requests),
             rate: self.totals.rate(now),
-            new_sends: self.sum.new_sends,
         };
         if self.leadership.have_most_known_longer(now, &self.totals) {
             self.exposure.restore_slack();
@@ -177,21 +179,29 @@
         self.looked_at.is_some_and(|at| now.since(at) > FROZEN)
     }
 
-    /// Adopts what another judge has concluded, as reports tell.
-    fn take_over_conclusion(&mut self, now: Moment) {
-        if self.own.is_some() {
+    /// Adopts what another judge has concluded, at once: a daemon that was told so must not be told
+    /// otherwise.
+    fn take_over(&mut self, now: Moment, stage: Option<Stage>) {
+        if self.own.is_some() || self.heard.is_some() {
             return;
         }
-        let stages = self.totals.heard(now, LATELY);
-        let stages = stages.filter_map(|(_, reporter)| reporter.stage);
-        if self.heard.is_none() {
-            self.heard = HeardConclusion::among(now, stages);
-        }
+        self.heard = stage.and_then(|stage| HeardConclusion::of(now, stage));
         if let Some(heard) = self.heard {
             self.stage = heard.stage();
         }
     }
 
+    /// Takes on the stage of the judge that leads, to go on from there.
+    fn keep_up(&mut self, now: Moment) {
+        let heard = || self.totals.heard(now, LATELY);
+        let shifting = heard().filter(|(_, reporter)| reporter.stage == Some(Stage::Shift));
+        if shifting.count() * 2 <= heard().count() {
+            self.stage = Stage::Trial;
+        } else if self.stage == Stage::Trial {
+            self.enter_shift(now);
+        }
+    }
+
     /// What to write now.
     fn write(
         &self,
@@ -212,7 +222,7 @@
             Finding::Failing => return self.go_back(ConclusionReason::Failing),
             Finding::Slow => return self.go_back(ConclusionReason::Slow),
             Finding::NotEnough if self.progress.is_over() => {
-                return self.go_back(ConclusionReason::NoEvidence);
+                return self.go_back(self.why_not_enough(now));
             }
             Finding::NotEnough => self.stage = Stage::Trial,
             Finding::GoodSoFar if self.stage == Stage::Shift => self.go_on_shifting(now, context),
@@ -223,6 +233,17 @@
         }
     }
 
+    /// A trial that could not pay for a shift gets few sends or none.
+    fn why_not_enough(&self, now: Moment) -> ConclusionReason {
+        let gone = self.exposure.gone(now, &self.totals);
+        let has_room = self.progress.has_room(&self.exposure, gone);
+        if has_room {
+            ConclusionReason::NoEvidence
+        } else {
+            ConclusionReason::NoRoom
+        }
+    }
+
     fn go_back(&mut self, reason: ConclusionReason) {
         self.stage = Stage::Back;
         self.own = Some((Conclusion::RollBack, reason));
@@ -236,14 +257,18 @@
             self.waited_for_source = Some(now);
             return;
         }
-        let gone = self.exposure.gone(now, &self.totals, self.sum.new_sends);
+        let gone = self.exposure.gone(now, &self.totals);
         if self.has_shift_begun || self.progress.has_room(&self.exposure, gone) {
-            self.stage = Stage::Shift;
-            self.shift_began = Some(now);
-            self.answers_before_shift = self.judgement.new_answers();
+            self.enter_shift(now);
         }
     }
 
+    fn enter_shift(&mut self, now: Moment) {
+        self.stage = Stage::Shift;
+        self.shift_began = Some(now);
+        self.answers_before_shift = self.judgement.new_answers();
+    }
+
     fn go_on_shifting(&mut self, now: Moment, context: TrialContext<'_>) {
         if !context.is_source_fresh {
             self.stage = Stage::Trial;
@@ -265,7 +290,7 @@
     fn has_seen_load(&self, now: Moment) -> bool {
         let came = self.judgement.new_answers() - self.answers_before_shift;
         let is_enough = came >= ANSWERS_UNDER_LOAD && !self.judgement.is_doubtful();
-        let gone = self.exposure.gone(now, &self.totals, self.sum.new_sends);
+        let gone = self.exposure.gone(now, &self.totals);
         is_enough || !self.progress.has_time_to_see(&self.exposure, gone)
     }
 
--- /dev/null
+++ b/crates/tansylead-route/tests/roll_out_fleet/mod.rs
@@ -0,0 +1,280 @@
+//! Daemons of a roll-out without chance: each has the same requests, and sends what it is granted.
+
+use std::time::Duration;
+use tansylead_route::{
+    ExposureBounds, Grant, OrderId, Revision, RollOut, RollOutReport, RollOutState, RollOutTrial,
+    RouteEvidence, Stage, TrialContext, TrialCounts, TrialVerdict,
+};
+use tansylead_types::{Moment, NodeId};
+
+pub const DURATION: Duration = Duration::from_secs(12);
+/// Time between looks, in milliseconds.
+const STEP: u64 = 250;
+/// Requests of all daemons between looks: a hundred a second.
+const REQUESTS: u64 = 25;
+/// Time of each answer.
+const TAKES: Duration = Duration::from_millis(10);
+
+pub fn at(millis: u64) -> Moment {
+    Moment::from_millis(100_000 + millis)
+}
+
+pub fn node(index: usize) -> NodeId {
+    NodeId(([10, 0, 0, 1], 1_000 + index as u16).into())
+}
+
+/// The judge that is tested: the first daemon.
+pub fn judge() -> NodeId {
+    node(0)
+}
+
+pub fn bounds() -> ExposureBounds {
+    ExposureBounds {
+        share: 0.1,
+        slack: 50.0,
+    }
+}
+
+pub fn roll_out(duration: Duration) -> RollOut {
+    let service = "desk".parse().expect("a service name");
+    let target = "v2".parse().expect("a version");
+    RollOut {
+        order: OrderId::new(&service, &target, duration, "first"),
+        service,
+        target,
+        duration,
+        state: RollOutState::Ordered,
+        changed_at: Revision::default(),
+    }
+}
+
+pub struct Fleet {
+    pub trial: RollOutTrial,
+    order: RollOut,
+    bounds: ExposureBounds,
+    members: Vec<NodeId>,
+    reports: Vec<RollOutReport>,
+    grants: Vec<Option<Grant>>,
+    millis: u64,
+    verdict: TrialVerdict,
+    pub rank: usize,
+    pub is_source_fresh: bool,
+    pub answers_new: bool,
+    pub fails_new: bool,
+    /// Some attempt runs on old leafs at all times.
+    pub runs_on_old: bool,
+    /// A daemon that does not report.
+    pub silent: Option<usize>,
+    /// The target version gets requests although this judge grants none.
+    pub sends_anyway: bool,
+    /// Reported in place of the stage granted.
+    pub reported_stage: Option<Stage>,
+    /// How long daemons have known of the order before the judge did, in milliseconds.
+    pub known_before: u64,
+}
+
+impl Fleet {
+    pub fn new(daemons: usize) -> Self {
+        let order = roll_out(DURATION);
+        let report = |index| RollOutReport {
+            service: order.service.clone(),
+            order: order.order,
+            reporter: node(index),
+            life: 1,
+            sequence: 0,
+            known_for_millis: 0,
+            follows: Some(judge()),
+            stage: None,
+            evidence: Default::default(),
+        };
+        Self {
+            trial: RollOutTrial::new(order.clone(), bounds(), judge(), at(0)),
+            bounds: bounds(),
+            members: (0..daemons).map(node).collect(),
+            reports: (0..daemons).map(report).collect(),
+            grants: vec![None; daemons],
+            millis: 0,
+            verdict: TrialVerdict {
+                stage: Stage::Trial,
+                write: None,
+            },
+            order,
+            rank: 0,
+            is_source_fresh: true,
+            answers_new: true,
+            fails_new: false,
+            runs_on_old: false,
+            silent: None,
+            sends_anyway: false,
+            reported_stage: None,
+            known_before: 0,
+        }
+    }
+
+    pub fn set_bounds(&mut self, share: f64, slack: f64) {
+        self.bounds = ExposureBounds { share, slack };
+        self.renew();
+    }
+
+    pub fn set_state(&mut self, state: RollOutState) {
+        self.order.state = state;
+        self.renew();
+    }
+
+    fn renew(&mut self) {
+        self.trial = RollOutTrial::new(self.order.clone(), self.bounds, judge(), self.now());
+    }
+
+    pub fn follow(&mut self, judge: Option<NodeId>) {
+        for report in &mut self.reports {
+            report.follows = judge;
+        }
+    }
+
+    pub fn restart(&mut self, daemon: usize) {
+        let report = &mut self.reports[daemon];
+        report.life += 1;
+        report.sequence = 0;
+        report.evidence = Default::default();
+        self.grants[daemon] = None;
+    }
+
+    pub fn now(&self) -> Moment {
+        at(self.millis)
+    }
+
+    pub fn verdict(&self) -> TrialVerdict {
+        self.verdict
+    }
+
+    pub fn counts(&self) -> TrialCounts {
+        self.trial.counts()
+    }
+
+    pub fn sent(&self, daemon: usize) -> u64 {
+        self.reports[daemon].evidence.new_sends
+    }
+
+    /// Lets time pass in which nothing happens.
+    pub fn pass(&mut self, millis: u64) {
+        self.millis += millis;
+    }
+
+    pub fn play_until(&mut self, millis: u64) {
+        while self.millis < millis {
+            self.play(STEP);
+        }
+    }
+
+    /// Lets time pass in which requests come, daemons report and the judge looks.
+    pub fn play(&mut self, millis: u64) {
+        for _ in 0..millis / STEP {
+            self.advance(STEP);
+            self.report_all();
+            self.look();
+            for daemon in 0..self.reports.len() {
+                self.grant(daemon);
+            }
+        }
+    }
+
+    pub fn context(&self) -> TrialContext<'_> {
+        TrialContext {
+            members: &self.members,
+            rank: self.rank,
+            is_source_fresh: self.is_source_fresh,
+        }
+    }
+
+    pub fn look(&mut self) -> TrialVerdict {
+        let context = TrialContext {
+            members: &self.members,
+            rank: self.rank,
+            is_source_fresh: self.is_source_fresh,
+        };
+        self.verdict = self.trial.look(at(self.millis), context);
+        self.verdict
+    }
+
+    pub fn grant(&mut self, daemon: usize) -> Grant {
+        let grant = self.trial.grant(self.now(), node(daemon));
+        self.grants[daemon] = Some(grant);
+        grant
+    }
+
+    pub fn report_all(&mut self) -> Vec<RollOutReport> {
+        let daemons = 0..self.reports.len();
+        let heard = daemons.filter(|daemon| self.silent != Some(*daemon));
+        let heard: Vec<usize> = heard.collect();
+        heard
+            .into_iter()
+            .map(|daemon| self.report(daemon))
+            .collect()
+    }
+
+    pub fn report(&mut self, daemon: usize) -> RollOutReport {
+        let granted = self.grants[daemon].map(|grant| grant.stage);
+        let report = &mut self.reports[daemon];
+        report.sequence += 1;
+        report.known_for_millis = (self.millis + self.known_before) as u32;
+        report.stage = self.reported_stage.or(granted);
+        report.evidence.running_on_old = u32::from(self.runs_on_old);
+        self.trial.on_report(at(self.millis), report);
+        report.clone()
+    }
+
+    pub fn requests(&self) -> u64 {
+        let reports = self.reports.iter();
+        reports.map(|report| report.evidence.requests).sum()
+    }
+
+    /// Sends made, and those that daemons may make under what they were granted last.
+    pub fn granted(&self) -> u64 {
+        let daemons = self.reports.iter().zip(&self.grants);
+        let most = daemons.map(|(report, grant)| {
+            let limit = grant.map_or(0, |grant| grant.limit);
+            report.evidence.new_sends.max(limit)
+        });
+        most.sum()
+    }
+
+    /// Lets time pass in which requests come.
+    pub fn advance(&mut self, millis: u64) {
+        self.millis += millis;
+        let daemons = self.reports.len() as u64;
+        for request in 0..REQUESTS {
+            let turn = self.millis / STEP * REQUESTS + request;
+            self.request((turn % daemons) as usize);
+        }
+    }
+
+    pub fn request(&mut self, daemon: usize) {
+        if self.silent == Some(daemon) {
+            return;
+        }
+        let evidence = &mut self.reports[daemon].evidence;
+        evidence.requests += 1;
+        if evidence.routes.is_empty() {
+            evidence.routes.push(RouteEvidence::default());
+        }
+        let route = &mut evidence.routes[0];
+        let grant = self.grants[daemon];
+        let is_granted = grant.is_some_and(|grant| evidence.new_sends < grant.limit);
+        let is_sent_anyway = self.sends_anyway && evidence.requests.is_multiple_of(10);
+        if !is_granted && !is_sent_anyway {
+            route.old.good += 1;
+            route.old.latencies.add(TAKES);
+            return;
+        }
+        evidence.new_sends += 1;
+        if !self.answers_new {
+            return;
+        }
+        if self.fails_new {
+            route.new.failed += 1;
+        } else {
+            route.new.good += 1;
+            route.new.latencies.add(TAKES);
+        }
+    }
+}
--- a/crates/tansylead-route/tests/roll_out_world/mod.rs
+++ b/crates/tansylead-route/tests/roll_out_world/mod.rs
@@ -41,6 +41,8 @@
     pub are_stages_pushed: bool,
     /// When the first judge is killed for good, in milliseconds.
     pub judge_killed_at: Option<u64>,
+    /// From when until when the first judge's messages are lost both ways, in milliseconds.
+    pub judge_cut: Option<(u64, u64)>,
     /// From when until when the source does not answer, in milliseconds.
     pub source_away: Option<(u64, u64)>,
 }
@@ -184,6 +186,11 @@
     }
 
     fn send(&mut self, now: u64, message: Message) {
+        let (Message::Report(judge, _) | Message::Grant(_, judge, _)) = &message;
+        let cut = self.setting.judge_cut;
+        if *judge == 0 && cut.is_some_and(|(from, to)| (from..to).contains(&now)) {
+            return;
+        }
         if self.chance.random::<f64>() >= self.setting.loss {
             let arrives = now + self.chance.random_range(1..=LONGEST_WAY);
             self.messages.push_back((arrives, message));
