--- a/crates/tansylead-route/src/roll_out/evidence.rs
+++ b/crates/tansylead-route/src/roll_out/evidence.rs
@@ -25,6 +25,11 @@
     xxh3_64(name.as_bytes()) as u32
 }
 
+/// Upper end of a bucket, in milliseconds.
+pub(crate) fn bucket_end_millis(bucket: usize) -> f64 {
+    FIRST_BUCKET_MILLIS * BUCKET_FACTOR.powi(bucket as i32)
+}
+
 impl LatencyCounts {
     /// Counts a latency.
     pub fn add(&mut self, latency: Duration) {
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -4,22 +4,32 @@
 //! requests while their answers are compared with those of the old leafs; then either all requests move
 //! over, or the target version gets nothing any more. Nothing here opens a socket or reads a clock.
 
+mod conclusion;
+mod cumulative_sum;
 mod evidence;
+mod exposure;
 mod grant;
+mod judgement;
+mod leadership;
 mod order;
+mod pace;
+mod reference;
+mod report;
 mod state_write;
+mod totals;
 mod trial;
+mod verdict;
 mod version_gate;
 mod version_memory;
 
 pub use evidence::{
     LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts, route_hash,
 };
+pub use exposure::ExposureBounds;
 pub use grant::{Grant, Stage};
 pub use order::{OrderId, RollOut, RollOutState, RollOuts, RollOutsMark};
+pub use report::RollOutReport;
 pub use state_write::{StateWrite, StateWriteEnd, WriteEnd, WriteFailure, WriteStep};
-pub use trial::{
-    Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
-    TrialVerdict,
-};
+pub use trial::RollOutTrial;
+pub use verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
 pub use version_gate::{VersionGate, VersionUse};
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -1,120 +1,74 @@
 //! One roll-out as its judge sees it: reports of all daemons in, stage and grants out.
 
-use super::evidence::RollOutEvidence;
+use super::conclusion::HeardConclusion;
+use super::exposure::{Exposure, ExposureBounds};
 use super::grant::{Grant, Stage};
-use super::order::{OrderId, RollOut};
-use serde::{Deserialize, Serialize};
+use super::judgement::{Finding, Judgement};
+use super::leadership::{FROZEN, LATELY, Leadership};
+use super::order::{OrderId, RollOut, RollOutState};
+use super::pace::Progress;
+use super::report::RollOutReport;
+use super::totals::{MergedTotals, SILENT, Totals};
+use super::verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
 use std::time::Duration;
-use tansylead_types::{Moment, NodeId, ServiceName};
-
-/// Bounds on the use of a version under trial, of all daemons together.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ExposureBounds {
-    /// Sends to the target version, as a share of the requests to the service from the order to its deadline.
-    pub share: f64,
-    /// Sends beyond that share.
-    pub slack: f64,
-}
-
-/// What one daemon tells the judges of a roll-out.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RollOutReport {
-    /// Service.
-    pub service: ServiceName,
-    /// Order.
-    pub order: OrderId,
-    /// The daemon.
-    pub reporter: NodeId,
-    /// Its life: a restart begins a new one, with totals that begin anew. Later lives are greater.
-    pub life: u64,
-    /// Rises with each report of a life.
-    pub sequence: u64,
-    /// How long the daemon has known of the order, in milliseconds.
-    pub known_for_millis: u32,
-    /// The judge whose grants it follows.
-    pub follows: Option<NodeId>,
-    /// The stage that it was granted last.
-    pub stage: Option<Stage>,
-    /// What it has seen.
-    pub evidence: RollOutEvidence,
-}
-
-/// What the judge knows beside the reports.
-#[derive(Debug, Clone, Copy)]
-pub struct TrialContext<'a> {
-    /// Daemons that run and can be reached, this one included.
-    pub members: &'a [NodeId],
-    /// Place of this judge among those that the members rank for the service; 0 is first.
-    pub rank: usize,
-    /// Whether the source has answered this daemon lately, so that a conclusion can be written.
-    pub is_source_fresh: bool,
-}
-
-/// How a roll-out ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Conclusion {
-    /// All requests go to the target version.
-    Complete,
-    /// The target version gets nothing any more.
-    RollBack,
-}
-
-/// Why a judge concluded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConclusionReason {
-    /// Answers of the target version are as good as the old ones.
-    AsGood,
-    /// Too many of its answers are bad.
-    Failing,
-    /// Its answers come too slowly.
-    Slow,
-    /// No leaf of the target version answered enough to judge it.
-    NoEvidence,
-    /// The bound on sends leaves no room to move all requests over in time.
-    NoRoom,
-    /// Another judge concluded so and seems unable to write it.
-    TakenOver,
-}
-
-impl ConclusionReason {
-    /// Name, for logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::AsGood => "as_good",
-            Self::Failing => "failing",
-            Self::Slow => "slow",
-            Self::NoEvidence => "no_evidence",
-            Self::NoRoom => "no_room",
-            Self::TakenOver => "taken_over",
-        }
-    }
-}
-
-/// What the judge wants after a look at the trial.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TrialVerdict {
-    /// What daemons that follow this judge do.
-    pub stage: Stage,
-    /// What this judge is to write to the source now, if anything.
-    pub write: Option<(Conclusion, ConclusionReason)>,
-}
+use tansylead_types::{Moment, NodeId};
 
+/// Least time of the shift, so that answers under the whole load are seen.
+const LEAST_SHIFT: Duration = Duration::from_millis(500);
+/// Answers under the whole load that are waited for while there is room: of a version bad in three of ten,
+/// so many show it in 0.99 of cases.
+const ANSWERS_UNDER_LOAD: u64 = 24;
+/// How long after the deadline a shift may go on, or be waited for once the source is back.
+const LATEST_SHIFT: Duration = Duration::from_secs(4);
 /// The trial of one order at one judge.
 #[derive(Debug)]
 pub struct RollOutTrial {
     roll_out: RollOut,
-    bounds: ExposureBounds,
     began: Moment,
+    totals: MergedTotals,
+    sum: Totals,
+    judgement: Judgement,
+    exposure: Exposure,
+    progress: Progress,
+    /// What the daemon knew of the order for longer than this one.
+    head_start: Duration,
+    requests_at_deadline: Option<u64>,
+    looked_at: Option<Moment>,
+    leadership: Leadership,
+    stage: Stage,
+    shift_began: Option<Moment>,
+    answers_before_shift: u64,
+    /// Whether a report has told of a shift, begun by whichever judge.
+    has_shift_begun: bool,
+    /// When the source last could not be written to at a time at which the shift was due.
+    waited_for_source: Option<Moment>,
+    own: Option<(Conclusion, ConclusionReason)>,
+    heard: Option<HeardConclusion>,
 }
 
 impl RollOutTrial {
     /// A trial of which nothing is known yet. `judge` is this daemon.
     pub fn new(roll_out: RollOut, bounds: ExposureBounds, judge: NodeId, now: Moment) -> Self {
-        let _ = judge;
+        let has_slack = roll_out.state == RollOutState::Ordered;
         Self {
             roll_out,
-            bounds,
             began: now,
+            totals: MergedTotals::default(),
+            sum: Totals::default(),
+            judgement: Judgement::default(),
+            exposure: Exposure::new(bounds, judge, has_slack),
+            progress: Progress::default(),
+            head_start: Duration::ZERO,
+            requests_at_deadline: None,
+            looked_at: None,
+            leadership: Leadership::new(judge, now, !has_slack),
+            stage: Stage::Trial,
+            shift_began: None,
+            answers_before_shift: 0,
+            has_shift_begun: false,
+            waited_for_source: None,
+            own: None,
+            heard: None,
         }
     }
 
@@ -123,27 +77,249 @@
         self.roll_out.order
     }
 
+    /// The counts behind the last look, for the log.
+    pub fn counts(&self) -> TrialCounts {
+        let mut counts = TrialCounts {
+            requests: self.sum.requests,
+            new_sends: self.sum.new_sends,
+            ..TrialCounts::default()
+        };
+        for route in self.sum.routes.values() {
+            counts.old_good += route.old.good;
+            counts.old_failed += route.old.failed;
+            counts.new_good += route.new.good;
+            counts.new_failed += route.new.failed;
+        }
+        counts
+    }
+
     /// Takes in a report. One of an earlier life, or older than the last one, changes nothing.
     pub fn on_report(&mut self, now: Moment, report: &RollOutReport) {
-        let _ = (now, report);
+        if report.order != self.roll_out.order || !self.totals.on_report(now, report) {
+            return;
+        }
+        let known_for = Duration::from_millis(u64::from(report.known_for_millis));
+        let known_here = now.since(self.began);
+        self.head_start = self.head_start.max(known_for.saturating_sub(known_here));
+        self.has_shift_begun |= report.stage == Some(Stage::Shift);
+        self.take_over(now, report.stage);
+        let (life, sends) = (report.life, report.evidence.new_sends);
+        self.exposure.on_report(now, report.reporter, life, sends);
     }
 
     /// Looks at the trial; called a few times each second.
     pub fn look(&mut self, now: Moment, context: TrialContext<'_>) -> TrialVerdict {
-        let _ = (now.since(self.began), context, self.bounds);
+        self.refresh(now);
+        self.leadership.look(now, context.rank, &self.totals);
+        let is_open = self.own.is_none() && self.heard.is_none();
+        if is_open && self.leadership.leads() {
+            self.advance(now, context);
+        } else if is_open {
+            self.keep_up(now);
+        }
         TrialVerdict {
-            stage: Stage::Trial,
-            write: None,
+            stage: self.stage,
+            write: self.write(now, context),
         }
     }
 
     /// What a daemon that has reported may send from now on.
     pub fn grant(&mut self, now: Moment, reporter: NodeId) -> Grant {
-        let _ = (now, reporter);
-        Grant {
-            stage: Stage::Trial,
-            limit: 0,
-            valid: Duration::ZERO,
+        let Some(known) = self.totals.reporter(reporter) else {
+            return Grant {
+                stage: self.stage,
+                limit: 0,
+                valid: Duration::ZERO,
+            };
+        };
+        let hands_out = matches!(self.stage, Stage::Trial | Stage::Shift);
+        if !hands_out || !self.leadership.leads() || self.was_frozen(now) {
+            return self.exposure.grant_none(self.stage, known);
+        }
+        let pace = self.progress.pace(self.stage, &self.exposure);
+        self.exposure
+            .grant(now, pace, &self.totals, reporter, known)
+    }
+
+    /// Daemons heard lately that do not report this judge's stage yet. If it leads, a grant sent to them
+    /// after each look, unasked, saves the time until their next report.
+    pub fn awaiting_stage(&self, now: Moment) -> Vec<NodeId> {
+        let heard = self.totals.heard(now, LATELY);
+        let differ = heard.filter(|(_, reporter)| reporter.stage != Some(self.stage));
+        let leads = self.leadership.leads();
+        differ.map(|(node, _)| node).filter(|_| leads).collect()
+    }
+
+    /// Brings totals, judgement and progress up to date, whether this judge leads or not.
+    fn refresh(&mut self, now: Moment) {
+        if self.was_frozen(now) {
+            self.totals.forget_recent();
+            self.leadership.on_thaw(now);
+        }
+        let span = self.looked_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.looked_at = Some(now);
+        self.sum = self.totals.sum(now);
+        self.judgement.look(span, &self.sum);
+        let elapsed = now.since(self.began) + self.head_start;
+        if elapsed >= self.roll_out.duration {
+            self.requests_at_deadline.get_or_insert(self.sum.requests);
+        }
+        self.progress = Progress {
+            elapsed,
+            duration: self.roll_out.duration,
+            requests: self.requests_at_deadline.unwrap_or(self.sum.requests),
+            rate: self.totals.rate(now),
+        };
+        if self.leadership.have_most_known_longer(now, &self.totals) {
+            self.exposure.restore_slack();
+        }
+    }
+
+    fn was_frozen(&self, now: Moment) -> bool {
+        self.looked_at.is_some_and(|at| now.since(at) > FROZEN)
+    }
+
+    /// Adopts what another judge has concluded, at once: a daemon that was told so must not be told
+    /// otherwise.
+    fn take_over(&mut self, now: Moment, stage: Option<Stage>) {
+        if self.own.is_some() || self.heard.is_some() {
+            return;
+        }
+        self.heard = stage.and_then(|stage| HeardConclusion::of(now, stage));
+        if let Some(heard) = self.heard {
+            self.stage = heard.stage();
+        }
+    }
+
+    /// Takes on the stage of the judge that leads, to go on from there.
+    fn keep_up(&mut self, now: Moment) {
+        let heard = || self.totals.heard(now, LATELY);
+        let shifting = heard().filter(|(_, reporter)| reporter.stage == Some(Stage::Shift));
+        if shifting.count() * 2 <= heard().count() {
+            self.stage = Stage::Trial;
+        } else if self.stage == Stage::Trial {
+            self.enter_shift(now);
+        }
+    }
+
+    /// What to write now.
+    fn write(
+        &self,
+        now: Moment,
+        context: TrialContext<'_>,
+    ) -> Option<(Conclusion, ConclusionReason)> {
+        if !context.is_source_fresh {
+            return None;
+        }
+        let heard = || self.heard.filter(|heard| heard.is_due(now, context.rank));
+        self.own
+            .or_else(|| heard().map(|heard| (heard.conclusion(), ConclusionReason::TakenOver)))
+    }
+
+    /// Goes on to the next stage if it is time.
+    fn advance(&mut self, now: Moment, context: TrialContext<'_>) {
+        match self.judgement.finding() {
+            Finding::Failing => return self.go_back(ConclusionReason::Failing),
+            Finding::Slow => return self.go_back(ConclusionReason::Slow),
+            Finding::NotEnough if self.progress.is_over() => {
+                return self.go_back(self.why_not_enough(now));
+            }
+            Finding::NotEnough => self.stage = Stage::Trial,
+            Finding::GoodSoFar if self.stage == Stage::Shift => self.go_on_shifting(now, context),
+            Finding::GoodSoFar => self.begin_shift(now, context),
+        }
+        if matches!(self.stage, Stage::Trial | Stage::Shift) {
+            self.end_if_late(now);
+        }
+    }
+
+    /// A trial that could not pay for a shift gets few sends or none.
+    fn why_not_enough(&self, now: Moment) -> ConclusionReason {
+        let gone = self.exposure.gone(now, &self.totals);
+        let has_room = self.progress.has_room(&self.exposure, gone);
+        if has_room {
+            ConclusionReason::NoEvidence
+        } else {
+            ConclusionReason::NoRoom
+        }
+    }
+
+    fn go_back(&mut self, reason: ConclusionReason) {
+        self.stage = Stage::Back;
+        self.own = Some((Conclusion::RollBack, reason));
+    }
+
+    fn begin_shift(&mut self, now: Moment, context: TrialContext<'_>) {
+        if self.progress.elapsed < self.progress.shift_begins() {
+            return;
+        }
+        if !context.is_source_fresh {
+            self.waited_for_source = Some(now);
+            return;
+        }
+        let gone = self.exposure.gone(now, &self.totals);
+        if self.has_shift_begun || self.progress.has_room(&self.exposure, gone) {
+            self.enter_shift(now);
+        }
+    }
+
+    fn enter_shift(&mut self, now: Moment) {
+        self.stage = Stage::Shift;
+        self.shift_began = Some(now);
+        self.answers_before_shift = self.judgement.new_answers();
+    }
+
+    fn go_on_shifting(&mut self, now: Moment, context: TrialContext<'_>) {
+        if !context.is_source_fresh {
+            self.stage = Stage::Trial;
+            self.waited_for_source = Some(now);
+            return;
+        }
+        let began = self.shift_began.unwrap_or(now);
+        let is_done = now.since(began) >= LEAST_SHIFT && self.has_shifted(now, began, context);
+        if is_done
+            && self.has_seen_load(now)
+            && self.judgement.suspicion(self.progress.rate).is_none()
+        {
+            self.stage = Stage::Commit;
+            self.own = Some((Conclusion::Complete, ConclusionReason::AsGood));
+        }
+    }
+
+    /// Whether enough answers came under load, or there is no room to wait for more.
+    fn has_seen_load(&self, now: Moment) -> bool {
+        let came = self.judgement.new_answers() - self.answers_before_shift;
+        let is_enough = came >= ANSWERS_UNDER_LOAD && !self.judgement.is_doubtful();
+        let gone = self.exposure.gone(now, &self.totals);
+        is_enough || !self.progress.has_time_to_see(&self.exposure, gone)
+    }
+
+    /// Whether nothing runs on old leafs at members that can be heard, and nothing new will.
+    fn has_shifted(&self, now: Moment, began: Moment, context: TrialContext<'_>) -> bool {
+        let members = context.members.iter();
+        let mut known = members.filter_map(|member| self.totals.reporter(*member));
+        known.all(|reporter| {
+            let is_silent = !reporter.was_heard(now, SILENT);
+            let says_so = reporter.heard_at >= began && reporter.stage == Some(Stage::Shift);
+            is_silent || (says_so && reporter.evidence.running_on_old == 0)
+        })
+    }
+
+    /// After the deadline: back, unless the source kept the shift from being done.
+    fn end_if_late(&mut self, now: Moment) {
+        let waited = self.waited_for_source;
+        let is_excused = waited.is_some_and(|at| now.since(at) < LATEST_SHIFT);
+        let is_waiting = is_excused && self.stage == Stage::Trial;
+        if !self.progress.is_over() || is_waiting {
+            return;
+        }
+        let latest = self.progress.duration + LATEST_SHIFT;
+        let is_shifting = self.stage == Stage::Shift && self.progress.elapsed < latest;
+        match self.judgement.suspicion(self.progress.rate) {
+            Some(Finding::Slow) => self.go_back(ConclusionReason::Slow),
+            Some(_) => self.go_back(ConclusionReason::Failing),
+            None if is_excused || is_shifting => {}
+            None => self.go_back(ConclusionReason::NoRoom),
         }
     }
 }
