--- a/crates/tansylead-emulator/src/caller.rs
+++ b/crates/tansylead-emulator/src/caller.rs
@@ -101,6 +101,7 @@
     ) {
         self.oracle.ask(&request.id, &request.route);
         let _ = tokio::time::timeout(patience, self.exchange(daemon, request)).await;
+        self.oracle.leave_request(&request.id);
         self.connection = None;
     }
 
--- a/crates/tansylead-emulator/src/daemon.rs
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -1,6 +1,7 @@
 //! A real daemon as a separate process.
 
 use crate::addresses::next_ip;
+use crate::roll_out_rules::{EXPOSURE_SHARE, EXPOSURE_SLACK, ROLL_BACK_LIMIT};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
@@ -186,7 +187,11 @@
              store_address = \"{}\"\n\
              processor_cores = {}\n\
              seeds = [{}]\n\
-             [regions]\n{}\n",
+             [regions]\n{}\n\
+             [bounds]\n\
+             exposure_share = {EXPOSURE_SHARE:?}\n\
+             exposure_slack = {EXPOSURE_SLACK:?}\n\
+             roll_back_limit_millis = {}\n",
             plan.zone,
             plan.addresses.caller,
             plan.addresses.ready,
@@ -196,6 +201,7 @@
             plan.processor_cores,
             seeds.join(", "),
             regions.join("\n"),
+            ROLL_BACK_LIMIT.as_millis(),
         );
         std::fs::write(self.settings_path(), text)
     }
--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -2,12 +2,16 @@
 
 use crate::addresses::next_address;
 use crate::caller::{Caller, CallerRequest};
-use crate::configuration::{RoutePlan, RouteTarget, document};
-use crate::daemon::{Daemon, DaemonAddresses, DaemonPlan};
-use crate::leaf::{Leaf, LeafPlan};
+use crate::configuration::{RoutePlan, document};
+use crate::daemon::Daemon;
+use crate::leaf::{Leaf, LeafControl, LeafPlan};
+use crate::leaf_registry::LeafRegistry;
 use crate::oracle::{CallerEnd, Oracle};
 use crate::proxy::Proxy;
+use crate::roll_out::RollOutTasks;
+use crate::routes::{Routes, further_service};
 use crate::store::StoreServer;
+use crate::version::LeafVersion;
 use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
@@ -18,9 +22,6 @@
 
 /// Page of the store's lists: small, so that lists have several.
 const STORE_PAGE: usize = 5;
-/// What the settings say of large and of other machines, in cores; all run on the same one.
-const LARGE_CORES: f64 = 0.5;
-const SMALL_CORES: f64 = 0.12;
 /// Connections a leaf accepts.
 const LEAF_CONNECTIONS: u32 = 41;
 /// Period at which a condition is looked at.
@@ -35,6 +36,8 @@
     pub zones: Vec<String>,
     /// Shards of the query routes.
     pub shards: usize,
+    /// Services beside those of the query, lookup and post routes; each has two routes.
+    pub further_services: usize,
     /// Program of the daemons.
     pub program: PathBuf,
     /// The seeds name daemons that are gone.
@@ -43,58 +46,6 @@
     pub large_daemons: usize,
 }
 
-/// Routes of a deployment.
-#[derive(Debug, Clone)]
-pub struct Routes {
-    /// Query over all shards.
-    pub query: RoutePlan,
-    /// Lookup at one leaf; may be repeated.
-    pub lookup: RoutePlan,
-    /// Post to one leaf; may not be repeated.
-    pub post: RoutePlan,
-}
-
-impl Routes {
-    /// Routes over this many shards.
-    pub fn new(shards: usize) -> Self {
-        let shard_names = (0..shards).map(|shard| format!("shard-{shard}"));
-        Self {
-            query: RoutePlan {
-                name: "query".to_owned(),
-                target: RouteTarget::Shards {
-                    shards: shard_names.collect(),
-                    top: 20,
-                    minimum_coverage: 0.74,
-                },
-                safe: true,
-                timeout_millis: 3_000,
-                objective_millis: 400,
-                maximum_attempts: 2,
-                homes: Vec::new(),
-            },
-            lookup: single_route("lookup", "files", true),
-            post: single_route("post", "payments", false),
-        }
-    }
-
-    /// All routes.
-    pub fn all(&self) -> Vec<RoutePlan> {
-        vec![self.query.clone(), self.lookup.clone(), self.post.clone()]
-    }
-}
-
-fn single_route(name: &str, service: &str, safe: bool) -> RoutePlan {
-    RoutePlan {
-        name: name.to_owned(),
-        target: RouteTarget::Services(vec![(service.to_owned(), 1.0)]),
-        safe,
-        timeout_millis: 3_000,
-        objective_millis: 500,
-        maximum_attempts: if safe { 2 } else { 1 },
-        homes: Vec::new(),
-    }
-}
-
 /// A leaf with the proxy through which daemons reach it.
 #[derive(Debug)]
 pub struct ProxiedLeaf {
@@ -104,6 +55,8 @@
     pub proxy: Proxy,
     /// What the leaf is or was.
     pub plan: LeafPlan,
+    /// Controls its last run.
+    pub control: LeafControl,
 }
 
 /// A daemon with the proxy through which it reaches the store.
@@ -128,9 +81,11 @@
     pub daemons: Vec<ProxiedDaemon>,
     /// Routes of the first configuration.
     pub routes: Routes,
+    pub(crate) registry: LeafRegistry,
+    pub(crate) roll_outs: RollOutTasks,
     version: u64,
     next_leaf: u32,
-    folder: TempDir,
+    pub(crate) folder: TempDir,
 }
 
 impl Deployment {
@@ -142,7 +97,9 @@
             oracle: Oracle::default(),
             leafs: Vec::new(),
             daemons: Vec::new(),
-            routes: Routes::new(plan.shards),
+            routes: Routes::new(plan.shards, plan.further_services),
+            registry: LeafRegistry::default(),
+            roll_outs: RollOutTasks::default(),
             version: 0,
             next_leaf: 1,
             folder: tempfile::tempdir()?,
@@ -155,9 +112,10 @@
                     .add_leaf(&service, zone, Duration::from_millis(8))
                     .await?;
             }
-            for service in ["files", "payments"] {
+            let single = ["files", "payments"].map(str::to_owned).into_iter();
+            for service in single.chain((0..plan.further_services).map(further_service)) {
                 let work = Duration::from_millis(20);
-                deployment.add_leaf(service, zone, work).await?;
+                deployment.add_leaf(&service, zone, work).await?;
             }
         }
         deployment.start_daemons(plan).await?;
@@ -183,46 +141,75 @@
         self.version
     }
 
-    /// Starts one more leaf behind a proxy of its own.
+    /// Starts one more leaf of the version that its service runs, behind a proxy of its own.
     pub async fn add_leaf(&mut self, service: &str, zone: &str, work: Duration) -> io::Result<()> {
+        let version = self.registry.version(service);
+        self.add_leaf_of(service, zone, work, version).await
+    }
+
+    /// Starts one more leaf of a version.
+    pub async fn add_leaf_of(
+        &mut self,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        version: LeafVersion,
+    ) -> io::Result<()> {
         const SLOTS: usize = 5;
         let address = next_address();
         let proxy = Proxy::start(next_address(), address).await?;
         let plan = LeafPlan {
-            id: format!("i-{:04}", self.next_leaf),
+            id: self.next_leaf_id(),
             service: service.to_owned(),
             zone: zone.to_owned(),
             address,
             advertised: proxy.address(),
             slots: SLOTS,
             work,
+            version,
         };
-        self.next_leaf += 1;
-        let leaf = Leaf::start(plan.clone(), self.store.clone(), self.oracle.clone()).await?;
+        let leaf = self.start_leaf(&plan).await?;
+        let control = leaf.control();
         self.leafs.push(ProxiedLeaf {
             leaf: Some(leaf),
             proxy,
             plan,
+            control,
         });
         Ok(())
     }
 
-    /// Starts a leaf again after a crash, as a new run at the old address.
+    /// Starts a leaf again after a crash, as a new run at the old address, unless it was to end anyway.
     pub async fn restart_leaf(&mut self, index: usize) -> io::Result<()> {
-        let id = format!("i-{:04}", self.next_leaf);
-        self.next_leaf += 1;
-        let leaf = &mut self.leafs[index];
-        if let Some(old) = leaf.leaf.take() {
-            old.unregister();
-        } else {
-            self.store.delete("servers", &leaf.plan.id);
+        if self.leafs[index].control.is_retired() {
+            return Ok(());
         }
+        let id = self.next_leaf_id();
+        let leaf = &mut self.leafs[index];
+        leaf.control.unregister();
+        leaf.leaf = None;
         leaf.plan.id = id;
-        let started = Leaf::start(leaf.plan.clone(), self.store.clone(), self.oracle.clone());
-        leaf.leaf = Some(started.await?);
+        let plan = leaf.plan.clone();
+        let started = self.start_leaf(&plan).await?;
+        let leaf = &mut self.leafs[index];
+        leaf.control = started.control();
+        leaf.leaf = Some(started);
         Ok(())
     }
 
+    fn next_leaf_id(&mut self) -> String {
+        let id = format!("i-{:04}", self.next_leaf);
+        self.next_leaf += 1;
+        id
+    }
+
+    async fn start_leaf(&self, plan: &LeafPlan) -> io::Result<Leaf> {
+        let started = Leaf::start(plan.clone(), self.store.clone(), self.oracle.clone());
+        let leaf = started.await?;
+        self.registry.add(leaf.control());
+        Ok(leaf)
+    }
+
     /// Orders that nothing more be sent to the leafs of a zone.
     pub fn evacuate(&self, zone: &str) {
         self.store.put("evacuations", zone, json!({}));
@@ -266,42 +253,6 @@
             .call(address, &request)
             .await
     }
-
-    async fn start_daemons(&mut self, plan: &DeploymentPlan) -> io::Result<()> {
-        let regions: Vec<(String, String)> = plan
-            .zones
-            .iter()
-            .map(|zone| (zone.clone(), region_of(zone)))
-            .collect();
-        let addresses: Vec<DaemonAddresses> =
-            (0..plan.daemons).map(|_| DaemonAddresses::next()).collect();
-        const SEEDS: usize = 3;
-        let seeds: Vec<SocketAddr> = if plan.stale_seeds {
-            (0..SEEDS).map(|_| next_address()).collect()
-        } else {
-            addresses.iter().take(SEEDS).map(|own| own.peer).collect()
-        };
-        for (index, own) in addresses.into_iter().enumerate() {
-            let store_link = Proxy::start(next_address(), self.store.address()).await?;
-            let daemon = Daemon::start(DaemonPlan {
-                name: format!("daemon-{index}"),
-                zone: plan.zones[index % plan.zones.len()].clone(),
-                regions: regions.clone(),
-                addresses: own,
-                store: store_link.address(),
-                seeds: seeds.clone(),
-                folder: self.folder.path().to_owned(),
-                program: plan.program.clone(),
-                processor_cores: if index < plan.large_daemons {
-                    LARGE_CORES
-                } else {
-                    SMALL_CORES
-                },
-            })?;
-            self.daemons.push(ProxiedDaemon { daemon, store_link });
-        }
-        Ok(())
-    }
 }
 
 /// Region of a zone: each zone is a region of its own.
--- /dev/null
+++ b/crates/tansylead-emulator/src/leaf_registry.rs
@@ -0,0 +1,68 @@
+//! All leafs that were started, and the version that each service runs.
+
+use crate::leaf::LeafControl;
+use crate::version::LeafVersion;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The leafs; clones share them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LeafRegistry {
+    registered: Arc<Mutex<Registered>>,
+}
+
+#[derive(Debug, Default)]
+struct Registered {
+    leafs: Vec<LeafControl>,
+    versions: HashMap<String, LeafVersion>,
+}
+
+impl LeafRegistry {
+    /// Adds a leaf.
+    pub(crate) fn add(&self, leaf: LeafControl) {
+        self.registered.lock().leafs.push(leaf);
+    }
+
+    /// The version that a service runs.
+    pub(crate) fn version(&self, service: &str) -> LeafVersion {
+        let registered = self.registered.lock();
+        let version = registered.versions.get(service).cloned();
+        version.unwrap_or_else(LeafVersion::first)
+    }
+
+    /// Notes that a service runs another version.
+    pub(crate) fn set_version(&self, service: &str, version: LeafVersion) {
+        let versions = &mut self.registered.lock().versions;
+        versions.insert(service.to_owned(), version);
+    }
+
+    /// Zone and work of each leaf of the version that a service runs.
+    pub(crate) fn places(&self, service: &str) -> Vec<(String, Duration)> {
+        let version = self.version(service).name;
+        let registered = self.registered.lock();
+        let leafs = registered.leafs.iter().map(LeafControl::plan);
+        let own = leafs.filter(|plan| plan.service == service && plan.version.name == version);
+        let mut places: Vec<_> = own.map(|plan| (plan.zone.clone(), plan.work)).collect();
+        // Leafs that were started again are registered with each of their runs.
+        places.sort();
+        places.dedup();
+        places
+    }
+
+    /// Takes the leafs of a service out whose version is wanted, and marks them as not to be started again.
+    pub(crate) fn retire(&self, service: &str, wanted: impl Fn(&str) -> bool) -> Vec<LeafControl> {
+        let mut registered = self.registered.lock();
+        let leafs = std::mem::take(&mut registered.leafs);
+        let (retired, kept) = leafs.into_iter().partition(|leaf: &LeafControl| {
+            let plan = leaf.plan();
+            plan.service == service && wanted(&plan.version.name)
+        });
+        registered.leafs = kept;
+        for leaf in &retired {
+            leaf.retire();
+        }
+        retired
+    }
+}
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -6,17 +6,32 @@
 //! stand here on purpose: this is the other side of it.
 
 pub mod addresses;
+mod answer_rules;
+pub mod arrival_rules;
 pub mod caller;
 mod cold_rule;
 pub mod configuration;
 pub mod daemon;
 pub mod demo;
 pub mod deployment;
+mod deployment_daemons;
 pub mod leaf;
+mod leaf_registry;
+mod leaf_request;
+mod leaf_work;
+mod observations;
 pub mod oracle;
 mod place_rules;
 pub mod proxy;
+pub mod roll_out;
+pub mod roll_out_plan;
+pub mod roll_out_rules;
+pub mod roll_out_runs;
+pub mod roll_out_table;
+pub mod routes;
+pub mod seen_roll_out;
 pub mod soak;
 pub mod store;
 pub mod traffic;
+pub mod version;
 mod zone_fault;
--- a/crates/tansylead-emulator/src/main.rs
+++ b/crates/tansylead-emulator/src/main.rs
@@ -1,11 +1,13 @@
 //! Command line of the emulator.
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::WrapErr;
 use std::path::PathBuf;
 use std::time::Duration;
 use tansylead_emulator::demo;
 use tansylead_emulator::deployment::DeploymentPlan;
+use tansylead_emulator::roll_out_runs::{self, RunsPlan, RunsReport};
+use tansylead_emulator::roll_out_table::{line, table};
 use tansylead_emulator::soak::{self, SoakReport};
 
 fn main() -> eyre::Result<()> {
@@ -16,6 +18,7 @@
         .wrap_err("start the runtime")?;
     match matches.subcommand() {
         Some(("soak", matches)) => runtime.block_on(soak(matches)),
+        Some(("roll-outs", matches)) => runtime.block_on(roll_outs(matches)),
         Some(("demo", matches)) => runtime.block_on(demo(matches)),
         _ => Ok(()),
     }
@@ -29,11 +32,24 @@
         .arg(number("seconds", "Length of a run, in seconds").default_value("30"));
     let demo = Command::new("demo")
         .about("Shows a deployment that serves callers while things break around it");
+    let roll_outs = Command::new("roll-outs")
+        .about("Plays many roll-outs, several services at once, and prints how they ended")
+        .arg(number("seed", "Seed of the first deployment").default_value("1"))
+        .arg(number("runs", "Roll-outs").default_value("60"))
+        .arg(number("services", "Services rolled out at once").default_value("6"))
+        .arg(number("at-once", "Deployments at a time").default_value("2"))
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .help("Inject random faults into a third of the deployments")
+                .action(ArgAction::SetTrue),
+        );
     Command::new("tansylead-emulator")
         .about("Emulator of the users' platform")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(with_plan(soak))
+        .subcommand(with_plan(roll_outs))
         .subcommand(with_plan(demo))
 }
 
@@ -64,6 +80,7 @@
         daemons: value(matches, "daemons").max(1) as usize,
         zones: ["north", "middle", "south"].map(str::to_owned).to_vec(),
         shards: value(matches, "shards").max(1) as usize,
+        further_services: 0,
         program: program.unwrap_or_default(),
         stale_seeds: false,
         large_daemons: value(matches, "large-daemons") as usize,
@@ -114,6 +131,44 @@
     Ok(())
 }
 
+async fn roll_outs(matches: &ArgMatches) -> eyre::Result<()> {
+    let plan = RunsPlan {
+        deployment: DeploymentPlan {
+            further_services: value(matches, "services").max(1) as usize,
+            ..plan(matches)
+        },
+        runs: value(matches, "runs") as usize,
+        seed: value(matches, "seed"),
+        with_faults: matches.get_flag("faults"),
+        deployments_at_once: value(matches, "at-once") as usize,
+    };
+    let reports = roll_out_runs::run(&plan, print_runs).await;
+    let reports = reports.wrap_err("play the roll-outs")?;
+    print!("{}", table(&reports));
+    let broken = reports
+        .iter()
+        .filter(|report| !report.violations.is_empty());
+    let broken = broken.count();
+    eyre::ensure!(broken == 0, "{broken} deployments broke a promise");
+    Ok(())
+}
+
+fn print_runs(report: &RunsReport) {
+    println!("seed {}: faults: {}", report.seed, report.faults.join(", "));
+    for seen in &report.roll_outs {
+        println!("  {}", line(seen));
+    }
+    print_violations(&report.violations);
+}
+
+fn print_violations(violations: &[String]) {
+    /// More of them say little that is new.
+    const MOST: usize = 20;
+    for violation in violations.iter().take(MOST) {
+        println!("  {violation}");
+    }
+}
+
 fn print(report: &SoakReport) {
     let counts = report.counts;
     println!(
@@ -131,7 +186,8 @@
         println!("  logs: {}", folder.display());
         println!("  faults: {}", report.faults.join(", "));
     }
-    for violation in report.violations.iter().take(20) {
-        println!("  {violation}");
+    for seen in &report.roll_outs {
+        println!("  {}", line(seen));
     }
+    print_violations(&report.violations);
 }
--- a/crates/tansylead-emulator/src/oracle.rs
+++ b/crates/tansylead-emulator/src/oracle.rs
@@ -1,85 +1,41 @@
 //! What callers and leafs have seen, and which promises that breaks.
 
+use crate::answer_rules::check_answer;
+use crate::arrival_rules::{ArrivalBudget, ArrivalRules};
 use crate::cold_rule::ColdRule;
-use crate::configuration::{RoutePlan, RouteTarget};
+use crate::configuration::RoutePlan;
+use crate::leaf::LeafPlan;
 use crate::place_rules::PlaceRules;
+use crate::roll_out_rules::{RollOutId, RollOutRules};
+use crate::seen_roll_out::{RollOutEnd, RollOutOrder, SeenRollOut};
 use parking_lot::Mutex;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Bytes of a record.
-const RECORD_BYTES: usize = 16;
-
-/// One request run by a leaf.
-#[derive(Debug, Clone)]
-pub struct Run {
-    /// The caller's id.
-    pub request: String,
-    /// Service of the leaf.
-    pub service: String,
-    /// Leaf.
-    pub leaf: String,
-    /// Zone of the leaf.
-    pub zone: String,
-    /// Status the leaf answered with.
-    pub status: u16,
-    /// Body the leaf answered with.
-    pub body: Vec<u8>,
-    /// When it ran.
-    pub at: Instant,
-}
-
-/// An answer as its caller sees it.
-#[derive(Debug, Clone)]
-pub struct SeenAnswer {
-    /// Status.
-    pub status: u16,
-    /// The leaf's signature.
-    pub signature: Option<String>,
-    /// Signatures of parts.
-    pub parts: Option<Vec<String>>,
-    /// Shards said to be missing.
-    pub missing: usize,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
-/// How a caller's request ended.
-#[derive(Debug, Clone)]
-pub enum CallerEnd {
-    /// With an answer.
-    Answer(SeenAnswer),
-    /// Without one: the connection ended or the time was up.
-    Nothing,
-}
+pub use crate::observations::{CallerEnd, Run, SeenAnswer};
 
 #[derive(Debug)]
 struct Asked {
     route: RoutePlan,
+    /// Its caller has got an answer, or has left.
+    is_over: bool,
 }
 
 #[derive(Debug, Default)]
 struct Seen {
     asked: HashMap<String, Asked>,
     runs: HashMap<String, Run>,
-    runs_of: HashMap<String, Vec<String>>,
-    arrivals: Vec<Arrival>,
+    arrivals: ArrivalRules,
     draining: HashMap<String, Instant>,
     places: PlaceRules,
     cold: ColdRule,
+    roll_outs: RollOutRules,
     refused_unsafe: Vec<String>,
     violations: Vec<String>,
     counts: Counts,
 }
 
-#[derive(Debug, Clone)]
-struct Arrival {
-    at: Instant,
-    service: String,
-    is_extra: bool,
-}
-
 /// Numbers of requests by end.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -108,24 +64,73 @@
         seen.counts.asked += 1;
         let asked = Asked {
             route: route.clone(),
+            is_over: false,
         };
         seen.asked.insert(request.to_owned(), asked);
     }
 
+    /// Notes that a caller leaves before its request has ended.
+    pub fn leave_request(&self, request: &str) {
+        self.seen.lock().end_request(request);
+    }
+
     /// Notes that a request reached a leaf, run or not.
-    pub fn arrive(&self, request: &str, service: &str, leaf: &str) {
+    pub fn arrive(&self, request: &str, leaf: &LeafPlan) {
         let mut seen = self.seen.lock();
-        seen.cold.arrive(leaf);
-        let earlier = seen.arrivals.len();
-        let key = format!("{request}/{service}");
-        let runs = seen.runs_of.entry(key).or_default();
-        let is_extra = !runs.is_empty();
-        runs.push(earlier.to_string());
-        seen.arrivals.push(Arrival {
-            at: Instant::now(),
-            service: service.to_owned(),
-            is_extra,
-        });
+        seen.cold.arrive(&leaf.id);
+        seen.arrivals.arrive(request, &leaf.service);
+        seen.roll_outs.arrive(request, leaf);
+    }
+
+    /// Notes an answer that is bad because of the leaf's version.
+    pub fn answer_badly(&self, leaf: &LeafPlan) {
+        self.seen.lock().roll_outs.answer_badly(leaf);
+    }
+
+    /// Notes an order to roll out. Earlier ones for the same service no longer stand.
+    pub fn order_roll_out(&self, order: RollOutOrder) -> RollOutId {
+        self.seen.lock().roll_outs.order(order)
+    }
+
+    /// Notes that an order to roll out is taken back.
+    pub fn supersede_roll_out(&self, id: RollOutId) {
+        self.seen.lock().roll_outs.supersede(id);
+    }
+
+    /// Notes how a roll-out has ended, as the store says.
+    pub fn end_roll_out(&self, id: RollOutId, end: RollOutEnd) {
+        self.seen.lock().roll_outs.end(id, end);
+    }
+
+    /// Notes that the store says something else of a roll-out that has ended.
+    pub fn turn_roll_out(&self, id: RollOutId, state: &str) {
+        self.seen.lock().roll_outs.turn(id, state);
+    }
+
+    /// Notes the requests that ran on old leafs when they were stopped.
+    pub fn cut(&self, id: RollOutId, requests: &[String]) {
+        let mut seen = self.seen.lock();
+        let waits = |request: &&String| {
+            let asked = seen.asked.get(*request);
+            asked.is_some_and(|asked| !asked.is_over)
+        };
+        let cut = requests.iter().filter(waits).count();
+        seen.roll_outs.cut(id, cut);
+    }
+
+    /// Notes the beginning of a fault. `is_core` says that it strikes daemons or their links.
+    pub fn begin_fault(&self, is_core: bool) {
+        self.seen.lock().roll_outs.begin_fault(is_core);
+    }
+
+    /// Notes the end of a fault.
+    pub fn end_fault(&self, is_core: bool) {
+        self.seen.lock().roll_outs.end_fault(is_core);
+    }
+
+    /// What was seen of each roll-out, in the order of the orders.
+    pub fn roll_outs(&self) -> Vec<SeenRollOut> {
+        self.seen.lock().roll_outs.seen()
     }
 
     /// Notes a run, under its signature.
@@ -163,6 +168,7 @@
     /// Checks the end of a request.
     pub fn end(&self, request: &str, end: &CallerEnd) {
         let mut seen = self.seen.lock();
+        seen.end_request(request);
         match end {
             CallerEnd::Nothing => seen.counts.nothing += 1,
             CallerEnd::Answer(answer) => {
@@ -194,24 +200,20 @@
         violations.extend(seen.doubled());
         violations.extend(seen.refused_but_run());
         violations.extend(seen.late_at_leaving(drain));
-        violations.extend(seen.over_budget(budget));
+        violations.extend(seen.arrivals.violations(budget));
         violations.extend(seen.cold.violations());
+        violations.extend(seen.roll_outs.violations());
         violations
     }
 }
 
-/// Bound on arrivals beyond the first of each request.
-#[derive(Debug, Clone, Copy)]
-pub struct ArrivalBudget {
-    /// For each request.
-    pub ratio: f64,
-    /// Beyond the ratio.
-    pub slack: f64,
-    /// Window.
-    pub window: Duration,
-}
-
 impl Seen {
+    fn end_request(&mut self, request: &str) {
+        if let Some(asked) = self.asked.get_mut(request) {
+            asked.is_over = true;
+        }
+    }
+
     fn count(&mut self, answer: &SeenAnswer) {
         if (200..300).contains(&answer.status) {
             self.counts.served += 1;
@@ -225,80 +227,10 @@
 
     fn check(&mut self, request: &str, answer: &SeenAnswer) -> Option<String> {
         let route = self.asked.get(request)?.route.clone();
-        let success = (200..300).contains(&answer.status);
         if matches!(answer.status, 408 | 421 | 429 | 503) && !route.safe {
             self.refused_unsafe.push(request.to_owned());
         }
-        match (&route.target, success) {
-            (RouteTarget::Services(_), _) => self.check_single(request, answer, success),
-            (RouteTarget::Shards { .. }, true) => self.check_merged(request, &route, answer),
-            (RouteTarget::Shards { .. }, false) => None,
-        }
-    }
-
-    fn check_single(&self, request: &str, answer: &SeenAnswer, success: bool) -> Option<String> {
-        let Some(signature) = &answer.signature else {
-            return success.then(|| format!("MIXED: {request}: success without signature"));
-        };
-        let Some(run) = self.runs.get(signature) else {
-            return Some(format!("MIXED: {request}: unknown signature {signature}"));
-        };
-        let fits = run.request == request
-            && run.status == answer.status
-            && (!success || run.body == answer.body);
-        (!fits).then(|| {
-            format!(
-                "MIXED: {request}: not the answer of its run at {}",
-                run.leaf
-            )
-        })
-    }
-
-    fn check_merged(
-        &self,
-        request: &str,
-        route: &RoutePlan,
-        answer: &SeenAnswer,
-    ) -> Option<String> {
-        let RouteTarget::Shards {
-            shards,
-            top,
-            minimum_coverage,
-        } = &route.target
-        else {
-            return None;
-        };
-        let Some(parts) = &answer.parts else {
-            return Some(format!("MIXED: {request}: merged answer without parts"));
-        };
-        let mut services = BTreeSet::new();
-        let mut records: Vec<&[u8]> = Vec::new();
-        for signature in parts {
-            let Some(run) = self.runs.get(signature) else {
-                return Some(format!("MIXED: {request}: unknown part {signature}"));
-            };
-            let good = run.request == request
-                && run.status == 200
-                && shards.contains(&run.service)
-                && services.insert(run.service.as_str());
-            if !good {
-                return Some(format!(
-                    "MIXED: {request}: part {signature} does not belong"
-                ));
-            }
-            records.extend(run.body.chunks_exact(RECORD_BYTES));
-        }
-        records.sort_unstable();
-        records.reverse();
-        records.truncate(*top);
-        let covered = parts.len() as f64 >= minimum_coverage * shards.len() as f64 - 1e-9;
-        if parts.len() + answer.missing != shards.len() || !covered || parts.is_empty() {
-            return Some(format!(
-                "MIXED: {request}: coverage is not true or too small"
-            ));
-        }
-        (records.concat() != answer.body)
-            .then(|| format!("MIXED: {request}: not the greatest records of its parts"))
+        check_answer(&self.runs, request, &route, answer)
     }
 
     fn doubled(&self) -> Vec<String> {
@@ -331,41 +263,4 @@
         late.map(|run| format!("DRAIN: {} ran {} after it left", run.leaf, run.request))
             .collect()
     }
-
-    fn over_budget(&self, budget: ArrivalBudget) -> Vec<String> {
-        let services: BTreeSet<&str> = self.arrivals.iter().map(|a| a.service.as_str()).collect();
-        let broken = services.into_iter().filter(|service| {
-            let arrivals: Vec<&Arrival> = self
-                .arrivals
-                .iter()
-                .filter(|arrival| arrival.service == *service)
-                .collect();
-            exceeds(&arrivals, budget)
-        });
-        broken
-            .map(|service| format!("BUDGET: extra arrivals at {service}"))
-            .collect()
-    }
-}
-
-fn exceeds(arrivals: &[&Arrival], budget: ArrivalBudget) -> bool {
-    let firsts = |from: Instant, until: Instant| {
-        let inside = arrivals
-            .iter()
-            .filter(|arrival| !arrival.is_extra && arrival.at >= from && arrival.at < until);
-        inside.count()
-    };
-    arrivals.iter().any(|start| {
-        let until = start.at + budget.window;
-        let window = arrivals
-            .iter()
-            .filter(|arrival| arrival.at >= start.at && arrival.at < until);
-        let extra = window.filter(|arrival| arrival.is_extra).count();
-        if extra as f64 <= budget.slack {
-            return false;
-        }
-        let before = start.at.checked_sub(budget.window).unwrap_or(start.at);
-        let requests = firsts(start.at, until).max(firsts(before, start.at));
-        extra as f64 > budget.ratio * requests as f64 + budget.slack
-    })
 }
--- a/crates/tansylead-emulator/src/proxy.rs
+++ b/crates/tansylead-emulator/src/proxy.rs
@@ -4,7 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,37 +40,62 @@
     Backward,
 }
 
+/// What the connections of a proxy share.
+#[derive(Debug, Default)]
+struct Link {
+    trouble: Mutex<LinkTrouble>,
+    /// When a call that changes an object passed last.
+    last_write: Mutex<Option<Instant>>,
+}
+
+/// A connection that passes through a proxy.
+#[derive(Debug)]
+struct Connection {
+    passing: JoinHandle<()>,
+    /// Nothing passes any more, not even the end of the connection.
+    is_silenced: Arc<AtomicBool>,
+}
+
 /// A running proxy.
 #[derive(Debug)]
 pub struct Proxy {
     address: SocketAddr,
-    trouble: Arc<Mutex<LinkTrouble>>,
+    link: Arc<Link>,
     accepting: JoinHandle<()>,
-    connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
+    connections: Arc<Mutex<Vec<Connection>>>,
 }
 
 impl Proxy {
     /// Starts a proxy at `address` in front of `target`.
     pub async fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let trouble: Arc<Mutex<LinkTrouble>> = Arc::default();
-        let connections: Arc<Mutex<Vec<JoinHandle<()>>>> = Arc::default();
+        let link: Arc<Link> = Arc::default();
+        let connections: Arc<Mutex<Vec<Connection>>> = Arc::default();
         let accepted = Arc::clone(&connections);
-        let link = Arc::clone(&trouble);
+        let accepting_link = Arc::clone(&link);
         let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if *link.lock() == LinkTrouble::Refused {
+                if *accepting_link.trouble.lock() == LinkTrouble::Refused {
                     continue;
                 }
-                let passing = tokio::spawn(pass(stream, target, Arc::clone(&link)));
+                let is_silenced = Arc::default();
+                let passed = pass(
+                    stream,
+                    target,
+                    Arc::clone(&accepting_link),
+                    Arc::clone(&is_silenced),
+                );
                 let mut open = accepted.lock();
-                open.retain(|connection| !connection.is_finished());
-                open.push(passing);
+                open.retain(|connection| !connection.passing.is_finished());
+                open.push(Connection {
+                    passing: tokio::spawn(passed),
+                    is_silenced,
+                });
             }
         });
         Ok(Self {
             address,
-            trouble,
+            link,
             accepting,
             connections,
         })
@@ -82,13 +108,25 @@
 
     /// Sets what happens to what passes.
     pub fn set_trouble(&self, trouble: LinkTrouble) {
-        *self.trouble.lock() = trouble;
+        *self.link.trouble.lock() = trouble;
+    }
+
+    /// Silences all connections that are open now, both ways and for good; new ones work.
+    pub fn silence_established(&self) {
+        for connection in self.connections.lock().iter() {
+            connection.is_silenced.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// When a call that changes an object passed last.
+    pub fn last_write(&self) -> Option<Instant> {
+        *self.link.last_write.lock()
     }
 
     /// Ends all connections.
     pub fn reset(&self) {
         for connection in self.connections.lock().drain(..) {
-            connection.abort();
+            connection.passing.abort();
         }
     }
 }
@@ -100,7 +138,12 @@
     }
 }
 
-async fn pass(caller: TcpStream, target: SocketAddr, trouble: Arc<Mutex<LinkTrouble>>) {
+async fn pass(
+    caller: TcpStream,
+    target: SocketAddr,
+    link: Arc<Link>,
+    is_silenced: Arc<AtomicBool>,
+) {
     let Ok(callee) = TcpStream::connect(target).await else {
         return;
     };
@@ -108,36 +151,66 @@
     let _ = callee.set_nodelay(true);
     let (caller_read, caller_write) = caller.into_split();
     let (callee_read, callee_write) = callee.into_split();
-    let forward = copy(caller_read, callee_write, &trouble, Direction::Forward);
-    let backward = copy(callee_read, caller_write, &trouble, Direction::Backward);
+    let forward = Copying {
+        link: &link,
+        is_silenced: &is_silenced,
+        direction: Direction::Forward,
+    };
+    let backward = Copying {
+        direction: Direction::Backward,
+        ..forward
+    };
     tokio::select! {
         // The end of either direction ends the connection.
-        _ = forward => {}
-        _ = backward => {}
+        _ = forward.copy(caller_read, callee_write) => {}
+        _ = backward.copy(callee_read, caller_write) => {}
     }
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    trouble: &Mutex<LinkTrouble>,
+/// One direction of one connection.
+#[derive(Debug, Clone, Copy)]
+struct Copying<'a> {
+    link: &'a Link,
+    is_silenced: &'a AtomicBool,
     direction: Direction,
-) -> io::Result<()> {
-    let mut buffer = vec![0; CHUNK_BYTES];
-    loop {
-        let length = from.read(&mut buffer).await?;
-        if length == 0 {
-            return Ok(());
+}
+
+impl Copying<'_> {
+    async fn copy(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) -> io::Result<()> {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        loop {
+            let read = from.read(&mut buffer).await;
+            self.wait_if_silenced().await;
+            let length = read?;
+            if length == 0 {
+                return Ok(());
+            }
+            self.note_write(&buffer[..length]);
+            while is_silent(*self.link.trouble.lock(), self.direction) {
+                tokio::time::sleep(SILENCE_CHECK).await;
+            }
+            let delay = match *self.link.trouble.lock() {
+                LinkTrouble::Delayed(delay) => delay,
+                _ => Duration::ZERO,
+            };
+            tokio::time::sleep(delay).await;
+            self.wait_if_silenced().await;
+            to.write_all(&buffer[..length]).await?;
         }
-        while is_silent(*trouble.lock(), direction) {
-            tokio::time::sleep(SILENCE_CHECK).await;
+    }
+
+    /// Never returns on a connection that was silenced.
+    async fn wait_if_silenced(self) {
+        if self.is_silenced.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Notes a call that changes an object. Such calls are short, so they begin a chunk.
+    fn note_write(self, chunk: &[u8]) {
+        if self.direction == Direction::Forward && chunk.starts_with(b"PUT ") {
+            *self.link.last_write.lock() = Some(Instant::now());
         }
-        let delay = match *trouble.lock() {
-            LinkTrouble::Delayed(delay) => delay,
-            _ => Duration::ZERO,
-        };
-        tokio::time::sleep(delay).await;
-        to.write_all(&buffer[..length]).await?;
     }
 }
 
--- /dev/null
+++ b/crates/tansylead-emulator/src/roll_out_table.rs
@@ -0,0 +1,129 @@
+//! Reports of roll-outs, as text.
+
+use crate::roll_out_runs::RunsReport;
+use crate::seen_roll_out::{RollOutEnd, SeenRollOut};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One roll-out in a line.
+pub fn line(seen: &SeenRollOut) -> String {
+    let order = &seen.order;
+    let end = match seen.end {
+        Some((end, after)) => format!("{end:?} after {:.1} s", after.as_secs_f64()),
+        None if seen.is_superseded => "replaced or taken back".to_owned(),
+        None => "no end".to_owned(),
+    };
+    let back = seen.back.map_or_else(
+        || "-".to_owned(),
+        |back| format!("{:.1} s", back.as_secs_f64()),
+    );
+    format!(
+        "{} to {} in {:.1} s ({}): {end}, {} sends of {:.0}, back {back}, {} cut{}",
+        order.service,
+        order.target,
+        order.duration.as_secs_f64(),
+        order.kind,
+        seen.sends,
+        seen.allowed(),
+        seen.cut,
+        if seen.is_disturbed { ", disturbed" } else { "" },
+    )
+}
+
+/// Roll-outs of one kind, with or without faults.
+#[derive(Debug, Default)]
+struct Row {
+    count: usize,
+    in_time: usize,
+    late: usize,
+    wrong: usize,
+    no_end: usize,
+    cut: usize,
+    worst_use: f64,
+    backs: Vec<Duration>,
+    times: Vec<Duration>,
+}
+
+impl Row {
+    fn add(&mut self, seen: &SeenRollOut) {
+        self.count += 1;
+        self.in_time += usize::from(seen.is_duty_done());
+        self.wrong += usize::from(seen.is_wrong());
+        self.no_end += usize::from(seen.end.is_none());
+        let is_late = seen.end.is_some() && !seen.is_wrong() && !seen.is_duty_done();
+        self.late += usize::from(is_late);
+        self.cut += seen.cut;
+        // What follows a completion on time is no exposure any more.
+        if seen.end.is_none_or(|(end, _)| end != RollOutEnd::Completed) {
+            let used = f64::from(seen.sends) / seen.allowed();
+            self.worst_use = self.worst_use.max(used);
+        }
+        self.backs.extend(seen.back);
+        self.times.extend(seen.end.map(|(_, after)| after));
+    }
+
+    fn text(&self) -> String {
+        let seconds = |times: &[Duration]| {
+            let worst = times.iter().max();
+            worst.map_or_else(
+                || "-".to_owned(),
+                |worst| format!("{:.1}", worst.as_secs_f64()),
+            )
+        };
+        format!(
+            "{:>5} {:>7} {:>5} {:>6} {:>6} {:>4} {:>9.2} {:>8} {:>8}",
+            self.count,
+            self.in_time,
+            self.late,
+            self.wrong,
+            self.no_end,
+            self.cut,
+            self.worst_use,
+            seconds(&self.backs),
+            seconds(&self.times),
+        )
+    }
+}
+
+/// All roll-outs by kind: how many ended as they should in time, late, wrongly or not at all; requests cut;
+/// the worst use of the bound on sends; longest times to go back and to end, in seconds.
+pub fn table(reports: &[RunsReport]) -> String {
+    let mut rows: BTreeMap<(bool, String), Row> = BTreeMap::new();
+    for seen in reports.iter().flat_map(|report| &report.roll_outs) {
+        let kind = seen.order.kind.split('(').next().unwrap_or_default();
+        let row = rows.entry((seen.is_disturbed, kind.to_owned()));
+        row.or_default().add(seen);
+    }
+    let mut text = format!(
+        "{:<26} {:>5} {:>7} {:>5} {:>6} {:>6} {:>4} {:>9} {:>8} {:>8}\n",
+        "kind",
+        "count",
+        "in time",
+        "late",
+        "wrong",
+        "no end",
+        "cut",
+        "worst use",
+        "back s",
+        "end s"
+    );
+    for ((is_disturbed, kind), row) in rows {
+        let name = if is_disturbed {
+            format!("{kind}, faults")
+        } else {
+            kind
+        };
+        text.push_str(&format!("{name:<26} {}\n", row.text()));
+    }
+    let broken = reports
+        .iter()
+        .filter(|report| !report.violations.is_empty());
+    let seeds: Vec<String> = broken.map(|report| report.seed.to_string()).collect();
+    let seeds = if seeds.is_empty() {
+        "none".to_owned()
+    } else {
+        seeds.join(", ")
+    };
+    text.push_str(&format!("deployments with violations, by seed: {seeds}\n"));
+    text
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/routes.rs
@@ -0,0 +1,70 @@
+//! Routes of a deployment.
+
+use crate::configuration::{RoutePlan, RouteTarget};
+
+/// Routes of a deployment.
+#[derive(Debug, Clone)]
+pub struct Routes {
+    /// Query over all shards.
+    pub query: RoutePlan,
+    /// Lookup at one leaf; may be repeated.
+    pub lookup: RoutePlan,
+    /// Post to one leaf; may not be repeated.
+    pub post: RoutePlan,
+    /// Two routes for each further service.
+    pub further: Vec<RoutePlan>,
+}
+
+impl Routes {
+    /// Routes over this many shards and further services.
+    pub fn new(shards: usize, further_services: usize) -> Self {
+        let shard_names = (0..shards).map(|shard| format!("shard-{shard}"));
+        Self {
+            query: RoutePlan {
+                name: "query".to_owned(),
+                target: RouteTarget::Shards {
+                    shards: shard_names.collect(),
+                    top: 20,
+                    minimum_coverage: 0.74,
+                },
+                safe: true,
+                timeout_millis: 3_000,
+                objective_millis: 400,
+                maximum_attempts: 2,
+                homes: Vec::new(),
+            },
+            lookup: single_route("lookup", "files", true),
+            post: single_route("post", "payments", false),
+            further: (0..further_services).flat_map(further_routes).collect(),
+        }
+    }
+
+    /// All routes.
+    pub fn all(&self) -> Vec<RoutePlan> {
+        let mut all = vec![self.query.clone(), self.lookup.clone(), self.post.clone()];
+        all.extend(self.further.iter().cloned());
+        all
+    }
+}
+
+/// Name of a further service.
+pub fn further_service(number: usize) -> String {
+    format!("further-{number}")
+}
+
+fn further_routes(number: usize) -> [RoutePlan; 2] {
+    let service = further_service(number);
+    ["read", "list"].map(|verb| single_route(&format!("{service}-{verb}"), &service, true))
+}
+
+fn single_route(name: &str, service: &str, safe: bool) -> RoutePlan {
+    RoutePlan {
+        name: name.to_owned(),
+        target: RouteTarget::Services(vec![(service.to_owned(), 1.0)]),
+        safe,
+        timeout_millis: 3_000,
+        objective_millis: 500,
+        maximum_attempts: if safe { 2 } else { 1 },
+        homes: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/tansylead-emulator/src/soak/roll_outs.rs
@@ -0,0 +1,153 @@
+//! Roll-outs of a soak: drawn beforehand from the seed, ordered when they are due.
+
+use crate::deployment::Deployment;
+use crate::roll_out_plan::{RollOutPlan, TargetLeafs};
+use crate::version::{FIRST_VERSION, VersionTrouble};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::collections::VecDeque;
+use std::io;
+use std::time::{Duration, Instant};
+
+/// Keeps the draws of roll-outs apart from those of faults.
+const SEED_OFFSET: u64 = 0x5eed_0f00_0000_0000;
+/// Durations of roll-outs, in milliseconds.
+const SHORTEST_MILLIS: u64 = 5_000;
+const LONGEST_MILLIS: u64 = 9_000;
+/// Pause between two roll-outs, in milliseconds: one is under way a third to half of the time.
+const PAUSE_MILLIS: std::ops::Range<u64> = 4_000..16_000;
+/// Share of roll-outs whose order is replaced by another one midway.
+const REPLACED_SHARE: f64 = 0.15;
+/// Share of roll-outs whose order is taken back midway.
+const TAKEN_BACK_SHARE: f64 = 0.1;
+/// Share of roll-outs that go to the version that the deployment started with.
+const OLDER_SHARE: f64 = 0.1;
+/// Time after its deadline in which a roll-out may still end: the store may have been away.
+const LATE_END_LIMIT: Duration = Duration::from_secs(12);
+
+#[derive(Debug, Clone)]
+enum Step {
+    Order(RollOutPlan),
+    TakeBack(String),
+}
+
+/// The roll-outs of a soak that are still to come.
+#[derive(Debug)]
+pub(crate) struct RollOutSchedule {
+    started: Instant,
+    steps: VecDeque<(Duration, Step)>,
+}
+
+impl RollOutSchedule {
+    /// Draws the roll-outs of a soak of this length.
+    pub(crate) fn draw(seed: u64, length: Duration, services: &[String]) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ SEED_OFFSET);
+        let mut steps = VecDeque::new();
+        let mut at = Duration::from_secs(1);
+        let mut number = 2;
+        while at < length {
+            let Some(service) = services.choose(&mut random) else {
+                break;
+            };
+            let plan = draw_roll_out(&mut random, service, &format!("v{number}"));
+            let (middle, end) = (at + plan.duration / 2, at + plan.duration);
+            steps.push_back((at, Step::Order(plan.clone())));
+            if random.random_bool(REPLACED_SHARE) {
+                let target = if random.random_bool(0.5) {
+                    plan.target
+                } else {
+                    format!("v{}", number + 1)
+                };
+                let other = draw_roll_out(&mut random, service, &target);
+                steps.push_back((middle, Step::Order(other)));
+            } else if random.random_bool(TAKEN_BACK_SHARE) {
+                steps.push_back((middle, Step::TakeBack(service.clone())));
+            }
+            at = end + Duration::from_millis(random.random_range(PAUSE_MILLIS));
+            number += 2;
+        }
+        Self {
+            started: Instant::now(),
+            steps,
+        }
+    }
+
+    /// Does what is due.
+    pub(crate) async fn proceed(&mut self, deployment: &mut Deployment) -> io::Result<()> {
+        let now = self.started.elapsed();
+        while self.steps.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, step)) = self.steps.pop_front() else {
+                break;
+            };
+            match step {
+                Step::Order(plan) if deployment.runs_version(&plan.service, &plan.target) => {}
+                Step::Order(plan) => {
+                    deployment.roll_out(&plan).await?;
+                }
+                Step::TakeBack(service) => deployment.take_back(&service),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn draw_roll_out(random: &mut StdRng, service: &str, target: &str) -> RollOutPlan {
+    let duration = random.random_range(SHORTEST_MILLIS..LONGEST_MILLIS);
+    let target = if random.random_bool(OLDER_SHARE) {
+        FIRST_VERSION
+    } else {
+        target
+    };
+    let good = RollOutPlan::good(service, target, Duration::from_millis(duration));
+    spoil(random, good)
+}
+
+/// Makes half of the roll-outs bad, in one of the ways in which they can be.
+pub(crate) fn spoil(random: &mut StdRng, good: RollOutPlan) -> RollOutPlan {
+    if random.random_bool(0.5) {
+        return good;
+    }
+    let share = random.random_range(0.1..0.5);
+    let part = good.duration.mul_f64(random.random_range(0.2..0.7));
+    let mut leafs = TargetLeafs::Come;
+    let trouble = match random.random_range(0..8) {
+        0 | 1 => VersionTrouble::Fails(share),
+        2 => VersionTrouble::FailsLater(part, share),
+        3 => VersionTrouble::FailsUnderLoad(random.random_range(4..8), share),
+        4 => VersionTrouble::FailsOnPath(read_path(&good.service), share),
+        5 => VersionTrouble::Slow(random.random_range(3.0..8.0)),
+        6 => {
+            leafs = TargetLeafs::Never;
+            VersionTrouble::None
+        }
+        _ => {
+            leafs = TargetLeafs::Crash(part);
+            VersionTrouble::None
+        }
+    };
+    RollOutPlan {
+        trouble,
+        leafs,
+        ..good
+    }
+}
+
+/// Path of one of the two routes of a further service; other services have one route.
+fn read_path(service: &str) -> String {
+    if service.starts_with("further-") {
+        format!("/{service}-read/")
+    } else {
+        "/".to_owned()
+    }
+}
+
+/// Waits until all roll-outs have ended, or are long past their deadlines.
+pub(crate) async fn wait_for_ends(deployment: &Deployment) {
+    const PERIOD: Duration = Duration::from_millis(100);
+    let limit = Duration::from_millis(LONGEST_MILLIS) + LATE_END_LIMIT;
+    let started = Instant::now();
+    let is_open = |service: &String| deployment.is_rolling_out(service);
+    while deployment.services().iter().any(is_open) && started.elapsed() < limit {
+        tokio::time::sleep(PERIOD).await;
+    }
+}
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -1,5 +1,7 @@
 //! The store over HTTP, with its troubles.
 
+mod operator;
+
 use super::objects::{ObjectStore, StoreError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
--- a/crates/tansylead-emulator/src/traffic.rs
+++ b/crates/tansylead-emulator/src/traffic.rs
@@ -1,8 +1,9 @@
 //! Steady traffic of many callers until it is stopped.
 
 use crate::caller::{Caller, CallerRequest};
-use crate::deployment::Routes;
+use crate::configuration::RoutePlan;
 use crate::oracle::Oracle;
+use crate::routes::Routes;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 const MEAN_PAUSE: Duration = Duration::from_millis(60);
 /// Share of calls at which a caller changes to another daemon.
 const CHANGE_SHARE: f64 = 0.05;
+/// Share of requests to further services, where there are any.
+const FURTHER_SHARE: f64 = 0.9;
 /// Share of calls that are left early.
 const LEAVE_SHARE: f64 = 0.03;
 
@@ -59,6 +62,20 @@
     }
 }
 
+/// A route, drawn at random. Where there are further services, most requests go to them.
+fn draw_route<'a>(routes: &'a Routes, random: &mut StdRng) -> &'a RoutePlan {
+    if let Some(further) = routes.further.choose(random)
+        && random.random_bool(FURTHER_SHARE)
+    {
+        return further;
+    }
+    match random.random_range(0..10) {
+        0..6 => &routes.query,
+        6..8 => &routes.lookup,
+        _ => &routes.post,
+    }
+}
+
 async fn call_on(
     daemons: Vec<SocketAddr>,
     routes: Routes,
@@ -71,11 +88,7 @@
         return;
     };
     while !stopped.load(Ordering::Relaxed) {
-        let route = match random.random_range(0..10) {
-            0..6 => &routes.query,
-            6..8 => &routes.lookup,
-            _ => &routes.post,
-        };
+        let route = draw_route(&routes, &mut random);
         let deadline = Duration::from_millis(route.timeout_millis);
         let request = CallerRequest::new(route, deadline);
         if random.random_bool(LEAVE_SHARE) {
