--- a/crates/tansylead-emulator/src/roll_out.rs
+++ b/crates/tansylead-emulator/src/roll_out.rs
@@ -109,19 +109,18 @@
         }
     }
 
-    /// Writes an order over an earlier one, if there is one. What is said of the earlier one stays, as it
-    /// names another version, or is cleared.
+    /// Writes an order over an earlier one, if there is one. One for the same version is made anew: what is
+    /// said of the earlier one could not be told from what is said of it.
     fn write_order(&self, plan: &RollOutPlan, earlier: Option<&str>) {
+        if earlier == Some(plan.target.as_str()) {
+            self.store.delete(KIND, &plan.service);
+        }
         let spec = json!({
             "service": plan.service,
             "target_version": plan.target,
             "duration_s": plan.duration.as_secs_f64(),
         });
-        let is_other = earlier.is_some_and(|target| target != plan.target);
-        let is_replaced = is_other && self.store.replace(KIND, &plan.service, spec.clone());
-        if !is_replaced {
-            self.store.put(KIND, &plan.service, spec);
-        }
+        self.store.put(KIND, &plan.service, spec);
     }
 
     /// Ends the watch over the last roll-out of a service, and gives its target.
@@ -190,7 +189,7 @@
 
     /// The state that the store has, if it is one of this order.
     fn said(&self) -> Option<String> {
-        let status = self.store.get(KIND, &self.service)?.status;
+        let status = self.store.observed(KIND, &self.service)?.status;
         let is_own = status["target_version"] == self.version.name.as_str();
         let state = status["state"].as_str().filter(|_| is_own)?;
         Some(state.to_owned())
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -1,7 +1,5 @@
 //! The store over HTTP, with its troubles.
 
-mod operator;
-
 use super::objects::{ObjectStore, StoreError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -20,6 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+mod operator;
+
 /// What is wrong with the store.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum StoreTrouble {
--- /dev/null
+++ b/crates/tansylead-emulator/tests/roll_out_platform.rs
@@ -0,0 +1,120 @@
+//! What the platform does with leafs as the state of a roll-out changes in the store.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::json;
+use std::time::Duration;
+use tansylead_emulator::caller::Caller;
+use tansylead_emulator::deployment::{Deployment, DeploymentPlan};
+use tansylead_emulator::roll_out_plan::RollOutPlan;
+use tansylead_emulator::seen_roll_out::RollOutEnd;
+use tansylead_emulator::soak::{BUDGET, DRAIN_LIMIT};
+
+const SERVICE: &str = "files";
+/// Time in which the platform follows a change, on a busy machine.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A deployment without daemons, whose service is being rolled out.
+async fn start() -> Deployment {
+    let plan = DeploymentPlan {
+        daemons: 0,
+        zones: vec!["north".to_owned()],
+        shards: 1,
+        further_services: 0,
+        program: "none".into(),
+        stale_seeds: false,
+        large_daemons: 0,
+    };
+    let mut deployment = Deployment::start(&plan).await.expect("starts");
+    let good = RollOutPlan::good(SERVICE, "v2", Duration::from_secs(30));
+    deployment.roll_out(&good).await.expect("ordered");
+    deployment
+}
+
+/// Writes a state, as a daemon does.
+async fn write(deployment: &Deployment, state: &str) {
+    let body = json!({"status": {"state": state, "target_version": "v2"}});
+    let request = Request::builder()
+        .method("PUT")
+        .uri(format!("/objects/rollouts/{SERVICE}/status"))
+        .header("Host", "store")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("valid request");
+    let mut caller = Caller::new(deployment.oracle.clone());
+    let answer = caller.send(deployment.store.address(), request).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+}
+
+/// State in the entry of the service's leaf of a version; none if it has no entry.
+fn entry(deployment: &Deployment, version: &str) -> Option<String> {
+    let leafs = deployment.leafs.iter();
+    let mut own = leafs.filter(|leaf| leaf.plan.service == SERVICE);
+    let leaf = own.find(|leaf| leaf.plan.version.name == version)?;
+    let entry = deployment.store.observed("servers", &leaf.plan.id)?;
+    Some(entry.spec["state"].as_str()?.to_owned())
+}
+
+async fn until(mut condition: impl FnMut() -> bool) -> bool {
+    let deadline = tokio::time::Instant::now() + LIMIT;
+    while !condition() {
+        if tokio::time::Instant::now() > deadline {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    true
+}
+
+#[tokio::test]
+async fn old_leafs_stop_at_completion_and_their_entries_lapse_later() {
+    let mut deployment = start().await;
+    write(&deployment, "running").await;
+    write(&deployment, "completed").await;
+    let ended = until(|| deployment.roll_out_end(SERVICE) == Some(RollOutEnd::Completed));
+    assert!(ended.await);
+    assert!(deployment.runs_version(SERVICE, "v2"));
+    assert_eq!(entry(&deployment, "v1").as_deref(), Some("ready"));
+    assert!(until(|| entry(&deployment, "v1").is_none()).await);
+    assert_eq!(entry(&deployment, "v2").as_deref(), Some("ready"));
+    // A leaf that comes now is of the new version; an old one does not come again.
+    let old = deployment
+        .leafs
+        .iter()
+        .position(|leaf| leaf.control.is_retired());
+    let old = old.expect("the old leaf");
+    deployment.restart_leaf(old).await.expect("no start");
+    assert_eq!(entry(&deployment, "v1"), None);
+}
+
+#[tokio::test]
+async fn new_leafs_drain_and_go_after_they_were_rolled_back() {
+    let deployment = start().await;
+    write(&deployment, "rolled_back").await;
+    assert!(until(|| entry(&deployment, "v2").as_deref() == Some("draining")).await);
+    assert!(until(|| entry(&deployment, "v2").is_none()).await);
+    assert_eq!(entry(&deployment, "v1").as_deref(), Some("ready"));
+    assert!(deployment.runs_version(SERVICE, "v1"));
+}
+
+#[tokio::test]
+async fn an_end_that_changes_is_seen() {
+    let deployment = start().await;
+    write(&deployment, "completed").await;
+    let ended = until(|| deployment.roll_out_end(SERVICE).is_some());
+    assert!(ended.await);
+    write(&deployment, "rolled_back").await;
+    let broken = || deployment.oracle.violations(DRAIN_LIMIT, BUDGET);
+    let is_seen = || broken().iter().any(|text| text.starts_with("TURNED"));
+    assert!(until(is_seen).await);
+}
+
+#[tokio::test]
+async fn an_order_that_is_taken_back_ends_its_leafs() {
+    let mut deployment = start().await;
+    deployment.take_back(SERVICE);
+    assert!(deployment.store.observed("rollouts", SERVICE).is_none());
+    assert!(until(|| entry(&deployment, "v2").is_none()).await);
+    assert_eq!(deployment.oracle.roll_outs()[0].end, None);
+    assert!(deployment.oracle.roll_outs()[0].is_superseded);
+}
