--- a/crates/tansylead-emulator/src/soak/draw.rs
+++ b/crates/tansylead-emulator/src/soak/draw.rs
@@ -85,7 +85,7 @@
 /// Draws a fault.
 pub(crate) fn draw(random: &mut StdRng) -> Fault {
     let time = Duration::from_millis(random.random_range(300..3_000));
-    match random.random_range(0..21) {
+    match random.random_range(0..22) {
         0 | 1 => Fault::LeafTrouble(draw_leaf_trouble(random), time),
         2 => Fault::LeafCrash(time),
         3 => Fault::LeafLeaves,
@@ -94,7 +94,6 @@
         6 => Fault::DaemonStopped,
         7 => Fault::DaemonFrozen(time),
         8 => Fault::DaemonHangUp,
-        9 if random.random_bool(0.3) => Fault::AllDaemonsKilled,
         9 | 10 => Fault::Store(draw_store_trouble(random), time),
         11 => Fault::StoreLink(draw_link_trouble(random), time),
         12 => Fault::Evacuation(EVACUATION_REST + time),
@@ -104,6 +103,7 @@
         16 => Fault::ZoneCut(time),
         17 | 18 => Fault::NextWriter(draw_daemon_trouble(random), time),
         19 => Fault::ConnectionsSilent,
+        20 => Fault::AllDaemonsKilled,
         _ if random.random_bool(0.4) => Fault::StoreForgets,
         _ => Fault::Configuration,
     }
--- a/crates/tansylead-emulator/src/soak/inject.rs
+++ b/crates/tansylead-emulator/src/soak/inject.rs
@@ -37,8 +37,9 @@
     random: &mut StdRng,
     violations: &mut Vec<String>,
 ) -> io::Result<()> {
-    let leaf = random.random_range(0..deployment.leafs.len());
-    let daemon = random.random_range(0..deployment.daemons.len());
+    // The same numbers are drawn whatever the counts are, so that a seed gives the same faults.
+    let leaf = random.random::<u32>() as usize % deployment.leafs.len();
+    let daemon = random.random::<u32>() as usize % deployment.daemons.len();
     match fault {
         Fault::LeafTrouble(trouble, time) => {
             set_leaf_trouble(deployment, leaf, trouble);
