--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 SEED ?= 1
 CASES ?= 2000
 RUNS ?= 8
+ROLL_OUTS ?= 120
 
-.PHONY: build release test demo soak bench fuzz
+.PHONY: build release test demo soak roll-outs bench fuzz
 
 build:
 	cargo build --workspace --locked
@@ -25,6 +26,9 @@
 soak: release
 	./target/release/tansylead-emulator soak --seed $(SEED) --runs $(RUNS)
 
+roll-outs: release
+	./target/release/tansylead-emulator roll-outs --seed $(SEED) --runs $(ROLL_OUTS) --daemons 3 --shards 1 --faults
+
 bench: release
 	./target/release/tansylead-lab experiment examples/experiments/standard.toml
 
