--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -17,7 +17,7 @@
 const LEAST_SHIFT: Duration = Duration::from_millis(500);
 /// Answers under the whole load that are waited for while there is room: of a version bad in three of ten,
 /// so many show it in 0.99 of cases.
-const ANSWERS_UNDER_LOAD: u64 = 24;
+const ANSWERS_UNDER_LOAD: u64 = 40;
 /// How long after the deadline a shift may go on, or be waited for once the source is back.
 const LATEST_SHIFT: Duration = Duration::from_secs(4);
 /// The trial of one order at one judge.
