--- a/crates/tansylead-route/src/roll_out/conclusion.rs
+++ b/crates/tansylead-route/src/roll_out/conclusion.rs
@@ -1,7 +1,7 @@
-//! What another judge has concluded, as the first report of it tells.
+//! What this judge has concluded, or another one, as the first report of it tells. Neither changes.
 
 use super::grant::Stage;
-use super::verdict::Conclusion;
+use super::verdict::{Conclusion, ConclusionReason};
 use std::time::Duration;
 use tansylead_types::Moment;
 
@@ -10,14 +10,14 @@
 
 /// A conclusion heard of.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct HeardConclusion {
+struct HeardConclusion {
     is_complete: bool,
     since: Moment,
 }
 
 impl HeardConclusion {
     /// The conclusion that a stage tells of, if any.
-    pub(crate) fn of(now: Moment, stage: Stage) -> Option<Self> {
+    fn of(now: Moment, stage: Stage) -> Option<Self> {
         let is_complete = match stage {
             Stage::Commit => true,
             Stage::Back => false,
@@ -30,13 +30,13 @@
     }
 
     /// Whether the judges ranked before have had time to write it.
-    pub(crate) fn is_due(self, now: Moment, rank: usize) -> bool {
+    fn is_due(self, now: Moment, rank: usize) -> bool {
         let wait = TIME_TO_WRITE.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
         now.since(self.since) >= wait
     }
 
     /// What daemons do.
-    pub(crate) fn stage(self) -> Stage {
+    fn stage(self) -> Stage {
         if self.is_complete {
             Stage::Commit
         } else {
@@ -45,7 +45,7 @@
     }
 
     /// What is to be written.
-    pub(crate) fn conclusion(self) -> Conclusion {
+    fn conclusion(self) -> Conclusion {
         if self.is_complete {
             Conclusion::Complete
         } else {
@@ -53,3 +53,39 @@
         }
     }
 }
+
+/// The conclusion that stands at this judge, if any.
+#[derive(Debug, Default)]
+pub(crate) struct Concluded {
+    own: Option<(Conclusion, ConclusionReason)>,
+    heard: Option<HeardConclusion>,
+}
+
+impl Concluded {
+    /// Whether there is none yet.
+    pub(crate) fn is_open(&self) -> bool {
+        self.own.is_none() && self.heard.is_none()
+    }
+
+    /// This judge concludes.
+    pub(crate) fn conclude(&mut self, conclusion: Conclusion, reason: ConclusionReason) {
+        self.own = Some((conclusion, reason));
+    }
+
+    /// Adopts what a reported stage tells of, at once: a daemon that was told so must not be told
+    /// otherwise. Returns the stage from now on, if that is news.
+    pub(crate) fn take_over(&mut self, now: Moment, stage: Option<Stage>) -> Option<Stage> {
+        if !self.is_open() {
+            return None;
+        }
+        self.heard = stage.and_then(|stage| HeardConclusion::of(now, stage));
+        self.heard.map(HeardConclusion::stage)
+    }
+
+    /// What a judge of this rank is to write now.
+    pub(crate) fn write(&self, now: Moment, rank: usize) -> Option<(Conclusion, ConclusionReason)> {
+        let due = self.heard.filter(|heard| heard.is_due(now, rank));
+        let taken_over = due.map(|heard| (heard.conclusion(), ConclusionReason::TakenOver));
+        self.own.or(taken_over)
+    }
+}
--- a/crates/tansylead-route/src/roll_out/cumulative_sum.rs
+++ b/crates/tansylead-route/src/roll_out/cumulative_sum.rs
@@ -1,7 +1,7 @@
 //! One-sided sequential test: is a share of answers higher than it should be?
 
 /// Sum of log-likelihoods at which the higher share is taken as shown: 200 times as likely as the usual
-/// one. In trials good versions passed in 0.99 of roll-outs.
+/// one. What that means for good and bad versions is in the table of design note 0011.
 pub(crate) const SHOWN: f64 = 5.298;
 /// Sum above which nothing is concluded in favour at the last moment: 20 times as likely.
 pub(crate) const SUSPECTED: f64 = 2.996;
--- a/crates/tansylead-route/src/roll_out/totals.rs
+++ b/crates/tansylead-route/src/roll_out/totals.rs
@@ -6,7 +6,7 @@
 use super::evidence::{LATENCY_BUCKETS, RollOutEvidence, VersionCounts};
 use super::grant::Stage;
 use super::report::RollOutReport;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId};
 
@@ -86,12 +86,11 @@
 
 impl Totals {
     /// Adds what lasts beyond the life of a daemon.
-    fn add_lasting(&mut self, evidence: &RollOutEvidence) {
+    fn add_lasting(&mut self, evidence: &RollOutEvidence, known: &BTreeSet<u32>) {
         self.requests += evidence.requests;
         self.new_sends += evidence.new_sends;
         for route in &evidence.routes {
-            let has_room = self.routes.len() < MOST_ROUTES;
-            let is_own = has_room || self.routes.contains_key(&route.route);
+            let is_own = known.contains(&route.route);
             let key = if is_own { route.route } else { OTHER_ROUTES };
             let totals = self.routes.entry(key).or_default();
             totals.old.add(&route.old);
@@ -178,6 +177,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct MergedTotals {
     reporters: BTreeMap<NodeId, Reporter>,
+    /// Routes told apart: those that were reported first.
+    routes: BTreeSet<u32>,
     /// Of lives that have ended.
     earlier: Totals,
 }
@@ -190,12 +191,17 @@
             Some(held) if !held.is_newer(report) => return false,
             Some(held) if held.life == report.life => held.next(now, report),
             Some(held) => {
-                self.earlier.add_lasting(&held.evidence);
+                self.earlier.add_lasting(&held.evidence, &self.routes);
                 Reporter::first(now, report)
             }
             None if self.reporters.len() >= MOST_REPORTERS => return false,
             None => Reporter::first(now, report),
         };
+        for route in &taken.evidence.routes {
+            if self.routes.len() < MOST_ROUTES {
+                self.routes.insert(route.route);
+            }
+        }
         self.reporters.insert(report.reporter, taken);
         true
     }
@@ -212,7 +218,7 @@
     pub(crate) fn sum(&self, now: Moment) -> Totals {
         let mut totals = self.earlier.clone();
         for reporter in self.reporters.values() {
-            totals.add_lasting(&reporter.evidence);
+            totals.add_lasting(&reporter.evidence, &self.routes);
             if reporter.was_heard(now, SILENT) {
                 totals.running_on_new += u64::from(reporter.evidence.running_on_new);
             }
--- a/crates/tansylead-route/src/roll_out/verdict.rs
+++ b/crates/tansylead-route/src/roll_out/verdict.rs
@@ -1,6 +1,7 @@
 //! How a judge comes to a conclusion, and which.
 
 use super::grant::Stage;
+use super::totals::Totals;
 use tansylead_types::NodeId;
 
 /// What the judge knows beside the reports.
@@ -79,3 +80,21 @@
     /// Bad answers of the target version.
     pub new_failed: u64,
 }
+
+impl TrialCounts {
+    /// Over all routes.
+    pub(crate) fn of(totals: &Totals) -> Self {
+        let mut counts = Self {
+            requests: totals.requests,
+            new_sends: totals.new_sends,
+            ..Self::default()
+        };
+        for route in totals.routes.values() {
+            counts.old_good += route.old.good;
+            counts.old_failed += route.old.failed;
+            counts.new_good += route.new.good;
+            counts.new_failed += route.new.failed;
+        }
+        counts
+    }
+}
--- a/crates/tansylead-route/tests/roll_out_fleet/mod.rs
+++ b/crates/tansylead-route/tests/roll_out_fleet/mod.rs
@@ -8,6 +8,8 @@
 use tansylead_types::{Moment, NodeId};
 
 pub const DURATION: Duration = Duration::from_secs(12);
+/// In milliseconds.
+pub const DEADLINE: u64 = 12_000;
 /// Time between looks, in milliseconds.
 const STEP: u64 = 250;
 /// Requests of all daemons between looks: a hundred a second.
@@ -202,6 +204,11 @@
         grant
     }
 
+    pub fn grant_all(&mut self) -> Vec<Grant> {
+        let daemons = 0..self.reports.len();
+        daemons.map(|daemon| self.grant(daemon)).collect()
+    }
+
     pub fn report_all(&mut self) -> Vec<RollOutReport> {
         let daemons = 0..self.reports.len();
         let heard = daemons.filter(|daemon| self.silent != Some(*daemon));
