--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -4,15 +4,25 @@
 //! requests while their answers are compared with those of the old leafs; then either all requests move
 //! over, or the target version gets nothing any more. Nothing here opens a socket or reads a clock.
 
+mod conclusion;
+mod cumulative_sum;
 mod evidence;
+mod exposure;
 mod grant;
+mod judgement;
+mod leadership;
 mod order;
+mod pace;
+mod reference;
+mod report;
+mod totals;
 mod trial;
+mod verdict;
 
 pub use evidence::{LATENCY_BUCKETS, LatencyCounts, RollOutEvidence, RouteEvidence, VersionCounts};
+pub use exposure::ExposureBounds;
 pub use grant::{Grant, Stage};
 pub use order::{OrderId, RollOut, RollOutState, RollOuts};
-pub use trial::{
-    Conclusion, ConclusionReason, ExposureBounds, RollOutReport, RollOutTrial, TrialContext,
-    TrialVerdict,
-};
+pub use report::RollOutReport;
+pub use trial::RollOutTrial;
+pub use verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
