--- a/crates/tansylead-gateway/src/roll_out/judge.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Conclusion, ConclusionReason, ExposureBounds, OrderId, RollOut, RollOutReport, RollOutState,
-    RollOutTrial, RollOuts, Stage, TrialContext,
+    RollOutTrial, RollOuts, Stage, TrialContext, TrialCounts,
 };
 use tansylead_types::{Moment, NodeId, ServiceName};
 
@@ -56,14 +56,23 @@
     pub is_beginning: bool,
     /// Whether the trial may conclude soon, so that it matters whether the source answers.
     pub needs_source: bool,
+    /// Counts behind the look.
+    pub counts: TrialCounts,
+    /// Sends to the target version that the bounds allow after so many requests.
+    pub allowance: u64,
+    /// Grants to daemons that lack the stage, unasked.
+    pub grants: Vec<(NodeId, GrantMessage)>,
 }
 
 #[derive(Debug)]
 struct JudgedOrder {
     trial: RollOutTrial,
+    bounds: ExposureBounds,
     roll_out: RollOut,
     /// When a report last said that this judge is followed.
     followed_at: Option<Moment>,
+    /// The answer to the newest report of each daemon, or what was granted after it.
+    answered: BTreeMap<NodeId, GrantMessage>,
     /// When the first daemon learned of the order.
     known_since: Moment,
     stage: Option<Stage>,
@@ -179,6 +188,8 @@
             trial: RollOutTrial::new(roll_out.clone(), bounds, judge, now),
             roll_out,
             followed_at: None,
+            answered: BTreeMap::new(),
+            bounds,
             known_since: now,
             stage: None,
         }
@@ -202,7 +213,7 @@
 
     /// The answer to a report.
     fn answer(&mut self, now: Moment, report: &RollOutReport, judge: NodeId) -> GrantMessage {
-        GrantMessage {
+        let answer = GrantMessage {
             service: report.service.clone(),
             order: report.order,
             judge,
@@ -210,7 +221,26 @@
             sequence: report.sequence,
             turn: 0,
             grant: self.trial.grant(now, report.reporter),
+        };
+        let held = self.answered.get(&report.reporter);
+        let place = (report.life, report.sequence);
+        if held.is_none_or(|held| (held.life, held.sequence) < place) {
+            self.answered.insert(report.reporter, answer.clone());
+        }
+        answer
+    }
+
+    /// Grants to daemons that lack the stage.
+    fn unasked_grants(&mut self, now: Moment) -> Vec<(NodeId, GrantMessage)> {
+        let mut grants = Vec::new();
+        for node in self.trial.awaiting_stage(now) {
+            if let Some(last) = self.answered.get_mut(&node) {
+                last.turn += 1;
+                last.grant = self.trial.grant(now, node);
+                grants.push((node, last.clone()));
+            }
         }
+        grants
     }
 
     fn look(&mut self, now: Moment, context: JudgeContext<'_>, rank: usize) -> TrialLook {
@@ -224,6 +254,8 @@
         let verdict = self.trial.look(now, trial_context);
         let is_new_stage = self.stage.replace(verdict.stage) != Some(verdict.stage);
         let is_followed = self.is_followed(now);
+        let counts = self.trial.counts();
+        let allowed = counts.requests as f64 * self.bounds.share + self.bounds.slack;
         TrialLook {
             roll_out: self.roll_out.clone(),
             stage: verdict.stage,
@@ -231,6 +263,9 @@
             write: verdict.write,
             is_beginning: rank == 0 && is_followed && self.roll_out.state == RollOutState::Ordered,
             needs_source: is_followed && self.may_conclude_soon(now),
+            counts,
+            allowance: allowed as u64,
+            grants: self.unasked_grants(now),
         }
     }
 
--- a/crates/tansylead-gateway/src/roll_out/mod.rs
+++ b/crates/tansylead-gateway/src/roll_out/mod.rs
@@ -28,4 +28,4 @@
 pub use reporter::{AnswerEnd, Fleet, Reporter};
 pub use roll_out_task::RollOutTask;
 pub use service_versions::ServiceVersions;
-pub use source_calls::{SourceCalls, StateWriteEnd};
+pub use source_calls::SourceCalls;
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -8,7 +8,7 @@
 use super::pause_guard::PauseGuard;
 use super::ranked_judges::RankedJudges;
 use super::reporters::Reporters;
-use super::source_calls::{SourceCalls, StateWriteEnd};
+use super::source_calls::SourceCalls;
 use super::source_check::SourceCheck;
 use super::state_writes::{EndedWrite, StateWrites};
 use crate::clock::Clock;
@@ -17,7 +17,9 @@
 use crate::state::Gateway;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{Conclusion, ConclusionReason, RollOut, RollOutReport, RollOutState};
+use tansylead_route::{
+    Conclusion, ConclusionReason, RollOut, RollOutReport, RollOutState, StateWriteEnd,
+};
 use tansylead_types::{Moment, NodeId};
 use tokio::sync::mpsc;
 
@@ -209,9 +211,12 @@
         self.metrics.set_trials(self.judge.stages());
     }
 
-    fn on_look(&mut self, now: Moment, look: TrialLook) {
+    fn on_look(&mut self, now: Moment, mut look: TrialLook) {
+        for (node, grant) in std::mem::take(&mut look.grants) {
+            self.answer(now, node, grant);
+        }
         if look.is_new_stage {
-            log_counts(&look, "stage", "trial has another stage");
+            log_counts(&look, "stage", "another stage of the trial");
         }
         if let Some((conclusion, reason)) = look.write {
             return self.conclude(&look, conclusion, reason);
@@ -257,5 +262,19 @@
 fn log_counts(look: &TrialLook, why: &str, what: &str) {
     let service = look.roll_out.service.as_str();
     let target = look.roll_out.target.as_str();
-    log::info!(service = service, target = target, stage = look.stage.label(), why = why; "{what}");
+    let counts = look.counts;
+    log::info!(
+        service = service,
+        target = target,
+        stage = look.stage.label(),
+        why = why,
+        requests = counts.requests,
+        sends = counts.new_sends,
+        allowance = look.allowance,
+        old_good = counts.old_good,
+        old_failed = counts.old_failed,
+        new_good = counts.new_good,
+        new_failed = counts.new_failed;
+        "roll-out: {what}"
+    );
 }
--- a/crates/tansylead-gateway/src/roll_out/source_calls.rs
+++ b/crates/tansylead-gateway/src/roll_out/source_calls.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_route::{Revision, RollOut, RollOutState};
+use tansylead_route::{RollOut, RollOutState, StateWrite, StateWriteEnd, WriteStep};
 use tansylead_types::{ServiceName, StepError};
 
 /// A call without an answer is given up after this time: it is within the time for a shift.
@@ -18,31 +18,6 @@
 /// Longest wait after a failure: a source that is back is noticed soon.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
-/// How the writing of a state ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StateWriteEnd {
-    /// The state stands as wanted.
-    Stands(Revision),
-    /// The roll-out has ended, but not as wanted.
-    EndedAs(RollOutState),
-    /// Another order stands for the service.
-    Replaced,
-    /// The order was taken back.
-    Gone,
-}
-
-impl StateWriteEnd {
-    /// Name, for logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Stands(_) => "stands",
-            Self::EndedAs(_) => "ended_otherwise",
-            Self::Replaced => "replaced",
-            Self::Gone => "gone",
-        }
-    }
-}
-
 /// The source as a judge calls it.
 #[derive(Debug)]
 pub struct SourceCalls<S> {
@@ -69,32 +44,40 @@
     /// Writes a state until it stands, or the order has ended otherwise, however long that takes.
     pub async fn write_until_it_stands(
         &self,
-        mut roll_out: RollOut,
+        roll_out: RollOut,
         wanted: RollOutState,
     ) -> StateWriteEnd {
-        let mut wait = FIRST_WAIT;
+        let service = roll_out.service.clone();
+        let mut write = StateWrite::new(roll_out, wanted);
         loop {
-            let found = match self.write(&roll_out, wanted).await {
-                Ok(WriteEnd::Written(revision)) => return StateWriteEnd::Stands(revision),
-                Ok(WriteEnd::Conflict(found)) => found.map(|found| *found),
-                Err(SourceError::Refused(_)) => Some(roll_out.clone()),
-                Err(_) => self.read_back(&roll_out.service).await,
-            };
-            let end = end_of(found.as_ref(), &roll_out, wanted);
-            let (None, Some(found)) = (end, found) else {
-                return end.unwrap_or(StateWriteEnd::Gone);
-            };
-            if found == roll_out {
-                pause(&mut wait).await;
+            match write.next(Clock.now()) {
+                WriteStep::Write { roll_out } => {
+                    let result = self.write(&roll_out, wanted).await;
+                    let result = result.map_err(|error| error.write_failure());
+                    write.on_write(Clock.now(), result, rand::random());
+                }
+                WriteStep::Read => {
+                    let result = self.read(&service).await;
+                    let result = result.as_ref().map(Option::as_ref);
+                    let result = result.map_err(|error| error.write_failure());
+                    write.on_read(Clock.now(), result, rand::random());
+                }
+                WriteStep::WaitUntil(moment) => {
+                    tokio::time::sleep_until(Clock.instant_at(moment)).await;
+                }
+                WriteStep::Ended(end) => return end,
             }
-            roll_out = found;
         }
     }
 
     /// Reads an order as it stands now.
     pub async fn read(&self, service: &ServiceName) -> Result<Option<RollOut>, SourceError> {
         let call = self.source.read_roll_out(service);
-        self.answered("read roll-out", service, call).await
+        let result = self.answered("read roll-out", service, call).await;
+        if let Err(error) = &result {
+            log::warn!(service = service.as_str(), error:% = error; "source does not tell of the roll-out");
+        }
+        result
     }
 
     /// Reads all orders and applies them here, until that has succeeded.
@@ -126,6 +109,7 @@
         let result = self
             .answered("write roll-out", &roll_out.service, call)
             .await;
+        self.gateway.metrics.on_roll_out_write(&result);
         let service = roll_out.service.as_str();
         let (state, under) = (wanted.label(), roll_out.changed_at.0);
         match &result {
@@ -143,20 +127,6 @@
         result
     }
 
-    /// Reads an order until that has succeeded.
-    async fn read_back(&self, service: &ServiceName) -> Option<RollOut> {
-        let mut wait = FIRST_WAIT;
-        loop {
-            match self.read(service).await {
-                Ok(found) => return found,
-                Err(error) => {
-                    log::warn!(service = service.as_str(), error:% = error; "roll-out could not be read back");
-                }
-            }
-            pause(&mut wait).await;
-        }
-    }
-
     async fn answered<T>(
         &self,
         step: &'static str,
@@ -169,30 +139,17 @@
             Err(SourceError::Failed(error))
         });
         self.contact.on_call(Clock.now(), &result);
+        let end = match &result {
+            Ok(_) => "answered",
+            Err(SourceError::HistoryGone) => "history_gone",
+            Err(SourceError::Refused(_)) => "refused",
+            Err(SourceError::Failed(_)) => "failed",
+        };
+        self.gateway.metrics.on_source_call(Topic::RollOuts, end);
         result
     }
 }
 
-/// How the writing has ended if the order stands like this; none if it goes on.
-fn end_of(
-    found: Option<&RollOut>,
-    roll_out: &RollOut,
-    wanted: RollOutState,
-) -> Option<StateWriteEnd> {
-    let Some(found) = found else {
-        return Some(StateWriteEnd::Gone);
-    };
-    if found.order != roll_out.order {
-        Some(StateWriteEnd::Replaced)
-    } else if found.state == wanted {
-        Some(StateWriteEnd::Stands(found.changed_at))
-    } else if found.state.is_final() {
-        Some(StateWriteEnd::EndedAs(found.state))
-    } else {
-        None
-    }
-}
-
 /// Waits before a call is repeated; the next wait is longer.
 async fn pause(wait: &mut Duration) {
     tokio::time::sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
--- a/crates/tansylead-gateway/src/roll_out/source_check.rs
+++ b/crates/tansylead-gateway/src/roll_out/source_check.rs
@@ -71,8 +71,7 @@
             log::info!(service = service; "roll-out has ended or changed at the source");
             calls.bring_into_force().await;
         }
-        Err(error) => {
-            log::warn!(service = service, error:% = error; "source does not tell of the roll-out");
-        }
+        // It was told of, and is asked again.
+        Err(_) => {}
     }
 }
--- a/crates/tansylead-gateway/src/roll_out/state_writes.rs
+++ b/crates/tansylead-gateway/src/roll_out/state_writes.rs
@@ -1,10 +1,10 @@
 //! States of roll-outs that this daemon writes to the source: one task at most for each order.
 
-use super::source_calls::{SourceCalls, StateWriteEnd};
+use super::source_calls::SourceCalls;
 use crate::source::Source;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use tansylead_route::{OrderId, RollOut, RollOutState, RollOuts};
+use tansylead_route::{OrderId, RollOut, RollOutState, RollOuts, StateWriteEnd};
 use tansylead_types::ServiceName;
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
--- a/crates/tansylead-gateway/tests/roll_out_writes.rs
+++ b/crates/tansylead-gateway/tests/roll_out_writes.rs
@@ -7,8 +7,8 @@
 use roll_out_world::gateway;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_gateway::roll_out::{SourceCalls, StateWriteEnd};
-use tansylead_route::{RollOut, RollOutState};
+use tansylead_gateway::roll_out::SourceCalls;
+use tansylead_route::{RollOut, RollOutState, StateWriteEnd};
 
 /// Ends a test that would hang.
 const HANG_LIMIT: Duration = Duration::from_secs(60);
