--- a/crates/tansylead-gateway/tests/roll_out_judge.rs
+++ b/crates/tansylead-gateway/tests/roll_out_judge.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tansylead_gateway::roll_out::{Judge, JudgeContext, PauseGuard, ReportRefusal};
 use tansylead_route::{
-    ExposureBounds, OrderId, Revision, RollOutEvidence, RollOutReport, RollOutState,
+    ExposureBounds, OrderId, Revision, RollOutEvidence, RollOutReport, RollOutState, Stage,
 };
 use tansylead_types::{Moment, NodeId};
 
@@ -123,6 +123,31 @@
     }
 }
 
+#[test]
+fn a_judge_that_leads_grants_unasked_to_daemons_that_lack_its_stage() {
+    let members = [node(1), node(5)];
+    let mut judge = judge(&ordered());
+    let mut now = Moment::from_millis(1_000);
+    let answer = judge.on_report(now, &report(1, 8, Some(node(1))), Some(0));
+    let mut place = answer.expect("a judge").place();
+    for _ in 0..3 {
+        now = now + Duration::from_millis(250);
+        let looks = judge.look(now, context(&members), |_| Some(0));
+        let [(to, grant)] = looks[0].grants.as_slice() else {
+            panic!("one daemon lacks the stage: {looks:?}");
+        };
+        assert_eq!((*to, grant.life), (node(5), 3));
+        assert!(grant.place() > place, "each is newer than the one before");
+        place = grant.place();
+    }
+    let mut knowing = report(1, 9, Some(node(1)));
+    knowing.stage = Some(Stage::Trial);
+    let answer = judge.on_report(now, &knowing, Some(0)).expect("a judge");
+    assert!(answer.place() > place);
+    let looks = judge.look(now, context(&members), |_| Some(0));
+    assert!(looks[0].grants.is_empty());
+}
+
 #[test]
 fn an_order_that_replaces_another_begins_a_trial_of_its_own() {
     let source = ordered();
