A completion is written once no attempt is left at old leafs

An attempt that waits for a connection at an old leaf may be sent until its daemon has heard of the commitment, after the judge had seen nothing there. The judge now writes once all that can be heard report the commitment and nothing at old leafs, within a second. Tests fail without it.

--- a/crates/tansylead-gateway/src/roll_out/reporter.rs
+++ b/crates/tansylead-gateway/src/roll_out/reporter.rs
@@ -191,5 +191,6 @@
 
 /// Whether the last attempt at old leafs has ended in the stage that waits for it.
 fn is_clear_of_old(stage: Option<Stage>, evidence: &RollOutEvidence) -> bool {
-    stage == Some(Stage::Shift) && evidence.running_on_old == 0
+    let is_moving = matches!(stage, Some(Stage::Shift | Stage::Commit));
+    is_moving && evidence.running_on_old == 0
 }
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -20,6 +20,9 @@
 const ANSWERS_UNDER_LOAD: u64 = 40;
 /// How long after the deadline a shift may go on, or be waited for once the source is back.
 const LATEST_SHIFT: Duration = Duration::from_secs(4);
+/// Longest time for which the completion is held back until no attempt is left at old leafs. One that waited
+/// for a connection there may be sent until its daemon has heard of the commitment.
+const LONGEST_CLEARING: Duration = Duration::from_millis(1_000);
 
 /// The trial of one order at one judge.
 #[derive(Debug)]
@@ -44,6 +47,8 @@
     /// When the source last could not be written to at a time at which the shift was due.
     waited_for_source: Option<Moment>,
     concluded: Concluded,
+    /// When the stage was first `Commit`.
+    committed: Option<Moment>,
 }
 
 impl RollOutTrial {
@@ -68,6 +73,7 @@
             has_shift_begun: false,
             waited_for_source: None,
             concluded: Concluded::default(),
+            committed: None,
         }
     }
 
@@ -106,10 +112,11 @@
         } else if is_open {
             self.keep_up(now);
         }
+        let may_write = context.is_source_fresh && self.is_clear(now, context);
         let write = || self.concluded.write(now, context.rank);
         TrialVerdict {
             stage: self.stage,
-            write: context.is_source_fresh.then(write).flatten(),
+            write: may_write.then(write).flatten(),
         }
     }
 
@@ -260,13 +267,33 @@
         is_enough || !self.progress.has_time_to_see(&self.exposure, gone)
     }
 
-    /// Whether nothing runs on old leafs at members that can be heard, and nothing new will.
+    /// Whether a conclusion may be written as far as old leafs are concerned: a completion stops them.
+    fn is_clear(&mut self, now: Moment, context: TrialContext<'_>) -> bool {
+        if self.stage != Stage::Commit {
+            return true;
+        }
+        let committed = *self.committed.get_or_insert(now);
+        now.since(committed) >= LONGEST_CLEARING
+            || self.have_left_old(Stage::Commit, now, committed, context)
+    }
+
     fn has_shifted(&self, now: Moment, began: Moment, context: TrialContext<'_>) -> bool {
+        self.have_left_old(Stage::Shift, now, began, context)
+    }
+
+    /// Whether members that can be heard report this stage, and nothing at old leafs, since it began.
+    fn have_left_old(
+        &self,
+        stage: Stage,
+        now: Moment,
+        began: Moment,
+        context: TrialContext<'_>,
+    ) -> bool {
         let members = context.members.iter();
         let mut known = members.filter_map(|member| self.totals.reporter(*member));
         known.all(|reporter| {
             let is_silent = !reporter.was_heard(now, SILENT);
-            let says_so = reporter.heard_at >= began && reporter.stage == Some(Stage::Shift);
+            let says_so = reporter.heard_at >= began && reporter.stage == Some(stage);
             is_silent || (says_so && reporter.evidence.running_on_old == 0)
         })
     }
--- a/crates/tansylead-route/tests/roll_out_trial.rs
+++ b/crates/tansylead-route/tests/roll_out_trial.rs
@@ -128,6 +128,35 @@
     assert_eq!(fleet.verdict().stage, Stage::Commit);
 }
 
+/// A fleet at the moment at which its judge commits, with attempts that were sent to old leafs meanwhile.
+fn committed_with_late_attempts() -> Fleet {
+    let mut fleet = Fleet::new(3);
+    while fleet.verdict().stage != Stage::Commit {
+        fleet.play(250);
+    }
+    fleet.runs_on_old = true;
+    fleet.play(250);
+    fleet
+}
+
+#[test]
+fn a_completion_is_written_once_late_attempts_at_old_leafs_have_ended() {
+    let mut fleet = committed_with_late_attempts();
+    assert_eq!(fleet.verdict().write, None);
+    fleet.runs_on_old = false;
+    fleet.play(500);
+    let completed = Some((Conclusion::Complete, ConclusionReason::AsGood));
+    assert_eq!(fleet.verdict().write, completed);
+}
+
+#[test]
+fn a_completion_does_not_wait_for_ever_for_attempts_at_old_leafs() {
+    let mut fleet = committed_with_late_attempts();
+    fleet.play(1_250);
+    let completed = Some((Conclusion::Complete, ConclusionReason::AsGood));
+    assert_eq!(fleet.verdict().write, completed);
+}
+
 #[test]
 fn without_room_for_the_shift_it_goes_back_at_the_deadline() {
     let mut fleet = Fleet::new(3);
