--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -19,8 +19,11 @@
 const LEAST_SHIFT_SENDS: f64 = 28.0;
 /// Least time that a shift can be done in.
 const LEAST_SHIFT_SECONDS: f64 = 0.6;
-/// The completion is concluded so long before the deadline: a look and a write to a slow source.
-const TIME_TO_COMPLETE: Duration = Duration::from_millis(500);
+/// The completion is concluded so long before the deadline: three looks, as some attempt may run on old
+/// leafs at the first, and a write.
+const TIME_TO_COMPLETE: Duration = Duration::from_millis(900);
+/// Of a short roll-out this takes no more than this part.
+const TIME_TO_COMPLETE_PART: u32 = 10;
 /// Time of all requests that must be left for a shift that goes on: a look and the reports to it.
 const SEE_SECONDS: f64 = 0.3;
 /// Part of the allowance that the trial may use if not even a short shift leaves more.
@@ -68,7 +71,8 @@
 
     /// Whether a shift that is done in time can go on a little, so that more answers come under load.
     pub(crate) fn has_time_to_see(&self, exposure: &Exposure, gone: f64) -> bool {
-        let must_end = self.duration.saturating_sub(TIME_TO_COMPLETE);
+        let to_complete = TIME_TO_COMPLETE.min(self.duration / TIME_TO_COMPLETE_PART);
+        let must_end = self.duration.saturating_sub(to_complete);
         self.elapsed < must_end && self.left(exposure, gone) >= self.rate * SEE_SECONDS
     }
 
