--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -81,6 +81,7 @@
     pub async fn run(mut self) {
         let mut changes = self.gateway.changes();
         let link = Rc::clone(&self.link);
+        let gateway = Rc::clone(&self.gateway);
         self.take_in_orders();
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -93,6 +94,7 @@
                 _ = changes.changed() => self.take_in_orders(),
                 () = link.received() => self.receive_all(),
                 Some(ended) = self.ended_writes.recv() => self.on_ended_write(ended),
+                () = gateway.roll_out_context().changed().notified(), if is_active => self.report(Clock.now()),
                 _ = ticks.tick(), if is_active => self.tick(),
             }
         }
@@ -111,10 +113,7 @@
     fn tick(&mut self) {
         let now = Clock.now();
         self.notice_pause(now);
-        let reports = self.reporters.look(now, &mut self.ranked, self.view.life());
-        for report in reports {
-            self.send_report(now, report);
-        }
+        self.report(now);
         self.ticks += 1;
         if self.ticks >= TICKS_EACH_LOOK {
             self.ticks = 0;
@@ -123,6 +122,14 @@
         self.metrics.on_overflow(self.link.take_dropped());
     }
 
+    /// Sends the reports that are due.
+    fn report(&mut self, now: Moment) {
+        let reports = self.reporters.look(now, &mut self.ranked, self.view.life());
+        for report in reports {
+            self.send_report(now, report);
+        }
+    }
+
     fn notice_pause(&mut self, now: Moment) {
         if let Some(pause) = self.pauses.look(now) {
             let millis = pause.as_millis() as u64;
