--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -36,6 +36,7 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 /// Time for a daemon to become ready at the start.
 pub const START_LIMIT: Duration = Duration::from_secs(20);
+
 /// What a soak found.
 #[derive(Debug)]
 pub struct SoakReport {
--- a/crates/tansylead-emulator/src/soak/roll_outs.rs
+++ b/crates/tansylead-emulator/src/soak/roll_outs.rs
@@ -53,12 +53,12 @@
             let (middle, end) = (at + plan.duration / 2, at + plan.duration);
             steps.push_back((at, Step::Order(plan.clone())));
             if random.random_bool(REPLACED_SHARE) {
-                let target = if random.random_bool(0.5) {
-                    plan.target
+                // The same version again is as good or bad as it was.
+                let other = if random.random_bool(0.5) {
+                    plan
                 } else {
-                    format!("v{}", number + 1)
+                    draw_roll_out(&mut random, service, &format!("v{}", number + 1))
                 };
-                let other = draw_roll_out(&mut random, service, &target);
                 steps.push_back((middle, Step::Order(other)));
             } else if random.random_bool(TAKEN_BACK_SHARE) {
                 steps.push_back((middle, Step::TakeBack(service.clone())));
@@ -93,13 +93,11 @@
 
 fn draw_roll_out(random: &mut StdRng, service: &str, target: &str) -> RollOutPlan {
     let duration = random.random_range(SHORTEST_MILLIS..LONGEST_MILLIS);
-    let target = if random.random_bool(OLDER_SHARE) {
-        FIRST_VERSION
-    } else {
-        target
-    };
-    let good = RollOutPlan::good(service, target, Duration::from_millis(duration));
-    spoil(random, good)
+    let duration = Duration::from_millis(duration);
+    if random.random_bool(OLDER_SHARE) {
+        return RollOutPlan::good(service, FIRST_VERSION, duration);
+    }
+    spoil(random, RollOutPlan::good(service, target, duration))
 }
 
 /// Makes half of the roll-outs bad, in one of the ways in which they can be.
