--- a/crates/tansylead-gateway/src/cluster/query_roots.rs
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -112,6 +112,13 @@
             .map(|root| Rc::clone(root))
     }
 
+    /// Closes all connections at rest.
+    pub fn close_idle(&self) {
+        for root in self.peers.borrow().iter() {
+            root.idle.borrow_mut().clear();
+        }
+    }
+
     /// Closes connections that have rested too long.
     pub fn close_expired(&self, now: Moment) {
         for root in self.peers.borrow().iter() {
@@ -157,7 +164,7 @@
             .connect(connect_limit)
             .await
             .map_err(AskError::NotSent)?;
-        self.breaker.borrow_mut().on_sent(Clock.now());
+        let _open = OpenQuery::begin(self);
         let sent = frames.send(bytes).await;
         // A root reads only whole messages, and this one was not written whole.
         sent.map_err(|cause| AskError::NotSent(StepError::new("ask root", &peer, cause)))?;
@@ -194,6 +201,8 @@
         if !self.is_silent_since(sent) {
             return;
         }
+        // Perhaps only its connections are silent: the next query opens a new one.
+        self.idle.borrow_mut().clear();
         let opened = self
             .breaker
             .borrow_mut()
@@ -239,6 +248,26 @@
     }
 }
 
+/// One query at a root; ends when dropped, also if its caller leaves.
+struct OpenQuery<'a> {
+    root: &'a RootPeer,
+    sent: Moment,
+}
+
+impl<'a> OpenQuery<'a> {
+    fn begin(root: &'a RootPeer) -> Self {
+        let sent = Clock.now();
+        root.breaker.borrow_mut().on_sent(sent);
+        Self { root, sent }
+    }
+}
+
+impl Drop for OpenQuery<'_> {
+    fn drop(&mut self) {
+        self.root.breaker.borrow_mut().on_abandoned(self.sent);
+    }
+}
+
 /// Whether a connection at rest is still open, as far as is known: its root sends nothing unasked.
 fn is_open(frames: &Frames) -> bool {
     let mut byte = [0];
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -7,10 +7,11 @@
 use super::leaf_state::LeafState;
 use crate::clock::Clock;
 use crate::headers::{HeaderNames, LeafWord};
+use crate::roll_out::{SendEnd, SendTerms};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +45,15 @@
     pub repeatable: bool,
 }
 
+/// That a request was handed to a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HandOver {
+    /// When.
+    pub at: Moment,
+    /// Whether the connection had been kept from an earlier request.
+    pub on_kept: bool,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -60,32 +70,33 @@
 }
 
 /// Runs one attempt until its end. `may_use` tells, right before the request is handed over, whether
-/// it may still go to the leaf; `sent` is set when it is handed to a connection.
+/// it may still go to the leaf; `sent` is set when it is handed to a connection. A connection must come
+/// up within the time after which an answer is overdue.
 pub async fn run_attempt(
     leaf: Rc<LeafState>,
     request: Rc<OutgoingRequest>,
     names: Rc<HeaderNames>,
-    connect_limit: Duration,
     may_use: impl Fn(&LeafState) -> bool,
-    end: Moment,
-    sent: Rc<Cell<Option<Moment>>>,
+    terms: SendTerms,
+    sent: Rc<Cell<Option<HandOver>>>,
 ) -> AttemptEnd {
     let open = leaf.begin();
-    let Ok(_permit) = leaf.permits().acquire_owned().await else {
+    let Ok(_permit) = leaf.connections().permits().acquire_owned().await else {
         return not_sent(&leaf, "no permit");
     };
     let LeafConnection {
         mut connection,
         rested,
-    } = match connect(&leaf, &request, connect_limit).await {
+    } = match connect(&leaf, &request, terms.overdue_delay).await {
         Ok(connected) => connected,
         Err(error) => return AttemptEnd::NotSent(error),
     };
     if !may_use(&leaf) {
+        leaf.on_withheld(Clock.now());
         return not_sent(&leaf, "leaf may not be used any more");
     }
     let now = Clock.now();
-    let time_left = end.since(now);
+    let time_left = terms.end.since(now);
     if time_left.as_millis() == 0 {
         return not_sent(&leaf, "no time left");
     }
@@ -93,12 +104,15 @@
         Ok(outgoing) => outgoing,
         Err(error) => return AttemptEnd::NotSent(error),
     };
-    open.set_sent(now);
-    sent.set(Some(now));
+    open.set_sent(now, &terms);
+    sent.set(Some(HandOver {
+        at: now,
+        on_kept: rested.is_some(),
+    }));
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
-    match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
+    let ended = match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
         Ok(Ok(reply)) => {
-            leaf.on_connection_answer(rested);
+            leaf.connections().on_answer(rested);
             finish(&leaf, &request, &names, connection, reply)
         }
         Ok(Err(error)) => {
@@ -112,6 +126,21 @@
             }
         }
         Err(_) => AttemptEnd::Failed(step_error(&leaf, "no answer in time")),
+    };
+    open.set_end(as_evidence(&ended));
+    ended
+}
+
+/// What the end of an attempt that was sent says of the leaf's version.
+fn as_evidence(ended: &AttemptEnd) -> SendEnd {
+    match ended {
+        AttemptEnd::Answered(reply) if reply.status.is_server_error() => SendEnd::Failed,
+        AttemptEnd::Answered(reply) if reply.status == StatusCode::TOO_MANY_REQUESTS => {
+            SendEnd::NotRun
+        }
+        AttemptEnd::Answered(_) => SendEnd::Good,
+        AttemptEnd::Refused(_) | AttemptEnd::NotSent(_) => SendEnd::NotRun,
+        AttemptEnd::Failed(_) | AttemptEnd::Foreign(_) => SendEnd::Failed,
     }
 }
 
@@ -127,7 +156,8 @@
     } else {
         SHORTEST_FORGOTTEN_REST
     };
-    while let Some(mut idle) = leaf.take_idle(longest_rest) {
+    let connections = leaf.connections();
+    while let Some(mut idle) = connections.take_idle(Clock.now(), longest_rest) {
         if idle.connection.is_ready() || idle.connection.is_usable().await {
             return Ok(idle);
         }
@@ -141,7 +171,7 @@
     };
     let opened = HttpConnection::open(address, options, ()).await;
     match &opened {
-        Ok(_) => leaf.on_connected(Clock.now().since(started)),
+        Ok(_) => connections.on_connected(Clock.now().since(started)),
         Err(_) => leaf.on_unreachable(connect_limit),
     }
     opened.map(|connection| LeafConnection {
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -2,7 +2,9 @@
 //!
 //! Invariants: the configuration's version never goes down; no borrow is held over a wait.
 
+mod kept_connections;
 mod leafs;
+mod roll_outs;
 
 use crate::clock::Clock;
 use crate::cluster::QueryRoots;
@@ -11,6 +13,7 @@
 use crate::metrics::Metrics;
 use crate::report_queue::ReportQueue;
 use crate::request_log::RequestLogLimits;
+use crate::roll_out::RollOutContext;
 use crate::settings::GatewaySettings;
 use crate::source::Topic;
 use std::cell::{Cell, RefCell};
@@ -18,8 +21,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory, Locality,
-    QueryAdmission, QueryRunners, RouteTable, WeightedTurns,
+    Configuration, ConnectionSilence, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory,
+    Locality, QueryAdmission, QueryRunners, Revision, RollOuts, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -82,6 +85,11 @@
     directory: RefCell<LeafDirectory>,
     /// None until it is known which zones are being emptied.
     evacuated: RefCell<Option<EvacuatedZones>>,
+    /// None until it is known what is ordered.
+    roll_outs: RefCell<Option<RollOuts>>,
+    roll_out_context: Rc<RollOutContext>,
+    /// Revision up to which the orders must be known for the leafs that are held.
+    roll_outs_needed: Cell<Revision>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
@@ -97,6 +105,8 @@
     known_daemons: RefCell<DaemonCounts>,
     /// Those of them that run queries over shards.
     known_runners: Cell<QueryRunners>,
+    /// Whether anything comes on connections to leafs that were kept.
+    kept_silence: Cell<ConnectionSilence>,
     connections: Cell<usize>,
     running_for_peers: Cell<usize>,
     /// The daemons of the region that run queries over shards for this one.
@@ -112,17 +122,22 @@
             runners: QueryRunners::default(),
             are_known: false,
         };
+        let (started, metrics) = (Clock.now(), Metrics::new());
+        let context = RollOutContext::new(&settings.bounds, started, metrics.roll_outs.clone());
         Self {
             settings,
             names: Rc::new(names),
-            metrics: Metrics::new(),
+            metrics,
             request_log_limits: RequestLogLimits::default(),
             reports: ReportQueue::default(),
-            started: Clock.now(),
+            started,
             locality,
             active: RefCell::default(),
             directory: RefCell::default(),
             evacuated: RefCell::default(),
+            roll_outs: RefCell::default(),
+            roll_out_context: Rc::new(context),
+            roll_outs_needed: Cell::default(),
             services: RefCell::default(),
             leafs: RefCell::default(),
             latencies: RefCell::default(),
@@ -134,6 +149,7 @@
             daemons: RefCell::new(assumed),
             known_daemons: RefCell::default(),
             known_runners: Cell::default(),
+            kept_silence: Cell::default(),
             connections: Cell::new(0),
             running_for_peers: Cell::new(0),
             roots: QueryRoots::default(),
@@ -177,6 +193,14 @@
         let mut confirmed = self.confirmed.borrow_mut();
         let held = confirmed.entry(topic).or_insert(moment);
         *held = (*held).max(moment);
+        if topic == Topic::RollOuts {
+            self.roll_out_context.confirm(moment);
+        }
+    }
+
+    /// What the versions of all services share.
+    pub fn roll_out_context(&self) -> &RollOutContext {
+        &self.roll_out_context
     }
 
     /// Tells daemons that poll this one that its word is fresh.
@@ -211,6 +235,7 @@
             Topic::Configuration => self.active.borrow().is_some(),
             Topic::Leafs => self.directory.borrow().revision().is_some(),
             Topic::Evacuations => self.evacuated.borrow().is_some(),
+            Topic::RollOuts => self.roll_outs.borrow().is_some(),
         }
     }
 
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -116,8 +116,14 @@
             return Rc::clone(service);
         }
         let bounds = &self.settings.bounds;
-        let service = Rc::new(ServiceState::new(name.clone(), bounds, self.started));
+        let versions = Rc::clone(&self.roll_out_context);
+        let service = ServiceState::new(name.clone(), bounds, self.started, versions);
+        let service = Rc::new(service);
         self.share_budget(&service);
+        if let Some(roll_outs) = self.roll_outs.borrow().as_ref() {
+            let order = roll_outs.get(name);
+            service.versions().apply(Clock.now(), order, roll_outs.at);
+        }
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
         service
@@ -138,20 +144,24 @@
     }
 
     /// Takes in an entry. Returns the service if its leafs are others than before.
-    fn put_leaf(&self, entry: LeafEntry) -> Option<Rc<ServiceState>> {
+    fn put_leaf(&self, mut entry: LeafEntry) -> Option<Rc<ServiceState>> {
         if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
             leaf.update(entry);
             return None;
         }
         let service = self.service(&entry.service);
         if let Some(leaf) = service.missing(&entry.leaf) {
+            // Its run is as old as it was before the entry went missing.
+            entry.keep_earliest_revision(&leaf.entry());
             let id = entry.leaf.clone();
             leaf.update(entry);
             self.leafs.borrow_mut().insert(id, leaf);
             return Some(service);
         }
+        self.note_version(&entry, &service);
         let location = self.locality.locate(&entry.zone);
-        let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE));
+        let versions = Rc::clone(service.versions());
+        let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE, versions));
         leaf.set_evacuated(self.is_evacuated(&entry));
         service.add(Rc::clone(&leaf));
         self.leafs.borrow_mut().insert(entry.leaf, leaf);
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -1,10 +1,11 @@
 //! What the directory says of one leaf, and how far away it is.
 
+use crate::directory::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
+use tansylead_types::{LeafId, PlaceName, ServiceName, SoftwareVersion, ZoneName};
 
 /// One run of a leaf, as the directory knows it. Every start of a leaf has a new id.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +24,48 @@
     pub phase: LeafPhase,
     /// How much longer it is slow after its start, when the entry was written.
     pub warmup_left: Duration,
+    /// Version of its software, if the source tells one.
+    pub version: Option<SoftwareVersion>,
+    /// Revision of the source at which this entry was last changed, as far as the source tells; the earliest
+    /// that was heard of this run.
+    pub changed_at: Revision,
+}
+
+impl LeafEntry {
+    /// Takes over the earlier of the two revisions if both entries are of one run. A run keeps its service,
+    /// address and version; other changes of its entry must not make it look younger than it is.
+    pub fn keep_earliest_revision(&mut self, held: &Self) {
+        let is_same_run = self.leaf == held.leaf
+            && self.service == held.service
+            && self.address == held.address
+            && self.version == held.version;
+        if is_same_run {
+            self.changed_at = self.changed_at.min(held.changed_at);
+        }
+    }
+
+    /// Whether two entries say the same of their leaf, whatever the revision.
+    pub fn says_the_same_as(&self, other: &Self) -> bool {
+        let Self {
+            leaf,
+            service,
+            address,
+            zone,
+            slots,
+            phase,
+            warmup_left,
+            version,
+            changed_at: _,
+        } = self;
+        *leaf == other.leaf
+            && *service == other.service
+            && *address == other.address
+            && *zone == other.zone
+            && *slots == other.slots
+            && *phase == other.phase
+            && *warmup_left == other.warmup_left
+            && *version == other.version
+    }
 }
 
 /// Whether a leaf takes new requests.
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod connect_backoff;
 mod connection_share;
+mod connection_silence;
 mod directory;
 mod evacuated_zones;
 mod failure_rate;
@@ -27,6 +28,7 @@
 mod query_roots;
 mod records;
 mod retry_after;
+mod roll_out;
 mod route_table;
 mod sliding_count;
 mod slowness;
@@ -40,6 +42,7 @@
 };
 pub use connect_backoff::ConnectBackoff;
 pub use connection_share::{ConnectionShare, DaemonCounts, SharedLeaf};
+pub use connection_silence::{ConnectionSilence, SilenceLimit};
 pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory, Revision};
 pub use evacuated_zones::EvacuatedZones;
 pub use failure_rate::FailureRate;
@@ -56,6 +59,12 @@
 pub use query_roots::{QueryRunners, RootCandidate, query_roots};
 pub use records::{RECORD_BYTES, Record, TopRecords};
 pub use retry_after::{retry_after_outage, retry_after_refusal};
+pub use roll_out::{
+    Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
+    RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RollOutsMark,
+    RouteEvidence, Stage, StateWrite, StateWriteEnd, TrialContext, TrialCounts, TrialVerdict,
+    VersionCounts, VersionGate, VersionUse, WriteEnd, WriteFailure, WriteStep, route_hash,
+};
 pub use route_table::RouteTable;
 pub use slowness::Slowness;
 pub use weights::WeightedTurns;
