--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -59,9 +59,10 @@
         self.duration - SHIFT_LEAD.min(self.duration / SHIFT_LEAD_PART)
     }
 
-    /// Whether the deadline has passed.
-    pub(crate) fn is_over(&self) -> bool {
-        self.elapsed >= self.duration
+    /// Whether it is time to conclude, so that what is concluded stands by the deadline.
+    pub(crate) fn must_conclude(&self) -> bool {
+        let to_complete = TIME_TO_COMPLETE.min(self.duration / TIME_TO_COMPLETE_PART);
+        self.elapsed >= self.duration.saturating_sub(to_complete)
     }
 
     /// Whether what is left pays for a shift.
@@ -71,9 +72,7 @@
 
     /// Whether a shift that is done in time can go on a little, so that more answers come under load.
     pub(crate) fn has_time_to_see(&self, exposure: &Exposure, gone: f64) -> bool {
-        let to_complete = TIME_TO_COMPLETE.min(self.duration / TIME_TO_COMPLETE_PART);
-        let must_end = self.duration.saturating_sub(to_complete);
-        self.elapsed < must_end && self.left(exposure, gone) >= self.rate * SEE_SECONDS
+        !self.must_conclude() && self.left(exposure, gone) >= self.rate * SEE_SECONDS
     }
 
     fn left(&self, exposure: &Exposure, gone: f64) -> f64 {
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -192,7 +192,7 @@
         match self.judgement.finding() {
             Finding::Failing => return self.go_back(ConclusionReason::Failing),
             Finding::Slow => return self.go_back(ConclusionReason::Slow),
-            Finding::NotEnough if self.progress.is_over() => {
+            Finding::NotEnough if self.progress.must_conclude() => {
                 return self.go_back(self.why_not_enough(now));
             }
             Finding::NotEnough => self.stage = Stage::Trial,
@@ -298,12 +298,12 @@
         })
     }
 
-    /// After the deadline: back, unless the source kept the shift from being done.
+    /// When it is time to conclude: back, unless the shift is under way or the source has kept it from being done.
     fn end_if_late(&mut self, now: Moment) {
         let waited = self.waited_for_source;
         let is_excused = waited.is_some_and(|at| now.since(at) < LATEST_SHIFT);
         let is_waiting = is_excused && self.stage == Stage::Trial;
-        if !self.progress.is_over() || is_waiting {
+        if !self.progress.must_conclude() || is_waiting {
             return;
         }
         let latest = self.progress.duration + LATEST_SHIFT;
