An order for the version that a service runs alone is completed at once

Cause: all leafs of such a service are leafs of the target version: under a trial they would get what is granted only, no evidence against old leafs could come, and the roll-back at the deadline would have shut the whole service out. The gate now knows from the revisions of entries that there is nothing to try: the leafs go on as before, and the first judge writes the completion. Tests fail without it.

--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -20,7 +20,7 @@
 use tansylead_route::{
     Conclusion, ConclusionReason, RollOut, RollOutReport, RollOutState, StateWriteEnd,
 };
-use tansylead_types::{Moment, NodeId};
+use tansylead_types::{Moment, NodeId, ServiceName};
 use tokio::sync::mpsc;
 
 /// Period at which it is looked whether reports are due: a part of the shortest period between reports.
@@ -205,10 +205,13 @@
             members: &members,
             is_source_fresh: self.calls.is_fresh(),
         };
-        let (ranked, node) = (&mut self.ranked, self.node);
-        let looks = self
-            .judge
-            .look(now, context, |service| ranked.rank(service, node));
+        self.complete_settled();
+        let (ranked, node, gateway) = (&mut self.ranked, self.node, &self.gateway);
+        let rank_of = |service: &ServiceName| {
+            let is_under_trial = !gateway.service(service).versions().is_settled();
+            is_under_trial.then(|| ranked.rank(service, node)).flatten()
+        };
+        let looks = self.judge.look(now, context, rank_of);
         for look in looks {
             self.on_look(now, look);
         }
@@ -218,6 +221,24 @@
         self.metrics.set_trials(self.judge.stages());
     }
 
+    /// Completes orders for versions that their services run alone already.
+    fn complete_settled(&mut self) {
+        let Some(orders) = self.gateway.roll_outs() else {
+            return;
+        };
+        let open = orders
+            .orders
+            .values()
+            .filter(|order| !order.state.is_final());
+        for order in open {
+            let is_settled = self.gateway.service(&order.service).versions().is_settled();
+            let is_first = self.ranked.rank(&order.service, self.node) == Some(0);
+            if is_settled && is_first && self.writes.start(order, RollOutState::Completed) {
+                log::info!(service = order.service.as_str(), target = order.target.as_str(); "roll-out: the service runs this version alone already");
+            }
+        }
+    }
+
     fn on_look(&mut self, now: Moment, mut look: TrialLook) {
         for (node, grant) in std::mem::take(&mut look.grants) {
             self.answer(now, node, grant);
--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -218,6 +218,11 @@
         Some((trial.clone(), evidence))
     }
 
+    /// Whether the service ran the target version alone when its order came, so that there is nothing to try.
+    pub fn is_settled(&self) -> bool {
+        self.gate.borrow().is_settled()
+    }
+
     /// The stage that this daemon was granted last under the order that has not ended.
     pub fn stage(&self) -> Option<Stage> {
         self.gate.borrow().stage()
--- a/crates/tansylead-route/src/roll_out/version_gate.rs
+++ b/crates/tansylead-route/src/roll_out/version_gate.rs
@@ -5,7 +5,7 @@
 //! another one.
 
 use super::grant::{Grant, Stage};
-use super::order::{OrderId, RollOut};
+use super::order::{OrderId, RollOut, RollOutState};
 use super::version_memory::{Remembered, VersionMemory};
 use crate::directory::Revision;
 use tansylead_types::{Moment, SoftwareVersion};
@@ -45,6 +45,8 @@
     conclusion: Option<Stage>,
     /// Sends to the target version under this order.
     sends: u64,
+    /// Whether the service ran the target version alone when the order came: there is nothing to try.
+    is_settled: bool,
     memory: VersionMemory,
 }
 
@@ -62,6 +64,10 @@
             self.end_order();
             if let Some(order) = order {
                 self.memory.forget_marks(&order.target);
+                self.is_settled = order.state == RollOutState::Ordered
+                    && self
+                        .memory
+                        .was_the_only_one(&order.target, order.changed_at);
             }
         }
         self.order = order.cloned();
@@ -103,9 +109,15 @@
         Some(self.stage().unwrap_or(Stage::Trial))
     }
 
-    /// The order that has not ended.
+    /// The order that has not ended; none if there is nothing to try.
     pub fn trial(&self) -> Option<&RollOut> {
-        self.order.as_ref().filter(|order| !order.state.is_final())
+        let order = self.order.as_ref();
+        order.filter(|order| !order.state.is_final() && !self.is_settled)
+    }
+
+    /// Whether the service ran the target version alone when its order came. Its leafs go on as before.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
     }
 
     /// The stage of the order that has not ended, as far as this daemon was told. It outlasts the grant
@@ -193,5 +205,6 @@
         self.grant = None;
         self.conclusion = None;
         self.sends = 0;
+        self.is_settled = false;
     }
 }
--- a/crates/tansylead-route/src/roll_out/version_memory.rs
+++ b/crates/tansylead-route/src/roll_out/version_memory.rs
@@ -118,6 +118,15 @@
         completion.is_some_and(|done| version != Some(&done.target) && changed_at < done.at)
     }
 
+    /// Whether leafs showed this version before a revision, and no other one since the last completion.
+    pub(super) fn was_the_only_one(&self, version: &SoftwareVersion, before: Revision) -> bool {
+        let since = self.completion.as_ref().map_or(Revision(0), |done| done.at);
+        let shown = || self.shown.iter().filter(|shown| shown.since < before);
+        let was_there = shown().any(|shown| shown.version == *version);
+        let mut others = shown().filter(|shown| shown.version != *version);
+        was_there && !others.any(|shown| shown.since >= since)
+    }
+
     fn was_shown(&self, version: &SoftwareVersion, known_up_to: Revision) -> bool {
         let mut shown = self.shown.iter();
         shown.any(|shown| shown.version == *version && shown.since <= known_up_to)
--- a/crates/tansylead-route/tests/version_gate.rs
+++ b/crates/tansylead-route/tests/version_gate.rs
@@ -408,3 +408,31 @@
         }
     }
 }
+
+#[test]
+fn an_order_for_the_version_that_runs_alone_changes_nothing() {
+    let mut gate = gate();
+    gate.apply(
+        Some(&order(1, "old", RollOutState::Ordered, ORDERED)),
+        ORDERED,
+    );
+    assert!(gate.is_settled());
+    assert_eq!(gate.trial(), None);
+    assert_eq!(use_of(&gate, "old", BEFORE), VersionUse::Plain);
+    assert_eq!(use_of(&gate, "old", LATER), VersionUse::Plain);
+    let completed = order(1, "old", RollOutState::Completed, ENDED);
+    gate.apply(Some(&completed), ENDED);
+    assert_eq!(use_of(&gate, "old", BEFORE), VersionUse::Plain);
+}
+
+#[test]
+fn an_order_back_to_an_older_version_is_a_trial() {
+    let mut gate = gate_under_trial();
+    gate.apply(
+        Some(&order(1, "new", RollOutState::Completed, ENDED)),
+        ENDED,
+    );
+    gate.apply(Some(&order(2, "old", RollOutState::Ordered, LATER)), LATER);
+    assert!(!gate.is_settled());
+    assert!(gate.trial().is_some());
+}
