The word on roll-outs may grow old while none is open

While no order is open a missed one does no harm for some seconds: leafs of a version that nobody knows are held, and the orders are read at once. The watch then waits 10 s, and no daemon asks because of its age. With an order open all is as before.

--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -155,8 +155,9 @@
         let is_fresher = self.confirm(&reply, asked);
         let is_newer = Held::of(gateway) != held;
         let limit = gateway.settings.bounds.word_limit();
-        let topics = gateway.settings.bounds.topics();
-        if reply.ages.is_any_older_than(limit, topics) {
+        let topics = gateway.settings.bounds.topics().iter().copied();
+        let must_be_fresh = topics.filter(|topic| gateway.must_be_fresh(*topic));
+        if reply.ages.is_any_older_than(limit, must_be_fresh) {
             return Err(StepError::new("poll peer", peer, "its word is old"));
         }
         Ok(is_newer || is_fresher)
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -68,8 +68,12 @@
     }
 
     /// Whether the word of any of these topics is older than `limit`.
-    pub(super) fn is_any_older_than(self, limit: Duration, topics: &[Topic]) -> bool {
-        let mut ages = topics.iter().map(|topic| self.age(*topic));
+    pub(super) fn is_any_older_than(
+        self,
+        limit: Duration,
+        topics: impl Iterator<Item = Topic>,
+    ) -> bool {
+        let mut ages = topics.map(|topic| self.age(topic));
         ages.any(|age| age.is_none_or(|age| age > limit))
     }
 }
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -19,6 +19,9 @@
 const GATHER_WAIT: Duration = Duration::from_millis(400);
 /// The first reads of daemons that start together are spread over this time.
 const FIRST_READ_SPREAD: Duration = Duration::from_millis(20);
+/// Wait of a watch whose word need not be fresh. Calls are priced; a source that has lost a watch without a
+/// word is asked again after this time.
+const QUIET_WATCH: Duration = Duration::from_secs(10);
 /// Period at which the turn is looked at.
 const TURN_PERIOD: Duration = Duration::from_millis(250);
 /// First wait after a failure.
@@ -113,10 +116,14 @@
     fn is_word_old(&self) -> bool {
         let gateway = &self.gateway;
         let bounds = &gateway.settings.bounds;
-        bounds.is_word_old(gateway.age(self.topic), gateway.uptime())
+        gateway.must_be_fresh(self.topic)
+            && bounds.is_word_old(gateway.age(self.topic), gateway.uptime())
     }
 
     fn watch_wait(&self) -> Duration {
+        if !self.gateway.must_be_fresh(self.topic) {
+            return QUIET_WATCH;
+        }
         let age = self.gateway.age(self.topic);
         self.gateway.settings.bounds.watch_wait(age)
     }
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -229,6 +229,12 @@
             .all(|topic| self.knows(*topic))
     }
 
+    /// Whether the word on a topic must not grow old. That on roll-outs may while none is open: a leaf of a
+    /// version that nobody knows is held until the orders have been read.
+    pub fn must_be_fresh(&self, topic: Topic) -> bool {
+        topic != Topic::RollOuts || self.has_open_orders() || !self.knows(topic)
+    }
+
     /// Whether a topic is known, however old the word is.
     pub fn knows(&self, topic: Topic) -> bool {
         match topic {
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -60,6 +60,13 @@
         self.roll_outs.borrow().as_ref().map(RollOuts::mark)
     }
 
+    /// Whether an order stands that has not ended.
+    pub fn has_open_orders(&self) -> bool {
+        let held = self.roll_outs.borrow();
+        let mut orders = held.iter().flat_map(|held| held.orders.values());
+        orders.any(|order| !order.state.is_final())
+    }
+
     /// The revision up to which the orders must be known, if they are not known so far: a leaf of a version
     /// that is new to its service may be the first one of an order that has not been heard of.
     pub fn needed_roll_outs(&self) -> Option<Revision> {
--- a/crates/tansylead-gateway/tests/roll_outs_needed.rs
+++ b/crates/tansylead-gateway/tests/roll_outs_needed.rs
@@ -223,3 +223,30 @@
     };
     LocalSet::new().run_until(watching).await;
 }
+
+#[test]
+fn the_word_on_orders_may_grow_old_while_none_is_open() {
+    // Regression: a fourth topic that was asked for as often as the others raised the calls to the source by up to
+    // 0.4 of what they had been.
+    let gateway = gateway(true);
+    assert!(gateway.must_be_fresh(Topic::RollOuts), "nothing is known");
+    gateway.apply_roll_outs(no_orders(1));
+    assert!(!gateway.must_be_fresh(Topic::RollOuts));
+    for topic in [Topic::Configuration, Topic::Leafs, Topic::Evacuations] {
+        assert!(gateway.must_be_fresh(topic), "{topic:?}");
+    }
+    let states = [
+        (RollOutState::Ordered, true),
+        (RollOutState::Running, true),
+        (RollOutState::Completed, false),
+        (RollOutState::RolledBack, false),
+    ];
+    for (at, (state, must_be_fresh)) in (2..).zip(states) {
+        gateway.apply_roll_outs(common::orders("desk", "v2", state, Revision(at)));
+        assert_eq!(
+            gateway.must_be_fresh(Topic::RollOuts),
+            must_be_fresh,
+            "{state:?}"
+        );
+    }
+}
