The orders are read at once only for a version that stands beside another one

A service with leafs of one version has nothing to choose from: its leafs are held together, and serve together. When a second version appears the need covers every leaf of the service. Ruled out: watches (25 in all). The test of reads now begins with a leaf of an older version, as its service must have.

--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -82,11 +82,15 @@
         }
         let leafs = service.all();
         let mut versions = leafs.iter().map(|leaf| leaf.entry().version.clone());
-        if versions.any(|version| version == entry.version) {
+        // The leafs of a service with one version are held together, and serve together.
+        let is_alone = leafs.is_empty();
+        if is_alone || versions.any(|version| version == entry.version) {
             return;
         }
-        let needed = self.roll_outs_needed.get().max(entry.changed_at);
-        self.roll_outs_needed.set(needed);
+        let revisions = leafs.iter().map(|leaf| leaf.entry().changed_at);
+        let newest = revisions.fold(entry.changed_at, Revision::max);
+        self.roll_outs_needed
+            .set(self.roll_outs_needed.get().max(newest));
     }
 
     fn hold_roll_outs(&self, roll_outs: RollOuts) {
--- a/crates/tansylead-gateway/tests/roll_outs_needed.rs
+++ b/crates/tansylead-gateway/tests/roll_outs_needed.rs
@@ -78,6 +78,28 @@
     assert_eq!(gateway.needed_roll_outs(), None);
 }
 
+#[test]
+fn the_leafs_of_a_service_that_has_one_version_need_nothing() {
+    // Regression: as the leafs of a hundred services came up at the start of a deployment, the daemons that watch
+    // the source read the orders five times a second for two seconds.
+    let gateway = gateway(true);
+    gateway.apply_roll_outs(no_orders(10));
+    appear(&gateway, leaf("a", "v1", 11));
+    appear(&gateway, leaf("b", "v1", 12));
+    assert_eq!(gateway.needed_roll_outs(), None, "nothing to choose from");
+    appear(&gateway, leaf("c", "v2", 13));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
+}
+
+#[test]
+fn the_need_covers_every_leaf_of_a_service_that_has_two_versions() {
+    let gateway = gateway(true);
+    gateway.apply_roll_outs(no_orders(10));
+    appear(&gateway, leaf("new", "v2", 13));
+    appear(&gateway, leaf("old", "v1", 11));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
+}
+
 #[test]
 fn a_leaf_whose_entry_comes_back_is_as_old_as_it_was() {
     let gateway = gateway(true);
@@ -202,6 +224,7 @@
         let known = changes.wait_for(|_| gateway.knows(Topic::RollOuts)).await;
         known.expect("the daemon runs");
         assert_eq!(source.reads.get(), 0, "only the cached read so far");
+        appear(&gateway, leaf("first", "first", 5));
         let began = Clock.now();
         for number in 0..LEAFS {
             // Each is the first leaf of its version.
