--- a/crates/tansylead-gateway/tests/attempts.rs
+++ b/crates/tansylead-gateway/tests/attempts.rs
@@ -124,3 +124,14 @@
     attempt(&leaf).await;
     assert_eq!(leaf.idle_connections(), 2, "others use what there is");
 }
+
+#[tokio::test]
+async fn a_leaf_that_says_it_is_another_one_has_not_run_the_request_and_is_not_used_again() {
+    let name = HeaderNames::default().request;
+    let misdirected =
+        format!("HTTP/1.1 421 Misdirected\r\n{name}: {ID}\r\nContent-Length: 0\r\n\r\n");
+    let leaf = state(leaf(misdirected).await);
+    let end = attempt(&leaf).await;
+    assert!(matches!(end, AttemptEnd::Refused(_)), "{end:?}");
+    assert_eq!(leaf.standing(Clock.now(), LIMIT), Standing::Gone);
+}
--- /dev/null
+++ b/crates/tansylead-gateway/tests/refusals.rs
@@ -0,0 +1,172 @@
+//! What the daemon's own refusals say of whether a request has run.
+
+mod common;
+
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tansylead_gateway::execution::{GatherQuery, LeafAccess, Outcome, RefusalReason, gather};
+use tansylead_gateway::leaf::OutgoingRequest;
+use tansylead_gateway::request_trace::RequestTrace;
+use tansylead_gateway::state::Gateway;
+use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
+use tansylead_route::{DirectoryDelta, HomeRegions, Policy, Revision, Route, ShardSet, Target};
+use tansylead_types::ServiceName;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+const ID: &str = "own";
+/// Time that callers wait.
+const WAITS: Duration = Duration::from_secs(2);
+const REASONS: [RefusalReason; 10] = [
+    RefusalReason::NoConfiguration,
+    RefusalReason::NotRun,
+    RefusalReason::Overloaded,
+    RefusalReason::NoRoute,
+    RefusalReason::NoRequestId,
+    RefusalReason::BodyTooLarge,
+    RefusalReason::HeadersTooLarge,
+    RefusalReason::BadBody,
+    RefusalReason::Failed,
+    RefusalReason::TimedOut,
+];
+
+/// What a leaf does with every request.
+#[derive(Clone, Copy)]
+enum Does {
+    Run,
+    RefuseAsFull,
+}
+
+impl Does {
+    fn answer(self) -> String {
+        let names = HeaderNames::default();
+        let status = match self {
+            Self::Run => format!("200 OK\r\n{}: part", names.signature),
+            Self::RefuseAsFull => format!("503 Full\r\n{}: 1", names.not_run),
+        };
+        let request = names.request;
+        format!("HTTP/1.1 {status}\r\n{request}: {ID}\r\nContent-Length: 0\r\n\r\n")
+    }
+}
+
+async fn leaf(does: Does) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = [0; 1024];
+                while stream.read(&mut buffer).await.is_ok_and(|read| read > 0) {
+                    let _ = stream.write_all(does.answer().as_bytes()).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+fn shard(index: usize) -> ServiceName {
+    ServiceName::new(format!("shard-{index}")).expect("valid name")
+}
+
+fn search(shards: usize) -> (Arc<Route>, ShardSet) {
+    let set = ShardSet {
+        shards: (0..shards).map(shard).collect(),
+        top: 1,
+        minimum_coverage: 1.0,
+    };
+    let route = Route {
+        name: "search".to_owned(),
+        host: "search.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        target: Target::Shards(set.clone()),
+        policy: Policy {
+            repeatable: true,
+            maximum_attempts: 2,
+            timeout: WAITS,
+            objective: Duration::from_millis(250),
+            priority: 1,
+            homes: HomeRegions::default(),
+        },
+    };
+    (Arc::new(route), set)
+}
+
+/// How a query ends whose shards have one leaf each.
+async fn ask(leafs: &[Does]) -> Outcome {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/gateway");
+    let settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
+    let gateway = Rc::new(Gateway::new(settings, HeaderNames::default()));
+    let mut entries = Vec::new();
+    for (index, does) in leafs.iter().enumerate() {
+        let address = leaf(*does).await;
+        entries.push(common::entry(
+            &format!("leaf-{index}"),
+            &shard(index),
+            address,
+        ));
+    }
+    gateway.apply_directory(DirectoryDelta::Everything {
+        at: Revision(1),
+        entries,
+    });
+    let (route, set) = search(leafs.len());
+    let request = OutgoingRequest {
+        method: Method::GET,
+        uri: Uri::from_static("/"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: Some(HeaderValue::from_static(ID)),
+        repeatable: true,
+    };
+    let query = GatherQuery {
+        gateway: Rc::clone(&gateway),
+        access: LeafAccess::new(Rc::clone(&gateway), Arc::clone(&route), 1),
+        route,
+        request: Rc::new(request),
+        arrived: Clock.now(),
+        time_left: WAITS,
+        trace: Rc::new(RequestTrace::default()),
+    };
+    gather(query, &set).await
+}
+
+async fn refused_as(leafs: &[Does]) -> RefusalReason {
+    match LocalSet::new().run_until(ask(leafs)).await {
+        Outcome::Refused(refusal) => refusal.reason,
+        answered => panic!("{answered:?}"),
+    }
+}
+
+#[test]
+fn the_daemon_says_503_only_of_what_has_not_run_and_never_408_421_or_429() {
+    for reason in REASONS {
+        let status = reason.status();
+        let may_have_run = matches!(reason, RefusalReason::Failed | RefusalReason::TimedOut);
+        let is_503 = status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(!(is_503 && may_have_run), "{reason:?}");
+        assert!(!matches!(status.as_u16(), 408 | 421 | 429), "{reason:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_query_of_which_a_part_has_run_is_not_refused_as_not_run() {
+    let reason = refused_as(&[Does::Run, Does::RefuseAsFull]).await;
+    assert!(
+        matches!(reason, RefusalReason::Failed | RefusalReason::TimedOut),
+        "{reason:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_query_whose_only_leaf_refuses_it_is_refused_as_not_run() {
+    let reason = refused_as(&[Does::RefuseAsFull]).await;
+    assert_eq!(reason, RefusalReason::NotRun);
+}
