The body of a request is waited for as long as its caller waits

Cause: reading a body had no limit, and a connection with an open request is exempt from the idle limit, so a caller that went silent midway held its connection for good.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -73,7 +73,11 @@
         return refused(RefusalReason::NoRequestId);
     }
     let time_left = stated.unwrap_or(route.policy.timeout);
-    let outgoing = match read_request(request, id, limits, &route).await {
+    // A caller that has gone silent midway would hold its connection for good.
+    let end = arrived + time_left.min(route.policy.timeout);
+    let reading = read_request(request, id, limits, &route);
+    let read = tokio::time::timeout_at(Clock.instant_at(end), reading).await;
+    let outgoing = match read.unwrap_or(Err(RefusalReason::BadBody)) {
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
--- a/crates/tansylead-gateway/src/execution/outcome.rs
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -57,7 +57,7 @@
     BodyTooLarge,
     /// Headers over the limit.
     HeadersTooLarge,
-    /// The body broke off.
+    /// The body broke off, or did not come whole while its caller waited.
     BadBody,
     /// Leafs failed; the request may have run.
     Failed,
