An order is settled only if no other version can still run beside its target

Cause: the check for a version that a service runs alone left out every version that was first shown before the last completion, the completed version itself among them. A version that was rolled back or withdrawn after a completion and ordered again was then completed at once, untried. It also left out leafs without a version, leafs whose entries changed after the order (all that a daemon sees that starts during a roll-out), and a version that came back.

Change: the newest entry of each version counts, that of leafs without a version too, against the last completion; a version that was rolled back gets nothing and so does not count.

--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -69,11 +69,13 @@
 
     /// Notes what the entry of a leaf shows.
     pub fn on_entry(&self, entry: &LeafEntry) {
-        if let Some(version) = &entry.version
-            && self.context.follows_roll_outs()
-        {
-            let mut gate = self.gate.borrow_mut();
-            gate.on_shown(version, entry.changed_at);
+        if !self.context.follows_roll_outs() {
+            return;
+        }
+        let mut gate = self.gate.borrow_mut();
+        match &entry.version {
+            Some(version) => gate.on_shown(version, entry.changed_at),
+            None => gate.on_shown_without_version(entry.changed_at),
         }
     }
 
--- a/crates/tansylead-route/src/roll_out/version_gate.rs
+++ b/crates/tansylead-route/src/roll_out/version_gate.rs
@@ -82,6 +82,11 @@
         self.memory.on_shown(version, changed_at);
     }
 
+    /// Notes that an entry of this revision shows no version.
+    pub fn on_shown_without_version(&mut self, changed_at: Revision) {
+        self.memory.on_shown_without_version(changed_at);
+    }
+
     /// Takes in a grant. Returns the stage if it is another than before.
     pub fn on_grant(&mut self, now: Moment, order: OrderId, grant: Grant) -> Option<Stage> {
         if self.trial().is_none_or(|trial| trial.order != order) {
--- a/crates/tansylead-route/src/roll_out/version_memory.rs
+++ b/crates/tansylead-route/src/roll_out/version_memory.rs
@@ -19,6 +19,8 @@
     version: SoftwareVersion,
     /// Oldest revision of an entry that shows it.
     since: Revision,
+    /// Newest one.
+    latest: Revision,
 }
 
 /// The last completion.
@@ -45,6 +47,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct VersionMemory {
     shown: Vec<ShownVersion>,
+    /// Newest revision of an entry without a version.
+    latest_without: Option<Revision>,
     marks: Vec<(SoftwareVersion, Mark)>,
     completion: Option<Completion>,
 }
@@ -54,14 +58,23 @@
     pub(super) fn on_shown(&mut self, version: &SoftwareVersion, changed_at: Revision) {
         let mut shown = self.shown.iter_mut();
         match shown.find(|shown| shown.version == *version) {
-            Some(shown) => shown.since = shown.since.min(changed_at),
+            Some(shown) => {
+                shown.since = shown.since.min(changed_at);
+                shown.latest = shown.latest.max(changed_at);
+            }
             None => self.shown.push(ShownVersion {
                 version: version.clone(),
                 since: changed_at,
+                latest: changed_at,
             }),
         }
     }
 
+    /// Notes that an entry of this revision shows no version.
+    pub(super) fn on_shown_without_version(&mut self, changed_at: Revision) {
+        self.latest_without = self.latest_without.max(Some(changed_at));
+    }
+
     /// Takes in the state of the order that stands.
     pub(super) fn on_order(&mut self, order: &RollOut) {
         match order.state {
@@ -118,13 +131,24 @@
         completion.is_some_and(|done| version != Some(&done.target) && changed_at < done.at)
     }
 
-    /// Whether leafs showed this version before a revision, and no other one since the last completion.
+    /// Whether leafs showed this version before a revision, and none that the last completion has not stopped
+    /// showed another one, which was not rolled back, or none. Entries after the revision count as well: a daemon that starts during a
+    /// roll-out may see the last change of an entry only.
     pub(super) fn was_the_only_one(&self, version: &SoftwareVersion, before: Revision) -> bool {
-        let since = self.completion.as_ref().map_or(Revision(0), |done| done.at);
-        let shown = || self.shown.iter().filter(|shown| shown.since < before);
-        let was_there = shown().any(|shown| shown.version == *version);
-        let mut others = shown().filter(|shown| shown.version != *version);
-        was_there && !others.any(|shown| shown.since >= since)
+        let stopped = self.completion.as_ref().map_or(Revision(0), |done| done.at);
+        let mut shown = self.shown.iter();
+        let was_there = shown.any(|shown| shown.version == *version && shown.since < before);
+        let is_out = |shown: &ShownVersion| self.was_rolled_back(&shown.version);
+        let others = self.shown.iter().filter(|shown| shown.version != *version);
+        let others = others.filter(|shown| !is_out(shown));
+        let latest = others.map(|shown| Some(shown.latest));
+        let mut latest = latest.chain([self.latest_without]).flatten();
+        was_there && !latest.any(|latest| latest >= stopped)
+    }
+
+    fn was_rolled_back(&self, version: &SoftwareVersion) -> bool {
+        let mark = (version.clone(), Mark::RolledBack);
+        self.marks.contains(&mark)
     }
 
     fn was_shown(&self, version: &SoftwareVersion, known_up_to: Revision) -> bool {
