A judge that does not hear most members neither grants nor concludes

Cause: a judge led if most of those that it heard followed it. A few daemons that were cut off from the others thus had a judge of their own: it spent the bounds on sends a second time, and could complete a version, or roll it back for want of evidence, while the judge of the others concluded otherwise. What it hears less than half of, it cannot judge.

Change: to lead, a judge must hear more than half of the members that were listed within the last 5 s, itself counted. If so many are really lost, it goes on when the membership has dropped them for 5 s. A conclusion that was reached before is written as before.

--- a/crates/tansylead-route/src/roll_out/leadership.rs
+++ b/crates/tansylead-route/src/roll_out/leadership.rs
@@ -1,6 +1,8 @@
-//! Which judge leads: the one that most daemons follow, as their reports say.
+//! Which judge leads: the one that most daemons follow, as their reports say, if it hears most members.
 
 use super::totals::MergedTotals;
+use super::verdict::TrialContext;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId};
 
@@ -15,6 +17,10 @@
 /// If most daemons have known of the order for this much longer than this one, then not all were lost.
 /// Daemons that are started together learn of it within less.
 const KNOWN_LONGER: Duration = Duration::from_secs(1);
+/// Members count for this long after they were last listed: a judge that is cut off with a few others lists them
+/// alone once it has noticed, while the others go on under another judge. By then what that one has written
+/// stands, or the others are lost.
+const LISTED_LATELY: Duration = Duration::from_secs(5);
 
 /// Whether one judge leads.
 #[derive(Debug)]
@@ -24,6 +30,8 @@
     began: Moment,
     /// Since when this judge has heard reports, if it missed some before.
     listens_since: Option<Moment>,
+    /// When each member was last listed, of those that were lately.
+    listed: BTreeMap<NodeId, Moment>,
     leads: bool,
 }
 
@@ -34,6 +42,7 @@
             judge,
             began,
             listens_since: has_missed.then_some(began),
+            listed: BTreeMap::new(),
             leads: false,
         }
     }
@@ -49,8 +58,30 @@
     }
 
     /// Finds out whether this judge leads now.
-    pub(crate) fn look(&mut self, now: Moment, rank: usize, totals: &MergedTotals) {
-        self.leads = self.has_listened(now) && self.is_followed(now, rank, totals);
+    pub(crate) fn look(&mut self, now: Moment, context: TrialContext<'_>, totals: &MergedTotals) {
+        self.note_listed(now, context.members);
+        self.leads = self.has_listened(now)
+            && self.hears_most_members(now, totals)
+            && self.is_followed(now, context.rank, totals);
+    }
+
+    fn note_listed(&mut self, now: Moment, members: &[NodeId]) {
+        let members = members.iter().map(|member| (*member, now));
+        self.listed.extend(members);
+        self.listed
+            .retain(|_, listed| now.since(*listed) <= LISTED_LATELY);
+    }
+
+    /// Whether more than half of the members listed lately have reported lately; this daemon needs not. Otherwise
+    /// the others may have another judge: two that lead at once would grant twice what the bounds allow.
+    fn hears_most_members(&self, now: Moment, totals: &MergedTotals) -> bool {
+        let was_heard = |member: &NodeId| {
+            let reporter = totals.reporter(*member);
+            reporter.is_some_and(|reporter| reporter.was_heard(now, LATELY))
+        };
+        let members = self.listed.keys();
+        let heard = members.filter(|member| **member == self.judge || was_heard(member));
+        heard.count() * 2 > self.listed.len()
     }
 
     fn has_listened(&self, now: Moment) -> bool {
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -105,7 +105,7 @@
     /// Looks at the trial; called a few times each second.
     pub fn look(&mut self, now: Moment, context: TrialContext<'_>) -> TrialVerdict {
         self.refresh(now);
-        self.leadership.look(now, context.rank, &self.totals);
+        self.leadership.look(now, context, &self.totals);
         let is_open = self.concluded.is_open();
         if is_open && self.leadership.leads() {
             self.advance(now, context);
--- a/crates/tansylead-route/tests/roll_out_fleet/mod.rs
+++ b/crates/tansylead-route/tests/roll_out_fleet/mod.rs
@@ -67,6 +67,10 @@
     pub runs_on_old: bool,
     /// A daemon that does not report.
     pub silent: Option<usize>,
+    /// Only so many daemons, the first ones, can reach this judge.
+    pub reachable: usize,
+    /// Daemons that the membership lists: the first ones.
+    pub listed: usize,
     /// The target version gets requests although this judge grants none.
     pub sends_anyway: bool,
     /// Reported in place of the stage granted.
@@ -107,6 +111,8 @@
             fails_new: false,
             runs_on_old: false,
             silent: None,
+            reachable: daemons,
+            listed: daemons,
             sends_anyway: false,
             reported_stage: None,
             known_before: 0,
@@ -182,7 +188,7 @@
 
     pub fn context(&self) -> TrialContext<'_> {
         TrialContext {
-            members: &self.members,
+            members: &self.members[..self.listed],
             rank: self.rank,
             is_source_fresh: self.is_source_fresh,
         }
@@ -190,7 +196,7 @@
 
     pub fn look(&mut self) -> TrialVerdict {
         let context = TrialContext {
-            members: &self.members,
+            members: &self.members[..self.listed],
             rank: self.rank,
             is_source_fresh: self.is_source_fresh,
         };
@@ -210,7 +216,7 @@
     }
 
     pub fn report_all(&mut self) -> Vec<RollOutReport> {
-        let daemons = 0..self.reports.len();
+        let daemons = 0..self.reachable;
         let heard = daemons.filter(|daemon| self.silent != Some(*daemon));
         let heard: Vec<usize> = heard.collect();
         heard
