--- a/crates/tansylead-emulator/src/roll_out.rs
+++ b/crates/tansylead-emulator/src/roll_out.rs
@@ -189,7 +189,7 @@
 
     /// The state that the store has, if it is one of this order.
     fn said(&self) -> Option<String> {
-        let status = self.store.observed(KIND, &self.service)?.status;
+        let status = self.store.get(KIND, &self.service)?.status;
         let is_own = status["target_version"] == self.version.name.as_str();
         let state = status["state"].as_str().filter(|_| is_own)?;
         Some(state.to_owned())
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -18,8 +18,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-mod operator;
-
 /// What is wrong with the store.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum StoreTrouble {
--- a/crates/tansylead-emulator/tests/roll_out_platform.rs
+++ b/crates/tansylead-emulator/tests/roll_out_platform.rs
@@ -51,7 +51,7 @@
     let leafs = deployment.leafs.iter();
     let mut own = leafs.filter(|leaf| leaf.plan.service == SERVICE);
     let leaf = own.find(|leaf| leaf.plan.version.name == version)?;
-    let entry = deployment.store.observed("servers", &leaf.plan.id)?;
+    let entry = deployment.store.get("servers", &leaf.plan.id)?;
     Some(entry.spec["state"].as_str()?.to_owned())
 }
 
@@ -113,7 +113,7 @@
 async fn an_order_that_is_taken_back_ends_its_leafs() {
     let mut deployment = start().await;
     deployment.take_back(SERVICE);
-    assert!(deployment.store.observed("rollouts", SERVICE).is_none());
+    assert!(deployment.store.get("rollouts", SERVICE).is_none());
     assert!(until(|| entry(&deployment, "v2").is_none()).await);
     assert_eq!(deployment.oracle.roll_outs()[0].end, None);
     assert!(deployment.oracle.roll_outs()[0].is_superseded);
