--- a/crates/tansylead-emulator/src/soak/draw.rs
+++ b/crates/tansylead-emulator/src/soak/draw.rs
@@ -11,6 +11,10 @@
 /// A leaf is cold at least this long, so that all daemons know it for a while.
 const COLD_REST: Duration = Duration::from_secs(4);
 
+/// A write that is done late is done after this time, in milliseconds: within the answer limit of a daemon's
+/// call, or long after it.
+const WRITE_LATE_MILLIS: std::ops::Range<u64> = 50..5_000;
+
 /// What strikes a daemon.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum DaemonTrouble {
@@ -143,12 +147,15 @@
 }
 
 fn draw_store_trouble(random: &mut StdRng) -> StoreTrouble {
-    match random.random_range(0..6) {
+    match random.random_range(0..7) {
         0 => StoreTrouble::Silent,
         1 => StoreTrouble::Busy,
         2 => StoreTrouble::Throttled,
         3 => StoreTrouble::Reset,
         4 => StoreTrouble::Slow(Duration::from_millis(random.random_range(50..600))),
+        5 => StoreTrouble::WritesLate(Duration::from_millis(
+            random.random_range(WRITE_LATE_MILLIS),
+        )),
         _ => StoreTrouble::LosesAnswers(0.3),
     }
 }
