--- a/crates/tansylead-emulator/src/main.rs
+++ b/crates/tansylead-emulator/src/main.rs
@@ -155,6 +155,9 @@
 
 fn print_runs(report: &RunsReport) {
     println!("seed {}: faults: {}", report.seed, report.faults.join(", "));
+    if let Some(folder) = &report.folder {
+        println!("  logs: {}", folder.display());
+    }
     for seen in &report.roll_outs {
         println!("  {}", line(seen));
     }
--- a/crates/tansylead-emulator/src/roll_out_runs.rs
+++ b/crates/tansylead-emulator/src/roll_out_runs.rs
@@ -11,6 +11,7 @@
 use crate::traffic::Traffic;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::io;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
@@ -53,6 +54,8 @@
     pub faults: Vec<String>,
     /// Promises broken.
     pub violations: Vec<String>,
+    /// Settings and logs; kept if a promise was broken or a roll-out did not end as it should.
+    pub folder: Option<PathBuf>,
 }
 
 /// Plays all roll-outs; `tell` is given each report as it comes.
@@ -127,10 +130,14 @@
     tokio::time::sleep(deadline.saturating_duration_since(Instant::now()) + LATE).await;
     traffic.stop().await;
     violations.extend(deployment.oracle.violations(DRAIN_LIMIT, BUDGET));
+    let roll_outs = deployment.oracle.roll_outs();
+    let is_sound = violations.is_empty() && roll_outs.iter().all(SeenRollOut::is_duty_done);
+    let folder = (!is_sound).then(|| deployment.keep_folder());
     Ok(RunsReport {
         seed,
-        roll_outs: deployment.oracle.roll_outs(),
+        roll_outs,
         faults,
         violations,
+        folder,
     })
 }
