A completion is written as soon as no attempt is left at old leafs

Ruled out: a slow source (the write took 4 ms), load of the machine (no pause noted).

Change: the change of stage is told at once by a daemon that is clear of old leafs, and while a completion is held back the judge looks every 50 ms. Both tests fail without it.

--- a/crates/tansylead-gateway/src/roll_out/judge.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -76,6 +76,8 @@
     /// When the first daemon learned of the order.
     known_since: Moment,
     stage: Option<Stage>,
+    /// Whether a completion was held back at the last look.
+    is_held_back: bool,
 }
 
 /// The trials of one daemon.
@@ -165,6 +167,11 @@
         self.trials.values().filter_map(|judged| judged.stage)
     }
 
+    /// Whether a completion waits for the last attempts on old leafs, so that another look is worthwhile soon.
+    pub fn holds_back(&self) -> bool {
+        self.trials.values().any(|judged| judged.is_held_back)
+    }
+
     /// The trial of a service's order; begun if there is none yet.
     fn trial(
         &mut self,
@@ -192,6 +199,7 @@
             bounds,
             known_since: now,
             stage: None,
+            is_held_back: false,
         }
     }
 
@@ -253,6 +261,7 @@
         };
         let verdict = self.trial.look(now, trial_context);
         let is_new_stage = self.stage.replace(verdict.stage) != Some(verdict.stage);
+        self.is_held_back = verdict.stage == Stage::Commit && verdict.write.is_none();
         let is_followed = self.is_followed(now);
         let counts = self.trial.counts();
         let allowed = counts.requests as f64 * self.bounds.share + self.bounds.slack;
--- a/crates/tansylead-gateway/src/roll_out/reporter.rs
+++ b/crates/tansylead-gateway/src/roll_out/reporter.rs
@@ -178,7 +178,8 @@
             return true;
         };
         let is_clear = is_clear_of_old(self.stage, evidence);
-        if is_clear && !is_clear_of_old(last.stage, &last.evidence) {
+        let was_told = last.stage == self.stage && is_clear_of_old(last.stage, &last.evidence);
+        if is_clear && !was_told {
             return true;
         }
         let has_news = last.evidence != *evidence
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -25,7 +25,7 @@
 
 /// Period at which it is looked whether reports are due: a part of the shortest period between reports.
 const TICK: Duration = Duration::from_millis(50);
-/// Ticks from one look at the trials to the next: four looks a second.
+/// Ticks from one look at the trials to the next: four looks a second, more while a completion is held back.
 const TICKS_EACH_LOOK: u32 = 5;
 
 /// The task.
@@ -115,7 +115,7 @@
         self.notice_pause(now);
         self.report(now);
         self.ticks += 1;
-        if self.ticks >= TICKS_EACH_LOOK {
+        if self.ticks >= TICKS_EACH_LOOK || self.judge.holds_back() {
             self.ticks = 0;
             self.look(now);
         }
--- a/crates/tansylead-gateway/tests/roll_out_judge.rs
+++ b/crates/tansylead-gateway/tests/roll_out_judge.rs
@@ -148,6 +148,27 @@
     assert!(looks[0].grants.is_empty());
 }
 
+#[test]
+fn a_completion_is_held_back_until_no_attempt_is_left_at_old_leafs() {
+    let members = [node(1), node(5)];
+    let mut judge = judge(&ordered());
+    let now = Moment::from_millis(1_000);
+    let context = JudgeContext {
+        members: &members,
+        is_source_fresh: true,
+    };
+    for (sequence, running_on_old, is_held_back) in [(1, 1, true), (2, 0, false)] {
+        assert_eq!(judge.holds_back(), sequence > 1);
+        let mut report = report(1, sequence, Some(node(1)));
+        report.stage = Some(Stage::Commit);
+        report.evidence.running_on_old = running_on_old;
+        judge.on_report(now, &report, Some(0)).expect("a judge");
+        let looks = judge.look(now, context, |_| Some(0));
+        assert_eq!(looks[0].write.is_none(), is_held_back);
+        assert_eq!(judge.holds_back(), is_held_back);
+    }
+}
+
 #[test]
 fn an_order_that_replaces_another_begins_a_trial_of_its_own() {
     let source = ordered();
--- a/crates/tansylead-gateway/tests/roll_out_reporter.rs
+++ b/crates/tansylead-gateway/tests/roll_out_reporter.rs
@@ -182,6 +182,29 @@
     }
 }
 
+#[test]
+fn the_commitment_is_told_at_once_by_a_daemon_without_attempts_on_old_leafs() {
+    let mut daemon = Daemon::new();
+    daemon.run(1_000, &judges(), grant(9, Stage::Shift));
+    let report = daemon.next_report();
+    daemon.answered(node(1), &report, grant(9, Stage::Shift));
+    daemon.millis += STEP_MILLIS;
+    let committed = GrantMessage {
+        turn: 1,
+        ..answer(node(1), &report, grant(9, Stage::Commit))
+    };
+    let now = daemon.now();
+    assert_eq!(
+        daemon.reporter.on_answer(now, &committed),
+        AnswerEnd::Heeded
+    );
+    daemon.reporter.take_grant(now);
+    let told = daemon.report().expect("told at once");
+    assert_eq!(told.stage, Some(Stage::Commit));
+    daemon.millis += STEP_MILLIS;
+    assert!(daemon.report().is_none(), "told once");
+}
+
 #[test]
 fn the_best_judge_that_answers_is_followed() {
     let mut daemon = Daemon::new();
