A body that does not come whole in time is answered 408, not 400

Cause: read of the change: a proper request whose body is slow would have been refused as malformed; callers ask again after 408, which also says truly that nothing has run.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -77,7 +77,7 @@
     let end = arrived + time_left.min(route.policy.timeout);
     let reading = read_request(request, id, limits, &route);
     let read = tokio::time::timeout_at(Clock.instant_at(end), reading).await;
-    let outgoing = match read.unwrap_or(Err(RefusalReason::BadBody)) {
+    let outgoing = match read.unwrap_or(Err(RefusalReason::BodyTooLate)) {
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
--- a/crates/tansylead-gateway/src/execution/outcome.rs
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -57,8 +57,10 @@
     BodyTooLarge,
     /// Headers over the limit.
     HeadersTooLarge,
-    /// The body broke off, or did not come whole while its caller waited.
+    /// The body broke off.
     BadBody,
+    /// The body did not come whole while its caller waited; the request has not run.
+    BodyTooLate,
     /// Leafs failed; the request may have run.
     Failed,
     /// The time is up; the request may have run.
@@ -74,6 +76,7 @@
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooLate => StatusCode::REQUEST_TIMEOUT,
             Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BadBody | Self::NoRequestId => StatusCode::BAD_REQUEST,
             Self::Failed => StatusCode::BAD_GATEWAY,
@@ -92,6 +95,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::HeadersTooLarge => "headers_too_large",
             Self::BadBody => "bad_body",
+            Self::BodyTooLate => "body_too_late",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
         }
--- a/crates/tansylead-gateway/src/explain/cause.rs
+++ b/crates/tansylead-gateway/src/explain/cause.rs
@@ -96,9 +96,8 @@
             "served" => Self::Served,
             "no_configuration" => Self::NoConfiguration,
             "overloaded" => Self::Overloaded,
-            "no_route" | "no_request_id" | "body_too_large" | "headers_too_large" | "bad_body" => {
-                Self::BadRequest { outcome }
-            }
+            "no_route" | "no_request_id" | "body_too_large" | "headers_too_large" | "bad_body"
+            | "body_too_late" => Self::BadRequest { outcome },
             "caller_left" => Self::CallerLeft { troubles },
             _ if troubles.is_empty() => Self::Unknown { outcome },
             _ => Self::Services { outcome, troubles },
