--- a/crates/tansylead-gateway/src/roll_out/mod.rs
+++ b/crates/tansylead-gateway/src/roll_out/mod.rs
@@ -7,6 +7,7 @@
 mod judge_metrics;
 mod judge_seats;
 mod link;
+mod look_log;
 mod message;
 mod metrics;
 mod pause_guard;
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -4,6 +4,7 @@
 use super::judge::{Judge, JudgeContext, ReportRefusal, TrialLook};
 use super::judge_metrics::{JudgeMetrics, MessageFate, MessageKind, conclusion_label};
 use super::link::RollOutLink;
+use super::look_log::log_counts;
 use super::message::{GrantMessage, RollOutMessage};
 use super::pause_guard::PauseGuard;
 use super::ranked_judges::RankedJudges;
@@ -286,23 +287,3 @@
         }
     }
 }
-
-fn log_counts(look: &TrialLook, why: &str, what: &str) {
-    let service = look.roll_out.service.as_str();
-    let target = look.roll_out.target.as_str();
-    let counts = look.counts;
-    log::info!(
-        service = service,
-        target = target,
-        stage = look.stage.label(),
-        why = why,
-        requests = counts.requests,
-        sends = counts.new_sends,
-        allowance = look.allowance,
-        old_good = counts.old_good,
-        old_failed = counts.old_failed,
-        new_good = counts.new_good,
-        new_failed = counts.new_failed;
-        "roll-out: {what}"
-    );
-}
