Oracle counts requests for the budget as the users do; a test of needed orders has two versions

Daemons hold the budget over their own sliding windows, and the run ends within one: the users' rule takes the greatest of three windows, the oracle took two.

--- a/crates/tansylead-emulator/src/arrival_rules.rs
+++ b/crates/tansylead-emulator/src/arrival_rules.rs
@@ -75,8 +75,15 @@
         if extra as f64 <= budget.slack {
             return false;
         }
-        let before = start.at.checked_sub(budget.window).unwrap_or(start.at);
-        let requests = firsts(start.at, until).max(firsts(before, start.at));
+        // The users count the requests of the window, of the one before it, or of the one half a window before it,
+        // whichever has most.
+        let window_before = |by: Duration| match start.at.checked_sub(by) {
+            Some(from) => firsts(from, from + budget.window),
+            None => 0,
+        };
+        let requests = firsts(start.at, until)
+            .max(window_before(budget.window))
+            .max(window_before(budget.window / 2));
         extra as f64 > budget.ratio * requests as f64 + budget.slack
     })
 }
--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -36,6 +36,15 @@
     Rc::new(gateway)
 }
 
+/// A leaf of this version whose entry was last changed at a revision.
+fn leaf_of(name: &str, version: &str, changed_at: u64) -> LeafEntry {
+    LeafEntry {
+        version: SoftwareVersion::new(version).ok(),
+        changed_at: Revision(changed_at),
+        ..leaf(name)
+    }
+}
+
 fn leaf(name: &str) -> LeafEntry {
     let service = ServiceName::new("shard").expect("valid name");
     common::entry(name, &service, ([127, 0, 0, 1], 1).into())
@@ -205,9 +214,7 @@
 
 #[tokio::test]
 async fn a_later_revision_of_unchanged_orders_reaches_a_daemon_that_needs_it() {
-    let mut first = leaf("first");
-    first.version = SoftwareVersion::new("v3").ok();
-    first.changed_at = Revision(15);
+    let first = leaf_of("first", "v3", 15);
     let peer = gateway(Vec::new(), Revision(1));
     let own = gateway(Vec::new(), Revision(1));
     for daemon in [&peer, &own] {
@@ -215,7 +222,7 @@
     }
     own.apply_directory(DirectoryDelta::Everything {
         at: Revision(15),
-        entries: vec![first],
+        entries: vec![leaf_of("older", "v2", 5), first],
     });
     assert_eq!(own.needed_roll_outs(), Some(Revision(15)));
     while_polling(&peer, &own, async {
