--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -24,6 +24,8 @@
 const STORE_PAGE: usize = 5;
 /// Connections a leaf accepts.
 const LEAF_CONNECTIONS: u32 = 41;
+/// Work of a leaf on a request that goes to one leaf, unless a plan says otherwise.
+pub const SINGLE_WORK: Duration = Duration::from_millis(20);
 /// Period at which a condition is looked at.
 const CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -38,6 +40,8 @@
     pub shards: usize,
     /// Services beside those of the query, lookup and post routes; each has two routes.
     pub further_services: usize,
+    /// Work of their leafs on one request.
+    pub further_work: Duration,
     /// Program of the daemons.
     pub program: PathBuf,
     /// The seeds name daemons that are gone.
@@ -112,10 +116,13 @@
                     .add_leaf(&service, zone, Duration::from_millis(8))
                     .await?;
             }
-            let single = ["files", "payments"].map(str::to_owned).into_iter();
-            for service in single.chain((0..plan.further_services).map(further_service)) {
-                let work = Duration::from_millis(20);
-                deployment.add_leaf(&service, zone, work).await?;
+            for service in ["files", "payments"] {
+                deployment.add_leaf(service, zone, SINGLE_WORK).await?;
+            }
+            for service in (0..plan.further_services).map(further_service) {
+                deployment
+                    .add_leaf(&service, zone, plan.further_work)
+                    .await?;
             }
         }
         deployment.start_daemons(plan).await?;
--- a/crates/tansylead-emulator/src/main.rs
+++ b/crates/tansylead-emulator/src/main.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use tansylead_emulator::demo;
-use tansylead_emulator::deployment::DeploymentPlan;
+use tansylead_emulator::deployment::{DeploymentPlan, SINGLE_WORK};
 use tansylead_emulator::roll_out_runs::{self, RunsPlan, RunsReport};
 use tansylead_emulator::roll_out_table::{line, table};
 use tansylead_emulator::soak::{self, SoakReport};
@@ -81,6 +81,7 @@
         zones: ["north", "middle", "south"].map(str::to_owned).to_vec(),
         shards: value(matches, "shards").max(1) as usize,
         further_services: 0,
+        further_work: SINGLE_WORK,
         program: program.unwrap_or_default(),
         stale_seeds: false,
         large_daemons: value(matches, "large-daemons") as usize,
--- a/crates/tansylead-emulator/tests/roll_out_platform.rs
+++ b/crates/tansylead-emulator/tests/roll_out_platform.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::time::Duration;
 use tansylead_emulator::caller::Caller;
-use tansylead_emulator::deployment::{Deployment, DeploymentPlan};
+use tansylead_emulator::deployment::{Deployment, DeploymentPlan, SINGLE_WORK};
 use tansylead_emulator::roll_out_plan::RollOutPlan;
 use tansylead_emulator::seen_roll_out::RollOutEnd;
 use tansylead_emulator::soak::{BUDGET, DRAIN_LIMIT};
@@ -22,6 +22,7 @@
         zones: vec!["north".to_owned()],
         shards: 1,
         further_services: 0,
+        further_work: SINGLE_WORK,
         program: "none".into(),
         stale_seeds: false,
         large_daemons: 0,
