--- a/crates/tansylead-emulator/tests/roll_out_platform.rs
+++ b/crates/tansylead-emulator/tests/roll_out_platform.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::time::Duration;
 use tansylead_emulator::caller::Caller;
-use tansylead_emulator::deployment::{Deployment, DeploymentPlan};
+use tansylead_emulator::deployment::{Deployment, DeploymentPlan, SINGLE_WORK};
 use tansylead_emulator::roll_out_plan::RollOutPlan;
 use tansylead_emulator::seen_roll_out::RollOutEnd;
 use tansylead_emulator::soak::{BUDGET, DRAIN_LIMIT};
@@ -22,6 +22,7 @@
         zones: vec!["north".to_owned()],
         shards: 1,
         further_services: 0,
+        further_work: SINGLE_WORK,
         program: "none".into(),
         stale_seeds: false,
         large_daemons: 0,
@@ -51,7 +52,7 @@
     let leafs = deployment.leafs.iter();
     let mut own = leafs.filter(|leaf| leaf.plan.service == SERVICE);
     let leaf = own.find(|leaf| leaf.plan.version.name == version)?;
-    let entry = deployment.store.observed("servers", &leaf.plan.id)?;
+    let entry = deployment.store.get("servers", &leaf.plan.id)?;
     Some(entry.spec["state"].as_str()?.to_owned())
 }
 
@@ -113,7 +114,7 @@
 async fn an_order_that_is_taken_back_ends_its_leafs() {
     let mut deployment = start().await;
     deployment.take_back(SERVICE);
-    assert!(deployment.store.observed("rollouts", SERVICE).is_none());
+    assert!(deployment.store.get("rollouts", SERVICE).is_none());
     assert!(until(|| entry(&deployment, "v2").is_none()).await);
     assert_eq!(deployment.oracle.roll_outs()[0].end, None);
     assert!(deployment.oracle.roll_outs()[0].is_superseded);
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -4,6 +4,7 @@
 use super::judge::{Judge, JudgeContext, ReportRefusal, TrialLook};
 use super::judge_metrics::{JudgeMetrics, MessageFate, MessageKind, conclusion_label};
 use super::link::RollOutLink;
+use super::look_log::log_counts;
 use super::message::{GrantMessage, RollOutMessage};
 use super::pause_guard::PauseGuard;
 use super::ranked_judges::RankedJudges;
@@ -20,12 +21,12 @@
 use tansylead_route::{
     Conclusion, ConclusionReason, RollOut, RollOutReport, RollOutState, StateWriteEnd,
 };
-use tansylead_types::{Moment, NodeId};
+use tansylead_types::{Moment, NodeId, ServiceName};
 use tokio::sync::mpsc;
 
 /// Period at which it is looked whether reports are due: a part of the shortest period between reports.
 const TICK: Duration = Duration::from_millis(50);
-/// Ticks from one look at the trials to the next: four looks a second.
+/// Ticks from one look at the trials to the next: four looks a second, more while a completion is held back.
 const TICKS_EACH_LOOK: u32 = 5;
 
 /// The task.
@@ -115,7 +116,7 @@
         self.notice_pause(now);
         self.report(now);
         self.ticks += 1;
-        if self.ticks >= TICKS_EACH_LOOK {
+        if self.ticks >= TICKS_EACH_LOOK || self.judge.holds_back() {
             self.ticks = 0;
             self.look(now);
         }
@@ -205,10 +206,13 @@
             members: &members,
             is_source_fresh: self.calls.is_fresh(),
         };
-        let (ranked, node) = (&mut self.ranked, self.node);
-        let looks = self
-            .judge
-            .look(now, context, |service| ranked.rank(service, node));
+        self.complete_settled();
+        let (ranked, node, gateway) = (&mut self.ranked, self.node, &self.gateway);
+        let rank_of = |service: &ServiceName| {
+            let is_under_trial = !gateway.service(service).versions().is_settled();
+            is_under_trial.then(|| ranked.rank(service, node)).flatten()
+        };
+        let looks = self.judge.look(now, context, rank_of);
         for look in looks {
             self.on_look(now, look);
         }
@@ -218,6 +222,24 @@
         self.metrics.set_trials(self.judge.stages());
     }
 
+    /// Completes orders for versions that their services run alone already.
+    fn complete_settled(&mut self) {
+        let Some(orders) = self.gateway.roll_outs() else {
+            return;
+        };
+        let open = orders
+            .orders
+            .values()
+            .filter(|order| !order.state.is_final());
+        for order in open {
+            let is_settled = self.gateway.service(&order.service).versions().is_settled();
+            let is_first = self.ranked.rank(&order.service, self.node) == Some(0);
+            if is_settled && is_first && self.writes.start(order, RollOutState::Completed) {
+                log::info!(service = order.service.as_str(), target = order.target.as_str(); "roll-out: the service runs this version alone already");
+            }
+        }
+    }
+
     fn on_look(&mut self, now: Moment, mut look: TrialLook) {
         for (node, grant) in std::mem::take(&mut look.grants) {
             self.answer(now, node, grant);
@@ -265,23 +287,3 @@
         }
     }
 }
-
-fn log_counts(look: &TrialLook, why: &str, what: &str) {
-    let service = look.roll_out.service.as_str();
-    let target = look.roll_out.target.as_str();
-    let counts = look.counts;
-    log::info!(
-        service = service,
-        target = target,
-        stage = look.stage.label(),
-        why = why,
-        requests = counts.requests,
-        sends = counts.new_sends,
-        allowance = look.allowance,
-        old_good = counts.old_good,
-        old_failed = counts.old_failed,
-        new_good = counts.new_good,
-        new_failed = counts.new_failed;
-        "roll-out: {what}"
-    );
-}
--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -69,11 +69,13 @@
 
     /// Notes what the entry of a leaf shows.
     pub fn on_entry(&self, entry: &LeafEntry) {
-        if let Some(version) = &entry.version
-            && self.context.follows_roll_outs()
-        {
-            let mut gate = self.gate.borrow_mut();
-            gate.on_shown(version, entry.changed_at);
+        if !self.context.follows_roll_outs() {
+            return;
+        }
+        let mut gate = self.gate.borrow_mut();
+        match &entry.version {
+            Some(version) => gate.on_shown(version, entry.changed_at),
+            None => gate.on_shown_without_version(entry.changed_at),
         }
     }
 
@@ -218,6 +220,11 @@
         Some((trial.clone(), evidence))
     }
 
+    /// Whether the service ran the target version alone when its order came, so that there is nothing to try.
+    pub fn is_settled(&self) -> bool {
+        self.gate.borrow().is_settled()
+    }
+
     /// The stage that this daemon was granted last under the order that has not ended.
     pub fn stage(&self) -> Option<Stage> {
         self.gate.borrow().stage()
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -60,6 +60,13 @@
         self.roll_outs.borrow().as_ref().map(RollOuts::mark)
     }
 
+    /// Whether an order stands that has not ended.
+    pub fn has_open_orders(&self) -> bool {
+        let held = self.roll_outs.borrow();
+        let mut orders = held.iter().flat_map(|held| held.orders.values());
+        orders.any(|order| !order.state.is_final())
+    }
+
     /// The revision up to which the orders must be known, if they are not known so far: a leaf of a version
     /// that is new to its service may be the first one of an order that has not been heard of.
     pub fn needed_roll_outs(&self) -> Option<Revision> {
@@ -75,11 +82,15 @@
         }
         let leafs = service.all();
         let mut versions = leafs.iter().map(|leaf| leaf.entry().version.clone());
-        if versions.any(|version| version == entry.version) {
+        // The leafs of a service with one version are held together, and serve together.
+        let is_alone = leafs.is_empty();
+        if is_alone || versions.any(|version| version == entry.version) {
             return;
         }
-        let needed = self.roll_outs_needed.get().max(entry.changed_at);
-        self.roll_outs_needed.set(needed);
+        let revisions = leafs.iter().map(|leaf| leaf.entry().changed_at);
+        let newest = revisions.fold(entry.changed_at, Revision::max);
+        self.roll_outs_needed
+            .set(self.roll_outs_needed.get().max(newest));
     }
 
     fn hold_roll_outs(&self, roll_outs: RollOuts) {
--- a/crates/tansylead-route/src/roll_out/version_gate.rs
+++ b/crates/tansylead-route/src/roll_out/version_gate.rs
@@ -5,7 +5,7 @@
 //! another one.
 
 use super::grant::{Grant, Stage};
-use super::order::{OrderId, RollOut};
+use super::order::{OrderId, RollOut, RollOutState};
 use super::version_memory::{Remembered, VersionMemory};
 use crate::directory::Revision;
 use tansylead_types::{Moment, SoftwareVersion};
@@ -45,6 +45,8 @@
     conclusion: Option<Stage>,
     /// Sends to the target version under this order.
     sends: u64,
+    /// Whether the service ran the target version alone when the order came: there is nothing to try.
+    is_settled: bool,
     memory: VersionMemory,
 }
 
@@ -62,6 +64,10 @@
             self.end_order();
             if let Some(order) = order {
                 self.memory.forget_marks(&order.target);
+                self.is_settled = order.state == RollOutState::Ordered
+                    && self
+                        .memory
+                        .was_the_only_one(&order.target, order.changed_at);
             }
         }
         self.order = order.cloned();
@@ -76,6 +82,11 @@
         self.memory.on_shown(version, changed_at);
     }
 
+    /// Notes that an entry of this revision shows no version.
+    pub fn on_shown_without_version(&mut self, changed_at: Revision) {
+        self.memory.on_shown_without_version(changed_at);
+    }
+
     /// Takes in a grant. Returns the stage if it is another than before.
     pub fn on_grant(&mut self, now: Moment, order: OrderId, grant: Grant) -> Option<Stage> {
         if self.trial().is_none_or(|trial| trial.order != order) {
@@ -103,9 +114,15 @@
         Some(self.stage().unwrap_or(Stage::Trial))
     }
 
-    /// The order that has not ended.
+    /// The order that has not ended; none if there is nothing to try.
     pub fn trial(&self) -> Option<&RollOut> {
-        self.order.as_ref().filter(|order| !order.state.is_final())
+        let order = self.order.as_ref();
+        order.filter(|order| !order.state.is_final() && !self.is_settled)
+    }
+
+    /// Whether the service ran the target version alone when its order came. Its leafs go on as before.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
     }
 
     /// The stage of the order that has not ended, as far as this daemon was told. It outlasts the grant
@@ -193,5 +210,6 @@
         self.grant = None;
         self.conclusion = None;
         self.sends = 0;
+        self.is_settled = false;
     }
 }
--- a/crates/tansylead-route/tests/roll_out_fleet/mod.rs
+++ b/crates/tansylead-route/tests/roll_out_fleet/mod.rs
@@ -14,8 +14,8 @@
 const STEP: u64 = 250;
 /// Requests of all daemons between looks: a hundred a second.
 const REQUESTS: u64 = 25;
-/// Time of each answer.
-const TAKES: Duration = Duration::from_millis(10);
+/// Time of each answer of old leafs.
+pub const TAKES: Duration = Duration::from_millis(10);
 
 pub fn at(millis: u64) -> Moment {
     Moment::from_millis(100_000 + millis)
@@ -63,10 +63,16 @@
     pub is_source_fresh: bool,
     pub answers_new: bool,
     pub fails_new: bool,
+    /// Time of each answer of the target version.
+    pub new_takes: Duration,
     /// Some attempt runs on old leafs at all times.
     pub runs_on_old: bool,
     /// A daemon that does not report.
     pub silent: Option<usize>,
+    /// Only so many daemons, the first ones, can reach this judge.
+    pub reachable: usize,
+    /// Daemons that the membership lists: the first ones.
+    pub listed: usize,
     /// The target version gets requests although this judge grants none.
     pub sends_anyway: bool,
     /// Reported in place of the stage granted.
@@ -105,8 +111,11 @@
             is_source_fresh: true,
             answers_new: true,
             fails_new: false,
+            new_takes: TAKES,
             runs_on_old: false,
             silent: None,
+            reachable: daemons,
+            listed: daemons,
             sends_anyway: false,
             reported_stage: None,
             known_before: 0,
@@ -182,7 +191,7 @@
 
     pub fn context(&self) -> TrialContext<'_> {
         TrialContext {
-            members: &self.members,
+            members: &self.members[..self.listed],
             rank: self.rank,
             is_source_fresh: self.is_source_fresh,
         }
@@ -190,7 +199,7 @@
 
     pub fn look(&mut self) -> TrialVerdict {
         let context = TrialContext {
-            members: &self.members,
+            members: &self.members[..self.listed],
             rank: self.rank,
             is_source_fresh: self.is_source_fresh,
         };
@@ -210,7 +219,7 @@
     }
 
     pub fn report_all(&mut self) -> Vec<RollOutReport> {
-        let daemons = 0..self.reports.len();
+        let daemons = 0..self.reachable;
         let heard = daemons.filter(|daemon| self.silent != Some(*daemon));
         let heard: Vec<usize> = heard.collect();
         heard
@@ -281,7 +290,7 @@
             route.new.failed += 1;
         } else {
             route.new.good += 1;
-            route.new.latencies.add(TAKES);
+            route.new.latencies.add(self.new_takes);
         }
     }
 }
