One copy of when a shift begins and how old an order is; no text copied for each leaf that appears

The gateway's judge kept the lead of the shift, its share of a short roll-out and the latest shift as constants of its own, and the age of the order as state, all of which the trial has: it asks the trial now (RollOutTrial::may_shift_within). A leaf that appeared copied the versions of all leafs of its service to compare them. ServiceVersions::stage was called by nobody. Behaviour stays.

--- a/crates/tansylead-gateway/src/roll_out/judge.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -14,14 +14,8 @@
 
 /// A judge is followed if a report has said so within this time: one quiet period and a half.
 const FOLLOWED_LIMIT: Duration = Duration::from_millis(1_500);
-/// Longest time before the deadline at which all requests begin to move over (design note 0011).
-const LONGEST_SHIFT: Duration = Duration::from_millis(2_500);
-/// The same as a share of a short roll-out.
-const SHIFT_SHARE: f64 = 0.25;
 /// The source is asked from this long before the shift on: one slow answer and another one.
 const SOURCE_LEAD: Duration = Duration::from_millis(1_500);
-/// It is asked until this long after the deadline: a shift that waited for the source is over by then.
-const SOURCE_FOLLOW_UP: Duration = Duration::from_millis(4_500);
 
 /// Why a report was not taken in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,8 +67,6 @@
     followed_at: Option<Moment>,
     /// The answer to the newest report of each daemon, or what was granted after it.
     answered: BTreeMap<NodeId, GrantMessage>,
-    /// When the first daemon learned of the order.
-    known_since: Moment,
     stage: Option<Stage>,
     /// Whether a completion was held back at the last look.
     is_held_back: bool,
@@ -197,7 +189,6 @@
             followed_at: None,
             answered: BTreeMap::new(),
             bounds,
-            known_since: now,
             stage: None,
             is_held_back: false,
         }
@@ -211,8 +202,6 @@
     }
 
     fn on_report(&mut self, now: Moment, report: &RollOutReport, judge: NodeId) {
-        let known_for = Duration::from_millis(u64::from(report.known_for_millis));
-        self.known_since = self.known_since.min(now - known_for);
         if report.follows == Some(judge) {
             self.followed_at = Some(now);
         }
@@ -271,7 +260,7 @@
             is_new_stage,
             write: verdict.write,
             is_beginning: rank == 0 && is_followed && self.roll_out.state == RollOutState::Ordered,
-            needs_source: is_followed && self.may_conclude_soon(now),
+            needs_source: is_followed && self.trial.may_shift_within(now, SOURCE_LEAD),
             counts,
             allowance: allowed as u64,
             grants: self.unasked_grants(now),
@@ -282,11 +271,4 @@
         let followed_at = self.followed_at;
         followed_at.is_some_and(|at| now.since(at) <= FOLLOWED_LIMIT)
     }
-
-    fn may_conclude_soon(&self, now: Moment) -> bool {
-        let duration = self.roll_out.duration;
-        let shift = LONGEST_SHIFT.min(duration.mul_f64(SHIFT_SHARE));
-        let known_for = now.since(self.known_since);
-        known_for + shift + SOURCE_LEAD >= duration && known_for <= duration + SOURCE_FOLLOW_UP
-    }
 }
--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -225,11 +225,6 @@
         self.gate.borrow().is_settled()
     }
 
-    /// The stage that this daemon was granted last under the order that has not ended.
-    pub fn stage(&self) -> Option<Stage> {
-        self.gate.borrow().stage()
-    }
-
     /// Wakes whoever reports on any service; see [`RollOutContext::changed`].
     pub fn changed(&self) -> &Notify {
         self.context.changed()
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -3,7 +3,8 @@
 
 use super::Gateway;
 use crate::clock::Clock;
-use crate::leaf::ServiceState;
+use crate::leaf::{LeafState, ServiceState};
+use std::rc::Rc;
 use tansylead_route::{LeafEntry, Revision, RollOut, RollOuts, RollOutsMark};
 
 impl Gateway {
@@ -81,10 +82,10 @@
             return;
         }
         let leafs = service.all();
-        let mut versions = leafs.iter().map(|leaf| leaf.entry().version.clone());
         // The leafs of a service with one version are held together, and serve together.
         let is_alone = leafs.is_empty();
-        if is_alone || versions.any(|version| version == entry.version) {
+        let is_known = |leaf: &Rc<LeafState>| leaf.entry().version == entry.version;
+        if is_alone || leafs.iter().any(is_known) {
             return;
         }
         let revisions = leafs.iter().map(|leaf| leaf.entry().changed_at);
--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -53,10 +53,15 @@
     pub(crate) rate: f64,
 }
 
+/// When the shift of a roll-out of this duration begins, from the order on.
+pub(crate) fn shift_begins(duration: Duration) -> Duration {
+    duration - SHIFT_LEAD.min(duration / SHIFT_LEAD_PART)
+}
+
 impl Progress {
     /// When the shift begins, from the order on.
     pub(crate) fn shift_begins(&self) -> Duration {
-        self.duration - SHIFT_LEAD.min(self.duration / SHIFT_LEAD_PART)
+        shift_begins(self.duration)
     }
 
     /// Whether it is time to conclude, so that what is concluded stands by the deadline.
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -6,7 +6,7 @@
 use super::judgement::{Finding, Judgement};
 use super::leadership::{FROZEN, LATELY, Leadership};
 use super::order::{OrderId, RollOut, RollOutState};
-use super::pace::Progress;
+use super::pace::{Progress, shift_begins};
 use super::report::RollOutReport;
 use super::totals::{MergedTotals, SILENT, Totals};
 use super::verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
@@ -20,6 +20,8 @@
 const ANSWERS_UNDER_LOAD: u64 = 40;
 /// How long after the deadline a shift may go on, or be waited for once the source is back.
 const LATEST_SHIFT: Duration = Duration::from_secs(4);
+/// Two looks more, in which the end of the latest shift is noticed.
+const LAST_LOOKS: Duration = Duration::from_millis(500);
 /// Longest time for which the completion is held back until no attempt is left at old leafs. One that waited
 /// for a connection there may be sent until its daemon has heard of the commitment.
 const LONGEST_CLEARING: Duration = Duration::from_millis(1_000);
@@ -82,6 +84,18 @@
         self.roll_out.order
     }
 
+    /// Whether the shift begins within `lead`, is under way, or may still be waited for.
+    pub fn may_shift_within(&self, now: Moment, lead: Duration) -> bool {
+        let elapsed = self.elapsed(now);
+        let has_ended = elapsed > self.roll_out.duration + LATEST_SHIFT + LAST_LOOKS;
+        elapsed + lead >= shift_begins(self.roll_out.duration) && !has_ended
+    }
+
+    /// Time since the order, by the daemon that knew of it first.
+    fn elapsed(&self, now: Moment) -> Duration {
+        now.since(self.began) + self.head_start
+    }
+
     /// The counts behind the last look, for the log.
     pub fn counts(&self) -> TrialCounts {
         TrialCounts::of(&self.sum)
@@ -157,7 +171,7 @@
         self.looked_at = Some(now);
         self.sum = self.totals.sum(now);
         self.judgement.look(span, &self.sum);
-        let elapsed = now.since(self.began) + self.head_start;
+        let elapsed = self.elapsed(now);
         if elapsed >= self.roll_out.duration {
             self.requests_at_deadline.get_or_insert(self.sum.requests);
         }
