Sight: which requests are the same one, and which leafs end under them

Logs and metrics could not tell a query of death from leafs that crash for other reasons: a request that comes again has another id each time, and a lost answer looked like the end of a leaf. Now the line of each request has a fingerprint of caller, method, host, path and body; an attempt whose connection ended is 'lost' and no longer 'failed'; after a loss the daemon asks the leaf's address for a new connection, which it keeps for the next request, and follows its entry; a leaf that has ended gives the line 'leaf ended under requests' with the fingerprints, and counts in tansylead_leaf_ends_total. No decision on a request changes.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -16,24 +16,42 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_route::{CallerLimits, Route, Target, retry_after_outage};
+use tansylead_route::{CallerLimits, RequestIdentity, Route, Target, retry_after_outage};
 use tansylead_types::Moment;
 
 /// How long a caller is taken to wait if it does not say so and no route does either.
 const UNSTATED_TIME_LEFT: Duration = Duration::from_secs(1);
 
+/// A request whose head has been read.
+struct Received {
+    request: Request<Incoming>,
+    /// The caller's id of it.
+    id: Option<HeaderValue>,
+    /// Address of the caller.
+    caller: IpAddr,
+    arrived: Moment,
+}
+
 /// Handles one request.
 pub(super) async fn handle(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Response<Full<Bytes>> {
     let arrived = Clock.now();
     let id = request.headers().get(&gateway.names.request).cloned();
     let mut log = RequestLog::new(Rc::clone(gateway), id.clone(), arrived);
-    let running = run(gateway, request, id.clone(), arrived, &mut log);
+    let received = Received {
+        request,
+        id: id.clone(),
+        caller,
+        arrived,
+    };
+    let running = run(gateway, received, &mut log);
     let outcome = catch_panic(running).await.unwrap_or_else(|panic| {
         log::error!(error:% = panic; "request panicked");
         refused(RefusalReason::Failed)
@@ -42,13 +60,13 @@
     write_response(gateway, outcome, id)
 }
 
-async fn run(
-    gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
-    id: Option<HeaderValue>,
-    arrived: Moment,
-    log: &mut RequestLog,
-) -> Outcome {
+async fn run(gateway: &Rc<Gateway>, received: Received, log: &mut RequestLog) -> Outcome {
+    let Received {
+        request,
+        id,
+        caller,
+        arrived,
+    } = received;
     gateway.wait_until_known().await;
     let stated = stated_time_left(gateway, &request);
     let Some(active) = gateway.active() else {
@@ -75,12 +93,13 @@
     let time_left = stated.unwrap_or(route.policy.timeout);
     // A caller that has gone silent midway would hold its connection for good.
     let end = arrived + time_left.min(route.policy.timeout);
-    let reading = read_request(request, id, limits, &route);
+    let reading = read_request(request, id, caller, limits, &route);
     let read = tokio::time::timeout_at(Clock.instant_at(end), reading).await;
     let outgoing = match read.unwrap_or(Err(RefusalReason::BodyTooLate)) {
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
+    log.fingerprint = Some(outgoing.fingerprint);
     let trace = Rc::clone(&log.trace);
     let version = active.configuration.version;
     let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(&route), version);
@@ -196,6 +215,7 @@
 async fn read_request(
     request: Request<Incoming>,
     id: Option<HeaderValue>,
+    caller: IpAddr,
     limits: &CallerLimits,
     route: &Route,
 ) -> Result<OutgoingRequest, RefusalReason> {
@@ -208,6 +228,14 @@
     let mut headers = head.headers;
     remove_connection_headers(&mut headers);
     let path = head.uri.path_and_query().cloned();
+    let identity = RequestIdentity {
+        caller,
+        method: head.method.as_str(),
+        host: &route.host,
+        target: path.as_ref().map_or("/", |path| path.as_str()),
+        body: &body,
+    };
+    let fingerprint = identity.fingerprint();
     Ok(OutgoingRequest {
         method: head.method,
         uri: path.map_or(Uri::from_static("/"), Uri::from),
@@ -215,6 +243,7 @@
         body,
         id,
         repeatable: route.policy.repeatable,
+        fingerprint,
     })
 }
 
--- a/crates/tansylead-gateway/src/caller/server.rs
+++ b/crates/tansylead-gateway/src/caller/server.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_types::{Moment, StepError};
@@ -49,14 +50,14 @@
 
     /// Accepts until the task is ended.
     pub async fn run(self) {
-        accept_each(self.listener, |stream, _| {
-            spawn_local(serve(Rc::clone(&self.gateway), stream));
+        accept_each(self.listener, |stream, caller| {
+            spawn_local(serve(Rc::clone(&self.gateway), stream, caller.ip()));
         })
         .await;
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, caller: IpAddr) {
     let _ = stream.set_nodelay(true);
     let _open = OpenConnection::new(Rc::clone(&gateway));
     let activity = Rc::new(Activity {
@@ -70,7 +71,7 @@
             let gateway = Rc::clone(&gateway);
             let running = RunningRequest::new(Rc::clone(&activity));
             async move {
-                let response = handle(&gateway, request).await;
+                let response = handle(&gateway, request, caller).await;
                 drop(running);
                 Ok::<_, Infallible>(response)
             }
--- a/crates/tansylead-gateway/src/cluster/forwarded_query.rs
+++ b/crates/tansylead-gateway/src/cluster/forwarded_query.rs
@@ -7,6 +7,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use tansylead_route::RequestFingerprint;
 use tansylead_types::StepError;
 
 /// One header.
@@ -33,6 +34,8 @@
     id: Option<Vec<u8>>,
     held_micros: u64,
     time_left_micros: u64,
+    /// What the query is recognized by when it comes again; the root does not see its caller.
+    fingerprint: RequestFingerprint,
 }
 
 /// What a root says of a query.
@@ -83,6 +86,7 @@
             id: request.id.as_ref().map(|id| id.as_bytes().to_vec()),
             held_micros: micros(held),
             time_left_micros: micros(time_left),
+            fingerprint: request.fingerprint,
         }
     }
 
@@ -126,6 +130,7 @@
             body: Bytes::from(self.body),
             id: id.map_err(|cause| failed(&cause))?,
             repeatable: true,
+            fingerprint: self.fingerprint,
         })
     }
 }
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -193,6 +193,9 @@
         end: Option<AttemptEnd>,
     ) -> Option<Reply> {
         self.note_end(&attempt, end.as_ref());
+        if let Some(AttemptEnd::Lost(_)) = end {
+            self.note_lost(&attempt);
+        }
         match end {
             Some(AttemptEnd::Answered(reply)) => {
                 let failed = reply.status.is_server_error();
@@ -220,7 +223,7 @@
                     self.launch(progress, AttemptReason::NotSent, false);
                 }
             }
-            Some(AttemptEnd::Failed(_) | AttemptEnd::Foreign(_)) | None => {
+            Some(AttemptEnd::Failed(_) | AttemptEnd::Lost(_) | AttemptEnd::Foreign(_)) | None => {
                 attempt.leaf.note_end(true);
                 progress.arrivals += 1;
                 progress.may_have_run = true;
--- a/crates/tansylead-gateway/src/execution/call_notes.rs
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -4,7 +4,8 @@
 use super::attempts::Attempt;
 use super::call::Call;
 use crate::clock::Clock;
-use crate::leaf::{AttemptEnd, LeafState};
+use crate::leaf::{AttemptEnd, LeafState, LostRun};
+use crate::quarantine;
 use crate::request_trace::{AttemptEndKind, Decision, DenialReason, EndCause};
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +47,19 @@
         }
     }
 
+    /// Notes that the connection was lost under an attempt: its leaf may have ended.
+    pub(super) fn note_lost(&self, attempt: &Attempt) {
+        let Some(sent) = attempt.sent.get() else {
+            return;
+        };
+        let run = LostRun {
+            fingerprint: self.request.fingerprint,
+            sent: sent.at,
+            lost: Clock.now(),
+        };
+        quarantine::on_lost(&self.gateway, &attempt.leaf, run);
+    }
+
     pub(super) fn deny(&self, reason: DenialReason) {
         self.gateway.metrics.on_denied(reason.label());
         self.trace
@@ -69,6 +83,9 @@
             Some(AttemptEnd::Failed(error)) => {
                 (AttemptEndKind::Failed, EndCause::Error(error.to_string()))
             }
+            Some(AttemptEnd::Lost(error)) => {
+                (AttemptEndKind::Lost, EndCause::Error(error.to_string()))
+            }
             Some(AttemptEnd::Foreign(error)) => {
                 (AttemptEndKind::Foreign, EndCause::Error(error.to_string()))
             }
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
-use tansylead_route::SHORTEST_FORGOTTEN_REST;
+use tansylead_route::{RequestFingerprint, SHORTEST_FORGOTTEN_REST};
 use tansylead_types::{Moment, StepError};
 
 /// Longest answer that is taken from a leaf, in bytes.
@@ -43,6 +43,8 @@
     pub id: Option<HeaderValue>,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// What it is recognized by when it comes again.
+    pub fingerprint: RequestFingerprint,
 }
 
 /// That a request was handed to a connection.
@@ -65,6 +67,8 @@
     NotSent(StepError),
     /// The leaf may have run the request; there is no answer that could be passed on.
     Failed(StepError),
+    /// The same: the connection ended before a whole answer, with the leaf or without it.
+    Lost(StepError),
     /// The same: what came is an answer to another request.
     Foreign(StepError),
 }
@@ -122,7 +126,7 @@
                     sent.set(None);
                     AttemptEnd::NotSent(error)
                 }
-                ExchangeError::MaybeReceived(error) => AttemptEnd::Failed(error),
+                ExchangeError::MaybeReceived(error) => AttemptEnd::Lost(error),
             }
         }
         Err(_) => AttemptEnd::Failed(step_error(&leaf, "no answer in time")),
@@ -140,7 +144,7 @@
         }
         AttemptEnd::Answered(_) => SendEnd::Good,
         AttemptEnd::Refused(_) | AttemptEnd::NotSent(_) => SendEnd::NotRun,
-        AttemptEnd::Failed(_) | AttemptEnd::Foreign(_) => SendEnd::Failed,
+        AttemptEnd::Failed(_) | AttemptEnd::Lost(_) | AttemptEnd::Foreign(_) => SendEnd::Failed,
     }
 }
 
--- a/crates/tansylead-gateway/src/leaf/leaf_health.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_health.rs
@@ -39,6 +39,11 @@
         self.failures.get().rate(now)
     }
 
+    /// When it last answered a request of this daemon.
+    pub(super) fn answered_at(&self) -> Moment {
+        self.slowness.get().answered_at()
+    }
+
     /// Takes in what another daemon says of the leaf.
     pub(super) fn on_report(&self, now: Moment, report: &LeafReport) {
         let mut silence = self.reported_silence.get();
--- a/crates/tansylead-gateway/src/leaf/leaf_standing.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_standing.rs
@@ -66,6 +66,18 @@
         self.listing.set(Listing::Replaced);
     }
 
+    /// Whether the entry went without a word of leaving, while the source could be heard.
+    pub(super) fn has_vanished(&self) -> bool {
+        let said_so = self.entry.borrow().phase == LeafPhase::Draining;
+        match self.listing.get() {
+            Listing::Listed => false,
+            Listing::Replaced => !said_so,
+            Listing::Missing {
+                source_was_away, ..
+            } => !said_so && !source_was_away,
+        }
+    }
+
     /// Whether the directory lists the leaf.
     pub(super) fn is_listed(&self) -> bool {
         self.listing.get() == Listing::Listed
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -3,6 +3,7 @@
 use super::leaf_connections::LeafConnections;
 use super::leaf_health::{LeafHealth, ratio};
 use super::leaf_standing::LeafStanding;
+use super::lost_runs::{LostRun, LostRuns};
 use super::open_attempt::OpenAttempt;
 use crate::clock::Clock;
 use crate::roll_out::{SendTarget, SendTerms, ServiceVersions, VersionSend};
@@ -31,6 +32,7 @@
     in_flight: Cell<u32>,
     connections: LeafConnections,
     health: LeafHealth,
+    lost_runs: LostRuns,
 }
 
 impl LeafState {
@@ -49,6 +51,7 @@
             in_flight: Cell::new(0),
             connections: LeafConnections::new(share),
             health: LeafHealth::default(),
+            lost_runs: LostRuns::default(),
         }
     }
 
@@ -261,6 +264,27 @@
         }
     }
 
+    /// Notes that the connection was lost under a request. Returns whether nobody looks yet whether the
+    /// leaf has ended; then the caller has to.
+    pub fn add_lost_run(&self, run: LostRun) -> bool {
+        self.lost_runs.add(run)
+    }
+
+    /// Takes out the requests whose connections were lost: it is known now whether the leaf has ended.
+    pub fn take_lost_runs(&self) -> Vec<LostRun> {
+        self.lost_runs.take()
+    }
+
+    /// Whether the leaf has answered a request since `moment`.
+    pub fn has_answered_since(&self, moment: Moment) -> bool {
+        self.health.answered_at() > moment
+    }
+
+    /// Whether the leaf's entry went without a word of leaving, while the source could be heard.
+    pub fn has_vanished(&self) -> bool {
+        self.standing.has_vanished()
+    }
+
     /// Notes an answer that took `latency`, of a kind that typically takes `typical`. Returns
     /// reports for other daemons.
     pub fn on_answer(
--- a/crates/tansylead-gateway/src/leaf/mod.rs
+++ b/crates/tansylead-gateway/src/leaf/mod.rs
@@ -1,15 +1,19 @@
 //! Leafs as this daemon knows them: connections, load, soundness, and single attempts.
 
 mod attempt;
+mod end_check;
 mod idle_connections;
 mod leaf_connections;
 mod leaf_health;
 mod leaf_standing;
 mod leaf_state;
+mod lost_runs;
 mod open_attempt;
 mod service_state;
 
 pub use attempt::{AttemptEnd, HandOver, OutgoingRequest, run_attempt};
+pub use end_check::{EndSign, Probe, probe, watch_entry};
 pub use leaf_state::LeafState;
+pub use lost_runs::LostRun;
 pub use open_attempt::OpenAttempt;
 pub use service_state::ServiceState;
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     forwarded: IntCounterVec,
     source_calls: IntCounterVec,
     leaf_report: IntCounterVec,
+    leaf_ends: IntCounterVec,
     bad_input: IntCounterVec,
     configuration_version: IntGauge,
     configuration_age: Gauge,
@@ -118,6 +119,12 @@
                 "Reports on leafs to and from other daemons",
                 &["direction"],
             ),
+            leaf_ends: counters(
+                &registry,
+                "tansylead_leaf_ends_total",
+                "Leafs that ended under requests, by what showed it",
+                &["sign"],
+            ),
             source_calls: counters(
                 &registry,
                 "tansylead_source_calls_total",
@@ -231,6 +238,11 @@
         counter.inc_by(reports as u64);
     }
 
+    /// Counts a leaf that ended under requests.
+    pub fn on_leaf_ended(&self, sign: &str) {
+        self.leaf_ends.with_label_values(&[sign]).inc();
+    }
+
     /// Counts a call to the source.
     pub fn on_source_call(&self, topic: Topic, result: &str) {
         let labels = [topic.label(), result];
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
-use tansylead_route::{Route, Stage};
+use tansylead_route::{RequestFingerprint, Route, Stage};
 use tansylead_types::Moment;
 
 /// Requests written with all of their decisions in a second.
@@ -85,6 +85,8 @@
     pub route: Option<Arc<Route>>,
     /// Version of the configuration that decided.
     pub version: Option<u64>,
+    /// What the request is recognized by when it comes again, once it has been read whole.
+    pub fingerprint: Option<RequestFingerprint>,
     /// The daemon that asked for it; none if a caller did.
     asked_by: Option<String>,
     finished: bool,
@@ -100,6 +102,7 @@
             trace: Rc::default(),
             route: None,
             version: None,
+            fingerprint: None,
             asked_by: None,
             finished: false,
         }
@@ -160,10 +163,14 @@
             let age = self.gateway.age(topic);
             age.map_or(-1, |age| age.as_millis() as i64)
         };
+        let fingerprint = self
+            .fingerprint
+            .map_or(String::new(), |own| own.to_string());
         log::info!(
             target: REQUEST_TARGET,
             request = id,
             route = route.unwrap_or(""),
+            fingerprint = fingerprint.as_str(),
             version = self.version.unwrap_or(0),
             configuration_age_ms = age(crate::source::Topic::Configuration),
             leafs_age_ms = age(crate::source::Topic::Leafs),
--- a/crates/tansylead-gateway/src/request_trace.rs
+++ b/crates/tansylead-gateway/src/request_trace.rs
@@ -83,6 +83,8 @@
     NotSent,
     /// The leaf may have run the request, and gave no answer.
     Failed,
+    /// The same: the connection ended under the request.
+    Lost,
     /// An answer to another request came.
     Foreign,
 }
@@ -95,6 +97,7 @@
             Self::Refused => "refused",
             Self::NotSent => "not_sent",
             Self::Failed => "failed",
+            Self::Lost => "lost",
             Self::Foreign => "foreign",
         }
     }
--- a/crates/tansylead-gateway/tests/query_roots.rs
+++ b/crates/tansylead-gateway/tests/query_roots.rs
@@ -137,6 +137,7 @@
         body: Bytes::new(),
         id: Some(HeaderValue::from_static("own")),
         repeatable: true,
+        fingerprint: Default::default(),
     }
 }
 
--- a/crates/tansylead-gateway/tests/refusals.rs
+++ b/crates/tansylead-gateway/tests/refusals.rs
@@ -126,6 +126,7 @@
         body: Bytes::new(),
         id: Some(HeaderValue::from_static(ID)),
         repeatable: true,
+        fingerprint: Default::default(),
     };
     let query = GatherQuery {
         gateway: Rc::clone(&gateway),
--- a/crates/tansylead-http/src/connection.rs
+++ b/crates/tansylead-http/src/connection.rs
@@ -94,6 +94,17 @@
                 return Err(StepError::new(STEP, address, cause));
             }
         };
+        Self::over(stream, address, options, held).await
+    }
+
+    /// Speaks over a stream that is connected to `address`. `held` is dropped when the socket has been closed.
+    pub async fn over(
+        stream: TcpStream,
+        address: SocketAddr,
+        options: ConnectOptions,
+        held: impl Send + 'static,
+    ) -> Result<Self, StepError> {
+        const STEP: &str = "connect";
         set_options(&stream, options.silence);
         let (sender, connection) = http1::Builder::new()
             .read_buf_exact_size(options.read_buffer_bytes)
