--- a/crates/tansylead-emulator/src/addresses.rs
+++ b/crates/tansylead-emulator/src/addresses.rs
@@ -1,7 +1,10 @@
 //! Loopback addresses of this process alone, so that test programs run side by side.
 
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// Port of everything that listens once on its address.
 pub const PORT: u16 = 20_100;
@@ -25,3 +28,16 @@
 pub fn next_address() -> SocketAddr {
     SocketAddr::new(next_ip(), PORT)
 }
+
+/// Binds an address, which the listener of an earlier run may still hold for a moment.
+pub(crate) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    const TRIES: u32 = 50;
+    const PAUSE: Duration = Duration::from_millis(20);
+    for _ in 1..TRIES {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return Ok(listener);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    TcpListener::bind(address).await
+}
--- a/crates/tansylead-emulator/src/caller.rs
+++ b/crates/tansylead-emulator/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller: one connection, kept for many requests; checks what it gets through the oracle.
 
 use crate::configuration::{HOST, RoutePlan};
+use crate::fatal_rule::{FATAL_ITEM, is_fatal};
 use crate::oracle::{CallerEnd, Oracle, SeenAnswer};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -31,6 +32,8 @@
     pub id: String,
     /// Route.
     pub route: RoutePlan,
+    /// Path behind the route's prefix.
+    pub item: String,
     /// Time the caller waits.
     pub deadline: Duration,
     /// Body.
@@ -43,10 +46,24 @@
         Self {
             id: next_request_id(),
             route: route.clone(),
+            item: "item".to_owned(),
             deadline,
             body: Vec::new(),
         }
     }
+
+    /// The same for one item of the route.
+    pub fn for_item(route: &RoutePlan, deadline: Duration, item: &str) -> Self {
+        Self {
+            item: item.to_owned(),
+            ..Self::new(route, deadline)
+        }
+    }
+
+    /// A request that ends each leaf which begins to run it; those of one number are the same one.
+    pub fn fatal(route: &RoutePlan, deadline: Duration, number: u32) -> Self {
+        Self::for_item(route, deadline, &format!("{FATAL_ITEM}{number}"))
+    }
 }
 
 /// What a caller got, with all headers.
@@ -78,7 +95,7 @@
 
     /// Sends a request to a daemon and has its end checked.
     pub async fn call(&mut self, daemon: SocketAddr, request: &CallerRequest) -> CallerEnd {
-        self.oracle.ask(&request.id, &request.route);
+        self.note(request);
         let limit = request.deadline + SLACK;
         let answer = tokio::time::timeout(limit, self.exchange(daemon, request)).await;
         let end = match answer {
@@ -99,7 +116,7 @@
         request: &CallerRequest,
         patience: Duration,
     ) {
-        self.oracle.ask(&request.id, &request.route);
+        self.note(request);
         let _ = tokio::time::timeout(patience, self.exchange(daemon, request)).await;
         self.oracle.leave_request(&request.id);
         self.connection = None;
@@ -118,7 +135,7 @@
         };
         let built = Request::builder()
             .method(method)
-            .uri(format!("{}item", request.route.prefix()))
+            .uri(format!("{}{}", request.route.prefix(), request.item))
             .header("Host", HOST)
             .header("Request-Id", &request.id)
             .header("Deadline-Ms", request.deadline.as_millis().to_string())
@@ -127,6 +144,14 @@
         self.send(daemon, built).await
     }
 
+    fn note(&self, request: &CallerRequest) {
+        self.oracle.ask(&request.id, &request.route);
+        if is_fatal(&request.item) {
+            let identity = format!("{}{}", request.route.prefix(), request.item);
+            self.oracle.ask_fatal(&request.id, identity);
+        }
+    }
+
     /// Sends any request.
     pub async fn send(
         &mut self,
--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -26,6 +26,8 @@
 const LEAF_CONNECTIONS: u32 = 41;
 /// Work of a leaf on a request that goes to one leaf, unless a plan says otherwise.
 pub const SINGLE_WORK: Duration = Duration::from_millis(20);
+/// A leaf that a request has ended is away this long.
+const CRASHED_REST: Duration = Duration::from_millis(1_000);
 /// Period at which a condition is looked at.
 const CHECK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -177,6 +179,7 @@
         };
         let leaf = self.start_leaf(&plan).await?;
         let control = leaf.control();
+        close_at_crash(&control, &proxy);
         self.leafs.push(ProxiedLeaf {
             leaf: Some(leaf),
             proxy,
@@ -200,10 +203,23 @@
         let started = self.start_leaf(&plan).await?;
         let leaf = &mut self.leafs[index];
         leaf.control = started.control();
+        leaf.proxy.closed().send_replace(false);
+        close_at_crash(&leaf.control, &leaf.proxy);
         leaf.leaf = Some(started);
         Ok(())
     }
 
+    /// Starts the leafs again that requests have ended some time ago.
+    pub async fn restart_crashed_leafs(&mut self) -> io::Result<()> {
+        for index in 0..self.leafs.len() {
+            let crashed = self.leafs[index].control.crashed_at();
+            if crashed.is_some_and(|at| at.elapsed() > CRASHED_REST) {
+                self.restart_leaf(index).await?;
+            }
+        }
+        Ok(())
+    }
+
     fn next_leaf_id(&mut self) -> String {
         let id = format!("i-{:04}", self.next_leaf);
         self.next_leaf += 1;
@@ -262,6 +278,15 @@
     }
 }
 
+/// Has a leaf's address refuse connections from the moment at which a request ends the leaf.
+fn close_at_crash(leaf: &LeafControl, proxy: &Proxy) {
+    let (leaf, closed) = (leaf.clone(), proxy.closed());
+    tokio::spawn(async move {
+        leaf.crashed().await;
+        closed.send_replace(true);
+    });
+}
+
 /// Region of a zone: each zone is a region of its own.
 pub fn region_of(zone: &str) -> String {
     format!("region-{zone}")
--- a/crates/tansylead-emulator/src/leaf.rs
+++ b/crates/tansylead-emulator/src/leaf.rs
@@ -1,5 +1,6 @@
 //! A leaf: works on a few requests at a time, registers itself, and misbehaves on request.
 
+use crate::addresses::bind;
 use crate::leaf_work::{LeafWork, serve};
 use crate::oracle::Oracle;
 use crate::store::StoreServer;
@@ -10,8 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
-use tokio::net::TcpListener;
+use std::time::{Duration, Instant};
 use tokio::task::{AbortHandle, JoinHandle};
 
 /// How a leaf misbehaves.
@@ -101,6 +101,11 @@
             is_retired: Arc::default(),
         };
         control.register("ready", Duration::ZERO);
+        let crashing = control.clone();
+        tokio::spawn(async move {
+            crashing.work.crashed().await;
+            crashing.end();
+        });
         Ok(Self { control })
     }
 
@@ -179,6 +184,16 @@
         self.is_retired.load(Ordering::Relaxed)
     }
 
+    /// Waits until a request has ended the leaf.
+    pub async fn crashed(&self) {
+        self.work.crashed().await;
+    }
+
+    /// When a request ended the leaf, if one did.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        self.work.crashed_at()
+    }
+
     /// Ends the leaf at once and gives the requests that were cut by that.
     pub fn end(&self) -> Vec<String> {
         let cut = self.work.in_progress();
@@ -210,16 +225,3 @@
         self.control.end();
     }
 }
-
-/// Binds an address, which the listener of an earlier run may still hold for a moment.
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    const TRIES: u32 = 50;
-    const PAUSE: Duration = Duration::from_millis(20);
-    for _ in 1..TRIES {
-        if let Ok(listener) = TcpListener::bind(address).await {
-            return Ok(listener);
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-    TcpListener::bind(address).await
-}
--- a/crates/tansylead-emulator/src/leaf_work.rs
+++ b/crates/tansylead-emulator/src/leaf_work.rs
@@ -1,5 +1,6 @@
 //! What a leaf does with its requests: reads them, works, answers, and misbehaves as it was told.
 
+use crate::fatal_rule::is_fatal;
 use crate::leaf::{LeafPlan, LeafTrouble};
 use crate::leaf_request::{Request, read_request};
 use crate::oracle::{Oracle, Run};
@@ -13,7 +14,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 /// Bytes of a record.
 const RECORD_BYTES: usize = 16;
@@ -36,6 +37,8 @@
     recent: Mutex<VecDeque<Instant>>,
     /// Requests that were read and not answered yet, with the attempts of each.
     in_progress: Mutex<BTreeMap<String, usize>>,
+    /// When a request ended the leaf.
+    crashed_at: watch::Sender<Option<Instant>>,
 }
 
 impl LeafWork {
@@ -50,6 +53,7 @@
             runs: AtomicU64::new(0),
             recent: Mutex::default(),
             in_progress: Mutex::default(),
+            crashed_at: watch::Sender::new(None),
         }
     }
 
@@ -63,6 +67,26 @@
         *self.trouble.lock() = trouble;
     }
 
+    /// Waits until a request has ended the leaf.
+    pub(crate) async fn crashed(&self) {
+        let mut crashed = self.crashed_at.subscribe();
+        // The sender lives as long as this does.
+        let _ = crashed.wait_for(Option::is_some).await.map(drop);
+    }
+
+    /// When a request ended the leaf, if one did.
+    pub(crate) fn crashed_at(&self) -> Option<Instant> {
+        *self.crashed_at.borrow()
+    }
+
+    /// Ends the leaf with whatever runs on it, because of a request.
+    fn crash(&self, request: &str) {
+        if self.crashed_at().is_none() {
+            self.crashed_at.send_replace(Some(Instant::now()));
+            self.oracle.end_leaf(request);
+        }
+    }
+
     /// Requests that were read and not answered yet.
     pub(crate) fn in_progress(&self) -> Vec<String> {
         self.in_progress.lock().keys().cloned().collect()
@@ -152,6 +176,10 @@
     };
     let (signature, run) = start_run(leaf, id, trouble, effect);
     work(leaf, trouble, effect).await;
+    if is_fatal(&request.path) {
+        leaf.crash(id);
+        return Ok(false);
+    }
     if effect.is_bad() {
         leaf.oracle.answer_badly(plan);
     }
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod demo;
 pub mod deployment;
 mod deployment_daemons;
+pub(crate) mod fatal_rule;
 pub mod leaf;
 mod leaf_registry;
 mod leaf_request;
--- a/crates/tansylead-emulator/src/oracle.rs
+++ b/crates/tansylead-emulator/src/oracle.rs
@@ -4,6 +4,7 @@
 use crate::arrival_rules::{ArrivalBudget, ArrivalRules};
 use crate::cold_rule::ColdRule;
 use crate::configuration::RoutePlan;
+use crate::fatal_rule::FatalRule;
 use crate::leaf::LeafPlan;
 use crate::place_rules::PlaceRules;
 use crate::roll_out_rules::{RollOutId, RollOutRules};
@@ -30,6 +31,7 @@
     draining: HashMap<String, Instant>,
     places: PlaceRules,
     cold: ColdRule,
+    fatal: FatalRule,
     roll_outs: RollOutRules,
     refused_unsafe: Vec<String>,
     violations: Vec<String>,
@@ -78,10 +80,31 @@
     pub fn arrive(&self, request: &str, leaf: &LeafPlan) {
         let mut seen = self.seen.lock();
         seen.cold.arrive(&leaf.id);
+        seen.fatal.arrive(request);
         seen.arrivals.arrive(request, &leaf.service);
         seen.roll_outs.arrive(request, leaf);
     }
 
+    /// Notes that a request is one that ends leafs, before it is sent.
+    pub fn ask_fatal(&self, request: &str, identity: String) {
+        self.seen.lock().fatal.ask(request, identity);
+    }
+
+    /// Notes that a leaf has ended because of a request.
+    pub fn end_leaf(&self, request: &str) {
+        self.seen.lock().fatal.end_leaf(request);
+    }
+
+    /// Leafs that have ended because of requests.
+    pub fn ended_leafs(&self) -> usize {
+        self.seen.lock().fatal.ended_leafs()
+    }
+
+    /// Whether a request has reached a leaf.
+    pub fn has_arrived(&self, request: &str) -> bool {
+        self.seen.lock().fatal.has_arrived(request)
+    }
+
     /// Notes an answer that is bad because of the leaf's version.
     pub fn answer_badly(&self, leaf: &LeafPlan) {
         self.seen.lock().roll_outs.answer_badly(leaf);
@@ -120,12 +143,16 @@
 
     /// Notes the beginning of a fault. `is_core` says that it strikes daemons or their links.
     pub fn begin_fault(&self, is_core: bool) {
-        self.seen.lock().roll_outs.begin_fault(is_core);
+        let mut seen = self.seen.lock();
+        seen.roll_outs.begin_fault(is_core);
+        seen.fatal.begin_fault(is_core);
     }
 
     /// Notes the end of a fault.
     pub fn end_fault(&self, is_core: bool) {
-        self.seen.lock().roll_outs.end_fault(is_core);
+        let mut seen = self.seen.lock();
+        seen.roll_outs.end_fault(is_core);
+        seen.fatal.end_fault(is_core);
     }
 
     /// What was seen of each roll-out, in the order of the orders.
@@ -203,6 +230,7 @@
         violations.extend(seen.arrivals.violations(budget));
         violations.extend(seen.cold.violations());
         violations.extend(seen.roll_outs.violations());
+        violations.extend(seen.fatal.violations());
         violations
     }
 }
@@ -227,6 +255,9 @@
 
     fn check(&mut self, request: &str, answer: &SeenAnswer) -> Option<String> {
         let route = self.asked.get(request)?.route.clone();
+        if let Some(broken) = self.fatal.check_refusal(request, answer) {
+            return Some(broken);
+        }
         if matches!(answer.status, 408 | 421 | 429 | 503) && !route.safe {
             self.refused_unsafe.push(request.to_owned());
         }
--- a/crates/tansylead-emulator/src/proxy.rs
+++ b/crates/tansylead-emulator/src/proxy.rs
@@ -1,5 +1,6 @@
 //! A TCP proxy on loopback that harms what passes through it.
 
+use crate::addresses::bind;
 use parking_lot::Mutex;
 use std::io;
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Bytes passed on at a time.
@@ -63,18 +65,36 @@
     link: Arc<Link>,
     accepting: JoinHandle<()>,
     connections: Arc<Mutex<Vec<Connection>>>,
+    is_closed: Arc<watch::Sender<bool>>,
 }
 
 impl Proxy {
     /// Starts a proxy at `address` in front of `target`.
     pub async fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let mut listener = TcpListener::bind(address).await?;
+        let is_closed = Arc::new(watch::Sender::new(false));
+        let mut closing = is_closed.subscribe();
         let link: Arc<Link> = Arc::default();
         let connections: Arc<Mutex<Vec<Connection>>> = Arc::default();
         let accepted = Arc::clone(&connections);
         let accepting_link = Arc::clone(&link);
         let accepting = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => stream,
+                        Err(_) => return,
+                    },
+                    () = until(&mut closing, true) => {
+                        drop(listener);
+                        until(&mut closing, false).await;
+                        listener = match bind(address).await {
+                            Ok(listener) => listener,
+                            Err(_) => return,
+                        };
+                        continue;
+                    }
+                };
                 if *accepting_link.trouble.lock() == LinkTrouble::Refused {
                     continue;
                 }
@@ -98,6 +118,7 @@
             link,
             accepting,
             connections,
+            is_closed,
         })
     }
 
@@ -118,6 +139,11 @@
         }
     }
 
+    /// While this is set, the address refuses connections, as that of a process that has ended does.
+    pub fn closed(&self) -> Arc<watch::Sender<bool>> {
+        Arc::clone(&self.is_closed)
+    }
+
     /// When a call that changes an object passed last.
     pub fn last_write(&self) -> Option<Instant> {
         *self.link.last_write.lock()
@@ -138,6 +164,12 @@
     }
 }
 
+/// Waits until the address is closed, or open.
+async fn until(closing: &mut watch::Receiver<bool>, is_closed: bool) {
+    // A proxy that is gone needs nothing more.
+    let _ = closing.wait_for(|now| *now == is_closed).await;
+}
+
 async fn pass(
     caller: TcpStream,
     target: SocketAddr,
