Decide which requests end leafs: strikes, successive runs, verdicts

The pure part of the mend: a leaf that ended while a request ran there is a strike; three strikes whose runs came one after the other (four while more leafs end under other requests) quarantine the request, since leafs that end together are one event; any answer clears it; daemons merge what they hold. Bounded in records, strikes and time. Ten tests, also of innocents: ends at one moment, answers, ends elsewhere. Nothing uses it yet.

--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -56,7 +56,10 @@
 pub use leaf_report::{LeafReport, ReportedSilence};
 pub use listing::{Listing, Standing};
 pub use patience::Patience;
-pub use quarantine::{RequestFingerprint, RequestIdentity};
+pub use quarantine::{
+    MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts, QuarantineRecord,
+    RequestFingerprint, RequestIdentity, Strike, Verdict,
+};
 pub use query_admission::{AdmissionChange, QueryAdmission};
 pub use query_roots::{QueryRunners, RootCandidate, query_roots};
 pub use records::{RECORD_BYTES, Record, TopRecords};
--- /dev/null
+++ b/crates/tansylead-route/tests/quarantine.rs
@@ -0,0 +1,218 @@
+//! Which requests are refused because leafs end under them, and which must not be.
+
+use std::net::IpAddr;
+use std::time::Duration;
+use tansylead_route::{
+    MAXIMUM_RECORDS, Quarantine, QuarantineChange, RequestFingerprint, RequestIdentity, Strike,
+    Verdict,
+};
+use tansylead_types::{LeafId, Moment};
+
+const FATAL: RequestFingerprint = RequestFingerprint(1);
+const INNOCENT: RequestFingerprint = RequestFingerprint(2);
+const RUN: u64 = 30;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1_000_000 + millis)
+}
+
+/// A run at a leaf of this number that was sent at `sent` and ended with it.
+fn strike(leaf: usize, sent: u64) -> Strike {
+    let leaf = LeafId::new(format!("i-{leaf}")).expect("valid name");
+    Strike::new(&leaf, at(sent), at(sent + RUN))
+}
+
+fn is_quarantined(table: &Quarantine, now: Moment, request: RequestFingerprint) -> bool {
+    matches!(table.verdict(now, request), Verdict::Quarantined(_))
+}
+
+#[test]
+fn three_leafs_one_after_the_other_convict_a_request() {
+    let mut table = Quarantine::default();
+    let mut changes = Vec::new();
+    for run in 0..3 {
+        let sent = run as u64 * 100;
+        changes.push(table.on_strike(at(sent + RUN), FATAL, strike(run, sent)));
+    }
+    let expected = [
+        QuarantineChange::Learned,
+        QuarantineChange::Suspected,
+        QuarantineChange::Quarantined,
+    ];
+    assert_eq!(changes, expected.map(Some));
+    assert!(is_quarantined(&table, at(300), FATAL));
+}
+
+#[test]
+fn leafs_that_end_together_are_one_event() {
+    let mut table = Quarantine::default();
+    for leaf in 0..10 {
+        table.on_strike(at(RUN + leaf as u64), FATAL, strike(leaf, leaf as u64));
+    }
+    assert_eq!(table.verdict(at(100), FATAL), Verdict::Suspect);
+    table.on_strike(at(200), FATAL, strike(10, 100));
+    assert_eq!(table.verdict(at(200), FATAL), Verdict::Suspect);
+    table.on_strike(at(300), FATAL, strike(11, 200));
+    assert!(is_quarantined(&table, at(300), FATAL));
+}
+
+#[test]
+fn an_answer_clears_a_request_and_strikes_on_their_way_count_no_more() {
+    let mut here = Quarantine::default();
+    let mut there = Quarantine::default();
+    here.on_strike(at(RUN), INNOCENT, strike(0, 0));
+    here.on_strike(at(100 + RUN), INNOCENT, strike(1, 100));
+    let told = here.record(at(200), INNOCENT).expect("held");
+    there.merge(at(210), told.clone());
+    assert_eq!(there.verdict(at(210), INNOCENT), Verdict::Suspect);
+    let cleared = here.on_answer(at(300), INNOCENT);
+    assert_eq!(cleared, Some(QuarantineChange::Cleared));
+    let word = here.record(at(300), INNOCENT).expect("remembered");
+    let change = there.merge(at(310), word);
+    assert_eq!(change, Some(QuarantineChange::Cleared));
+    assert_eq!(there.merge(at(320), told), None);
+    assert_eq!(there.verdict(at(320), INNOCENT), Verdict::Clear);
+    assert_eq!(here.on_answer(at(330), INNOCENT), None);
+}
+
+#[test]
+fn amid_ends_under_other_requests_one_more_run_is_needed() {
+    let mut table = Quarantine::default();
+    for other in 0..8 {
+        let request = RequestFingerprint(100 + other as u128);
+        table.on_strike(at(RUN), request, strike(100 + other, 0));
+    }
+    for run in 0..3 {
+        let sent = 100 + run as u64 * 100;
+        table.on_strike(at(sent + RUN), FATAL, strike(run, sent));
+    }
+    assert_eq!(table.verdict(at(500), FATAL), Verdict::Suspect);
+    table.on_strike(at(600), FATAL, strike(3, 500));
+    assert!(is_quarantined(&table, at(600), FATAL));
+}
+
+#[test]
+fn daemons_put_their_strikes_together() {
+    let mut tables: Vec<Quarantine> = vec![Quarantine::default(); 3];
+    for (run, table) in tables.iter_mut().enumerate() {
+        let sent = run as u64 * 500;
+        table.on_strike(at(sent + RUN), FATAL, strike(run, sent));
+    }
+    let now = at(2_000);
+    let words: Vec<_> = tables
+        .iter()
+        .filter_map(|table| table.record(now, FATAL))
+        .collect();
+    for table in &mut tables {
+        for word in &words {
+            table.merge(now, word.clone());
+        }
+        assert!(is_quarantined(table, now, FATAL));
+    }
+    assert_eq!(tables[0].digest(), tables[2].digest());
+}
+
+#[test]
+fn daemons_come_to_hold_the_same_of_one_event() {
+    let mut here = Quarantine::default();
+    let mut there = Quarantine::default();
+    for leaf in 0..8 {
+        let table = if leaf % 2 == 0 { &mut here } else { &mut there };
+        table.on_strike(at(RUN), FATAL, strike(leaf, 0));
+    }
+    let now = at(200);
+    let (mine, other) = (here.record(now, FATAL), there.record(now, FATAL));
+    here.merge(now, other.expect("held"));
+    there.merge(now, mine.expect("held"));
+    assert_eq!(here.digest(), there.digest());
+    assert_eq!(here.verdict(now, FATAL), Verdict::Suspect);
+}
+
+#[test]
+fn after_its_time_a_request_may_be_tried_with_care_and_is_refused_for_longer_if_a_leaf_ends() {
+    let mut table = Quarantine::default();
+    for run in 0..3 {
+        let sent = run as u64 * 100;
+        table.on_strike(at(sent + RUN), FATAL, strike(run, sent));
+    }
+    let Verdict::Quarantined(first) = table.verdict(at(300), FATAL) else {
+        panic!("not quarantined");
+    };
+    let later = at(300) + first + Duration::from_secs(1);
+    assert_eq!(table.verdict(later, FATAL), Verdict::Suspect);
+    let leaf = LeafId::new("i-later".to_owned()).expect("valid name");
+    let again = Strike::new(&leaf, later, later + Duration::from_millis(RUN));
+    table.on_strike(later, FATAL, again);
+    let Verdict::Quarantined(second) = table.verdict(later, FATAL) else {
+        panic!("not quarantined again");
+    };
+    assert!(second > first);
+}
+
+#[test]
+fn what_the_source_kept_is_refused_until_it_is_known_to_be_cleared() {
+    let mut table = Quarantine::default();
+    let change = table.restore(at(0), FATAL);
+    assert_eq!(change, Some(QuarantineChange::Quarantined));
+    assert!(is_quarantined(&table, at(1), FATAL));
+    assert_eq!(table.restore(at(2), FATAL), None);
+    table.on_answer(at(3), FATAL);
+    assert_eq!(table.restore(at(4), FATAL), None);
+    assert_eq!(table.verdict(at(4), FATAL), Verdict::Clear);
+}
+
+#[test]
+fn the_table_is_bounded_and_forgets_what_matters_least() {
+    let mut table = Quarantine::default();
+    for run in 0..3 {
+        let sent = run as u64 * 100;
+        table.on_strike(at(sent + RUN), FATAL, strike(run, sent));
+    }
+    for other in 0..MAXIMUM_RECORDS * 2 {
+        let request = RequestFingerprint(1_000 + other as u128);
+        table.on_strike(at(400), request, strike(1_000 + other, 300));
+    }
+    assert!(is_quarantined(&table, at(500), FATAL));
+    let hour = Duration::from_secs(3_600);
+    assert!(table.forget_old(at(500) + hour / 2).is_empty());
+    assert_eq!(table.forget_old(at(500) + hour * 8), vec![FATAL]);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_request_is_the_same_only_with_caller_path_and_body() {
+    let caller: IpAddr = [10, 0, 0, 1].into();
+    let base = RequestIdentity {
+        caller,
+        method: "POST",
+        host: "search.example",
+        target: "/a/b?c=d",
+        body: b"body",
+    };
+    let others = [
+        RequestIdentity {
+            caller: [10, 0, 0, 2].into(),
+            ..base
+        },
+        RequestIdentity {
+            method: "PUT",
+            ..base
+        },
+        RequestIdentity {
+            host: "other.example",
+            ..base
+        },
+        RequestIdentity {
+            target: "/a/b?c=e",
+            ..base
+        },
+        RequestIdentity {
+            body: b"another",
+            ..base
+        },
+    ];
+    assert_eq!(base.fingerprint(), base.fingerprint());
+    for other in others {
+        assert_ne!(base.fingerprint(), other.fingerprint(), "{other:?}");
+    }
+}
