Quarantine requests that end leafs; a clock that counts suspension

Change: after two connections were lost under a request and before any answer, it goes to one leaf at a time (SendCare); a leaf found to have ended is a strike; three strikes in successive runs quarantine the request: it is refused at once with 503 and 'ends_leafs', truthfully, since nothing of this request was sent. Strikes, clearings and verdicts go to other daemons at once by datagram, those of the own zone first, and again by digests; daemons that have just started ask others; quarantined requests are kept at the source, for a loss of all daemons. Any answer of a leaf clears a request.

The clock of the gateway counts the time of a suspension (CLOCK_BOOTTIME), waits that end at a moment are looked at again when a task was a second late, and the daemon then compares its quarantine with others at once.

--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -94,12 +94,15 @@
     // A caller that has gone silent midway would hold its connection for good.
     let end = arrived + time_left.min(route.policy.timeout);
     let reading = read_request(request, id, caller, limits, &route);
-    let read = tokio::time::timeout_at(Clock.instant_at(end), reading).await;
+    let read = Clock.timeout_at(end, reading).await;
     let outgoing = match read.unwrap_or(Err(RefusalReason::BodyTooLate)) {
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
     log.fingerprint = Some(outgoing.fingerprint);
+    if let Some(refusal) = gateway.quarantine.refusal(outgoing.fingerprint) {
+        return Outcome::Refused(refusal);
+    }
     let trace = Rc::clone(&log.trace);
     let version = active.configuration.version;
     let access = LeafAccess::new(Rc::clone(gateway), Arc::clone(&route), version);
--- a/crates/tansylead-gateway/src/caller/server.rs
+++ b/crates/tansylead-gateway/src/caller/server.rs
@@ -116,7 +116,7 @@
             return;
         }
         tokio::select! {
-            () = tokio::time::sleep_until(Clock.instant_at(due)) => {}
+            () = Clock.sleep_until(due) => {}
             _ = stop.wait_for(|phase| *phase >= StopPhase::Closing) => return,
         }
     }
--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -4,6 +4,7 @@
 use super::roll_out_codec::RollOutCodec;
 use super::view::ClusterView;
 use crate::clock::Clock;
+use crate::quarantine::{QuarantineCodec, QuarantineMessage, ToSend};
 use crate::roll_out::{RollOutLink, RollOutMessage};
 use crate::state::{Gateway, StopPhase};
 use std::collections::BTreeMap;
@@ -23,6 +24,12 @@
 /// The task looks at its state at least this often.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
+/// Daemons that are told of a request under which leafs end by the one that found it: all of a small fleet. In a
+/// larger one each of them passes it on to some others, which reaches all but about 2 in 100; digests do the rest.
+const QUARANTINE_PEERS: usize = 32;
+/// Daemons that each daemon passes it on to.
+const QUARANTINE_RELAYS: usize = 4;
+
 /// Owns the UDP socket and the membership.
 #[derive(Debug)]
 pub struct MemberDriver {
@@ -32,6 +39,7 @@
     codec: GossipCodec,
     report_codec: ReportCodec,
     roll_out_codec: RollOutCodec,
+    quarantine_codec: QuarantineCodec,
     roll_outs: Rc<RollOutLink>,
     local: LocalMember,
     membership: Membership,
@@ -63,6 +71,7 @@
         let codec = GossipCodec::new(&settings.cluster);
         let report_codec = ReportCodec::new(&settings.cluster);
         let roll_out_codec = RollOutCodec::new(&settings.cluster);
+        let quarantine_codec = QuarantineCodec::new(&settings.cluster);
         view.set_life(local.instance.boot);
         let membership = new_membership(&local, &settings.seeds);
         Ok(Self {
@@ -72,6 +81,7 @@
             codec,
             report_codec,
             roll_out_codec,
+            quarantine_codec,
             roll_outs,
             local,
             membership,
@@ -103,7 +113,8 @@
                 }
                 () = gateway.reports.added() => self.send_reports(),
                 () = roll_outs.to_send() => self.send_roll_out_messages(),
-                () = tokio::time::sleep_until(Clock.instant_at(wakeup)) => {
+                () = gateway.quarantine.to_send() => self.send_quarantine(),
+                () = Clock.sleep_until(wakeup) => {
                     self.feed(MembershipEvent::Wakeup);
                 }
                 _ = stop.wait_for(|phase| *phase >= StopPhase::Draining), if !leaving => {
@@ -158,6 +169,35 @@
         }
     }
 
+    /// Tells other daemons of requests under which leafs end.
+    fn send_quarantine(&self) {
+        let ToSend {
+            wide,
+            relayed,
+            replies,
+        } = self.gateway.quarantine.take_to_send();
+        let zone = &self.gateway.settings.zone;
+        for peer in self.view.near_peers(zone, QUARANTINE_PEERS) {
+            self.send_quarantine_to(peer, &wide);
+        }
+        // In a fleet in which one daemon tells all, nothing needs to be passed on.
+        if self.view.member_nodes().len() > QUARANTINE_PEERS {
+            for peer in self.view.random_peers(QUARANTINE_RELAYS) {
+                self.send_quarantine_to(peer, &relayed);
+            }
+        }
+        for (peer, messages) in replies {
+            self.send_quarantine_to(peer, &messages);
+        }
+    }
+
+    fn send_quarantine_to(&self, peer: SocketAddr, messages: &[QuarantineMessage]) {
+        for datagram in self.quarantine_codec.encode(messages) {
+            // A datagram that cannot be sent now is as good as lost on the way.
+            let _ = self.socket.try_send_to(&datagram, peer);
+        }
+    }
+
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         if let Some(reports) = self.report_codec.decode(bytes) {
             return self.gateway.apply_reports(&reports);
@@ -165,6 +205,9 @@
         if let Some(messages) = self.roll_out_codec.decode(bytes) {
             return self.roll_outs.receive(messages);
         }
+        if let Some(messages) = self.quarantine_codec.decode(bytes) {
+            return self.gateway.quarantine.receive(from, messages);
+        }
         if let Ok(packet) = self.codec.decode(bytes) {
             let packet = Box::new(packet);
             self.feed(MembershipEvent::Packet { from, packet });
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -7,7 +7,7 @@
 use tansylead_cluster::membership::MemberRecord;
 use tansylead_cluster::routing::judges;
 use tansylead_cluster::spread::{FeedSources, FeedTree, ReaderRanking};
-use tansylead_types::{NodeId, PlaceName, ServiceName};
+use tansylead_types::{NodeId, PlaceName, ServiceName, ZoneName};
 
 /// Daemons that watch the source, in all regions together, at least: each of them sees every change,
 /// so more would cost calls and bring nothing sooner.
@@ -225,6 +225,28 @@
         peers.sample(&mut rand::rng(), MAXIMUM_REPORT_PEERS)
     }
 
+    /// Some of the other daemons, by chance.
+    pub fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let others = members.iter().filter(|member| member.node() != self.node);
+        let peers = others.map(|member| member.node().0);
+        peers.sample(&mut rand::rng(), count)
+    }
+
+    /// Daemons to tell what concerns requests that come again: those of the own zone first, to which callers
+    /// mostly come back, then others by chance, `count` in all.
+    pub fn near_peers(&self, zone: &ZoneName, count: usize) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let mut others: Vec<&MemberRecord> = members
+            .iter()
+            .filter(|member| member.node() != self.node)
+            .collect();
+        others.shuffle(&mut rand::rng());
+        others.sort_by_key(|member| member.zone != *zone);
+        let nearest = others.into_iter().take(count);
+        nearest.map(|member| member.node().0).collect()
+    }
+
     /// Whether a peer is known to run in the own region.
     pub fn is_in_own_region(&self, peer: SocketAddr) -> bool {
         let members = self.members.borrow();
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::cluster::{ClusterView, MemberDriver, PeerFeed, SourceFeed, find_daemons, serve_peers};
 use crate::headers::HeaderNames;
 use crate::metrics::serve_metrics;
+use crate::quarantine::{catch_up, exchange, forget_old, keep_changes};
 use crate::roll_out::{RollOutLink, RollOutTask};
 use crate::settings::GatewaySettings;
 use crate::source::Source;
@@ -136,9 +137,24 @@
         let metrics = serve_metrics(Rc::clone(gateway), address);
         spawn_local(until_failed("metrics", metrics));
     }
+    spawn_local(exchange(
+        Rc::clone(gateway),
+        Rc::clone(view),
+        Rc::clone(&source),
+    ));
+    spawn_local(keep_changes(
+        Rc::clone(gateway),
+        Rc::clone(view),
+        Rc::clone(&source),
+    ));
+    spawn_local(forget_old(
+        Rc::clone(gateway),
+        Rc::clone(view),
+        Rc::clone(&source),
+    ));
     spawn_local(find_daemons(Rc::clone(gateway), Rc::clone(view), source));
     spawn_local(sweep(Rc::clone(gateway)));
-    spawn_local(watch_lag());
+    spawn_local(watch_lag(Rc::clone(gateway), Rc::clone(view)));
     Ok(())
 }
 
@@ -158,7 +174,7 @@
 }
 
 /// Tells when tasks wait long for the processor: then everything here is late.
-async fn watch_lag() {
+async fn watch_lag(gateway: Rc<Gateway>, view: Rc<ClusterView>) {
     loop {
         let due = Clock.now() + LAG_PERIOD;
         tokio::time::sleep(LAG_PERIOD).await;
@@ -166,6 +182,11 @@
         if lag > LAG_TOLERANCE {
             log::warn!(lag_ms = lag.as_millis() as u64; "tasks wait for the processor");
         }
+        if Clock.note_lag(lag) {
+            log::warn!(paused_ms = lag.as_millis() as u64; "did not run");
+            gateway.metrics.on_pause();
+            catch_up(&gateway, &view);
+        }
     }
 }
 
@@ -201,7 +222,9 @@
     let limit = gateway.settings.bounds.stop_limit();
     let started = Clock.now();
     gateway.set_stop_phase(StopPhase::Draining);
-    tokio::time::sleep(limit.mul_f64(CLOSING_SHARE)).await;
+    Clock
+        .sleep_until(started + limit.mul_f64(CLOSING_SHARE))
+        .await;
     gateway.set_stop_phase(StopPhase::Closing);
     let ending = started + limit.mul_f64(ENDING_SHARE);
     let is_in_use = || gateway.connections().get() + gateway.running_for_peers().get() > 0;
--- a/crates/tansylead-gateway/src/execution/at_root.rs
+++ b/crates/tansylead-gateway/src/execution/at_root.rs
@@ -87,10 +87,10 @@
         let policy = &self.route.policy;
         let objective = policy.objective;
         let end = self.arrived + policy.timeout.min(self.time_left);
-        let overdue = tokio::time::sleep_until(Clock.instant_at(self.arrived + objective));
+        let overdue = Clock.sleep_until(self.arrived + objective);
         let silence = self.arrived + objective * SILENCE_OBJECTIVES;
-        let silence = tokio::time::sleep_until(Clock.instant_at(silence));
-        let end = tokio::time::sleep_until(Clock.instant_at(end));
+        let silence = Clock.sleep_until(silence);
+        let end = Clock.sleep_until(end);
         tokio::pin!(asking, overdue, silence, end);
         let (mut is_overdue, mut is_past_silence) = (false, false);
         loop {
--- a/crates/tansylead-gateway/src/execution/attempts.rs
+++ b/crates/tansylead-gateway/src/execution/attempts.rs
@@ -4,7 +4,9 @@
 //! answer leaves the others to finish instead, for a while: cutting them would cost a connection
 //! each and save the leaf nothing.
 
+use crate::clock::Clock;
 use crate::leaf::{AttemptEnd, HandOver, LeafState};
+use crate::quarantine::AttemptInFlight;
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
@@ -26,6 +28,7 @@
     /// The delay behind `overdue`.
     pub(super) overdue_delay: Duration,
     task: AbortOnDropHandle<AttemptEnd>,
+    _in_flight: AttemptInFlight,
 }
 
 impl Attempt {
@@ -36,6 +39,7 @@
         overdue_delay: Duration,
         sent: Rc<Cell<Option<HandOver>>>,
         run: impl Future<Output = AttemptEnd> + 'static,
+        in_flight: AttemptInFlight,
     ) -> Self {
         Self {
             leaf,
@@ -44,6 +48,7 @@
             overdue: Some(started + overdue_delay),
             overdue_delay,
             task: AbortOnDropHandle::new(spawn_local(run)),
+            _in_flight: in_flight,
         }
     }
 
@@ -55,7 +60,7 @@
     /// Waits for the end, at most for `limit`; none if it has not come by then. Past the limit the
     /// attempt is ended.
     pub(super) async fn finish_within(&mut self, limit: Duration) -> Option<AttemptEnd> {
-        let end = tokio::time::timeout(limit, &mut self.task).await;
+        let end = Clock.timeout_at(Clock.now() + limit, &mut self.task).await;
         end.ok()?.ok()
     }
 }
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -56,10 +56,19 @@
     pub(super) not_sent: u32,
     pub(super) may_have_run: bool,
     pub(super) reply: Option<Reply>,
+    /// An attempt that may not start yet, because leafs end under the request.
+    pub(super) waiting: Option<AttemptReason>,
     /// Whether any attempt was sent.
     pub(super) is_sent: Rc<Cell<bool>>,
 }
 
+impl Progress {
+    /// Whether an attempt is under way, or may start yet.
+    fn is_open(&self) -> bool {
+        !self.attempts.is_empty() || self.waiting.is_some()
+    }
+}
+
 impl Call {
     /// Runs the call. Dropping the future ends all attempts.
     pub async fn run(self) -> CallEnd {
@@ -71,16 +80,17 @@
             not_sent: 0,
             may_have_run: false,
             reply: None,
+            waiting: None,
             is_sent: Rc::default(),
         };
         self.launch(&mut progress, AttemptReason::First, false);
-        while !progress.attempts.is_empty() {
+        while progress.is_open() {
+            self.start_waiting(&mut progress);
             let overdue = progress
                 .attempts
                 .iter()
                 .filter_map(|attempt| attempt.overdue);
             let wakeup = overdue.min().unwrap_or(self.end).min(self.end);
-            let wakeup = Clock.instant_at(wakeup);
             tokio::select! {
                 biased;
                 (attempt, end) = (NextEnd { attempts: &mut progress.attempts }) => {
@@ -89,7 +99,8 @@
                         return CallEnd::Answered(reply);
                     }
                 }
-                () = tokio::time::sleep_until(wakeup) => {
+                () = self.shared.care.changed(), if progress.waiting.is_some() => {}
+                () = Clock.sleep_until(wakeup) => {
                     if Clock.now() >= self.end {
                         return self.fail(progress, true);
                     }
@@ -129,7 +140,7 @@
         reason: AttemptReason,
         must_be_sound: bool,
     ) -> bool {
-        if self.is_over() {
+        if self.is_over() || !self.is_admitted(progress, reason) {
             return false;
         }
         let is_first = reason == AttemptReason::First;
@@ -182,7 +193,8 @@
             trial: leaf.trial_stage(),
         };
         self.trace.note(self.service.name(), decision);
-        let attempt = Attempt::start(leaf, Clock.now(), delay, sent, run);
+        let in_flight = self.shared.care.begin();
+        let attempt = Attempt::start(leaf, Clock.now(), delay, sent, run, in_flight);
         progress.attempts.push(attempt);
     }
 
@@ -198,6 +210,7 @@
         }
         match end {
             Some(AttemptEnd::Answered(reply)) => {
+                self.note_survived(&reply);
                 let failed = reply.status.is_server_error();
                 attempt.leaf.note_end(failed);
                 if !failed {
--- a/crates/tansylead-gateway/src/execution/call_end.rs
+++ b/crates/tansylead-gateway/src/execution/call_end.rs
@@ -1,6 +1,8 @@
 //! How a call ended, and what the calls of one request share.
 
+use crate::quarantine::SendCare;
 use std::cell::Cell;
+use std::rc::Rc;
 use tansylead_http::Reply;
 
 /// What the calls of one request share.
@@ -10,6 +12,8 @@
     pub settled: Cell<bool>,
     /// Whether a leaf has refused an attempt without running it.
     pub was_refused: Cell<bool>,
+    /// Whether leafs end under the request.
+    pub care: Rc<SendCare>,
 }
 
 /// How a call ended.
--- a/crates/tansylead-gateway/src/execution/call_notes.rs
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -5,10 +5,12 @@
 use super::call::Call;
 use crate::clock::Clock;
 use crate::leaf::{AttemptEnd, LeafState, LostRun};
-use crate::quarantine;
+use crate::quarantine::{self, SendAdmission};
 use crate::request_trace::{AttemptEndKind, Decision, DenialReason, EndCause};
+use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_http::Reply;
 use tansylead_types::Moment;
 
 /// Before latencies are learned, an answer is overdue after this share of the objective.
@@ -40,6 +42,9 @@
         if let Some(AttemptEnd::Answered(_) | AttemptEnd::Refused(_)) = end {
             self.note_sign_of_life(attempt);
         }
+        if let Some(AttemptEnd::Answered(reply)) = &end {
+            self.note_survived(reply);
+        }
         if let Some(AttemptEnd::Answered(reply)) = end
             && !reply.status.is_server_error()
         {
@@ -56,10 +61,27 @@
             fingerprint: self.request.fingerprint,
             sent: sent.at,
             lost: Clock.now(),
+            care: Rc::clone(&self.shared.care),
         };
         quarantine::on_lost(&self.gateway, &attempt.leaf, run);
     }
 
+    /// Notes that a leaf has answered after it ran the request, and lives.
+    pub(super) fn note_survived(&self, reply: &Reply) {
+        // A leaf may say so of a request that still waits for a slot when its time is up.
+        if reply.status == StatusCode::GATEWAY_TIMEOUT {
+            return;
+        }
+        self.shared.care.on_answer();
+        self.gateway.quarantine.on_answer(self.request.fingerprint);
+    }
+
+    /// Whether an attempt may start now, by what is known of leafs that end under the request.
+    pub(super) fn admission(&self) -> SendAdmission {
+        let verdict = self.gateway.quarantine.verdict(self.request.fingerprint);
+        self.shared.care.admission(verdict)
+    }
+
     pub(super) fn deny(&self, reason: DenialReason) {
         self.gateway.metrics.on_denied(reason.label());
         self.trace
--- a/crates/tansylead-gateway/src/execution/forward.rs
+++ b/crates/tansylead-gateway/src/execution/forward.rs
@@ -14,6 +14,7 @@
     let service = Rc::clone(&call.service);
     let access = call.access.clone();
     let objective = call.route.policy.objective;
+    let quarantine = call.quarantine();
     match call.run().await {
         CallEnd::Answered(reply) => pass_on(reply),
         CallEnd::Failed(failure) => {
@@ -22,7 +23,10 @@
             } else {
                 retry_after_outage(time_left)
             };
-            refuse(failure, retry_after)
+            match quarantine.refusal().filter(|_| !failure.may_have_run) {
+                Some(refusal) => Outcome::Refused(refusal),
+                None => refuse(failure, retry_after),
+            }
         }
     }
 }
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -7,6 +7,7 @@
 use super::call_end::{CallEnd, SharedProgress};
 use super::leaf_access::LeafAccess;
 use super::outcome::{Outcome, Refusal, RefusalReason};
+use super::request_quarantine::RequestQuarantine;
 use crate::clock::Clock;
 use crate::leaf::OutgoingRequest;
 use crate::request_trace::{Decision, DenialReason, RequestTrace};
@@ -79,6 +80,12 @@
         return parts.into_outcome();
     }
     parts.may_have_run |= !calls.is_empty();
+    let quarantine = RequestQuarantine::new(&query.gateway, &query.request, &shared);
+    if !parts.may_have_run
+        && let Some(refusal) = quarantine.refusal()
+    {
+        return Outcome::Refused(refusal);
+    }
     let retry_after = retry_after_refusal(policy.objective);
     Outcome::Refused(parts.refusal(timed_out, retry_after))
 }
@@ -91,8 +98,8 @@
     calls: &mut FuturesUnordered<impl Future<Output = CallEnd>>,
     parts: &mut Parts,
 ) -> bool {
-    let wait_enough = tokio::time::sleep_until(Clock.instant_at(query.arrived + patience.enough));
-    let wait_end = tokio::time::sleep_until(Clock.instant_at(query.arrived + patience.end));
+    let wait_enough = Clock.sleep_until(query.arrived + patience.enough);
+    let wait_end = Clock.sleep_until(query.arrived + patience.end);
     tokio::pin!(wait_enough, wait_end);
     let mut past_enough = false;
     while parts.may_still_come() {
@@ -126,7 +133,7 @@
     spawn_local(async move {
         let finish = calls.for_each(|_| std::future::ready(()));
         // Past the limit what is left is dropped, which ends it.
-        let _ = tokio::time::timeout(limit, finish).await;
+        let _ = Clock.timeout_at(Clock.now() + limit, finish).await;
     });
 }
 
--- a/crates/tansylead-gateway/src/execution/mod.rs
+++ b/crates/tansylead-gateway/src/execution/mod.rs
@@ -10,6 +10,7 @@
 mod gather;
 mod leaf_access;
 mod outcome;
+mod request_quarantine;
 
 pub use at_root::QueryAtRoot;
 pub use call::Call;
--- a/crates/tansylead-gateway/src/execution/outcome.rs
+++ b/crates/tansylead-gateway/src/execution/outcome.rs
@@ -49,6 +49,8 @@
     NotRun,
     /// Leafs are short of capacity, and this query was not admitted; it has not run.
     Overloaded,
+    /// Leafs end under this request whenever they run it; this time none was sent it.
+    EndsLeafs,
     /// No route takes the request.
     NoRoute,
     /// The request carries no id, so no answer could be told to be its own.
@@ -71,7 +73,7 @@
     /// Status towards the caller.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NotRun | Self::Overloaded => {
+            Self::NoConfiguration | Self::NotRun | Self::Overloaded | Self::EndsLeafs => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -90,6 +92,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NotRun => "not_run",
             Self::Overloaded => "overloaded",
+            Self::EndsLeafs => "ends_leafs",
             Self::NoRoute => "no_route",
             Self::NoRequestId => "no_request_id",
             Self::BodyTooLarge => "body_too_large",
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -114,7 +114,7 @@
         on_kept: rested.is_some(),
     }));
     let exchange = connection.exchange(outgoing, MAXIMUM_ANSWER_BYTES);
-    let ended = match tokio::time::timeout(time_left + ANSWER_SLACK, exchange).await {
+    let ended = match Clock.timeout_at(terms.end + ANSWER_SLACK, exchange).await {
         Ok(Ok(reply)) => {
             leaf.connections().on_answer(rested);
             finish(&leaf, &request, &names, connection, reply)
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -3,7 +3,7 @@
 use super::leaf_connections::LeafConnections;
 use super::leaf_health::{LeafHealth, ratio};
 use super::leaf_standing::LeafStanding;
-use super::lost_runs::{LostRun, LostRuns};
+use super::lost_runs::LostRuns;
 use super::open_attempt::OpenAttempt;
 use crate::clock::Clock;
 use crate::roll_out::{SendTarget, SendTerms, ServiceVersions, VersionSend};
@@ -264,15 +264,9 @@
         }
     }
 
-    /// Notes that the connection was lost under a request. Returns whether nobody looks yet whether the
-    /// leaf has ended; then the caller has to.
-    pub fn add_lost_run(&self, run: LostRun) -> bool {
-        self.lost_runs.add(run)
-    }
-
-    /// Takes out the requests whose connections were lost: it is known now whether the leaf has ended.
-    pub fn take_lost_runs(&self) -> Vec<LostRun> {
-        self.lost_runs.take()
+    /// The requests whose connections to the leaf were lost.
+    pub(crate) fn lost_runs(&self) -> &LostRuns {
+        &self.lost_runs
     }
 
     /// Whether the leaf has answered a request since `moment`.
--- a/crates/tansylead-gateway/src/leaf/lost_runs.rs
+++ b/crates/tansylead-gateway/src/leaf/lost_runs.rs
@@ -1,6 +1,8 @@
 //! The requests whose connections to one leaf were lost, until it is known whether the leaf has ended.
 
+use crate::quarantine::SendCare;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use tansylead_route::RequestFingerprint;
 use tansylead_types::Moment;
 
@@ -16,28 +18,56 @@
     pub sent: Moment,
     /// When the connection was lost.
     pub lost: Moment,
+    /// The care for the request.
+    pub care: Rc<SendCare>,
 }
 
 /// The requests of one leaf.
 #[derive(Debug, Default)]
-pub(super) struct LostRuns {
-    runs: RefCell<Vec<LostRun>>,
-    is_checked: Cell<bool>,
+pub struct LostRuns {
+    /// The leaf's address was not asked yet since these were lost.
+    unprobed: RefCell<Vec<LostRun>>,
+    is_probed: Cell<bool>,
+    /// The address accepts connections; the leaf's entry and answers will tell.
+    watched: RefCell<Vec<LostRun>>,
+    is_watched: Cell<bool>,
 }
 
 impl LostRuns {
-    /// Adds one. Returns whether nobody looks yet whether the leaf has ended; then the caller has to.
-    pub(super) fn add(&self, run: LostRun) -> bool {
-        let mut runs = self.runs.borrow_mut();
-        if runs.len() < MAXIMUM_RUNS {
-            runs.push(run);
+    /// Adds one. Returns whether nobody asks the address yet; then the caller has to.
+    pub fn add(&self, run: LostRun) -> bool {
+        let mut unprobed = self.unprobed.borrow_mut();
+        if unprobed.len() >= MAXIMUM_RUNS {
+            run.care.on_checked(false);
+            return false;
         }
-        !self.is_checked.replace(true)
+        unprobed.push(run);
+        !self.is_probed.replace(true)
     }
 
-    /// Takes all out: it is known now.
-    pub(super) fn take(&self) -> Vec<LostRun> {
-        self.is_checked.set(false);
-        self.runs.take()
+    /// Takes out those that the address has been asked for.
+    pub fn take_unprobed(&self) -> Vec<LostRun> {
+        self.is_probed.set(false);
+        self.unprobed.take()
+    }
+
+    /// Keeps requests until the leaf's entry or answers tell. Returns whether nobody looks at these yet; then
+    /// the caller has to.
+    pub fn watch(&self, runs: Vec<LostRun>) -> bool {
+        let mut watched = self.watched.borrow_mut();
+        let room = MAXIMUM_RUNS.saturating_sub(watched.len());
+        watched.extend(runs.into_iter().take(room));
+        !self.is_watched.replace(true)
+    }
+
+    /// Takes out those that are kept.
+    pub fn take_watched(&self) -> Vec<LostRun> {
+        self.watched.take()
+    }
+
+    /// Takes out those that are kept; nobody looks any more.
+    pub fn end_watch(&self) -> Vec<LostRun> {
+        self.is_watched.set(false);
+        self.watched.take()
     }
 }
--- a/crates/tansylead-gateway/src/lib.rs
+++ b/crates/tansylead-gateway/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod logging;
 pub mod metrics;
 mod per_second;
-mod quarantine;
+pub mod quarantine;
 mod report_queue;
 mod request_log;
 pub mod request_trace;
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -12,9 +12,10 @@
 use crate::source::{SourceError, Topic, WriteEnd};
 use crate::state::Gateway;
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder,
+    Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
+    TextEncoder,
 };
-use registry::{counter, counters, gauge, register, seconds};
+use registry::{counter, counters, gauge, gauges, register, seconds};
 use roll_out_orders::RollOutOrderMetrics;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -40,6 +41,7 @@
     attempt_ends: IntCounterVec,
     denied: IntCounterVec,
     kept_silent: IntCounter,
+    pauses: IntCounter,
     forwarded: IntCounterVec,
     source_calls: IntCounterVec,
     leaf_report: IntCounterVec,
@@ -51,6 +53,7 @@
     evacuations_age: Gauge,
     evacuated_zones: IntGauge,
     leafs: IntGauge,
+    quarantine: IntGaugeVec,
     daemons: IntGauge,
     caller_connections: IntGauge,
     idle_leaf_connections: IntGauge,
@@ -107,6 +110,11 @@
                 "tansylead_kept_connections_silent_total",
                 "Times that all connections at rest were closed because none answered",
             ),
+            pauses: counter(
+                &registry,
+                "tansylead_pauses_total",
+                "Times that this process did not run for a second or more",
+            ),
             denied: counters(
                 &registry,
                 "tansylead_attempts_denied_total",
@@ -162,6 +170,12 @@
                 "tansylead_evacuated_zones",
                 "Zones that are being emptied",
             ),
+            quarantine: gauges(
+                &registry,
+                "tansylead_quarantine",
+                "Requests under which leafs ended: sent with care (suspect) or refused (quarantined)",
+                &["verdict"],
+            ),
             leafs: gauge(&registry, "tansylead_leafs", "Leafs in the directory"),
             daemons: gauge(
                 &registry,
@@ -227,6 +241,11 @@
         self.kept_silent.inc();
     }
 
+    /// Counts a time at which this process did not run for a while.
+    pub fn on_pause(&self) {
+        self.pauses.inc();
+    }
+
     /// Counts an attempt that was not started.
     pub fn on_denied(&self, reason: &str) {
         self.denied.with_label_values(&[reason]).inc();
@@ -288,6 +307,10 @@
         let evacuated = gateway.evacuated().unwrap_or_default();
         self.evacuated_zones.set(evacuated.zones.len() as i64);
         self.roll_out_orders.update(gateway);
+        let held = gateway.quarantine.counts();
+        let verdict = |label| self.quarantine.with_label_values(&[label]);
+        verdict("suspect").set(held.suspects as i64);
+        verdict("quarantined").set(held.quarantined as i64);
         self.leafs.set(gateway.directory().entries().count() as i64);
         self.daemons.set(gateway.daemons() as i64);
         self.caller_connections
--- a/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
+++ b/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
@@ -1,10 +1,10 @@
-//! Looks whether a leaf has ended under the requests whose connections to it were lost, and tells so.
+//! Looks whether a leaf has ended under the requests whose connections to it were lost.
 
 use crate::leaf::{EndSign, LeafState, LostRun, Probe, probe, watch_entry};
 use crate::state::Gateway;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use tansylead_route::RequestFingerprint;
+use tansylead_route::{RequestFingerprint, Strike};
 use tokio::task::spawn_local;
 
 /// Fingerprints named in the line on one leaf's end.
@@ -12,25 +12,58 @@
 
 /// Notes that the connection to a leaf was lost under a request, and looks whether the leaf has ended.
 pub(crate) fn on_lost(gateway: &Rc<Gateway>, leaf: &Rc<LeafState>, run: LostRun) {
-    let lost = run.lost;
-    if !leaf.add_lost_run(run) {
-        return;
+    run.care.on_lost();
+    if leaf.lost_runs().add(run) {
+        let (gateway, leaf) = (Rc::clone(gateway), Rc::clone(leaf));
+        spawn_local(check(gateway, leaf));
     }
-    let (gateway, leaf) = (Rc::clone(gateway), Rc::clone(leaf));
-    spawn_local(async move {
-        let sign = match probe(&leaf).await {
-            Probe::Refused => Some(EndSign::Refused),
-            Probe::Open => watch_entry(&leaf, lost).await,
-        };
-        let runs = leaf.take_lost_runs();
-        if let Some(sign) = sign {
-            on_ended(&gateway, &leaf, sign, &runs);
+}
+
+async fn check(gateway: Rc<Gateway>, leaf: Rc<LeafState>) {
+    let probed = probe(&leaf).await;
+    let runs = leaf.lost_runs().take_unprobed();
+    match probed {
+        Probe::Refused => {
+            let watched = leaf.lost_runs().take_watched();
+            for run in &runs {
+                run.care.on_checked(true);
+            }
+            on_ended(&gateway, &leaf, EndSign::Refused, &[watched, runs].concat());
         }
-    });
+        Probe::Open => {
+            for run in &runs {
+                run.care.on_checked(false);
+            }
+            let Some(lost) = runs.iter().map(|run| run.lost).min() else {
+                return;
+            };
+            if !leaf.lost_runs().watch(runs) {
+                return;
+            }
+            let sign = watch_entry(&leaf, lost).await;
+            let watched = leaf.lost_runs().end_watch();
+            if let Some(sign) = sign {
+                on_ended(&gateway, &leaf, sign, &watched);
+            }
+        }
+    }
 }
 
-/// A leaf has ended under requests.
+/// A leaf has ended under requests: a strike against each that no leaf has answered.
 fn on_ended(gateway: &Gateway, leaf: &LeafState, sign: EndSign, runs: &[LostRun]) {
+    tell(gateway, leaf, sign, runs);
+    let id = leaf.entry().leaf.clone();
+    for run in runs.iter().filter(|run| !run.care.is_answered()) {
+        let strike = Strike::new(&id, run.sent, run.lost);
+        gateway.quarantine.on_strike(run.fingerprint, strike);
+    }
+    // What was decided concerns requests that wait.
+    for run in runs {
+        run.care.on_decided();
+    }
+}
+
+fn tell(gateway: &Gateway, leaf: &LeafState, sign: EndSign, runs: &[LostRun]) {
     gateway.metrics.on_leaf_ended(sign.label());
     let fingerprints: BTreeSet<RequestFingerprint> =
         runs.iter().map(|run| run.fingerprint).collect();
--- a/crates/tansylead-gateway/src/request_trace.rs
+++ b/crates/tansylead-gateway/src/request_trace.rs
@@ -57,6 +57,10 @@
     NoSoundLeaf,
     /// The time is up.
     End,
+    /// Leafs end under the request: it goes to one at a time.
+    OneAtATime,
+    /// Leafs ended under the request: it goes to none.
+    Quarantined,
 }
 
 impl DenialReason {
@@ -68,6 +72,8 @@
             Self::NoLeaf => "no_leaf",
             Self::NoSoundLeaf => "no_sound_leaf",
             Self::End => "end",
+            Self::OneAtATime => "one_at_a_time",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -208,6 +214,10 @@
     NoSoundLeaf,
     /// The time was up.
     End,
+    /// Leafs ended under the request, and it went to one at a time.
+    OneAtATime,
+    /// Leafs ended under the request, and it went to no more.
+    Quarantined,
     /// A leaf failed or refused, and no attempt followed.
     Failure,
 }
@@ -224,6 +234,8 @@
             Self::NoLeaf => "no_leaf",
             Self::NoSoundLeaf => "no_sound_leaf",
             Self::End => "end",
+            Self::OneAtATime => "one_at_a_time",
+            Self::Quarantined => "quarantined",
             Self::Failure => "failure",
         }
     }
@@ -244,6 +256,8 @@
                 DenialReason::NoLeaf => Self::NoLeaf,
                 DenialReason::NoSoundLeaf => Self::NoSoundLeaf,
                 DenialReason::End => Self::End,
+                DenialReason::OneAtATime => Self::OneAtATime,
+                DenialReason::Quarantined => Self::Quarantined,
             }),
             Decision::Ended { .. } if decision.is_good_answer() => None,
             Decision::Ended { .. } => Some(Self::Failure),
--- a/crates/tansylead-gateway/src/roll_out/source_calls.rs
+++ b/crates/tansylead-gateway/src/roll_out/source_calls.rs
@@ -63,7 +63,7 @@
                     write.on_read(Clock.now(), result, rand::random());
                 }
                 WriteStep::WaitUntil(moment) => {
-                    tokio::time::sleep_until(Clock.instant_at(moment)).await;
+                    Clock.sleep_until(moment).await;
                 }
                 WriteStep::Ended(end) => return end,
             }
--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, DirectoryDelta, EvacuatedZones, Revision, RollOut, RollOutState, RollOuts,
-    WriteFailure,
+    Configuration, DirectoryDelta, EvacuatedZones, RequestFingerprint, Revision, RollOut,
+    RollOutState, RollOuts, WriteFailure,
 };
 use tansylead_types::{ServiceName, StepError};
 
@@ -128,6 +128,30 @@
     /// Registering again changes nothing.
     fn register(&self, peer: SocketAddr) -> impl Future<Output = Result<(), SourceError>>;
 
+    /// Keeps that a request is quarantined; keeping it again changes nothing.
+    fn keep_quarantined(
+        &self,
+        _fingerprint: RequestFingerprint,
+    ) -> impl Future<Output = Result<(), SourceError>> {
+        async { Ok(()) }
+    }
+
+    /// Forgets that a request is quarantined, if that is kept.
+    fn release_quarantined(
+        &self,
+        _fingerprint: RequestFingerprint,
+    ) -> impl Future<Output = Result<(), SourceError>> {
+        async { Ok(()) }
+    }
+
+    /// The requests that are kept as quarantined. A source that keeps nothing has none.
+    fn quarantined(
+        &self,
+        _freshness: Freshness,
+    ) -> impl Future<Output = Result<Vec<RequestFingerprint>, SourceError>> {
+        async { Ok(Vec::new()) }
+    }
+
     /// Peer addresses of the daemons that ever registered; some may be gone.
     fn registered(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
 }
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use crate::headers::HeaderNames;
 use crate::leaf::{LeafState, ServiceState};
 use crate::metrics::Metrics;
+use crate::quarantine::QuarantineState;
 use crate::report_queue::ReportQueue;
 use crate::request_log::RequestLogLimits;
 use crate::roll_out::RollOutContext;
@@ -79,6 +80,8 @@
     pub(crate) request_log_limits: RequestLogLimits,
     /// Reports on leafs that wait to be sent to other daemons.
     pub(crate) reports: ReportQueue,
+    /// Requests under which leafs end.
+    pub quarantine: QuarantineState,
     started: Moment,
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
@@ -130,6 +133,7 @@
             metrics,
             request_log_limits: RequestLogLimits::default(),
             reports: ReportQueue::default(),
+            quarantine: QuarantineState::default(),
             started,
             locality,
             active: RefCell::default(),
@@ -254,7 +258,7 @@
         let until = self.started + STARTUP_WAIT;
         let mut changes = self.changes();
         let known = changes.wait_for(|_| self.knows_enough());
-        let _ = tokio::time::timeout(Clock.time_left(until), known).await;
+        let _ = Clock.timeout_at(until, known).await;
     }
 
     /// Latencies of a route.
--- /dev/null
+++ b/crates/tansylead-gateway/tests/quarantine.rs
@@ -0,0 +1,153 @@
+//! The care for a request under which leafs end, and what daemons tell one another of it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tansylead_gateway::quarantine::{
+    KeptChange, QuarantineMessage, QuarantineState, SendAdmission, SendCare,
+};
+use tansylead_gateway::{Clock, execution::RefusalReason};
+use tansylead_route::{RequestFingerprint, Strike, Verdict};
+use tansylead_types::LeafId;
+
+const FATAL: RequestFingerprint = RequestFingerprint(7);
+const HOUR: Verdict = Verdict::Quarantined(Duration::from_secs(3_600));
+
+fn peer() -> SocketAddr {
+    "127.0.0.1:1".parse().expect("valid address")
+}
+
+/// So many strikes, one after the other, the last just now.
+fn strike(state: &QuarantineState, count: u64) {
+    const RUN: Duration = Duration::from_millis(30);
+    let now = Clock.now();
+    for number in 0..count {
+        let leaf = LeafId::new(format!("i-{number}")).expect("valid name");
+        let ended = now - RUN * 2 * (count - number) as u32;
+        state.on_strike(FATAL, Strike::new(&leaf, ended - RUN, ended));
+    }
+}
+
+/// Hands over what `from` has to send; returns whether there was anything.
+fn pass_on(from: &QuarantineState, to: &QuarantineState) -> bool {
+    let sent = from.take_to_send();
+    let replies = sent.replies.into_iter().flat_map(|(_, messages)| messages);
+    let messages: Vec<QuarantineMessage> = sent.wide.into_iter().chain(replies).collect();
+    let any = !messages.is_empty();
+    to.receive(peer(), messages);
+    any
+}
+
+#[test]
+fn a_request_under_which_nothing_was_lost_goes_to_all_leafs_at_once() {
+    let care = Rc::new(SendCare::default());
+    let _first = care.begin();
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Now);
+    care.on_lost();
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Now);
+}
+
+#[test]
+fn after_two_losses_it_goes_to_one_leaf_at_a_time_until_one_answers() {
+    let care = Rc::new(SendCare::default());
+    let running = care.begin();
+    care.on_lost();
+    care.on_lost();
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Later);
+    drop(running);
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Later);
+    care.on_checked(true);
+    care.on_checked(true);
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Now);
+    let _next = care.begin();
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Later);
+    care.on_answer();
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Now);
+}
+
+#[test]
+fn lost_answers_of_leafs_that_live_call_for_no_care() {
+    let care = Rc::new(SendCare::default());
+    let _running = care.begin();
+    care.on_lost();
+    care.on_lost();
+    care.on_checked(false);
+    care.on_checked(false);
+    assert_eq!(care.admission(Verdict::Clear), SendAdmission::Now);
+}
+
+#[test]
+fn a_suspect_goes_to_one_leaf_at_a_time_and_a_quarantined_request_to_none() {
+    let care = Rc::new(SendCare::default());
+    assert_eq!(care.admission(Verdict::Suspect), SendAdmission::Now);
+    let _canary = care.begin();
+    assert_eq!(care.admission(Verdict::Suspect), SendAdmission::Later);
+    assert!(!care.is_refused());
+    assert_eq!(care.admission(HOUR), SendAdmission::Never);
+    assert!(care.is_refused());
+}
+
+#[test]
+fn a_quarantined_request_is_refused_as_not_run() {
+    let state = QuarantineState::default();
+    strike(&state, 2);
+    assert_eq!(state.refusal(FATAL), None);
+    let state = QuarantineState::default();
+    strike(&state, 3);
+    let refusal = state.refusal(FATAL).expect("refused");
+    assert_eq!(refusal.reason, RefusalReason::EndsLeafs);
+    assert_eq!(refusal.reason.status(), 503);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[tokio::test]
+async fn news_reach_others_at_once_and_the_source() {
+    let (here, there) = (QuarantineState::default(), QuarantineState::default());
+    strike(&here, 3);
+    assert!(pass_on(&here, &there));
+    assert!(there.refusal(FATAL).is_some());
+    let found = |is_own| KeptChange::Quarantined {
+        fingerprint: FATAL,
+        is_own,
+    };
+    assert_eq!(here.changes_to_keep().await, vec![found(true)]);
+    assert_eq!(there.changes_to_keep().await, vec![found(false)]);
+    there.on_answer(FATAL);
+    assert!(pass_on(&there, &here));
+    assert_eq!(here.refusal(FATAL), None);
+    let cleared = there.changes_to_keep().await;
+    assert_eq!(cleared, vec![KeptChange::Cleared(FATAL)]);
+}
+
+#[test]
+fn a_daemon_that_has_just_started_learns_from_a_digest() {
+    let (old, new) = (QuarantineState::default(), QuarantineState::default());
+    old.restore(&[]);
+    strike(&old, 3);
+    old.take_to_send();
+    assert!(!new.is_complete());
+    new.ask(peer());
+    assert!(pass_on(&new, &old));
+    assert!(pass_on(&old, &new));
+    assert!(new.refusal(FATAL).is_some());
+    assert!(new.is_complete());
+}
+
+#[test]
+fn digests_that_agree_end_an_exchange() {
+    let (here, there) = (QuarantineState::default(), QuarantineState::default());
+    strike(&here, 3);
+    pass_on(&here, &there);
+    there.take_to_send();
+    here.ask(peer());
+    assert!(pass_on(&here, &there));
+    assert!(!pass_on(&there, &here));
+}
+
+#[test]
+fn what_the_source_kept_is_refused_after_a_loss_of_all_daemons() {
+    let state = QuarantineState::default();
+    state.restore(&[FATAL]);
+    assert!(state.is_complete());
+    assert!(state.refusal(FATAL).is_some());
+}
--- a/crates/tansylead-gateway/tests/refusals.rs
+++ b/crates/tansylead-gateway/tests/refusals.rs
@@ -24,10 +24,11 @@
 const ID: &str = "own";
 /// Time that callers wait.
 const WAITS: Duration = Duration::from_secs(2);
-const REASONS: [RefusalReason; 11] = [
+const REASONS: [RefusalReason; 12] = [
     RefusalReason::NoConfiguration,
     RefusalReason::NotRun,
     RefusalReason::Overloaded,
+    RefusalReason::EndsLeafs,
     RefusalReason::NoRoute,
     RefusalReason::NoRequestId,
     RefusalReason::BodyTooLarge,
