Victims do not crowd a request that ends leafs out; storms of it in the soak

Cause found with two tests that failed on the mend as it was: when leafs end, many requests that merely ran there are struck; in a second they used up what may be told, and in answers to digests those with many strikes of one event came before the cause. So daemons kept what they knew to themselves. Now what is told and remembered first goes by successive runs, serious suspects have an allowance of their own, a record waits in the queue once, and digests cover serious suspects only.

--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -220,6 +220,12 @@
         Ok(())
     }
 
+    /// Waits until no more leafs end because of requests that were sent before, and starts those again.
+    pub async fn rest_until_leafs_are_back(&mut self) -> io::Result<()> {
+        tokio::time::sleep(CRASHED_REST * 2).await;
+        self.restart_crashed_leafs().await
+    }
+
     fn next_leaf_id(&mut self) -> String {
         let id = format!("i-{:04}", self.next_leaf);
         self.next_leaf += 1;
--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -4,8 +4,10 @@
 //! machine's scheduler does is not fixed.
 
 pub(crate) mod draw;
+pub(crate) mod fatal;
 pub(crate) mod inject;
 pub(crate) mod roll_outs;
+pub(crate) mod suspension;
 
 use crate::arrival_rules::ArrivalBudget;
 use crate::deployment::{Deployment, DeploymentPlan};
@@ -13,12 +15,14 @@
 use crate::seen_roll_out::SeenRollOut;
 use crate::traffic::Traffic;
 use draw::draw;
+use fatal::FatalCaller;
 use inject::inject;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use roll_outs::RollOutSchedule;
 use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
+use suspension::Suspensions;
 use tokio::time::Instant;
 
 /// Callers.
@@ -70,6 +74,13 @@
         seed,
     );
     let mut faults = Vec::new();
+    let fatal = FatalCaller::draw(
+        seed,
+        deployment.caller_addresses(),
+        &deployment.routes,
+        &deployment.oracle,
+    );
+    let mut suspensions = Suspensions::draw(seed);
     let mut schedule = RollOutSchedule::draw(seed, length, &deployment.services());
     let end = Instant::now() + length;
     while Instant::now() < end {
@@ -77,10 +88,14 @@
         let fault = draw(&mut random);
         faults.push(format!("{fault:?}"));
         inject(&mut deployment, fault, &mut random, &mut violations).await?;
+        deployment.restart_crashed_leafs().await?;
+        faults.extend(suspensions.proceed(&mut deployment).await);
         let pause = Duration::from_millis(random.random_range(200..1_500));
         tokio::time::sleep(pause).await;
     }
     roll_outs::wait_for_ends(&deployment).await;
+    drop(fatal);
+    deployment.rest_until_leafs_are_back().await?;
     violations.extend(check_recovery(&deployment).await);
     traffic.stop().await;
     violations.extend(deployment.oracle.violations(DRAIN_LIMIT, BUDGET));
--- a/crates/tansylead-emulator/src/traffic.rs
+++ b/crates/tansylead-emulator/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Steady traffic of many callers until it is stopped.
 
-use crate::caller::{Caller, CallerRequest};
+use crate::caller::{Caller, CallerRequest, next_request_id};
 use crate::configuration::RoutePlan;
 use crate::oracle::Oracle;
 use crate::routes::Routes;
@@ -84,13 +84,14 @@
     stopped: Arc<AtomicBool>,
 ) {
     let mut caller = Caller::new(oracle);
+    let item = format!("item-{}", next_request_id());
     let Some(mut daemon) = daemons.choose(&mut random).copied() else {
         return;
     };
     while !stopped.load(Ordering::Relaxed) {
         let route = draw_route(&routes, &mut random);
         let deadline = Duration::from_millis(route.timeout_millis);
-        let request = CallerRequest::new(route, deadline);
+        let request = CallerRequest::for_item(route, deadline, &item);
         if random.random_bool(LEAVE_SHARE) {
             let patience = Duration::from_millis(random.random_range(1..40));
             caller.call_and_leave(daemon, &request, patience).await;
--- a/crates/tansylead-gateway/src/quarantine/send_care.rs
+++ b/crates/tansylead-gateway/src/quarantine/send_care.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Whether connections were lost under the request.
+    pub fn has_losses(&self) -> bool {
+        self.lost.get() > 0
+    }
+
     /// Whether a leaf has answered the request.
     pub fn is_answered(&self) -> bool {
         self.is_answered.get()
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -15,9 +15,11 @@
 };
 use tokio::sync::Notify;
 
-/// Records told in a second, each to some peers: with 32 peers and some 100 bytes a record 160 kB while leafs
-/// end by the hundred, and nothing on calm days.
+/// Records told in a second, each to some peers, of requests that were struck once: with 32 peers and some 100
+/// bytes a record 160 kB while leafs end by the hundred, and nothing on calm days.
 const RECORDS_PER_SECOND: u32 = 50;
+/// The same of serious suspects, of which there are few: victims must not keep them from being told.
+const SERIOUS_RECORDS_PER_SECOND: u32 = 50;
 /// Records sent in answer to one digest.
 const RECORDS_IN_EXCHANGE: usize = 32;
 /// Answers that wait to be sent to single peers.
@@ -51,6 +53,7 @@
     relayed: RefCell<BTreeSet<RequestFingerprint>>,
     replies: RefCell<Vec<(SocketAddr, Vec<QuarantineMessage>)>>,
     limit: PerSecondLimit,
+    serious_limit: PerSecondLimit,
     to_send: Notify,
     /// Whether this daemon knows what was quarantined before it started.
     is_complete: Cell<bool>,
@@ -81,6 +84,7 @@
             relayed: RefCell::default(),
             replies: RefCell::default(),
             limit: PerSecondLimit::new(RECORDS_PER_SECOND),
+            serious_limit: PerSecondLimit::new(SERIOUS_RECORDS_PER_SECOND),
             to_send: Notify::new(),
             is_complete: Cell::new(false),
             to_keep: RefCell::default(),
@@ -257,7 +261,14 @@
             Reach::Relayed if change == QuarantineChange::Learned => return,
             Reach::Relayed => &self.relayed,
         };
-        if self.limit.try_take(Clock.now()) {
+        if queue.borrow().contains(&fingerprint) {
+            return;
+        }
+        let limit = match self.table.borrow().is_serious(fingerprint) {
+            true => &self.serious_limit,
+            false => &self.limit,
+        };
+        if limit.try_take(Clock.now()) {
             queue.borrow_mut().insert(fingerprint);
             self.to_send.notify_one();
         }
--- a/crates/tansylead-gateway/tests/quarantine.rs
+++ b/crates/tansylead-gateway/tests/quarantine.rs
@@ -119,6 +119,26 @@
     assert_eq!(cleared, vec![KeptChange::Cleared(FATAL)]);
 }
 
+#[test]
+fn a_convicted_request_is_told_however_many_others_lost_leafs() {
+    const VICTIMS: u128 = 300;
+    let state = QuarantineState::default();
+    let now = Clock.now();
+    for victim in 0..VICTIMS {
+        let leaf = LeafId::new("i-0".to_owned()).expect("valid name");
+        let strike = Strike::new(&leaf, now - Duration::from_millis(30), now);
+        state.on_strike(RequestFingerprint(1_000 + victim), strike);
+    }
+    strike(&state, 4);
+    let told = state.take_to_send().wide;
+    let is_told = |message: &QuarantineMessage| match message {
+        QuarantineMessage::Record(record) => record.fingerprint == FATAL,
+        QuarantineMessage::Digest(_) => false,
+    };
+    assert!(told.iter().any(is_told));
+    assert!(told.len() < VICTIMS as usize, "{} records", told.len());
+}
+
 #[test]
 fn a_daemon_that_has_just_started_learns_from_a_digest() {
     let (old, new) = (QuarantineState::default(), QuarantineState::default());
--- a/crates/tansylead-route/src/quarantine/record.rs
+++ b/crates/tansylead-route/src/quarantine/record.rs
@@ -85,9 +85,15 @@
         true
     }
 
-    /// Whether the record may change a verdict elsewhere.
-    pub(super) fn is_held_against(&self) -> bool {
-        self.convictions > 0 || self.strikes.len() >= SUSPECT_LEAFS
+    /// Leafs that ended one after the other.
+    pub(super) fn successive_runs(&self) -> usize {
+        successive(&self.strikes)
+    }
+
+    /// Whether leafs ended under the request in more than one event: those that merely ran beside the cause
+    /// were struck once.
+    pub(super) fn is_serious(&self) -> bool {
+        self.convictions > 0 || self.successive_runs() > 1
     }
 
     /// Whether the strikes convict the request. `ends_elsewhere` are leafs that ended under others only.
@@ -97,7 +103,7 @@
         } else {
             QUARANTINE_RUNS
         };
-        successive(&self.strikes) >= needed
+        self.successive_runs() >= needed
     }
 
     /// Quarantines the request, once more if it was before.
--- a/crates/tansylead-route/src/quarantine/table.rs
+++ b/crates/tansylead-route/src/quarantine/table.rs
@@ -65,6 +65,13 @@
         record.map_or(Verdict::Clear, |record| record.verdict(now))
     }
 
+    /// Whether leafs ended under a request in more than one event. Of the others there are many whenever a leaf
+    /// ends, and few come again.
+    pub fn is_serious(&self, fingerprint: RequestFingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(Record::is_serious)
+    }
+
     /// Whether nothing is held of any request.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -145,7 +152,7 @@
 
     /// What is held of the requests that matter most, and which of them are cleared, to be told to others.
     pub fn most_important(&self, now: Moment, limit: usize) -> Vec<QuarantineRecord> {
-        let is_told = |record: &Record| record.is_held_against() || record.is_cleared();
+        let is_told = |record: &Record| record.is_serious() || record.is_cleared();
         let records = self.records.iter();
         let mut records: Vec<_> = records.filter(|(_, record)| is_told(record)).collect();
         records.sort_by_key(|(_, record)| std::cmp::Reverse(importance(record)));
@@ -154,10 +161,10 @@
             .collect()
     }
 
-    /// A hash of what is held against requests, but for times.
+    /// A hash of what is held against serious suspects, but for times.
     pub fn digest(&self) -> u64 {
         let records = self.records.iter();
-        let records = records.filter(|(_, record)| record.is_held_against());
+        let records = records.filter(|(_, record)| record.is_serious());
         let hashes = records.map(|(fingerprint, record)| {
             let mut leafs: Vec<u64> = record.strikes.iter().map(|strike| strike.leaf).collect();
             leafs.sort_unstable();
@@ -260,6 +267,6 @@
 
 /// What is forgotten last, and told first.
 fn importance(record: &Record) -> (bool, usize, Moment) {
-    let strikes = record.strikes.len();
-    (record.convictions > 0, strikes, record.changed)
+    let runs = record.successive_runs();
+    (record.convictions > 0, runs, record.changed)
 }
--- a/crates/tansylead-route/tests/quarantine.rs
+++ b/crates/tansylead-route/tests/quarantine.rs
@@ -128,6 +128,31 @@
     assert_eq!(here.verdict(now, FATAL), Verdict::Suspect);
 }
 
+#[test]
+fn victims_of_a_request_do_not_crowd_it_out_of_what_is_told() {
+    const TOLD: usize = 32;
+    let mut table = Quarantine::default();
+    for run in 0..2 {
+        let sent = run as u64 * 100;
+        table.on_strike(at(sent + RUN), FATAL, strike(run, sent));
+    }
+    // Each ran on many leafs that ended together, and does not come again.
+    for victim in 0..100 {
+        let request = RequestFingerprint(1_000 + victim as u128);
+        for leaf in 0..6 {
+            table.on_strike(at(200 + RUN), request, strike(100 + leaf, 200));
+        }
+    }
+    let told = table.most_important(at(300), TOLD);
+    assert!(told.iter().any(|record| record.fingerprint == FATAL));
+    // One that lacks the victims, which will not come again, lacks nothing that matters.
+    let mut other = Quarantine::default();
+    for record in told {
+        other.merge(at(310), record);
+    }
+    assert_eq!(other.digest(), table.digest());
+}
+
 #[test]
 fn after_its_time_a_request_may_be_tried_with_care_and_is_refused_for_longer_if_a_leaf_ends() {
     let mut table = Quarantine::default();
