Recognize a request that comes again with another query, and wait for one trial

The users' rules name path and query apart, and the request comes again with the same path, caller and body.

Each request has three fingerprints now: exact; without the query; without query and caller, which convicts only under two callers. Nothing is held against the wide ones if a request like them was answered lately (64 kB, one to two minutes), and a daemon that knows so contradicts. A conviction needs three successive runs that are spread over more than one event of a second: an innocent is answered between two events. A request fails after two leafs have ended under it one at a time. A suspect's copies at several daemons wait up to 100 ms by chance and for a trial that another daemon has told of. A quarantine lasts 2 minutes at first, twice as long after each further leaf.

--- a/crates/tansylead-emulator/src/caller.rs
+++ b/crates/tansylead-emulator/src/caller.rs
@@ -60,9 +60,15 @@
         }
     }
 
-    /// A request that ends each leaf which begins to run it; those of one number are the same one.
+    /// A request that ends each leaf which begins to run it; those of one number are the same one, whatever their
+    /// queries are.
     pub fn fatal(route: &RoutePlan, deadline: Duration, number: u32) -> Self {
-        Self::for_item(route, deadline, &format!("{FATAL_ITEM}{number}"))
+        let page = rand::random::<u32>();
+        Self::for_item(
+            route,
+            deadline,
+            &format!("{FATAL_ITEM}{number}?page={page}"),
+        )
     }
 }
 
@@ -147,7 +153,8 @@
     fn note(&self, request: &CallerRequest) {
         self.oracle.ask(&request.id, &request.route);
         if is_fatal(&request.item) {
-            let identity = format!("{}{}", request.route.prefix(), request.item);
+            let item = request.item.split('?').next().unwrap_or_default();
+            let identity = format!("{}{item}", request.route.prefix());
             self.oracle.ask_fatal(&request.id, identity);
         }
     }
--- a/crates/tansylead-gateway/src/caller/handler.rs
+++ b/crates/tansylead-gateway/src/caller/handler.rs
@@ -99,8 +99,8 @@
         Ok(outgoing) => Rc::new(outgoing),
         Err(reason) => return refused(reason),
     };
-    log.fingerprint = Some(outgoing.fingerprint);
-    if let Some(refusal) = gateway.quarantine.refusal(outgoing.fingerprint) {
+    log.fingerprints = Some(outgoing.fingerprints);
+    if let Some(refusal) = gateway.quarantine.refusal(&outgoing.fingerprints) {
         return Outcome::Refused(refusal);
     }
     let trace = Rc::clone(&log.trace);
@@ -238,7 +238,7 @@
         target: path.as_ref().map_or("/", |path| path.as_str()),
         body: &body,
     };
-    let fingerprint = identity.fingerprint();
+    let fingerprints = identity.fingerprints();
     Ok(OutgoingRequest {
         method: head.method,
         uri: path.map_or(Uri::from_static("/"), Uri::from),
@@ -246,7 +246,7 @@
         body,
         id,
         repeatable: route.policy.repeatable,
-        fingerprint,
+        fingerprints,
     })
 }
 
--- a/crates/tansylead-gateway/src/cluster/forwarded_query.rs
+++ b/crates/tansylead-gateway/src/cluster/forwarded_query.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use tansylead_route::RequestFingerprint;
+use tansylead_route::RequestFingerprints;
 use tansylead_types::StepError;
 
 /// One header.
@@ -35,7 +35,7 @@
     held_micros: u64,
     time_left_micros: u64,
     /// What the query is recognized by when it comes again; the root does not see its caller.
-    fingerprint: RequestFingerprint,
+    fingerprints: RequestFingerprints,
 }
 
 /// What a root says of a query.
@@ -86,7 +86,7 @@
             id: request.id.as_ref().map(|id| id.as_bytes().to_vec()),
             held_micros: micros(held),
             time_left_micros: micros(time_left),
-            fingerprint: request.fingerprint,
+            fingerprints: request.fingerprints,
         }
     }
 
@@ -130,7 +130,7 @@
             body: Bytes::from(self.body),
             id: id.map_err(|cause| failed(&cause))?,
             repeatable: true,
-            fingerprint: self.fingerprint,
+            fingerprints: self.fingerprints,
         })
     }
 }
--- a/crates/tansylead-gateway/src/cluster/query_server.rs
+++ b/crates/tansylead-gateway/src/cluster/query_server.rs
@@ -61,7 +61,7 @@
     let mut log = RequestLog::for_peer(Rc::clone(gateway), request.id.clone(), arrived, peer);
     log.version = Some(version);
     log.route = Some(Arc::clone(route));
-    log.fingerprint = Some(request.fingerprint);
+    log.fingerprints = Some(request.fingerprints);
     let execution = GatherQuery {
         gateway: Rc::clone(gateway),
         access: LeafAccess::new(Rc::clone(gateway), Arc::clone(route), version),
--- a/crates/tansylead-gateway/src/execution/attempts.rs
+++ b/crates/tansylead-gateway/src/execution/attempts.rs
@@ -28,7 +28,7 @@
     /// The delay behind `overdue`.
     pub(super) overdue_delay: Duration,
     task: AbortOnDropHandle<AttemptEnd>,
-    _in_flight: AttemptInFlight,
+    pub(super) in_flight: AttemptInFlight,
 }
 
 impl Attempt {
@@ -48,7 +48,7 @@
             overdue: Some(started + overdue_delay),
             overdue_delay,
             task: AbortOnDropHandle::new(spawn_local(run)),
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -86,6 +86,7 @@
         self.launch(&mut progress, AttemptReason::First, false);
         while progress.is_open() {
             self.start_waiting(&mut progress);
+            let look = self.next_look(&progress);
             let overdue = progress
                 .attempts
                 .iter()
@@ -100,6 +101,8 @@
                     }
                 }
                 () = self.shared.care.changed(), if progress.waiting.is_some() => {}
+                () = self.gateway.quarantine.changed(), if progress.waiting.is_some() => {}
+                () = Clock.sleep_until(look.unwrap_or(self.end)), if look.is_some() => {}
                 () = Clock.sleep_until(wakeup) => {
                     if Clock.now() >= self.end {
                         return self.fail(progress, true);
@@ -111,6 +114,11 @@
         self.fail(progress, false)
     }
 
+    /// When to look again whether an attempt that waits may start, if that hangs on time.
+    fn next_look(&self, progress: &Progress) -> Option<Moment> {
+        progress.waiting.and_then(|_| self.next_trial_look())
+    }
+
     fn fail(&self, progress: Progress, timed_out: bool) -> CallEnd {
         let open = progress.attempts.iter().any(Attempt::is_sent);
         CallEnd::Failed(CallFailure {
@@ -193,7 +201,8 @@
             trial: leaf.trial_stage(),
         };
         self.trace.note(self.service.name(), decision);
-        let in_flight = self.shared.care.begin();
+        let verdict = self.quarantine_verdict();
+        let in_flight = self.shared.care.begin(verdict);
         let attempt = Attempt::start(leaf, Clock.now(), delay, sent, run, in_flight);
         progress.attempts.push(attempt);
     }
--- a/crates/tansylead-gateway/src/execution/call_notes.rs
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::Reply;
+use tansylead_route::Verdict;
 use tansylead_types::Moment;
 
 /// Before latencies are learned, an answer is overdue after this share of the objective.
@@ -58,11 +59,12 @@
             return;
         };
         let run = LostRun {
-            fingerprint: self.request.fingerprint,
+            fingerprints: self.request.fingerprints,
             sent: sent.at,
             lost: Clock.now(),
             care: Rc::clone(&self.shared.care),
         };
+        attempt.in_flight.on_lost();
         quarantine::on_lost(&self.gateway, &attempt.leaf, run);
     }
 
@@ -72,14 +74,49 @@
         if reply.status == StatusCode::GATEWAY_TIMEOUT {
             return;
         }
-        self.shared.care.on_answer();
-        self.gateway.quarantine.on_answer(self.request.fingerprint);
+        if self.shared.care.on_answer() {
+            let request = &self.request.fingerprints;
+            self.gateway.quarantine.on_answer(request);
+        }
     }
 
     /// Whether an attempt may start now, by what is known of leafs that end under the request.
     pub(super) fn admission(&self) -> SendAdmission {
-        let verdict = self.gateway.quarantine.verdict(self.request.fingerprint);
-        self.shared.care.admission(verdict)
+        let verdict = self.quarantine_verdict();
+        let care = &self.shared.care;
+        let admission = care.admission(verdict);
+        let is_trial = verdict == Verdict::Suspect && !care.is_answered() && !care.is_tried();
+        if admission != SendAdmission::Now || !is_trial {
+            return admission;
+        }
+        if self.next_trial_look().is_some() {
+            return SendAdmission::Later;
+        }
+        care.set_tried();
+        self.gateway
+            .quarantine
+            .begin_trial(&self.request.fingerprints);
+        SendAdmission::Now
+    }
+
+    /// When to look again whether a suspect may be tried; none if it may be now.
+    pub(super) fn next_trial_look(&self) -> Option<Moment> {
+        let care = &self.shared.care;
+        if self.quarantine_verdict() != Verdict::Suspect || care.is_tried() {
+            return None;
+        }
+        let now = Clock.now();
+        let turn = care.turn(now);
+        if now < turn {
+            return Some(turn);
+        }
+        let quarantine = &self.gateway.quarantine;
+        quarantine.trial_until(&self.request.fingerprints)
+    }
+
+    /// What is known of leafs that end under the request.
+    pub(super) fn quarantine_verdict(&self) -> Verdict {
+        self.gateway.quarantine.verdict(&self.request.fingerprints)
     }
 
     pub(super) fn deny(&self, reason: DenialReason) {
--- a/crates/tansylead-gateway/src/execution/gather.rs
+++ b/crates/tansylead-gateway/src/execution/gather.rs
@@ -80,11 +80,6 @@
         return parts.into_outcome();
     }
     parts.may_have_run |= !calls.is_empty();
-    if shared.care.has_losses() && !timed_out {
-        // Whether the others answer or their leafs end too tells whether the query is the cause.
-        shared.settled.set(true);
-        leave_to_finish(calls, policy.objective);
-    }
     let quarantine = RequestQuarantine::new(&query.gateway, &query.request, &shared);
     if !parts.may_have_run
         && let Some(refusal) = quarantine.refusal()
--- a/crates/tansylead-gateway/src/execution/request_quarantine.rs
+++ b/crates/tansylead-gateway/src/execution/request_quarantine.rs
@@ -7,12 +7,12 @@
 use crate::quarantine::SendCare;
 use crate::state::Gateway;
 use std::rc::Rc;
-use tansylead_route::RequestFingerprint;
+use tansylead_route::RequestFingerprints;
 
 /// What is known of leafs that end under one request.
 pub(super) struct RequestQuarantine {
     gateway: Rc<Gateway>,
-    fingerprint: RequestFingerprint,
+    fingerprints: RequestFingerprints,
     care: Rc<SendCare>,
 }
 
@@ -25,7 +25,7 @@
     ) -> Self {
         Self {
             gateway: Rc::clone(gateway),
-            fingerprint: request.fingerprint,
+            fingerprints: request.fingerprints,
             care: Rc::clone(&shared.care),
         }
     }
@@ -36,7 +36,7 @@
         if !self.care.is_refused() {
             return None;
         }
-        self.gateway.quarantine.refusal(self.fingerprint)
+        self.gateway.quarantine.refusal(&self.fingerprints)
     }
 }
 
--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_http::{ConnectOptions, ExchangeError, HttpConnection, Reply};
-use tansylead_route::{RequestFingerprint, SHORTEST_FORGOTTEN_REST};
+use tansylead_route::{RequestFingerprints, SHORTEST_FORGOTTEN_REST};
 use tansylead_types::{Moment, StepError};
 
 /// Longest answer that is taken from a leaf, in bytes.
@@ -44,7 +44,7 @@
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// What it is recognized by when it comes again.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprints: RequestFingerprints,
 }
 
 /// That a request was handed to a connection.
--- a/crates/tansylead-gateway/src/leaf/lost_runs.rs
+++ b/crates/tansylead-gateway/src/leaf/lost_runs.rs
@@ -3,7 +3,7 @@
 use crate::quarantine::SendCare;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tansylead_route::RequestFingerprint;
+use tansylead_route::RequestFingerprints;
 use tansylead_types::Moment;
 
 /// Requests remembered for one leaf: more than it works on and queues from one daemon.
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone)]
 pub struct LostRun {
     /// What the request is recognized by.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprints: RequestFingerprints,
     /// When it was sent.
     pub sent: Moment,
     /// When the connection was lost.
--- a/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
+++ b/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
@@ -12,7 +12,6 @@
 
 /// Notes that the connection to a leaf was lost under a request, and looks whether the leaf has ended.
 pub(crate) fn on_lost(gateway: &Rc<Gateway>, leaf: &Rc<LeafState>, run: LostRun) {
-    run.care.on_lost();
     if leaf.lost_runs().add(run) {
         let (gateway, leaf) = (Rc::clone(gateway), Rc::clone(leaf));
         spawn_local(check(gateway, leaf));
@@ -54,8 +53,8 @@
     tell(gateway, leaf, sign, runs);
     let id = leaf.entry().leaf.clone();
     for run in runs.iter().filter(|run| !run.care.is_answered()) {
-        let strike = Strike::new(&id, run.sent, run.lost);
-        gateway.quarantine.on_strike(run.fingerprint, strike);
+        let strike = Strike::new(&id, run.sent, run.lost, run.fingerprints.caller);
+        gateway.quarantine.on_strike(&run.fingerprints, strike);
     }
     // What was decided concerns requests that wait.
     for run in runs {
@@ -66,7 +65,7 @@
 fn tell(gateway: &Gateway, leaf: &LeafState, sign: EndSign, runs: &[LostRun]) {
     gateway.metrics.on_leaf_ended(sign.label());
     let fingerprints: BTreeSet<RequestFingerprint> =
-        runs.iter().map(|run| run.fingerprint).collect();
+        runs.iter().map(|run| run.fingerprints.exact).collect();
     let told: Vec<String> = fingerprints
         .iter()
         .take(MAXIMUM_TOLD)
--- a/crates/tansylead-gateway/src/quarantine/messages.rs
+++ b/crates/tansylead-gateway/src/quarantine/messages.rs
@@ -2,13 +2,15 @@
 
 use crate::cluster::{DatagramCodec, DatagramMessage};
 use serde::{Deserialize, Serialize};
-use tansylead_route::QuarantineRecord;
+use tansylead_route::{QuarantineRecord, RequestFingerprint};
 
 /// A message between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuarantineMessage {
     /// What the sender holds of one request.
     Record(QuarantineRecord),
+    /// The sender begins to try a suspect, named by its path.
+    Trial(RequestFingerprint),
     /// What the sender holds of all, as a hash. One that holds something else answers with its records.
     Digest(TableDigest),
 }
--- a/crates/tansylead-gateway/src/quarantine/mod.rs
+++ b/crates/tansylead-gateway/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod send_care;
 mod state;
+mod trials;
 
 pub(crate) use exchange::{catch_up, exchange};
 pub(crate) use keeping::{forget_old, keep_changes};
@@ -14,3 +15,4 @@
 pub use messages::{QuarantineCodec, QuarantineMessage, TableDigest};
 pub use send_care::{AttemptInFlight, SendAdmission, SendCare};
 pub use state::{KeptChange, QuarantineState, ToSend};
+pub use trials::TRIAL_SPREAD;
--- a/crates/tansylead-gateway/src/quarantine/send_care.rs
+++ b/crates/tansylead-gateway/src/quarantine/send_care.rs
@@ -3,15 +3,21 @@
 //! Invariant: a request under which leafs end, and that none has answered, goes to one leaf at a time, and to
 //! the next one only when it is known what became of the last.
 
+use super::trials::TRIAL_SPREAD;
 use std::cell::Cell;
 use std::rc::Rc;
 use tansylead_route::Verdict;
+use tansylead_types::Moment;
 use tokio::sync::Notify;
 
 /// Connections lost under one request from which on it is sent with care: one is lost now and then, two
 /// before any answer hardly ever.
 const LOST_FOR_CARE: u32 = 2;
 
+/// Connections lost while one attempt at a time was under way after which the request fails: what follows is for
+/// its next repetition to find out.
+const LOST_WITH_CARE: u32 = 2;
+
 /// Whether an attempt may start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendAdmission {
@@ -19,7 +25,7 @@
     Now,
     /// Once the others have ended, and it is known whether their leafs have.
     Later,
-    /// No: the request is quarantined.
+    /// No: the request is quarantined, or enough leafs have ended under it.
     Never,
 }
 
@@ -29,10 +35,16 @@
     in_flight: Cell<u32>,
     /// Connections lost under it, but for those whose leafs were found to live.
     lost: Cell<u32>,
+    /// Those of them under attempts that were sent with care.
+    lost_with_care: Cell<u32>,
     /// Those of them whose leafs were not asked yet.
     unchecked: Cell<u32>,
     is_answered: Cell<bool>,
     is_refused: Cell<bool>,
+    /// When a suspect that has not been sent yet may be tried, if no other daemon tries it.
+    turn: Cell<Option<Moment>>,
+    /// Whether it is tried, or has been.
+    is_tried: Cell<bool>,
     changed: Notify,
 }
 
@@ -40,6 +52,19 @@
 #[derive(Debug)]
 pub struct AttemptInFlight {
     care: Rc<SendCare>,
+    is_with_care: bool,
+}
+
+impl AttemptInFlight {
+    /// Notes that the connection was lost under the attempt. [`SendCare::on_checked`] follows.
+    pub fn on_lost(&self) {
+        let care = &self.care;
+        care.lost.set(care.lost.get() + 1);
+        care.unchecked.set(care.unchecked.get() + 1);
+        if self.is_with_care {
+            care.lost_with_care.set(care.lost_with_care.get() + 1);
+        }
+    }
 }
 
 impl SendCare {
@@ -49,7 +74,10 @@
             self.is_refused.set(true);
             return SendAdmission::Never;
         }
-        let is_suspect = verdict == Verdict::Suspect || self.lost.get() >= LOST_FOR_CARE;
+        if self.lost_with_care.get() >= LOST_WITH_CARE && !self.is_answered.get() {
+            return SendAdmission::Never;
+        }
+        let is_suspect = self.is_suspect(verdict);
         let is_busy = self.in_flight.get() > 0 || self.unchecked.get() > 0;
         match is_suspect && is_busy && !self.is_answered.get() {
             true => SendAdmission::Later,
@@ -57,20 +85,37 @@
         }
     }
 
-    /// Counts an attempt until the guard is dropped.
-    pub fn begin(self: &Rc<Self>) -> AttemptInFlight {
+    /// When a suspect may be tried, by chance within a while from now: the moment drawn first stays.
+    pub fn turn(&self, now: Moment) -> Moment {
+        let drawn = || now + TRIAL_SPREAD.mul_f64(rand::random());
+        let turn = self.turn.get().unwrap_or_else(drawn);
+        self.turn.set(Some(turn));
+        turn
+    }
+
+    /// Whether the request is tried as a suspect, or has been.
+    pub fn is_tried(&self) -> bool {
+        self.is_tried.get()
+    }
+
+    /// Notes that the request is tried as a suspect.
+    pub fn set_tried(&self) {
+        self.is_tried.set(true);
+    }
+
+    fn is_suspect(&self, verdict: Verdict) -> bool {
+        verdict == Verdict::Suspect || self.lost.get() >= LOST_FOR_CARE
+    }
+
+    /// Counts an attempt until the guard is dropped. `verdict` is that by which it was admitted.
+    pub fn begin(self: &Rc<Self>, verdict: Verdict) -> AttemptInFlight {
         self.in_flight.set(self.in_flight.get() + 1);
         AttemptInFlight {
             care: Rc::clone(self),
+            is_with_care: self.is_suspect(verdict),
         }
     }
 
-    /// Notes that a connection was lost under the request. [`SendCare::on_checked`] follows.
-    pub fn on_lost(&self) {
-        self.lost.set(self.lost.get() + 1);
-        self.unchecked.set(self.unchecked.get() + 1);
-    }
-
     /// Notes what was found of the leaf of a connection that was lost.
     pub fn on_checked(&self, has_ended: bool) {
         self.unchecked.set(self.unchecked.get().saturating_sub(1));
@@ -85,16 +130,13 @@
         self.changed.notify_waiters();
     }
 
-    /// Notes that a leaf has answered the request.
-    pub fn on_answer(&self) {
-        if !self.is_answered.replace(true) {
+    /// Notes that a leaf has answered the request. Returns whether it is the first.
+    pub fn on_answer(&self) -> bool {
+        let is_first = !self.is_answered.replace(true);
+        if is_first {
             self.changed.notify_waiters();
         }
-    }
-
-    /// Whether connections were lost under the request.
-    pub fn has_losses(&self) -> bool {
-        self.lost.get() > 0
+        is_first
     }
 
     /// Whether a leaf has answered the request.
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -3,6 +3,7 @@
 //! Invariant: what waits to be sent is bounded; what is dropped comes again with the exchange of digests.
 
 use super::messages::{QuarantineMessage, TableDigest};
+use super::trials::Trials;
 use crate::clock::Clock;
 use crate::execution::{Refusal, RefusalReason};
 use crate::per_second::PerSecondLimit;
@@ -10,9 +11,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tansylead_route::{
-    Quarantine, QuarantineChange, QuarantineCounts, QuarantineRecord, RequestFingerprint, Strike,
-    Verdict,
+    Quarantine, QuarantineChange, QuarantineCounts, QuarantineRecord, RequestFingerprint,
+    RequestFingerprints, Strike, Verdict,
 };
+use tansylead_types::Moment;
 use tokio::sync::Notify;
 
 /// Records told in a second, each to some peers, of requests that were struck once: with 32 peers and some 100
@@ -37,7 +39,7 @@
 /// What is to be sent.
 #[derive(Debug, Default)]
 pub struct ToSend {
-    /// Records of this daemon's own news.
+    /// Records of this daemon's own news, and the trials that it begins.
     pub wide: Vec<QuarantineMessage>,
     /// Records of others' news.
     pub relayed: Vec<QuarantineMessage>,
@@ -55,6 +57,12 @@
     limit: PerSecondLimit,
     serious_limit: PerSecondLimit,
     to_send: Notify,
+    /// Trials that this daemon begins, to be told.
+    begun: RefCell<Vec<RequestFingerprint>>,
+    /// Trials of others.
+    trials: Trials,
+    /// Something was learned.
+    changed: Notify,
     /// Whether this daemon knows what was quarantined before it started.
     is_complete: Cell<bool>,
     /// Requests quarantined or cleared here, to be told to the source.
@@ -86,6 +94,9 @@
             limit: PerSecondLimit::new(RECORDS_PER_SECOND),
             serious_limit: PerSecondLimit::new(SERIOUS_RECORDS_PER_SECOND),
             to_send: Notify::new(),
+            begun: RefCell::default(),
+            trials: Trials::default(),
+            changed: Notify::new(),
             is_complete: Cell::new(false),
             to_keep: RefCell::default(),
             keeping: Notify::new(),
@@ -95,13 +106,13 @@
 
 impl QuarantineState {
     /// What may be done with a request.
-    pub fn verdict(&self, fingerprint: RequestFingerprint) -> Verdict {
-        self.table.borrow().verdict(Clock.now(), fingerprint)
+    pub fn verdict(&self, request: &RequestFingerprints) -> Verdict {
+        self.table.borrow().verdict_on(Clock.now(), request)
     }
 
     /// The refusal of a request that is quarantined.
-    pub fn refusal(&self, fingerprint: RequestFingerprint) -> Option<Refusal> {
-        match self.verdict(fingerprint) {
+    pub fn refusal(&self, request: &RequestFingerprints) -> Option<Refusal> {
+        match self.verdict(request) {
             Verdict::Quarantined(left) => Some(Refusal {
                 reason: RefusalReason::EndsLeafs,
                 retry_after: Some(left),
@@ -110,32 +121,54 @@
         }
     }
 
+    /// Until when the trial of a suspect by another daemon is waited for; none if there is none.
+    pub fn trial_until(&self, request: &RequestFingerprints) -> Option<Moment> {
+        self.trials.until(Clock.now(), request.path)
+    }
+
+    /// Notes that this daemon begins to try a suspect, and tells the others.
+    pub fn begin_trial(&self, request: &RequestFingerprints) {
+        let mut begun = self.begun.borrow_mut();
+        if self.serious_limit.try_take(Clock.now()) && !begun.contains(&request.path) {
+            begun.push(request.path);
+            self.to_send.notify_one();
+        }
+    }
+
+    /// Waits until something is learned of any request.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
     /// Requests by verdict.
     pub fn counts(&self) -> QuarantineCounts {
         self.table.borrow().counts(Clock.now())
     }
 
     /// Notes that a leaf ended while a request ran there.
-    pub fn on_strike(&self, fingerprint: RequestFingerprint, strike: Strike) {
-        let changed = self
-            .table
-            .borrow_mut()
-            .on_strike(Clock.now(), fingerprint, strike);
-        self.on_change(fingerprint, changed, Reach::Wide);
+    pub fn on_strike(&self, request: &RequestFingerprints, strike: Strike) {
+        for fingerprint in request.all() {
+            let mut table = self.table.borrow_mut();
+            let changed = table.on_strike(Clock.now(), fingerprint, strike);
+            drop(table);
+            self.on_change(fingerprint, changed, Reach::Wide);
+        }
     }
 
     /// Notes that a leaf answered a request.
-    pub fn on_answer(&self, fingerprint: RequestFingerprint) {
+    pub fn on_answer(&self, request: &RequestFingerprints) {
+        self.table.borrow_mut().note_answered(Clock.now(), request);
         if self.table.borrow().is_empty() {
             return;
         }
-        let was_refused = matches!(self.verdict(fingerprint), Verdict::Quarantined(_));
-        let was_kept = was_refused || self.verdict(fingerprint) == Verdict::Suspect;
-        let changed = self.table.borrow_mut().on_answer(Clock.now(), fingerprint);
-        if changed.is_some() && was_kept {
-            self.keep(KeptChange::Cleared(fingerprint));
+        for fingerprint in request.all() {
+            let was_convicted = self.table.borrow().was_convicted(fingerprint);
+            let changed = self.table.borrow_mut().on_answer(Clock.now(), fingerprint);
+            if changed.is_some() && was_convicted {
+                self.keep(KeptChange::Cleared(fingerprint));
+            }
+            self.on_change(fingerprint, changed, Reach::Wide);
         }
-        self.on_change(fingerprint, changed, Reach::Wide);
     }
 
     /// Takes in requests that were quarantined before this daemon started, as the source tells.
@@ -173,6 +206,7 @@
         for message in messages {
             match message {
                 QuarantineMessage::Record(record) => self.merge(record),
+                QuarantineMessage::Trial(request) => self.trials.begin(Clock.now(), request),
                 QuarantineMessage::Digest(digest) => self.compare(from, digest),
             }
         }
@@ -181,7 +215,12 @@
     fn merge(&self, record: QuarantineRecord) {
         let fingerprint = record.fingerprint;
         let changed = self.table.borrow_mut().merge(Clock.now(), record);
-        self.on_change(fingerprint, changed, Reach::Relayed);
+        let reach = match changed {
+            // The others hold what this daemon knows to be wrong.
+            Some(QuarantineChange::Contradicted) => Reach::Wide,
+            _ => Reach::Relayed,
+        };
+        self.on_change(fingerprint, changed, reach);
     }
 
     /// Answers a digest of something else than is held here.
@@ -240,6 +279,8 @@
         let Some(change) = changed else {
             return;
         };
+        self.trials.end(fingerprint);
+        self.changed.notify_waiters();
         if change != QuarantineChange::Learned {
             let is_own = reach == Reach::Wide;
             log::info!(fingerprint:% = fingerprint, change = change.label(), is_own = is_own; "request under which leafs end");
@@ -289,8 +330,10 @@
                 .filter_map(|fingerprint| table.record(Clock.now(), fingerprint));
             records.map(QuarantineMessage::Record).collect()
         };
+        let trials = self.begun.take().into_iter().map(QuarantineMessage::Trial);
+        let wide: Vec<QuarantineMessage> = records(&self.wide);
         ToSend {
-            wide: records(&self.wide),
+            wide: trials.chain(wide).collect(),
             relayed: records(&self.relayed),
             replies: self.replies.take(),
         }
--- a/crates/tansylead-gateway/src/request_log.rs
+++ b/crates/tansylead-gateway/src/request_log.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
-use tansylead_route::{RequestFingerprint, Route, Stage};
+use tansylead_route::{RequestFingerprint, RequestFingerprints, Route, Stage};
 use tansylead_types::Moment;
 
 /// Requests written with all of their decisions in a second.
@@ -86,7 +86,7 @@
     /// Version of the configuration that decided.
     pub version: Option<u64>,
     /// What the request is recognized by when it comes again, once it has been read whole.
-    pub fingerprint: Option<RequestFingerprint>,
+    pub fingerprints: Option<RequestFingerprints>,
     /// The daemon that asked for it; none if a caller did.
     asked_by: Option<String>,
     finished: bool,
@@ -102,7 +102,7 @@
             trace: Rc::default(),
             route: None,
             version: None,
-            fingerprint: None,
+            fingerprints: None,
             asked_by: None,
             finished: false,
         }
@@ -163,14 +163,16 @@
             let age = self.gateway.age(topic);
             age.map_or(-1, |age| age.as_millis() as i64)
         };
-        let fingerprint = self
-            .fingerprint
-            .map_or(String::new(), |own| own.to_string());
+        let text =
+            |own: Option<RequestFingerprint>| own.map_or(String::new(), |own| own.to_string());
+        let fingerprint = text(self.fingerprints.map(|all| all.exact));
+        let content = text(self.fingerprints.map(|all| all.content));
         log::info!(
             target: REQUEST_TARGET,
             request = id,
             route = route.unwrap_or(""),
             fingerprint = fingerprint.as_str(),
+            content = content.as_str(),
             version = self.version.unwrap_or(0),
             configuration_age_ms = age(crate::source::Topic::Configuration),
             leafs_age_ms = age(crate::source::Topic::Leafs),
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -57,8 +57,9 @@
 pub use listing::{Listing, Standing};
 pub use patience::Patience;
 pub use quarantine::{
-    MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts, QuarantineRecord,
-    RequestFingerprint, RequestIdentity, Strike, Verdict,
+    FingerprintScope, MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts,
+    QuarantineRecord, RecentAnswers, RequestFingerprint, RequestFingerprints, RequestIdentity,
+    Strike, Verdict,
 };
 pub use query_admission::{AdmissionChange, QueryAdmission};
 pub use query_roots::{QueryRunners, RootCandidate, query_roots};
--- a/crates/tansylead-route/src/quarantine/message.rs
+++ b/crates/tansylead-route/src/quarantine/message.rs
@@ -13,6 +13,7 @@
     leaf: u64,
     ran_millis: u32,
     ended_millis_ago: u32,
+    caller: u32,
 }
 
 /// What one daemon holds of one request.
@@ -32,6 +33,7 @@
             leaf: strike.leaf,
             ran_millis: millis(strike.ended.since(strike.sent)),
             ended_millis_ago: millis(now.since(strike.ended)),
+            caller: strike.caller,
         };
         Self {
             fingerprint,
@@ -49,6 +51,7 @@
                 leaf: told.leaf,
                 sent: ended - Duration::from_millis(told.ran_millis.into()),
                 ended,
+                caller: told.caller,
             }
         });
         Record {
--- a/crates/tansylead-route/src/quarantine/mod.rs
+++ b/crates/tansylead-route/src/quarantine/mod.rs
@@ -6,12 +6,14 @@
 
 mod fingerprint;
 mod message;
+mod recent_answers;
 mod record;
 mod strike;
 mod table;
 
-pub use fingerprint::{RequestFingerprint, RequestIdentity};
+pub use fingerprint::{FingerprintScope, RequestFingerprint, RequestFingerprints, RequestIdentity};
 pub use message::QuarantineRecord;
+pub use recent_answers::RecentAnswers;
 pub use record::Verdict;
 pub use strike::Strike;
 pub use table::{MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts};
--- a/crates/tansylead-route/src/quarantine/record.rs
+++ b/crates/tansylead-route/src/quarantine/record.rs
@@ -1,6 +1,8 @@
 //! What is known of one request under which leafs ended, and what follows from it.
 
-use super::strike::{Strike, successive};
+use super::fingerprint::FingerprintScope;
+use super::strike::{Strike, events, successive};
+use std::collections::HashSet;
 use std::time::Duration;
 use tansylead_types::Moment;
 
@@ -10,15 +12,20 @@
 /// that ends meanwhile with a probability of a few in a hundred even while many leafs crash, so three in a row
 /// are a few in 100,000; and two may be one event that strikes all leafs.
 const QUARANTINE_RUNS: usize = 3;
-/// The same while more leafs end under other requests than under this one.
-const QUARANTINE_RUNS_AMID_ENDS: usize = 4;
+/// Callers under whose requests leafs ended before the same content is refused whoever sends it: with one it
+/// may be the caller.
+const CALLERS_FOR_CONTENT: usize = 2;
 /// Strikes kept of runs that went on at the same time: more of one event say nothing more.
 const STRIKES_OF_ONE_EVENT: usize = 3;
 /// Strikes kept in all.
 const MAXIMUM_STRIKES: usize = 16;
-/// How long a request is refused after its first conviction; twice as long after each further one.
-const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
-/// Doublings of that time at most, to 5 hours.
+/// Events that these runs belong to, at least: a request that runs beside the cause of one is struck again and
+/// again while it lasts, and answered before the next.
+const QUARANTINE_EVENTS: usize = 2;
+/// How long a request is refused after its first conviction; twice as long after each further one. Then it is
+/// tried at one leaf: who was convicted wrongly is served again, and the cause ends one leaf.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(120);
+/// Doublings of that time at most, to about an hour.
 const MAXIMUM_DOUBLINGS: u32 = 5;
 /// A request that was quarantined is remembered this long after the end of its quarantine.
 const CONVICTED_MEMORY: Duration = Duration::from_secs(3_600);
@@ -28,7 +35,7 @@
 const CLEARED_MEMORY: Duration = Duration::from_secs(60);
 
 /// What may be done with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// Anything.
     Clear,
@@ -53,16 +60,30 @@
 }
 
 impl Record {
-    pub(super) fn verdict(&self, now: Moment) -> Verdict {
+    pub(super) fn verdict(&self, now: Moment, scope: FingerprintScope) -> Verdict {
         if self.convictions > 0 && now < self.until {
             Verdict::Quarantined(self.until.since(now))
-        } else if self.convictions > 0 || self.strikes.len() >= SUSPECT_LEAFS {
+        } else if self.convictions > 0 || self.is_suspect(scope) {
             Verdict::Suspect
         } else {
             Verdict::Clear
         }
     }
 
+    /// One event is enough for care with the same request, and not for care with others that are like it.
+    fn is_suspect(&self, scope: FingerprintScope) -> bool {
+        match scope {
+            FingerprintScope::Exact => self.strikes.len() >= SUSPECT_LEAFS,
+            FingerprintScope::Path => self.successive_runs() > 1,
+            FingerprintScope::Content => self.successive_runs() > 1 && self.has_several_callers(),
+        }
+    }
+
+    fn has_several_callers(&self) -> bool {
+        let callers: HashSet<u32> = self.strikes.iter().map(|strike| strike.caller).collect();
+        callers.len() >= CALLERS_FOR_CONTENT
+    }
+
     /// Adds a strike; returns whether it tells anything new.
     pub(super) fn add(&mut self, now: Moment, strike: Strike) -> bool {
         let is_known = self.strikes.iter().any(|known| known.leaf == strike.leaf);
@@ -96,14 +117,12 @@
         self.convictions > 0 || self.successive_runs() > 1
     }
 
-    /// Whether the strikes convict the request. `ends_elsewhere` are leafs that ended under others only.
-    pub(super) fn is_guilty(&self, ends_elsewhere: usize) -> bool {
-        let needed = if ends_elsewhere > self.strikes.len() {
-            QUARANTINE_RUNS_AMID_ENDS
-        } else {
-            QUARANTINE_RUNS
-        };
-        self.successive_runs() >= needed
+    /// Whether the strikes convict the request.
+    pub(super) fn is_guilty(&self, scope: FingerprintScope) -> bool {
+        let is_of_caller = scope != FingerprintScope::Content;
+        let is_enough =
+            self.successive_runs() >= QUARANTINE_RUNS && events(&self.strikes) >= QUARANTINE_EVENTS;
+        is_enough && (is_of_caller || self.has_several_callers())
     }
 
     /// Quarantines the request, once more if it was before.
--- a/crates/tansylead-route/src/quarantine/strike.rs
+++ b/crates/tansylead-route/src/quarantine/strike.rs
@@ -17,15 +17,18 @@
     pub sent: Moment,
     /// When the connection was lost.
     pub ended: Moment,
+    /// Hash of the caller.
+    pub caller: u32,
 }
 
 impl Strike {
     /// A strike at a leaf.
-    pub fn new(leaf: &LeafId, sent: Moment, ended: Moment) -> Self {
+    pub fn new(leaf: &LeafId, sent: Moment, ended: Moment, caller: u32) -> Self {
         Self {
             leaf: xxh3_64(leaf.as_str().as_bytes()),
             sent,
             ended,
+            caller,
         }
     }
 
@@ -46,6 +49,25 @@
     }
 }
 
+/// Leafs that end within this time of each other have most likely one cause, such as a zone that is lost or
+/// another request that is sent again and again: it is over before leafs are back.
+const EVENT_LENGTH: Duration = Duration::from_secs(1);
+
+/// Events that the strikes belong to: each begins a while after the first strike of the one before.
+pub(super) fn events(strikes: &[Strike]) -> usize {
+    let mut by_end = strikes.to_vec();
+    by_end.sort_by_key(|strike| strike.ended);
+    let mut begun: Option<Moment> = None;
+    let mut count = 0;
+    for strike in by_end {
+        if begun.is_none_or(|begun| strike.sent.since(begun) >= EVENT_LENGTH) {
+            count += 1;
+            begun = Some(strike.ended);
+        }
+    }
+    count
+}
+
 /// Most strikes of which each began when the one before was over: leafs that end together, under a query over
 /// shards or because a zone is lost, are one event, and only the next run tells whether the request caused it.
 pub(super) fn successive(strikes: &[Strike]) -> usize {
--- a/crates/tansylead-route/src/quarantine/table.rs
+++ b/crates/tansylead-route/src/quarantine/table.rs
@@ -4,20 +4,17 @@
 //! the one before was over, and while none of its runs since was answered; daemons that hold the same records
 //! give the same verdicts.
 
-use super::fingerprint::RequestFingerprint;
+use super::fingerprint::{FingerprintScope, RequestFingerprint, RequestFingerprints};
 use super::message::QuarantineRecord;
+use super::recent_answers::RecentAnswers;
 use super::record::{Record, Verdict};
 use super::strike::Strike;
-use std::collections::{HashMap, HashSet};
-use std::time::Duration;
+use std::collections::HashMap;
 use tansylead_types::Moment;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Requests remembered: some 100 kB at most.
 pub const MAXIMUM_RECORDS: usize = 256;
-/// Ends of leafs under other requests count as going on at the same time for this long.
-const ENDS_WINDOW: Duration = Duration::from_secs(30);
-
 /// How a verdict has changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
@@ -29,6 +26,8 @@
     Quarantined,
     /// A leaf has answered it.
     Cleared,
+    /// Another daemon holds it against requests of which one was answered here.
+    Contradicted,
 }
 
 impl QuarantineChange {
@@ -39,6 +38,7 @@
             Self::Suspected => "suspected",
             Self::Quarantined => "quarantined",
             Self::Cleared => "cleared",
+            Self::Contradicted => "contradicted",
         }
     }
 }
@@ -56,13 +56,36 @@
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     records: HashMap<RequestFingerprint, Record>,
+    /// Requests that are like these were answered lately: nothing is held against all that are alike.
+    answered: RecentAnswers,
 }
 
 impl Quarantine {
     /// What may be done with a request.
     pub fn verdict(&self, now: Moment, fingerprint: RequestFingerprint) -> Verdict {
         let record = self.records.get(&fingerprint);
-        record.map_or(Verdict::Clear, |record| record.verdict(now))
+        record.map_or(Verdict::Clear, |record| {
+            record.verdict(now, fingerprint.scope())
+        })
+    }
+
+    /// What may be done with a request, by all that is held against it and those like it.
+    pub fn verdict_on(&self, now: Moment, request: &RequestFingerprints) -> Verdict {
+        let verdicts = request.all().map(|own| self.verdict(now, own));
+        verdicts.into_iter().max().unwrap_or(Verdict::Clear)
+    }
+
+    /// Notes that requests like this one are answered.
+    pub fn note_answered(&mut self, now: Moment, request: &RequestFingerprints) {
+        self.answered.add(now, request.path);
+        self.answered.add(now, request.content);
+    }
+
+    /// Whether a request with this fingerprint was answered here lately, where that clears all that are alike. One
+    /// and the same request may have come to end leafs since it was answered.
+    fn is_known_good(&mut self, now: Moment, fingerprint: RequestFingerprint) -> bool {
+        let is_wide = fingerprint.scope() != FingerprintScope::Exact;
+        is_wide && self.answered.contains(now, fingerprint)
     }
 
     /// Whether leafs ended under a request in more than one event. Of the others there are many whenever a leaf
@@ -77,11 +100,17 @@
         self.records.is_empty()
     }
 
+    /// Whether a request was quarantined, and not cleared since.
+    pub fn was_convicted(&self, fingerprint: RequestFingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.convictions > 0)
+    }
+
     /// Requests by verdict.
     pub fn counts(&self, now: Moment) -> QuarantineCounts {
         let mut counts = QuarantineCounts::default();
-        for record in self.records.values() {
-            match record.verdict(now) {
+        for (fingerprint, record) in &self.records {
+            match record.verdict(now, fingerprint.scope()) {
                 Verdict::Clear => {}
                 Verdict::Suspect => counts.suspects += 1,
                 Verdict::Quarantined(_) => counts.quarantined += 1,
@@ -97,6 +126,9 @@
         fingerprint: RequestFingerprint,
         strike: Strike,
     ) -> Option<QuarantineChange> {
+        if self.is_known_good(now, fingerprint) {
+            return None;
+        }
         self.update(now, fingerprint, |record| record.add(now, strike))
     }
 
@@ -134,6 +166,9 @@
         let fingerprint = told.fingerprint;
         let other = told.into_record(now);
         let is_cleared = other.is_cleared();
+        if !is_cleared && self.is_known_good(now, fingerprint) {
+            return self.contradict(now, fingerprint, other);
+        }
         if is_cleared && !self.records.contains_key(&fingerprint) {
             return None;
         }
@@ -144,6 +179,25 @@
         }
     }
 
+    /// Clears what another daemon holds against requests of which one was answered here.
+    fn contradict(
+        &mut self,
+        now: Moment,
+        fingerprint: RequestFingerprint,
+        mut other: Record,
+    ) -> Option<QuarantineChange> {
+        if self.records.len() >= MAXIMUM_RECORDS && !self.records.contains_key(&fingerprint) {
+            self.make_room();
+        }
+        let record = self.records.entry(fingerprint).or_default();
+        if record.clearings > other.clearings {
+            return None;
+        }
+        other.clear(now);
+        *record = other;
+        Some(QuarantineChange::Contradicted)
+    }
+
     /// What is held of one request, to be told to others.
     pub fn record(&self, now: Moment, fingerprint: RequestFingerprint) -> Option<QuarantineRecord> {
         let record = self.records.get(&fingerprint)?;
@@ -200,7 +254,7 @@
             self.make_room();
         }
         let record = self.records.entry(fingerprint).or_default();
-        let before = record.verdict(now);
+        let before = record.verdict(now, fingerprint.scope());
         let had_convictions = record.convictions;
         let is_news = change(record);
         let gained_conviction = record.convictions > had_convictions;
@@ -220,37 +274,16 @@
 
     /// Convicts a request if its strikes do, or if a leaf ended under it again after its quarantine.
     fn judge(&mut self, now: Moment, fingerprint: RequestFingerprint, before: Verdict) {
-        let ends_elsewhere = self.ends_elsewhere(now, fingerprint);
         let Some(record) = self.records.get_mut(&fingerprint) else {
             return;
         };
         let is_again = record.convictions > 0 && before == Verdict::Suspect;
-        let is_first = record.convictions == 0 && record.is_guilty(ends_elsewhere);
+        let is_first = record.convictions == 0 && record.is_guilty(fingerprint.scope());
         if !record.is_cleared() && (is_again || is_first) {
             record.convict(now);
         }
     }
 
-    /// Leafs that ended lately under other requests and not under this one.
-    fn ends_elsewhere(&self, now: Moment, fingerprint: RequestFingerprint) -> usize {
-        let own = self.records.get(&fingerprint);
-        let own: HashSet<u64> = own
-            .into_iter()
-            .flat_map(|record| record.strikes.iter().map(|strike| strike.leaf))
-            .collect();
-        let others = self
-            .records
-            .iter()
-            .filter(|(other, _)| **other != fingerprint);
-        let strikes = others.flat_map(|(_, record)| &record.strikes);
-        let recent = strikes.filter(|strike| now.since(strike.ended) < ENDS_WINDOW);
-        let elsewhere: HashSet<u64> = recent
-            .map(|strike| strike.leaf)
-            .filter(|leaf| !own.contains(leaf))
-            .collect();
-        elsewhere.len()
-    }
-
     fn make_room(&mut self) {
         if self.records.len() < MAXIMUM_RECORDS {
             return;
