Requests given up shortly before their leaf ends count; a daemon that stood still passes old words over

An attempt that is dropped, because its caller left or its query had failed, may end its leaf all the same: it counts if the leaf is found to have ended within half a second. What waited in the socket while a daemon stood still looks as if it had just happened, so one event would look like two and convict an innocent: it is passed over, and the daemon compares anew. 'explain' names the cause. Tests for both.

--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -182,10 +182,12 @@
         if lag > LAG_TOLERANCE {
             log::warn!(lag_ms = lag.as_millis() as u64; "tasks wait for the processor");
         }
-        if Clock.note_lag(lag) {
+        let is_resumed = Clock.note_lag(lag);
+        gateway.quarantine.tick(Clock.now(), is_resumed);
+        if is_resumed {
             log::warn!(paused_ms = lag.as_millis() as u64; "did not run");
             gateway.metrics.on_pause();
-            catch_up(&gateway, &view);
+            spawn_local(catch_up(Rc::clone(&gateway), Rc::clone(&view)));
         }
     }
 }
--- a/crates/tansylead-gateway/src/execution/attempts.rs
+++ b/crates/tansylead-gateway/src/execution/attempts.rs
@@ -5,7 +5,7 @@
 //! each and save the leaf nothing.
 
 use crate::clock::Clock;
-use crate::leaf::{AttemptEnd, HandOver, LeafState};
+use crate::leaf::{AttemptEnd, HandOver, LeafState, LostRun};
 use crate::quarantine::AttemptInFlight;
 use std::cell::Cell;
 use std::future::Future;
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tansylead_route::RequestFingerprints;
 use tansylead_types::Moment;
 use tokio::task::spawn_local;
 use tokio_util::task::AbortOnDropHandle;
@@ -29,6 +30,8 @@
     pub(super) overdue_delay: Duration,
     task: AbortOnDropHandle<AttemptEnd>,
     pub(super) in_flight: AttemptInFlight,
+    fingerprints: RequestFingerprints,
+    has_ended: bool,
 }
 
 impl Attempt {
@@ -40,6 +43,7 @@
         sent: Rc<Cell<Option<HandOver>>>,
         run: impl Future<Output = AttemptEnd> + 'static,
         in_flight: AttemptInFlight,
+        fingerprints: RequestFingerprints,
     ) -> Self {
         Self {
             leaf,
@@ -49,6 +53,8 @@
             overdue_delay,
             task: AbortOnDropHandle::new(spawn_local(run)),
             in_flight,
+            fingerprints,
+            has_ended: false,
         }
     }
 
@@ -61,10 +67,29 @@
     /// attempt is ended.
     pub(super) async fn finish_within(&mut self, limit: Duration) -> Option<AttemptEnd> {
         let end = Clock.timeout_at(Clock.now() + limit, &mut self.task).await;
+        self.has_ended = end.is_ok();
         end.ok()?.ok()
     }
 }
 
+impl Drop for Attempt {
+    /// An attempt that is given up may end its leaf all the same.
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        if let Some(sent) = self.sent.get() {
+            let run = LostRun {
+                fingerprints: self.fingerprints,
+                sent: sent.at,
+                lost: Clock.now(),
+                care: self.in_flight.care(),
+            };
+            self.leaf.lost_runs().abandon(run);
+        }
+    }
+}
+
 /// Waits for the end of any of the attempts and takes that one out.
 pub(super) struct NextEnd<'a> {
     pub(super) attempts: &'a mut Vec<Attempt>,
@@ -77,7 +102,8 @@
         for index in 0..self.attempts.len() {
             let task = Pin::new(&mut self.attempts[index].task);
             if let Poll::Ready(end) = task.poll(context) {
-                let attempt = self.attempts.swap_remove(index);
+                let mut attempt = self.attempts.swap_remove(index);
+                attempt.has_ended = true;
                 // A panic of the attempt counts as a failure of it alone.
                 return Poll::Ready((attempt, end.ok()));
             }
--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -203,7 +203,15 @@
         self.trace.note(self.service.name(), decision);
         let verdict = self.quarantine_verdict();
         let in_flight = self.shared.care.begin(verdict);
-        let attempt = Attempt::start(leaf, Clock.now(), delay, sent, run, in_flight);
+        let attempt = Attempt::start(
+            leaf,
+            Clock.now(),
+            delay,
+            sent,
+            run,
+            in_flight,
+            self.request.fingerprints,
+        );
         progress.attempts.push(attempt);
     }
 
--- a/crates/tansylead-gateway/src/explain/cause.rs
+++ b/crates/tansylead-gateway/src/explain/cause.rs
@@ -63,6 +63,8 @@
     NoConfiguration,
     /// Leafs were short of capacity, and the daemon admitted only a part of the queries.
     Overloaded,
+    /// Leafs end whenever they run the request; none was sent it.
+    EndsLeafs,
     /// The request itself was refused, for what it was.
     BadRequest {
         /// The outcome.
@@ -96,6 +98,7 @@
             "served" => Self::Served,
             "no_configuration" => Self::NoConfiguration,
             "overloaded" => Self::Overloaded,
+            "ends_leafs" => Self::EndsLeafs,
             "no_route" | "no_request_id" | "body_too_large" | "headers_too_large" | "bad_body"
             | "body_too_late" => Self::BadRequest { outcome },
             "caller_left" => Self::CallerLeft { troubles },
@@ -167,6 +170,10 @@
                 "leafs refused parts of other queries as full, and only a part of the queries was \
                  admitted; see `admission of queries` and what late queries of the second waited for",
             ),
+            Self::EndsLeafs => formatter.write_str(
+                "leafs end whenever they run this request; see `request under which leafs end` and `leaf \
+                 ended under requests` with its fingerprint",
+            ),
             Self::BadRequest { outcome } => {
                 write!(formatter, "the request itself: {outcome}")
             }
--- a/crates/tansylead-gateway/src/leaf/lost_runs.rs
+++ b/crates/tansylead-gateway/src/leaf/lost_runs.rs
@@ -2,12 +2,17 @@
 
 use crate::quarantine::SendCare;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 use tansylead_route::RequestFingerprints;
 use tansylead_types::Moment;
 
 /// Requests remembered for one leaf: more than it works on and queues from one daemon.
 const MAXIMUM_RUNS: usize = 64;
+/// A leaf that ends this long after a request was given up may have ended of it: it still works on the request
+/// until it notices.
+const ABANDONED_LIMIT: Duration = Duration::from_millis(500);
 
 /// A request that may have run on a leaf when the connection was lost.
 #[derive(Debug, Clone)]
@@ -31,6 +36,8 @@
     /// The address accepts connections; the leaf's entry and answers will tell.
     watched: RefCell<Vec<LostRun>>,
     is_watched: Cell<bool>,
+    /// Ended by this daemon before an answer came, lately.
+    abandoned: RefCell<VecDeque<LostRun>>,
 }
 
 impl LostRuns {
@@ -60,6 +67,24 @@
         !self.is_watched.replace(true)
     }
 
+    /// Notes a request that this daemon gave up, because its caller left or its other parts had failed. The leaf
+    /// may end of it all the same.
+    pub fn abandon(&self, run: LostRun) {
+        let mut abandoned = self.abandoned.borrow_mut();
+        let now = run.lost;
+        abandoned.retain(|earlier| now.since(earlier.lost) < ABANDONED_LIMIT);
+        if abandoned.len() < MAXIMUM_RUNS {
+            abandoned.push_back(run);
+        }
+    }
+
+    /// Takes out the requests that were given up shortly before `lost`, when the leaf was found to have ended.
+    pub fn take_abandoned(&self, lost: Moment) -> Vec<LostRun> {
+        let abandoned = self.abandoned.take().into_iter();
+        let is_recent = |run: &LostRun| lost.since(run.lost) < ABANDONED_LIMIT;
+        abandoned.filter(is_recent).collect()
+    }
+
     /// Takes out those that are kept.
     pub fn take_watched(&self) -> Vec<LostRun> {
         self.watched.take()
--- a/crates/tansylead-gateway/src/leaf/mod.rs
+++ b/crates/tansylead-gateway/src/leaf/mod.rs
@@ -14,6 +14,6 @@
 pub use attempt::{AttemptEnd, HandOver, OutgoingRequest, run_attempt};
 pub use end_check::{EndSign, Probe, probe, watch_entry};
 pub use leaf_state::LeafState;
-pub use lost_runs::LostRun;
+pub use lost_runs::{LostRun, LostRuns};
 pub use open_attempt::OpenAttempt;
 pub use service_state::ServiceState;
--- a/crates/tansylead-gateway/src/quarantine/exchange.rs
+++ b/crates/tansylead-gateway/src/quarantine/exchange.rs
@@ -4,7 +4,7 @@
 //! A daemon that has just started learns from others what was quarantined before. Only if none can tell, since
 //! all have started together, some ask the source.
 
-use super::state::QuarantineState;
+use super::state::{DISTRUST, QuarantineState};
 use crate::cluster::ClusterView;
 use crate::source::{Freshness, Source};
 use crate::state::Gateway;
@@ -70,7 +70,8 @@
     pause.mul_f64(rand::random_range(0.5..1.5))
 }
 
-/// Compares at once with several daemons, after this one did not run for a while.
-pub(crate) fn catch_up(gateway: &Gateway, view: &ClusterView) {
-    ask(&gateway.quarantine, view, START_PEERS);
+/// Compares with several daemons, after this one did not run for a while.
+pub(crate) async fn catch_up(gateway: Rc<Gateway>, view: Rc<ClusterView>) {
+    tokio::time::sleep(DISTRUST).await;
+    ask(&gateway.quarantine, &view, START_PEERS);
 }
--- a/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
+++ b/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
@@ -52,7 +52,13 @@
 fn on_ended(gateway: &Gateway, leaf: &LeafState, sign: EndSign, runs: &[LostRun]) {
     tell(gateway, leaf, sign, runs);
     let id = leaf.entry().leaf.clone();
-    for run in runs.iter().filter(|run| !run.care.is_answered()) {
+    let lost = runs.iter().map(|run| run.lost).min();
+    let abandoned = lost.map_or(Vec::new(), |lost| leaf.lost_runs().take_abandoned(lost));
+    for run in runs
+        .iter()
+        .chain(&abandoned)
+        .filter(|run| !run.care.is_answered())
+    {
         let strike = Strike::new(&id, run.sent, run.lost, run.fingerprints.caller);
         gateway.quarantine.on_strike(&run.fingerprints, strike);
     }
--- a/crates/tansylead-gateway/src/quarantine/send_care.rs
+++ b/crates/tansylead-gateway/src/quarantine/send_care.rs
@@ -56,6 +56,11 @@
 }
 
 impl AttemptInFlight {
+    /// The care for its request.
+    pub fn care(&self) -> Rc<SendCare> {
+        Rc::clone(&self.care)
+    }
+
     /// Notes that the connection was lost under the attempt. [`SendCare::on_checked`] follows.
     pub fn on_lost(&self) {
         let care = &self.care;
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -10,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tansylead_route::{
     Quarantine, QuarantineChange, QuarantineCounts, QuarantineRecord, RequestFingerprint,
     RequestFingerprints, Strike, Verdict,
@@ -24,6 +25,11 @@
 const SERIOUS_RECORDS_PER_SECOND: u32 = 50;
 /// Records sent in answer to one digest.
 const RECORDS_IN_EXCHANGE: usize = 32;
+/// Time without a tick, which come four times a second, after which this daemon has stood still: shorter than
+/// what makes two events of one.
+const LONGEST_TICK: Duration = Duration::from_millis(900);
+/// Messages are passed over for this long after that: a few rounds of reading a full socket.
+pub const DISTRUST: Duration = Duration::from_millis(250);
 /// Answers that wait to be sent to single peers.
 const MAXIMUM_REPLIES: usize = 64;
 
@@ -63,6 +69,9 @@
     trials: Trials,
     /// Something was learned.
     changed: Notify,
+    /// When this daemon last knew that it runs, and until when what comes may have waited while it did not.
+    ticked: Cell<Option<Moment>>,
+    distrusts_until: Cell<Moment>,
     /// Whether this daemon knows what was quarantined before it started.
     is_complete: Cell<bool>,
     /// Requests quarantined or cleared here, to be told to the source.
@@ -97,6 +106,8 @@
             begun: RefCell::default(),
             trials: Trials::default(),
             changed: Notify::new(),
+            ticked: Cell::new(None),
+            distrusts_until: Cell::default(),
             is_complete: Cell::new(false),
             to_keep: RefCell::default(),
             keeping: Notify::new(),
@@ -203,6 +214,9 @@
 
     /// Takes in what another daemon sent.
     pub fn receive(&self, from: SocketAddr, messages: Vec<QuarantineMessage>) {
+        if self.distrusts(Clock.now()) {
+            return;
+        }
         for message in messages {
             match message {
                 QuarantineMessage::Record(record) => self.merge(record),
@@ -212,6 +226,23 @@
         }
     }
 
+    /// Notes that this daemon runs. `is_resumed` says that it did not for a while: what waited in the socket looks
+    /// as if it had just happened, and one event would look like two.
+    pub fn tick(&self, now: Moment, is_resumed: bool) {
+        self.ticked.set(Some(now));
+        if is_resumed {
+            self.distrusts_until.set(now + DISTRUST);
+        }
+    }
+
+    fn distrusts(&self, now: Moment) -> bool {
+        let has_stood = self
+            .ticked
+            .get()
+            .is_some_and(|ticked| now.since(ticked) > LONGEST_TICK);
+        has_stood || now < self.distrusts_until.get()
+    }
+
     fn merge(&self, record: QuarantineRecord) {
         let fingerprint = record.fingerprint;
         let changed = self.table.borrow_mut().merge(Clock.now(), record);
--- a/crates/tansylead-gateway/tests/quarantine.rs
+++ b/crates/tansylead-gateway/tests/quarantine.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
+use tansylead_gateway::leaf::{LostRun, LostRuns};
 use tansylead_gateway::quarantine::{
     KeptChange, QuarantineMessage, QuarantineState, SendAdmission, SendCare,
 };
@@ -191,6 +192,20 @@
     assert!(new.is_complete());
 }
 
+#[test]
+fn what_waited_while_a_daemon_stood_still_is_passed_over() {
+    let (here, there) = (QuarantineState::default(), QuarantineState::default());
+    strike(&here, 3);
+    there.tick(Clock.now(), true);
+    pass_on(&here, &there);
+    assert_eq!(there.refusal(&fatal()), None);
+    let later = Clock.now() - Duration::from_secs(1);
+    there.tick(later, false);
+    strike(&here, 4);
+    pass_on(&here, &there);
+    assert_eq!(there.refusal(&fatal()), None);
+}
+
 #[test]
 fn digests_that_agree_end_an_exchange() {
     let (here, there) = (QuarantineState::default(), QuarantineState::default());
@@ -209,3 +224,22 @@
     assert!(state.is_complete());
     assert!(state.refusal(&fatal()).is_some());
 }
+
+#[test]
+fn a_leaf_that_ends_after_a_request_was_given_up_counts_for_a_while() {
+    let leaf_runs = LostRuns::default();
+    let now = Clock.now();
+    let given_up = |at| LostRun {
+        fingerprints: fatal(),
+        sent: at - Duration::from_millis(30),
+        lost: at,
+        care: Rc::default(),
+    };
+    leaf_runs.abandon(given_up(now));
+    let later = now + Duration::from_secs(1);
+    assert!(leaf_runs.take_abandoned(later).is_empty());
+    leaf_runs.abandon(given_up(now));
+    let soon = now + Duration::from_millis(100);
+    assert_eq!(leaf_runs.take_abandoned(soon).len(), 1);
+    assert!(leaf_runs.take_abandoned(soon).is_empty());
+}
