--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -6,6 +6,7 @@
 use super::trials::Trials;
 use crate::clock::Clock;
 use crate::execution::{Refusal, RefusalReason};
+use crate::logging::count_suppressed;
 use crate::per_second::PerSecondLimit;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -23,6 +24,8 @@
 const RECORDS_PER_SECOND: u32 = 50;
 /// The same of serious suspects, of which there are few: victims must not keep them from being told.
 const SERIOUS_RECORDS_PER_SECOND: u32 = 50;
+/// Lines on changes of verdicts in a second; each leaf that ends changes those on several requests.
+const LINES_PER_SECOND: u32 = 20;
 /// Records sent in answer to one digest.
 const RECORDS_IN_EXCHANGE: usize = 32;
 /// Time without a tick, which come four times a second, after which this daemon has stood still: shorter than
@@ -62,6 +65,7 @@
     replies: RefCell<Vec<(SocketAddr, Vec<QuarantineMessage>)>>,
     limit: PerSecondLimit,
     serious_limit: PerSecondLimit,
+    line_limit: PerSecondLimit,
     to_send: Notify,
     /// Trials that this daemon begins, to be told.
     begun: RefCell<Vec<RequestFingerprint>>,
@@ -102,6 +106,7 @@
             replies: RefCell::default(),
             limit: PerSecondLimit::new(RECORDS_PER_SECOND),
             serious_limit: PerSecondLimit::new(SERIOUS_RECORDS_PER_SECOND),
+            line_limit: PerSecondLimit::new(LINES_PER_SECOND),
             to_send: Notify::new(),
             begun: RefCell::default(),
             trials: Trials::default(),
@@ -312,12 +317,9 @@
         };
         self.trials.end(fingerprint);
         self.changed.notify_waiters();
-        if change != QuarantineChange::Learned {
-            let is_own = reach == Reach::Wide;
-            log::info!(fingerprint:% = fingerprint, change = change.label(), is_own = is_own; "request under which leafs end");
-        }
+        let is_own = reach == Reach::Wide;
+        self.write_line(fingerprint, change, is_own);
         if change == QuarantineChange::Quarantined {
-            let is_own = reach == Reach::Wide;
             self.keep(KeptChange::Quarantined {
                 fingerprint,
                 is_own,
@@ -326,6 +328,19 @@
         self.tell(fingerprint, change, reach);
     }
 
+    fn write_line(&self, fingerprint: RequestFingerprint, change: QuarantineChange, is_own: bool) {
+        if change == QuarantineChange::Learned {
+            return;
+        }
+        let is_conviction = change == QuarantineChange::Quarantined;
+        if !self.line_limit.try_take(Clock.now()) && !is_conviction {
+            count_suppressed(1);
+            return;
+        }
+        let scope = fingerprint.scope().label();
+        log::info!(fingerprint:% = fingerprint, scope = scope, change = change.label(), is_own = is_own; "request under which leafs end");
+    }
+
     fn tell(&self, fingerprint: RequestFingerprint, change: QuarantineChange, reach: Reach) {
         let queue = match reach {
             Reach::Wide => &self.wide,
--- a/crates/tansylead-route/src/quarantine/fingerprint.rs
+++ b/crates/tansylead-route/src/quarantine/fingerprint.rs
@@ -59,6 +59,15 @@
 }
 
 impl FingerprintScope {
+    /// Name, for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Exact => "exact",
+            Self::Path => "path",
+            Self::Content => "content",
+        }
+    }
+
     fn bits(self) -> u128 {
         match self {
             Self::Exact => 0,
