A suspect's copies wait for one trial, told as it is sent, and are refused after 1.5 s

Found with a request that runs for 0.7 s and comes in bursts of copies 5.5 s apart: 4 and 5 copies reached leafs in the second burst, and copies that were denied went on until their time was up (504). Causes: with another query each time nothing was suspected after one event; a trial counted as over with the first leaf it ended, and was told before there was a leaf to send it to; a call that was denied while it waited did not end. Now one event is enough for care with the same path, a trial is told right before each sending and lasts until there is a verdict, a copy that has waited for 1.5 s in all is refused as not run, and a denied call ends at once.

--- a/crates/tansylead-gateway/src/execution/call.rs
+++ b/crates/tansylead-gateway/src/execution/call.rs
@@ -62,13 +62,6 @@
     pub(super) is_sent: Rc<Cell<bool>>,
 }
 
-impl Progress {
-    /// Whether an attempt is under way, or may start yet.
-    fn is_open(&self) -> bool {
-        !self.attempts.is_empty() || self.waiting.is_some()
-    }
-}
-
 impl Call {
     /// Runs the call. Dropping the future ends all attempts.
     pub async fn run(self) -> CallEnd {
@@ -84,8 +77,7 @@
             is_sent: Rc::default(),
         };
         self.launch(&mut progress, AttemptReason::First, false);
-        while progress.is_open() {
-            self.start_waiting(&mut progress);
+        while self.goes_on(&mut progress) {
             let look = self.next_look(&progress);
             let overdue = progress
                 .attempts
@@ -114,6 +106,12 @@
         self.fail(progress, false)
     }
 
+    /// Starts the attempt that waits, if it may start now. Returns whether an attempt is under way or may come yet.
+    fn goes_on(&self, progress: &mut Progress) -> bool {
+        self.start_waiting(progress);
+        !progress.attempts.is_empty() || progress.waiting.is_some()
+    }
+
     /// When to look again whether an attempt that waits may start, if that hangs on time.
     fn next_look(&self, progress: &Progress) -> Option<Moment> {
         progress.waiting.and_then(|_| self.next_trial_look())
@@ -179,6 +177,7 @@
         let delay = self.overdue_delay(&leaf);
         let sent = Rc::new(Cell::new(None));
         let access = self.access.clone();
+        let announce_trial = self.announce_trial();
         let terms = SendTerms {
             route: route_hash(&self.route.name),
             overdue_delay: delay,
@@ -189,7 +188,13 @@
             Rc::clone(&leaf),
             Rc::clone(&self.request),
             Rc::clone(&self.gateway.names),
-            move |leaf| access.may_use(leaf),
+            move |leaf| {
+                let may_use = access.may_use(leaf);
+                if may_use {
+                    announce_trial();
+                }
+                may_use
+            },
             terms,
             Rc::clone(&sent),
         );
--- a/crates/tansylead-gateway/src/execution/call_notes.rs
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -82,36 +82,66 @@
 
     /// Whether an attempt may start now, by what is known of leafs that end under the request.
     pub(super) fn admission(&self) -> SendAdmission {
-        let verdict = self.quarantine_verdict();
+        let admission = self.shared.care.admission(self.quarantine_verdict());
+        match admission {
+            SendAdmission::Now => self.trial_admission(),
+            SendAdmission::Later | SendAdmission::Never => admission,
+        }
+    }
+
+    /// Whether a suspect may be tried now: not while another daemon tries it, and not for long after.
+    fn trial_admission(&self) -> SendAdmission {
         let care = &self.shared.care;
-        let admission = care.admission(verdict);
-        let is_trial = verdict == Verdict::Suspect && !care.is_answered() && !care.is_tried();
-        if admission != SendAdmission::Now || !is_trial {
-            return admission;
+        if !self.is_untried_suspect() {
+            return SendAdmission::Now;
         }
-        if self.next_trial_look().is_some() {
-            return SendAdmission::Later;
+        let now = Clock.now();
+        if care.has_waited_too_long(now) {
+            return SendAdmission::Never;
         }
-        care.set_tried();
-        self.gateway
-            .quarantine
-            .begin_trial(&self.request.fingerprints);
-        SendAdmission::Now
+        match self.next_trial_look() {
+            Some(_) => SendAdmission::Later,
+            None => SendAdmission::Now,
+        }
+    }
+
+    fn is_untried_suspect(&self) -> bool {
+        let care = &self.shared.care;
+        let is_suspect = self.quarantine_verdict() == Verdict::Suspect;
+        is_suspect && !care.is_tried() && !care.is_answered()
     }
 
     /// When to look again whether a suspect may be tried; none if it may be now.
     pub(super) fn next_trial_look(&self) -> Option<Moment> {
-        let care = &self.shared.care;
-        if self.quarantine_verdict() != Verdict::Suspect || care.is_tried() {
+        if !self.is_untried_suspect() {
             return None;
         }
+        let care = &self.shared.care;
         let now = Clock.now();
         let turn = care.turn(now);
         if now < turn {
             return Some(turn);
         }
         let quarantine = &self.gateway.quarantine;
-        quarantine.trial_until(&self.request.fingerprints)
+        let until = quarantine.trial_until(&self.request.fingerprints)?;
+        // Whoever waits for the same trial does not go on at the same moment.
+        care.give_up_turn();
+        Some(until)
+    }
+
+    /// What is done right before an attempt is handed to a connection: if the request is a suspect, the other
+    /// daemons are told that it is being tried, anew for each leaf.
+    pub(super) fn announce_trial(&self) -> impl Fn() + use<> {
+        let gateway = Rc::clone(&self.gateway);
+        let care = Rc::clone(&self.shared.care);
+        let request = self.request.fingerprints;
+        move || {
+            let is_suspect = gateway.quarantine.verdict(&request) == Verdict::Suspect;
+            if is_suspect && !care.is_answered() {
+                care.set_tried();
+                gateway.quarantine.begin_trial(&request);
+            }
+        }
     }
 
     /// What is known of leafs that end under the request.
--- a/crates/tansylead-gateway/src/quarantine/send_care.rs
+++ b/crates/tansylead-gateway/src/quarantine/send_care.rs
@@ -3,7 +3,7 @@
 //! Invariant: a request under which leafs end, and that none has answered, goes to one leaf at a time, and to
 //! the next one only when it is known what became of the last.
 
-use super::trials::TRIAL_SPREAD;
+use super::trials::{TRIAL_SPREAD, TRIAL_WAIT};
 use std::cell::Cell;
 use std::rc::Rc;
 use tansylead_route::Verdict;
@@ -43,6 +43,8 @@
     is_refused: Cell<bool>,
     /// When a suspect that has not been sent yet may be tried, if no other daemon tries it.
     turn: Cell<Option<Moment>>,
+    /// Since when it has waited to be tried.
+    waits_since: Cell<Option<Moment>>,
     /// Whether it is tried, or has been.
     is_tried: Cell<bool>,
     changed: Notify,
@@ -98,6 +100,18 @@
         turn
     }
 
+    /// Whether the request has waited for trials at other daemons as long as one may take.
+    pub fn has_waited_too_long(&self, now: Moment) -> bool {
+        let since = self.waits_since.get().unwrap_or(now);
+        self.waits_since.set(Some(since));
+        now.since(since) >= TRIAL_WAIT
+    }
+
+    /// Has the moment be drawn anew.
+    pub fn give_up_turn(&self) {
+        self.turn.set(None);
+    }
+
     /// Whether the request is tried as a suspect, or has been.
     pub fn is_tried(&self) -> bool {
         self.is_tried.get()
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -315,7 +315,9 @@
         let Some(change) = changed else {
             return;
         };
-        self.trials.end(fingerprint);
+        if Self::is_decided(change) {
+            self.trials.end(fingerprint);
+        }
         self.changed.notify_waiters();
         let is_own = reach == Reach::Wide;
         self.write_line(fingerprint, change, is_own);
@@ -328,6 +330,14 @@
         self.tell(fingerprint, change, reach);
     }
 
+    /// Whether whoever tried the request has found out.
+    fn is_decided(change: QuarantineChange) -> bool {
+        !matches!(
+            change,
+            QuarantineChange::Learned | QuarantineChange::Suspected
+        )
+    }
+
     fn write_line(&self, fingerprint: RequestFingerprint, change: QuarantineChange, is_own: bool) {
         if change == QuarantineChange::Learned {
             return;
--- a/crates/tansylead-gateway/src/quarantine/trials.rs
+++ b/crates/tansylead-gateway/src/quarantine/trials.rs
@@ -13,8 +13,8 @@
 /// Copies that come to several daemons at once begin within this time: several times the way between regions
 /// (users' sites: 12 ms), so that most hear of the first before they begin.
 pub const TRIAL_SPREAD: Duration = Duration::from_millis(100);
-/// How long a trial is waited for. A run and the look whether its leaf has ended take some 100 ms.
-const TRIAL_WAIT: Duration = Duration::from_millis(500);
+/// How long a trial is waited for: a long run (users' sites: up to 1.3 s) and the look whether its leaf has ended.
+pub const TRIAL_WAIT: Duration = Duration::from_millis(1_500);
 /// Trials remembered.
 const MAXIMUM_TRIALS: usize = 64;
 
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Notes that something was learned of a request: whoever tried it has ended.
+    /// Notes that it is known what a request does.
     pub(super) fn end(&self, request: RequestFingerprint) {
         self.until.borrow_mut().remove(&request);
     }
--- a/crates/tansylead-route/src/quarantine/record.rs
+++ b/crates/tansylead-route/src/quarantine/record.rs
@@ -70,11 +70,10 @@
         }
     }
 
-    /// One event is enough for care with the same request, and not for care with others that are like it.
+    /// One event is enough for care, but not with what comes from other callers.
     fn is_suspect(&self, scope: FingerprintScope) -> bool {
         match scope {
-            FingerprintScope::Exact => self.strikes.len() >= SUSPECT_LEAFS,
-            FingerprintScope::Path => self.successive_runs() > 1,
+            FingerprintScope::Exact | FingerprintScope::Path => self.strikes.len() >= SUSPECT_LEAFS,
             FingerprintScope::Content => self.successive_runs() > 1 && self.has_several_callers(),
         }
     }
