Quarantine: outbox, kept changes and the care of a call in files of their own; one pause guard

state.rs had grown to 415 lines and kept queues, limits and a second way to notice a pause; the guard of the roll-outs does that now, with a limit of its own.

--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -183,7 +183,7 @@
             log::warn!(lag_ms = lag.as_millis() as u64; "tasks wait for the processor");
         }
         let is_resumed = Clock.note_lag(lag);
-        gateway.quarantine.tick(Clock.now(), is_resumed);
+        gateway.quarantine.tick(Clock.now());
         if is_resumed {
             log::warn!(paused_ms = lag.as_millis() as u64; "did not run");
             gateway.metrics.on_pause();
--- a/crates/tansylead-gateway/src/execution/call_extra.rs
+++ b/crates/tansylead-gateway/src/execution/call_extra.rs
@@ -5,7 +5,6 @@
 use super::call::{Call, MAXIMUM_NOT_SENT, Progress};
 use crate::clock::Clock;
 use crate::leaf::LeafState;
-use crate::quarantine::SendAdmission;
 use crate::request_trace::{AttemptReason, Decision, DenialReason};
 use std::rc::Rc;
 use tansylead_route::{BreakerVerdict, ExtraAttempt};
@@ -69,39 +68,8 @@
         }
     }
 
-    /// Whether an attempt may start, by what is known of leafs that end under the request. If it may later,
-    /// and nothing else of the call is under way, it waits.
-    pub(super) fn is_admitted(&self, progress: &mut Progress, reason: AttemptReason) -> bool {
-        match self.admission() {
-            SendAdmission::Now => true,
-            SendAdmission::Later if progress.attempts.is_empty() => {
-                progress.waiting = Some(reason);
-                false
-            }
-            SendAdmission::Later => {
-                self.deny(DenialReason::OneAtATime);
-                false
-            }
-            SendAdmission::Never => {
-                self.deny(DenialReason::Quarantined);
-                false
-            }
-        }
-    }
-
-    /// Starts the attempt that had to wait, if it may start now.
-    pub(super) fn start_waiting(&self, progress: &mut Progress) {
-        match progress.waiting.take() {
-            None => {}
-            Some(AttemptReason::Retry) => self.launch_extra(progress, ExtraAttempt::Retry),
-            Some(reason) => {
-                self.launch(progress, reason, false);
-            }
-        }
-    }
-
     /// Starts a further attempt that may reach a leaf, if attempts, time and budget allow it.
-    fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
+    pub(super) fn launch_extra(&self, progress: &mut Progress, kind: ExtraAttempt) {
         let reason = match kind {
             ExtraAttempt::Hedge => AttemptReason::Hedge,
             ExtraAttempt::Retry => AttemptReason::Retry,
--- a/crates/tansylead-gateway/src/execution/call_notes.rs
+++ b/crates/tansylead-gateway/src/execution/call_notes.rs
@@ -4,14 +4,10 @@
 use super::attempts::Attempt;
 use super::call::Call;
 use crate::clock::Clock;
-use crate::leaf::{AttemptEnd, LeafState, LostRun};
-use crate::quarantine::{self, SendAdmission};
+use crate::leaf::{AttemptEnd, LeafState};
 use crate::request_trace::{AttemptEndKind, Decision, DenialReason, EndCause};
-use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tansylead_http::Reply;
-use tansylead_route::Verdict;
 use tansylead_types::Moment;
 
 /// Before latencies are learned, an answer is overdue after this share of the objective.
@@ -53,102 +49,6 @@
         }
     }
 
-    /// Notes that the connection was lost under an attempt: its leaf may have ended.
-    pub(super) fn note_lost(&self, attempt: &Attempt) {
-        let Some(sent) = attempt.sent.get() else {
-            return;
-        };
-        let run = LostRun {
-            fingerprints: self.request.fingerprints,
-            sent: sent.at,
-            lost: Clock.now(),
-            care: Rc::clone(&self.shared.care),
-        };
-        attempt.in_flight.on_lost();
-        quarantine::on_lost(&self.gateway, &attempt.leaf, run);
-    }
-
-    /// Notes that a leaf has answered after it ran the request, and lives.
-    pub(super) fn note_survived(&self, reply: &Reply) {
-        // A leaf may say so of a request that still waits for a slot when its time is up.
-        if reply.status == StatusCode::GATEWAY_TIMEOUT {
-            return;
-        }
-        if self.shared.care.on_answer() {
-            let request = &self.request.fingerprints;
-            self.gateway.quarantine.on_answer(request);
-        }
-    }
-
-    /// Whether an attempt may start now, by what is known of leafs that end under the request.
-    pub(super) fn admission(&self) -> SendAdmission {
-        let admission = self.shared.care.admission(self.quarantine_verdict());
-        match admission {
-            SendAdmission::Now => self.trial_admission(),
-            SendAdmission::Later | SendAdmission::Never => admission,
-        }
-    }
-
-    /// Whether a suspect may be tried now: not while another daemon tries it, and not for long after.
-    fn trial_admission(&self) -> SendAdmission {
-        let care = &self.shared.care;
-        if !self.is_untried_suspect() {
-            return SendAdmission::Now;
-        }
-        let now = Clock.now();
-        if care.has_waited_too_long(now) {
-            return SendAdmission::Never;
-        }
-        match self.next_trial_look() {
-            Some(_) => SendAdmission::Later,
-            None => SendAdmission::Now,
-        }
-    }
-
-    fn is_untried_suspect(&self) -> bool {
-        let care = &self.shared.care;
-        let is_suspect = self.quarantine_verdict() == Verdict::Suspect;
-        is_suspect && !care.is_tried() && !care.is_answered()
-    }
-
-    /// When to look again whether a suspect may be tried; none if it may be now.
-    pub(super) fn next_trial_look(&self) -> Option<Moment> {
-        if !self.is_untried_suspect() {
-            return None;
-        }
-        let care = &self.shared.care;
-        let now = Clock.now();
-        let turn = care.turn(now);
-        if now < turn {
-            return Some(turn);
-        }
-        let quarantine = &self.gateway.quarantine;
-        let until = quarantine.trial_until(&self.request.fingerprints)?;
-        // Whoever waits for the same trial does not go on at the same moment.
-        care.give_up_turn();
-        Some(until)
-    }
-
-    /// What is done right before an attempt is handed to a connection: if the request is a suspect, the other
-    /// daemons are told that it is being tried, anew for each leaf.
-    pub(super) fn announce_trial(&self) -> impl Fn() + use<> {
-        let gateway = Rc::clone(&self.gateway);
-        let care = Rc::clone(&self.shared.care);
-        let request = self.request.fingerprints;
-        move || {
-            let is_suspect = gateway.quarantine.verdict(&request) == Verdict::Suspect;
-            if is_suspect && !care.is_answered() {
-                care.set_tried();
-                gateway.quarantine.begin_trial(&request);
-            }
-        }
-    }
-
-    /// What is known of leafs that end under the request.
-    pub(super) fn quarantine_verdict(&self) -> Verdict {
-        self.gateway.quarantine.verdict(&self.request.fingerprints)
-    }
-
     pub(super) fn deny(&self, reason: DenialReason) {
         self.gateway.metrics.on_denied(reason.label());
         self.trace
--- a/crates/tansylead-gateway/src/execution/mod.rs
+++ b/crates/tansylead-gateway/src/execution/mod.rs
@@ -3,6 +3,7 @@
 mod at_root;
 mod attempts;
 mod call;
+mod call_care;
 mod call_end;
 mod call_extra;
 mod call_notes;
--- a/crates/tansylead-gateway/src/quarantine/exchange.rs
+++ b/crates/tansylead-gateway/src/quarantine/exchange.rs
@@ -4,8 +4,9 @@
 //! A daemon that has just started learns from others what was quarantined before. Only if none can tell, since
 //! all have started together, some ask the source.
 
-use super::state::{DISTRUST, QuarantineState};
+use super::state::QuarantineState;
 use crate::cluster::ClusterView;
+use crate::roll_out::PauseGuard;
 use crate::source::{Freshness, Source};
 use crate::state::Gateway;
 use std::rc::Rc;
@@ -72,6 +73,6 @@
 
 /// Compares with several daemons, after this one did not run for a while.
 pub(crate) async fn catch_up(gateway: Rc<Gateway>, view: Rc<ClusterView>) {
-    tokio::time::sleep(DISTRUST).await;
+    tokio::time::sleep(PauseGuard::DISTRUST).await;
     ask(&gateway.quarantine, &view, START_PEERS);
 }
--- a/crates/tansylead-gateway/src/quarantine/keeping.rs
+++ b/crates/tansylead-gateway/src/quarantine/keeping.rs
@@ -3,7 +3,7 @@
 //! The daemon whose evidence decided writes at once. Those that watch the source write a little later, in case
 //! it was lost right then; a request that is kept already costs them one call.
 
-use super::state::KeptChange;
+use super::kept_changes::KeptChange;
 use crate::cluster::ClusterView;
 use crate::source::{Source, SourceError};
 use crate::state::Gateway;
--- a/crates/tansylead-gateway/src/quarantine/mod.rs
+++ b/crates/tansylead-gateway/src/quarantine/mod.rs
@@ -3,16 +3,20 @@
 
 mod exchange;
 mod keeping;
+mod kept_changes;
 mod leaf_ends;
 mod messages;
+mod outbox;
 mod send_care;
 mod state;
 mod trials;
 
 pub(crate) use exchange::{catch_up, exchange};
 pub(crate) use keeping::{forget_old, keep_changes};
+pub use kept_changes::KeptChange;
 pub(crate) use leaf_ends::on_lost;
 pub use messages::{QuarantineCodec, QuarantineMessage, TableDigest};
+pub use outbox::ToSend;
 pub use send_care::{AttemptInFlight, SendAdmission, SendCare};
-pub use state::{KeptChange, QuarantineState, ToSend};
+pub use state::QuarantineState;
 pub use trials::TRIAL_SPREAD;
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -1,15 +1,15 @@
-//! The requests under which leafs end, as this daemon knows them, and what it has to tell of them.
-//!
-//! Invariant: what waits to be sent is bounded; what is dropped comes again with the exchange of digests.
+//! The requests under which leafs end, as this daemon knows them, and what follows for its requests.
 
+use super::kept_changes::{KeptChange, KeptChanges};
 use super::messages::{QuarantineMessage, TableDigest};
+use super::outbox::{Outbox, Reach, ToSend};
 use super::trials::Trials;
 use crate::clock::Clock;
 use crate::execution::{Refusal, RefusalReason};
 use crate::logging::count_suppressed;
 use crate::per_second::PerSecondLimit;
+use crate::roll_out::PauseGuard;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_route::{
@@ -19,11 +19,6 @@
 use tansylead_types::Moment;
 use tokio::sync::Notify;
 
-/// Records told in a second, each to some peers, of requests that were struck once: with 32 peers and some 100
-/// bytes a record 160 kB while leafs end by the hundred, and nothing on calm days.
-const RECORDS_PER_SECOND: u32 = 50;
-/// The same of serious suspects, of which there are few: victims must not keep them from being told.
-const SERIOUS_RECORDS_PER_SECOND: u32 = 50;
 /// Lines on changes of verdicts in a second; each leaf that ends changes those on several requests.
 const LINES_PER_SECOND: u32 = 20;
 /// Records sent in answer to one digest.
@@ -31,91 +26,35 @@
 /// Time without a tick, which come four times a second, after which this daemon has stood still: shorter than
 /// what makes two events of one.
 const LONGEST_TICK: Duration = Duration::from_millis(900);
-/// Messages are passed over for this long after that: a few rounds of reading a full socket.
-pub const DISTRUST: Duration = Duration::from_millis(250);
-/// Answers that wait to be sent to single peers.
-const MAXIMUM_REPLIES: usize = 64;
-
-/// How far a record is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
-    /// To the daemons of the zone and many others: it is this daemon's own news.
-    Wide,
-    /// To a few: it is news of another daemon, which has told many.
-    Relayed,
-}
-
-/// What is to be sent.
-#[derive(Debug, Default)]
-pub struct ToSend {
-    /// Records of this daemon's own news, and the trials that it begins.
-    pub wide: Vec<QuarantineMessage>,
-    /// Records of others' news.
-    pub relayed: Vec<QuarantineMessage>,
-    /// Messages to single peers.
-    pub replies: Vec<(SocketAddr, Vec<QuarantineMessage>)>,
-}
 
 /// The state.
 #[derive(Debug)]
 pub struct QuarantineState {
     table: RefCell<Quarantine>,
-    wide: RefCell<BTreeSet<RequestFingerprint>>,
-    relayed: RefCell<BTreeSet<RequestFingerprint>>,
-    replies: RefCell<Vec<(SocketAddr, Vec<QuarantineMessage>)>>,
-    limit: PerSecondLimit,
-    serious_limit: PerSecondLimit,
-    line_limit: PerSecondLimit,
-    to_send: Notify,
-    /// Trials that this daemon begins, to be told.
-    begun: RefCell<Vec<RequestFingerprint>>,
-    /// Trials of others.
+    outbox: Outbox,
+    /// Trials of other daemons.
     trials: Trials,
     /// Something was learned.
     changed: Notify,
-    /// When this daemon last knew that it runs, and until when what comes may have waited while it did not.
-    ticked: Cell<Option<Moment>>,
-    distrusts_until: Cell<Moment>,
+    /// What comes after this daemon stood still may have waited meanwhile.
+    pause_guard: RefCell<PauseGuard>,
     /// Whether this daemon knows what was quarantined before it started.
     is_complete: Cell<bool>,
-    /// Requests quarantined or cleared here, to be told to the source.
-    to_keep: RefCell<Vec<KeptChange>>,
-    keeping: Notify,
-}
-
-/// A change that the source must keep.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum KeptChange {
-    /// The request is quarantined; found here, or told by another daemon that keeps it first.
-    Quarantined {
-        /// The request.
-        fingerprint: RequestFingerprint,
-        /// Whether this daemon's own evidence decided.
-        is_own: bool,
-    },
-    /// The request is cleared.
-    Cleared(RequestFingerprint),
+    kept_changes: KeptChanges,
+    line_limit: PerSecondLimit,
 }
 
 impl Default for QuarantineState {
     fn default() -> Self {
         Self {
             table: RefCell::default(),
-            wide: RefCell::default(),
-            relayed: RefCell::default(),
-            replies: RefCell::default(),
-            limit: PerSecondLimit::new(RECORDS_PER_SECOND),
-            serious_limit: PerSecondLimit::new(SERIOUS_RECORDS_PER_SECOND),
-            line_limit: PerSecondLimit::new(LINES_PER_SECOND),
-            to_send: Notify::new(),
-            begun: RefCell::default(),
+            outbox: Outbox::default(),
             trials: Trials::default(),
             changed: Notify::new(),
-            ticked: Cell::new(None),
-            distrusts_until: Cell::default(),
+            pause_guard: RefCell::new(PauseGuard::new(LONGEST_TICK)),
             is_complete: Cell::new(false),
-            to_keep: RefCell::default(),
-            keeping: Notify::new(),
+            kept_changes: KeptChanges::default(),
+            line_limit: PerSecondLimit::new(LINES_PER_SECOND),
         }
     }
 }
@@ -144,11 +83,7 @@
 
     /// Notes that this daemon begins to try a suspect, and tells the others.
     pub fn begin_trial(&self, request: &RequestFingerprints) {
-        let mut begun = self.begun.borrow_mut();
-        if self.serious_limit.try_take(Clock.now()) && !begun.contains(&request.path) {
-            begun.push(request.path);
-            self.to_send.notify_one();
-        }
+        self.outbox.add_trial(request.path);
     }
 
     /// Waits until something is learned of any request.
@@ -181,7 +116,7 @@
             let was_convicted = self.table.borrow().was_convicted(fingerprint);
             let changed = self.table.borrow_mut().on_answer(Clock.now(), fingerprint);
             if changed.is_some() && was_convicted {
-                self.keep(KeptChange::Cleared(fingerprint));
+                self.kept_changes.add(KeptChange::Cleared(fingerprint));
             }
             self.on_change(fingerprint, changed, Reach::Wide);
         }
@@ -219,9 +154,12 @@
 
     /// Takes in what another daemon sent.
     pub fn receive(&self, from: SocketAddr, messages: Vec<QuarantineMessage>) {
-        if self.distrusts(Clock.now()) {
+        let now = Clock.now();
+        let guard = self.pause_guard.borrow();
+        if guard.is_overdue(now) || guard.distrusts(now) {
             return;
         }
+        drop(guard);
         for message in messages {
             match message {
                 QuarantineMessage::Record(record) => self.merge(record),
@@ -231,21 +169,10 @@
         }
     }
 
-    /// Notes that this daemon runs. `is_resumed` says that it did not for a while: what waited in the socket looks
-    /// as if it had just happened, and one event would look like two.
-    pub fn tick(&self, now: Moment, is_resumed: bool) {
-        self.ticked.set(Some(now));
-        if is_resumed {
-            self.distrusts_until.set(now + DISTRUST);
-        }
-    }
-
-    fn distrusts(&self, now: Moment) -> bool {
-        let has_stood = self
-            .ticked
-            .get()
-            .is_some_and(|ticked| now.since(ticked) > LONGEST_TICK);
-        has_stood || now < self.distrusts_until.get()
+    /// Notes that this daemon runs. After it stood still, what waited in the socket looks as if it had just happened,
+    /// and one event would look like two: it is passed over for a moment.
+    pub fn tick(&self, now: Moment) {
+        self.pause_guard.borrow_mut().look(now);
     }
 
     fn merge(&self, record: QuarantineRecord) {
@@ -266,7 +193,8 @@
             if digest.is_complete {
                 self.set_complete();
             } else if own.is_complete && !digest.is_reply {
-                self.reply(from, vec![QuarantineMessage::Digest(own)]);
+                self.outbox
+                    .reply(from, vec![QuarantineMessage::Digest(own)]);
             }
             return;
         }
@@ -280,7 +208,7 @@
             // Its records came before it.
             self.set_complete();
         }
-        self.reply(from, messages);
+        self.outbox.reply(from, messages);
     }
 
     /// What is held here, as a hash.
@@ -295,15 +223,8 @@
     /// Sends a digest of what is held here to a peer.
     pub fn ask(&self, peer: SocketAddr) {
         let digest = self.digest(false);
-        self.reply(peer, vec![QuarantineMessage::Digest(digest)]);
-    }
-
-    fn reply(&self, to: SocketAddr, messages: Vec<QuarantineMessage>) {
-        let mut replies = self.replies.borrow_mut();
-        if replies.len() < MAXIMUM_REPLIES {
-            replies.push((to, messages));
-            self.to_send.notify_one();
-        }
+        self.outbox
+            .reply(peer, vec![QuarantineMessage::Digest(digest)]);
     }
 
     fn on_change(
@@ -322,7 +243,7 @@
         let is_own = reach == Reach::Wide;
         self.write_line(fingerprint, change, is_own);
         if change == QuarantineChange::Quarantined {
-            self.keep(KeptChange::Quarantined {
+            self.kept_changes.add(KeptChange::Quarantined {
                 fingerprint,
                 is_own,
             });
@@ -352,64 +273,29 @@
     }
 
     fn tell(&self, fingerprint: RequestFingerprint, change: QuarantineChange, reach: Reach) {
-        let queue = match reach {
-            Reach::Wide => &self.wide,
-            // A single strike is told by the daemon that saw it.
-            Reach::Relayed if change == QuarantineChange::Learned => return,
-            Reach::Relayed => &self.relayed,
-        };
-        if queue.borrow().contains(&fingerprint) {
+        // A single strike is told by the daemon that saw it.
+        if reach == Reach::Relayed && change == QuarantineChange::Learned {
             return;
         }
-        let limit = match self.table.borrow().is_serious(fingerprint) {
-            true => &self.serious_limit,
-            false => &self.limit,
-        };
-        if limit.try_take(Clock.now()) {
-            queue.borrow_mut().insert(fingerprint);
-            self.to_send.notify_one();
-        }
+        let is_serious = self.table.borrow().is_serious(fingerprint);
+        self.outbox.add_record(fingerprint, reach, is_serious);
     }
 
     /// Waits until there is something to send.
     pub async fn to_send(&self) {
-        self.to_send.notified().await;
+        self.outbox.added().await;
     }
 
     /// Takes out what is to be sent.
     pub fn take_to_send(&self) -> ToSend {
-        let records = |queue: &RefCell<BTreeSet<RequestFingerprint>>| {
-            let table = self.table.borrow();
-            let queue = queue.take();
-            let records = queue
-                .into_iter()
-                .filter_map(|fingerprint| table.record(Clock.now(), fingerprint));
-            records.map(QuarantineMessage::Record).collect()
-        };
-        let trials = self.begun.take().into_iter().map(QuarantineMessage::Trial);
-        let wide: Vec<QuarantineMessage> = records(&self.wide);
-        ToSend {
-            wide: trials.chain(wide).collect(),
-            relayed: records(&self.relayed),
-            replies: self.replies.take(),
-        }
-    }
-
-    fn keep(&self, change: KeptChange) {
-        /// Changes that wait for the source: as many as requests are remembered.
-        const MAXIMUM_WAITING: usize = tansylead_route::MAXIMUM_RECORDS;
-        let mut waiting = self.to_keep.borrow_mut();
-        if waiting.len() < MAXIMUM_WAITING {
-            waiting.push(change);
-            self.keeping.notify_one();
-        }
+        let table = self.table.borrow();
+        let now = Clock.now();
+        self.outbox
+            .take(|fingerprint| table.record(now, fingerprint))
     }
 
     /// Waits for changes that the source must keep, and takes them out.
     pub async fn changes_to_keep(&self) -> Vec<KeptChange> {
-        while self.to_keep.borrow().is_empty() {
-            self.keeping.notified().await;
-        }
-        self.to_keep.take()
+        self.kept_changes.take().await
     }
 }
--- a/crates/tansylead-gateway/src/roll_out/pause_guard.rs
+++ b/crates/tansylead-gateway/src/roll_out/pause_guard.rs
@@ -9,26 +9,48 @@
 /// A longer time between two looks, which come every few tens of milliseconds, is a pause: as long as a
 /// silent judge is still followed.
 const PAUSE_LIMIT: Duration = Duration::from_millis(600);
-/// Messages are passed over for this long after a pause: a few rounds of reading a full socket, and as long as
-/// a busy reporter takes to report again.
-const DISTRUST: Duration = Duration::from_millis(250);
-
 /// Watches the times of the looks.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PauseGuard {
+    /// A longer time between two looks is a pause.
+    limit: Duration,
     looked_at: Option<Moment>,
     distrusts_until: Option<Moment>,
 }
 
+impl Default for PauseGuard {
+    fn default() -> Self {
+        Self::new(PAUSE_LIMIT)
+    }
+}
+
 impl PauseGuard {
+    /// Messages are passed over for this long after a pause: a few rounds of reading a full socket, and as long
+    /// as a busy reporter takes to report again.
+    pub const DISTRUST: Duration = Duration::from_millis(250);
+
+    /// A guard that takes a longer time between two looks for a pause.
+    pub fn new(limit: Duration) -> Self {
+        Self {
+            limit,
+            looked_at: None,
+            distrusts_until: None,
+        }
+    }
+
+    /// Whether the next look will find a pause: whoever acts before it must not rely on what comes.
+    pub fn is_overdue(&self, now: Moment) -> bool {
+        self.looked_at.is_some_and(|at| now.since(at) > self.limit)
+    }
+
     /// Notes a look. Returns how long this process did not run, if it was paused.
     pub fn look(&mut self, now: Moment) -> Option<Duration> {
         let gap = self.looked_at.map_or(Duration::ZERO, |at| now.since(at));
         self.looked_at = Some(now);
-        if gap <= PAUSE_LIMIT {
+        if gap <= self.limit {
             return None;
         }
-        self.distrusts_until = Some(now + DISTRUST);
+        self.distrusts_until = Some(now + Self::DISTRUST);
         Some(gap)
     }
 
--- a/crates/tansylead-gateway/tests/quarantine.rs
+++ b/crates/tansylead-gateway/tests/quarantine.rs
@@ -196,11 +196,12 @@
 fn what_waited_while_a_daemon_stood_still_is_passed_over() {
     let (here, there) = (QuarantineState::default(), QuarantineState::default());
     strike(&here, 3);
-    there.tick(Clock.now(), true);
+    // It has not looked for a while: what it reads now is old.
+    there.tick(Clock.now() - Duration::from_secs(3));
     pass_on(&here, &there);
     assert_eq!(there.refusal(&fatal()), None);
-    let later = Clock.now() - Duration::from_secs(1);
-    there.tick(later, false);
+    // It has noticed, and may still read what waited.
+    there.tick(Clock.now());
     strike(&here, 4);
     pass_on(&here, &there);
     assert_eq!(there.refusal(&fatal()), None);
