--- a/crates/tansylead-gateway/src/leaf/leaf_standing.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_standing.rs
@@ -66,9 +66,14 @@
         self.listing.set(Listing::Replaced);
     }
 
+    /// Whether the leaf said that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.entry.borrow().phase == LeafPhase::Draining
+    }
+
     /// Whether the entry went without a word of leaving, while the source could be heard.
     pub(super) fn has_vanished(&self) -> bool {
-        let said_so = self.entry.borrow().phase == LeafPhase::Draining;
+        let said_so = self.is_leaving();
         match self.listing.get() {
             Listing::Listed => false,
             Listing::Replaced => !said_so,
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -274,6 +274,11 @@
         self.health.answered_at() > moment
     }
 
+    /// Whether the leaf said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.standing.is_leaving()
+    }
+
     /// Whether the leaf's entry went without a word of leaving, while the source could be heard.
     pub fn has_vanished(&self) -> bool {
         self.standing.has_vanished()
@@ -324,6 +329,7 @@
     /// Closes idle connections past their time.
     pub fn close_expired(&self, now: Moment) {
         self.connections.close_expired(now);
+        self.lost_runs.forget_abandoned(now);
     }
 
     /// Number of idle connections.
--- a/crates/tansylead-gateway/src/leaf/lost_runs.rs
+++ b/crates/tansylead-gateway/src/leaf/lost_runs.rs
@@ -2,7 +2,6 @@
 
 use crate::quarantine::SendCare;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::RequestFingerprints;
@@ -37,7 +36,7 @@
     watched: RefCell<Vec<LostRun>>,
     is_watched: Cell<bool>,
     /// Ended by this daemon before an answer came, lately.
-    abandoned: RefCell<VecDeque<LostRun>>,
+    abandoned: RefCell<Vec<LostRun>>,
 }
 
 impl LostRuns {
@@ -70,11 +69,19 @@
     /// Notes a request that this daemon gave up, because its caller left or its other parts had failed. The leaf
     /// may end of it all the same.
     pub fn abandon(&self, run: LostRun) {
+        self.forget_abandoned(run.lost);
         let mut abandoned = self.abandoned.borrow_mut();
-        let now = run.lost;
-        abandoned.retain(|earlier| now.since(earlier.lost) < ABANDONED_LIMIT);
         if abandoned.len() < MAXIMUM_RUNS {
-            abandoned.push_back(run);
+            abandoned.push(run);
+        }
+    }
+
+    /// Forgets those that were given up too long ago, and gives their memory back.
+    pub fn forget_abandoned(&self, now: Moment) {
+        let mut abandoned = self.abandoned.borrow_mut();
+        abandoned.retain(|earlier| now.since(earlier.lost) < ABANDONED_LIMIT);
+        if abandoned.is_empty() {
+            abandoned.shrink_to_fit();
         }
     }
 
--- a/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
+++ b/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
@@ -25,7 +25,7 @@
         Probe::Refused => {
             let watched = leaf.lost_runs().take_watched();
             for run in &runs {
-                run.care.on_checked(true);
+                run.care.on_checked(!leaf.is_leaving());
             }
             on_ended(&gateway, &leaf, EndSign::Refused, &[watched, runs].concat());
         }
@@ -48,8 +48,12 @@
     }
 }
 
-/// A leaf has ended under requests: a strike against each that no leaf has answered.
+/// A leaf has ended under requests: a strike against each that no leaf has answered. One that said it was leaving
+/// has ended for that.
 fn on_ended(gateway: &Gateway, leaf: &LeafState, sign: EndSign, runs: &[LostRun]) {
+    if leaf.is_leaving() {
+        return;
+    }
     tell(gateway, leaf, sign, runs);
     let id = leaf.entry().leaf.clone();
     let lost = runs.iter().map(|run| run.lost).min();
