Recent answers: four bits for each, so that a mistaken one hardly ever clears a request

Found in reading the change: one daemon that takes a request like the cause for answered clears the wide fingerprints everywhere, so its mistakes add up over the fleet. Calculated at 9 daemons with 32 answers a second each: 1 case in 70 with two bits, 1 in 5,000 with four, in the same memory. At the size to design for it does not suffice; said in the limits. The test's bound on mistakes is five times as strict; 16 tests pass.

--- a/crates/tansylead-route/src/quarantine/recent_answers.rs
+++ b/crates/tansylead-route/src/quarantine/recent_answers.rs
@@ -1,6 +1,7 @@
 //! Which requests were answered lately, by fingerprint, in a small fixed memory.
 //!
-//! It may take one for answered that was not (2 in 1,000 at 100 answers a second), never the other way round.
+//! It may take one for answered that was not (calculated: 2 in 100,000 at 32 answers a second, 2 in 1,000 at
+//! 100), never the other way round.
 
 use super::fingerprint::RequestFingerprint;
 use std::time::Duration;
@@ -63,9 +64,8 @@
     }
 }
 
-/// A fingerprint is a hash already: two parts of it are two bits.
-fn bits(fingerprint: RequestFingerprint) -> [usize; 2] {
-    let low = (fingerprint.0 >> 8) as usize % BITS;
-    let high = (fingerprint.0 >> 72) as usize % BITS;
-    [low, high]
+/// A fingerprint is a hash already: four parts of it are four bits. With two, one of nine daemons took a request
+/// for answered in 1 of 70 cases, and its word clears the request everywhere.
+fn bits(fingerprint: RequestFingerprint) -> [usize; 4] {
+    [8, 38, 68, 98].map(|shift| (fingerprint.0 >> shift) as usize % BITS)
 }
--- a/crates/tansylead-route/src/quarantine/table.rs
+++ b/crates/tansylead-route/src/quarantine/table.rs
@@ -15,6 +15,7 @@
 
 /// Requests remembered: some 100 kB at most.
 pub const MAXIMUM_RECORDS: usize = 256;
+
 /// How a verdict has changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
--- a/crates/tansylead-route/tests/quarantine.rs
+++ b/crates/tansylead-route/tests/quarantine.rs
@@ -360,6 +360,6 @@
     assert!((0..REQUESTS).all(|number| answers.contains(at(0) + minute, request(number))));
     let mistaken = (REQUESTS..REQUESTS * 2)
         .filter(|number| answers.contains(at(0) + minute, request(*number)));
-    assert!(mistaken.count() < REQUESTS / 200);
+    assert!(mistaken.count() < REQUESTS / 1_000);
     assert!(!answers.contains(at(0) + minute * 3, request(0)));
 }
