--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -8,6 +8,7 @@
 use crate::leaf_registry::LeafRegistry;
 use crate::oracle::{CallerEnd, Oracle};
 use crate::proxy::Proxy;
+use crate::restored_store::OperatorWords;
 use crate::roll_out::RollOutTasks;
 use crate::routes::{Routes, further_service};
 use crate::store::StoreServer;
@@ -89,6 +90,7 @@
     pub routes: Routes,
     pub(crate) registry: LeafRegistry,
     pub(crate) roll_outs: RollOutTasks,
+    pub(crate) operator_words: OperatorWords,
     version: u64,
     next_leaf: u32,
     pub(crate) folder: TempDir,
@@ -106,6 +108,7 @@
             routes: Routes::new(plan.shards, plan.further_services),
             registry: LeafRegistry::default(),
             roll_outs: RollOutTasks::default(),
+            operator_words: OperatorWords::default(),
             version: 0,
             next_leaf: 1,
             folder: tempfile::tempdir()?,
@@ -146,6 +149,7 @@
     pub fn configure(&mut self, routes: &[RoutePlan]) -> u64 {
         self.version += 3;
         let spec = document(self.version, routes, LEAF_CONNECTIONS);
+        self.operator_words.configuration = Some(spec.clone());
         self.store.put("config", "main", spec);
         self.version
     }
@@ -194,9 +198,22 @@
         if self.leafs[index].control.is_retired() {
             return Ok(());
         }
+        self.leafs[index].control.unregister();
         let id = self.next_leaf_id();
+        self.start_run(index, id).await
+    }
+
+    /// The same under the id that the leaf had, which its entry has kept meanwhile.
+    pub async fn restart_leaf_under_its_id(&mut self, index: usize) -> io::Result<()> {
+        if self.leafs[index].control.is_retired() {
+            return Ok(());
+        }
+        let id = self.leafs[index].plan.id.clone();
+        self.start_run(index, id).await
+    }
+
+    async fn start_run(&mut self, index: usize, id: String) -> io::Result<()> {
         let leaf = &mut self.leafs[index];
-        leaf.control.unregister();
         leaf.leaf = None;
         leaf.plan.id = id;
         let plan = leaf.plan.clone();
@@ -233,6 +250,7 @@
     }
 
     async fn start_leaf(&self, plan: &LeafPlan) -> io::Result<Leaf> {
+        self.oracle.start_leaf(&plan.id);
         let started = Leaf::start(plan.clone(), self.store.clone(), self.oracle.clone());
         let leaf = started.await?;
         self.registry.add(leaf.control());
@@ -240,13 +258,15 @@
     }
 
     /// Orders that nothing more be sent to the leafs of a zone.
-    pub fn evacuate(&self, zone: &str) {
+    pub fn evacuate(&mut self, zone: &str) {
+        self.operator_words.evacuations.insert(zone.to_owned());
         self.store.put("evacuations", zone, json!({}));
         self.oracle.evacuate(zone);
     }
 
     /// Takes the order back.
-    pub fn end_evacuation(&self, zone: &str) {
+    pub fn end_evacuation(&mut self, zone: &str) {
+        self.operator_words.evacuations.remove(zone);
         self.oracle.end_evacuation(zone);
         self.store.delete("evacuations", zone);
     }
--- a/crates/tansylead-emulator/src/leaf.rs
+++ b/crates/tansylead-emulator/src/leaf.rs
@@ -6,12 +6,12 @@
 use crate::store::StoreServer;
 use crate::version::LeafVersion;
 use parking_lot::Mutex;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::task::{AbortHandle, JoinHandle};
 
 /// How a leaf misbehaves.
@@ -75,6 +75,10 @@
     accepting: AbortHandle,
     connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
     is_retired: Arc<AtomicBool>,
+    /// Unix time of its start, in milliseconds.
+    born: u64,
+    /// What it last wrote of itself; none once it has taken its entry out.
+    written: Arc<Mutex<Option<Value>>>,
 }
 
 impl Leaf {
@@ -99,6 +103,8 @@
             accepting: accepting.abort_handle(),
             connections,
             is_retired: Arc::default(),
+            born: unix_millis(),
+            written: Arc::default(),
         };
         control.register("ready", Duration::ZERO);
         let crashing = control.clone();
@@ -171,9 +177,22 @@
 
     /// Removes the leaf's entry from the store.
     pub fn unregister(&self) {
+        *self.written.lock() = None;
         self.store.delete("servers", &self.work.plan.id);
     }
 
+    /// Whether it has an entry that it writes with each heartbeat.
+    pub fn is_registered(&self) -> bool {
+        self.written.lock().is_some()
+    }
+
+    /// Writes the entry again as it last was, as a leaf does with each heartbeat, unless it was taken out.
+    pub fn write_again(&self) {
+        if let Some(entry) = self.written.lock().clone() {
+            self.store.put("servers", &self.work.plan.id, entry);
+        }
+    }
+
     /// Says that the leaf must not be started again once it has ended.
     pub fn retire(&self) {
         self.is_retired.store(true, Ordering::Relaxed);
@@ -196,6 +215,7 @@
 
     /// Ends the leaf at once and gives the requests that were cut by that.
     pub fn end(&self) -> Vec<String> {
+        *self.written.lock() = None;
         let cut = self.work.in_progress();
         self.accepting.abort();
         for connection in self.connections.lock().drain(..) {
@@ -215,7 +235,9 @@
             "state": state,
             "warmup_left_ms": warmup_left.as_millis() as u64,
             "seq": 1,
+            "born": self.born,
         });
+        *self.written.lock() = Some(entry.clone());
         self.store.put("servers", &plan.id, entry);
     }
 }
@@ -225,3 +247,8 @@
         self.control.end();
     }
 }
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod oracle;
 mod place_rules;
 pub mod proxy;
+mod restored_store;
 pub mod roll_out;
 pub mod roll_out_plan;
 pub mod roll_out_rules;
--- a/crates/tansylead-emulator/src/oracle.rs
+++ b/crates/tansylead-emulator/src/oracle.rs
@@ -177,6 +177,11 @@
         seen.draining.insert(leaf.to_owned(), Instant::now());
     }
 
+    /// Notes that a leaf has started: what its id said in an earlier run is over.
+    pub fn start_leaf(&self, leaf: &str) {
+        self.seen.lock().draining.remove(leaf);
+    }
+
     /// Notes that a leaf says that it is cold for a while.
     pub fn turn_cold(&self, leaf: &str, length: Duration) {
         self.seen.lock().cold.turn_cold(leaf, length);
--- a/crates/tansylead-emulator/src/roll_out.rs
+++ b/crates/tansylead-emulator/src/roll_out.rs
@@ -111,7 +111,7 @@
 
     /// Writes an order over an earlier one, if there is one. One for the same version is made anew: what is
     /// said of the earlier one could not be told from what is said of it.
-    fn write_order(&self, plan: &RollOutPlan, earlier: Option<&str>) {
+    fn write_order(&mut self, plan: &RollOutPlan, earlier: Option<&str>) {
         if earlier == Some(plan.target.as_str()) {
             self.store.delete(KIND, &plan.service);
         }
@@ -120,6 +120,8 @@
             "target_version": plan.target,
             "duration_s": plan.duration.as_secs_f64(),
         });
+        let orders = &mut self.operator_words.orders;
+        orders.insert(plan.service.clone(), spec.clone());
         self.store.put(KIND, &plan.service, spec);
     }
 
--- a/crates/tansylead-emulator/src/store/mod.rs
+++ b/crates/tansylead-emulator/src/store/mod.rs
@@ -4,5 +4,5 @@
 mod objects;
 mod server;
 
-pub use objects::{ListPage, ObjectStore, StoreError, StoredObject, WatchEvent};
+pub use objects::{ListPage, ObjectStore, StoreCopy, StoreError, StoredObject, WatchEvent};
 pub use server::{StoreServer, StoreTrouble};
--- a/crates/tansylead-emulator/src/store/objects.rs
+++ b/crates/tansylead-emulator/src/store/objects.rs
@@ -69,9 +69,18 @@
     event: WatchEvent,
 }
 
+/// The objects as they were at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    kinds: BTreeMap<String, BTreeMap<String, StoredObject>>,
+}
+
 /// All objects.
 #[derive(Debug)]
 pub struct ObjectStore {
+    /// Rises each time the store comes back from a copy.
+    era: u64,
     revision: u64,
     kinds: BTreeMap<String, BTreeMap<String, StoredObject>>,
     history: VecDeque<LoggedEvent>,
@@ -84,6 +93,7 @@
     /// An empty store whose lists have pages of this many objects.
     pub fn new(page: usize) -> Self {
         Self {
+            era: 1,
             revision: 1,
             kinds: BTreeMap::new(),
             history: VecDeque::new(),
@@ -92,6 +102,27 @@
         }
     }
 
+    /// Counts how often the store came back from a copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// A copy to come back from later.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision,
+            kinds: self.kinds.clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&mut self, copy: StoreCopy) {
+        self.era += 1;
+        self.revision = copy.revision;
+        self.kinds = copy.kinds;
+        self.forget_history();
+    }
+
     /// Revision of the last change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -112,15 +143,23 @@
         }
     }
 
+    /// Names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let objects = self.kinds.get(kind).into_iter();
+        objects
+            .flat_map(|objects| objects.keys().cloned())
+            .collect()
+    }
+
     /// One object.
     pub fn get(&self, kind: &str, name: &str) -> Result<StoredObject, StoreError> {
         let object = self.kinds.get(kind).and_then(|objects| objects.get(name));
         object.cloned().ok_or(StoreError::NotFound)
     }
 
-    /// Changes of a kind after a revision.
+    /// Changes of a kind after a revision; a later one than the last is not of this history.
     pub fn changes(&self, kind: &str, after: u64) -> Result<Vec<WatchEvent>, StoreError> {
-        if after < self.history_start {
+        if !(self.history_start..=self.revision).contains(&after) {
             return Err(StoreError::HistoryGone);
         }
         let newer = self.history.iter();
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -1,7 +1,7 @@
 //! The store over HTTP, with its troubles.
 
 use super::calls::{Call, empty, handle};
-use super::objects::{ObjectStore, StoredObject};
+use super::objects::{ObjectStore, StoreCopy, StoredObject};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -112,6 +112,18 @@
         self.notify();
     }
 
+    /// Removes an object if it is still as in `object`.
+    pub fn delete_unchanged(&self, kind: &str, object: &StoredObject) {
+        let meta = &object.meta;
+        // One that has changed, or is gone, stays so.
+        let _ = self
+            .shared
+            .objects
+            .lock()
+            .delete(kind, &meta.name, Some(meta.revision));
+        self.notify();
+    }
+
     /// An object as it stands now.
     pub fn get(&self, kind: &str, name: &str) -> Option<StoredObject> {
         self.shared.objects.lock().get(kind, name).ok()
@@ -126,6 +138,22 @@
         replaced.is_ok()
     }
 
+    /// A copy to come back from later.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.objects.lock().copy()
+    }
+
+    /// Comes back from a copy.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.shared.objects.lock().restore(copy);
+        self.notify();
+    }
+
+    /// Names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        self.shared.objects.lock().names(kind)
+    }
+
     /// Forgets the history.
     pub fn forget_history(&self) {
         self.shared.objects.lock().forget_history();
@@ -147,7 +175,15 @@
         .await;
 }
 
+/// Answers a call. Each answer tells the era that it is from.
 async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let mut response = answer_in_trouble(shared, request).await?;
+    let era = shared.objects.lock().era();
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
+}
+
+async fn answer_in_trouble(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
     let trouble = *shared.trouble.lock();
     match trouble {
         StoreTrouble::None | StoreTrouble::LosesAnswers(_) => {}
