--- a/crates/tansylead-gateway/src/cluster/peer_server.rs
+++ b/crates/tansylead-gateway/src/cluster/peer_server.rs
@@ -30,10 +30,13 @@
 /// What a daemon asks another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) enum PeerRequest {
-    /// For news of configuration, leafs and evacuations.
-    Feed(FeedRequest),
+    /// What builds send whose positions in the source know no eras: it is refused, since their numbers and ours
+    /// cannot be compared. Those builds know no later entry of this list, and refuse a poll in turn.
+    PollWithoutEra,
     /// To run a query over shards.
     Query(Box<ForwardedQuery>),
+    /// For news of configuration, leafs and evacuations.
+    Feed(FeedRequest),
 }
 
 /// A connection to another daemon that is silent this long ends. Connections at rest are asked by the system
@@ -74,6 +77,14 @@
     let mut frames = frames(stream);
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_LIMIT, frames.next()).await {
         match decode(&frame, peer)? {
+            PeerRequest::PollWithoutEra => {
+                log::warn!(peer = peer; "poll of a build that knows no eras refused");
+                return Err(StepError::new(
+                    "serve feed",
+                    peer,
+                    "its build knows no eras",
+                ));
+            }
             PeerRequest::Feed(request) => {
                 let (reply, _turn) = answer_poll(&gateway, turns, &request, peer).await?;
                 send(&mut frames, reply, peer).await?;
--- a/crates/tansylead-gateway/src/cluster/registration.rs
+++ b/crates/tansylead-gateway/src/cluster/registration.rs
@@ -43,12 +43,15 @@
 
 /// Registers this daemon where it should be found, and looks for others, until the task is ended.
 pub async fn find_daemons<S: Source>(gateway: Rc<Gateway>, view: Rc<ClusterView>, source: Rc<S>) {
-    let mut registered = false;
+    let mut registered = None;
     tokio::time::sleep(SEED_TIME + SPREAD.mul_f64(rand::random())).await;
     loop {
         let need = RegistrationNeed::new(&view, gateway.uptime());
-        if need.is_to_be_found && !registered {
-            registered = register(&gateway, source.as_ref()).await;
+        // A source that came back from an older copy may have lost the registration.
+        let era = gateway.source_era().unwrap_or_default();
+        let is_registered = registered.is_some_and(|registered| registered >= era);
+        if need.is_to_be_found && !is_registered && register(&gateway, source.as_ref()).await {
+            registered = Some(era);
         }
         if need.is_lost {
             look_for_daemons(&view, source.as_ref()).await;
--- a/crates/tansylead-gateway/src/cluster/report_codec.rs
+++ b/crates/tansylead-gateway/src/cluster/report_codec.rs
@@ -4,7 +4,7 @@
 use tansylead_route::LeafReport;
 
 impl DatagramMessage for LeafReport {
-    const VERSION: u8 = 0x81;
+    const VERSION: u8 = 0x84;
 }
 
 /// Encodes and decodes reports on leafs.
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -209,6 +209,10 @@
             log::info!(topic = self.topic.label(), failures = self.failures; "source regained");
         }
         self.failures = 0;
+        if self.gateway.is_from_earlier_era(update.at.era) {
+            log::info!(topic = self.topic.label(), era = update.at.era.0; "late answer of the source passed over");
+            return;
+        }
         self.position = Some(update.at);
         self.apply(update);
         self.gateway.confirm(self.topic, current);
--- a/crates/tansylead-gateway/src/leaf/leaf_health.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_health.rs
@@ -3,9 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 use tansylead_route::{
-    Breaker, BreakerVerdict, FailureRate, LeafReport, ReportedSilence, Slowness,
+    Breaker, BreakerVerdict, FailureRate, LeafReport, LeafRun, ReportedSilence, Slowness,
 };
-use tansylead_types::{LeafId, Moment};
+use tansylead_types::Moment;
 
 /// Hundredths, for factors that travel between daemons.
 const PERCENT: f64 = 100.0;
@@ -76,7 +76,7 @@
     /// slow; one that has not has stopped answering. Returns a report for other daemons.
     pub(super) fn on_overdue(
         &self,
-        leaf: &LeafId,
+        leaf: &LeafRun,
         now: Moment,
         sent: Moment,
         delay: Duration,
@@ -89,7 +89,7 @@
             return None;
         }
         if self.breaker.borrow_mut().on_overdue(now, sent, delay) {
-            log::info!(leaf = leaf.as_str(), delay_ms = delay.as_millis() as u64; "leaf overdue");
+            log::info!(leaf = leaf.leaf.as_str(), delay_ms = delay.as_millis() as u64; "leaf overdue");
         }
         let mut silence = self.reported_silence.get();
         let should_report = silence.on_found_silent(now);
@@ -101,9 +101,9 @@
     }
 
     /// Notes that the leaf could not be reached.
-    pub(super) fn on_unreachable(&self, leaf: &LeafId, now: Moment, delay: Duration) {
+    pub(super) fn on_unreachable(&self, leaf: &LeafRun, now: Moment, delay: Duration) {
         if self.breaker.borrow_mut().on_unreachable(now, delay) {
-            log::info!(leaf = leaf.as_str(); "leaf unreachable");
+            log::info!(leaf = leaf.leaf.as_str(); "leaf unreachable");
         }
     }
 
@@ -118,7 +118,7 @@
     /// daemons.
     pub(super) fn on_answer(
         &self,
-        leaf: &LeafId,
+        leaf: &LeafRun,
         now: Moment,
         sent: Moment,
         timely: bool,
@@ -131,7 +131,7 @@
         }
         self.reported_silence.set(silence);
         if self.breaker.borrow_mut().on_answer(now, sent, timely) {
-            log::info!(leaf = leaf.as_str(); "leaf sound again");
+            log::info!(leaf = leaf.leaf.as_str(); "leaf sound again");
         }
         let mut slowness = self.slowness.get();
         let told_factor = match timely {
--- a/crates/tansylead-gateway/src/leaf/leaf_standing.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_standing.rs
@@ -61,6 +61,13 @@
         is_news
     }
 
+    /// Notes that only an older copy of the source lists the leaf.
+    pub(super) fn set_doubtful(&self, now: Moment) {
+        if self.listing.get() != Listing::Replaced {
+            self.listing.set(Listing::Doubtful { since: now });
+        }
+    }
+
     /// Notes that another run of a leaf has the address.
     pub(super) fn set_replaced(&self) {
         self.listing.set(Listing::Replaced);
@@ -75,7 +82,7 @@
     pub(super) fn has_vanished(&self) -> bool {
         let said_so = self.is_leaving();
         match self.listing.get() {
-            Listing::Listed => false,
+            Listing::Listed | Listing::Doubtful { .. } => false,
             Listing::Replaced => !said_so,
             Listing::Missing {
                 source_was_away, ..
@@ -85,7 +92,10 @@
 
     /// Whether the directory lists the leaf.
     pub(super) fn is_listed(&self) -> bool {
-        self.listing.get() == Listing::Listed
+        matches!(
+            self.listing.get(),
+            Listing::Listed | Listing::Doubtful { .. }
+        )
     }
 
     /// Notes whether the leaf's zone is being emptied.
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -85,7 +85,12 @@
         }
     }
 
-    /// Notes that another run of a leaf has the address.
+    /// Notes that only an older copy of the source lists the leaf, which the source had taken out.
+    pub fn set_doubtful(&self, now: Moment) {
+        self.standing.set_doubtful(now);
+    }
+
+    /// Notes that another run of a leaf has the address, or has begun under its id.
     pub fn set_replaced(&self) {
         self.standing.set_replaced();
         self.connections.close_idle();
@@ -241,14 +246,14 @@
         delay: Duration,
         typical: Duration,
     ) -> Option<LeafReport> {
-        let leaf = &self.entry().leaf;
+        let leaf = &self.entry().run();
         self.health
             .on_overdue(leaf, Clock.now(), sent, delay, typical)
     }
 
     /// Notes that the leaf could not be reached.
     pub fn on_unreachable(&self, delay: Duration) {
-        let leaf = &self.entry().leaf;
+        let leaf = &self.entry().run();
         self.health.on_unreachable(leaf, Clock.now(), delay);
     }
 
@@ -293,7 +298,7 @@
         latency: Duration,
         typical: Duration,
     ) -> Vec<LeafReport> {
-        let leaf = &self.entry().leaf;
+        let leaf = &self.entry().run();
         let ratio = ratio(latency, typical);
         self.health
             .on_answer(leaf, Clock.now(), sent, timely, ratio)
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    BreakerVerdict, Candidate, ExtraAttempt, HomeRegions, RetryBudget, Stage, Standing, choose_leaf,
+    BreakerVerdict, Candidate, ExtraAttempt, HomeRegions, LeafRun, RetryBudget, Stage, Standing,
+    choose_leaf,
 };
 use tansylead_types::{LeafId, Moment, ServiceName};
 
@@ -60,11 +61,21 @@
         self.leafs.borrow_mut().push(leaf);
     }
 
-    /// A leaf whose entry went missing lately.
-    pub fn missing(&self, id: &LeafId) -> Option<Rc<LeafState>> {
+    /// A run of a leaf whose entry went missing lately.
+    pub fn missing(&self, run: &LeafRun) -> Option<Rc<LeafState>> {
         let leafs = self.leafs.borrow();
         let mut missing = leafs.iter().filter(|leaf| !leaf.is_listed());
-        missing.find(|leaf| leaf.entry().leaf == *id).cloned()
+        missing.find(|leaf| leaf.entry().run() == *run).cloned()
+    }
+
+    /// Notes that the runs of a leaf before this one are over, though their entries only went missing.
+    pub fn end_earlier_runs(&self, run: &LeafRun) {
+        for leaf in self.leafs.borrow().iter() {
+            let held = leaf.entry().run();
+            if held.leaf == run.leaf && held.started < run.started {
+                leaf.set_replaced();
+            }
+        }
     }
 
     /// Forgets leafs whose entries have been missing for too long.
--- a/crates/tansylead-gateway/src/metrics.rs
+++ b/crates/tansylead-gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     attempt_ends: IntCounterVec,
     denied: IntCounterVec,
     kept_silent: IntCounter,
+    source_restored: IntCounter,
+    leafs_restarted: IntCounter,
     pauses: IntCounter,
     forwarded: IntCounterVec,
     source_calls: IntCounterVec,
@@ -110,6 +112,16 @@
                 "tansylead_kept_connections_silent_total",
                 "Times that all connections at rest were closed because none answered",
             ),
+            source_restored: counter(
+                &registry,
+                "tansylead_source_restored_total",
+                "Times that the source came back from an older copy of itself",
+            ),
+            leafs_restarted: counter(
+                &registry,
+                "tansylead_leafs_restarted_total",
+                "Leafs that started again under their id",
+            ),
             pauses: counter(
                 &registry,
                 "tansylead_pauses_total",
@@ -236,6 +248,16 @@
         self.attempt_ends.with_label_values(&[end]).inc();
     }
 
+    /// Counts that the source came back from an older copy.
+    pub fn on_source_restored(&self) {
+        self.source_restored.inc();
+    }
+
+    /// Counts a leaf that started again under its id.
+    pub fn on_leaf_restarted(&self) {
+        self.leafs_restarted.inc();
+    }
+
     /// Counts a time at which all kept connections were closed.
     pub fn on_kept_silent(&self) {
         self.kept_silent.inc();
--- a/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
+++ b/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
@@ -55,7 +55,7 @@
         return;
     }
     tell(gateway, leaf, sign, runs);
-    let id = leaf.entry().leaf.clone();
+    let ended = leaf.entry().run();
     let lost = runs.iter().map(|run| run.lost).min();
     let abandoned = lost.map_or(Vec::new(), |lost| leaf.lost_runs().take_abandoned(lost));
     for run in runs
@@ -63,7 +63,7 @@
         .chain(&abandoned)
         .filter(|run| !run.care.is_answered())
     {
-        let strike = Strike::new(&id, run.sent, run.lost, run.fingerprints.caller);
+        let strike = Strike::new(&ended, run.sent, run.lost, run.fingerprints.caller);
         gateway.quarantine.on_strike(&run.fingerprints, strike);
     }
     // What was decided concerns requests that wait.
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -133,6 +133,20 @@
         self.set_complete();
     }
 
+    /// Has the source keep all that is quarantined once more: it has lost what it kept lately. Returns how many
+    /// requests that are.
+    pub(crate) fn keep_again(&self) -> usize {
+        let quarantined = self.table.borrow().quarantined(Clock.now());
+        for fingerprint in &quarantined {
+            let (fingerprint, is_own) = (*fingerprint, false);
+            self.kept_changes.add(KeptChange::Quarantined {
+                fingerprint,
+                is_own,
+            });
+        }
+        quarantined.len()
+    }
+
     /// Whether this daemon knows what was quarantined before it started.
     pub fn is_complete(&self) -> bool {
         self.is_complete.get()
--- a/crates/tansylead-gateway/src/roll_out/source_calls.rs
+++ b/crates/tansylead-gateway/src/roll_out/source_calls.rs
@@ -111,10 +111,10 @@
             .await;
         self.gateway.metrics.on_roll_out_write(&result);
         let service = roll_out.service.as_str();
-        let (state, under) = (wanted.label(), roll_out.changed_at.0);
+        let (state, under) = (wanted.label(), roll_out.changed_at.number);
         match &result {
             Ok(WriteEnd::Written(revision)) => {
-                log::info!(service = service, state = state, under = under, revision = revision.0; "roll-out written");
+                log::info!(service = service, state = state, under = under, revision = revision.number; "roll-out written");
             }
             Ok(WriteEnd::Conflict(found)) => {
                 let found = found.as_ref().map_or("gone", |found| found.state.label());
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -70,7 +70,7 @@
 
     fn update(&self, topic: Topic) -> Result<SourceUpdate, SourceError> {
         let file = self.load()?;
-        let at = Revision(file.configuration.version);
+        let at = Revision::first_era(file.configuration.version);
         let content = match topic {
             Topic::Configuration => {
                 SourceContent::Configuration(Some(Box::new(file.configuration)))
--- a/crates/tansylead-gateway/src/routes_file/documents.rs
+++ b/crates/tansylead-gateway/src/routes_file/documents.rs
@@ -169,7 +169,7 @@
             (service.name, configured)
         });
         let routes = self.routes.into_iter().map(RouteDocument::into_route);
-        let at = Revision(self.version);
+        let at = Revision::first_era(self.version);
         let roll_outs = self.roll_outs.into_iter();
         let roll_outs = roll_outs.filter_map(|roll_out| roll_out.into_order(at));
         RoutesFile {
@@ -233,6 +233,7 @@
     fn into_entry(self) -> LeafEntry {
         LeafEntry {
             leaf: self.leaf,
+            started: None,
             service: self.service,
             address: self.address,
             zone: self.zone,
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -1,7 +1,8 @@
 //! What the tasks of one daemon share. One thread: interior mutability, no locks.
 //!
-//! Invariants: the configuration's version never goes down; no borrow is held over a wait.
+//! Invariants: the configuration's version never goes down, whatever the source says; no borrow is held over a wait.
 
+mod era;
 mod kept_connections;
 mod leafs;
 mod roll_outs;
@@ -22,8 +23,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, ConnectionSilence, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory,
-    Locality, QueryAdmission, QueryRunners, Revision, RollOuts, RouteTable, WeightedTurns,
+    Configuration, ConnectionSilence, DaemonCounts, DepartedLeafs, Era, EvacuationOrders,
+    LatencyProfile, LeafDirectory, Locality, QueryAdmission, QueryRunners, Revision, RollOuts,
+    RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -86,8 +88,11 @@
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
     directory: RefCell<LeafDirectory>,
+    source_era: Cell<Option<Era>>,
+    /// Leafs that the source took out lately.
+    departed: RefCell<DepartedLeafs>,
     /// None until it is known which zones are being emptied.
-    evacuated: RefCell<Option<EvacuatedZones>>,
+    evacuated: RefCell<Option<EvacuationOrders>>,
     /// None until it is known what is ordered.
     roll_outs: RefCell<Option<RollOuts>>,
     roll_out_context: Rc<RollOutContext>,
@@ -138,6 +143,8 @@
             locality,
             active: RefCell::default(),
             directory: RefCell::default(),
+            source_era: Cell::default(),
+            departed: RefCell::default(),
             evacuated: RefCell::default(),
             roll_outs: RefCell::default(),
             roll_out_context: Rc::new(context),
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -26,14 +26,15 @@
     /// Takes in changes of the leaf directory.
     pub fn apply_directory(&self, delta: DirectoryDelta) {
         let before = self.directory.borrow().revision();
-        let source_was_away = self.is_word_of_leafs_old();
+        let is_restored = self.directory.borrow().is_restored_by(&delta);
+        let source_was_away = is_restored || self.is_word_of_leafs_old();
         let changes = self.directory.borrow_mut().apply(delta);
         let mut changed_services: HashMap<ServiceName, Rc<ServiceState>> = HashMap::new();
         for change in changes {
             let service = match change {
                 DirectoryChange::Present(entry) => {
                     log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
-                    self.put_leaf(entry)
+                    self.put_leaf(entry, is_restored)
                 }
                 DirectoryChange::Gone(leaf) => {
                     log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
@@ -45,7 +46,9 @@
         for service in changed_services.values() {
             self.share_connections(service);
         }
-        if self.directory.borrow().revision() != before {
+        let revision = self.directory.borrow().revision();
+        if let Some(revision) = revision.filter(|_| revision != before) {
+            self.note_era(revision.era);
             self.notify();
         }
     }
@@ -68,7 +71,9 @@
             .on_leaf_reports(ReportDirection::Received, reports.len());
         let leafs = self.leafs.borrow();
         for report in reports {
-            if let Some(leaf) = leafs.get(report.leaf()) {
+            let leaf = leafs.get(&report.leaf().leaf);
+            // What was said of an earlier run says nothing of this one.
+            if let Some(leaf) = leaf.filter(|leaf| leaf.entry().run() == *report.leaf()) {
                 leaf.on_report(report);
             }
         }
@@ -76,13 +81,15 @@
 
     /// Takes in the zones that are being emptied: their leafs get nothing new from now on.
     pub fn apply_evacuations(&self, newer: EvacuatedZones) {
+        self.note_era(newer.at.era);
         let mut held = self.evacuated.borrow_mut();
         let is_first = held.is_none();
         let zones = held.get_or_insert_default();
-        if !zones.apply(newer) && !is_first {
+        if !zones.apply(Clock.now(), newer) && !is_first {
             return;
         }
-        log::info!(zones:? = zones.zones, revision = zones.at.0; "zones being emptied");
+        let told = zones.told();
+        log::info!(zones:? = told.zones, kept:? = zones.kept(), revision = told.at.number; "zones being emptied");
         for service in self.services.borrow().values() {
             for leaf in service.all() {
                 let is_evacuated = zones.contains(&leaf.entry().zone);
@@ -94,9 +101,10 @@
         self.notify();
     }
 
-    /// The zones that are being emptied; none if nothing is known of them yet.
+    /// The zones that are being emptied, as the source tells; none if nothing is known of them yet.
     pub fn evacuated(&self) -> Option<EvacuatedZones> {
-        self.evacuated.borrow().clone()
+        let held = self.evacuated.borrow();
+        held.as_ref().map(|held| held.told().clone())
     }
 
     fn is_evacuated(&self, entry: &LeafEntry) -> bool {
@@ -143,18 +151,32 @@
         }
     }
 
-    /// Takes in an entry. Returns the service if its leafs are others than before.
-    fn put_leaf(&self, mut entry: LeafEntry) -> Option<Rc<ServiceState>> {
-        if let Some(leaf) = self.leafs.borrow().get(&entry.leaf) {
-            leaf.update(entry);
-            return None;
+    /// Takes in an entry, from an older copy of the source or not. Returns the service if its leafs are others
+    /// than before.
+    fn put_leaf(&self, mut entry: LeafEntry, is_restored: bool) -> Option<Rc<ServiceState>> {
+        let held = self.leafs.borrow().get(&entry.leaf).cloned();
+        match held {
+            Some(leaf) if leaf.entry().run() == entry.run() => {
+                leaf.update(entry);
+                return None;
+            }
+            Some(earlier) => self.end_run(&earlier),
+            None => {}
         }
         let service = self.service(&entry.service);
-        if let Some(leaf) = service.missing(&entry.leaf) {
+        service.end_earlier_runs(&entry.run());
+        let is_doubtful = is_restored && self.has_departed(&entry);
+        if !is_restored {
+            self.departed.borrow_mut().remove(&entry.run());
+        }
+        if let Some(leaf) = service.missing(&entry.run()) {
             // Its run is as old as it was before the entry went missing.
-            entry.keep_earliest_revision(&leaf.entry());
+            entry.keep_from(&leaf.entry());
             let id = entry.leaf.clone();
             leaf.update(entry);
+            if is_doubtful {
+                leaf.set_doubtful(Clock.now());
+            }
             self.leafs.borrow_mut().insert(id, leaf);
             return Some(service);
         }
@@ -163,15 +185,36 @@
         let versions = Rc::clone(service.versions());
         let leaf = Rc::new(LeafState::new(entry.clone(), location, NO_SHARE, versions));
         leaf.set_evacuated(self.is_evacuated(&entry));
+        if is_doubtful {
+            leaf.set_doubtful(Clock.now());
+        }
         service.add(Rc::clone(&leaf));
         self.leafs.borrow_mut().insert(entry.leaf, leaf);
         Some(service)
     }
 
+    /// A run of a leaf is over: another one has begun under its id, which holds and knows nothing of it.
+    fn end_run(&self, leaf: &LeafState) {
+        log::info!(leaf = leaf.entry().leaf.as_str(); "leaf started again under its id");
+        self.metrics.on_leaf_restarted();
+        leaf.set_replaced();
+        self.service(&leaf.entry().service).forget_gone();
+    }
+
+    /// Whether the source had taken the run out before it came back from a copy that lists it.
+    fn has_departed(&self, entry: &LeafEntry) -> bool {
+        let departed = self.departed.borrow();
+        departed.contains(Clock.now(), &entry.run())
+    }
+
     /// Takes a leaf out whose entry is missing. Returns its service, if the leaf was known.
     fn remove_leaf(&self, id: &LeafId, source_was_away: bool) -> Option<Rc<ServiceState>> {
         let leaf = self.leafs.borrow_mut().remove(id)?;
-        leaf.set_missing(Clock.now(), source_was_away);
+        let now = Clock.now();
+        leaf.set_missing(now, source_was_away);
+        if !source_was_away {
+            self.departed.borrow_mut().add(now, leaf.entry().run());
+        }
         let service = self.service(&leaf.entry().service);
         service.forget_gone();
         Some(service)
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -115,11 +115,11 @@
     }
     let gone = before.orders.values();
     for order in gone.filter(|order| after.get(&order.service).is_none()) {
-        log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), revision = after.at.0; "roll-out taken back");
+        log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), revision = after.at.number; "roll-out taken back");
     }
 }
 
 fn log_order(order: &RollOut, earlier: Option<&RollOut>) {
     let state_before = earlier.map_or("none", |earlier| earlier.state.label());
-    log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), state_before = state_before, duration_ms = order.duration.as_millis() as u64, revision = order.changed_at.0; "roll-out changed");
+    log::info!(service = order.service.as_str(), target = order.target.as_str(), state = order.state.label(), state_before = state_before, duration_ms = order.duration.as_millis() as u64, revision = order.changed_at.number; "roll-out changed");
 }
--- a/crates/tansylead-gateway/tests/common/fleet.rs
+++ b/crates/tansylead-gateway/tests/common/fleet.rs
@@ -170,7 +170,7 @@
     leaving.phase = LeafPhase::Draining;
     let new = entry_of("i-new", &service(), fleet.new.address, "new", STARTED);
     DirectoryDelta::Everything {
-        at: Revision(STARTED.0 + 1),
+        at: Revision::first_era(STARTED.number + 1),
         entries: vec![leaving, new],
     }
 }
--- a/crates/tansylead-gateway/tests/common/mod.rs
+++ b/crates/tansylead-gateway/tests/common/mod.rs
@@ -24,6 +24,7 @@
 pub fn entry(name: &str, service: &ServiceName, address: SocketAddr) -> LeafEntry {
     LeafEntry {
         leaf: LeafId::new(name).expect("valid name"),
+        started: None,
         service: service.clone(),
         address,
         zone: ZoneName::new("bangkok-a").expect("valid name"),
--- a/crates/tansylead-gateway/tests/common/versions.rs
+++ b/crates/tansylead-gateway/tests/common/versions.rs
@@ -21,13 +21,13 @@
 /// The id that every request has.
 pub const ID: &str = "own";
 /// Revision of the leafs that ran before the order.
-pub const BEFORE: Revision = Revision(10);
+pub const BEFORE: Revision = Revision::first_era(10);
 /// Revision of the order.
-pub const ORDERED: Revision = Revision(20);
+pub const ORDERED: Revision = Revision::first_era(20);
 /// Revision of the leafs of the target version.
-pub const STARTED: Revision = Revision(25);
+pub const STARTED: Revision = Revision::first_era(25);
 /// Revision of the end of the roll-out.
-pub const ENDED: Revision = Revision(30);
+pub const ENDED: Revision = Revision::first_era(30);
 
 /// What a leaf does with a request.
 #[derive(Debug, Clone, Copy)]
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -54,7 +54,7 @@
         },
     });
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision(1),
+        at: Revision::first_era(1),
         entries: vec![common::entry("leaf", &service, ([127, 0, 0, 1], 1).into())],
     });
     gateway
@@ -92,8 +92,8 @@
 
 fn apply(gateway: &Gateway, at: u64, changes: Vec<DirectoryChange>) {
     gateway.apply_directory(DirectoryDelta::Changes {
-        after: Revision(at - 1),
-        at: Revision(at),
+        after: Revision::first_era(at - 1),
+        at: Revision::first_era(at),
         changes,
     });
 }
@@ -204,11 +204,11 @@
     let gateway = gateway();
     let leaf = LeafId::new("leaf").expect("valid name");
     gateway.apply_reports(&[LeafReport::Silent {
-        leaf: leaf.clone(),
+        leaf: leaf.clone().into(),
         for_millis: 60,
     }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Avoid);
-    gateway.apply_reports(&[LeafReport::Answering { leaf }]);
+    gateway.apply_reports(&[LeafReport::Answering { leaf: leaf.into() }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
 }
 
@@ -216,7 +216,7 @@
 fn reports_on_unknown_leafs_change_nothing() {
     let gateway = gateway();
     let leaf = LeafId::new("another").expect("valid name");
-    gateway.apply_reports(&[LeafReport::Answering { leaf }]);
+    gateway.apply_reports(&[LeafReport::Answering { leaf: leaf.into() }]);
     assert_eq!(verdict(&gateway), BreakerVerdict::Healthy);
 }
 
--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -40,7 +40,7 @@
 fn leaf_of(name: &str, version: &str, changed_at: u64) -> LeafEntry {
     LeafEntry {
         version: SoftwareVersion::new(version).ok(),
-        changed_at: Revision(changed_at),
+        changed_at: Revision::first_era(changed_at),
         ..leaf(name)
     }
 }
@@ -56,10 +56,13 @@
     // daemon of another region held more, left the whole directory out of its replies, and its word
     // counted all the same: a third of the daemons refused queries for 7 s (fresh-bd42, large
     // Registry).
-    let peer = gateway(vec![leaf("lapsed"), leaf("listed")], Revision(10));
+    let peer = gateway(
+        vec![leaf("lapsed"), leaf("listed")],
+        Revision::first_era(10),
+    );
     peer.confirm(Topic::Configuration, Clock.now());
     peer.confirm(Topic::Leafs, Clock.now());
-    let own = gateway(vec![leaf("listed")], Revision(5));
+    let own = gateway(vec![leaf("listed")], Revision::first_era(5));
     let place = PlaceName::new("elsewhere").expect("valid name");
     let seeds = vec![peer.settings.peer_address];
     let node = NodeId(own.settings.peer_address);
@@ -73,7 +76,7 @@
         confirmed
             .expect("the word is told")
             .expect("the daemon runs");
-        assert_eq!(own.directory().revision(), Some(Revision(10)));
+        assert_eq!(own.directory().revision(), Some(Revision::first_era(10)));
         assert_eq!(own.directory().entries().count(), 2);
     };
     LocalSet::new().run_until(learning).await;
@@ -114,8 +117,8 @@
     // Such a peer has a fresher word, but of an older revision than is held here. Polls without a pause
     // send 100 kB and more in the time of the test; a slow machine sends less.
     const MOST_BYTES: usize = 5_000;
-    let own = gateway(vec![leaf("listed")], Revision(10));
-    let peer = gateway(vec![leaf("listed")], Revision(5));
+    let own = gateway(vec![leaf("listed")], Revision::first_era(10));
+    let peer = gateway(vec![leaf("listed")], Revision::first_era(5));
     peer.confirm(Topic::Configuration, Clock.now());
     peer.confirm(Topic::Leafs, Clock.now());
     let place = PlaceName::new("elsewhere").expect("valid name");
@@ -139,7 +142,7 @@
 
 /// The orders at a daemon: one in this state, known up to a revision.
 fn orders(state: RollOutState, at: u64) -> RollOuts {
-    common::orders("shard", "v2", state, Revision(at))
+    common::orders("shard", "v2", state, Revision::first_era(at))
 }
 
 /// Runs a test while `own` polls `peer`.
@@ -171,8 +174,8 @@
 
 #[tokio::test]
 async fn orders_and_their_changes_are_passed_on_and_confirmed() {
-    let peer = gateway(Vec::new(), Revision(1));
-    let own = gateway(Vec::new(), Revision(1));
+    let peer = gateway(Vec::new(), Revision::first_era(1));
+    let own = gateway(Vec::new(), Revision::first_era(1));
     peer.apply_roll_outs(orders(RollOutState::Running, 10));
     peer.confirm(Topic::RollOuts, Clock.now());
     while_polling(&peer, &own, async {
@@ -183,7 +186,7 @@
         assert_eq!(own.roll_outs(), peer.roll_outs());
         // The order is taken back.
         let none = RollOuts {
-            at: Revision(30),
+            at: Revision::first_era(30),
             ..RollOuts::default()
         };
         peer.apply_roll_outs(none.clone());
@@ -195,8 +198,8 @@
 
 #[tokio::test]
 async fn a_peer_that_is_behind_changes_and_confirms_nothing() {
-    let peer = gateway(Vec::new(), Revision(1));
-    let own = gateway(Vec::new(), Revision(1));
+    let peer = gateway(Vec::new(), Revision::first_era(1));
+    let own = gateway(Vec::new(), Revision::first_era(1));
     let newer = orders(RollOutState::Completed, 20);
     peer.apply_roll_outs(orders(RollOutState::Running, 10));
     peer.confirm(Topic::RollOuts, Clock.now());
@@ -215,19 +218,19 @@
 #[tokio::test]
 async fn a_later_revision_of_unchanged_orders_reaches_a_daemon_that_needs_it() {
     let first = leaf_of("first", "v3", 15);
-    let peer = gateway(Vec::new(), Revision(1));
-    let own = gateway(Vec::new(), Revision(1));
+    let peer = gateway(Vec::new(), Revision::first_era(1));
+    let own = gateway(Vec::new(), Revision::first_era(1));
     for daemon in [&peer, &own] {
         daemon.apply_roll_outs(orders(RollOutState::Running, 10));
     }
     own.apply_directory(DirectoryDelta::Everything {
-        at: Revision(15),
+        at: Revision::first_era(15),
         entries: vec![leaf_of("older", "v2", 5), first],
     });
-    assert_eq!(own.needed_roll_outs(), Some(Revision(15)));
+    assert_eq!(own.needed_roll_outs(), Some(Revision::first_era(15)));
     while_polling(&peer, &own, async {
         tokio::task::yield_now().await;
-        peer.advance_roll_outs_to(Revision(16));
+        peer.advance_roll_outs_to(Revision::first_era(16));
         peer.announce_confirmation();
         wait_for(&own, || own.needed_roll_outs().is_none()).await;
         assert_eq!(own.roll_outs(), peer.roll_outs());
@@ -240,7 +243,7 @@
     // In the request what is held and what is needed, in the reply what is newer and what is held.
     const MOST_BYTES: usize = 8;
     let none = RollOuts {
-        at: Revision(10_000_000),
+        at: Revision::first_era(10_000_000),
         ..RollOuts::default()
     };
     let asked = postcard::to_stdvec(&(Some(none.mark()), None::<Revision>));
--- a/crates/tansylead-gateway/tests/leaf_reports.rs
+++ b/crates/tansylead-gateway/tests/leaf_reports.rs
@@ -7,14 +7,18 @@
 
 fn silent(number: usize) -> LeafReport {
     LeafReport::Silent {
-        leaf: LeafId::new(format!("i-{number:010}")).expect("valid name"),
+        leaf: LeafId::new(format!("i-{number:010}"))
+            .expect("valid name")
+            .into(),
         for_millis: 60,
     }
 }
 
 fn answering(number: usize) -> LeafReport {
     LeafReport::Answering {
-        leaf: LeafId::new(format!("i-{number:010}")).expect("valid name"),
+        leaf: LeafId::new(format!("i-{number:010}"))
+            .expect("valid name")
+            .into(),
     }
 }
 
--- a/crates/tansylead-gateway/tests/quarantine.rs
+++ b/crates/tansylead-gateway/tests/quarantine.rs
@@ -42,7 +42,7 @@
     for number in 0..count {
         let leaf = LeafId::new(format!("i-{number}")).expect("valid name");
         let ended = now - STEP * (count - number) as u32;
-        let strike = Strike::new(&leaf, ended - RUN, ended, fatal().caller);
+        let strike = Strike::new(&leaf.into(), ended - RUN, ended, fatal().caller);
         state.on_strike(&fatal(), strike);
     }
 }
@@ -165,7 +165,7 @@
     let now = Clock.now();
     for victim in 0..VICTIMS {
         let leaf = LeafId::new("i-0".to_owned()).expect("valid name");
-        let strike = Strike::new(&leaf, now - Duration::from_millis(30), now, 1);
+        let strike = Strike::new(&leaf.into(), now - Duration::from_millis(30), now, 1);
         state.on_strike(&request(&format!("/{victim}")), strike);
     }
     strike(&state, 4);
--- a/crates/tansylead-gateway/tests/refusals.rs
+++ b/crates/tansylead-gateway/tests/refusals.rs
@@ -116,7 +116,7 @@
         ));
     }
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision(1),
+        at: Revision::first_era(1),
         entries,
     });
     let (route, set) = search(leafs.len());
--- a/crates/tansylead-gateway/tests/roll_out_ends.rs
+++ b/crates/tansylead-gateway/tests/roll_out_ends.rs
@@ -36,7 +36,7 @@
     fleet.set_state(RollOutState::RolledBack, ENDED);
     fleet
         .gateway
-        .apply_roll_outs(orders([], Revision(ENDED.0 + 1)));
+        .apply_roll_outs(orders([], Revision::first_era(ENDED.number + 1)));
     assert_eq!(fleet.send(2).await, (4, 1));
     fleet.gateway.apply_directory(without_old(&fleet));
     assert!(!has_leafs(&fleet.gateway));
--- a/crates/tansylead-gateway/tests/roll_out_judge.rs
+++ b/crates/tansylead-gateway/tests/roll_out_judge.rs
@@ -95,7 +95,7 @@
     assert!(is_beginning(&mut judge, Some(0)));
     assert!(!is_beginning(&mut judge, Some(1)));
     assert!(!is_beginning(&mut judge, None));
-    let mut running = order(1, DURATION, Revision(99));
+    let mut running = order(1, DURATION, Revision::first_era(99));
     running.state = RollOutState::Running;
     judge.on_standing(&running);
     assert!(!is_beginning(&mut judge, Some(0)));
--- a/crates/tansylead-gateway/tests/roll_out_reporter.rs
+++ b/crates/tansylead-gateway/tests/roll_out_reporter.rs
@@ -28,7 +28,7 @@
         target: SoftwareVersion::new("v2").expect("valid name"),
         duration: Duration::from_secs(20),
         state: RollOutState::Running,
-        changed_at: Revision(3),
+        changed_at: Revision::first_era(3),
     }
 }
 
--- a/crates/tansylead-gateway/tests/roll_out_world/faulty_source.rs
+++ b/crates/tansylead-gateway/tests/roll_out_world/faulty_source.rs
@@ -64,7 +64,7 @@
     pub fn new() -> Self {
         Self {
             orders: RefCell::new(RollOuts {
-                at: Revision(10),
+                at: Revision::first_era(10),
                 ..RollOuts::default()
             }),
             late: RefCell::default(),
@@ -109,7 +109,7 @@
 
     fn next_revision(&self) -> Revision {
         let mut orders = self.orders.borrow_mut();
-        orders.at.0 += 1;
+        orders.at.number += 1;
         orders.at
     }
 
--- a/crates/tansylead-gateway/tests/roll_out_writes.rs
+++ b/crates/tansylead-gateway/tests/roll_out_writes.rs
@@ -35,7 +35,10 @@
     let standing = source.standing().expect("ordered");
     assert_eq!(standing.state, RollOutState::Completed);
     assert_eq!(end, StateWriteEnd::Stands(standing.changed_at));
-    assert!(standing.changed_at.0 <= held.changed_at.0 + 1, "done once");
+    assert!(
+        standing.changed_at.number <= held.changed_at.number + 1,
+        "done once"
+    );
     source.writes.borrow().len()
 }
 
--- a/crates/tansylead-gateway/tests/roll_outs_needed.rs
+++ b/crates/tansylead-gateway/tests/roll_outs_needed.rs
@@ -30,7 +30,7 @@
     settings.bounds.follow_roll_outs = follow_roll_outs;
     let gateway = Gateway::new(settings, HeaderNames::default());
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision(1),
+        at: Revision::first_era(1),
         entries: Vec::new(),
     });
     gateway
@@ -40,7 +40,7 @@
     let service = ServiceName::new("desk").expect("valid name");
     let mut entry = common::entry(name, &service, ([127, 0, 0, 1], 1).into());
     entry.version = SoftwareVersion::new(version).ok();
-    entry.changed_at = Revision(changed_at);
+    entry.changed_at = Revision::first_era(changed_at);
     entry
 }
 
@@ -56,7 +56,7 @@
 
 fn no_orders(at: u64) -> RollOuts {
     RollOuts {
-        at: Revision(at),
+        at: Revision::first_era(at),
         ..RollOuts::default()
     }
 }
@@ -71,10 +71,10 @@
     assert_eq!(gateway.needed_roll_outs(), None, "a known version");
     appear(&gateway, leaf("c", "v2", 13));
     appear(&gateway, leaf("d", "v2", 14));
-    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
-    gateway.advance_roll_outs_to(Revision(12));
-    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
-    gateway.advance_roll_outs_to(Revision(13));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision::first_era(13)));
+    gateway.advance_roll_outs_to(Revision::first_era(12));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision::first_era(13)));
+    gateway.advance_roll_outs_to(Revision::first_era(13));
     assert_eq!(gateway.needed_roll_outs(), None);
 }
 
@@ -88,7 +88,7 @@
     appear(&gateway, leaf("b", "v1", 12));
     assert_eq!(gateway.needed_roll_outs(), None, "nothing to choose from");
     appear(&gateway, leaf("c", "v2", 13));
-    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision::first_era(13)));
 }
 
 #[test]
@@ -97,7 +97,7 @@
     gateway.apply_roll_outs(no_orders(10));
     appear(&gateway, leaf("new", "v2", 13));
     appear(&gateway, leaf("old", "v1", 11));
-    assert_eq!(gateway.needed_roll_outs(), Some(Revision(13)));
+    assert_eq!(gateway.needed_roll_outs(), Some(Revision::first_era(13)));
 }
 
 #[test]
@@ -108,14 +108,17 @@
     let service = gateway.service(&ServiceName::new("desk").expect("valid name"));
     let only = service.regular()[0].entry().leaf.clone();
     let gone = DirectoryDelta::Changes {
-        after: Revision(5),
-        at: Revision(11),
+        after: Revision::first_era(5),
+        at: Revision::first_era(11),
         changes: vec![DirectoryChange::Gone(only)],
     };
     gateway.apply_directory(gone);
     appear(&gateway, leaf("a", "v1", 12));
     assert_eq!(gateway.needed_roll_outs(), None);
-    assert_eq!(service.regular()[0].entry().changed_at, Revision(5));
+    assert_eq!(
+        service.regular()[0].entry().changed_at,
+        Revision::first_era(5)
+    );
 }
 
 #[test]
@@ -134,10 +137,15 @@
 #[test]
 fn a_set_that_arrives_late_changes_nothing() {
     let gateway = gateway(true);
-    let newest = common::orders("desk", "v2", RollOutState::RolledBack, Revision(20));
+    let newest = common::orders(
+        "desk",
+        "v2",
+        RollOutState::RolledBack,
+        Revision::first_era(20),
+    );
     gateway.apply_roll_outs(newest.clone());
     gateway.apply_roll_outs(no_orders(19));
-    let earlier = common::orders("desk", "v2", RollOutState::Running, Revision(15));
+    let earlier = common::orders("desk", "v2", RollOutState::Running, Revision::first_era(15));
     gateway.apply_roll_outs(earlier);
     assert_eq!(gateway.roll_outs(), Some(newest));
 }
@@ -153,7 +161,7 @@
 
 fn update(at: u64, content: Option<RollOuts>) -> SourceUpdate {
     SourceUpdate {
-        at: Revision(at),
+        at: Revision::first_era(at),
         content: SourceContent::RollOuts(content),
         passed_over: 0,
     }
@@ -265,7 +273,7 @@
         (RollOutState::RolledBack, false),
     ];
     for (at, (state, must_be_fresh)) in (2..).zip(states) {
-        gateway.apply_roll_outs(common::orders("desk", "v2", state, Revision(at)));
+        gateway.apply_roll_outs(common::orders("desk", "v2", state, Revision::first_era(at)));
         assert_eq!(
             gateway.must_be_fresh(Topic::RollOuts),
             must_be_fresh,
--- a/crates/tansylead-route/src/directory.rs
+++ b/crates/tansylead-route/src/directory.rs
@@ -1,9 +1,12 @@
 //! The leaf directory: a replica of the leafs' entries, with its recent changes for peers that lag.
 //!
 //! Invariants: the revision never goes down; a delta after a revision that the log still covers
-//! brings a replica of that revision to this one.
+//! brings a replica of that revision to this one; an entry of a run never follows one of a later run of its
+//! leaf. A replica of an earlier era gets everything: two that held the same revision before the source went
+//! back may have held changes since that the source has lost, and no log tells of those.
 
 use crate::leaf::LeafEntry;
+use crate::revision::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use tansylead_types::LeafId;
@@ -11,12 +14,6 @@
 /// Changes kept for peers. A peer further behind gets everything.
 const LOGGED_CHANGES: usize = 512;
 
-/// Position in the history of the store; one counter for all of its changes.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
-pub struct Revision(pub u64);
-
 /// One change of one entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryChange {
@@ -90,7 +87,9 @@
         match delta {
             DirectoryDelta::Everything { at, entries } => self.apply_everything(at, entries),
             DirectoryDelta::Changes { after, at, changes } => {
-                let fits = self.at.is_some_and(|held| after <= held && held <= at);
+                let fits = self
+                    .at
+                    .is_some_and(|held| after <= held && held <= at && held.era == at.era);
                 if !fits {
                     return Vec::new();
                 }
@@ -99,12 +98,21 @@
         }
     }
 
+    /// Whether a delta comes from a source that went back to an older copy since this replica was brought up to
+    /// date.
+    pub fn is_restored_by(&self, delta: &DirectoryDelta) -> bool {
+        let DirectoryDelta::Everything { at, .. } = delta else {
+            return false;
+        };
+        self.at.is_some_and(|held| held.era < at.era)
+    }
+
     /// What a replica at `after` lacks; none if it lacks nothing, or nothing is held here.
     pub fn delta_after(&self, after: Option<Revision>) -> Option<DirectoryDelta> {
         let at = self.at?;
         match after {
             Some(after) if after >= at => None,
-            Some(after) if after >= self.log_start => {
+            Some(after) if after.era == at.era && after >= self.log_start => {
                 let newer = self.log.iter().filter(|logged| logged.at > after);
                 let changes = newer.map(|logged| logged.change.clone()).collect();
                 Some(DirectoryDelta::Changes { after, at, changes })
@@ -120,7 +128,7 @@
         if self.at.is_some_and(|held| at < held) {
             return Vec::new();
         }
-        let first = self.at.is_none();
+        let begins_anew = self.at.is_none_or(|held| held.era < at.era);
         let mut missing: BTreeMap<LeafId, ()> =
             self.entries.keys().map(|leaf| (leaf.clone(), ())).collect();
         let mut changes = Vec::new();
@@ -129,7 +137,8 @@
             changes.push(DirectoryChange::Present(entry));
         }
         changes.extend(missing.into_keys().map(DirectoryChange::Gone));
-        if first {
+        if begins_anew {
+            self.log.clear();
             self.log_start = at;
         }
         self.record(at, changes)
@@ -151,13 +160,17 @@
         made
     }
 
-    /// Holds an entry. Returns whether it says anything else than before; a later revision alone does not.
+    /// Holds an entry. Returns whether it says anything else than before; a later revision alone does not, and
+    /// a late word of an earlier run says nothing.
     fn put(&mut self, entry: &mut LeafEntry) -> bool {
         let Some(held) = self.entries.get_mut(&entry.leaf) else {
             self.entries.insert(entry.leaf.clone(), entry.clone());
             return true;
         };
-        entry.keep_earliest_revision(held);
+        if entry.is_of_earlier_run_than(held) {
+            return false;
+        }
+        entry.keep_from(held);
         let changed = !entry.says_the_same_as(held);
         *held = entry.clone();
         changed
--- a/crates/tansylead-route/src/leaf.rs
+++ b/crates/tansylead-route/src/leaf.rs
@@ -1,17 +1,44 @@
 //! What the directory says of one leaf, and how far away it is.
 
-use crate::directory::Revision;
+use crate::revision::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tansylead_types::{LeafId, PlaceName, ServiceName, SoftwareVersion, ZoneName};
 
-/// One run of a leaf, as the directory knows it. Every start of a leaf has a new id.
+/// When a run of a leaf started, by the leaf's own clock: Unix time in milliseconds. Of two runs under one id
+/// the one that started later is the later one, even if the time of day was set between: a run whose clock is
+/// behind is not used until its entry is the only one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunStart(pub u64);
+
+/// Names one run of a leaf.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LeafRun {
+    /// Identity of the leaf.
+    pub leaf: LeafId,
+    /// Tells this run from others under the same id; none if the source does not tell.
+    pub started: Option<RunStart>,
+}
+
+impl From<LeafId> for LeafRun {
+    /// The only run of a leaf, as far as the source tells.
+    fn from(leaf: LeafId) -> Self {
+        Self {
+            leaf,
+            started: None,
+        }
+    }
+}
+
+/// One run of a leaf, as the directory knows it. A start of a leaf may have the id of an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeafEntry {
-    /// Identity of this run.
+    /// Identity of the leaf.
     pub leaf: LeafId,
+    /// Tells this run from others under the same id; none if the source does not tell.
+    pub started: Option<RunStart>,
     /// Service it belongs to.
     pub service: ServiceName,
     /// Where it listens. Addresses are used again by other leafs.
@@ -32,15 +59,38 @@
 }
 
 impl LeafEntry {
-    /// Takes over the earlier of the two revisions if both entries are of one run. A run keeps its service,
-    /// address and version; other changes of its entry must not make it look younger than it is.
-    pub fn keep_earliest_revision(&mut self, held: &Self) {
-        let is_same_run = self.leaf == held.leaf
-            && self.service == held.service
-            && self.address == held.address
-            && self.version == held.version;
-        if is_same_run {
-            self.changed_at = self.changed_at.min(held.changed_at);
+    /// The run.
+    pub fn run(&self) -> LeafRun {
+        LeafRun {
+            leaf: self.leaf.clone(),
+            started: self.started,
+        }
+    }
+
+    /// Whether both entries are of one run, which keeps its service, address and version.
+    pub fn is_same_run_as(&self, other: &Self) -> bool {
+        self.leaf == other.leaf
+            && self.started == other.started
+            && self.service == other.service
+            && self.address == other.address
+            && self.version == other.version
+    }
+
+    /// Whether this entry is of a run that was over when the other one's began.
+    pub fn is_of_earlier_run_than(&self, other: &Self) -> bool {
+        self.leaf == other.leaf && self.started < other.started
+    }
+
+    /// Takes over from an earlier entry of the same run what later ones cannot take back: the revision, so that
+    /// other changes do not make the run look younger than it is, and that it leaves, which an older copy of
+    /// the source may not know.
+    pub fn keep_from(&mut self, held: &Self) {
+        if !self.is_same_run_as(held) {
+            return;
+        }
+        self.changed_at = self.changed_at.min(held.changed_at);
+        if held.phase == LeafPhase::Draining {
+            self.phase = LeafPhase::Draining;
         }
     }
 
@@ -48,6 +98,7 @@
     pub fn says_the_same_as(&self, other: &Self) -> bool {
         let Self {
             leaf,
+            started,
             service,
             address,
             zone,
@@ -58,6 +109,7 @@
             changed_at: _,
         } = self;
         *leaf == other.leaf
+            && *started == other.started
             && *service == other.service
             && *address == other.address
             && *zone == other.zone
--- a/crates/tansylead-route/src/leaf_report.rs
+++ b/crates/tansylead-route/src/leaf_report.rs
@@ -5,9 +5,10 @@
 //! is answered it tells that too. A report is only ever a hint: it loses against what a daemon has
 //! seen itself, and it is forgotten soon, so that a lost, late or wrong one does little harm.
 
+use crate::leaf::LeafRun;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use tansylead_types::{LeafId, Moment};
+use tansylead_types::Moment;
 
 /// A report of silence is forgotten after this time, unless it is said again: longer than ordinary
 /// pauses, shorter than the time in which the entry of a dead leaf lapses.
@@ -18,28 +19,28 @@
 pub enum LeafReport {
     /// It has answered nothing.
     Silent {
-        /// The leaf.
-        leaf: LeafId,
+        /// The run of the leaf.
+        leaf: LeafRun,
         /// For how long, when this was said.
         for_millis: u32,
     },
     /// It answers again.
     Answering {
-        /// The leaf.
-        leaf: LeafId,
+        /// The run of the leaf.
+        leaf: LeafRun,
     },
     /// It takes longer than others.
     Slow {
-        /// The leaf.
-        leaf: LeafId,
+        /// The run of the leaf.
+        leaf: LeafRun,
         /// How much longer than typical, in hundredths: 100 is average.
         percent: u32,
     },
 }
 
 impl LeafReport {
-    /// The leaf concerned.
-    pub fn leaf(&self) -> &LeafId {
+    /// The run of the leaf that is concerned.
+    pub fn leaf(&self) -> &LeafRun {
         match self {
             Self::Silent { leaf, .. } | Self::Answering { leaf } | Self::Slow { leaf, .. } => leaf,
         }
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -12,6 +12,7 @@
 mod connect_backoff;
 mod connection_share;
 mod connection_silence;
+mod departed_leafs;
 mod directory;
 mod evacuated_zones;
 mod failure_rate;
@@ -29,6 +30,7 @@
 mod query_roots;
 mod records;
 mod retry_after;
+mod revision;
 mod roll_out;
 mod route_table;
 mod sliding_count;
@@ -44,14 +46,15 @@
 pub use connect_backoff::ConnectBackoff;
 pub use connection_share::{ConnectionShare, DaemonCounts, SharedLeaf};
 pub use connection_silence::{ConnectionSilence, SilenceLimit};
-pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory, Revision};
-pub use evacuated_zones::EvacuatedZones;
+pub use departed_leafs::DepartedLeafs;
+pub use directory::{DirectoryChange, DirectoryDelta, LeafDirectory};
+pub use evacuated_zones::{EvacuatedZones, EvacuationOrders};
 pub use failure_rate::FailureRate;
 pub use first_read_pace::FirstReadPace;
 pub use home_regions::HomeRegions;
 pub use idle_policy::{IdlePolicy, SHORTEST_FORGOTTEN_REST};
 pub use latency::LatencyProfile;
-pub use leaf::{Distance, LeafEntry, LeafLocation, LeafPhase, Locality};
+pub use leaf::{Distance, LeafEntry, LeafLocation, LeafPhase, LeafRun, Locality, RunStart};
 pub use leaf_choice::{Candidate, choose_leaf};
 pub use leaf_report::{LeafReport, ReportedSilence};
 pub use listing::{Listing, Standing};
@@ -65,6 +68,7 @@
 pub use query_roots::{QueryRunners, RootCandidate, query_roots};
 pub use records::{RECORD_BYTES, Record, TopRecords};
 pub use retry_after::{retry_after_outage, retry_after_refusal};
+pub use revision::{Era, Revision};
 pub use roll_out::{
     Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
     RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RollOutsMark,
--- a/crates/tansylead-route/src/listing.rs
+++ b/crates/tansylead-route/src/listing.rs
@@ -4,6 +4,10 @@
 //! death: it goes when the leaf has crashed, when it leaves without saying so, and also when the
 //! source was away for so long that it lapsed. In that last case the entry is back soon after the
 //! source's return, if the leaf lives, and until then its own answers tell more than the directory.
+//!
+//! A source that comes back from an older copy of itself has lost what leafs wrote since, and lists leafs that
+//! were gone. The first are treated like lapsed entries; the second are in doubt until their entries have been
+//! there for longer than those of dead leafs stand.
 
 use std::time::Duration;
 use tansylead_types::Moment;
@@ -12,6 +16,10 @@
 /// leaf lives and reaches it; half a second more is for the way of the news to each daemon.
 const LAPSED_RETURN: Duration = Duration::from_millis(2_500);
 
+/// An entry that an older copy of the source has brought back lapses within this time if no leaf writes it:
+/// three heartbeats of the longest period that deployments have, and the way of the news.
+const DOUBT: Duration = Duration::from_secs(12);
+
 /// What the directory says of a leaf's entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Listing {
@@ -25,6 +33,11 @@
         /// Whether nothing had been heard from the source for long before.
         source_was_away: bool,
     },
+    /// The entry was gone, and an older copy of the source has brought it back.
+    Doubtful {
+        /// Since when.
+        since: Moment,
+    },
     /// Another run of a leaf has the address: this one has ended.
     Replaced,
 }
@@ -47,6 +60,8 @@
         match self {
             Self::Listed => Standing::Regular,
             Self::Replaced => Standing::Gone,
+            Self::Doubtful { since } if now.since(since) < DOUBT => Standing::LastResort,
+            Self::Doubtful { .. } => Standing::Regular,
             Self::Missing {
                 since,
                 source_was_away,
@@ -66,7 +81,7 @@
     /// After the entry has come (again).
     pub fn after_present(self) -> Self {
         match self {
-            Self::Listed | Self::Missing { .. } => Self::Listed,
+            Self::Listed | Self::Missing { .. } | Self::Doubtful { .. } => Self::Listed,
             // An entry that is only not yet removed brings no leaf back.
             Self::Replaced => Self::Replaced,
         }
--- a/crates/tansylead-route/src/quarantine/strike.rs
+++ b/crates/tansylead-route/src/quarantine/strike.rs
@@ -1,8 +1,9 @@
 //! One leaf that ended while a request ran there, and how many of such runs were trials of their own.
 
+use crate::leaf::LeafRun;
 use std::time::Duration;
-use tansylead_types::{LeafId, Moment};
-use xxhash_rust::xxh3::xxh3_64;
+use tansylead_types::Moment;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Times that another daemon tells are late by the way of its message: two runs count as one after the other
 /// if they overlap by no more than this, and by no more than half of either.
@@ -11,7 +12,7 @@
 /// A leaf that ended while a request ran there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Strike {
-    /// Hash of the leaf's id, which names one run of it.
+    /// Hash of the run of the leaf.
     pub leaf: u64,
     /// When the request was sent there.
     pub sent: Moment,
@@ -23,9 +24,10 @@
 
 impl Strike {
     /// A strike at a leaf.
-    pub fn new(leaf: &LeafId, sent: Moment, ended: Moment, caller: u32) -> Self {
+    pub fn new(leaf: &LeafRun, sent: Moment, ended: Moment, caller: u32) -> Self {
+        let started = leaf.started.map_or(0, |started| started.0);
         Self {
-            leaf: xxh3_64(leaf.as_str().as_bytes()),
+            leaf: xxh3_64_with_seed(leaf.leaf.as_str().as_bytes(), started),
             sent,
             ended,
             caller,
--- a/crates/tansylead-route/src/quarantine/table.rs
+++ b/crates/tansylead-route/src/quarantine/table.rs
@@ -107,6 +107,17 @@
         record.is_some_and(|record| record.convictions > 0)
     }
 
+    /// Requests that are quarantined now.
+    pub fn quarantined(&self, now: Moment) -> Vec<RequestFingerprint> {
+        let records = self.records.iter();
+        let is_quarantined = |(fingerprint, record): &(&RequestFingerprint, &Record)| {
+            let verdict = record.verdict(now, fingerprint.scope());
+            matches!(verdict, Verdict::Quarantined(_))
+        };
+        let quarantined = records.filter(is_quarantined);
+        quarantined.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
     /// Requests by verdict.
     pub fn counts(&self, now: Moment) -> QuarantineCounts {
         let mut counts = QuarantineCounts::default();
--- a/crates/tansylead-route/src/roll_out/order.rs
+++ b/crates/tansylead-route/src/roll_out/order.rs
@@ -3,7 +3,7 @@
 //! There is at most one order for a service, and there are few in all, so the set is always passed on
 //! whole. Invariant: the revision never goes down, so a set that arrives late changes nothing.
 
-use crate::directory::Revision;
+use crate::revision::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -132,8 +132,9 @@
         let orders = self.orders.values();
         let texts = orders.map(|order| {
             let state = order.state.label();
-            let revision = order.changed_at.0;
-            format!("{}/{:x}/{state}/{revision}", order.service, order.order.0)
+            let Revision { era, number } = order.changed_at;
+            let order_id = order.order.0;
+            format!("{}/{order_id:x}/{state}/{}.{number}", order.service, era.0)
         });
         xxh3_64(texts.collect::<Vec<_>>().join(" ").as_bytes())
     }
--- a/crates/tansylead-route/src/roll_out/state_write.rs
+++ b/crates/tansylead-route/src/roll_out/state_write.rs
@@ -6,7 +6,7 @@
 //! tells what stands. Invariant: an order that has ended is never written again.
 
 use super::order::{RollOut, RollOutState};
-use crate::directory::Revision;
+use crate::revision::Revision;
 use std::time::Duration;
 use tansylead_types::Moment;
 
--- a/crates/tansylead-route/src/roll_out/version_gate.rs
+++ b/crates/tansylead-route/src/roll_out/version_gate.rs
@@ -7,7 +7,7 @@
 use super::grant::{Grant, Stage};
 use super::order::{OrderId, RollOut, RollOutState};
 use super::version_memory::{Remembered, VersionMemory};
-use crate::directory::Revision;
+use crate::revision::Revision;
 use tansylead_types::{Moment, SoftwareVersion};
 
 /// What a leaf may be used for by its version.
--- a/crates/tansylead-route/src/roll_out/version_memory.rs
+++ b/crates/tansylead-route/src/roll_out/version_memory.rs
@@ -1,7 +1,7 @@
 //! What is remembered of a service's versions beyond the order that stands.
 
 use super::order::{OrderId, RollOut, RollOutState};
-use crate::directory::Revision;
+use crate::revision::Revision;
 use tansylead_types::SoftwareVersion;
 
 /// What an ended order left behind for its version.
@@ -135,7 +135,10 @@
     /// showed another one, which was not rolled back, or none. Entries after the revision count as well: a daemon that starts during a
     /// roll-out may see the last change of an entry only.
     pub(super) fn was_the_only_one(&self, version: &SoftwareVersion, before: Revision) -> bool {
-        let stopped = self.completion.as_ref().map_or(Revision(0), |done| done.at);
+        let stopped = self
+            .completion
+            .as_ref()
+            .map_or(Revision::first_era(0), |done| done.at);
         let mut shown = self.shown.iter();
         let was_there = shown.any(|shown| shown.version == *version && shown.since < before);
         let is_out = |shown: &ShownVersion| self.was_rolled_back(&shown.version);
--- a/crates/tansylead-route/tests/directory.rs
+++ b/crates/tansylead-route/tests/directory.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use std::time::Duration;
 use tansylead_route::{
-    DirectoryChange, DirectoryDelta, LeafDirectory, LeafEntry, LeafPhase, Revision,
+    DirectoryChange, DirectoryDelta, Era, LeafDirectory, LeafEntry, LeafPhase, Revision, RunStart,
 };
 use tansylead_types::{LeafId, ServiceName, SoftwareVersion, ZoneName};
 
@@ -14,6 +14,7 @@
 fn entry(number: u8, slots: u32) -> LeafEntry {
     LeafEntry {
         leaf: leaf(number),
+        started: None,
         service: ServiceName::new("service").expect("valid name"),
         address: ([127, 0, 0, 1], 1_000 + u16::from(number)).into(),
         zone: ZoneName::new("zone").expect("valid name"),
@@ -31,7 +32,7 @@
 
 fn everything(at: u64, numbers: &[u8]) -> DirectoryDelta {
     DirectoryDelta::Everything {
-        at: Revision(at),
+        at: Revision::first_era(at),
         entries: numbers.iter().map(|number| entry(*number, 1)).collect(),
     }
 }
@@ -49,7 +50,7 @@
             if index == lag.min(changes.len() - 1) {
                 lagging.apply(source.delta_after(None).expect("source holds something"));
             }
-            let at = Revision(2 + index as u64);
+            let at = Revision::first_era(2 + index as u64);
             let change = match slots {
                 0 => DirectoryChange::Gone(leaf(*number)),
                 _ => DirectoryChange::Present(entry(*number, *slots)),
@@ -78,7 +79,7 @@
     let mut directory = LeafDirectory::default();
     directory.apply(everything(9, &[1]));
     assert!(directory.apply(everything(5, &[1, 2])).is_empty());
-    assert_eq!(directory.revision(), Some(Revision(9)));
+    assert_eq!(directory.revision(), Some(Revision::first_era(9)));
 }
 
 #[test]
@@ -86,8 +87,8 @@
     let mut directory = LeafDirectory::default();
     directory.apply(everything(5, &[1]));
     let gap = DirectoryDelta::Changes {
-        after: Revision(7),
-        at: Revision(8),
+        after: Revision::first_era(7),
+        at: Revision::first_era(8),
         changes: vec![DirectoryChange::Gone(leaf(1))],
     };
     assert!(directory.apply(gap).is_empty());
@@ -96,10 +97,10 @@
 
 /// A delta with one entry that the source last changed at this revision.
 fn present(after: u64, at: u64, mut entry: LeafEntry) -> DirectoryDelta {
-    entry.changed_at = Revision(at);
+    entry.changed_at = Revision::first_era(at);
     DirectoryDelta::Changes {
-        after: Revision(after),
-        at: Revision(at),
+        after: Revision::first_era(after),
+        at: Revision::first_era(at),
         changes: vec![DirectoryChange::Present(entry)],
     }
 }
@@ -115,15 +116,19 @@
     directory.apply(everything(1, &[]));
     assert_eq!(directory.apply(present(1, 5, entry(1, 1))).len(), 1);
     assert!(directory.apply(present(5, 8, entry(1, 1))).is_empty());
-    assert_eq!(held_revision(&directory), Revision(5));
-    assert_eq!(directory.revision(), Some(Revision(8)));
+    assert_eq!(held_revision(&directory), Revision::first_era(5));
+    assert_eq!(directory.revision(), Some(Revision::first_era(8)));
     // A change of the same run is one, but the run is as old as it was.
     let changes = directory.apply(present(8, 9, entry(1, 2)));
     let [DirectoryChange::Present(changed)] = changes.as_slice() else {
         panic!("one change: {changes:?}");
     };
-    assert_eq!((changed.slots, changed.changed_at), (2, Revision(5)));
-    let Some(DirectoryDelta::Changes { changes, .. }) = directory.delta_after(Some(Revision(8)))
+    assert_eq!(
+        (changed.slots, changed.changed_at),
+        (2, Revision::first_era(5))
+    );
+    let Some(DirectoryDelta::Changes { changes, .. }) =
+        directory.delta_after(Some(Revision::first_era(8)))
     else {
         panic!("the log reaches back");
     };
@@ -136,13 +141,13 @@
     directory.apply(everything(1, &[]));
     directory.apply(present(1, 8, entry(1, 1)));
     let mut earlier = entry(1, 1);
-    earlier.changed_at = Revision(5);
+    earlier.changed_at = Revision::first_era(5);
     let peer = DirectoryDelta::Everything {
-        at: Revision(9),
+        at: Revision::first_era(9),
         entries: vec![earlier],
     };
     assert!(directory.apply(peer).is_empty());
-    assert_eq!(held_revision(&directory), Revision(5));
+    assert_eq!(held_revision(&directory), Revision::first_era(5));
 }
 
 #[test]
@@ -153,5 +158,123 @@
     let mut newer = entry(1, 1);
     newer.version = Some(SoftwareVersion::new("v2").expect("valid name"));
     assert_eq!(directory.apply(present(5, 8, newer)).len(), 1);
-    assert_eq!(held_revision(&directory), Revision(8));
+    assert_eq!(held_revision(&directory), Revision::first_era(8));
+}
+
+fn in_era(era: u64, number: u64) -> Revision {
+    Revision::new(Era(era), number)
+}
+
+fn whole(at: Revision, entries: &[LeafEntry]) -> DirectoryDelta {
+    DirectoryDelta::Everything {
+        at,
+        entries: entries.to_vec(),
+    }
+}
+
+#[test]
+fn a_list_of_a_later_era_counts_although_its_number_is_lower() {
+    let mut directory = LeafDirectory::default();
+    directory.apply(whole(in_era(1, 500), &[entry(1, 1), entry(2, 1)]));
+    let restored = whole(in_era(2, 200), &[entry(1, 1), entry(3, 1)]);
+    assert!(directory.is_restored_by(&restored));
+    let changes = directory.apply(restored);
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert_eq!(directory.revision(), Some(in_era(2, 200)));
+    // What was read before the source went back arrives late.
+    assert!(directory.apply(whole(in_era(1, 501), &[])).is_empty());
+    assert_eq!(directory.entries().count(), 2);
+}
+
+#[test]
+fn changes_never_lead_from_one_era_to_another() {
+    let mut directory = LeafDirectory::default();
+    directory.apply(whole(in_era(1, 500), &[entry(1, 1)]));
+    let late = DirectoryDelta::Changes {
+        after: in_era(1, 500),
+        at: in_era(2, 600),
+        changes: vec![DirectoryChange::Gone(leaf(1))],
+    };
+    assert!(directory.apply(late).is_empty());
+}
+
+proptest! {
+    /// Replicas that held the same revision of an era may have held changes after it that were lost.
+    #[test]
+    fn replicas_agree_after_the_source_went_back(
+        before in proptest::collection::vec((0..6_u8, 0..3_u32), 1..40),
+        seen in (0..40_usize, 0..40_usize),
+        restored in proptest::collection::btree_set(0..6_u8, 0..6),
+        after in proptest::collection::vec((0..6_u8, 0..3_u32), 0..20),
+    ) {
+        let changes = |changes: &[(u8, u32)], era, first: u64| -> Vec<DirectoryDelta> {
+            changes.iter().enumerate().map(|(index, (number, slots))| {
+                let change = match slots {
+                    0 => DirectoryChange::Gone(leaf(*number)),
+                    _ => DirectoryChange::Present(entry(*number, *slots)),
+                };
+                let after = in_era(era, first + index as u64);
+                let at = in_era(era, first + 1 + index as u64);
+                DirectoryDelta::Changes { after, at, changes: vec![change] }
+            }).collect()
+        };
+        let mut first = LeafDirectory::default();
+        let mut second = LeafDirectory::default();
+        for directory in [&mut first, &mut second] {
+            directory.apply(whole(in_era(1, 100), &[entry(1, 1)]));
+        }
+        for (directory, seen) in [(&mut first, seen.0), (&mut second, seen.1)] {
+            for delta in changes(&before, 1, 100).into_iter().take(seen) {
+                directory.apply(delta);
+            }
+        }
+        let entries_restored: Vec<LeafEntry> = restored.iter().map(|n| entry(*n, 1)).collect();
+        first.apply(whole(in_era(2, 90), &entries_restored));
+        for delta in changes(&after, 2, 90) {
+            first.apply(delta);
+        }
+        if let Some(delta) = first.delta_after(second.revision()) {
+            second.apply(delta);
+        }
+        prop_assert_eq!(entries(&first), entries(&second));
+        prop_assert_eq!(first.revision(), second.revision());
+    }
+}
+
+fn run(started: u64, slots: u32) -> LeafEntry {
+    LeafEntry {
+        started: Some(RunStart(started)),
+        ..entry(1, slots)
+    }
+}
+
+#[test]
+fn a_late_word_of_an_earlier_run_changes_nothing() {
+    let mut directory = LeafDirectory::default();
+    directory.apply(whole(in_era(1, 10), &[run(2_000, 4)]));
+    let late = DirectoryDelta::Changes {
+        after: in_era(1, 10),
+        at: in_era(1, 11),
+        changes: vec![DirectoryChange::Present(run(1_000, 8))],
+    };
+    assert!(directory.apply(late).is_empty());
+    assert_eq!(entries(&directory), [run(2_000, 4)]);
+}
+
+#[test]
+fn a_run_that_leaves_stays_so_in_an_older_copy_but_a_later_run_does_not() {
+    let mut directory = LeafDirectory::default();
+    let leaving = LeafEntry {
+        phase: LeafPhase::Draining,
+        ..run(1_000, 4)
+    };
+    directory.apply(whole(in_era(1, 10), &[leaving.clone()]));
+    assert!(
+        directory
+            .apply(whole(in_era(2, 5), &[run(1_000, 4)]))
+            .is_empty()
+    );
+    assert_eq!(entries(&directory), [leaving]);
+    directory.apply(whole(in_era(2, 6), &[run(3_000, 4)]));
+    assert_eq!(entries(&directory), [run(3_000, 4)]);
 }
--- a/crates/tansylead-route/tests/quarantine.rs
+++ b/crates/tansylead-route/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::net::IpAddr;
 use std::time::Duration;
 use tansylead_route::{
-    MAXIMUM_RECORDS, Quarantine, QuarantineChange, RecentAnswers, RequestFingerprint,
-    RequestFingerprints, RequestIdentity, Strike, Verdict,
+    LeafRun, MAXIMUM_RECORDS, Quarantine, QuarantineChange, RecentAnswers, RequestFingerprint,
+    RequestFingerprints, RequestIdentity, RunStart, Strike, Verdict,
 };
 use tansylead_types::{LeafId, Moment};
 
@@ -23,7 +23,7 @@
 /// A run at a leaf of this number that was sent at `sent` and ended with it.
 fn strike(leaf: usize, sent: u64) -> Strike {
     let leaf = LeafId::new(format!("i-{leaf}")).expect("valid name");
-    Strike::new(&leaf, at(sent), at(sent + RUN), CALLER)
+    Strike::new(&leaf.into(), at(sent), at(sent + RUN), CALLER)
 }
 
 fn is_quarantined(table: &Quarantine, now: Moment, request: RequestFingerprint) -> bool {
@@ -181,7 +181,12 @@
     let later = at(1_300) + first + Duration::from_secs(1);
     assert_eq!(table.verdict(later, FATAL), Verdict::Suspect);
     let leaf = LeafId::new("i-later".to_owned()).expect("valid name");
-    let again = Strike::new(&leaf, later, later + Duration::from_millis(RUN), CALLER);
+    let again = Strike::new(
+        &leaf.into(),
+        later,
+        later + Duration::from_millis(RUN),
+        CALLER,
+    );
     table.on_strike(later, FATAL, again);
     let Verdict::Quarantined(second) = table.verdict(later, FATAL) else {
         panic!("not quarantined again");
@@ -284,7 +289,7 @@
     for (run, request) in requests.iter().enumerate() {
         let sent = run as u64 * STEP;
         let leaf = LeafId::new(format!("i-{run}")).expect("valid name");
-        let strike = Strike::new(&leaf, at(sent), at(sent + RUN), request.caller);
+        let strike = Strike::new(&leaf.into(), at(sent), at(sent + RUN), request.caller);
         for fingerprint in request.all() {
             table.on_strike(at(sent + RUN), fingerprint, strike);
         }
@@ -363,3 +368,14 @@
     assert!(mistaken.count() < REQUESTS / 1_000);
     assert!(!answers.contains(at(0) + minute * 3, request(0)));
 }
+
+#[test]
+fn a_leaf_that_ends_again_under_its_id_is_another_strike() {
+    let run = |started| LeafRun {
+        leaf: LeafId::new("leaf").expect("valid name"),
+        started: Some(RunStart(started)),
+    };
+    let strike = |started| Strike::new(&run(started), at(0), at(RUN), CALLER);
+    assert_ne!(strike(1).leaf, strike(2).leaf);
+    assert_eq!(strike(1).leaf, strike(1).leaf);
+}
--- /dev/null
+++ b/crates/tansylead-route/tests/restored_source.rs
@@ -0,0 +1,99 @@
+//! What is kept of zones being emptied and of leafs that went, when the source comes back from an older copy.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tansylead_route::{
+    DepartedLeafs, Era, EvacuatedZones, EvacuationOrders, LeafRun, Listing, Revision, RunStart,
+    Standing,
+};
+use tansylead_types::{LeafId, Moment, ZoneName};
+
+fn at(millis: u64) -> Moment {
+    Moment::default() + Duration::from_millis(1_000_000 + millis)
+}
+
+fn zones(era: u64, number: u64, names: &[&str]) -> EvacuatedZones {
+    let zones = names
+        .iter()
+        .map(|name| ZoneName::new(*name).expect("valid name"));
+    EvacuatedZones {
+        at: Revision::new(Era(era), number),
+        zones: zones.collect::<BTreeSet<_>>(),
+    }
+}
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).expect("valid name")
+}
+
+#[test]
+fn an_order_that_the_source_lost_holds_until_it_is_given_again() {
+    let mut orders = EvacuationOrders::default();
+    orders.apply(at(0), zones(1, 500, &["north"]));
+    assert!(
+        !orders.apply(at(10), zones(2, 300, &[])),
+        "nothing changes for leafs"
+    );
+    assert!(orders.contains(&zone("north")));
+    orders.apply(at(2_000), zones(2, 310, &["north"]));
+    // It is taken back in the new history.
+    assert!(orders.apply(at(3_000), zones(2, 320, &[])));
+    assert!(!orders.contains(&zone("north")));
+}
+
+#[test]
+fn an_order_that_is_not_given_again_ends() {
+    let mut orders = EvacuationOrders::default();
+    orders.apply(at(0), zones(1, 500, &["north"]));
+    orders.apply(at(10), zones(2, 300, &[]));
+    orders.apply(at(9_000), zones(2, 300, &[]));
+    assert!(orders.contains(&zone("north")));
+    assert!(orders.apply(at(10_020), zones(2, 300, &[])));
+    assert!(!orders.contains(&zone("north")));
+}
+
+#[test]
+fn an_order_taken_back_within_an_era_ends_at_once() {
+    let mut orders = EvacuationOrders::default();
+    orders.apply(at(0), zones(1, 500, &["north"]));
+    assert!(orders.apply(at(10), zones(1, 501, &[])));
+    assert!(!orders.contains(&zone("north")));
+}
+
+#[test]
+fn a_set_of_an_earlier_era_brings_nothing_back() {
+    let mut orders = EvacuationOrders::default();
+    orders.apply(at(0), zones(2, 300, &[]));
+    assert!(!orders.apply(at(10), zones(1, 900, &["north"])));
+    assert!(!orders.contains(&zone("north")));
+}
+
+#[test]
+fn only_the_run_that_went_is_remembered_and_not_for_ever() {
+    let run = |started| LeafRun {
+        leaf: LeafId::new("leaf").expect("valid name"),
+        started: Some(RunStart(started)),
+    };
+    let mut departed = DepartedLeafs::default();
+    departed.add(at(0), run(1));
+    assert!(departed.contains(at(30_000), &run(1)));
+    assert!(!departed.contains(at(30_000), &run(2)));
+    assert!(!departed.contains(at(60_000), &run(1)));
+    departed.add(at(61_000), run(2));
+    departed.remove(&run(2));
+    assert!(!departed.contains(at(61_000), &run(2)));
+}
+
+#[test]
+fn an_entry_that_only_a_copy_brings_back_is_the_last_resort_until_it_has_stood_for_long() {
+    let listing = Listing::Doubtful { since: at(0) };
+    assert_eq!(
+        listing.standing(at(5_000), Duration::ZERO),
+        Standing::LastResort
+    );
+    assert_eq!(
+        listing.standing(at(12_000), Duration::ZERO),
+        Standing::Regular
+    );
+    assert_eq!(listing.after_present(), Listing::Listed);
+}
--- a/crates/tansylead-route/tests/roll_out_orders.rs
+++ b/crates/tansylead-route/tests/roll_out_orders.rs
@@ -14,10 +14,10 @@
         target,
         duration,
         state,
-        changed_at: Revision(2),
+        changed_at: Revision::first_era(2),
     });
     RollOuts {
-        at: Revision(at),
+        at: Revision::first_era(at),
         orders: order
             .into_iter()
             .map(|order| (service.clone(), order))
@@ -51,9 +51,9 @@
     assert!(!held.advance(orders(9, None).mark()), "other orders");
     assert!(!held.advance(orders(9, Some(RollOutState::RolledBack)).mark()));
     assert!(!held.advance(orders(4, Some(RollOutState::Running)).mark()));
-    assert_eq!(held.at, Revision(5));
+    assert_eq!(held.at, Revision::first_era(5));
     assert!(held.advance(orders(9, Some(RollOutState::Running)).mark()));
-    assert_eq!(held.at, Revision(9));
+    assert_eq!(held.at, Revision::first_era(9));
 }
 
 #[test]
@@ -61,7 +61,7 @@
     assert_eq!(
         orders(9, None).mark(),
         RollOutsMark {
-            at: Revision(9),
+            at: Revision::first_era(9),
             digest: 0
         }
     );
--- a/crates/tansylead-route/tests/roll_out_state_write.rs
+++ b/crates/tansylead-route/tests/roll_out_state_write.rs
@@ -22,7 +22,7 @@
         target,
         duration,
         state,
-        changed_at: Revision(changed_at),
+        changed_at: Revision::first_era(changed_at),
     }
 }
 
@@ -56,15 +56,18 @@
             roll_out: running()
         }
     );
-    write.on_write(now(), Ok(WriteEnd::Written(Revision(9))), MIDDLE);
-    let end = StateWriteEnd::Stands(Revision(9));
+    write.on_write(now(), Ok(WriteEnd::Written(Revision::first_era(9))), MIDDLE);
+    let end = StateWriteEnd::Stands(Revision::first_era(9));
     assert_eq!(write.next(now()), WriteStep::Ended(end));
 }
 
 #[test]
 fn nothing_is_written_if_the_state_stands_or_the_roll_out_has_ended() {
     for (state, end) in [
-        (RollOutState::Completed, StateWriteEnd::Stands(Revision(7))),
+        (
+            RollOutState::Completed,
+            StateWriteEnd::Stands(Revision::first_era(7)),
+        ),
         (
             RollOutState::RolledBack,
             StateWriteEnd::EndedAs(RollOutState::RolledBack),
@@ -86,7 +89,7 @@
     assert_eq!(write.next(waited), WriteStep::Read, "still unknown");
     let done = order("first", RollOutState::Completed, 8);
     write.on_read(waited, Ok(Some(&done)), MIDDLE);
-    let end = StateWriteEnd::Stands(Revision(8));
+    let end = StateWriteEnd::Stands(Revision::first_era(8));
     assert_eq!(write.next(waited), WriteStep::Ended(end));
 }
 
@@ -112,7 +115,7 @@
     let done = order("first", RollOutState::Completed, 8);
     let conflict = WriteEnd::Conflict(Some(Box::new(done)));
     write.on_write(now(), Ok(conflict), MIDDLE);
-    let end = StateWriteEnd::Stands(Revision(8));
+    let end = StateWriteEnd::Stands(Revision::first_era(8));
     assert_eq!(write.next(now()), WriteStep::Ended(end));
 }
 
@@ -178,7 +181,7 @@
     write.on_news(&order("first", RollOutState::Completed, 6));
     assert_eq!(write.next(now()), WriteStep::Read);
     write.on_news(&order("first", RollOutState::Completed, 8));
-    let end = StateWriteEnd::Stands(Revision(8));
+    let end = StateWriteEnd::Stands(Revision::first_era(8));
     assert_eq!(write.next(now()), WriteStep::Ended(end));
 }
 
@@ -195,7 +198,7 @@
             return WriteEnd::Conflict(Some(Box::new(self.stands.clone())));
         }
         self.stands.state = state;
-        self.stands.changed_at.0 += 1;
+        self.stands.changed_at.number += 1;
         WriteEnd::Written(self.stands.changed_at)
     }
 
--- a/crates/tansylead-route/tests/version_gate.rs
+++ b/crates/tansylead-route/tests/version_gate.rs
@@ -10,10 +10,10 @@
 const NOW: Moment = Moment(1_000_000);
 const VALID: Duration = Duration::from_secs(1);
 /// Revision of the first word on orders, and of the leafs that ran before.
-const BEFORE: Revision = Revision(10);
-const ORDERED: Revision = Revision(20);
-const ENDED: Revision = Revision(30);
-const LATER: Revision = Revision(40);
+const BEFORE: Revision = Revision::first_era(10);
+const ORDERED: Revision = Revision::first_era(20);
+const ENDED: Revision = Revision::first_era(30);
+const LATER: Revision = Revision::first_era(40);
 
 fn version(name: &str) -> SoftwareVersion {
     SoftwareVersion::new(name).expect("valid name")
@@ -162,8 +162,8 @@
         let target = gate.use_of(NOW, Some(&new), LATER, is_word_old);
         assert_eq!(target, VersionUse::Gone);
     }
-    let running = order(1, "new", RollOutState::Running, Revision(25));
-    gate.apply(Some(&running), Revision(25));
+    let running = order(1, "new", RollOutState::Running, Revision::first_era(25));
+    gate.apply(Some(&running), Revision::first_era(25));
     assert_eq!(use_of_new(&gate), VersionUse::Gone);
     let completed = order(1, "new", RollOutState::Completed, ENDED);
     gate.apply(Some(&completed), ENDED);
@@ -189,7 +189,7 @@
     let mut gate = gate_under_trial();
     let completed = order(1, "new", RollOutState::Completed, ENDED);
     gate.apply(Some(&completed), ENDED);
-    gate.apply(None, Revision(31));
+    gate.apply(None, Revision::first_era(31));
     assert_eq!(use_of_old(&gate), VersionUse::Gone);
     assert_eq!(use_of_new(&gate), VersionUse::Plain);
     gate.apply(
@@ -205,9 +205,12 @@
     let mut gate = gate_under_trial();
     let completed = |at| order(1, "new", RollOutState::Completed, at);
     gate.apply(Some(&completed(ENDED)), ENDED);
-    gate.on_shown(&version("newest"), Revision(35));
+    gate.on_shown(&version("newest"), Revision::first_era(35));
     gate.apply(Some(&completed(LATER)), LATER);
-    assert_eq!(use_of(&gate, "newest", Revision(35)), VersionUse::Plain);
+    assert_eq!(
+        use_of(&gate, "newest", Revision::first_era(35)),
+        VersionUse::Plain
+    );
 }
 
 #[test]
@@ -219,15 +222,15 @@
     assert_eq!(use_of_old(&gate), VersionUse::Plain);
     gate.apply(None, LATER);
     assert_eq!(use_of_new(&gate), VersionUse::Gone, "the object is gone");
-    let other = order(2, "newest", RollOutState::Running, Revision(50));
-    gate.apply(Some(&other), Revision(50));
+    let other = order(2, "newest", RollOutState::Running, Revision::first_era(50));
+    gate.apply(Some(&other), Revision::first_era(50));
     assert_eq!(
         use_of_new(&gate),
         VersionUse::Gone,
         "another version's order"
     );
-    let again = order(3, "new", RollOutState::Ordered, Revision(60));
-    gate.apply(Some(&again), Revision(60));
+    let again = order(3, "new", RollOutState::Ordered, Revision::first_era(60));
+    gate.apply(Some(&again), Revision::first_era(60));
     assert_eq!(use_of_new(&gate), VersionUse::NotGranted, "a new order");
 }
 
@@ -252,8 +255,8 @@
     gate.apply(None, LATER);
     assert_eq!(use_of_new(&gate), VersionUse::LastResort);
     assert_eq!(use_of_old(&gate), VersionUse::Plain);
-    let again = order(2, "new", RollOutState::Ordered, Revision(50));
-    gate.apply(Some(&again), Revision(50));
+    let again = order(2, "new", RollOutState::Ordered, Revision::first_era(50));
+    gate.apply(Some(&again), Revision::first_era(50));
     assert_eq!(use_of_new(&gate), VersionUse::NotGranted);
 }
 
@@ -401,7 +404,7 @@
         gate.apply(Some(&rolled_back), ENDED);
         let targets = ["a", "b", "c"];
         for (step, (target, stands)) in states.into_iter().enumerate() {
-            let at = Revision(50 + step as u64);
+            let at = Revision::first_era(50 + step as u64);
             let next = order(10 + step as u64, targets[target], RollOutState::Running, at);
             gate.apply(stands.then_some(&next), at);
             prop_assert_eq!(use_of_new(&gate), VersionUse::Gone);
--- a/crates/tansylead-route/tests/version_settled.rs
+++ b/crates/tansylead-route/tests/version_settled.rs
@@ -5,17 +5,17 @@
 use tansylead_types::{ServiceName, SoftwareVersion};
 
 /// Revision of the leafs that ran before.
-const BEFORE: Revision = Revision(10);
+const BEFORE: Revision = Revision::first_era(10);
 /// Revision of the first order.
-const FIRST: Revision = Revision(20);
+const FIRST: Revision = Revision::first_era(20);
 /// Revision of the leafs that were started for it.
-const STARTED: Revision = Revision(25);
+const STARTED: Revision = Revision::first_era(25);
 /// Revision of its end.
-const ENDED: Revision = Revision(30);
+const ENDED: Revision = Revision::first_era(30);
 /// Revision of the order that follows.
-const SECOND: Revision = Revision(40);
+const SECOND: Revision = Revision::first_era(40);
 /// A later one.
-const LATER: Revision = Revision(50);
+const LATER: Revision = Revision::first_era(50);
 
 fn version(name: &str) -> SoftwareVersion {
     SoftwareVersion::new(name).expect("valid name")
@@ -35,8 +35,8 @@
 /// A service that was moved to `good`, and then had an order for `bad` that ended in this way.
 fn after_an_order_for_bad(end: Option<RollOutState>) -> VersionGate {
     let mut gate = VersionGate::default();
-    gate.on_shown(&version("old"), Revision(5));
-    gate.on_shown(&version("good"), Revision(8));
+    gate.on_shown(&version("old"), Revision::first_era(5));
+    gate.on_shown(&version("good"), Revision::first_era(8));
     let completed = order(1, "good", RollOutState::Completed, BEFORE);
     gate.apply(Some(&completed), BEFORE);
     let running = order(2, "bad", RollOutState::Running, FIRST);
@@ -63,8 +63,8 @@
 #[test]
 fn a_version_that_was_completed_is_alone_until_another_one_is_shown() {
     let mut gate = VersionGate::default();
-    gate.on_shown(&version("old"), Revision(5));
-    gate.on_shown(&version("good"), Revision(8));
+    gate.on_shown(&version("old"), Revision::first_era(5));
+    gate.on_shown(&version("good"), Revision::first_era(8));
     let completed = order(1, "good", RollOutState::Completed, BEFORE);
     gate.apply(Some(&completed), BEFORE);
     let again = order(2, "good", RollOutState::Ordered, FIRST);
@@ -105,8 +105,8 @@
 fn a_version_that_came_back_after_a_completion_counts_although_it_was_shown_before() {
     // Regression: only the oldest entry of a version was looked at, and that was stopped by the completion.
     let mut gate = VersionGate::default();
-    gate.on_shown(&version("old"), Revision(5));
-    gate.on_shown(&version("new"), Revision(8));
+    gate.on_shown(&version("old"), Revision::first_era(5));
+    gate.on_shown(&version("new"), Revision::first_era(8));
     let completed = order(1, "new", RollOutState::Completed, BEFORE);
     gate.apply(Some(&completed), BEFORE);
     gate.on_shown(&version("old"), STARTED);
