Work of a daemon does not grow with daemons times leafs

Cause: each change of one member counted all members anew, built the trees of all regions, and computed this daemon's part of each connection to each leaf: with 985 daemons that join at once and 9,751 leafs some ten million parts a daemon. Each daemon also held the state of each leaf, though it sends to few.

Change: members are evaluated at most once in 0.2 ms for each of them; parts are computed when a service is used after the daemons changed; the state of a service's leafs is made when it is first used, but where services are rolled out, whose gates must have seen versions before an order; a whole list is one line in the log instead of thousands.

--- a/crates/tansylead-gateway/src/cluster/members.rs
+++ b/crates/tansylead-gateway/src/cluster/members.rs
@@ -1,5 +1,6 @@
 //! Drives the membership state machine over UDP.
 
+use super::publish_pace::PublishPace;
 use super::report_codec::ReportCodec;
 use super::roll_out_codec::RollOutCodec;
 use super::view::ClusterView;
@@ -43,6 +44,7 @@
     roll_outs: Rc<RollOutLink>,
     local: LocalMember,
     membership: Membership,
+    pace: PublishPace,
 }
 
 impl MemberDriver {
@@ -85,6 +87,7 @@
             roll_outs,
             local,
             membership,
+            pace: PublishPace::default(),
         })
     }
 
@@ -105,6 +108,7 @@
             let now = Clock.now();
             let wakeup = self.membership.next_wakeup().unwrap_or(now + LONGEST_WAIT);
             let wakeup = wakeup.min(now + LONGEST_WAIT);
+            let wakeup = self.pace.due().map_or(wakeup, |due| wakeup.min(due));
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, from)) = received {
@@ -216,7 +220,6 @@
 
     fn feed(&mut self, event: MembershipEvent) {
         let actions = self.membership.on_event(Clock.now(), event);
-        let mut changed = false;
         let mut replaced = None;
         for action in actions {
             match action {
@@ -228,9 +231,10 @@
                 }
                 MembershipAction::Changed(record) => {
                     log::info!(peer:% = record.node(), state:? = record.state; "member changed");
-                    changed = true;
+                    self.pace.on_change();
                 }
-                MembershipAction::Forgotten(_) | MembershipAction::Joined => changed = true,
+                MembershipAction::Forgotten(_) => self.pace.on_change(),
+                MembershipAction::Joined => self.pace.on_joined(),
                 MembershipAction::Replaced { by } => replaced = Some(by),
                 _ => {}
             }
@@ -238,7 +242,7 @@
         if let Some(by) = replaced {
             self.succeed(by);
         }
-        if changed {
+        if self.pace.due().is_some_and(|due| due <= Clock.now()) {
             self.publish();
         }
     }
@@ -266,7 +270,9 @@
         DaemonCounts::new(counted.iter().map(|member| member.place.clone()), rank)
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        let members = self.membership.members().count();
+        self.pace.on_published(Clock.now(), members);
         self.gateway.set_daemons(self.count_daemons());
         let live: Vec<MemberRecord> = self.membership.live_members().cloned().collect();
         let own = &self.local;
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -109,6 +109,8 @@
     stop: watch::Sender<StopPhase>,
     /// Daemons that share budgets and connections.
     daemons: RefCell<SharingDaemons>,
+    /// Rises whenever parts of budgets and connections are others than before.
+    sharing: Cell<u64>,
     /// Daemons that membership knows of.
     known_daemons: RefCell<DaemonCounts>,
     /// Those of them that run queries over shards.
@@ -158,6 +160,7 @@
             changed: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
             daemons: RefCell::new(assumed),
+            sharing: Cell::new(0),
             known_daemons: RefCell::default(),
             known_runners: Cell::default(),
             kept_silence: Cell::default(),
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -1,12 +1,16 @@
 //! What the daemon's state holds of leafs: the directory, the zones that are being emptied, the state
-//! of each leaf, and this daemon's part of its connections.
+//! of each leaf that this daemon sends to, and this daemon's part of its connections.
+//!
+//! Most daemons of a large fleet send to few of its leafs, and daemons come and go all the time. So the state
+//! of a service's leafs is made when the service is first used, and its parts are computed when it is used
+//! after the daemons have changed: neither work nor memory grows with daemons times leafs.
 
 use super::Gateway;
 use crate::clock::Clock;
 use crate::leaf::{LeafState, ServiceState};
 use crate::metrics::ReportDirection;
 use crate::source::Topic;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tansylead_route::{
     ConnectionShare, DirectoryChange, DirectoryDelta, EvacuatedZones, LeafDirectory, LeafEntry,
@@ -29,22 +33,15 @@
         let is_restored = self.directory.borrow().is_restored_by(&delta);
         let source_was_away = is_restored || self.is_word_of_leafs_old();
         let changes = self.directory.borrow_mut().apply(delta);
-        let mut changed_services: HashMap<ServiceName, Rc<ServiceState>> = HashMap::new();
+        log_changes(&changes, source_was_away);
         for change in changes {
             let service = match change {
-                DirectoryChange::Present(entry) => {
-                    log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
-                    self.put_leaf(entry, is_restored)
-                }
-                DirectoryChange::Gone(leaf) => {
-                    log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
-                    self.remove_leaf(&leaf, source_was_away)
-                }
+                DirectoryChange::Present(entry) => self.put_leaf(entry, is_restored),
+                DirectoryChange::Gone(leaf) => self.remove_leaf(&leaf, source_was_away),
             };
-            changed_services.extend(service.map(|service| (service.name().clone(), service)));
-        }
-        for service in changed_services.values() {
-            self.share_connections(service);
+            if let Some(service) = service {
+                service.set_shared(None);
+            }
         }
         let revision = self.directory.borrow().revision();
         if let Some(revision) = revision.filter(|_| revision != before) {
@@ -118,16 +115,39 @@
         self.directory.borrow()
     }
 
-    /// The state of a service; made if it is not known yet.
+    /// The state of a service, with this daemon's parts of what it bears as they are now; made if it is not
+    /// used yet.
     pub fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
-        if let Some(service) = self.services.borrow().get(name) {
-            return Rc::clone(service);
+        let used = self.services.borrow().get(name).cloned();
+        let service = used.unwrap_or_else(|| self.begin_use(name));
+        self.share_if_changed(&service);
+        service
+    }
+
+    /// The state of a service, if it is used. Where services are rolled out all are: what their leafs have
+    /// shown before an order tells what it changes.
+    fn used_service(&self, name: &ServiceName) -> Option<Rc<ServiceState>> {
+        let used = self.services.borrow().get(name).cloned();
+        let is_needed = self.settings.bounds.follow_roll_outs;
+        used.or_else(|| is_needed.then(|| self.make_service(name)))
+    }
+
+    /// Makes the state of a service, of the leafs that the directory has.
+    fn begin_use(&self, name: &ServiceName) -> Rc<ServiceState> {
+        let service = self.make_service(name);
+        let directory = self.directory.borrow();
+        let own = directory.entries().filter(|entry| entry.service == *name);
+        for entry in own {
+            self.put_leaf(entry.clone(), false);
         }
+        service
+    }
+
+    fn make_service(&self, name: &ServiceName) -> Rc<ServiceState> {
         let bounds = &self.settings.bounds;
         let versions = Rc::clone(&self.roll_out_context);
         let service = ServiceState::new(name.clone(), bounds, self.started, versions);
         let service = Rc::new(service);
-        self.share_budget(&service);
         if let Some(roll_outs) = self.roll_outs.borrow().as_ref() {
             let order = roll_outs.get(name);
             service.versions().apply(Clock.now(), order, roll_outs.at);
@@ -137,6 +157,11 @@
         service
     }
 
+    /// Leafs of which this daemon holds more than the directory's entry.
+    pub fn used_leafs(&self) -> usize {
+        self.leafs.borrow().len()
+    }
+
     /// Idle connections to leafs.
     pub fn idle_leaf_connections(&self) -> usize {
         let leafs = self.leafs.borrow();
@@ -163,7 +188,7 @@
             Some(earlier) => self.end_run(&earlier),
             None => {}
         }
-        let service = self.service(&entry.service);
+        let service = self.used_service(&entry.service)?;
         service.end_earlier_runs(&entry.run());
         let is_doubtful = is_restored && self.has_departed(&entry);
         if !is_restored {
@@ -198,7 +223,11 @@
         log::info!(leaf = leaf.entry().leaf.as_str(); "leaf started again under its id");
         self.metrics.on_leaf_restarted();
         leaf.set_replaced();
-        self.service(&leaf.entry().service).forget_gone();
+        self.leafs.borrow_mut().remove(&leaf.entry().leaf);
+        if let Some(service) = self.services.borrow().get(&leaf.entry().service) {
+            service.forget_gone();
+            service.set_shared(None);
+        }
     }
 
     /// Whether the source had taken the run out before it came back from a copy that lists it.
@@ -215,9 +244,11 @@
         if !source_was_away {
             self.departed.borrow_mut().add(now, leaf.entry().run());
         }
-        let service = self.service(&leaf.entry().service);
-        service.forget_gone();
-        Some(service)
+        let service = self.services.borrow().get(&leaf.entry().service).cloned();
+        if let Some(service) = &service {
+            service.forget_gone();
+        }
+        service
     }
 
     /// Whether nothing has been heard of the leafs for longer than their entries are relied on.
@@ -226,8 +257,15 @@
         self.age(Topic::Leafs).is_some_and(|age| age > limit)
     }
 
+    /// Notes that this daemon's parts are others than before. They are computed when a service is used next.
     pub(super) fn share_all_connections(&self) {
-        for service in self.services.borrow().values() {
+        self.sharing.set(self.sharing.get() + 1);
+    }
+
+    fn share_if_changed(&self, service: &ServiceState) {
+        let sharing = Some(self.sharing.get());
+        if service.shared() != sharing {
+            service.set_shared(sharing);
             self.share_connections(service);
             self.share_budget(service);
         }
@@ -298,3 +336,27 @@
         active.configuration.services.get(service).cloned()
     }
 }
+
+/// Changes of a delta that are told one by one; more come only where a whole list was read, or a zone was lost.
+const MAXIMUM_TOLD: usize = 50;
+
+/// One line for each change, or one for all if they are many.
+fn log_changes(changes: &[DirectoryChange], source_was_away: bool) {
+    if changes.len() > MAXIMUM_TOLD {
+        let is_gone = |change: &&DirectoryChange| matches!(change, DirectoryChange::Gone(_));
+        let gone = changes.iter().filter(is_gone).count();
+        let present = changes.len() - gone;
+        log::info!(present = present, gone = gone, source_was_away = source_was_away; "many leafs changed");
+        return;
+    }
+    for change in changes {
+        match change {
+            DirectoryChange::Present(entry) => {
+                log::info!(leaf = entry.leaf.as_str(), service = entry.service.as_str(), phase:? = entry.phase; "leaf changed");
+            }
+            DirectoryChange::Gone(leaf) => {
+                log::info!(leaf = leaf.as_str(), source_was_away = source_was_away; "leaf gone");
+            }
+        }
+    }
+}
