Larger machines run queries however few they are among all; roots have whole connections

Cause: the larger machines of a region were its roots only if they bore 0.3 of what all bear together. Where a fleet is large for its callers' connections, 20 of half a core stand among 317 of 0.12: 0.22. So each small daemon ran its queries over 90 shards itself. And connections of a leaf were divided among all daemons alike: 195 among 985 leave most of them none of a leaf, so that whole zones of leafs counted as a reserve.

Ruled out: a lower share (a constant that only holds up to a size).

Change: the larger machines are roots whenever there are two; a root whose tasks wait half an objective for the processor declines, and is left alone for half a second. Three quarters of the connections to leafs of shards are divided among the daemons that run queries, the rest among the others.

--- a/crates/tansylead-gateway/src/cluster/forwarded_query.rs
+++ b/crates/tansylead-gateway/src/cluster/forwarded_query.rs
@@ -59,6 +59,8 @@
     },
     /// The root does not run it: it holds another version, or is stopping. Nothing has run.
     Declined,
+    /// The root does not run it: its processor is too busy. Nothing has run.
+    Busy,
 }
 
 impl ForwardedQuery {
@@ -192,7 +194,7 @@
                 reason,
                 retry_after: retry_after_micros.map(Duration::from_micros),
             })),
-            Self::Declined => None,
+            Self::Declined | Self::Busy => None,
         }
     }
 }
--- a/crates/tansylead-gateway/src/cluster/query_roots.rs
+++ b/crates/tansylead-gateway/src/cluster/query_roots.rs
@@ -12,10 +12,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_cluster::membership::MemberRecord;
-use tansylead_route::{Breaker, BreakerVerdict, QueryRunners, RootCandidate, query_roots};
+use tansylead_route::{
+    Breaker, BreakerVerdict, DaemonCounts, QueryRunners, RootCandidate, query_roots,
+};
 use tansylead_types::{InstanceId, Moment, NodeId, PlaceName, StepError, ZoneName};
 use tokio::net::TcpStream;
 
+/// A root that is too busy gets no more queries from this daemon for so long: about as long as it takes those
+/// that it runs to end.
+const BUSY_REST: Duration = Duration::from_millis(500);
+
 /// Why a root gave no reply.
 #[derive(Debug)]
 pub enum AskError {
@@ -40,6 +46,8 @@
     idle: RefCell<Vec<IdleConnection>>,
     breaker: RefCell<Breaker>,
     answered_at: Cell<Moment>,
+    /// It has declined a query because it is too busy, and is not asked until then.
+    rests_until: Cell<Moment>,
 }
 
 /// The roots of the own region.
@@ -67,20 +75,23 @@
                     capacity: member.capacity.0,
                 });
         }
-        let mut runners = QueryRunners::default();
+        let mut counted = RunnerCounts::default();
         for (place, candidates) in &regions {
             let roots = query_roots(candidates);
-            runners.add_region(candidates.len(), roots.len());
+            let is_runner =
+                |daemon: NodeId| roots.is_empty() || roots.iter().any(|root| root.node() == daemon);
+            let daemons = candidates.iter().map(|candidate| candidate.daemon.node());
+            let (runners, others) = daemons.partition(|daemon| is_runner(*daemon));
+            counted.add(place, runners, others);
             if *place == region {
-                let is_own_root = roots.iter().any(|root| root.node() == own);
-                runners.set_is_runner(is_own_root || roots.is_empty());
-                self.set_roots(roots, is_own_root);
+                self.set_roots(roots, own);
             }
         }
-        runners
+        counted.seen_by(own, region)
     }
 
-    fn set_roots(&self, roots: Vec<&MemberRecord>, is_own_root: bool) {
+    fn set_roots(&self, roots: Vec<&MemberRecord>, own: NodeId) {
+        let is_own_root = roots.iter().any(|root| root.node() == own);
         let others: Vec<Rc<RootPeer>> = if is_own_root {
             Vec::new()
         } else {
@@ -100,6 +111,7 @@
         let usable: Vec<&Rc<RootPeer>> = peers
             .iter()
             .filter(|root| root.breaker.borrow().verdict(now) != BreakerVerdict::Avoid)
+            .filter(|root| root.rests_until.get() <= now)
             .collect();
         let near: Vec<&Rc<RootPeer>> = usable
             .iter()
@@ -135,6 +147,37 @@
     }
 }
 
+/// The daemons that run queries, and the others, with the places they run in.
+#[derive(Debug, Default)]
+struct RunnerCounts<'a> {
+    runners: Vec<(&'a PlaceName, NodeId)>,
+    others: Vec<(&'a PlaceName, NodeId)>,
+}
+
+impl<'a> RunnerCounts<'a> {
+    fn add(&mut self, place: &'a PlaceName, runners: Vec<NodeId>, others: Vec<NodeId>) {
+        let placed = |daemon| (place, daemon);
+        self.runners.extend(runners.into_iter().map(placed));
+        self.others.extend(others.into_iter().map(placed));
+    }
+
+    /// The counts as `own` sees them: it is ranked among those of its region.
+    fn seen_by(self, own: NodeId, region: &PlaceName) -> QueryRunners {
+        let counts = |daemons: &[(&PlaceName, NodeId)]| {
+            let before = daemons
+                .iter()
+                .filter(|(place, daemon)| *place == region && *daemon < own);
+            let rank = before.count();
+            DaemonCounts::new(daemons.iter().map(|(place, _)| (*place).clone()), rank)
+        };
+        QueryRunners {
+            runners: counts(&self.runners),
+            others: counts(&self.others),
+            is_runner: self.runners.iter().any(|(_, daemon)| *daemon == own),
+        }
+    }
+}
+
 impl RootPeer {
     fn new(member: &MemberRecord) -> Self {
         Self {
@@ -143,6 +186,7 @@
             idle: RefCell::default(),
             breaker: RefCell::default(),
             answered_at: Cell::default(),
+            rests_until: Cell::default(),
         }
     }
 
@@ -195,6 +239,11 @@
         }
     }
 
+    /// Notes that the root is too busy to run a query.
+    pub fn on_busy(&self) {
+        self.rests_until.set(Clock.now() + BUSY_REST);
+    }
+
     /// Notes that a reply to a query sent at `sent` is late. Nothing is held against a root that has
     /// answered others since: it waits for leafs.
     pub fn on_overdue(&self, sent: Moment, delay: Duration) {
--- a/crates/tansylead-gateway/src/cluster/query_server.rs
+++ b/crates/tansylead-gateway/src/cluster/query_server.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tansylead_route::{Route, ShardSet, Target};
+use tansylead_route::{Route, ShardSet, Target, is_too_busy};
 use tansylead_types::StepError;
 
 /// Time kept for the merged answer's way back through the daemon that forwarded the query: a few
@@ -29,6 +29,10 @@
     let Target::Shards(set) = &route.target else {
         return Ok(ForwardedReply::Declined);
     };
+    if is_too_busy(gateway.processor_lag().get(), route.policy.objective) {
+        gateway.metrics.on_forwarded(ForwardedResult::BusyHere);
+        return Ok(ForwardedReply::Busy);
+    }
     gateway.metrics.on_forwarded(ForwardedResult::RunHere);
     let _running = RunningForPeer::new(Rc::clone(gateway));
     run(gateway, &route, set, query, peer).await
--- a/crates/tansylead-gateway/src/daemon.rs
+++ b/crates/tansylead-gateway/src/daemon.rs
@@ -179,6 +179,7 @@
         let due = Clock.now() + LAG_PERIOD;
         tokio::time::sleep(LAG_PERIOD).await;
         let lag = Clock.now().since(due);
+        gateway.processor_lag().set(lag);
         if lag > LAG_TOLERANCE {
             log::warn!(lag_ms = lag.as_millis() as u64; "tasks wait for the processor");
         }
--- a/crates/tansylead-gateway/src/execution/at_root.rs
+++ b/crates/tansylead-gateway/src/execution/at_root.rs
@@ -120,6 +120,9 @@
                 is_overdue,
             } => {
                 root.on_answer(sent, !is_overdue);
+                if reply == ForwardedReply::Busy {
+                    root.on_busy();
+                }
                 match reply.into_outcome() {
                     Some(outcome) => (ForwardedResult::Answered, Some(outcome)),
                     None => (ForwardedResult::Declined, None),
--- a/crates/tansylead-gateway/src/metrics/labels.rs
+++ b/crates/tansylead-gateway/src/metrics/labels.rs
@@ -41,6 +41,8 @@
     RunHere,
     /// It came from another daemon and does not run here.
     DeclinedHere,
+    /// It came from another daemon, and this one is too busy.
+    BusyHere,
 }
 
 impl ForwardedResult {
@@ -55,6 +57,7 @@
             Self::TimedOut => "timed_out",
             Self::RunHere => "run_here",
             Self::DeclinedHere => "declined_here",
+            Self::BusyHere => "busy_here",
         }
     }
 }
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -114,11 +114,12 @@
     /// Daemons that membership knows of.
     known_daemons: RefCell<DaemonCounts>,
     /// Those of them that run queries over shards.
-    known_runners: Cell<QueryRunners>,
+    known_runners: RefCell<QueryRunners>,
     /// Whether anything comes on connections to leafs that were kept.
     kept_silence: Cell<ConnectionSilence>,
     connections: Cell<usize>,
     running_for_peers: Cell<usize>,
+    processor_lag: Cell<Duration>,
     /// The daemons of the region that run queries over shards for this one.
     pub roots: QueryRoots,
 }
@@ -162,10 +163,11 @@
             daemons: RefCell::new(assumed),
             sharing: Cell::new(0),
             known_daemons: RefCell::default(),
-            known_runners: Cell::default(),
+            known_runners: RefCell::default(),
             kept_silence: Cell::default(),
             connections: Cell::new(0),
             running_for_peers: Cell::new(0),
+            processor_lag: Cell::default(),
             roots: QueryRoots::default(),
         }
     }
@@ -313,7 +315,7 @@
 
     /// Sets how many of the daemons run queries over shards.
     pub fn set_runners(&self, runners: QueryRunners) {
-        self.known_runners.set(runners);
+        *self.known_runners.borrow_mut() = runners;
         self.count_daemons();
     }
 
@@ -327,7 +329,7 @@
         } else {
             known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
         };
-        let runners = self.known_runners.get();
+        let runners = self.known_runners.borrow().clone();
         let daemons = SharingDaemons {
             counts,
             runners,
@@ -370,6 +372,11 @@
         &self.running_for_peers
     }
 
+    /// How long tasks waited for the processor lately.
+    pub fn processor_lag(&self) -> &Cell<Duration> {
+        &self.processor_lag
+    }
+
     /// Callers' connections.
     pub fn connections(&self) -> &Cell<usize> {
         &self.connections
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -306,6 +306,9 @@
         let regions = regions.filter_map(|zone| self.locality.region(&zone).cloned());
         let service_regions: BTreeSet<PlaceName> = regions.collect();
         let daemons = self.daemons.borrow();
+        // Leafs of shards bear few connections of each daemon of a large fleet, and nearly all are the roots'.
+        let is_shard = daemons.are_known && self.is_shard(service.name());
+        let kind = daemons.runners.own_kind().filter(|_| is_shard);
         let configured = self.configured(service.name());
         let maximum_connections = configured
             .as_ref()
@@ -325,7 +328,10 @@
                 region: self.locality.region(&entry.zone),
                 service_regions: &service_regions,
             };
-            leaf.set_share(shared.share(own_region, &daemons.counts));
+            leaf.set_share(match kind {
+                Some(kind) => shared.share_among(own_region, kind),
+                None => shared.share(own_region, &daemons.counts),
+            });
         }
     }
 
--- a/crates/tansylead-route/src/connection_share.rs
+++ b/crates/tansylead-route/src/connection_share.rs
@@ -7,6 +7,7 @@
 //! [`USED_SHARE`] of what the leaf accepts, rounded up, without any coordination but the members
 //! that each daemon knows.
 
+use crate::query_roots::SharingKind;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use tansylead_types::{LeafId, PlaceName};
@@ -48,6 +49,11 @@
         counts
     }
 
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.by_region.is_empty()
+    }
+
     /// All daemons; at least one.
     pub fn total(&self) -> usize {
         self.by_region.values().sum::<usize>().max(1)
@@ -112,11 +118,16 @@
 }
 
 impl SharedLeaf<'_> {
-    /// The part of a daemon in `own_region`.
+    /// The part of a daemon in `own_region`, where all daemons share alike.
     pub fn share(&self, own_region: &PlaceName, daemons: &DaemonCounts) -> ConnectionShare {
-        let usable = f64::from(self.maximum_connections) * USED_SHARE;
+        self.share_among(own_region, SharingKind { daemons, part: 1.0 })
+    }
+
+    /// The part of a daemon in `own_region`, where daemons of its kind share a part among them.
+    pub fn share_among(&self, own_region: &PlaceName, kind: SharingKind<'_>) -> ConnectionShare {
+        let usable = f64::from(self.maximum_connections) * USED_SHARE * kind.part;
         let weight = |region: &PlaceName| self.weight(region);
-        let connections = daemons.part(usable, own_region, weight, self.leaf);
+        let connections = kind.daemons.part(usable, own_region, weight, self.leaf);
         ConnectionShare {
             connections: connections.max(1),
             is_reserve: connections == 0,
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -65,7 +65,7 @@
     Strike, Verdict,
 };
 pub use query_admission::{AdmissionChange, QueryAdmission};
-pub use query_roots::{QueryRunners, RootCandidate, query_roots};
+pub use query_roots::{QueryRunners, RootCandidate, SharingKind, is_too_busy, query_roots};
 pub use records::{RECORD_BYTES, Record, TopRecords};
 pub use retry_after::{retry_after_outage, retry_after_refusal};
 pub use revision::{Era, Revision};
--- a/crates/tansylead-route/src/query_roots.rs
+++ b/crates/tansylead-route/src/query_roots.rs
@@ -4,13 +4,19 @@
 //! good part of its objective. So where machines differ, the larger ones of a region run the queries of
 //! all, one hop away. Every daemon finds the same answer from what all know alike, the members and what
 //! their machines bear. Where machines are alike every daemon runs what it receives.
+//!
+//! How many the larger ones are among all says nothing of the queries that come: a fleet may be large for its
+//! callers' connections alone. So they are roots however few they are, and a root that is too busy declines.
+
+use crate::connection_share::DaemonCounts;
+use std::time::Duration;
 
 /// A machine that bears at least this share of what the largest of its region bears is one of the
 /// larger ones. Machines of the users' sites differ by a factor of four, or not at all.
 const LARGE_SHARE: f64 = 0.5;
-/// The larger machines run the queries of all only if they bear at least this share of what all
-/// machines of the region bear together: fewer would be overloaded by what all of them do today.
-const LEAST_CAPACITY_SHARE: f64 = 0.3;
+/// A root whose tasks wait this share of a query's objective for the processor would answer it late: the daemon
+/// that asks does better itself.
+const BUSY_SHARE: f64 = 0.5;
 /// With fewer roots a region would hang on one machine.
 const LEAST_ROOTS: usize = 2;
 
@@ -29,57 +35,61 @@
     let threshold = f64::from(largest.unwrap_or(0)) * LARGE_SHARE;
     let is_large = |candidate: &&RootCandidate<T>| f64::from(candidate.capacity) >= threshold;
     let large: Vec<&RootCandidate<T>> = candidates.iter().filter(is_large).collect();
-    let capacity = |candidate: &RootCandidate<T>| f64::from(candidate.capacity);
-    let all: f64 = candidates.iter().map(capacity).sum();
-    let of_large: f64 = large.iter().copied().map(capacity).sum();
     let are_alike = large.len() == candidates.len();
-    let are_too_few = large.len() < LEAST_ROOTS || of_large < all * LEAST_CAPACITY_SHARE;
+    let are_too_few = large.len() < LEAST_ROOTS;
     if are_alike || are_too_few {
         return Vec::new();
     }
     large.into_iter().map(|root| root.daemon.clone()).collect()
 }
 
-/// Part of the slack of extra attempts at shards that the daemons which run queries share. The rest is
-/// for the others, which run queries only where no root can: nearly all attempts are the roots'.
-const RUNNERS_SLACK_PART: f64 = 0.75;
+/// Whether a root whose tasks wait this long for the processor declines a query with this objective.
+pub fn is_too_busy(processor_lag: Duration, objective: Duration) -> bool {
+    processor_lag > objective.mul_f64(BUSY_SHARE)
+}
+
+/// Part of what is scarce at shards, extra attempts and connections, that the daemons which run queries share.
+/// The rest is for the others, which run queries only where no root can: nearly all attempts are the roots'.
+const RUNNERS_PART: f64 = 0.75;
 
-/// How many daemons run queries over shards, in all regions together, as one of them sees it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// The daemons that run queries over shards and the others, in all regions, as one of them sees them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QueryRunners {
-    runners: usize,
-    others: usize,
-    is_runner: bool,
+    /// Those that run queries; ranked among them if the viewing daemon is one.
+    pub runners: DaemonCounts,
+    /// The others, likewise.
+    pub others: DaemonCounts,
+    /// Whether the viewing daemon runs queries.
+    pub is_runner: bool,
+}
+
+/// The viewing daemon's kind, and the part of what is scarce at shards that all daemons of this kind share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharingKind<'a> {
+    /// Daemons of the kind.
+    pub daemons: &'a DaemonCounts,
+    /// Their part, 0 to 1.
+    pub part: f64,
 }
 
 impl QueryRunners {
-    /// Counts a region with this many daemons, of which `roots` are roots; none if every daemon runs
-    /// what it receives.
-    pub fn add_region(&mut self, daemons: usize, roots: usize) {
-        if roots == 0 {
-            self.runners += daemons;
-        } else {
-            self.runners += roots;
-            self.others += daemons.saturating_sub(roots);
+    /// The viewing daemon's kind; none if all daemons run queries alike, and share alike.
+    pub fn own_kind(&self) -> Option<SharingKind<'_>> {
+        if self.runners.is_empty() || self.others.is_empty() {
+            return None;
         }
-    }
-
-    /// Says whether the viewing daemon runs queries.
-    pub fn set_is_runner(&mut self, is_runner: bool) {
-        self.is_runner = is_runner;
+        let (daemons, part) = if self.is_runner {
+            (&self.runners, RUNNERS_PART)
+        } else {
+            (&self.others, 1.0 - RUNNERS_PART)
+        };
+        Some(SharingKind { daemons, part })
     }
 
     /// The viewing daemon's part of the slack of extra attempts at a shard, 0 to 1; none if all
     /// daemons run queries alike.
     pub fn slack_share(&self) -> Option<f64> {
-        if self.others == 0 || self.runners == 0 {
-            return None;
-        }
-        let share = if self.is_runner {
-            RUNNERS_SLACK_PART / self.runners as f64
-        } else {
-            (1.0 - RUNNERS_SLACK_PART) / self.others as f64
-        };
-        Some(share)
+        let kind = self.own_kind()?;
+        Some(kind.part / kind.daemons.total() as f64)
     }
 }
