A daemon that starts reads a long list once, and takes a large directory from its own region

Cause: a first read that takes longer than 0.2 s was taken for lost and begun again beside the open one, up to ten at a time. That holds while a list is one page; 9,751 leafs are 49. And whole directories came from seeds drawn by chance, two of three in other regions.

Change: another read is begun only if the source answered no call since the last look; seeds of the own region are polled first, and a large directory is taken from far only after a second without one.

--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 use serde_json::Value;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
 pub(super) struct Shared {
     pub(super) objects: Mutex<ObjectStore>,
     trouble: Mutex<StoreTrouble>,
+    /// Calls by path, without what follows a question mark.
+    calls: Mutex<HashMap<String, usize>>,
     pub(super) changed: watch::Sender<u64>,
 }
 
@@ -78,6 +81,7 @@
         let shared = Arc::new(Shared {
             objects: Mutex::new(ObjectStore::new(page)),
             trouble: Mutex::default(),
+            calls: Mutex::default(),
             changed: watch::Sender::new(0),
         });
         let accepting = Arc::clone(&shared);
@@ -154,6 +158,12 @@
         self.shared.objects.lock().names(kind)
     }
 
+    /// Calls that came for a kind's objects as a whole.
+    pub fn calls(&self, kind: &str) -> usize {
+        let calls = self.shared.calls.lock();
+        calls.get(&format!("/objects/{kind}")).copied().unwrap_or(0)
+    }
+
     /// Forgets the history.
     pub fn forget_history(&self) {
         self.shared.objects.lock().forget_history();
@@ -177,6 +187,8 @@
 
 /// Answers a call. Each answer tells the era that it is from.
 async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    *shared.calls.lock().entry(path).or_default() += 1;
     let mut response = answer_in_trouble(shared, request).await?;
     let era = shared.objects.lock().era();
     response.headers_mut().insert("store-era", era.into());
--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -20,6 +20,9 @@
 const POLL_WAIT: Duration = Duration::from_secs(1);
 /// Time for the way to a peer and back, and for connecting.
 const WAY_LIMIT: Duration = Duration::from_millis(600);
+/// A daemon that knows no leafs asks far daemons for all of them after this time only: by then it has found those
+/// of its own region, if there are any.
+const NEAR_DIRECTORY_WAIT: Duration = Duration::from_secs(1);
 /// Wait after a failure, times a random factor of 0.5 to 1.5.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
@@ -118,11 +121,13 @@
     }
 
     /// Whole directories are large and bytes between regions dear: from far away only if what is held
-    /// cannot be brought up to date by changes.
+    /// cannot be brought up to date by changes, and a daemon that knows none gives those of its own region the
+    /// time to bring one.
     fn wants_whole_directory(&self, peer: SocketAddr) -> bool {
         let gateway = &self.gateway;
         let limit = gateway.settings.bounds.word_limit();
-        let is_unknown = gateway.directory().revision().is_none();
+        let is_unknown =
+            gateway.directory().revision().is_none() && gateway.uptime() > NEAR_DIRECTORY_WAIT;
         let is_old = gateway.age(Topic::Leafs).is_some_and(|age| age > limit);
         let cannot_follow = is_unknown || is_old || self.lacks_changes.get();
         cannot_follow || self.view.is_in_own_region(peer)
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -14,6 +14,8 @@
 const CONFIGURATIONS_AT_A_TIME: usize = 2;
 /// A reply of so many bytes is logged: more than the changes of some leafs.
 const LARGE_REPLY_BYTES: usize = 4 * 1024;
+/// A directory of no more entries is sent whole to whoever lacks it: it takes no more than a configuration.
+const SMALL_DIRECTORY: usize = 500;
 /// Longest wait that a request may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 
@@ -96,8 +98,8 @@
     let configuration = newer.map(|held| Configuration::clone(held));
     let directory = gateway.directory().delta_after(request.revision);
     let directory = directory.filter(|delta| {
-        let is_whole = matches!(delta, DirectoryDelta::Everything { .. });
-        !is_whole || request.wants_whole_directory
+        let is_large = matches!(delta, DirectoryDelta::Everything { entries, .. } if entries.len() > SMALL_DIRECTORY);
+        !is_large || request.wants_whole_directory
     });
     let revision = gateway.directory().revision();
     let roll_outs = gateway.roll_outs();
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -91,14 +91,21 @@
     ///
     /// If the source does not answer, more reads are started beside those that are open, until one
     /// is answered or other daemons tell: a call that a silent source has lost is never answered,
-    /// and nothing can be served before.
+    /// and nothing can be served before. A read that is answered call by call only takes its time.
     async fn read_cached(&mut self) {
         tokio::time::sleep(FIRST_READ_SPREAD.mul_f64(rand::random())).await;
         let source = Rc::clone(&self.source);
         let mut pace = FirstReadPace::default();
         let mut reads = FuturesUnordered::new();
+        let mut last_wait = Clock.now();
         while !self.gateway.knows(self.topic) {
-            reads.push(source.read(self.topic, Freshness::Cached));
+            let is_answering = source
+                .last_answer()
+                .is_some_and(|answer| answer > last_wait);
+            if reads.is_empty() || !is_answering {
+                reads.push(source.read(self.topic, Freshness::Cached));
+            }
+            last_wait = Clock.now();
             let wait = pace.next_wait(rand::random());
             if let Ok(update) = tokio::time::timeout(wait, first_answer(&mut reads)).await {
                 self.position = Some(update.at);
--- a/crates/tansylead-gateway/src/cluster/view.rs
+++ b/crates/tansylead-gateway/src/cluster/view.rs
@@ -185,12 +185,15 @@
         peers
     }
 
-    /// Seeds in random order, then registered daemons in random order.
+    /// Seeds in random order, then registered daemons in random order; of both those first that are known to run
+    /// in the own region. What all daemons of a large fleet read through them when they start is large, and
+    /// dear between regions.
     fn entry_points(&self) -> Vec<SocketAddr> {
         let mut points: Vec<SocketAddr> = Vec::new();
         for list in [&self.seeds, &self.registered] {
             let mut list = list.borrow().clone();
             list.shuffle(&mut rand::rng());
+            list.sort_by_key(|point| !self.is_in_own_region(*point));
             list.retain(|point| *point != self.node.0 && !points.contains(point));
             points.extend(list);
         }
@@ -257,7 +260,9 @@
     /// Whether no member would be a better peer to poll than this one.
     pub fn is_best_feed_peer(&self, peer: SocketAddr) -> bool {
         if !self.joined.get() {
-            return self.is_entry_point(peer);
+            let seeds = self.seeds.borrow();
+            let has_near = seeds.iter().any(|seed| self.is_in_own_region(*seed));
+            return self.is_entry_point(peer) && (!has_near || self.is_in_own_region(peer));
         }
         let members = self.members.borrow();
         let others = members.iter().filter(|member| member.node() != self.node);
--- a/crates/tansylead-gateway/src/source.rs
+++ b/crates/tansylead-gateway/src/source.rs
@@ -7,7 +7,7 @@
     Configuration, DirectoryDelta, EvacuatedZones, RequestFingerprint, Revision, RollOut,
     RollOutState, RollOuts, WriteFailure,
 };
-use tansylead_types::{ServiceName, StepError};
+use tansylead_types::{Moment, ServiceName, StepError};
 
 pub use tansylead_route::WriteEnd;
 
@@ -152,6 +152,12 @@
         async { Ok(Vec::new()) }
     }
 
+    /// When the source last answered a call of this daemon, also one of the several that a read may take; none if
+    /// that is not known.
+    fn last_answer(&self) -> Option<Moment> {
+        None
+    }
+
     /// Peer addresses of the daemons that ever registered; some may be gone.
     fn registered(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
 }
