--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -1,7 +1,7 @@
 //! The store over HTTP, with its troubles.
 
 use super::calls::{Call, empty, handle};
-use super::objects::{ObjectStore, StoredObject};
+use super::objects::{ObjectStore, StoreCopy, StoredObject};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 use serde_json::Value;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
 pub(super) struct Shared {
     pub(super) objects: Mutex<ObjectStore>,
     trouble: Mutex<StoreTrouble>,
+    /// Calls by path, without what follows a question mark.
+    calls: Mutex<HashMap<String, usize>>,
     pub(super) changed: watch::Sender<u64>,
 }
 
@@ -78,6 +81,7 @@
         let shared = Arc::new(Shared {
             objects: Mutex::new(ObjectStore::new(page)),
             trouble: Mutex::default(),
+            calls: Mutex::default(),
             changed: watch::Sender::new(0),
         });
         let accepting = Arc::clone(&shared);
@@ -112,6 +116,18 @@
         self.notify();
     }
 
+    /// Removes an object if it is still as in `object`.
+    pub fn delete_unchanged(&self, kind: &str, object: &StoredObject) {
+        let meta = &object.meta;
+        // One that has changed, or is gone, stays so.
+        let _ = self
+            .shared
+            .objects
+            .lock()
+            .delete(kind, &meta.name, Some(meta.revision));
+        self.notify();
+    }
+
     /// An object as it stands now.
     pub fn get(&self, kind: &str, name: &str) -> Option<StoredObject> {
         self.shared.objects.lock().get(kind, name).ok()
@@ -126,6 +142,28 @@
         replaced.is_ok()
     }
 
+    /// A copy to come back from later.
+    pub fn copy(&self) -> StoreCopy {
+        self.shared.objects.lock().copy()
+    }
+
+    /// Comes back from a copy.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.shared.objects.lock().restore(copy);
+        self.notify();
+    }
+
+    /// Names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        self.shared.objects.lock().names(kind)
+    }
+
+    /// Calls that came for a kind's objects as a whole.
+    pub fn calls(&self, kind: &str) -> usize {
+        let calls = self.shared.calls.lock();
+        calls.get(&format!("/objects/{kind}")).copied().unwrap_or(0)
+    }
+
     /// Forgets the history.
     pub fn forget_history(&self) {
         self.shared.objects.lock().forget_history();
@@ -147,7 +185,17 @@
         .await;
 }
 
+/// Answers a call. Each answer tells the era that it is from.
 async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    *shared.calls.lock().entry(path).or_default() += 1;
+    let mut response = answer_in_trouble(shared, request).await?;
+    let era = shared.objects.lock().era();
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
+}
+
+async fn answer_in_trouble(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
     let trouble = *shared.trouble.lock();
     match trouble {
         StoreTrouble::None | StoreTrouble::LosesAnswers(_) => {}
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    BreakerVerdict, Candidate, ExtraAttempt, HomeRegions, RetryBudget, Stage, Standing, choose_leaf,
+    BreakerVerdict, Candidate, ExtraAttempt, HomeRegions, LeafRun, RetryBudget, Stage, Standing,
+    choose_leaf,
 };
 use tansylead_types::{LeafId, Moment, ServiceName};
 
@@ -24,6 +25,8 @@
     slack_share: Cell<f64>,
     /// Software versions of the leafs, and the order to roll out that stands.
     versions: Rc<ServiceVersions>,
+    /// Count of changes of the sharing daemons up to which parts were computed; none if they must be anew.
+    shared: Cell<Option<u64>>,
 }
 
 impl ServiceState {
@@ -41,6 +44,7 @@
             budget: RefCell::new(RetryBudget::new(bounds.retry_budget(), started)),
             slack_share: Cell::new(0.0),
             versions: Rc::new(ServiceVersions::new(roll_outs)),
+            shared: Cell::new(None),
         }
     }
 
@@ -54,17 +58,37 @@
         &self.versions
     }
 
+    /// Count of changes of the sharing daemons up to which this daemon's parts were computed.
+    pub fn shared(&self) -> Option<u64> {
+        self.shared.get()
+    }
+
+    /// Notes that the parts are computed up to this change, or must be computed anew.
+    pub fn set_shared(&self, shared: Option<u64>) {
+        self.shared.set(shared);
+    }
+
     /// Adds a leaf.
     pub fn add(&self, leaf: Rc<LeafState>) {
         self.forget_gone();
         self.leafs.borrow_mut().push(leaf);
     }
 
-    /// A leaf whose entry went missing lately.
-    pub fn missing(&self, id: &LeafId) -> Option<Rc<LeafState>> {
+    /// A run of a leaf whose entry went missing lately.
+    pub fn missing(&self, run: &LeafRun) -> Option<Rc<LeafState>> {
         let leafs = self.leafs.borrow();
         let mut missing = leafs.iter().filter(|leaf| !leaf.is_listed());
-        missing.find(|leaf| leaf.entry().leaf == *id).cloned()
+        missing.find(|leaf| leaf.entry().run() == *run).cloned()
+    }
+
+    /// Notes that the runs of a leaf before this one are over, though their entries only went missing.
+    pub fn end_earlier_runs(&self, run: &LeafRun) {
+        for leaf in self.leafs.borrow().iter() {
+            let held = leaf.entry().run();
+            if held.leaf == run.leaf && held.started < run.started {
+                leaf.set_replaced();
+            }
+        }
     }
 
     /// Forgets leafs whose entries have been missing for too long.
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -1,7 +1,8 @@
 //! What the tasks of one daemon share. One thread: interior mutability, no locks.
 //!
-//! Invariants: the configuration's version never goes down; no borrow is held over a wait.
+//! Invariants: the configuration's version never goes down, whatever the source says; no borrow is held over a wait.
 
+mod era;
 mod kept_connections;
 mod leafs;
 mod roll_outs;
@@ -22,8 +23,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, ConnectionSilence, DaemonCounts, EvacuatedZones, LatencyProfile, LeafDirectory,
-    Locality, QueryAdmission, QueryRunners, Revision, RollOuts, RouteTable, WeightedTurns,
+    Configuration, ConnectionSilence, DaemonCounts, DepartedLeafs, Era, EvacuationOrders,
+    LatencyProfile, LeafDirectory, Locality, QueryAdmission, QueryRunners, Revision, RollOuts,
+    RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -86,8 +88,11 @@
     locality: Locality,
     active: RefCell<Option<Rc<ActiveConfiguration>>>,
     directory: RefCell<LeafDirectory>,
+    source_era: Cell<Option<Era>>,
+    /// Leafs that the source took out lately.
+    departed: RefCell<DepartedLeafs>,
     /// None until it is known which zones are being emptied.
-    evacuated: RefCell<Option<EvacuatedZones>>,
+    evacuated: RefCell<Option<EvacuationOrders>>,
     /// None until it is known what is ordered.
     roll_outs: RefCell<Option<RollOuts>>,
     roll_out_context: Rc<RollOutContext>,
@@ -104,14 +109,17 @@
     stop: watch::Sender<StopPhase>,
     /// Daemons that share budgets and connections.
     daemons: RefCell<SharingDaemons>,
+    /// Rises whenever parts of budgets and connections are others than before.
+    sharing: Cell<u64>,
     /// Daemons that membership knows of.
     known_daemons: RefCell<DaemonCounts>,
     /// Those of them that run queries over shards.
-    known_runners: Cell<QueryRunners>,
+    known_runners: RefCell<QueryRunners>,
     /// Whether anything comes on connections to leafs that were kept.
     kept_silence: Cell<ConnectionSilence>,
     connections: Cell<usize>,
     running_for_peers: Cell<usize>,
+    processor_lag: Cell<Duration>,
     /// The daemons of the region that run queries over shards for this one.
     pub roots: QueryRoots,
 }
@@ -138,6 +146,8 @@
             locality,
             active: RefCell::default(),
             directory: RefCell::default(),
+            source_era: Cell::default(),
+            departed: RefCell::default(),
             evacuated: RefCell::default(),
             roll_outs: RefCell::default(),
             roll_out_context: Rc::new(context),
@@ -151,11 +161,13 @@
             changed: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
             daemons: RefCell::new(assumed),
+            sharing: Cell::new(0),
             known_daemons: RefCell::default(),
-            known_runners: Cell::default(),
+            known_runners: RefCell::default(),
             kept_silence: Cell::default(),
             connections: Cell::new(0),
             running_for_peers: Cell::new(0),
+            processor_lag: Cell::default(),
             roots: QueryRoots::default(),
         }
     }
@@ -303,7 +315,7 @@
 
     /// Sets how many of the daemons run queries over shards.
     pub fn set_runners(&self, runners: QueryRunners) {
-        self.known_runners.set(runners);
+        *self.known_runners.borrow_mut() = runners;
         self.count_daemons();
     }
 
@@ -317,7 +329,7 @@
         } else {
             known.at_least(ASSUMED_DAEMONS, &self.locality.all_regions())
         };
-        let runners = self.known_runners.get();
+        let runners = self.known_runners.borrow().clone();
         let daemons = SharingDaemons {
             counts,
             runners,
@@ -360,6 +372,11 @@
         &self.running_for_peers
     }
 
+    /// How long tasks waited for the processor lately.
+    pub fn processor_lag(&self) -> &Cell<Duration> {
+        &self.processor_lag
+    }
+
     /// Callers' connections.
     pub fn connections(&self) -> &Cell<usize> {
         &self.connections
