Orders to roll out and their outcomes outlast a store that comes back from a copy

Cause: an order missing from the copy counted as taken back, and one whose status was lost as open again: a version that was rolled back would have been tried anew, and one that completed judged once more.

A later order for the same version is another try. What goes between daemons is what the source tells, so that digests agree.

Left: an order under trial that is given again with another id begins its trial anew.

--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -102,12 +102,14 @@
     }
 
     fn take_in_orders(&mut self) {
-        let Some(orders) = self.gateway.roll_outs() else {
+        let Some(orders) = self.gateway.standing_roll_outs() else {
             return;
         };
         self.reporters.set_orders(Clock.now(), &orders);
         self.judge.set_orders(&orders);
-        self.writes.set_orders(&orders);
+        self.writes
+            .set_orders(&self.gateway.roll_outs().unwrap_or_default());
+        self.write_lost_outcomes();
         self.metrics.set_trials(self.judge.stages());
     }
 
@@ -222,9 +224,19 @@
         self.metrics.set_trials(self.judge.stages());
     }
 
+    /// Writes again how orders ended, where the source has lost that.
+    fn write_lost_outcomes(&mut self) {
+        for (order, state) in self.gateway.lost_outcomes() {
+            let is_first = self.ranked.rank(&order.service, self.node) == Some(0);
+            if is_first && self.writes.start(&order, state) {
+                log::info!(service = order.service.as_str(), target = order.target.as_str(), state = state.label(); "roll-out: its outcome was lost, and is written again");
+            }
+        }
+    }
+
     /// Completes orders for versions that their services run alone already.
     fn complete_settled(&mut self) {
-        let Some(orders) = self.gateway.roll_outs() else {
+        let Some(orders) = self.gateway.standing_roll_outs() else {
             return;
         };
         let open = orders
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -24,8 +24,8 @@
 use std::time::Duration;
 use tansylead_route::{
     Configuration, ConnectionSilence, DaemonCounts, DepartedLeafs, Era, EvacuationOrders,
-    LatencyProfile, LeafDirectory, Locality, QueryAdmission, QueryRunners, Revision, RollOuts,
-    RouteTable, WeightedTurns,
+    LatencyProfile, LeafDirectory, Locality, OrderMemory, QueryAdmission, QueryRunners, Revision,
+    RollOuts, RouteTable, WeightedTurns,
 };
 use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
 use tokio::sync::watch;
@@ -93,8 +93,11 @@
     departed: RefCell<DepartedLeafs>,
     /// None until it is known which zones are being emptied.
     evacuated: RefCell<Option<EvacuationOrders>>,
-    /// None until it is known what is ordered.
+    /// What is ordered, as the source tells it; none until it is known.
     roll_outs: RefCell<Option<RollOuts>>,
+    /// The same with what the source has lost: what is acted on.
+    standing_roll_outs: RefCell<RollOuts>,
+    order_memory: RefCell<OrderMemory>,
     roll_out_context: Rc<RollOutContext>,
     /// Revision up to which the orders must be known for the leafs that are held.
     roll_outs_needed: Cell<Revision>,
@@ -150,6 +153,8 @@
             departed: RefCell::default(),
             evacuated: RefCell::default(),
             roll_outs: RefCell::default(),
+            standing_roll_outs: RefCell::default(),
+            order_memory: RefCell::default(),
             roll_out_context: Rc::new(context),
             roll_outs_needed: Cell::default(),
             services: RefCell::default(),
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -5,11 +5,12 @@
 use crate::clock::Clock;
 use crate::leaf::{LeafState, ServiceState};
 use std::rc::Rc;
-use tansylead_route::{LeafEntry, Revision, RollOut, RollOuts, RollOutsMark};
+use tansylead_route::{LeafEntry, Revision, RollOut, RollOutState, RollOuts, RollOutsMark};
 
 impl Gateway {
     /// Takes in the orders to roll out. A set that arrives late changes nothing.
     pub fn apply_roll_outs(&self, newer: RollOuts) {
+        self.note_era(newer.at.era);
         let held = self.roll_outs.borrow().clone();
         let is_first = held.is_none();
         let before = held.unwrap_or_default();
@@ -51,11 +52,26 @@
         }
     }
 
-    /// The orders to roll out; none if nothing is known of them yet.
+    /// The orders to roll out as the source tells them; none if nothing is known of them yet.
     pub fn roll_outs(&self) -> Option<RollOuts> {
         self.roll_outs.borrow().clone()
     }
 
+    /// The orders to act on; none if nothing is known of them yet. After the source came back from an older copy,
+    /// these are also the orders that it has lost, and those whose outcome it has lost are as they ended.
+    pub fn standing_roll_outs(&self) -> Option<RollOuts> {
+        let is_known = self.roll_outs.borrow().is_some();
+        is_known.then(|| self.standing_roll_outs.borrow().clone())
+    }
+
+    /// Outcomes that the source has lost, with the orders as it tells them.
+    pub fn lost_outcomes(&self) -> Vec<(RollOut, RollOutState)> {
+        let told = self.roll_outs.borrow();
+        let memory = self.order_memory.borrow();
+        let lost = told.iter().flat_map(|told| memory.lost_outcomes(told));
+        lost.map(|(order, state)| (order.clone(), state)).collect()
+    }
+
     /// What is held of the orders, in a few bytes; none if nothing is known of them yet.
     pub fn roll_outs_mark(&self) -> Option<RollOutsMark> {
         self.roll_outs.borrow().as_ref().map(RollOuts::mark)
@@ -94,13 +110,21 @@
             .set(self.roll_outs_needed.get().max(newest));
     }
 
-    fn hold_roll_outs(&self, roll_outs: RollOuts) {
+    fn hold_roll_outs(&self, told: RollOuts) {
         let now = Clock.now();
+        let before = self.roll_outs.borrow().as_ref().map(|held| held.at.era);
+        let is_restored = before.is_some_and(|era| era < told.at.era);
+        let standing = {
+            let before = self.standing_roll_outs.borrow();
+            let mut memory = self.order_memory.borrow_mut();
+            memory.take_in(now, &before, &told, is_restored)
+        };
         for service in self.services.borrow().values() {
-            let order = roll_outs.get(service.name());
-            service.versions().apply(now, order, roll_outs.at);
+            let order = standing.get(service.name());
+            service.versions().apply(now, order, standing.at);
         }
-        *self.roll_outs.borrow_mut() = Some(roll_outs);
+        *self.standing_roll_outs.borrow_mut() = standing;
+        *self.roll_outs.borrow_mut() = Some(told);
     }
 }
 
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -71,9 +71,10 @@
 pub use revision::{Era, Revision};
 pub use roll_out::{
     Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
-    RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts, RollOutsMark,
-    RouteEvidence, Stage, StateWrite, StateWriteEnd, TrialContext, TrialCounts, TrialVerdict,
-    VersionCounts, VersionGate, VersionUse, WriteEnd, WriteFailure, WriteStep, route_hash,
+    OrderMemory, RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts,
+    RollOutsMark, RouteEvidence, Stage, StateWrite, StateWriteEnd, TrialContext, TrialCounts,
+    TrialVerdict, VersionCounts, VersionGate, VersionUse, WriteEnd, WriteFailure, WriteStep,
+    route_hash,
 };
 pub use route_table::RouteTable;
 pub use slowness::Slowness;
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -12,6 +12,7 @@
 mod judgement;
 mod leadership;
 mod order;
+mod order_memory;
 mod pace;
 mod reference;
 mod report;
@@ -28,6 +29,7 @@
 pub use exposure::ExposureBounds;
 pub use grant::{Grant, Stage};
 pub use order::{OrderId, RollOut, RollOutState, RollOuts, RollOutsMark};
+pub use order_memory::OrderMemory;
 pub use report::RollOutReport;
 pub use state_write::{StateWrite, StateWriteEnd, WriteEnd, WriteFailure, WriteStep};
 pub use trial::RollOutTrial;
--- a/crates/tansylead-route/src/roll_out/order.rs
+++ b/crates/tansylead-route/src/roll_out/order.rs
@@ -76,6 +76,16 @@
     pub changed_at: Revision,
 }
 
+impl RollOut {
+    /// Whether both orders move the same service to the same version in the same time. An order that is given
+    /// again after it was lost has another id.
+    pub fn orders_the_same_as(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.target == other.target
+            && self.duration == other.duration
+    }
+}
+
 /// All orders, as they were at one revision of the source.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct RollOuts {
