--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -4,6 +4,7 @@
 //! machine's scheduler does is not fixed.
 
 pub(crate) mod draw;
+pub(crate) mod drills;
 pub(crate) mod fatal;
 pub(crate) mod inject;
 pub(crate) mod roll_outs;
@@ -15,6 +16,7 @@
 use crate::seen_roll_out::SeenRollOut;
 use crate::traffic::Traffic;
 use draw::draw;
+use drills::Drills;
 use fatal::FatalCaller;
 use inject::inject;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -81,6 +83,7 @@
         &deployment.oracle,
     );
     let mut suspensions = Suspensions::draw(seed);
+    let mut drills = Drills::draw(seed);
     let mut schedule = RollOutSchedule::draw(seed, length, &deployment.services());
     let end = Instant::now() + length;
     while Instant::now() < end {
@@ -90,6 +93,7 @@
         inject(&mut deployment, fault, &mut random, &mut violations).await?;
         deployment.restart_crashed_leafs().await?;
         faults.extend(suspensions.proceed(&mut deployment).await);
+        faults.extend(drills.proceed(&mut deployment).await?);
         let pause = Duration::from_millis(random.random_range(200..1_500));
         tokio::time::sleep(pause).await;
     }
