Emulator: the operator writes again what stands by then; a copy's own state of a roll-out is no turn

Only the very state of the copy, in the era that it began, is passed over, until the outcome stands again; what a daemon writes meanwhile still counts.

--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -8,7 +8,7 @@
 use crate::leaf_registry::LeafRegistry;
 use crate::oracle::{CallerEnd, Oracle};
 use crate::proxy::Proxy;
-use crate::restored_store::OperatorWords;
+use crate::restored_store::SharedOperatorWords;
 use crate::roll_out::RollOutTasks;
 use crate::routes::{Routes, further_service};
 use crate::store::StoreServer;
@@ -90,7 +90,7 @@
     pub routes: Routes,
     pub(crate) registry: LeafRegistry,
     pub(crate) roll_outs: RollOutTasks,
-    pub(crate) operator_words: OperatorWords,
+    pub(crate) operator_words: SharedOperatorWords,
     version: u64,
     next_leaf: u32,
     pub(crate) folder: TempDir,
@@ -108,7 +108,7 @@
             routes: Routes::new(plan.shards, plan.further_services),
             registry: LeafRegistry::default(),
             roll_outs: RollOutTasks::default(),
-            operator_words: OperatorWords::default(),
+            operator_words: SharedOperatorWords::default(),
             version: 0,
             next_leaf: 1,
             folder: tempfile::tempdir()?,
@@ -149,7 +149,7 @@
     pub fn configure(&mut self, routes: &[RoutePlan]) -> u64 {
         self.version += 3;
         let spec = document(self.version, routes, LEAF_CONNECTIONS);
-        self.operator_words.configuration = Some(spec.clone());
+        self.operator_words.lock().configuration = Some(spec.clone());
         self.store.put("config", "main", spec);
         self.version
     }
@@ -258,15 +258,16 @@
     }
 
     /// Orders that nothing more be sent to the leafs of a zone.
-    pub fn evacuate(&mut self, zone: &str) {
-        self.operator_words.evacuations.insert(zone.to_owned());
+    pub fn evacuate(&self, zone: &str) {
+        let words = &self.operator_words;
+        words.lock().evacuations.insert(zone.to_owned());
         self.store.put("evacuations", zone, json!({}));
         self.oracle.evacuate(zone);
     }
 
     /// Takes the order back.
-    pub fn end_evacuation(&mut self, zone: &str) {
-        self.operator_words.evacuations.remove(zone);
+    pub fn end_evacuation(&self, zone: &str) {
+        self.operator_words.lock().evacuations.remove(zone);
         self.oracle.end_evacuation(zone);
         self.store.delete("evacuations", zone);
     }
--- a/crates/tansylead-emulator/src/restored_store.rs
+++ b/crates/tansylead-emulator/src/restored_store.rs
@@ -4,8 +4,10 @@
 use crate::deployment::Deployment;
 use crate::leaf::LeafControl;
 use crate::store::{StoreCopy, StoreServer};
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Each leaf has written its entry again after this time.
@@ -15,6 +17,9 @@
 /// The operator has written again after this time.
 const OPERATOR_WAIT: Duration = Duration::from_millis(1_500);
 
+/// What the operator has written, shared with whoever writes it again: it may have changed by then.
+pub(crate) type SharedOperatorWords = Arc<Mutex<OperatorWords>>;
+
 /// What the operator has written, as it stands.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OperatorWords {
@@ -28,8 +33,8 @@
 
 impl OperatorWords {
     /// Writes again what the store has lost, and takes back what it has brought back.
-    fn write(self, store: &StoreServer) {
-        if let Some(configuration) = self.configuration {
+    fn write(&self, store: &StoreServer) {
+        if let Some(configuration) = self.configuration.clone() {
             store.put("config", "main", configuration);
         }
         for zone in &self.evacuations {
@@ -40,8 +45,8 @@
                 store.delete("evacuations", &zone);
             }
         }
-        for (service, order) in self.orders {
-            store.put("rollouts", &service, order);
+        for (service, order) in &self.orders {
+            store.put("rollouts", service, order.clone());
         }
     }
 }
@@ -49,6 +54,7 @@
 impl Deployment {
     /// Brings the store back from a copy, and has written again what others than the daemons wrote.
     pub fn restore_store(&self, copy: StoreCopy) {
+        self.lose_outcomes(&copy);
         self.store.restore(copy);
         let store = self.store.clone();
         let leafs: Vec<LeafControl> = self.leafs.iter().map(|leaf| leaf.control.clone()).collect();
@@ -65,10 +71,10 @@
             .filter_map(|name| store.get("servers", &name))
             .collect();
         tokio::spawn(beat(leafs.clone()));
-        let words = self.operator_words.clone();
+        let words = Arc::clone(&self.operator_words);
         tokio::spawn(async move {
             tokio::time::sleep(OPERATOR_WAIT).await;
-            words.write(&store);
+            words.lock().write(&store);
             tokio::time::sleep(LAPSE.saturating_sub(OPERATOR_WAIT)).await;
             for object in dead {
                 store.delete_unchanged("servers", &object);
--- a/crates/tansylead-emulator/src/roll_out.rs
+++ b/crates/tansylead-emulator/src/roll_out.rs
@@ -7,10 +7,10 @@
 use crate::roll_out_plan::{RollOutPlan, TargetLeafs};
 use crate::roll_out_rules::RollOutId;
 use crate::seen_roll_out::{RollOutEnd, RollOutOrder};
-use crate::store::StoreServer;
+use crate::store::{StoreCopy, StoreServer};
 use crate::version::LeafVersion;
 use parking_lot::Mutex;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::sync::Arc;
@@ -63,6 +63,7 @@
             oracle: self.oracle.clone(),
             registry: self.registry.clone(),
             progress: Mutex::new(Progress::Open),
+            lost: Mutex::default(),
         });
         if let TargetLeafs::Crash(after) = plan.leafs {
             let crashing = Arc::clone(&watched);
@@ -109,9 +110,18 @@
         }
     }
 
+    /// Notes that the store is about to come back from a copy: what it says of roll-outs that have ended may go back
+    /// with it.
+    pub(crate) fn lose_outcomes(&self, copy: &StoreCopy) {
+        let era = self.store.era() + 1;
+        for watched in self.roll_outs.watched.values() {
+            watched.lose(era, copy);
+        }
+    }
+
     /// Writes an order over an earlier one, if there is one. One for the same version is made anew: what is
     /// said of the earlier one could not be told from what is said of it.
-    fn write_order(&mut self, plan: &RollOutPlan, earlier: Option<&str>) {
+    fn write_order(&self, plan: &RollOutPlan, earlier: Option<&str>) {
         if earlier == Some(plan.target.as_str()) {
             self.store.delete(KIND, &plan.service);
         }
@@ -120,7 +130,7 @@
             "target_version": plan.target,
             "duration_s": plan.duration.as_secs_f64(),
         });
-        let orders = &mut self.operator_words.orders;
+        let orders = &mut self.operator_words.lock().orders;
         orders.insert(plan.service.clone(), spec.clone());
         self.store.put(KIND, &plan.service, spec);
     }
@@ -151,6 +161,8 @@
     oracle: Oracle,
     registry: LeafRegistry,
     progress: Mutex<Progress>,
+    /// What a copy that the store came back from says of it, and the era that this began.
+    lost: Mutex<Option<(u64, Option<String>)>>,
 }
 
 async fn watch(watched: Arc<Watched>) {
@@ -180,7 +192,11 @@
                     RollOutEnd::RolledBack => self.drain_new_leafs(),
                 }
             }
-            (Progress::Ended(_), Some(end)) => self.oracle.end_roll_out(self.id, end),
+            (Progress::Ended(_), Some(end)) => {
+                self.forget_lost();
+                self.oracle.end_roll_out(self.id, end);
+            }
+            (Progress::Ended(_), None) if self.is_lost(said.as_deref()) => {}
             (Progress::Ended(_), None) => {
                 let state = said.as_deref().unwrap_or("nothing");
                 self.oracle.turn_roll_out(self.id, state);
@@ -189,9 +205,37 @@
         }
     }
 
+    /// Notes that the store is about to come back from a copy, in this era.
+    fn lose(&self, era: u64, copy: &StoreCopy) {
+        let state = copy
+            .get(KIND, &self.service)
+            .and_then(|object| self.own_state(&object.status));
+        *self.lost.lock() = Some((era, state));
+    }
+
+    /// Whether the state is the one that the store itself has gone back to. Any other was written by a daemon.
+    fn is_lost(&self, said: Option<&str>) -> bool {
+        let lost = self.lost.lock();
+        let (era, state) = match lost.as_ref() {
+            Some((era, state)) => (*era, state.as_deref()),
+            None => return false,
+        };
+        era == self.store.era() && state == said
+    }
+
+    /// The outcome stands again: from now on it must not turn.
+    fn forget_lost(&self) {
+        let era = self.store.era();
+        self.lost.lock().take_if(|(lost, _)| *lost == era);
+    }
+
     /// The state that the store has, if it is one of this order.
     fn said(&self) -> Option<String> {
         let status = self.store.get(KIND, &self.service)?.status;
+        self.own_state(&status)
+    }
+
+    fn own_state(&self, status: &Value) -> Option<String> {
         let is_own = status["target_version"] == self.version.name.as_str();
         let state = status["state"].as_str().filter(|_| is_own)?;
         Some(state.to_owned())
--- a/crates/tansylead-emulator/src/store/objects.rs
+++ b/crates/tansylead-emulator/src/store/objects.rs
@@ -76,6 +76,13 @@
     kinds: BTreeMap<String, BTreeMap<String, StoredObject>>,
 }
 
+impl StoreCopy {
+    /// An object as it was.
+    pub fn get(&self, kind: &str, name: &str) -> Option<&StoredObject> {
+        self.kinds.get(kind)?.get(name)
+    }
+}
+
 /// All objects.
 #[derive(Debug)]
 pub struct ObjectStore {
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -153,6 +153,11 @@
         self.notify();
     }
 
+    /// Counts how often the store came back from a copy.
+    pub fn era(&self) -> u64 {
+        self.shared.objects.lock().era()
+    }
+
     /// Names of all objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         self.shared.objects.lock().names(kind)
