The time to join grows with the daemons heard of

Cause: who had not joined 8 s after its start registered and read the list of registered daemons each 2 s.

Change: 20 ms more for each daemon heard of; who knows of few is lost as soon as before.

Not mended: joining itself, which hands over the whole table through 9.5 kB a second of each daemon. Test: views of 1,000 and 2,000 daemons.

--- a/crates/tansylead-gateway/src/cluster/registration.rs
+++ b/crates/tansylead-gateway/src/cluster/registration.rs
@@ -17,9 +17,11 @@
 const SPREAD: Duration = Duration::from_millis(1_500);
 /// Period at which it is looked whether the daemon has joined.
 const PERIOD: Duration = Duration::from_secs(2);
-/// A fleet that starts at once joins within this time (measured with 95 daemons on the users' bench:
-/// 8 s); who has not joined by then needs help, even if it has heard of some daemons.
+/// Who has not joined after this time needs help, even if it has heard of some daemons.
 const JOIN_LIMIT: Duration = Duration::from_secs(8);
+/// Further time to join for each daemon heard of: the table of a large fleet takes long to hand over, and who has
+/// heard of many is not lost among few. Calls to the source would grow with the fleet.
+const JOIN_TIME_PER_MEMBER: Duration = Duration::from_millis(20);
 
 /// What a daemon does about finding and being found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,7 +35,9 @@
 impl RegistrationNeed {
     /// The need of a daemon with this view that started `uptime` ago.
     pub fn new(view: &ClusterView, uptime: Duration) -> Self {
-        let is_lost = !view.is_joined() && (view.is_alone() || uptime > JOIN_LIMIT);
+        let members = u32::try_from(view.member_nodes().len()).unwrap_or(u32::MAX);
+        let limit = JOIN_LIMIT + JOIN_TIME_PER_MEMBER.saturating_mul(members);
+        let is_lost = !view.is_joined() && (view.is_alone() || uptime > limit);
         Self {
             is_to_be_found: is_lost || view.is_watcher(),
             is_lost,
--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -245,6 +245,23 @@
     assert!(RegistrationNeed::new(&own, old).is_lost, "never joined");
 }
 
+#[test]
+fn a_daemon_that_is_handed_the_table_of_a_large_fleet_is_not_lost() {
+    // Those that had not joined in the time of a small fleet all registered, and read the list each 2 s.
+    for (known, seconds) in [(1_000, 25), (2_000, 45)] {
+        let (_, members) = view(known);
+        let member = &members[5];
+        let own = ClusterView::new(member.node(), member.place.clone(), 2, Vec::new());
+        own.set_members(members[..known].to_vec(), false);
+        let need = RegistrationNeed::new(&own, Duration::from_secs(seconds));
+        assert!(!need.is_lost, "{known}");
+        assert!(
+            RegistrationNeed::new(&own, Duration::from_secs(60)).is_lost,
+            "not for ever"
+        );
+    }
+}
+
 #[test]
 fn a_fresher_word_is_told_at_once_but_not_the_same_word_again() {
     // Regression: a confirmation that came while a poll was on its way was told a whole poll later, and
