--- a/crates/tansylead-gateway/tests/feeds.rs
+++ b/crates/tansylead-gateway/tests/feeds.rs
@@ -248,11 +248,11 @@
 #[test]
 fn a_daemon_that_is_handed_the_table_of_a_large_fleet_is_not_lost() {
     // Those that had not joined in the time of a small fleet all registered, and read the list each 2 s.
-    for (known, seconds) in [(1_000, 25), (2_000, 45)] {
+    for (known, seconds) in [(1_000_u16, 25), (2_000, 45)] {
         let (_, members) = view(known);
         let member = &members[5];
         let own = ClusterView::new(member.node(), member.place.clone(), 2, Vec::new());
-        own.set_members(members[..known].to_vec(), false);
+        own.set_members(members[..usize::from(known)].to_vec(), false);
         let need = RegistrationNeed::new(&own, Duration::from_secs(seconds));
         assert!(!need.is_lost, "{known}");
         assert!(
