--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -74,6 +74,7 @@
             let (result, current) = self.ask(wait).await;
             self.count(&result);
             match result {
+                Ok(update) if self.is_late(&update) => self.pass_over(update).await,
                 Ok(update) => {
                     let waited = Clock.now().since(asked);
                     self.take_in(update, current);
@@ -211,15 +212,22 @@
         }
     }
 
+    /// Whether an answer is from before the source came back from a copy.
+    fn is_late(&self, update: &SourceUpdate) -> bool {
+        self.gateway.is_from_earlier_era(update.at.era)
+    }
+
+    /// A source that gives such answers again and again is not asked without a pause.
+    async fn pass_over(&self, update: SourceUpdate) {
+        log::info!(topic = self.topic.label(), era = update.at.era.0; "late answer of the source passed over");
+        tokio::time::sleep(jittered(FIRST_RETRY)).await;
+    }
+
     fn take_in(&mut self, update: SourceUpdate, current: Moment) {
         if self.failures > 0 {
             log::info!(topic = self.topic.label(), failures = self.failures; "source regained");
         }
         self.failures = 0;
-        if self.gateway.is_from_earlier_era(update.at.era) {
-            log::info!(topic = self.topic.label(), era = update.at.era.0; "late answer of the source passed over");
-            return;
-        }
         self.position = Some(update.at);
         self.apply(update);
         self.gateway.confirm(self.topic, current);
@@ -262,6 +270,7 @@
         let (result, asked) = self.read().await;
         self.count(&result);
         match result {
+            Ok(update) if self.is_late(&update) => self.pass_over(update).await,
             Ok(update) => self.take_in(update, asked),
             Err(_) => tokio::time::sleep(jittered(FIRST_RETRY)).await,
         }
