--- a/crates/tansylead-route/tests/directory.rs
+++ b/crates/tansylead-route/tests/directory.rs
@@ -268,7 +268,7 @@
         phase: LeafPhase::Draining,
         ..run(1_000, 4)
     };
-    directory.apply(whole(in_era(1, 10), &[leaving.clone()]));
+    directory.apply(whole(in_era(1, 10), std::slice::from_ref(&leaving)));
     assert!(
         directory
             .apply(whole(in_era(2, 5), &[run(1_000, 4)]))
