Quarantine: an innocent that runs beside the cause of two events is not refused

Callers saw: while one request ended leafs in bursts, callers of another one got 503 `ends_leafs` for two minutes, 99 refusals in one run of copies_of_it_in_bursts_at_many_daemons_soon_reach_no_leaf.

Hypotheses: (1) a storm that lasts for more than a second on a short processor counts as two events; (2) the innocent is struck in two real events and was not answered in between; (3) fingerprints collide, or another daemon's record is taken for this request's. The logs told nothing of the strikes behind a verdict, so the line `strikes against a quarantined request` was added first, with runs, events, and each leaf's run.

Evidence (run 10 of the test beside three busy processes and another copy of it, load 11 on 5 processors): the innocent had five strikes of the first event, whose ends lie within 35 ms and which count as three successive runs, and one strike 1.95 s later, of the very leaf on which the cause was tried in the second event. The second hypothesis. The first event ends all leafs so fast that the retries of any request look like successive runs. So the first event distinguishes nothing, and one shared leaf decided. Callers of a busy fleet meet it: it takes a request that was not answered between the restart of leafs and the next copy of the cause.

Change: a strike names its request. A request is quarantined for a strike of its second event only if no other suspect has a strike of the same leaf. While there are other suspects, this is decided half a second after the strike, since the daemons learn of each other's strikes later than of their own. Once the innocent is answered it is no suspect, and the cause is quarantined on the next tick. Requests that always come together are quarantined after a third event. A request that is the only suspect is quarantined at once, as before.

The field raises the version of the datagrams: daemons of both versions ignore each other's until all are restarted.

Failed before: of_two_requests_on_the_leaf_that_ends_none_is_quarantined_until_the_other_is_answered, a_daemon_waits_for_what_others_tell_of_the_leaf_that_ended, and a_request_that_ran_alone_on_the_leaf_that_ended_is_quarantined_beside_other_suspects (as it asks for the wait).

--- a/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
+++ b/crates/tansylead-gateway/src/quarantine/leaf_ends.rs
@@ -68,7 +68,8 @@
         .chain(&abandoned)
         .filter(|run| !run.limiter.is_answered())
     {
-        let strike = Strike::new(&ended, run.sent, run.lost, run.fingerprints.caller);
+        let strike = Strike::new(&ended, run.sent, run.lost, run.fingerprints.caller)
+            .against(&run.fingerprints);
         gateway.quarantine.on_strike(&run.fingerprints, strike);
     }
     // Requests that wait may be admitted or refused now.
@@ -87,8 +88,10 @@
         .map(RequestFingerprint::to_string)
         .collect();
     let entry = leaf.entry();
+    let run = Strike::hash_of(&entry.run());
     log::info!(
         leaf = entry.leaf.as_str(),
+        run = format!("{run:016x}").as_str(),
         service = entry.service.as_str(),
         sign = sign.label(),
         requests = fingerprints.len(),
--- a/crates/tansylead-gateway/src/quarantine/messages.rs
+++ b/crates/tansylead-gateway/src/quarantine/messages.rs
@@ -27,7 +27,7 @@
 }
 
 impl DatagramMessage for QuarantineMessage {
-    const VERSION: u8 = 0x83;
+    const VERSION: u8 = 0x85;
 }
 
 /// Encodes and decodes messages about requests under which leafs end.
--- a/crates/tansylead-gateway/src/quarantine/mod.rs
+++ b/crates/tansylead-gateway/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Requests under which leafs end: this daemon detects them, sends them to one leaf at a time, refuses them, and
 //! reports them to other daemons and the source. `tansylead-route` decides when a request is quarantined.
 
+mod evidence_log;
 mod exchange;
 mod leaf_ends;
 mod messages;
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -1,5 +1,6 @@
 //! This daemon's records of requests under which leafs end, and the verdicts on its own requests.
 
+use super::evidence_log::log_evidence;
 use super::messages::{QuarantineMessage, TableDigest};
 use super::outbox::{Fanout, Outbox, OutgoingMessages};
 use super::source_writes::{SourceWrite, SourceWrites};
@@ -183,10 +184,16 @@
         }
     }
 
-    /// Records that this process runs. After a pause, old messages from the socket look as if they were new, and one
-    /// event would look like two: messages are dropped for a moment.
+    /// Records that this process runs, and decides on requests whose strikes could not be attributed before. After a
+    /// pause, old messages from the socket look as if they were new, and one event would look like two: messages are
+    /// dropped for a moment.
     pub fn tick(&self, now: Moment) {
         self.pause_guard.borrow_mut().check(now);
+        let decided = self.table.borrow_mut().decide_pending(now);
+        for fingerprint in decided {
+            let change = QuarantineChange::Quarantined;
+            self.on_change(fingerprint, Some(change), Fanout::Wide);
+        }
     }
 
     fn merge(&self, record: QuarantineRecord) {
@@ -285,6 +292,10 @@
         }
         let scope = fingerprint.scope().label();
         log::info!(fingerprint:% = fingerprint, scope = scope, change = change.label(), is_own = is_own; "request under which leafs end");
+        if is_quarantined {
+            let evidence = self.table.borrow().evidence(fingerprint);
+            log_evidence(fingerprint, &evidence, Clock.now());
+        }
     }
 
     fn queue_record(
--- a/crates/tansylead-route/src/quarantine/fingerprint.rs
+++ b/crates/tansylead-route/src/quarantine/fingerprint.rs
@@ -11,6 +11,8 @@
 
 /// Bits of a fingerprint that encode its scope.
 const SCOPE_MASK: u128 = 0b11;
+/// Position of the bits of a short hash.
+const SHORT_HASH_SHIFT: u32 = 96;
 
 /// The parts of a request that its fingerprints are computed from.
 #[derive(Debug, Clone, Copy)]
@@ -85,6 +87,11 @@
             _ => FingerprintScope::Exact,
         }
     }
+
+    /// Some bits of the hash, where the whole is too long.
+    pub(super) fn short_hash(self) -> u32 {
+        (self.0 >> SHORT_HASH_SHIFT) as u32
+    }
 }
 
 impl RequestFingerprints {
--- a/crates/tansylead-route/src/quarantine/message.rs
+++ b/crates/tansylead-route/src/quarantine/message.rs
@@ -14,6 +14,7 @@
     ran_millis: u32,
     ended_millis_ago: u32,
     caller: u32,
+    request: u32,
 }
 
 /// One daemon's record of one request.
@@ -34,6 +35,7 @@
             ran_millis: millis(strike.ended.since(strike.sent)),
             ended_millis_ago: millis(now.since(strike.ended)),
             caller: strike.caller,
+            request: strike.request,
         };
         Self {
             fingerprint,
@@ -52,6 +54,7 @@
                 sent: ended - Duration::from_millis(encoded.ran_millis.into()),
                 ended,
                 caller: encoded.caller,
+                request: encoded.request,
             }
         });
         Record {
--- a/crates/tansylead-route/src/quarantine/mod.rs
+++ b/crates/tansylead-route/src/quarantine/mod.rs
@@ -4,6 +4,7 @@
 //! strikes refuses the request. Daemons exchange their records, so that each recognizes a request that others
 //! have seen. Any answer of a leaf clears the request.
 
+mod evidence;
 mod fingerprint;
 mod message;
 mod recent_answers;
@@ -11,6 +12,7 @@
 mod strike;
 mod table;
 
+pub use evidence::QuarantineEvidence;
 pub use fingerprint::{FingerprintScope, RequestFingerprint, RequestFingerprints, RequestIdentity};
 pub use message::QuarantineRecord;
 pub use recent_answers::RecentAnswers;
--- a/crates/tansylead-route/src/quarantine/record.rs
+++ b/crates/tansylead-route/src/quarantine/record.rs
@@ -1,7 +1,7 @@
 //! Record of the strikes against one request, and the verdict that follows from them.
 
 use super::fingerprint::FingerprintScope;
-use super::strike::{Strike, count_events, count_successive};
+use super::strike::{Strike, after_first_event, count_events, count_successive};
 use std::collections::HashSet;
 use std::time::Duration;
 use tansylead_types::Moment;
@@ -125,6 +125,35 @@
         is_enough && (is_one_caller || self.has_several_callers())
     }
 
+    /// Strikes of all events but the first. In the first one, leafs may end so fast under another request that this
+    /// one is struck by several in succession.
+    pub(super) fn later_strikes(&self) -> Vec<Strike> {
+        after_first_event(&self.strikes)
+    }
+
+    /// Whether the strikes span more events than a quarantine requires.
+    pub(super) fn has_further_events(&self) -> bool {
+        count_events(&self.strikes) > QUARANTINE_EVENTS
+    }
+
+    /// Whether the strikes of both records are against the same request, in whichever scopes.
+    pub(super) fn is_of_same_request_as(&self, other: &Self) -> bool {
+        let mut own = self.strikes.iter();
+        own.any(|own| {
+            let mut others = other.strikes.iter();
+            others.any(|other| other.request == own.request)
+        })
+    }
+
+    /// Whether the leaf of this strike may have ended under this request too: it has a strike of the same leaf, or so
+    /// many at that time that not all of them are kept.
+    pub(super) fn may_share(&self, strike: &Strike) -> bool {
+        let mut strikes = self.strikes.iter();
+        let overlapping = self.strikes.iter().filter(|own| own.overlaps(strike));
+        strikes.any(|own| own.leaf == strike.leaf)
+            || overlapping.count() >= MAXIMUM_STRIKES_PER_EVENT
+    }
+
     /// Quarantines the request, for twice as long as the time before, up to the maximum.
     pub(super) fn quarantine(&mut self, now: Moment) {
         self.times_quarantined = self.times_quarantined.saturating_add(1);
--- a/crates/tansylead-route/src/quarantine/strike.rs
+++ b/crates/tansylead-route/src/quarantine/strike.rs
@@ -1,5 +1,6 @@
 //! Strikes: leafs that ended while they ran a request, and how many independent failures they stand for.
 
+use super::fingerprint::RequestFingerprints;
 use crate::leaf::LeafRun;
 use std::time::Duration;
 use tansylead_types::Moment;
@@ -20,20 +21,36 @@
     pub ended: Moment,
     /// Hash of the caller's address.
     pub caller: u32,
+    /// Hash of the request without its query, by which strikes against different requests are told apart.
+    pub request: u32,
 }
 
 impl Strike {
     /// Creates the strike for a request that was lost with this run of a leaf.
     pub fn new(leaf: &LeafRun, sent: Moment, ended: Moment, caller: u32) -> Self {
-        let started = leaf.started.map_or(0, |started| started.0);
         Self {
-            leaf: xxh3_64_with_seed(leaf.leaf.as_str().as_bytes(), started),
+            leaf: Self::hash_of(leaf),
             sent,
             ended,
             caller,
+            request: 0,
+        }
+    }
+
+    /// The same strike, against this request.
+    pub fn against(self, request: &RequestFingerprints) -> Self {
+        Self {
+            request: request.path.short_hash(),
+            ..self
         }
     }
 
+    /// Hash that identifies a run of a leaf in strikes.
+    pub fn hash_of(leaf: &LeafRun) -> u64 {
+        let started = leaf.started.map_or(0, |started| started.0);
+        xxh3_64_with_seed(leaf.leaf.as_str().as_bytes(), started)
+    }
+
     /// Whether the request was sent only after the run of `earlier` had ended.
     fn follows(&self, earlier: &Strike) -> bool {
         let shorter = self.duration().min(earlier.duration());
@@ -58,17 +75,27 @@
 /// Counts the events that the strikes belong to. An event covers the runs sent less than [`EVENT_WINDOW`] after the
 /// end of its first strike.
 pub(super) fn count_events(strikes: &[Strike]) -> usize {
+    events(strikes).len()
+}
+
+/// Strikes of all events but the first.
+pub(super) fn after_first_event(strikes: &[Strike]) -> Vec<Strike> {
+    events(strikes).into_iter().skip(1).flatten().collect()
+}
+
+/// The strikes by event, in the sequence of their ends.
+fn events(strikes: &[Strike]) -> Vec<Vec<Strike>> {
     let mut by_end = strikes.to_vec();
     by_end.sort_by_key(|strike| strike.ended);
-    let mut event_began: Option<Moment> = None;
-    let mut count = 0;
+    let mut events: Vec<Vec<Strike>> = Vec::new();
     for strike in by_end {
-        if event_began.is_none_or(|event_began| strike.sent.since(event_began) >= EVENT_WINDOW) {
-            count += 1;
-            event_began = Some(strike.ended);
+        let is_of = |event: &Vec<Strike>| strike.sent.since(event[0].ended) < EVENT_WINDOW;
+        match events.last_mut().filter(|event| is_of(event)) {
+            Some(event) => event.push(strike),
+            None => events.push(vec![strike]),
         }
     }
-    count
+    events
 }
 
 /// Counts the longest sequence of strikes in which each run began after the one before had ended. Leafs that end
--- a/crates/tansylead-route/src/quarantine/table.rs
+++ b/crates/tansylead-route/src/quarantine/table.rs
@@ -4,18 +4,25 @@
 //! the one before had ended, and only as long as no later run was answered; daemons with the same records give the
 //! same verdicts.
 
+use super::evidence::QuarantineEvidence;
 use super::fingerprint::{FingerprintScope, RequestFingerprint, RequestFingerprints};
 use super::message::QuarantineRecord;
 use super::recent_answers::RecentAnswers;
 use super::record::{Record, Verdict};
 use super::strike::Strike;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 use tansylead_types::Moment;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Most requests with a record, which takes some 100 kB at most.
 pub const MAXIMUM_RECORDS: usize = 256;
 
+/// While several requests are suspects, the quarantine of one is decided this long after its last strike: by then
+/// other daemons have told which of the suspects ran on the same leaf. Covers the probe of a leaf's address, two
+/// messages, and waits for the processor.
+const ATTRIBUTION_TIME: Duration = Duration::from_millis(500);
+
 /// What a change of a record means for the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
@@ -59,6 +66,8 @@
     records: HashMap<RequestFingerprint, Record>,
     /// Fingerprints in the wider scopes of requests that were answered recently. No record is kept against these.
     answered: RecentAnswers,
+    /// Requests struck here that are not quarantined because their leafs may have ended under other requests.
+    undecided: BTreeSet<RequestFingerprint>,
 }
 
 impl Quarantine {
@@ -98,6 +107,12 @@
         record.is_some_and(Record::is_likely_cause)
     }
 
+    /// The strikes behind the verdict on a request.
+    pub fn evidence(&self, fingerprint: RequestFingerprint) -> QuarantineEvidence {
+        let record = self.records.get(&fingerprint);
+        record.map_or_else(QuarantineEvidence::default, QuarantineEvidence::of)
+    }
+
     /// Whether the table has no records.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -143,7 +158,58 @@
         if self.was_similar_answered(now, fingerprint) {
             return None;
         }
-        self.update(now, fingerprint, |record| record.add(now, strike))
+        let change = self.update(now, fingerprint, |record| record.add(now, strike));
+        let is_undecided = self.records.get(&fingerprint).is_some_and(|record| {
+            record.times_quarantined == 0 && record.warrants_quarantine(fingerprint.scope())
+        });
+        if is_undecided {
+            self.undecided.insert(fingerprint);
+        }
+        change
+    }
+
+    /// Quarantines the requests struck here of which it is known by now that their leafs ended under no other
+    /// request. Returns these requests.
+    pub fn decide_pending(&mut self, now: Moment) -> Vec<RequestFingerprint> {
+        let mut decided = Vec::new();
+        for fingerprint in std::mem::take(&mut self.undecided) {
+            let Some(record) = self.records.get(&fingerprint) else {
+                continue;
+            };
+            let is_open =
+                record.times_quarantined == 0 && record.warrants_quarantine(fingerprint.scope());
+            if !is_open {
+                continue;
+            }
+            if self.is_attributable(now, record) {
+                self.quarantine(now, fingerprint);
+                decided.push(fingerprint);
+            } else {
+                self.undecided.insert(fingerprint);
+            }
+        }
+        decided
+    }
+
+    /// Whether the strikes of a record show that this request and no other made leafs end. A request that merely ran
+    /// beside the cause of two events may have as many strikes as the cause, but in the second event they are of
+    /// leafs that ended under both.
+    fn is_attributable(&self, now: Moment, record: &Record) -> bool {
+        if record.has_further_events() {
+            return true;
+        }
+        let is_other_suspect = |(fingerprint, other): &(&RequestFingerprint, &Record)| {
+            let verdict = other.verdict(now, fingerprint.scope());
+            verdict != Verdict::Clear && !other.is_of_same_request_as(record)
+        };
+        let others = self.records.iter().filter(is_other_suspect);
+        let others: Vec<&Record> = others.map(|(_, other)| other).collect();
+        if others.is_empty() {
+            return true;
+        }
+        let is_shared = |strike: &Strike| others.iter().any(|other| other.may_share(strike));
+        let is_settled = now.since(record.changed) >= ATTRIBUTION_TIME;
+        is_settled && !record.later_strikes().iter().all(is_shared)
     }
 
     /// Clears a request that a leaf has answered. Returns what changed, if anything.
@@ -295,13 +361,20 @@
         fingerprint: RequestFingerprint,
         before: Verdict,
     ) {
-        let Some(record) = self.records.get_mut(&fingerprint) else {
+        let Some(record) = self.records.get(&fingerprint) else {
             return;
         };
         let is_repeated = record.times_quarantined > 0 && before == Verdict::Suspect;
-        let is_first =
-            record.times_quarantined == 0 && record.warrants_quarantine(fingerprint.scope());
+        let is_first = record.times_quarantined == 0
+            && record.warrants_quarantine(fingerprint.scope())
+            && self.is_attributable(now, record);
         if !record.is_cleared() && (is_repeated || is_first) {
+            self.quarantine(now, fingerprint);
+        }
+    }
+
+    fn quarantine(&mut self, now: Moment, fingerprint: RequestFingerprint) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
             record.quarantine(now);
         }
     }
--- a/crates/tansylead-route/tests/quarantine.rs
+++ b/crates/tansylead-route/tests/quarantine.rs
@@ -384,3 +384,102 @@
     assert_ne!(strike(1).leaf, strike(2).leaf);
     assert_eq!(strike(1).leaf, strike(1).leaf);
 }
+
+/// Two requests with these paths, of one caller.
+fn two_requests() -> [RequestFingerprints; 2] {
+    ["/fatal", "/harmless"].map(|target| {
+        let identity = RequestIdentity {
+            caller: [10, 0, 0, 1].into(),
+            method: "GET",
+            host: "search.example",
+            target,
+            body: b"",
+        };
+        identity.fingerprints()
+    })
+}
+
+/// Strikes a request in the path scope.
+fn strike_request(table: &mut Quarantine, request: &RequestFingerprints, leaf: usize, sent: u64) {
+    let strike = strike(leaf, sent).against(request);
+    table.on_strike(at(sent + RUN), request.path, strike);
+}
+
+/// Strikes both requests by three leafs in succession, as happens when one of them makes all leafs end at once.
+fn strike_both_in_one_event(table: &mut Quarantine) {
+    for (number, request) in two_requests().iter().enumerate() {
+        for run in 0..3 {
+            strike_request(table, request, number * 10 + run, run as u64 * RUN);
+        }
+    }
+}
+
+/// Start of the second event, and a moment at which all daemons have told of it, in milliseconds.
+const SECOND_EVENT: u64 = 2_000;
+const ALL_TOLD: u64 = SECOND_EVENT + 1_000;
+
+/// Guards against innocents that are refused because they ran beside the cause of two events.
+#[test]
+fn of_two_requests_on_the_leaf_that_ends_none_is_quarantined_until_the_other_is_answered() {
+    let [fatal, harmless] = two_requests();
+    for order in [[fatal, harmless], [harmless, fatal]] {
+        let mut table = Quarantine::default();
+        strike_both_in_one_event(&mut table);
+        for request in &order {
+            strike_request(&mut table, request, 30, SECOND_EVENT);
+        }
+        assert!(table.decide_pending(at(ALL_TOLD)).is_empty());
+        for request in &order {
+            let verdict = table.verdict(at(ALL_TOLD), request.path);
+            assert_eq!(verdict, Verdict::Suspect);
+        }
+        table.on_answer(at(ALL_TOLD), harmless.path);
+        assert_eq!(table.decide_pending(at(ALL_TOLD)), [fatal.path]);
+        assert!(is_quarantined(&table, at(ALL_TOLD), fatal.path));
+        assert!(!is_quarantined(&table, at(ALL_TOLD), harmless.path));
+    }
+}
+
+/// Guards against innocents that are refused before another daemon has told that the cause ran on the same leaf.
+#[test]
+fn a_daemon_waits_for_what_others_tell_of_the_leaf_that_ended() {
+    let [fatal, harmless] = two_requests();
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    for table in [&mut here, &mut there] {
+        strike_both_in_one_event(table);
+    }
+    strike_request(&mut here, &harmless, 30, SECOND_EVENT);
+    strike_request(&mut there, &fatal, 30, SECOND_EVENT);
+    let now = at(SECOND_EVENT + RUN + 100);
+    assert!(!is_quarantined(&here, now, harmless.path));
+    here.merge(now, there.record(now, fatal.path).expect("held"));
+    assert!(here.decide_pending(at(ALL_TOLD)).is_empty());
+    assert!(!is_quarantined(&here, at(ALL_TOLD), harmless.path));
+}
+
+#[test]
+fn a_request_that_ran_alone_on_the_leaf_that_ended_is_quarantined_beside_other_suspects() {
+    let [fatal, harmless] = two_requests();
+    let mut table = Quarantine::default();
+    strike_both_in_one_event(&mut table);
+    strike_request(&mut table, &fatal, 30, SECOND_EVENT);
+    assert!(!is_quarantined(&table, at(SECOND_EVENT + RUN), fatal.path));
+    assert_eq!(table.decide_pending(at(ALL_TOLD)), [fatal.path]);
+    assert_eq!(table.verdict(at(ALL_TOLD), harmless.path), Verdict::Suspect);
+}
+
+#[test]
+fn requests_that_always_come_together_are_quarantined_after_a_third_event() {
+    const THIRD_EVENT: u64 = 4_000;
+    let requests = two_requests();
+    let mut table = Quarantine::default();
+    strike_both_in_one_event(&mut table);
+    for (leaf, sent) in [(30, SECOND_EVENT), (31, THIRD_EVENT)] {
+        for request in &requests {
+            strike_request(&mut table, request, leaf, sent);
+        }
+    }
+    for request in &requests {
+        assert!(is_quarantined(&table, at(THIRD_EVENT + RUN), request.path));
+    }
+}
