Leaf choice: a leaf without connections is as near as the others of its zone

Callers saw nothing fail; a leaf that was added got no requests while others of its zone took them all. Its capacity was missing until the others were loaded.

Hypotheses: (1) a daemon does not learn of the leaf after the store was restored; (2) the daemons know it and avoid it for its health; (3) they know it and another leaf always looks better. Evidence (untouched code, six copies of leafs_that_come_and_leave_afterwards_are_followed at a time, 5 of 24 failed): the logs of all daemons of two failed runs have `leaf changed` with `Ready` for the three new leafs within 2 ms, before the old ones drain, no `leaf gone` and no `leaf unreachable` for them.

Cause: the round trip to a leaf was measured by its own connections, and assumed before the first one: 1 ms in the same zone, where connections take a tenth of that. The leaf that was connected first looked 2 ms nearer, a tenth of a usual answer, for as long as the daemon had hardly two requests at a time. With two daemons in the zone, both stay with the leaf that each happened to choose first. A first connection that was delayed had the same effect for the life of the leaf: a leaf that is not chosen is not measured again. Neither depends on the restore, nor on load.

Change: the round trip is measured to the zone, by the connections to all of its leafs.

--- a/crates/tansylead-gateway/src/leaf/attempt.rs
+++ b/crates/tansylead-gateway/src/leaf/attempt.rs
@@ -175,7 +175,7 @@
     };
     let opened = HttpConnection::open(address, options, ()).await;
     match &opened {
-        Ok(_) => connections.on_connected(Clock.now().since(started)),
+        Ok(_) => leaf.on_connected(Clock.now().since(started)),
         Err(_) => leaf.on_unreachable(connect_limit),
     }
     opened.map(|connection| LeafConnection {
--- a/crates/tansylead-gateway/src/leaf/leaf_connections.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_connections.rs
@@ -23,8 +23,6 @@
     idle: IdleConnections,
     backoff: Cell<ConnectBackoff>,
     idle_policy: Cell<IdlePolicy>,
-    /// Shortest time in which a connection was established: the round-trip time.
-    round_trip: Cell<Option<Duration>>,
     /// Detects that kept connections have gone silent.
     silence: Cell<ConnectionSilence>,
 }
@@ -39,7 +37,6 @@
             idle: IdleConnections::default(),
             backoff: Cell::default(),
             idle_policy: Cell::default(),
-            round_trip: Cell::new(None),
             silence: Cell::default(),
         }
     }
@@ -85,20 +82,6 @@
         self.backoff.get().is_waiting(now)
     }
 
-    /// Shortest time in which a connection was established; none before the first one.
-    pub(super) fn measured_round_trip(&self) -> Option<Duration> {
-        self.round_trip.get()
-    }
-
-    /// Records the time in which a connection was established.
-    pub(super) fn on_connected(&self, took: Duration) {
-        let shortest = self
-            .round_trip
-            .get()
-            .map_or(took, |round_trip| round_trip.min(took));
-        self.round_trip.set(Some(shortest));
-    }
-
     /// Records that a request is handed to a connection.
     pub(super) fn on_sent(&self, now: Moment) {
         let mut policy = self.idle_policy.get();
--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -5,6 +5,7 @@
 use super::leaf_health::{LeafHealth, ratio};
 use super::lost_requests::LostRequests;
 use super::open_attempt::OpenAttempt;
+use super::zone_round_trip::ZoneRoundTrip;
 use crate::clock::Clock;
 use crate::roll_out::{SendTarget, SendTerms, ServiceVersions, VersionSend};
 use std::cell::{Cell, Ref};
@@ -17,7 +18,7 @@
 };
 use tansylead_types::{Moment, PlaceName};
 
-/// Round-trip times assumed until one is measured.
+/// Round-trip times assumed until one to the leaf's zone is measured.
 const UNMEASURED_ZONE_ROUND_TRIP: Duration = Duration::from_millis(1);
 const UNMEASURED_REGION_ROUND_TRIP: Duration = Duration::from_millis(4);
 const UNMEASURED_REMOTE_ROUND_TRIP: Duration = Duration::from_millis(30);
@@ -29,6 +30,8 @@
     /// Software versions of the leaf's service, with its roll-out order.
     versions: Rc<ServiceVersions>,
     location: LeafLocation,
+    /// Shared with the other leafs of its zone.
+    zone_round_trip: Rc<ZoneRoundTrip>,
     in_flight: Cell<u32>,
     connections: LeafConnections,
     health: LeafHealth,
@@ -48,6 +51,7 @@
             availability: LeafAvailability::new(entry),
             versions,
             location,
+            zone_round_trip: Rc::default(),
             in_flight: Cell::new(0),
             connections: LeafConnections::new(share),
             health: LeafHealth::default(),
@@ -55,6 +59,14 @@
         }
     }
 
+    /// Shares the measured round trip with the other leafs of its zone.
+    pub fn with_zone_round_trip(self, zone_round_trip: Rc<ZoneRoundTrip>) -> Self {
+        Self {
+            zone_round_trip,
+            ..self
+        }
+    }
+
     /// The directory's entry.
     pub fn entry(&self) -> Ref<'_, LeafEntry> {
         self.availability.entry()
@@ -241,7 +253,12 @@
             Distance::Region => UNMEASURED_REGION_ROUND_TRIP,
             Distance::Remote => UNMEASURED_REMOTE_ROUND_TRIP,
         };
-        self.connections.measured_round_trip().unwrap_or(unmeasured)
+        self.zone_round_trip.shortest().unwrap_or(unmeasured)
+    }
+
+    /// Records the time in which a connection was established.
+    pub fn on_connected(&self, took: Duration) {
+        self.zone_round_trip.on_connected(took);
     }
 
     /// Records that an attempt sent at `sent` is overdue. Returns a report for other daemons.
--- a/crates/tansylead-gateway/src/leaf/mod.rs
+++ b/crates/tansylead-gateway/src/leaf/mod.rs
@@ -10,6 +10,7 @@
 mod lost_requests;
 mod open_attempt;
 mod service_state;
+mod zone_round_trip;
 
 pub use attempt::{AttemptEnd, OutgoingRequest, SendRecord, run_attempt};
 pub use end_check::{EndEvidence, Probe, probe, watch_entry};
@@ -17,3 +18,4 @@
 pub use lost_requests::{LostRequest, LostRequests};
 pub use open_attempt::OpenAttempt;
 pub use service_state::ServiceState;
+pub use zone_round_trip::ZoneRoundTrip;
--- a/crates/tansylead-gateway/src/state.rs
+++ b/crates/tansylead-gateway/src/state.rs
@@ -10,7 +10,7 @@
 use crate::clock::Clock;
 use crate::cluster::QueryRoots;
 use crate::headers::HeaderNames;
-use crate::leaf::{LeafState, ServiceState};
+use crate::leaf::{LeafState, ServiceState, ZoneRoundTrip};
 use crate::metrics::Metrics;
 use crate::quarantine::QuarantineState;
 use crate::report_queue::ReportQueue;
@@ -27,7 +27,7 @@
     LeafDirectory, Locality, OrderMemory, QueryAdmission, QueryRunners, RemovedLeafs, Revision,
     RollOuts, RouteTable, WeightedRoundRobin,
 };
-use tansylead_types::{LeafId, Moment, PlaceName, ServiceName};
+use tansylead_types::{LeafId, Moment, PlaceName, ServiceName, ZoneName};
 use tokio::sync::watch;
 
 /// Requests that arrive this soon after startup wait for the first reads from the source.
@@ -103,6 +103,8 @@
     roll_outs_needed: Cell<Revision>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     leafs: RefCell<HashMap<LeafId, Rc<LeafState>>>,
+    /// Measured round trips to the zones of leafs.
+    zone_round_trips: RefCell<HashMap<ZoneName, Rc<ZoneRoundTrip>>>,
     latencies: RefCell<HashMap<String, LatencyProfile>>,
     round_robins: RefCell<HashMap<String, WeightedRoundRobin>>,
     admissions: RefCell<HashMap<String, QueryAdmission>>,
@@ -159,6 +161,7 @@
             roll_outs_needed: Cell::default(),
             services: RefCell::default(),
             leafs: RefCell::default(),
+            zone_round_trips: RefCell::default(),
             latencies: RefCell::default(),
             round_robins: RefCell::default(),
             admissions: RefCell::default(),
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -7,7 +7,7 @@
 
 use super::Gateway;
 use crate::clock::Clock;
-use crate::leaf::{LeafState, ServiceState};
+use crate::leaf::{LeafState, ServiceState, ZoneRoundTrip};
 use crate::metrics::ReportDirection;
 use crate::source::Topic;
 use std::collections::BTreeSet;
@@ -16,7 +16,7 @@
     ConnectionShare, DirectoryChange, DirectoryDelta, EvacuatedZones, LeafDirectory, LeafEntry,
     LeafReport, Service, SharedLeaf, cold_share,
 };
-use tansylead_types::{LeafId, PlaceName, ServiceName};
+use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
 
 /// Connections that a leaf of an unconfigured service is assumed to accept.
 const DEFAULT_CONNECTIONS: u32 = 16;
@@ -207,12 +207,9 @@
         self.update_needed_roll_outs(&entry, &service);
         let location = self.locality.locate(&entry.zone);
         let versions = Rc::clone(service.versions());
-        let leaf = Rc::new(LeafState::new(
-            entry.clone(),
-            location,
-            INITIAL_SHARE,
-            versions,
-        ));
+        let leaf = LeafState::new(entry.clone(), location, INITIAL_SHARE, versions)
+            .with_zone_round_trip(self.zone_round_trip(&entry.zone));
+        let leaf = Rc::new(leaf);
         leaf.set_evacuated(self.is_evacuated(&entry));
         if is_doubtful {
             leaf.set_doubtful(Clock.now());
@@ -222,6 +219,11 @@
         Some(service)
     }
 
+    fn zone_round_trip(&self, zone: &ZoneName) -> Rc<ZoneRoundTrip> {
+        let mut round_trips = self.zone_round_trips.borrow_mut();
+        Rc::clone(round_trips.entry(zone.clone()).or_default())
+    }
+
     /// Ends a run of a leaf that was started again under the same id; the new run keeps nothing of its state.
     fn end_run(&self, leaf: &LeafState) {
         log::info!(leaf = leaf.entry().leaf.as_str(); "leaf started again under its id");
