Roll-outs: a shift that uses up the allowance is judged by what it has shown

Operators saw good versions rolled back (`no_room`), or completed seconds after the deadline; callers saw nothing fail.

Hypotheses: (1) reports or grants are late where the processor is short, so that daemons never shift together; (2) an attempt at an old leaf outlasts the allowance; (3) the daemons do shift, but something else is waited for until the allowance is used up. The logs did not say what a shift waits for; the line `the shift waits` was added first, with the reason and the attempts in progress at old leafs.

Evidence (a_good_version_completes_and_nothing_is_cut, three at a time beside six busy processes, load 14 on 5 processors): in a run that completed 2.3 s after its deadline, no attempt was left at old leafs 0.25 s after the shift began. It waited for answers under load, 40, until 79 sends of 83 were used up; then one daemon had no grant left, sent to an old leaf again, and the shift waited for `old_attempts` for 3.7 s, as each look found another one. The third hypothesis: all old leafs had to be idle at the same look at which there were enough answers.

Change: each daemon has to be without attempts at old leafs once during the shift. What it sends there later it sends for lack of a grant, and the completion waits for the end of that anyway. A daemon that never is without any is waited for as before.

--- a/crates/tansylead-gateway/src/roll_out/evaluation_log.rs
+++ b/crates/tansylead-gateway/src/roll_out/evaluation_log.rs
@@ -18,7 +18,8 @@
         old_good = counts.old_good,
         old_failed = counts.old_failed,
         new_good = counts.new_good,
-        new_failed = counts.new_failed;
+        new_failed = counts.new_failed,
+        running_on_old = counts.running_on_old;
         "roll-out: {what}"
     );
 }
--- a/crates/tansylead-gateway/src/roll_out/judge.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tansylead_route::{
     Conclusion, ConclusionReason, ExposureBounds, OrderId, RollOut, RollOutReport, RollOutState,
-    RollOutTrial, RollOuts, Stage, TrialContext, TrialCounts,
+    RollOutTrial, RollOuts, ShiftWait, Stage, TrialContext, TrialCounts,
 };
 use tansylead_types::{Moment, NodeId, ServiceName};
 
@@ -44,6 +44,8 @@
     pub stage: Stage,
     /// Whether the stage has changed since the last evaluation.
     pub is_new_stage: bool,
+    /// What the shift waits for, if that has changed since the last evaluation.
+    pub new_shift_wait: Option<ShiftWait>,
     /// The conclusion that is to be written to the source.
     pub write: Option<(Conclusion, ConclusionReason)>,
     /// Whether the beginning of the trial is to be written to the source.
@@ -68,6 +70,8 @@
     /// The last grant to each daemon: the answer to its newest report, or an unsolicited one after it.
     last_grants: BTreeMap<NodeId, GrantMessage>,
     stage: Option<Stage>,
+    /// What the shift waited for at the last evaluation.
+    shift_wait: Option<ShiftWait>,
     /// Whether a completion was held back at the last evaluation.
     is_held_back: bool,
 }
@@ -189,6 +193,7 @@
             last_grants: BTreeMap::new(),
             bounds,
             stage: None,
+            shift_wait: None,
             is_held_back: false,
         }
     }
@@ -249,6 +254,8 @@
         };
         let verdict = self.trial.evaluate(now, trial_context);
         let is_new_stage = self.stage.replace(verdict.stage) != Some(verdict.stage);
+        let shift_wait = self.trial.shift_wait();
+        let wait_before = std::mem::replace(&mut self.shift_wait, shift_wait);
         self.is_held_back = verdict.stage == Stage::Commit && verdict.write.is_none();
         let is_followed = self.is_followed(now);
         let counts = self.trial.counts();
@@ -257,6 +264,7 @@
             roll_out: self.roll_out.clone(),
             stage: verdict.stage,
             is_new_stage,
+            new_shift_wait: shift_wait.filter(|wait| Some(*wait) != wait_before),
             write: verdict.write,
             is_beginning: rank == 0 && is_followed && self.roll_out.state == RollOutState::Ordered,
             needs_source: is_followed && self.trial.may_shift_within(now, SOURCE_LEAD),
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -261,6 +261,9 @@
         if evaluation.is_new_stage {
             log_counts(&evaluation, "stage", "another stage of the trial");
         }
+        if let Some(wait) = evaluation.new_shift_wait {
+            log_counts(&evaluation, wait.label(), "the shift waits");
+        }
         if let Some((conclusion, reason)) = evaluation.write {
             return self.conclude(&evaluation, conclusion, reason);
         }
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -72,9 +72,9 @@
 pub use roll_out::{
     Conclusion, ConclusionReason, ExposureBounds, Grant, LATENCY_BUCKETS, LatencyCounts, OrderId,
     OrderMemory, RollOut, RollOutEvidence, RollOutReport, RollOutState, RollOutTrial, RollOuts,
-    RollOutsMark, RouteEvidence, Stage, StateWrite, StateWriteEnd, TrialContext, TrialCounts,
-    TrialVerdict, VersionCounts, VersionGate, VersionUse, WriteEnd, WriteFailure, WriteStep,
-    route_hash,
+    RollOutsMark, RouteEvidence, ShiftWait, Stage, StateWrite, StateWriteEnd, TrialContext,
+    TrialCounts, TrialVerdict, VersionCounts, VersionGate, VersionUse, WriteEnd, WriteFailure,
+    WriteStep, route_hash,
 };
 pub use route_table::RouteTable;
 pub use slowness::Slowness;
--- a/crates/tansylead-route/src/roll_out/mod.rs
+++ b/crates/tansylead-route/src/roll_out/mod.rs
@@ -33,5 +33,7 @@
 pub use report::RollOutReport;
 pub use state_write::{StateWrite, StateWriteEnd, WriteEnd, WriteFailure, WriteStep};
 pub use trial::RollOutTrial;
-pub use verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
+pub use verdict::{
+    Conclusion, ConclusionReason, ShiftWait, TrialContext, TrialCounts, TrialVerdict,
+};
 pub use version_gate::{VersionGate, VersionUse};
--- a/crates/tansylead-route/src/roll_out/totals.rs
+++ b/crates/tansylead-route/src/roll_out/totals.rs
@@ -81,6 +81,7 @@
     pub(crate) new_sends: u64,
     /// Attempts in progress, of daemons that have reported recently.
     pub(crate) running_on_new: u64,
+    pub(crate) running_on_old: u64,
     pub(crate) routes: BTreeMap<u32, RouteTotals>,
 }
 
@@ -221,6 +222,7 @@
             totals.add_permanent(&reporter.evidence, &self.routes);
             if reporter.has_reported_within(now, SILENCE_LIMIT) {
                 totals.running_on_new += u64::from(reporter.evidence.running_on_new);
+                totals.running_on_old += u64::from(reporter.evidence.running_on_old);
             }
         }
         totals
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -8,8 +8,11 @@
 use super::order::{OrderId, RollOut, RollOutState};
 use super::pace::{Progress, shift_start};
 use super::report::RollOutReport;
-use super::totals::{MergedTotals, SILENCE_LIMIT, Totals};
-use super::verdict::{Conclusion, ConclusionReason, TrialContext, TrialCounts, TrialVerdict};
+use super::totals::{MergedTotals, Reporter, SILENCE_LIMIT, Totals};
+use super::verdict::{
+    Conclusion, ConclusionReason, ShiftWait, TrialContext, TrialCounts, TrialVerdict,
+};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tansylead_types::{Moment, NodeId};
 
@@ -42,7 +45,12 @@
     evaluated_at: Option<Moment>,
     leadership: Leadership,
     stage: Stage,
+    /// What the shift waited for at the last evaluation; none outside of a shift.
+    shift_wait: Option<ShiftWait>,
     shift_began: Option<Moment>,
+    /// Daemons without attempts at old leafs in any of their reports since the shift began. What they send there
+    /// afterwards they send because their grants are used up.
+    drained: BTreeSet<NodeId>,
     answers_before_shift: u64,
     /// Whether any report has shown [`Stage::Shift`], whichever judge began it.
     has_shift_begun: bool,
@@ -70,7 +78,9 @@
             evaluated_at: None,
             leadership: Leadership::new(judge, now, !has_slack),
             stage: Stage::Trial,
+            shift_wait: None,
             shift_began: None,
+            drained: BTreeSet::new(),
             answers_before_shift: 0,
             has_shift_begun: false,
             delayed_by_source: None,
@@ -101,6 +111,11 @@
         TrialCounts::of(&self.sum)
     }
 
+    /// What the shift waited for at the last evaluation; none outside of a shift.
+    pub fn shift_wait(&self) -> Option<ShiftWait> {
+        self.shift_wait
+    }
+
     /// Handles a report. One of an earlier run of its daemon, or older than the last one, is ignored.
     pub fn on_report(&mut self, now: Moment, report: &RollOutReport) {
         if report.order != self.roll_out.order || !self.totals.on_report(now, report) {
@@ -109,7 +124,11 @@
         let known_for = Duration::from_millis(u64::from(report.known_for_millis));
         let known_here = now.since(self.began);
         self.head_start = self.head_start.max(known_for.saturating_sub(known_here));
-        self.has_shift_begun |= report.stage == Some(Stage::Shift);
+        let is_in_shift = report.stage == Some(Stage::Shift);
+        self.has_shift_begun |= is_in_shift;
+        if is_in_shift && self.stage == Stage::Shift && report.evidence.running_on_old == 0 {
+            self.drained.insert(report.reporter);
+        }
         let taken_over = self.conclusion.adopt_reported(now, report.stage);
         self.stage = taken_over.unwrap_or(self.stage);
         let (boot, sends) = (report.boot, report.evidence.new_sends);
@@ -119,6 +138,7 @@
     /// Evaluates the trial; called a few times each second.
     pub fn evaluate(&mut self, now: Moment, context: TrialContext<'_>) -> TrialVerdict {
         self.refresh(now);
+        self.shift_wait = None;
         self.leadership.evaluate(now, context, &self.totals);
         let is_open = self.conclusion.is_open();
         if is_open && self.leadership.is_leading() {
@@ -255,6 +275,7 @@
     fn enter_shift(&mut self, now: Moment) {
         self.stage = Stage::Shift;
         self.shift_began = Some(now);
+        self.drained.clear();
         self.answers_before_shift = self.judgement.new_answers();
     }
 
@@ -264,18 +285,33 @@
             self.delayed_by_source = Some(now);
             return;
         }
-        let began = self.shift_began.unwrap_or(now);
-        let is_done = now.since(began) >= MINIMUM_SHIFT && self.has_shifted(now, began, context);
-        if is_done
-            && self.has_enough_under_load(now)
-            && self.judgement.suspicion(self.progress.rate).is_none()
-        {
+        self.shift_wait = self.wait_in_shift(now, context);
+        if self.shift_wait.is_none() {
             self.stage = Stage::Commit;
             let reason = ConclusionReason::AsGood;
             self.conclusion.conclude(Conclusion::Complete, reason);
         }
     }
 
+    /// What the shift waits for; none if the target version can be accepted.
+    fn wait_in_shift(&self, now: Moment, context: TrialContext<'_>) -> Option<ShiftWait> {
+        let began = self.shift_began.unwrap_or(now);
+        if now.since(began) < MINIMUM_SHIFT {
+            return Some(ShiftWait::MinimumTime);
+        }
+        if !self.have_reported(Stage::Shift, now, began, context) {
+            return Some(ShiftWait::Reports);
+        }
+        if !self.have_drained(now, context) {
+            return Some(ShiftWait::OldAttempts);
+        }
+        if !self.has_enough_under_load(now) {
+            return Some(ShiftWait::Answers);
+        }
+        let doubt = self.judgement.suspicion(self.progress.rate);
+        doubt.map(|_| ShiftWait::Doubt)
+    }
+
     /// Whether there are enough answers under load, or no allowance to wait for more.
     fn has_enough_under_load(&self, now: Moment) -> bool {
         let answers = self.judgement.new_answers();
@@ -292,29 +328,45 @@
         }
         let committed = *self.committed.get_or_insert(now);
         now.since(committed) >= MAXIMUM_COMPLETION_DELAY
-            || self.are_old_leafs_idle(Stage::Commit, now, committed, context)
-    }
-
-    fn has_shifted(&self, now: Moment, began: Moment, context: TrialContext<'_>) -> bool {
-        self.are_old_leafs_idle(Stage::Shift, now, began, context)
+            || self.have_reported(Stage::Commit, now, committed, context)
+                && self.are_old_leafs_idle(now, context)
     }
 
-    /// Whether all members that are not silent have reported this stage since it began, without attempts in progress on
-    /// old leafs.
-    fn are_old_leafs_idle(
+    /// Whether all members that are not silent have reported this stage since it began.
+    fn have_reported(
         &self,
         stage: Stage,
         now: Moment,
         began: Moment,
         context: TrialContext<'_>,
     ) -> bool {
+        let has_reported =
+            |reporter: &Reporter| reporter.reported_at >= began && reporter.stage == Some(stage);
+        let mut heard = self.heard_members(now, context);
+        heard.all(|(_, reporter)| has_reported(reporter))
+    }
+
+    /// Whether every member that is not silent has been without attempts on old leafs at some time of the shift.
+    fn have_drained(&self, now: Moment, context: TrialContext<'_>) -> bool {
+        let mut heard = self.heard_members(now, context);
+        heard.all(|(member, _)| self.drained.contains(&member))
+    }
+
+    /// Whether no member that is not silent has attempts in progress on old leafs.
+    fn are_old_leafs_idle(&self, now: Moment, context: TrialContext<'_>) -> bool {
+        let mut heard = self.heard_members(now, context);
+        heard.all(|(_, reporter)| reporter.evidence.running_on_old == 0)
+    }
+
+    /// Members that are not silent.
+    fn heard_members<'a>(
+        &'a self,
+        now: Moment,
+        context: TrialContext<'a>,
+    ) -> impl Iterator<Item = (NodeId, &'a Reporter)> {
         let members = context.members.iter();
-        let mut known = members.filter_map(|member| self.totals.reporter(*member));
-        known.all(|reporter| {
-            let is_silent = !reporter.has_reported_within(now, SILENCE_LIMIT);
-            let has_reported_stage = reporter.reported_at >= began && reporter.stage == Some(stage);
-            is_silent || (has_reported_stage && reporter.evidence.running_on_old == 0)
-        })
+        let known = members.filter_map(|member| Some((*member, self.totals.reporter(*member)?)));
+        known.filter(move |(_, reporter)| reporter.has_reported_within(now, SILENCE_LIMIT))
     }
 
     /// Rolls back when it is time to conclude, unless the shift is in progress or an unavailable source has delayed it.
--- a/crates/tansylead-route/src/roll_out/verdict.rs
+++ b/crates/tansylead-route/src/roll_out/verdict.rs
@@ -64,6 +64,34 @@
     pub write: Option<(Conclusion, ConclusionReason)>,
 }
 
+/// What a shift waits for before the target version can be accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShiftWait {
+    /// Its shortest time.
+    MinimumTime,
+    /// Reports of all daemons that they have shifted.
+    Reports,
+    /// The end of attempts at old leafs.
+    OldAttempts,
+    /// More answers under load.
+    Answers,
+    /// Answers that dispel a doubt about the target version.
+    Doubt,
+}
+
+impl ShiftWait {
+    /// Name in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::MinimumTime => "minimum_time",
+            Self::Reports => "reports",
+            Self::OldAttempts => "old_attempts",
+            Self::Answers => "answers",
+            Self::Doubt => "doubt",
+        }
+    }
+}
+
 /// Counts that a conclusion is based on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct TrialCounts {
@@ -79,6 +107,8 @@
     pub new_good: u64,
     /// Bad answers of the target version.
     pub new_failed: u64,
+    /// Attempts in progress at old leafs.
+    pub running_on_old: u64,
 }
 
 impl TrialCounts {
@@ -87,6 +117,7 @@
         let mut counts = Self {
             requests: totals.requests,
             new_sends: totals.new_sends,
+            running_on_old: totals.running_on_old,
             ..Self::default()
         };
         for route in totals.routes.values() {
--- a/crates/tansylead-route/tests/roll_out_ends.rs
+++ b/crates/tansylead-route/tests/roll_out_ends.rs
@@ -217,3 +217,22 @@
         prop_assert!(outcome.beyond_bound <= 0.0, "{:?}", outcome);
     }
 }
+
+/// Guards against good versions that are rolled back because the bound on sends is used up before the shift is judged.
+#[test]
+fn good_versions_whose_shift_uses_up_the_allowance_are_completed_in_time() {
+    /// As many requests as three daemons get from ten callers, each of which takes a tenth of a second.
+    const LONG_REQUESTS: (f64, f64) = (56.0, 100.0);
+    const DAEMONS: usize = 3;
+    const ROLL_OUTS: u64 = 60;
+    let mut scenario = scenario(LONG_REQUESTS);
+    scenario.daemons = DAEMONS;
+    scenario.duration = Duration::from_secs(10);
+    let outcomes: Vec<Outcome> = (0..ROLL_OUTS)
+        .map(|seed| simulate(&scenario, seed))
+        .collect();
+    assert_within_bound(&outcomes);
+    let in_time = share_completed_in_time(&outcomes, 10);
+    let completed = share(&outcomes, Conclusion::Complete);
+    assert!(in_time >= 0.95, "{in_time} in time, {completed} completed");
+}
