Roll-outs: a shift without attempts at old leafs collects answers for one evaluation more

Cause: since a shift no longer has to end at a look that finds old leafs idle, it concludes earlier, with fewer answers under load. Change: the lead of 1.1 s has an evaluation for attempts that are still in progress at old leafs. A drained shift does not need it, and goes on for that time if the allowance pays for it.

--- a/crates/tansylead-route/src/roll_out/pace.rs
+++ b/crates/tansylead-route/src/roll_out/pace.rs
@@ -23,7 +23,10 @@
 /// How long before the deadline the judge must conclude: three evaluations, as attempts may still be in
 /// progress on old leafs at the first, and a write.
 const CONCLUSION_LEAD: Duration = Duration::from_millis(1_100);
-/// In a short roll-out, this lead is at most the duration divided by this.
+/// How long before the deadline a shift stops collecting answers: one evaluation less, as the daemons have been without
+/// attempts on old leafs already.
+const SHIFT_END_LEAD: Duration = Duration::from_millis(850);
+/// In a short roll-out, these leads are at most the duration divided by this.
 const CONCLUSION_LEAD_DIVISOR: u32 = 10;
 /// Time for which the allowance must still pay for all requests if a shift is to go on: an evaluation and the
 /// reports before it.
@@ -69,7 +72,11 @@
 
     /// Whether it is time to conclude, so that the conclusion is written by the deadline.
     pub(crate) fn must_conclude(&self) -> bool {
-        let lead = CONCLUSION_LEAD.min(self.duration / CONCLUSION_LEAD_DIVISOR);
+        self.is_within_lead(CONCLUSION_LEAD)
+    }
+
+    fn is_within_lead(&self, lead: Duration) -> bool {
+        let lead = lead.min(self.duration / CONCLUSION_LEAD_DIVISOR);
         self.elapsed >= self.duration.saturating_sub(lead)
     }
 
@@ -80,7 +87,8 @@
 
     /// Whether a shift that is done early can go on for a while, to collect more answers under load.
     pub(crate) fn can_extend_shift(&self, exposure: &Exposure, used: f64) -> bool {
-        !self.must_conclude() && self.remaining(exposure, used) >= self.rate * OBSERVATION_SECONDS
+        let must_end = self.is_within_lead(SHIFT_END_LEAD);
+        !must_end && self.remaining(exposure, used) >= self.rate * OBSERVATION_SECONDS
     }
 
     fn remaining(&self, exposure: &Exposure, used: f64) -> f64 {
