Soak: overlapping series of signals, restarts and changes, and callers that stay on their connections

So far a soak's faults came one by one, and its callers went to another daemon at random. Now a third of the faults is followed by a series: planned stops with further signals during them, restarts of all daemons in turn before the last one is back, hang-ups, configurations, evacuations, store and leaf faults, which overlap. Two callers of each daemon stay with it, ready or not, and keep using their open connection until the process is gone. A request on a connection that the daemon has kept open must be answered unless the process was killed or suspended (CUT). The series have draws of their own, so that a seed keeps giving the other faults that it gave.

--- a/crates/tansylead-emulator/src/caller.rs
+++ b/crates/tansylead-emulator/src/caller.rs
@@ -104,17 +104,21 @@
         self.record(request);
         let limit = request.deadline + LATE_ANSWER_WAIT;
         let answer = tokio::time::timeout(limit, self.exchange(daemon, request)).await;
-        let end = match answer {
-            Ok(Some(answer)) => CallerEnd::Answer(observe(&answer)),
-            Ok(None) | Err(_) => {
-                self.connection = None;
-                CallerEnd::NoAnswer
-            }
-        };
+        if !matches!(answer, Ok(Some(_))) {
+            self.connection = None;
+        }
+        let end = end_of(answer.ok().flatten().as_ref());
         self.oracle.check_end(&request.id, &end);
         end
     }
 
+    /// Whether it has an open connection to the daemon.
+    pub fn is_connected_to(&self, daemon: SocketAddr) -> bool {
+        let connection = self.connection.as_ref();
+        connection
+            .is_some_and(|(connected_to, sender)| *connected_to == daemon && !sender.is_closed())
+    }
+
     /// Sends a request and disconnects after `caller_timeout`, answered or not.
     pub async fn call_and_leave(
         &mut self,
@@ -204,6 +208,13 @@
     connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
+/// How a request ended that got this answer, or none.
+pub(crate) fn end_of(answer: Option<&CallerAnswer>) -> CallerEnd {
+    answer.map_or(CallerEnd::NoAnswer, |answer| {
+        CallerEnd::Answer(observe(answer))
+    })
+}
+
 fn observe(answer: &CallerAnswer) -> SeenAnswer {
     let header = |name: &str| {
         let value = answer.headers.get(name)?.to_str().ok()?;
--- a/crates/tansylead-emulator/src/daemon.rs
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -2,12 +2,15 @@
 
 use crate::addresses::next_ip;
 use crate::roll_out_rules::{EXPOSURE_SHARE, EXPOSURE_SLACK, ROLL_BACK_LIMIT};
+use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Instant;
 
 /// Ports that a daemon listens on.
 const CALLER_PORT: u16 = 20_101;
@@ -70,6 +73,34 @@
     plan: DaemonPlan,
     process: Option<Child>,
     starts: u32,
+    disturbance: Disturbance,
+}
+
+/// When a daemon's process was last killed or suspended; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Disturbance {
+    state: Arc<Mutex<DisturbanceState>>,
+}
+
+#[derive(Debug, Default)]
+struct DisturbanceState {
+    is_frozen: bool,
+    last: Option<Instant>,
+}
+
+impl Disturbance {
+    /// Whether the process has been killed or suspended since a moment.
+    pub fn has_occurred_since(&self, moment: Instant) -> bool {
+        let state = self.state.lock();
+        state.is_frozen || state.last.is_some_and(|last| last >= moment)
+    }
+
+    fn record(&self, is_frozen: bool) {
+        *self.state.lock() = DisturbanceState {
+            is_frozen,
+            last: Some(Instant::now()),
+        };
+    }
 }
 
 impl Daemon {
@@ -79,6 +110,7 @@
             plan,
             process: None,
             starts: 0,
+            disturbance: Disturbance::default(),
         };
         daemon.write_settings()?;
         daemon.restart()?;
@@ -114,6 +146,16 @@
             .collect()
     }
 
+    /// When the process was last killed or suspended.
+    pub fn disturbance(&self) -> Disturbance {
+        self.disturbance.clone()
+    }
+
+    /// Whether the process is suspended.
+    pub fn is_frozen(&self) -> bool {
+        self.disturbance.state.lock().is_frozen
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
@@ -126,17 +168,23 @@
 
     /// Suspends the process with SIGSTOP.
     pub fn freeze(&self) {
+        self.disturbance.record(true);
         self.signal(Signal::STOP);
     }
 
     /// Resumes a suspended process.
     pub fn thaw(&self) {
         self.signal(Signal::CONT);
+        self.disturbance.record(false);
     }
 
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
+            // A process that has exited by itself was not disturbed.
+            if !matches!(process.try_wait(), Ok(Some(_))) {
+                self.disturbance.record(false);
+            }
             // Fails if the process has already exited.
             let _ = process.kill();
             let _ = process.wait();
--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -3,10 +3,12 @@
 //! The seed determines the order, kinds and places of the faults and the callers' choices, but not
 //! the machine's scheduling.
 
+pub(crate) mod churn;
 pub(crate) mod draw;
 pub(crate) mod drills;
 pub(crate) mod fatal;
 pub(crate) mod inject;
+pub(crate) mod pinned;
 pub(crate) mod roll_outs;
 pub(crate) mod suspension;
 
@@ -15,10 +17,12 @@
 use crate::oracle::Counts;
 use crate::seen_roll_out::SeenRollOut;
 use crate::traffic::Traffic;
+use churn::Churn;
 use draw::draw;
 use drills::Drills;
 use fatal::FatalCaller;
 use inject::inject;
+use pinned::PinnedCallers;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use roll_outs::RollOutSchedule;
 use std::io;
@@ -82,6 +86,8 @@
         &deployment.routes,
         &deployment.oracle,
     );
+    let pinned = PinnedCallers::start(&deployment, seed);
+    let mut churn = Churn::draw(seed);
     let mut suspensions = Suspensions::draw(seed);
     let mut drills = Drills::draw(seed);
     let mut schedule = RollOutSchedule::draw(seed, duration, &deployment.services());
@@ -94,6 +100,7 @@
         deployment.restart_crashed_leafs().await?;
         faults.extend(suspensions.run_due(&mut deployment).await);
         faults.extend(drills.run_due(&mut deployment).await?);
+        faults.extend(churn.run_due(&mut deployment, &mut violations).await?);
         let pause = Duration::from_millis(random.random_range(200..1_500));
         tokio::time::sleep(pause).await;
     }
@@ -101,6 +108,7 @@
     drop(fatal);
     deployment.wait_and_restart_crashed_leafs().await?;
     violations.extend(check_recovery(&deployment).await);
+    violations.extend(pinned.stop().await);
     traffic.stop().await;
     violations.extend(deployment.oracle.violations(DRAIN_LIMIT, BUDGET));
     let counts = deployment.oracle.counts();
--- a/crates/tansylead-emulator/src/soak/inject.rs
+++ b/crates/tansylead-emulator/src/soak/inject.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 /// Time limit for a daemon's planned stop.
-const STOP_LIMIT: Duration = Duration::from_millis(6_500);
+pub(super) const STOP_LIMIT: Duration = Duration::from_millis(6_500);
 /// Time after which a change of home regions must be in force: the daemons' default setting, with
 /// slack for a busy machine.
 const HOMES_APPLY_LIMIT: Duration = Duration::from_millis(3_500);
