--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -107,8 +107,9 @@
     roll_outs::wait_for_ends(&deployment).await;
     drop(fatal);
     deployment.wait_and_restart_crashed_leafs().await?;
-    violations.extend(check_recovery(&deployment).await);
+    let not_recovered = check_recovery(&deployment).await;
     violations.extend(pinned.stop().await);
+    violations.extend(not_recovered);
     traffic.stop().await;
     violations.extend(deployment.oracle.violations(DRAIN_LIMIT, BUDGET));
     let counts = deployment.oracle.counts();
