Quarantine: the cause is decided on soon, and goes to no further leaf until then

Hypotheses: (1) any suspect that ran on the same leaf, as dozens do after an event that ends all leafs, keeps the cause from being decided on; (2) copies of the cause go on to further leafs while it waits for the decision; (3) daemons that learned the strikes from others do not decide. Each is so by the code, and each is mended; which of them had how much of a part was not told apart.

Change: only a suspect that was itself struck in two events, or was quarantined, can be the other cause of a leaf's end. Requests of the same content are one, whoever sends them. All daemons that hold the strikes decide, those that saw none without writing to the source.

Tests: victims_of_one_event_do_not_keep_the_cause_from_being_quarantined, a_request_is_sent_to_no_further_leaf_until_it_is_decided_on.

--- a/crates/tansylead-gateway/src/execution/call_quarantine.rs
+++ b/crates/tansylead-gateway/src/execution/call_quarantine.rs
@@ -74,6 +74,7 @@
 
     /// Whether an attempt may start now, by the request's quarantine state.
     pub(super) fn admission(&self) -> SendAdmission {
+        self.gateway.quarantine.decide_pending(Clock.now());
         let admission = self.shared.limiter.admission(self.quarantine_verdict());
         match admission {
             SendAdmission::Now => self.trial_admission(),
@@ -85,6 +86,9 @@
     /// waited too long.
     fn trial_admission(&self) -> SendAdmission {
         let limiter = &self.shared.limiter;
+        if self.decision_due().is_some() {
+            return SendAdmission::Later;
+        }
         if !self.is_untried_suspect() {
             return SendAdmission::Now;
         }
@@ -98,6 +102,15 @@
         }
     }
 
+    /// When it will be decided whether to quarantine the request: until then it is sent to no further leaf.
+    fn decision_due(&self) -> Option<Moment> {
+        let is_answered = self.shared.limiter.is_answered();
+        let quarantine = &self.gateway.quarantine;
+        (!is_answered)
+            .then(|| quarantine.decision_due(&self.request.fingerprints))
+            .flatten()
+    }
+
     fn is_untried_suspect(&self) -> bool {
         let limiter = &self.shared.limiter;
         let is_suspect = self.quarantine_verdict() == Verdict::Suspect;
@@ -106,6 +119,10 @@
 
     /// When to check again whether a suspect request may be tried; none if it may be tried now.
     pub(super) fn next_trial_recheck(&self) -> Option<Moment> {
+        let decision_due = self.decision_due();
+        if decision_due.is_some() {
+            return decision_due;
+        }
         if !self.is_untried_suspect() {
             return None;
         }
--- a/crates/tansylead-gateway/src/quarantine/state.rs
+++ b/crates/tansylead-gateway/src/quarantine/state.rs
@@ -189,13 +189,27 @@
     /// dropped for a moment.
     pub fn tick(&self, now: Moment) {
         self.pause_guard.borrow_mut().check(now);
+        self.decide_pending(now);
+    }
+
+    /// Quarantines requests whose strikes are attributed to them by now.
+    pub fn decide_pending(&self, now: Moment) {
         let decided = self.table.borrow_mut().decide_pending(now);
-        for fingerprint in decided {
+        for decision in decided {
+            let fanout = match decision.is_struck_here {
+                true => Fanout::Wide,
+                false => Fanout::Relayed,
+            };
             let change = QuarantineChange::Quarantined;
-            self.on_change(fingerprint, Some(change), Fanout::Wide);
+            self.on_change(decision.fingerprint, Some(change), fanout);
         }
     }
 
+    /// When it will be decided whether to quarantine a request; none if that is not pending.
+    pub fn decision_due(&self, request: &RequestFingerprints) -> Option<Moment> {
+        self.table.borrow().decision_due(Clock.now(), request)
+    }
+
     fn merge(&self, record: QuarantineRecord) {
         let fingerprint = record.fingerprint;
         let changed = self.table.borrow_mut().merge(Clock.now(), record);
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -59,9 +59,9 @@
 pub use leaf_choice::{Candidate, choose_leaf};
 pub use leaf_report::{LeafReport, ReportedSilence};
 pub use quarantine::{
-    FingerprintScope, MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts,
-    QuarantineEvidence, QuarantineRecord, RecentAnswers, RequestFingerprint, RequestFingerprints,
-    RequestIdentity, Strike, Verdict,
+    DecidedQuarantine, FingerprintScope, MAXIMUM_RECORDS, Quarantine, QuarantineChange,
+    QuarantineCounts, QuarantineEvidence, QuarantineRecord, RecentAnswers, RequestFingerprint,
+    RequestFingerprints, RequestIdentity, Strike, Verdict,
 };
 pub use query_admission::{AdmissionChange, QueryAdmission};
 pub use query_roots::{QueryRunners, RootCandidate, SharingGroup, is_too_busy, query_roots};
--- a/crates/tansylead-route/src/quarantine/mod.rs
+++ b/crates/tansylead-route/src/quarantine/mod.rs
@@ -18,4 +18,6 @@
 pub use recent_answers::RecentAnswers;
 pub use record::Verdict;
 pub use strike::Strike;
-pub use table::{MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts};
+pub use table::{
+    DecidedQuarantine, MAXIMUM_RECORDS, Quarantine, QuarantineChange, QuarantineCounts,
+};
--- a/crates/tansylead-route/src/quarantine/record.rs
+++ b/crates/tansylead-route/src/quarantine/record.rs
@@ -125,6 +125,11 @@
         is_enough && (is_one_caller || self.has_several_callers())
     }
 
+    /// Whether the strikes are enough to quarantine the request, which has not been done.
+    pub(super) fn is_undecided(&self, scope: FingerprintScope) -> bool {
+        self.times_quarantined == 0 && self.warrants_quarantine(scope)
+    }
+
     /// Strikes of all events but the first. In the first one, leafs may end so fast under another request that this
     /// one is struck by several in succession.
     pub(super) fn later_strikes(&self) -> Vec<Strike> {
@@ -136,13 +141,15 @@
         count_events(&self.strikes) > QUARANTINE_EVENTS
     }
 
-    /// Whether the strikes of both records are against the same request, in whichever scopes.
-    pub(super) fn is_of_same_request_as(&self, other: &Self) -> bool {
-        let mut own = self.strikes.iter();
-        own.any(|own| {
-            let mut others = other.strikes.iter();
-            others.any(|other| other.request == own.request)
-        })
+    /// Whether the strikes of both records are against requests of the same content.
+    pub(super) fn has_content_of(&self, other: &Self) -> bool {
+        let content = |record: &Self| record.strikes.first().map(|strike| strike.request);
+        content(self) == content(other)
+    }
+
+    /// Whether the request may be the cause of several events: it was struck in so many, or was quarantined.
+    pub(super) fn may_be_cause(&self) -> bool {
+        self.times_quarantined > 0 || count_events(&self.strikes) >= QUARANTINE_EVENTS
     }
 
     /// Whether the leaf of this strike may have ended under this request too: it has a strike of the same leaf, or so
--- a/crates/tansylead-route/src/quarantine/strike.rs
+++ b/crates/tansylead-route/src/quarantine/strike.rs
@@ -21,7 +21,7 @@
     pub ended: Moment,
     /// Hash of the caller's address.
     pub caller: u32,
-    /// Hash of the request without its query, by which strikes against different requests are told apart.
+    /// Hash of the request's content, by which strikes against different requests are told apart.
     pub request: u32,
 }
 
@@ -40,7 +40,7 @@
     /// The same strike, against this request.
     pub fn against(self, request: &RequestFingerprints) -> Self {
         Self {
-            request: request.path.short_hash(),
+            request: request.content.short_hash(),
             ..self
         }
     }
--- a/crates/tansylead-route/src/quarantine/table.rs
+++ b/crates/tansylead-route/src/quarantine/table.rs
@@ -10,7 +10,7 @@
 use super::recent_answers::RecentAnswers;
 use super::record::{Record, Verdict};
 use super::strike::Strike;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tansylead_types::Moment;
 use xxhash_rust::xxh3::xxh3_64;
@@ -60,14 +60,24 @@
     pub quarantined: usize,
 }
 
+/// A quarantine that was decided some time after the strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DecidedQuarantine {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// Whether this daemon saw any of the strikes itself.
+    pub is_struck_here: bool,
+}
+
 /// Quarantine table of one daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     records: HashMap<RequestFingerprint, Record>,
     /// Fingerprints in the wider scopes of requests that were answered recently. No record is kept against these.
     answered: RecentAnswers,
-    /// Requests struck here that are not quarantined because their leafs may have ended under other requests.
-    undecided: BTreeSet<RequestFingerprint>,
+    /// Requests that are not quarantined because their leafs may have ended under other requests, and whether any was
+    /// struck here.
+    undecided: BTreeMap<RequestFingerprint, bool>,
 }
 
 impl Quarantine {
@@ -159,33 +169,37 @@
             return None;
         }
         let change = self.update(now, fingerprint, |record| record.add(now, strike));
-        let is_undecided = self.records.get(&fingerprint).is_some_and(|record| {
-            record.times_quarantined == 0 && record.warrants_quarantine(fingerprint.scope())
-        });
-        if is_undecided {
-            self.undecided.insert(fingerprint);
-        }
+        self.note_undecided(fingerprint, true);
         change
     }
 
-    /// Quarantines the requests struck here of which it is known by now that their leafs ended under no other
-    /// request. Returns these requests.
-    pub fn decide_pending(&mut self, now: Moment) -> Vec<RequestFingerprint> {
+    /// Remembers the request if its strikes warrant a quarantine that has not been decided.
+    fn note_undecided(&mut self, fingerprint: RequestFingerprint, is_struck_here: bool) {
+        let record = self.records.get(&fingerprint);
+        if record.is_some_and(|record| record.is_undecided(fingerprint.scope())) {
+            let was_struck_here = self.undecided.entry(fingerprint).or_default();
+            *was_struck_here |= is_struck_here;
+        }
+    }
+
+    /// Quarantines the requests of which it is known by now that their leafs ended under no other request. Returns
+    /// these requests.
+    pub fn decide_pending(&mut self, now: Moment) -> Vec<DecidedQuarantine> {
         let mut decided = Vec::new();
-        for fingerprint in std::mem::take(&mut self.undecided) {
-            let Some(record) = self.records.get(&fingerprint) else {
+        for (fingerprint, is_struck_here) in std::mem::take(&mut self.undecided) {
+            let record = self.records.get(&fingerprint);
+            let Some(record) = record.filter(|record| record.is_undecided(fingerprint.scope()))
+            else {
                 continue;
             };
-            let is_open =
-                record.times_quarantined == 0 && record.warrants_quarantine(fingerprint.scope());
-            if !is_open {
-                continue;
-            }
             if self.is_attributable(now, record) {
                 self.quarantine(now, fingerprint);
-                decided.push(fingerprint);
+                decided.push(DecidedQuarantine {
+                    fingerprint,
+                    is_struck_here,
+                });
             } else {
-                self.undecided.insert(fingerprint);
+                self.undecided.insert(fingerprint, is_struck_here);
             }
         }
         decided
@@ -198,20 +212,38 @@
         if record.has_further_events() {
             return true;
         }
-        let is_other_suspect = |(fingerprint, other): &(&RequestFingerprint, &Record)| {
-            let verdict = other.verdict(now, fingerprint.scope());
-            verdict != Verdict::Clear && !other.is_of_same_request_as(record)
-        };
-        let others = self.records.iter().filter(is_other_suspect);
-        let others: Vec<&Record> = others.map(|(_, other)| other).collect();
+        let others = self.other_suspects(now, record);
         if others.is_empty() {
             return true;
         }
-        let is_shared = |strike: &Strike| others.iter().any(|other| other.may_share(strike));
         let is_settled = now.since(record.changed) >= ATTRIBUTION_TIME;
+        let rivals = || others.iter().filter(|other| other.may_be_cause());
+        let is_shared = |strike: &Strike| rivals().any(|rival| rival.may_share(strike));
         is_settled && !record.later_strikes().iter().all(is_shared)
     }
 
+    /// Suspects with another content than the request of this record.
+    fn other_suspects(&self, now: Moment, record: &Record) -> Vec<&Record> {
+        let is_other = |(fingerprint, other): &(&RequestFingerprint, &Record)| {
+            let verdict = other.verdict(now, fingerprint.scope());
+            verdict != Verdict::Clear && !other.has_content_of(record)
+        };
+        let others = self.records.iter().filter(is_other);
+        others.map(|(_, other)| other).collect()
+    }
+
+    /// When the quarantine of a request will be decided, if its strikes warrant it and only what other daemons tell is
+    /// waited for. Until then it should be sent to no further leaf.
+    pub fn decision_due(&self, now: Moment, request: &RequestFingerprints) -> Option<Moment> {
+        let due = request.all().into_iter().filter_map(|fingerprint| {
+            let record = self.records.get(&fingerprint)?;
+            let due = record.changed + ATTRIBUTION_TIME;
+            let is_open = now < due && record.is_undecided(fingerprint.scope());
+            (is_open && !self.is_attributable(now, record)).then_some(due)
+        });
+        due.max()
+    }
+
     /// Clears a request that a leaf has answered. Returns what changed, if anything.
     pub fn on_answer(
         &mut self,
@@ -253,6 +285,7 @@
             return None;
         }
         let change = self.update(now, fingerprint, |record| record.merge(now, other));
+        self.note_undecided(fingerprint, false);
         match change {
             Some(_) if is_cleared => Some(QuarantineChange::Cleared),
             change => change,
@@ -365,9 +398,8 @@
             return;
         };
         let is_repeated = record.times_quarantined > 0 && before == Verdict::Suspect;
-        let is_first = record.times_quarantined == 0
-            && record.warrants_quarantine(fingerprint.scope())
-            && self.is_attributable(now, record);
+        let is_first =
+            record.is_undecided(fingerprint.scope()) && self.is_attributable(now, record);
         if !record.is_cleared() && (is_repeated || is_first) {
             self.quarantine(now, fingerprint);
         }
--- a/crates/tansylead-route/tests/quarantine.rs
+++ b/crates/tansylead-route/tests/quarantine.rs
@@ -418,6 +418,12 @@
 const SECOND_EVENT: u64 = 2_000;
 const ALL_TOLD: u64 = SECOND_EVENT + 1_000;
 
+/// The requests that are quarantined once all daemons have told of the second event.
+fn decided(table: &mut Quarantine) -> Vec<RequestFingerprint> {
+    let decided = table.decide_pending(at(ALL_TOLD)).into_iter();
+    decided.map(|decision| decision.fingerprint).collect()
+}
+
 /// Guards against innocents that are refused because they ran beside the cause of two events.
 #[test]
 fn of_two_requests_on_the_leaf_that_ends_none_is_quarantined_until_the_other_is_answered() {
@@ -428,13 +434,13 @@
         for request in &order {
             strike_request(&mut table, request, 30, SECOND_EVENT);
         }
-        assert!(table.decide_pending(at(ALL_TOLD)).is_empty());
+        assert!(decided(&mut table).is_empty());
         for request in &order {
             let verdict = table.verdict(at(ALL_TOLD), request.path);
             assert_eq!(verdict, Verdict::Suspect);
         }
         table.on_answer(at(ALL_TOLD), harmless.path);
-        assert_eq!(table.decide_pending(at(ALL_TOLD)), [fatal.path]);
+        assert_eq!(decided(&mut table), [fatal.path]);
         assert!(is_quarantined(&table, at(ALL_TOLD), fatal.path));
         assert!(!is_quarantined(&table, at(ALL_TOLD), harmless.path));
     }
@@ -453,7 +459,7 @@
     let now = at(SECOND_EVENT + RUN + 100);
     assert!(!is_quarantined(&here, now, harmless.path));
     here.merge(now, there.record(now, fatal.path).expect("held"));
-    assert!(here.decide_pending(at(ALL_TOLD)).is_empty());
+    assert!(decided(&mut here).is_empty());
     assert!(!is_quarantined(&here, at(ALL_TOLD), harmless.path));
 }
 
@@ -464,7 +470,7 @@
     strike_both_in_one_event(&mut table);
     strike_request(&mut table, &fatal, 30, SECOND_EVENT);
     assert!(!is_quarantined(&table, at(SECOND_EVENT + RUN), fatal.path));
-    assert_eq!(table.decide_pending(at(ALL_TOLD)), [fatal.path]);
+    assert_eq!(decided(&mut table), [fatal.path]);
     assert_eq!(table.verdict(at(ALL_TOLD), harmless.path), Verdict::Suspect);
 }
 
@@ -483,3 +489,32 @@
         assert!(is_quarantined(&table, at(THIRD_EVENT + RUN), request.path));
     }
 }
+
+/// Guards against a cause that goes on ending leafs while requests that ran beside it once are suspects.
+#[test]
+fn victims_of_one_event_do_not_keep_the_cause_from_being_quarantined() {
+    let [fatal, victim] = two_requests();
+    let mut table = Quarantine::default();
+    for run in 0..3 {
+        strike_request(&mut table, &fatal, run, run as u64 * RUN);
+    }
+    // In the second event two leafs end under the cause, and a request that came only then ran on both.
+    for request in [victim, fatal] {
+        for leaf in [30, 31] {
+            strike_request(&mut table, &request, leaf, SECOND_EVENT);
+        }
+    }
+    assert_eq!(decided(&mut table), [fatal.path]);
+}
+
+#[test]
+fn a_request_is_sent_to_no_further_leaf_until_it_is_decided_on() {
+    let [fatal, _] = two_requests();
+    let mut table = Quarantine::default();
+    strike_both_in_one_event(&mut table);
+    assert_eq!(table.decision_due(at(RUN * 4), &fatal), None);
+    strike_request(&mut table, &fatal, 30, SECOND_EVENT);
+    let due = table.decision_due(at(SECOND_EVENT + RUN), &fatal);
+    assert!(due.is_some_and(|due| due > at(SECOND_EVENT + RUN) && due <= at(ALL_TOLD)));
+    assert_eq!(table.decision_due(at(ALL_TOLD), &fatal), None);
+}
