Roll-outs: an order that has ended is not begun again after the source was restored

What was seen: an order that was rolled back stands as running after the source came back from a copy, for up to 8 s, until its end is written again. No request went to the version: the daemons that remember the end send nothing there.

Hypotheses: (1) nobody remembers the end; (2) it is remembered, and who remembers it does not write it; (3) somebody who does not remember it writes the beginning.

A beginning is written only by a judge that leads: most members report to it. The write of a beginning is given up after 3 s; the next evaluation starts another one.

Failed before: an_outcome_that_the_source_lost_is_written_again_though_the_first_judge_stands_still, a_judge_to_which_most_members_do_not_report_writes_no_beginning, a_beginning_that_cannot_be_written_is_given_up.

--- a/crates/tansylead-gateway/src/roll_out/judge.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -266,7 +266,10 @@
             is_new_stage,
             new_shift_wait: shift_wait.filter(|wait| Some(*wait) != wait_before),
             write: verdict.write,
-            is_beginning: rank == 0 && is_followed && self.roll_out.state == RollOutState::Ordered,
+            is_beginning: rank == 0
+                && is_followed
+                && self.trial.is_leading()
+                && self.roll_out.state == RollOutState::Ordered,
             needs_source: is_followed && self.trial.may_shift_within(now, SOURCE_LEAD),
             counts,
             allowance: allowed as u64,
--- a/crates/tansylead-gateway/src/roll_out/mod.rs
+++ b/crates/tansylead-gateway/src/roll_out/mod.rs
@@ -8,6 +8,7 @@
 mod judge_metrics;
 mod judge_selection;
 mod link;
+mod lost_outcomes;
 mod message;
 mod metrics;
 mod pause_guard;
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -5,6 +5,7 @@
 use super::judge::{Judge, JudgeContext, ReportRefusal, TrialEvaluation};
 use super::judge_metrics::{JudgeMetrics, MessageKind, MessageOutcome, conclusion_label};
 use super::link::RollOutLink;
+use super::lost_outcomes::LostOutcomes;
 use super::message::{GrantMessage, RollOutMessage};
 use super::pause_guard::PauseGuard;
 use super::ranked_judges::RankedJudges;
@@ -29,6 +30,9 @@
 /// Ticks from one evaluation of the trials to the next: four a second, more while a completion is held back.
 const TICKS_PER_EVALUATION: u32 = 5;
 
+/// Period at which it is checked whether this daemon must write a lost outcome.
+const LOST_OUTCOME_PERIOD: Duration = Duration::from_millis(250);
+
 /// The task.
 #[derive(Debug)]
 pub struct RollOutTask<S> {
@@ -43,6 +47,7 @@
     calls: Rc<SourceCalls<S>>,
     check: SourceCheck<S>,
     writes: StateWrites<S>,
+    lost_outcomes: LostOutcomes,
     ended_writes: mpsc::UnboundedReceiver<EndedWrite>,
     pause_guard: PauseGuard,
     ticks: u32,
@@ -67,6 +72,7 @@
             judge: Judge::new(node, gateway.settings.bounds.exposure()),
             check: SourceCheck::new(Rc::clone(&calls)),
             writes: StateWrites::new(Rc::clone(&calls), ended),
+            lost_outcomes: LostOutcomes::default(),
             calls,
             ended_writes,
             pause_guard: PauseGuard::default(),
@@ -88,6 +94,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let is_active = !self.reporters.is_empty();
+            let has_lost_outcomes = !self.lost_outcomes.is_empty();
             if !is_active {
                 self.pause_guard.suspend();
             }
@@ -97,6 +104,7 @@
                 Some(ended) = self.ended_writes.recv() => self.on_ended_write(ended),
                 () = gateway.roll_out_context().changed().notified(), if is_active => self.report(Clock.now()),
                 _ = ticks.tick(), if is_active => self.tick(),
+                () = tokio::time::sleep(LOST_OUTCOME_PERIOD), if has_lost_outcomes => self.write_lost_outcomes(),
             }
         }
     }
@@ -228,9 +236,11 @@
 
     /// Writes the outcomes of orders again that the source has lost.
     fn write_lost_outcomes(&mut self) {
-        for (order, state) in self.gateway.lost_outcomes() {
-            let is_first = self.ranked.rank(&order.service, self.node) == Some(0);
-            if is_first && self.writes.start(&order, state) {
+        let lost = self.gateway.lost_outcomes();
+        let (ranked, node) = (&mut self.ranked, self.node);
+        let rank_of = |service: &ServiceName| ranked.rank(service, node);
+        for (order, state) in self.lost_outcomes.due(Clock.now(), lost, rank_of) {
+            if self.writes.start(&order, state) {
                 log::info!(service = order.service.as_str(), target = order.target.as_str(), state = state.label(); "roll-out: its outcome was lost, and is written again");
             }
         }
@@ -301,12 +311,14 @@
         } = ended;
         self.metrics.on_state(wanted, end.label());
         log::info!(service = roll_out.service.as_str(), state = wanted.label(), end = end.label(); "writing of a roll-out ended");
-        if let StateWriteEnd::Confirmed(changed_at) = end {
-            self.judge.on_current(&RollOut {
+        match end {
+            StateWriteEnd::Confirmed(changed_at) => self.judge.on_current(&RollOut {
                 state: wanted,
                 changed_at,
                 ..roll_out
-            });
+            }),
+            StateWriteEnd::Expired => self.writes.forget(&roll_out),
+            StateWriteEnd::EndedAs(_) | StateWriteEnd::Replaced | StateWriteEnd::Gone => {}
         }
     }
 }
--- a/crates/tansylead-gateway/src/roll_out/source_calls.rs
+++ b/crates/tansylead-gateway/src/roll_out/source_calls.rs
@@ -13,6 +13,9 @@
 
 /// Timeout of a call: less than the time for a shift.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The write of a beginning is given up after this time: the judge that evaluates the trial then starts another one,
+/// if the order has not ended meanwhile.
+const BEGINNING_WRITE_LIMIT: Duration = Duration::from_secs(3);
 /// Backoff after the first failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after a failure, so that a source that is back is noticed soon.
@@ -41,7 +44,9 @@
         self.contact.is_fresh(Clock.now())
     }
 
-    /// Repeats a write until the state is confirmed or the order has ended otherwise, however long that takes.
+    /// Repeats a write until the state is confirmed or the order has ended otherwise, however long that takes. Only the
+    /// write of a beginning is given up: after a suspension of this process, the order may have ended and the source
+    /// been restored from a copy that has the beginning still to come.
     pub async fn write_until_confirmed(
         &self,
         roll_out: RollOut,
@@ -49,7 +54,11 @@
     ) -> StateWriteEnd {
         let service = roll_out.service.clone();
         let mut write = StateWrite::new(roll_out, wanted);
+        let began = Clock.now();
         loop {
+            if !wanted.is_final() && Clock.now().since(began) > BEGINNING_WRITE_LIMIT {
+                return StateWriteEnd::Expired;
+            }
             match write.next(Clock.now()) {
                 WriteStep::Write { roll_out } => {
                     let result = self.write(&roll_out, wanted).await;
--- a/crates/tansylead-gateway/src/roll_out/state_writes.rs
+++ b/crates/tansylead-gateway/src/roll_out/state_writes.rs
@@ -67,6 +67,12 @@
         true
     }
 
+    /// Forgets the write for an order, so that it may be started again.
+    pub fn forget(&mut self, order: &RollOut) {
+        self.started
+            .retain(|service, started| *service != order.service || started.order != order.order);
+    }
+
     /// Aborts the writes for orders that have ended, were removed or replaced.
     pub fn set_orders(&mut self, orders: &RollOuts) {
         self.started.retain(|service, started| {
--- a/crates/tansylead-gateway/tests/roll_out_conclusions.rs
+++ b/crates/tansylead-gateway/tests/roll_out_conclusions.rs
@@ -170,3 +170,39 @@
     })
     .await;
 }
+
+/// Guards against an outcome that stays lost while the judge that would write it again does not know of it.
+#[tokio::test]
+async fn an_outcome_that_the_source_lost_is_written_again_though_the_first_judge_stands_still() {
+    World::run(async |world| {
+        world.until_rolled_back().await;
+        world.fleet.set_orders(&world.source.orders());
+        world.fleet.daemon(world.judges[0]).stop();
+        world.source.restore();
+        world.fleet.set_orders(&world.source.orders());
+        world.until_rolled_back().await;
+        let begun = |state: &&RollOutState| **state == RollOutState::Running;
+        let writes = world.source.writes.borrow();
+        assert_eq!(writes.iter().filter(begun).count(), 1, "{writes:?}");
+    })
+    .await;
+}
+
+/// Guards against an order that has ended and is begun again by a daemon that has just started.
+#[tokio::test]
+async fn a_judge_to_which_most_members_do_not_report_writes_no_beginning() {
+    let source = Rc::new(FaultySource::new());
+    let running = async {
+        let fleet = Fleet::start(DAEMONS, &source);
+        source.add_order(1, DURATION * 2);
+        let first = fleet.daemons[0].view.judges(&service())[0];
+        let knowing = &fleet.daemon(first).gateway;
+        knowing.apply_roll_outs(source.orders());
+        tokio::time::sleep(DURATION).await;
+        assert!(source.writes.borrow().is_empty());
+        fleet.set_orders(&source.orders());
+        let is_begun = || source.writes.borrow().contains(&RollOutState::Running);
+        until("the order is begun", is_begun).await;
+    };
+    LocalSet::new().run_until(running).await;
+}
--- a/crates/tansylead-gateway/tests/roll_out_world/faulty_source.rs
+++ b/crates/tansylead-gateway/tests/roll_out_world/faulty_source.rs
@@ -7,7 +7,7 @@
 use tansylead_gateway::source::{
     Freshness, Source, SourceContent, SourceError, SourceUpdate, Topic, WriteEnd,
 };
-use tansylead_route::{OrderId, Revision, RollOut, RollOutState, RollOuts};
+use tansylead_route::{Era, OrderId, Revision, RollOut, RollOutState, RollOuts};
 use tansylead_types::{ServiceName, SoftwareVersion, StepError};
 
 /// The outcome of a write or a read.
@@ -92,6 +92,17 @@
         self.orders.borrow_mut().orders.clear();
     }
 
+    /// Restores a copy from before the order was begun.
+    pub fn restore(&self) {
+        let mut orders = self.orders.borrow_mut();
+        orders.at.era = Era(orders.at.era.0 + 1);
+        let at = orders.at;
+        for order in orders.orders.values_mut() {
+            order.state = RollOutState::Ordered;
+            order.changed_at = at;
+        }
+    }
+
     /// All orders.
     pub fn orders(&self) -> RollOuts {
         self.orders.borrow().clone()
--- a/crates/tansylead-gateway/tests/roll_out_writes.rs
+++ b/crates/tansylead-gateway/tests/roll_out_writes.rs
@@ -175,3 +175,13 @@
     let state = known.get(&service()).map(|order| order.state);
     assert_eq!(state, Some(RollOutState::RolledBack));
 }
+
+/// Guards against a beginning that is written after a suspension, when the order has ended.
+#[tokio::test]
+async fn a_beginning_that_cannot_be_written_is_given_up() {
+    let source = Rc::new(FaultySource::new());
+    let held = source.add_order(1, DURATION);
+    source.is_away.set(true);
+    let end = write(&source, &held, RollOutState::Running).await;
+    assert_eq!(end, StateWriteEnd::Expired);
+}
--- a/crates/tansylead-route/src/roll_out/state_write.rs
+++ b/crates/tansylead-route/src/roll_out/state_write.rs
@@ -65,6 +65,8 @@
     Replaced,
     /// The order was withdrawn.
     Gone,
+    /// It was given up, as what it was based on is too old.
+    Expired,
 }
 
 impl StateWriteEnd {
@@ -75,6 +77,7 @@
             Self::EndedAs(_) => "ended_otherwise",
             Self::Replaced => "replaced",
             Self::Gone => "gone",
+            Self::Expired => "expired",
         }
     }
 }
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -111,6 +111,11 @@
         TrialCounts::of(&self.sum)
     }
 
+    /// Whether this judge led at the last evaluation: most daemons follow it, and most members report to it.
+    pub fn is_leading(&self) -> bool {
+        self.leadership.is_leading()
+    }
+
     /// What the shift waited for at the last evaluation; none outside of a shift.
     pub fn shift_wait(&self) -> Option<ShiftWait> {
         self.shift_wait
