Quarantine: pending decisions are looked at for suspects only

Every attempt of every request looked at them. While any is pending, that compares it with all suspects, up to 256 records, which is work for nothing where the request itself is none. Not measured; by reading.

--- a/crates/tansylead-gateway/src/execution/call_quarantine.rs
+++ b/crates/tansylead-gateway/src/execution/call_quarantine.rs
@@ -74,7 +74,9 @@
 
     /// Whether an attempt may start now, by the request's quarantine state.
     pub(super) fn admission(&self) -> SendAdmission {
-        self.gateway.quarantine.decide_pending(Clock.now());
+        if self.quarantine_verdict() == Verdict::Suspect {
+            self.gateway.quarantine.decide_pending(Clock.now());
+        }
         let admission = self.shared.limiter.admission(self.quarantine_verdict());
         match admission {
             SendAdmission::Now => self.trial_admission(),
