--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -48,7 +48,7 @@
     /// What the shift waited for at the last evaluation; none outside of a shift.
     shift_wait: Option<ShiftWait>,
     shift_began: Option<Moment>,
-    /// Daemons without attempts at old leafs in any of their reports since the shift began. What they send there
+    /// Daemons that have reported, since the shift began, that they have no attempt at old leafs. What they send there
     /// afterwards they send because their grants are used up.
     drained: BTreeSet<NodeId>,
     answers_before_shift: u64,
