Leaf choice: a leaf that has not answered yet counts as fast as the others

All daemons knew the leaf 0.5 s before the old ones drained; no line says that it was avoided.

Cause: slowness is relative to the upper quartile of the latencies, and a leaf without answers counts as typical, 1. One that answers as usual has some 0.9 (a histogram of one digit adds to it), 2 ms of 20, more than its load counts while one request runs there. It stayed ahead also while it was in use.

Change: a leaf that has never answered counts as slow as the others on average, no more than typical. One that other daemons report as slow keeps that, and one whose answers are old counts as typical, as before.

Failed before (0 of 200): a_leaf_that_has_not_answered_yet_is_chosen_while_the_other_is_in_use.

--- a/crates/tansylead-gateway/src/leaf/leaf_state.rs
+++ b/crates/tansylead-gateway/src/leaf/leaf_state.rs
@@ -301,6 +301,11 @@
         self.health.answered_at() > moment
     }
 
+    /// Whether the leaf has ever answered a request of this daemon.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered_since(Moment::default())
+    }
+
     /// Whether the leaf announced that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.availability.is_leaving()
--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -226,7 +226,34 @@
     let leafs: Vec<&Rc<LeafState>> = leafs
         .filter(|leaf| !excluded.contains(&leaf.entry().leaf))
         .collect();
-    let candidates: Vec<Candidate> = leafs.iter().map(|leaf| leaf.candidate(now)).collect();
+    let mut candidates: Vec<Candidate> = leafs.iter().map(|leaf| leaf.candidate(now)).collect();
+    estimate_unanswered(&leafs, &mut candidates);
     let index = choose_leaf(&candidates, typical, rand::random())?;
     Some(Rc::clone(leafs[index]))
 }
+
+/// Estimates the slowness of leafs that have not answered this daemon yet: that of the others on average, but no worse
+/// than typical. Slowness is relative to an upper quartile, so most leafs that have answered are faster than typical.
+fn estimate_unanswered(leafs: &[&Rc<LeafState>], candidates: &mut [Candidate]) {
+    let answered = || leafs.iter().map(|leaf| leaf.has_answered());
+    let known = candidates
+        .iter()
+        .zip(answered())
+        .filter(|(_, known)| *known);
+    let (count, sum) = known.fold((0_u32, 0.0), |(count, sum), (candidate, _)| {
+        (count + 1, sum + candidate.slowness)
+    });
+    if count == 0 {
+        return;
+    }
+    let average = (sum / f64::from(count)).min(1.0);
+    let unanswered = candidates
+        .iter_mut()
+        .zip(answered())
+        .filter(|(_, known)| !known);
+    for (candidate, _) in unanswered {
+        if candidate.slowness <= 1.0 {
+            candidate.slowness = average;
+        }
+    }
+}
--- a/crates/tansylead-gateway/tests/leaf_choice.rs
+++ b/crates/tansylead-gateway/tests/leaf_choice.rs
@@ -3,11 +3,12 @@
 mod common;
 
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
-use tansylead_gateway::leaf::ServiceState;
+use tansylead_gateway::leaf::{LeafState, ServiceState};
 use tansylead_gateway::state::Gateway;
-use tansylead_gateway::{GatewaySettings, HeaderNames};
-use tansylead_route::{DirectoryDelta, HomeRegions, Revision};
+use tansylead_gateway::{Clock, GatewaySettings, HeaderNames};
+use tansylead_route::{ConnectionShare, DirectoryDelta, HomeRegions, Revision};
 use tansylead_types::ServiceName;
 
 const TYPICAL: Duration = Duration::from_millis(20);
@@ -32,12 +33,14 @@
     gateway
 }
 
+fn leaf(service: &ServiceState, name: &str) -> Rc<LeafState> {
+    let mut leafs = service.regular().into_iter();
+    let named = leafs.find(|leaf| leaf.entry().leaf.as_str() == name);
+    named.expect("a leaf")
+}
+
 fn record_connection(service: &ServiceState, name: &str, took: Duration) {
-    let leafs = service.regular();
-    let mut named = leafs
-        .iter()
-        .filter(|leaf| leaf.entry().leaf.as_str() == name);
-    named.next().expect("a leaf").on_connected(took);
+    leaf(service, name).on_connected(took);
 }
 
 /// Number of requests for which the leaf without a connection is chosen.
@@ -73,3 +76,28 @@
         "{other}"
     );
 }
+
+/// Guards against a leaf that gets no requests because one that has answered counts as faster than typical.
+#[test]
+fn a_leaf_that_has_not_answered_yet_is_chosen_while_the_other_is_in_use() {
+    /// Answers of the first leaf, in the usual time, which is less than the upper quartile.
+    const ANSWERS: usize = 20;
+    const USUAL_SHARE: f64 = 0.9;
+    /// Connections to each leaf: one request in progress is a small part of them.
+    const CONNECTIONS: u32 = 40;
+    let name = ServiceName::new("files").expect("valid name");
+    let gateway = gateway(&name);
+    let service = gateway.service(&name);
+    for leaf in service.regular() {
+        leaf.set_share(ConnectionShare {
+            connections: CONNECTIONS,
+            is_reserve: false,
+        });
+    }
+    let answering = leaf(&service, LEAFS[0]);
+    for _ in 0..ANSWERS {
+        answering.on_answer(Clock.now(), true, TYPICAL.mul_f64(USUAL_SHARE), TYPICAL);
+    }
+    let _in_use = answering.begin();
+    assert_eq!(count_other(&service), REQUESTS);
+}
