Soak: a connection from before a kill is excused, whenever the caller notices

The kill was noted right before the signal, and a request that began after the note and before the process was gone, or before its caller's connection task had seen the end, counted as cut by a living process.

Now a request is excused if the process was killed since its connection was opened, and the kill is noted once the process is gone; or if it was suspended since the request began. As strict as before where no process was killed: a connection opened after the last kill is excused by none, and a process that has exited by itself is no excuse.

--- a/crates/tansylead-emulator/src/daemon.rs
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -85,21 +85,39 @@
 #[derive(Debug, Default)]
 struct DisturbanceState {
     is_frozen: bool,
-    last: Option<Instant>,
+    /// When it was last resumed.
+    thawed: Option<Instant>,
+    /// When it had last been killed.
+    killed: Option<Instant>,
 }
 
 impl Disturbance {
-    /// Whether the process has been killed or suspended since a moment.
-    pub fn has_occurred_since(&self, moment: Instant) -> bool {
+    /// Whether the process has been killed since a moment.
+    pub fn was_killed_since(&self, moment: Instant) -> bool {
+        let killed = self.state.lock().killed;
+        killed.is_some_and(|killed| killed >= moment)
+    }
+
+    /// Whether the process has been suspended at any time since a moment.
+    pub fn was_frozen_since(&self, moment: Instant) -> bool {
         let state = self.state.lock();
-        state.is_frozen || state.last.is_some_and(|last| last >= moment)
+        state.is_frozen || state.thawed.is_some_and(|thawed| thawed >= moment)
     }
 
-    fn record(&self, is_frozen: bool) {
-        *self.state.lock() = DisturbanceState {
-            is_frozen,
-            last: Some(Instant::now()),
-        };
+    fn record_frozen(&self) {
+        self.state.lock().is_frozen = true;
+    }
+
+    fn record_thawed(&self) {
+        let mut state = self.state.lock();
+        state.is_frozen = false;
+        state.thawed = Some(Instant::now());
+    }
+
+    fn record_killed(&self) {
+        let mut state = self.state.lock();
+        state.is_frozen = false;
+        state.killed = Some(Instant::now());
     }
 }
 
@@ -168,26 +186,27 @@
 
     /// Suspends the process with SIGSTOP.
     pub fn freeze(&self) {
-        self.disturbance.record(true);
+        self.disturbance.record_frozen();
         self.signal(Signal::STOP);
     }
 
     /// Resumes a suspended process.
     pub fn thaw(&self) {
         self.signal(Signal::CONT);
-        self.disturbance.record(false);
+        self.disturbance.record_thawed();
     }
 
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             // A process that has exited by itself was not disturbed.
-            if !matches!(process.try_wait(), Ok(Some(_))) {
-                self.disturbance.record(false);
-            }
+            let is_running = !matches!(process.try_wait(), Ok(Some(_)));
             // Fails if the process has already exited.
             let _ = process.kill();
             let _ = process.wait();
+            if is_running {
+                self.disturbance.record_killed();
+            }
         }
     }
 
--- a/crates/tansylead-emulator/src/soak/pinned.rs
+++ b/crates/tansylead-emulator/src/soak/pinned.rs
@@ -76,9 +76,13 @@
 impl PinnedCaller {
     async fn call_repeatedly(self, mut random: StdRng) {
         let mut caller = Caller::new(self.oracle.clone());
+        let mut opened = Instant::now();
         loop {
+            if !caller.is_connected_to(self.daemon) {
+                opened = Instant::now();
+            }
             if let Some(route) = self.routes.choose(&mut random) {
-                self.call(&mut caller, route).await;
+                self.call(&mut caller, route, opened).await;
             }
             let pause = Duration::from_millis(random.random_range(PAUSE_MILLIS));
             tokio::time::sleep(pause).await;
@@ -86,8 +90,8 @@
     }
 
     /// Sends a request. On a connection that the daemon has kept open, it must be answered unless the process was
-    /// killed or suspended.
-    async fn call(&self, caller: &mut Caller, route: &RoutePlan) {
+    /// killed since the connection was `opened`, or suspended meanwhile.
+    async fn call(&self, caller: &mut Caller, route: &RoutePlan, opened: Instant) {
         let deadline = Duration::from_millis(route.timeout_millis);
         let request = CallerRequest::for_item(route, deadline, "pinned");
         let is_kept = caller.is_connected_to(self.daemon);
@@ -99,7 +103,9 @@
         let answer = answer.ok().flatten();
         self.oracle
             .check_end(&request.id, &crate::caller::end_of(answer.as_ref()));
-        if is_cut && !self.disturbance.has_occurred_since(began) {
+        let is_excused =
+            self.disturbance.was_killed_since(opened) || self.disturbance.was_frozen_since(began);
+        if is_cut && !is_excused {
             let (name, id, waited) = (&self.name, &request.id, began.elapsed());
             let text =
                 format!("CUT: {name} did not answer {id} on an open connection ({waited:?})");
