Soak: a kill is noted before and after it

A caller may see the end of its connection before the run has waited for the process that it killed, and the kill was noted after that only. It is noted before the signal as well, which covers connections opened earlier, and after the end for those opened in between. Connections opened after the last kill are excused by none.

--- a/crates/tansylead-emulator/src/daemon.rs
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -201,10 +201,15 @@
         if let Some(mut process) = self.process.take() {
             // A process that has exited by itself was not disturbed.
             let is_running = !matches!(process.try_wait(), Ok(Some(_)));
+            if is_running {
+                // Callers may notice before this process does.
+                self.disturbance.record_killed();
+            }
             // Fails if the process has already exited.
             let _ = process.kill();
             let _ = process.wait();
             if is_running {
+                // Covers connections that were opened meanwhile.
                 self.disturbance.record_killed();
             }
         }
