--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -9,6 +9,7 @@
 mod machines;
 mod record;
 mod slow_answer;
+mod stale_list;
 mod store;
 
 use record::Record;
@@ -54,6 +55,7 @@
         std::process::exit(2);
     });
     let result = match case.as_str() {
+        "stale-list" => stale_list::run(&record),
         "slow-answer" => slow_answer::run(&record),
         _ => Ok(CaseResult::CouldNotRun),
     };
