--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -4,6 +4,7 @@
 //! not run. With `TROUBLE=0` in its environment it leaves out the disruption.
 
 mod client;
+mod failed_post;
 mod http;
 mod leaf;
 mod machines;
@@ -56,6 +57,7 @@
     });
     let result = match case.as_str() {
         "stale-list" => stale_list::run(&record),
+        "failed-post" => failed_post::run(&record),
         "slow-answer" => slow_answer::run(&record),
         _ => Ok(CaseResult::CouldNotRun),
     };
