--- a/review/stand_ins/leaf.rs
+++ b/review/stand_ins/leaf.rs
@@ -4,7 +4,7 @@
 use crate::record::Record;
 use std::io::{self, BufReader};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -18,6 +18,8 @@
     pub id: String,
     pub service: String,
     pub zone: String,
+    /// Version of its software.
+    pub version: String,
     pub address: SocketAddr,
     pub slots: usize,
     /// How long it works on a request.
@@ -30,8 +32,8 @@
     /// The entry that the leaf keeps in the store.
     pub fn entry(&self, state: &str) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"warmup_left_ms\":0,\"seq\":1}}",
-            self.service, self.address, self.zone, self.slots
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"{state}\",\"warmup_left_ms\":0,\"seq\":1}}",
+            self.service, self.address, self.zone, self.version, self.slots
         )
     }
 }
@@ -40,8 +42,6 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub request: String,
-    /// Path and query.
-    pub target: String,
     pub began: Duration,
     pub is_answered: bool,
 }
@@ -61,8 +61,6 @@
     runs: Arc<Mutex<Vec<Run>>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
     has_ended: Arc<AtomicBool>,
-    /// Status with which it fails the requests that it has run; 0 while it is sound.
-    failure: Arc<AtomicU16>,
 }
 
 impl Leaf {
@@ -75,7 +73,6 @@
             runs: Arc::default(),
             open: Arc::default(),
             has_ended: Arc::default(),
-            failure: Arc::default(),
         };
         let serving = leaf.clone();
         thread::spawn(move || {
@@ -95,11 +92,6 @@
         self.runs.lock().expect("no holder panics").clone()
     }
 
-    /// From now on it runs each request and answers with this status, without `Not-Executed`.
-    pub fn fail_with(&self, status: u16) {
-        self.failure.store(status, Ordering::Relaxed);
-    }
-
     /// Ends the leaf: its connections close, whatever it is working on.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::Relaxed);
@@ -140,7 +132,7 @@
             let headers = [echo, ("Not-Executed", "1")];
             return write_message(writer, "HTTP/1.1 503 Service Unavailable", &headers, b"");
         }
-        let index = self.begin(&id, request.second_word());
+        let index = self.begin(&id);
         thread::sleep(self.plan.work);
         self.free_slot();
         if self.has_ended() {
@@ -148,26 +140,21 @@
         }
         let stamp = format!("{}.{id}", self.plan.id);
         let headers = [echo, ("Answer-Stamp", stamp.as_str())];
-        let start = match self.failure.load(Ordering::Relaxed) {
-            0 => "HTTP/1.1 200 OK".to_owned(),
-            status => format!("HTTP/1.1 {status} Failed"),
-        };
         let body: &[u8] = match request.second_word().contains("/short/") {
             true => b"short",
             false => &self.plan.body,
         };
-        write_message(writer, &start, &headers, body)?;
+        write_message(writer, "HTTP/1.1 200 OK", &headers, body)?;
         self.runs.lock().expect("no holder panics")[index].is_answered = true;
         Ok(())
     }
 
-    fn begin(&self, id: &str, target: &str) -> usize {
+    fn begin(&self, id: &str) -> usize {
         self.record
             .line(format!("leaf {}: runs {id}", self.plan.id));
         let mut runs = self.runs.lock().expect("no holder panics");
         runs.push(Run {
             request: id.to_owned(),
-            target: target.to_owned(),
             began: self.record.elapsed(),
             is_answered: false,
         });
--- a/review/stand_ins/machines.rs
+++ b/review/stand_ins/machines.rs
@@ -20,6 +20,11 @@
 pub const DRAIN: Duration = Duration::from_millis(3_000);
 pub const GRACE: Duration = Duration::from_secs(6);
 
+/// Settings of a deployment whose bounds name neither `evacuate_ms` nor `rollback_ms`.
+pub const NO_ROLL_OUTS: &str = "follow_evacuations = false\nfollow_roll_outs = false";
+/// Settings for the bounds of `newcomers/kmcaa-tansy-grown.toml` on evacuations and roll-outs.
+pub const ROLL_OUTS: &str = "evacuation_limit_millis = 5000\nexposure_share = 0.1\nexposure_slack = 50\nroll_back_limit_millis = 5000";
+
 const FRONT_PORT: u16 = 8226;
 const READY_PORT: u16 = 8227;
 const CONTROL_PORT: u16 = 8224;
@@ -106,12 +111,13 @@
         network: Network,
         number: usize,
         zones: &[(&str, &str)],
+        bounds: &str,
         folder: &Path,
     ) -> io::Result<Self> {
         let (zone, _) = zones[number % zones.len()];
         let name = format!("front-{zone}-{}", 1 + number / zones.len());
         let settings = folder.join(format!("{name}.toml"));
-        fs::write(&settings, settings_text(network, number, zones))?;
+        fs::write(&settings, settings_text(network, number, zones, bounds))?;
         Ok(Self {
             log: folder.join(format!("{name}.log")),
             name,
@@ -211,7 +217,7 @@
 }
 
 /// `deploy/settings.toml` with its gaps filled in for one machine.
-fn settings_text(network: Network, number: usize, zones: &[(&str, &str)]) -> String {
+fn settings_text(network: Network, number: usize, zones: &[(&str, &str)], bounds: &str) -> String {
     let ip = network.machine(number);
     let zone = zones[number % zones.len()].0;
     let seeds: Vec<String> = (0..zones.len())
@@ -239,8 +245,7 @@
 stop_limit_seconds = {grace}
 configuration_limit_millis = 3000
 leaving_limit_millis = {drain}
-follow_evacuations = false
-follow_roll_outs = false
+{roll_outs}
 retry_ratio = 0.2
 retry_slack = 58
 retry_window_seconds = 10
@@ -250,6 +255,7 @@
         regions = regions.join("\n"),
         grace = GRACE.as_secs(),
         drain = DRAIN.as_millis(),
+        roll_outs = bounds,
     )
 }
 
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -4,11 +4,11 @@
 //! not run. With `TROUBLE=0` in its environment it leaves out the disruption.
 
 mod client;
-mod failed_post;
 mod http;
 mod leaf;
 mod machines;
 mod record;
+mod restored_roll_out;
 mod slow_answer;
 mod stale_list;
 mod store;
@@ -57,7 +57,7 @@
     });
     let result = match case.as_str() {
         "stale-list" => stale_list::run(&record),
-        "failed-post" => failed_post::run(&record),
+        "restored-roll-out" => restored_roll_out::run(&record),
         "slow-answer" => slow_answer::run(&record),
         _ => Ok(CaseResult::CouldNotRun),
     };
--- a/review/stand_ins/slow_answer.rs
+++ b/review/stand_ins/slow_answer.rs
@@ -3,7 +3,7 @@
 use crate::client::request_head;
 use crate::http::read_head;
 use crate::leaf::{Leaf, LeafPlan};
-use crate::machines::{GRACE, Machine, Network, SIGTERM, TemporaryFolder};
+use crate::machines::{GRACE, Machine, NO_ROLL_OUTS, Network, SIGTERM, TemporaryFolder};
 use crate::record::Record;
 use crate::store::Store;
 use crate::{CaseResult, trouble};
@@ -38,6 +38,7 @@
             id: format!("i-{:04x}", 0x7000 + number),
             service: "appeals".to_owned(),
             zone: (*zone).to_owned(),
+            version: "v1".to_owned(),
             address: network.leaf(number),
             slots: 3,
             work: Duration::from_millis(220),
@@ -48,7 +49,7 @@
     }
     let mut machines = Vec::new();
     for number in 0..ZONES.len() {
-        let mut machine = Machine::new(network, number, &ZONES, &folder.0)?;
+        let mut machine = Machine::new(network, number, &ZONES, NO_ROLL_OUTS, &folder.0)?;
         machine.start(record)?;
         machines.push(machine);
     }
--- a/review/stand_ins/stale_list.rs
+++ b/review/stand_ins/stale_list.rs
@@ -2,7 +2,7 @@
 
 use crate::client;
 use crate::leaf::{Leaf, LeafPlan};
-use crate::machines::{CONTACT, DRAIN, Machine, Network, TemporaryFolder};
+use crate::machines::{CONTACT, DRAIN, Machine, NO_ROLL_OUTS, Network, TemporaryFolder};
 use crate::record::Record;
 use crate::store::Store;
 use crate::{CaseResult, trouble};
@@ -40,7 +40,7 @@
     thread::sleep(LAG + Duration::from_millis(500));
     let mut machines = Vec::new();
     for number in 0..ZONES.len() {
-        let mut machine = Machine::new(network, number, &ZONES, &folder.0)?;
+        let mut machine = Machine::new(network, number, &ZONES, NO_ROLL_OUTS, &folder.0)?;
         machine.start(record)?;
         machines.push(machine);
     }
@@ -82,7 +82,15 @@
     }
     let ends = acknowledged + DRAIN + SERVES_ON;
     thread::sleep(ends.saturating_sub(record.elapsed()));
-    let in_progress = leaving.runs().iter().filter(|run| !run.is_answered).count();
+    // It ends while it works, as a leaf does that nobody has told not to.
+    let mut in_progress = count_unanswered(leaving);
+    for _ in 0..100 {
+        if !trouble() || in_progress >= 2 {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+        in_progress = count_unanswered(leaving);
+    }
     leaving.end();
     store.remove("servers", &leaving.plan.id);
     record.say(format!(
@@ -97,6 +105,11 @@
     Ok(judge(record, leaving, acknowledged, calm_since, &tally))
 }
 
+/// Requests that the leaf is working on.
+fn count_unanswered(leaf: &Leaf) -> usize {
+    leaf.runs().iter().filter(|run| !run.is_answered).count()
+}
+
 /// DRAIN: no request of a machine in touch reaches the leaf later than `drain_ms` after the acknowledgement. A machine
 /// is in touch once it and the store have been without disruption for `contact_ms`.
 fn judge(
@@ -199,6 +212,7 @@
             id: format!("i-{:04x}", 0x1000 + number),
             service,
             zone: zone.to_owned(),
+            version: "v1".to_owned(),
             address: network.leaf(number),
             slots: 5,
             work: WORK,
--- a/review/stand_ins/store.rs
+++ b/review/stand_ins/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: objects by kind and name, lists in pages, watches, and one revision counter.
 //!
-//! Two replicas answer the calls with `stale=1`, in turn on each connection. The second one can be told to lag.
+//! It may come back from a copy of itself; `Store-Era` then rises by one. Two replicas answer the calls with `stale=1`, in turn on each connection. The second one can be told to lag.
 
 use crate::http::{Message, read_message, write_message};
 use crate::record::Record;
@@ -29,6 +29,10 @@
     history: Vec<Change>,
     /// How far the second replica is behind.
     lag: Duration,
+    /// How often the store came back from a copy.
+    era: u64,
+    /// Whether it answers nothing at the moment.
+    is_away: bool,
 }
 
 impl State {
@@ -36,6 +40,25 @@
         self.history.last().map_or(1, |change| change.revision)
     }
 
+    /// Applies a change: the object's spec and status, or its removal.
+    fn change(&mut self, kind: &str, name: &str, documents: Option<(&str, &str)>) -> u64 {
+        let revision = self.revision() + 1;
+        let object = documents.map(|(spec, status)| {
+            format!(
+                "{{\"meta\":{},\"spec\":{spec},\"status\":{status}}}",
+                meta(name, revision)
+            )
+        });
+        self.history.push(Change {
+            revision,
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            object,
+            at: Instant::now(),
+        });
+        revision
+    }
+
     /// The newest revision that a replica with this lag has.
     fn revision_behind(&self, lag: Duration) -> u64 {
         let now = Instant::now();
@@ -92,7 +115,32 @@
 
     /// Writes an object; the return is the acknowledgement.
     pub fn put(&self, kind: &str, name: &str, spec: &str) -> u64 {
-        self.change(kind, name, Some(spec))
+        self.change(kind, name, Some((spec, "null")))
+    }
+
+    /// Goes away: calls are neither read nor answered.
+    pub fn go_away(&self) {
+        self.shared.0.lock().expect("no holder panics").is_away = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Comes back from a copy of this age: what was written since is gone.
+    pub fn come_back_from_copy(&self, age: Duration) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("no holder panics");
+        let now = Instant::now();
+        state
+            .history
+            .retain(|change| now.duration_since(change.at) >= age);
+        state.era += 1;
+        state.is_away = false;
+        changed.notify_all();
+    }
+
+    /// An object as JSON, if it is there.
+    pub fn get(&self, kind: &str, name: &str) -> Option<String> {
+        let state = self.shared.0.lock().expect("no holder panics");
+        state.objects(kind, state.revision()).remove(name)
     }
 
     /// Removes an object.
@@ -100,23 +148,10 @@
         self.change(kind, name, None)
     }
 
-    fn change(&self, kind: &str, name: &str, spec: Option<&str>) -> u64 {
+    fn change(&self, kind: &str, name: &str, documents: Option<(&str, &str)>) -> u64 {
         let (state, changed) = &*self.shared;
         let mut state = state.lock().expect("no holder panics");
-        let revision = state.revision() + 1;
-        let object = spec.map(|spec| {
-            format!(
-                "{{\"meta\":{},\"spec\":{spec},\"status\":null}}",
-                meta(name, revision)
-            )
-        });
-        state.history.push(Change {
-            revision,
-            kind: kind.to_owned(),
-            name: name.to_owned(),
-            object,
-            at: Instant::now(),
-        });
+        let revision = state.change(kind, name, documents);
         changed.notify_all();
         revision
     }
@@ -129,21 +164,34 @@
         let mut reader = BufReader::new(stream);
         let mut stale_calls = 0;
         while let Ok(Some(request)) = read_message(&mut reader) {
+            let era = self.wait_while_away();
             let (status, body) = self.answer(&request, &mut stale_calls);
+            let era = era.max(self.wait_while_away()).to_string();
             let start = format!("HTTP/1.1 {status} x");
-            let headers = [("Content-Type", "application/json")];
+            let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
             if write_message(&mut writer, &start, &headers, body.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Waits until the store is there, and returns its era.
+    fn wait_while_away(&self) -> u64 {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("no holder panics");
+        while state.is_away {
+            state = changed.wait(state).expect("no holder panics");
+        }
+        state.era
+    }
+
     fn answer(&self, request: &Message, stale_calls: &mut usize) -> (u16, String) {
         let target = request.second_word();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let mut parts = path.split('/').skip(2);
         let kind = parts.next().unwrap_or_default();
         let name = parts.next();
+        let is_status = parts.next() == Some("status");
         let query: HashMap<&str, &str> = query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
@@ -156,6 +204,7 @@
                 let found = state.objects(kind, state.revision()).remove(name);
                 found.map_or((404, "{}".to_owned()), |object| (200, object))
             }
+            ("PUT", Some(name)) if is_status => self.put_status(kind, name, &query, &request.body),
             ("POST", None) => self.create(kind, &request.body),
             ("DELETE", Some(name)) => {
                 self.remove(kind, name);
@@ -210,7 +259,11 @@
         let until = Instant::now() + Duration::from_millis(number("wait_ms"));
         let (state, changed) = &*self.shared;
         let mut state = state.lock().expect("no holder panics");
+        let era = state.era;
         loop {
+            if state.era != era || after > state.revision() {
+                return (410, "{}".to_owned());
+            }
             let newer = state.history.iter();
             let newer = newer.filter(|change| change.revision > after && change.kind == kind);
             let events: Vec<String> = newer.map(event).collect();
@@ -227,6 +280,38 @@
         }
     }
 
+    /// Replaces the status of an object, if it is unchanged since the revision in the query.
+    fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        query: &HashMap<&str, &str>,
+        body: &[u8],
+    ) -> (u16, String) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("no holder panics");
+        let revision = state.revision();
+        let Some(found) = state.objects(kind, revision).remove(name) else {
+            return (404, "{}".to_owned());
+        };
+        let expected = query.get("revision").copied().unwrap_or_default();
+        if !found.contains(&format!("\"revision\":{expected},")) {
+            return (409, found);
+        }
+        let text = String::from_utf8_lossy(body).into_owned();
+        let status = text.strip_prefix("{\"status\":").unwrap_or("null}");
+        let status = &status[..status.len() - 1];
+        let spec = found.split("\"spec\":").nth(1).unwrap_or_default();
+        let spec = spec.split(",\"status\":").next().unwrap_or("null");
+        let revision = state.change(kind, name, Some((spec, status)));
+        changed.notify_all();
+        let object = state.objects(kind, revision).remove(name);
+        drop(state);
+        self.record
+            .say(format!("store: status of {kind}/{name} is {status}"));
+        (200, object.unwrap_or_default())
+    }
+
     fn create(&self, kind: &str, body: &[u8]) -> (u16, String) {
         let text = String::from_utf8_lossy(body);
         let name = text.split("\"name\":\"").nth(1);
