Directory: a list is as new as its oldest page, and no entry goes back

What callers saw: all daemons start again right after a leaf has said that it leaves. Their first list is read from replicas of the store, and the page with that leaf is seconds older than the first page.

Hypotheses, and what the logs of the daemons tell (second life of each, with the line on lists added before): 1. The list has the position of its first page, and nobody asks for what an older page lacks. Would show: pages of two positions, no `leaf changed` for the leaf. So it is: lowest 74, highest 75, the leaf changed at 75, the next line on it is `leaf gone`, 15 s later. 2. The watch loses events. Would show: no `leaf gone` either. The change is known, and the leaf used as the last resort. Would show: `leaf changed`, `Draining`. It does not come. 4. A peer's older directory replaces the own one. Would show: a daemon with other pages, or `large feed reply`.

Cause: one position was taken from several reads. The same cause at three more places, found by the property below: - The log for peers said that it leads from the position of a list, though later pages had changes from after it: what a page had already was not logged when the watch told it, and a peer at that position never got it. - A list that is applied over an older directory (after 410) was logged as differences. A peer between the two positions, which has what came and went in between, kept it. - A peer's changes up to a position between those of the pages put entries of newer pages back.

Change: a list has a position for each page (`ListPosition`), the directory keeps them, and its revision is the lowest one. Changes are applied to the entries that are behind, the last of each leaf only, until all have the same position. The log has every change from the lowest position on; a range that a list has passed over is bridged by differences for a peer at exactly its start, and by all entries for one within it. A peer states its pages when it polls. Polls of builds that know no pages are refused, as those of builds that know no eras: their directories may lack changes before their position.

Weighed: - History forgotten before the watch (410): the lowest position is at most seconds older than the first, so this is hardly more frequent. The list is then read again with a current read; one that is refused is repeated with the usual backoff. Before, each try was a watch with the answer 410 and a read, without a growing backoff. - An entry going back to an older revision of itself: excluded for leafs by the position of its page, whatever the watch or a peer repeats. Evacuations and roll-outs are replaced whole; if they fill more than a page, a peer's set from between the positions of the own pages can replace the own one until the watch, which starts at the lowest position. - Pages that never agree: nothing waits for that and nothing is read again; the watch brings each page on from its own position. - A start while current reads are refused: the cached list is applied and served at once as before, and completed by the watch or a peer later. - 1,000 daemons that start together: the same calls. A watching daemon's log begins at the lowest position of its list, so daemons with uneven lists follow it by changes and need no whole directory.

`after_catching_up_the_directory_equals_the_store` is the property over orders of pages, ages, eras, watches, peers and late answers. The emulator's store has replicas, each some time behind, that take turns. The types of positions in earlier tests follow; what they check is unchanged.

--- a/crates/tansylead-emulator/src/store/calls.rs
+++ b/crates/tansylead-emulator/src/store/calls.rs
@@ -1,7 +1,7 @@
 //! Parses calls to the store and executes them on its objects.
 
 use super::objects::{ObjectStore, StoreError};
-use super::server::Shared;
+use super::server::{Connection, Shared};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -34,6 +34,11 @@
         })
     }
 
+    /// Whether the answer need not be current.
+    pub(super) fn is_cached(&self) -> bool {
+        self.query.get("stale").is_some_and(|stale| stale == "1")
+    }
+
     /// The expected revision of the object: from the query, or from the object's `meta`.
     fn condition(&self, object: &Value) -> Result<Option<u64>, InvalidRevision> {
         if let Some(revision) = self.query.get("revision") {
@@ -48,14 +53,22 @@
 struct InvalidRevision;
 
 /// Executes a call.
-pub(super) async fn handle(shared: &Shared, call: Call) -> Response<Full<Bytes>> {
+pub(super) async fn handle(
+    shared: &Shared,
+    connection: &Connection,
+    call: Call,
+) -> Response<Full<Bytes>> {
     let segments: Vec<&str> = call.path.trim_matches('/').split('/').collect();
     match (&call.method, segments.as_slice()) {
         (&Method::GET, ["objects", kind]) => match call.query.get("watch") {
             Some(after) => watch_kind(shared, kind, after, &call.query).await,
             None => {
                 let after = call.query.get("after").map_or("", String::as_str);
-                reply(&shared.objects.lock().list(kind, after))
+                let mut objects = shared.objects.lock();
+                reply(&match call.is_cached() {
+                    true => objects.list_cached(connection.next_turn(), kind, after),
+                    false => objects.list(kind, after),
+                })
             }
         },
         (&Method::GET, ["objects", kind, name]) => {
--- a/crates/tansylead-emulator/src/store/mod.rs
+++ b/crates/tansylead-emulator/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod objects;
+mod replica;
 mod server;
 
 pub use objects::{ListPage, ObjectStore, StoreCopy, StoreError, StoredObject, WatchEvent};
--- a/crates/tansylead-emulator/src/store/objects.rs
+++ b/crates/tansylead-emulator/src/store/objects.rs
@@ -3,9 +3,14 @@
 //! Invariants: the revision rises with each change; a watch from a revision that the history still
 //! covers yields every later change of its kind, in order.
 
+use super::replica::Replica;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Objects by kind and name.
+pub(super) type Kinds = BTreeMap<String, BTreeMap<String, StoredObject>>;
 
 /// One object.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -63,17 +68,17 @@
 }
 
 #[derive(Debug, Clone)]
-struct LoggedEvent {
-    revision: u64,
-    kind: String,
-    event: WatchEvent,
+pub(super) struct LoggedEvent {
+    pub(super) revision: u64,
+    pub(super) kind: String,
+    pub(super) event: WatchEvent,
 }
 
 /// Copy of the store's objects at one point in time.
 #[derive(Debug, Clone)]
 pub struct StoreCopy {
     revision: u64,
-    kinds: BTreeMap<String, BTreeMap<String, StoredObject>>,
+    kinds: Kinds,
 }
 
 impl StoreCopy {
@@ -89,11 +94,13 @@
     /// Incremented each time the store is restored from a copy.
     era: u64,
     revision: u64,
-    kinds: BTreeMap<String, BTreeMap<String, StoredObject>>,
+    kinds: Kinds,
     history: VecDeque<LoggedEvent>,
     /// The history has all changes after this revision.
     history_start: u64,
     page_objects: usize,
+    /// Answer the calls that need not be current.
+    replicas: Vec<Replica>,
 }
 
 impl ObjectStore {
@@ -106,9 +113,16 @@
             history: VecDeque::new(),
             history_start: 1,
             page_objects: page_objects.max(1),
+            replicas: Vec::new(),
         }
     }
 
+    /// Sets how far each replica is behind from now on. Without replicas every answer is current.
+    pub fn set_replicas(&mut self, lags: &[Duration]) {
+        let replica = |lag: &Duration| Replica::new(*lag, self.revision, self.kinds.clone());
+        self.replicas = lags.iter().map(replica).collect();
+    }
+
     /// Era of the store; incremented by each restore from a copy.
     pub fn era(&self) -> u64 {
         self.era
@@ -127,6 +141,9 @@
         self.era += 1;
         self.revision = copy.revision;
         self.kinds = copy.kinds;
+        for replica in &mut self.replicas {
+            replica.restore(self.revision, self.kinds.clone());
+        }
         self.discard_history();
     }
 
@@ -137,17 +154,17 @@
 
     /// A page of a kind's objects, starting after a name.
     pub fn list(&self, kind: &str, after: &str) -> ListPage {
-        let objects = self.kinds.get(kind);
-        let later = objects.into_iter().flat_map(|objects| objects.values());
-        let later = later.filter(|object| object.meta.name.as_str() > after);
-        let mut items: Vec<StoredObject> = later.take(self.page_objects + 1).cloned().collect();
-        let more = items.len() > self.page_objects;
-        items.truncate(self.page_objects);
-        ListPage {
-            items,
-            more,
-            at: self.revision,
-        }
+        list(&self.kinds, self.revision, self.page_objects, kind, after)
+    }
+
+    /// Like [`ObjectStore::list`] as one of the replicas has it; they take turns in `turn`.
+    pub fn list_cached(&mut self, turn: usize, kind: &str, after: &str) -> ListPage {
+        let index = turn.checked_rem(self.replicas.len()).unwrap_or(0);
+        let Some(replica) = self.replicas.get_mut(index) else {
+            return self.list(kind, after);
+        };
+        let (revision, kinds) = replica.state(Instant::now());
+        list(kinds, revision, self.page_objects, kind, after)
     }
 
     /// Names of all objects of a kind.
@@ -279,10 +296,25 @@
     }
 
     fn log(&mut self, kind: &str, gone: bool, object: StoredObject) {
-        self.history.push_back(LoggedEvent {
+        let event = LoggedEvent {
             revision: self.revision,
             kind: kind.to_owned(),
             event: WatchEvent { gone, object },
-        });
+        };
+        for replica in &mut self.replicas {
+            replica.log(Instant::now(), event.clone());
+        }
+        self.history.push_back(event);
     }
 }
+
+/// A page of a kind's objects, starting after a name.
+fn list(kinds: &Kinds, at: u64, page_objects: usize, kind: &str, after: &str) -> ListPage {
+    let objects = kinds.get(kind);
+    let later = objects.into_iter().flat_map(|objects| objects.values());
+    let later = later.filter(|object| object.meta.name.as_str() > after);
+    let mut items: Vec<StoredObject> = later.take(page_objects + 1).cloned().collect();
+    let more = items.len() > page_objects;
+    items.truncate(page_objects);
+    ListPage { items, more, at }
+}
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -15,6 +15,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -31,6 +32,8 @@
     Busy,
     /// It answers 429.
     Throttled,
+    /// It answers 429 to calls that ask for a current answer.
+    ThrottlesCurrent,
     /// It closes connections.
     Reset,
     /// It delays calls by this time.
@@ -67,6 +70,20 @@
     pub(super) changed: watch::Sender<u64>,
 }
 
+/// State of one connection.
+#[derive(Debug, Default)]
+pub(super) struct Connection {
+    /// Answers of replicas so far.
+    turns: AtomicUsize,
+}
+
+impl Connection {
+    /// Number of the next answer of a replica: on each connection the replicas take turns, beginning with the first.
+    pub(super) fn next_turn(&self) -> usize {
+        self.turns.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
 /// The store; clones share it.
 #[derive(Debug, Clone)]
 pub struct StoreServer {
@@ -104,6 +121,12 @@
         *self.shared.fault.lock() = fault;
     }
 
+    /// Sets how far each replica is behind from now on. They take turns in answering the calls that need not be
+    /// current. Without replicas every answer is current.
+    pub fn set_replicas(&self, lags: &[Duration]) {
+        self.shared.objects.lock().set_replicas(lags);
+    }
+
     /// Creates or replaces an object, as the operator and the leafs do.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.shared.objects.lock().put(kind, name, spec);
@@ -181,9 +204,11 @@
 }
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let connection: Arc<Connection> = Arc::default();
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
-        async move { answer(&shared, request).await }
+        let connection = Arc::clone(&connection);
+        async move { answer(&shared, &connection, request).await }
     });
     // Connections may end with any error.
     let _ = http1::Builder::new()
@@ -192,21 +217,29 @@
 }
 
 /// Answers a call. Each answer states the store's era.
-async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+async fn answer(
+    shared: &Arc<Shared>,
+    connection: &Arc<Connection>,
+    request: Request<Incoming>,
+) -> Answer {
     let path = request.uri().path().to_owned();
     *shared.calls.lock().entry(path).or_default() += 1;
-    let mut response = answer_under_fault(shared, request).await?;
+    let mut response = answer_under_fault(shared, connection, request).await?;
     let era = shared.objects.lock().era();
     response.headers_mut().insert("store-era", era.into());
     Ok(response)
 }
 
-async fn answer_under_fault(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+async fn answer_under_fault(
+    shared: &Arc<Shared>,
+    connection: &Arc<Connection>,
+    request: Request<Incoming>,
+) -> Answer {
     let fault = *shared.fault.lock();
     match fault {
-        StoreFault::None | StoreFault::LosesAnswers(_) => {}
+        StoreFault::None | StoreFault::LosesAnswers(_) | StoreFault::ThrottlesCurrent => {}
         StoreFault::WritesLate(time) if request.method() != Method::GET => {
-            return execute_write_later(shared, request, time).await;
+            return execute_write_later(shared, connection, request, time).await;
         }
         StoreFault::WritesLate(_) => {}
         StoreFault::Silent => std::future::pending().await,
@@ -218,7 +251,10 @@
     let Ok(call) = Call::receive(request).await else {
         return Ok(empty(StatusCode::BAD_REQUEST));
     };
-    let response = handle(shared, call).await;
+    if fault == StoreFault::ThrottlesCurrent && !call.is_cached() {
+        return Ok(empty(StatusCode::TOO_MANY_REQUESTS));
+    }
+    let response = handle(shared, connection, call).await;
     if let StoreFault::LosesAnswers(probability) = fault
         && rand::rng().random_bool(probability)
     {
@@ -230,16 +266,17 @@
 /// Closes the connection without an answer and executes the write later.
 async fn execute_write_later(
     shared: &Arc<Shared>,
+    connection: &Arc<Connection>,
     request: Request<Incoming>,
     time: Duration,
 ) -> Answer {
     // An incomplete call is never executed.
     if let Ok(call) = Call::receive(request).await {
-        let shared = Arc::clone(shared);
+        let (shared, connection) = (Arc::clone(shared), Arc::clone(connection));
         tokio::spawn(async move {
             tokio::time::sleep(time).await;
             // The caller's connection is closed already.
-            let _ = handle(&shared, call).await;
+            let _ = handle(&shared, &connection, call).await;
         });
     }
     Err(ConnectionClosed)
--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -96,7 +96,7 @@
         let request = FeedRequest {
             cluster: self.gateway.settings.cluster.clone(),
             version: self.gateway.version(),
-            revision: self.gateway.directory().revision(),
+            directory: self.gateway.directory().position().cloned(),
             evacuated: self.gateway.evacuated(),
             roll_outs: self.gateway.roll_outs_mark(),
             roll_outs_needed_up_to: self.gateway.needed_roll_outs(),
@@ -106,7 +106,7 @@
         };
         let exchange = async {
             let sent = frames
-                .send(encode(&PeerRequest::Feed(request), &name)?)
+                .send(encode(&PeerRequest::Feed(Box::new(request)), &name)?)
                 .await;
             sent.map_err(|cause| StepError::new("send feed request", peer, cause))?;
             match frames.next().await {
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tansylead_route::{
-    Configuration, DirectoryDelta, EvacuatedZones, Revision, RollOuts, RollOutsMark,
+    Configuration, DirectoryDelta, EvacuatedZones, ListPosition, Revision, RollOuts, RollOutsMark,
 };
 use tansylead_types::StepError;
 use tokio_util::bytes::Bytes;
@@ -90,8 +90,8 @@
     pub(super) cluster: String,
     /// Version of the configuration.
     pub(super) version: Option<u64>,
-    /// Revision of the leaf directory.
-    pub(super) revision: Option<Revision>,
+    /// Position of the leaf directory.
+    pub(super) directory: Option<ListPosition>,
     /// Zones that are being emptied.
     pub(super) evacuated: Option<EvacuatedZones>,
     /// Orders to roll out.
--- a/crates/tansylead-gateway/src/cluster/peer_server.rs
+++ b/crates/tansylead-gateway/src/cluster/peer_server.rs
@@ -35,8 +35,11 @@
     PollWithoutEra,
     /// Asks to run a query over shards.
     Query(Box<ForwardedQuery>),
+    /// Poll of older builds, whose directories have one position for pages of different age. It is refused, since such
+    /// a directory may lack changes before its position.
+    PollWithoutPages,
     /// Asks for news of configuration, leafs, evacuations and roll-outs.
-    Feed(FeedRequest),
+    Feed(Box<FeedRequest>),
 }
 
 /// A connection to another daemon that is silent for this long ends. On idle connections the system sends
@@ -77,13 +80,9 @@
     let mut frames = frames(stream);
     while let Ok(Some(Ok(frame))) = tokio::time::timeout(IDLE_LIMIT, frames.next()).await {
         match decode(&frame, peer)? {
-            PeerRequest::PollWithoutEra => {
-                log::warn!(peer = peer; "poll of a build that knows no eras refused");
-                return Err(StepError::new(
-                    "serve feed",
-                    peer,
-                    "its build knows no eras",
-                ));
+            PeerRequest::PollWithoutEra | PeerRequest::PollWithoutPages => {
+                log::warn!(peer = peer; "poll of an older build refused");
+                return Err(StepError::new("serve feed", peer, "its build is older"));
             }
             PeerRequest::Feed(request) => {
                 let (reply, _permit) = answer_poll(&gateway, permits, &request, peer).await?;
--- a/crates/tansylead-gateway/src/cluster/source_feed.rs
+++ b/crates/tansylead-gateway/src/cluster/source_feed.rs
@@ -41,7 +41,10 @@
     view: Rc<ClusterView>,
     source: Rc<S>,
     topic: Topic,
+    /// Position that the last answer led to.
     position: Option<Revision>,
+    /// Position after which the source has lost its history: a watch from there, or from an earlier one, has no answer.
+    history_gone: Option<Revision>,
     failures: u32,
     /// When the orders to roll out were last read because new leafs needed them.
     last_needed_read: Option<Moment>,
@@ -59,6 +62,7 @@
             source,
             topic,
             position: None,
+            history_gone: None,
             failures: 0,
             last_needed_read: None,
         }
@@ -136,8 +140,8 @@
         self.gateway.settings.bounds.watch_wait(age)
     }
 
-    /// Watches the topic. Reads it instead if nothing is known yet, or if new leafs need the orders to roll
-    /// out at once.
+    /// Watches the topic. Reads it instead if there is no position to watch from, or if new leafs need the orders to
+    /// roll out at once.
     async fn ask(&mut self, wait: Duration) -> Answer {
         let Some(position) = self.known_position() else {
             return self.read().await;
@@ -200,16 +204,19 @@
         self.gateway.metrics.on_source_call(self.topic, label);
     }
 
-    /// Revision after which the next watch starts: peers may have provided later ones than the last watch.
+    /// Revision after which the next watch starts: peers may have provided later ones than the last watch. None if
+    /// nothing is known, or if the source no longer has the history from there on.
     fn known_position(&self) -> Option<Revision> {
-        match self.topic {
+        let position = match self.topic {
             Topic::Configuration | Topic::Evacuations => self.position,
-            Topic::Leafs => self.position.max(self.gateway.directory().revision()),
+            Topic::Leafs => self.gateway.directory().revision(),
             Topic::RollOuts => {
                 let held = self.gateway.roll_outs_mark().map(|held| held.at);
                 self.position.max(held)
             }
-        }
+        };
+        let gone = self.history_gone;
+        position.filter(|position| gone.is_none_or(|gone| gone < *position))
     }
 
     /// Whether an answer is from before the source was restored from a copy.
@@ -228,6 +235,7 @@
             log::info!(topic = self.topic.label(), failures = self.failures; "source regained");
         }
         self.failures = 0;
+        self.history_gone = None;
         self.position = Some(update.at);
         self.apply(update);
         self.gateway.confirm(self.topic, current);
@@ -251,10 +259,11 @@
     }
 
     async fn on_error(&mut self, error: SourceError) {
-        if error == SourceError::HistoryGone {
-            log::info!(topic = self.topic.label(); "history of the source is gone; reading anew");
-            self.position = None;
-            self.reread().await;
+        if error == SourceError::HistoryGone
+            && let Some(position) = self.known_position()
+        {
+            log::info!(topic = self.topic.label(), after = position.number; "history of the source is gone; reading anew");
+            self.history_gone = Some(position);
             return;
         }
         if self.failures == 0 {
@@ -265,16 +274,6 @@
         let backoff = (INITIAL_BACKOFF * 2_u32.pow(doublings)).min(MAXIMUM_BACKOFF);
         tokio::time::sleep(jittered(backoff)).await;
     }
-
-    async fn reread(&mut self) {
-        let (result, asked_at) = self.read().await;
-        self.count(&result);
-        match result {
-            Ok(update) if self.is_late(&update) => self.discard_late(update).await,
-            Ok(update) => self.on_update(update, asked_at),
-            Err(_) => tokio::time::sleep(jittered(INITIAL_BACKOFF)).await,
-        }
-    }
 }
 
 /// The first update that any of the reads returns; never returns if all of them fail.
--- a/crates/tansylead-gateway/src/routes_file.rs
+++ b/crates/tansylead-gateway/src/routes_file.rs
@@ -76,7 +76,7 @@
                 SourceContent::Configuration(Some(Box::new(file.configuration)))
             }
             Topic::Leafs => SourceContent::Leafs(DirectoryDelta::Everything {
-                at,
+                at: at.into(),
                 entries: file.leafs,
             }),
             Topic::Evacuations => SourceContent::Evacuations(Some(EvacuatedZones {
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use tansylead_route::{
     ConnectionShare, DirectoryChange, DirectoryDelta, EvacuatedZones, LeafDirectory, LeafEntry,
-    LeafReport, Service, SharedLeaf, cold_share,
+    LeafReport, ListPosition, Service, SharedLeaf, cold_share,
 };
 use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
 
@@ -29,7 +29,7 @@
 impl Gateway {
     /// Applies changes to the leaf directory.
     pub fn apply_directory(&self, delta: DirectoryDelta) {
-        let before = self.directory.borrow().revision();
+        let before = self.directory.borrow().position().cloned();
         let is_restored = self.directory.borrow().is_restored_by(&delta);
         let source_was_away = is_restored || self.is_directory_stale();
         let changes = self.directory.borrow_mut().apply(delta);
@@ -43,9 +43,10 @@
                 service.set_shares_version(None);
             }
         }
-        let revision = self.directory.borrow().revision();
-        if let Some(revision) = revision.filter(|_| revision != before) {
-            self.record_era(revision.era);
+        let after = self.directory.borrow().position().cloned();
+        if let Some(after) = after.as_ref().filter(|_| after != before) {
+            log_evenness(before.as_ref(), after);
+            self.record_era(after.era());
             self.notify();
         }
     }
@@ -352,6 +353,20 @@
 /// Changes of a delta that are logged one by one; there are more only after a full read or the loss of a zone.
 const MAXIMUM_LOGGED: usize = 50;
 
+/// Logs when some entries begin to be known up to a later revision than others, and when they no longer are.
+fn log_evenness(before: Option<&ListPosition>, after: &ListPosition) {
+    let was_even = before.is_none_or(|before| before.uniform().is_some());
+    match after.uniform() {
+        Some(at) if !was_even => {
+            log::info!(revision = at.number; "all leafs known up to one revision");
+        }
+        None if was_even => {
+            log::info!(revision = after.lowest().number, highest = after.highest().number; "leafs known up to different revisions");
+        }
+        _ => {}
+    }
+}
+
 /// Logs one line per change, or one for all if there are many.
 fn log_changes(changes: &[DirectoryChange], source_was_away: bool) {
     if changes.len() > MAXIMUM_LOGGED {
--- a/crates/tansylead-gateway/tests/admission.rs
+++ b/crates/tansylead-gateway/tests/admission.rs
@@ -60,7 +60,7 @@
     let settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
     let gateway = Gateway::new(settings, HeaderNames::default());
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries: vec![common::entry("leaf", &shard(), leaf)],
     });
     Rc::new(gateway)
--- a/crates/tansylead-gateway/tests/common/fleet.rs
+++ b/crates/tansylead-gateway/tests/common/fleet.rs
@@ -39,7 +39,7 @@
     let gateway = Gateway::new(settings, HeaderNames::default());
     gateway.apply_roll_outs(orders([], BEFORE));
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: STARTED,
+        at: STARTED.into(),
         entries,
     });
     Rc::new(gateway)
@@ -170,7 +170,7 @@
     leaving.phase = LeafPhase::Draining;
     let new = entry_of("i-new", &service(), fleet.new.address, "new", STARTED);
     DirectoryDelta::Everything {
-        at: Revision::first_era(STARTED.number + 1),
+        at: Revision::first_era(STARTED.number + 1).into(),
         entries: vec![leaving, new],
     }
 }
--- a/crates/tansylead-gateway/tests/connections.rs
+++ b/crates/tansylead-gateway/tests/connections.rs
@@ -54,7 +54,7 @@
         },
     });
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries: vec![common::entry("leaf", &service, ([127, 0, 0, 1], 1).into())],
     });
     gateway
--- a/crates/tansylead-gateway/tests/feed_between_daemons.rs
+++ b/crates/tansylead-gateway/tests/feed_between_daemons.rs
@@ -32,7 +32,10 @@
     let mut settings = GatewaySettings::load(&root.join("settings.toml")).expect("settings");
     settings.peer_address = free_address();
     let gateway = Gateway::new(settings, HeaderNames::default());
-    gateway.apply_directory(DirectoryDelta::Everything { at, entries: leafs });
+    gateway.apply_directory(DirectoryDelta::Everything {
+        at: at.into(),
+        entries: leafs,
+    });
     Rc::new(gateway)
 }
 
@@ -224,7 +227,7 @@
         daemon.apply_roll_outs(orders(RollOutState::Running, 10));
     }
     own.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(15),
+        at: Revision::first_era(15).into(),
         entries: vec![leaf_of("older", "v2", 5), first],
     });
     assert_eq!(own.needed_roll_outs(), Some(Revision::first_era(15)));
--- a/crates/tansylead-gateway/tests/large_fleet.rs
+++ b/crates/tansylead-gateway/tests/large_fleet.rs
@@ -34,7 +34,7 @@
 
 fn everything(leafs: usize) -> DirectoryDelta {
     DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries: entries(leafs),
     }
 }
@@ -72,7 +72,7 @@
     let mut kept = entries(450);
     kept.retain(|entry| entry.leaf.as_str() != "leaf-0");
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(2),
+        at: Revision::first_era(2).into(),
         entries: kept,
     });
     assert_eq!(gateway.service(&shard(0)).regular().len(), 1);
--- a/crates/tansylead-gateway/tests/leaf_choice.rs
+++ b/crates/tansylead-gateway/tests/leaf_choice.rs
@@ -24,7 +24,7 @@
     let gateway = Gateway::new(settings, HeaderNames::default());
     let address = ([127, 0, 0, 1], 1).into();
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries: LEAFS
             .map(|name| common::entry(name, service, address))
             .to_vec(),
--- a/crates/tansylead-gateway/tests/query_roots.rs
+++ b/crates/tansylead-gateway/tests/query_roots.rs
@@ -89,7 +89,7 @@
         },
     });
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries: vec![common::entry("leaf", &shard(), leaf)],
     });
     gateway.apply_evacuations(EvacuatedZones::default());
--- a/crates/tansylead-gateway/tests/refusals.rs
+++ b/crates/tansylead-gateway/tests/refusals.rs
@@ -116,7 +116,7 @@
         ));
     }
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries,
     });
     let (route, set) = search(leafs.len());
--- a/crates/tansylead-gateway/tests/roll_outs_needed.rs
+++ b/crates/tansylead-gateway/tests/roll_outs_needed.rs
@@ -30,7 +30,7 @@
     settings.bounds.follow_roll_outs = follow_roll_outs;
     let gateway = Gateway::new(settings, HeaderNames::default());
     gateway.apply_directory(DirectoryDelta::Everything {
-        at: Revision::first_era(1),
+        at: Revision::first_era(1).into(),
         entries: Vec::new(),
     });
     gateway
--- a/crates/tansylead-route/src/directory.rs
+++ b/crates/tansylead-route/src/directory.rs
@@ -1,19 +1,22 @@
 //! The leaf directory: a replica of the leafs' entries, with a log of recent changes for peers that lag.
 //!
-//! Invariants: the revision never decreases; a delta from a revision that the log still covers brings a
-//! replica at that revision up to date; an entry of a run never replaces one of a later run of its leaf. A
-//! replica of an earlier era gets all entries: two replicas at the same revision may since have held different
-//! changes that the source lost when it was restored, and no log contains those.
+//! A list of the source that was read in pages may know some entries up to a later revision than others. The replica
+//! keeps these positions until changes have brought all entries to the same one; until then no entry goes back to
+//! an older state, and the revision of the replica is the one that holds for every entry.
+//!
+//! Invariants: the revision never decreases, nor does the position of any entry within an era; a delta from a revision
+//! that the log still covers brings a replica at that revision up to date; an entry of a run never replaces one of a
+//! later run of its leaf. A replica of an earlier era gets all entries: two replicas at the same revision may since
+//! have held different changes that the source lost when it was restored, and no log contains those.
 
+use crate::directory_log::{DirectoryLog, LoggedSince};
 use crate::leaf::LeafEntry;
+use crate::list_position::ListPosition;
 use crate::revision::Revision;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use tansylead_types::LeafId;
 
-/// Number of changes kept for peers. A peer further behind gets all entries.
-const LOGGED_CHANGES: usize = 512;
-
 /// One change of one entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryChange {
@@ -33,17 +36,17 @@
     }
 }
 
-/// An update that brings a replica to a revision.
+/// An update that brings a replica to a later position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DirectoryDelta {
     /// All entries; leafs that are not among them are gone.
     Everything {
-        /// Revision of the entries.
-        at: Revision,
+        /// Position of the entries.
+        at: ListPosition,
         /// Entries of all leafs.
         entries: Vec<LeafEntry>,
     },
-    /// The changes since a revision that the receiver holds.
+    /// All changes since a revision, for any replica that has reached it.
     Changes {
         /// Revision after which the changes start.
         after: Revision,
@@ -52,28 +55,35 @@
         /// Changes in the order of their revisions.
         changes: Vec<DirectoryChange>,
     },
-}
-
-#[derive(Debug)]
-struct LoggedChange {
-    at: Revision,
-    change: DirectoryChange,
+    /// The difference between two states of the directory, for a replica at exactly the first one.
+    Difference {
+        /// Revision of the first state.
+        after: Revision,
+        /// Revision of the second state.
+        at: Revision,
+        /// Changes that lead from the first state to the second one.
+        changes: Vec<DirectoryChange>,
+    },
 }
 
 /// Replica of the directory.
 #[derive(Debug, Default)]
 pub struct LeafDirectory {
     entries: BTreeMap<LeafId, LeafEntry>,
-    at: Option<Revision>,
-    log: VecDeque<LoggedChange>,
-    /// The log holds every change after this revision.
-    log_start: Revision,
+    position: Option<ListPosition>,
+    log: DirectoryLog,
 }
 
 impl LeafDirectory {
-    /// Revision up to which this replica is complete; none before the first full read.
+    /// Revision up to which this replica is complete; none before the first full read. Some entries may be known
+    /// up to a later one.
     pub fn revision(&self) -> Option<Revision> {
-        self.at
+        self.position.as_ref().map(ListPosition::lowest)
+    }
+
+    /// Positions up to which the entries are known; none before the first full read.
+    pub fn position(&self) -> Option<&ListPosition> {
+        self.position.as_ref()
     }
 
     /// All entries.
@@ -81,19 +91,16 @@
         self.entries.values()
     }
 
-    /// Applies a delta. Returns the changes that it made; none if it is older than this replica or
-    /// starts after its revision.
+    /// Applies a delta. Returns the changes that it made; none if it is older than this replica or does not continue
+    /// from it.
     pub fn apply(&mut self, delta: DirectoryDelta) -> Vec<DirectoryChange> {
         match delta {
-            DirectoryDelta::Everything { at, entries } => self.apply_everything(at, entries),
+            DirectoryDelta::Everything { at, entries } => self.apply_list(at, entries),
             DirectoryDelta::Changes { after, at, changes } => {
-                let fits = self
-                    .at
-                    .is_some_and(|held| after <= held && held <= at && held.era == at.era);
-                if !fits {
-                    return Vec::new();
-                }
-                self.record(at, changes)
+                self.apply_changes(after, at, changes)
+            }
+            DirectoryDelta::Difference { after, at, changes } => {
+                self.apply_difference(after, at, changes)
             }
         }
     }
@@ -104,48 +111,129 @@
         let DirectoryDelta::Everything { at, .. } = delta else {
             return false;
         };
-        self.at.is_some_and(|held| held.era < at.era)
+        let held = self.position.as_ref();
+        held.is_some_and(|held| held.era() < at.era())
     }
 
-    /// The delta for a replica at `after`; none if it is up to date or this replica is empty.
-    pub fn delta_after(&self, after: Option<Revision>) -> Option<DirectoryDelta> {
-        let at = self.at?;
-        match after {
-            Some(after) if after >= at => None,
-            Some(after) if after.era == at.era && after >= self.log_start => {
-                let newer = self.log.iter().filter(|logged| logged.at > after);
-                let changes = newer.map(|logged| logged.change.clone()).collect();
+    /// The delta for a replica at a position; none if it is up to date or this replica is empty.
+    pub fn delta_for(&self, held: Option<&ListPosition>) -> Option<DirectoryDelta> {
+        let position = self.position.as_ref()?;
+        let at = position.lowest();
+        let after = held.map(ListPosition::lowest);
+        if after.is_some_and(|after| after >= at) {
+            return None;
+        }
+        let are_uniform = [held, Some(position)]
+            .into_iter()
+            .all(|position| position.is_some_and(|position| position.uniform().is_some()));
+        let covered = after.and_then(|after| Some((after, self.log.since(after)?)));
+        match covered {
+            Some((after, LoggedSince::Changes(changes))) => {
                 Some(DirectoryDelta::Changes { after, at, changes })
             }
-            _ => {
-                let entries = self.entries.values().cloned().collect();
-                Some(DirectoryDelta::Everything { at, entries })
+            Some((after, LoggedSince::Difference(changes))) if are_uniform => {
+                Some(DirectoryDelta::Difference { after, at, changes })
             }
+            _ => Some(DirectoryDelta::Everything {
+                at: position.clone(),
+                entries: self.entries.values().cloned().collect(),
+            }),
         }
     }
 
-    fn apply_everything(&mut self, at: Revision, entries: Vec<LeafEntry>) -> Vec<DirectoryChange> {
-        if self.at.is_some_and(|held| at < held) {
+    /// Takes those entries of a list, and misses those of its gaps, that are not older than this replica's.
+    fn apply_list(&mut self, at: ListPosition, entries: Vec<LeafEntry>) -> Vec<DirectoryChange> {
+        let held = self.position.clone();
+        if held.as_ref().is_some_and(|held| at.era() < held.era()) {
             return Vec::new();
         }
-        let is_new_era = self.at.is_none_or(|held| held.era < at.era);
+        let held = held.filter(|held| held.era() == at.era());
+        let mut merged = held.clone().unwrap_or_else(|| at.clone());
+        merged.merge(&at);
+        let is_newer = |leaf: &LeafId| {
+            let held = held.as_ref().map(|held| held.of(leaf.as_str()));
+            held.is_none_or(|held| held <= at.of(leaf.as_str()))
+        };
         let mut missing: BTreeMap<LeafId, ()> =
             self.entries.keys().map(|leaf| (leaf.clone(), ())).collect();
         let mut changes = Vec::new();
         for entry in entries {
             missing.remove(&entry.leaf);
-            changes.push(DirectoryChange::Present(entry));
+            if is_newer(&entry.leaf) {
+                changes.push(DirectoryChange::Present(entry));
+            }
+        }
+        let missing = missing.into_keys().filter(is_newer);
+        changes.extend(missing.map(DirectoryChange::Gone));
+        let revision = merged.lowest();
+        self.skip_in_log(held.as_ref(), revision);
+        self.position = Some(merged);
+        let applied = self.put_all(changes);
+        if held.is_some_and(|held| held.lowest() < revision) {
+            self.log_changes(revision, &applied);
         }
-        changes.extend(missing.into_keys().map(DirectoryChange::Gone));
-        if is_new_era {
-            self.log.clear();
-            self.log_start = at;
+        applied
+    }
+
+    /// Prepares the log for a list that brings this replica from a position to a revision.
+    fn skip_in_log(&mut self, held: Option<&ListPosition>, revision: Revision) {
+        match held {
+            Some(held) if held.lowest() == revision => {}
+            Some(held) => match held.uniform() {
+                Some(held) => self.log.skip(held, revision),
+                None => self.log.restart(revision),
+            },
+            None => self.log.restart(revision),
         }
-        self.record(at, changes)
     }
 
-    fn record(&mut self, at: Revision, changes: Vec<DirectoryChange>) -> Vec<DirectoryChange> {
-        self.at = Some(at);
+    fn apply_changes(
+        &mut self,
+        after: Revision,
+        at: Revision,
+        changes: Vec<DirectoryChange>,
+    ) -> Vec<DirectoryChange> {
+        let Some(mut position) = self.position.clone() else {
+            return Vec::new();
+        };
+        let held = position.lowest();
+        if !(after <= held && held <= at && held.era == at.era) {
+            return Vec::new();
+        }
+        if position.uniform().is_some() {
+            self.position = Some(at.into());
+            let applied = self.put_all(changes);
+            self.log_changes(at, &applied);
+            return applied;
+        }
+        // Entries that are ahead of the others have some of the changes already; other replicas may need them.
+        self.log_changes(at, &changes);
+        let mut behind = last_of_each_leaf(changes);
+        behind.retain(|change| position.of(change.leaf().as_str()) < at);
+        position.raise_to(at);
+        self.position = Some(position);
+        self.put_all(behind)
+    }
+
+    fn apply_difference(
+        &mut self,
+        after: Revision,
+        at: Revision,
+        changes: Vec<DirectoryChange>,
+    ) -> Vec<DirectoryChange> {
+        let is_at_start = self.position == Some(after.into());
+        if !(is_at_start && after <= at && after.era == at.era) {
+            return Vec::new();
+        }
+        self.log.skip(after, at);
+        self.position = Some(at.into());
+        let applied = self.put_all(changes);
+        self.log_changes(at, &applied);
+        applied
+    }
+
+    /// Stores changes. Returns those that changed the content of an entry.
+    fn put_all(&mut self, changes: Vec<DirectoryChange>) -> Vec<DirectoryChange> {
         let mut applied = Vec::new();
         for mut change in changes {
             let changed = match &mut change {
@@ -153,7 +241,6 @@
                 DirectoryChange::Gone(leaf) => self.entries.remove(leaf).is_some(),
             };
             if changed {
-                self.log_change(at, change.clone());
                 applied.push(change);
             }
         }
@@ -176,15 +263,21 @@
         changed
     }
 
-    fn log_change(&mut self, at: Revision, change: DirectoryChange) {
-        if at <= self.log_start {
-            return;
-        }
-        self.log.push_back(LoggedChange { at, change });
-        while self.log.len() > LOGGED_CHANGES {
-            if let Some(dropped) = self.log.pop_front() {
-                self.log_start = self.log_start.max(dropped.at);
-            }
+    fn log_changes(&mut self, at: Revision, changes: &[DirectoryChange]) {
+        for change in changes {
+            self.log.record(at, change.clone());
         }
     }
 }
+
+/// The last change of each leaf, in order.
+fn last_of_each_leaf(changes: Vec<DirectoryChange>) -> Vec<DirectoryChange> {
+    let indexed = changes.iter().enumerate();
+    let last: HashMap<LeafId, usize> = indexed
+        .map(|(index, change)| (change.leaf().clone(), index))
+        .collect();
+    let mut index = 0..;
+    let mut changes = changes;
+    changes.retain(|change| last.get(change.leaf()).copied() == index.next());
+    changes
+}
--- a/crates/tansylead-route/src/lib.rs
+++ b/crates/tansylead-route/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection_share;
 mod connection_silence;
 mod directory;
+mod directory_log;
 mod entry_state;
 mod evacuated_zones;
 mod failure_rate;
@@ -24,6 +25,7 @@
 mod leaf;
 mod leaf_choice;
 mod leaf_report;
+mod list_position;
 mod quarantine;
 mod query_admission;
 mod query_roots;
@@ -58,6 +60,7 @@
 pub use leaf::{Distance, LeafEntry, LeafLocation, LeafPhase, LeafRun, Locality, RunStart};
 pub use leaf_choice::{Candidate, choose_leaf};
 pub use leaf_report::{LeafReport, ReportedSilence};
+pub use list_position::ListPosition;
 pub use quarantine::{
     DecidedQuarantine, FingerprintScope, MAXIMUM_RECORDS, Quarantine, QuarantineChange,
     QuarantineCounts, QuarantineEvidence, QuarantineRecord, RecentAnswers, RequestFingerprint,
--- a/crates/tansylead-route/tests/directory.rs
+++ b/crates/tansylead-route/tests/directory.rs
@@ -32,7 +32,7 @@
 
 fn everything(at: u64, numbers: &[u8]) -> DirectoryDelta {
     DirectoryDelta::Everything {
-        at: Revision::first_era(at),
+        at: Revision::first_era(at).into(),
         entries: numbers.iter().map(|number| entry(*number, 1)).collect(),
     }
 }
@@ -48,7 +48,7 @@
         let mut lagging = LeafDirectory::default();
         for (index, (number, slots)) in changes.iter().enumerate() {
             if index == lag.min(changes.len() - 1) {
-                lagging.apply(source.delta_after(None).expect("source holds something"));
+                lagging.apply(source.delta_for(None).expect("source holds something"));
             }
             let at = Revision::first_era(2 + index as u64);
             let change = match slots {
@@ -58,7 +58,7 @@
             let after = source.revision().expect("read before");
             source.apply(DirectoryDelta::Changes { after, at, changes: vec![change] });
         }
-        if let Some(delta) = source.delta_after(lagging.revision()) {
+        if let Some(delta) = source.delta_for(lagging.position()) {
             lagging.apply(delta);
         }
         prop_assert_eq!(entries(&lagging), entries(&source));
@@ -128,7 +128,7 @@
         (2, Revision::first_era(5))
     );
     let Some(DirectoryDelta::Changes { changes, .. }) =
-        directory.delta_after(Some(Revision::first_era(8)))
+        directory.delta_for(Some(&Revision::first_era(8).into()))
     else {
         panic!("the log reaches back");
     };
@@ -143,7 +143,7 @@
     let mut earlier = entry(1, 1);
     earlier.changed_at = Revision::first_era(5);
     let peer = DirectoryDelta::Everything {
-        at: Revision::first_era(9),
+        at: Revision::first_era(9).into(),
         entries: vec![earlier],
     };
     assert!(directory.apply(peer).is_empty());
@@ -167,7 +167,7 @@
 
 fn all_entries(at: Revision, entries: &[LeafEntry]) -> DirectoryDelta {
     DirectoryDelta::Everything {
-        at,
+        at: at.into(),
         entries: entries.to_vec(),
     }
 }
@@ -234,7 +234,7 @@
         for delta in changes(&after, 2, 90) {
             first.apply(delta);
         }
-        if let Some(delta) = first.delta_after(second.revision()) {
+        if let Some(delta) = first.delta_for(second.position()) {
             second.apply(delta);
         }
         prop_assert_eq!(entries(&first), entries(&second));
