Quarantine: what the source had cached is confirmed by a current read

What callers saw: a request that ends leafs is quarantined, and right after that all daemons are lost. They read the quarantined requests once, from a replica of the store that is seconds behind, take the list as complete and never ask again: the request goes to leafs and ends them as before. The kind has no watch, so nothing else tells of it.

Evidence: in the new test with a replica 3 s behind, the store lists the request and no daemon has it 10 s after the start.

Change: a daemon that has read the cached list reads the current one some 0.25 s later, and repeats that with backoff while it is refused. Refusals start as soon as before; other daemons learn of it by digests. Those that read are the few that watch the source, or that no daemon has answered for 3 s: one more call each. A request that was released in the last seconds may come back from the cached list; it is cleared again as any other.

--- a/crates/tansylead-gateway/src/quarantine/exchange.rs
+++ b/crates/tansylead-gateway/src/quarantine/exchange.rs
@@ -2,7 +2,8 @@
 //! (`state`), and lost messages are made up for by exchanging digests.
 //!
 //! A daemon that has just started learns from others what was quarantined before. Only if none knows, since
-//! all have started together, some read it from the source.
+//! all have started together, some read it from the source: at first what the source has cached, which is there at
+//! once but may lack what was quarantined last, and then what is current.
 
 use super::state::QuarantineState;
 use crate::cluster::ClusterView;
@@ -11,6 +12,7 @@
 use crate::state::Gateway;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
 
 /// Period at which a daemon with records sends its digest to another: three rounds reach all daemons of a small
 /// fleet that missed a datagram, within half of the shortest time without a disturbance after which the users hold
@@ -31,7 +33,10 @@
     view: Rc<ClusterView>,
     source: Rc<S>,
 ) {
-    learn_quarantined(&gateway, &view, source.as_ref()).await;
+    let has_read_cached = learn_quarantined(&gateway, &view, source.as_ref()).await;
+    if has_read_cached {
+        spawn_local(read_current(Rc::clone(&gateway), source));
+    }
     loop {
         tokio::time::sleep(jittered(PERIOD)).await;
         let state = &gateway.quarantine;
@@ -41,23 +46,45 @@
     }
 }
 
-async fn learn_quarantined<S: Source>(gateway: &Gateway, view: &ClusterView, source: &S) {
+/// Waits until this daemon knows what was quarantined. Returns whether it has read that from the source.
+async fn learn_quarantined<S: Source>(gateway: &Gateway, view: &ClusterView, source: &S) -> bool {
     let mut backoff = INITIAL_BACKOFF;
+    let mut has_read = false;
     while !gateway.quarantine.is_complete() {
         // Only a few daemons of a fleet watch the source; until the fleet has formed, its seeds do.
         if view.is_watcher() || gateway.uptime() > SOURCE_DELAY {
-            read_source(gateway, source).await;
+            has_read |= read_source(gateway, source, Freshness::Cached).await;
         }
         send_digests(&gateway.quarantine, view, START_PEERS);
         tokio::time::sleep(jittered(backoff)).await;
         backoff = (backoff * 2).min(MAXIMUM_BACKOFF);
     }
+    has_read
 }
 
-async fn read_source<S: Source>(gateway: &Gateway, source: &S) {
-    match source.quarantined(Freshness::Cached).await {
-        Ok(fingerprints) => gateway.quarantine.restore(&fingerprints),
-        Err(error) => log::info!(error:% = error; "quarantined requests could not be read"),
+/// Reads what is current, as often as it takes. Other daemons learn of it by digests.
+async fn read_current<S: Source>(gateway: Rc<Gateway>, source: Rc<S>) {
+    let mut backoff = INITIAL_BACKOFF;
+    loop {
+        tokio::time::sleep(jittered(backoff)).await;
+        if read_source(&gateway, source.as_ref(), Freshness::Current).await {
+            return;
+        }
+        backoff = (backoff * 2).min(MAXIMUM_BACKOFF);
+    }
+}
+
+/// Adds the requests that the source has as quarantined. Returns whether it answered.
+async fn read_source<S: Source>(gateway: &Gateway, source: &S, freshness: Freshness) -> bool {
+    match source.quarantined(freshness).await {
+        Ok(fingerprints) => {
+            gateway.quarantine.restore(&fingerprints);
+            true
+        }
+        Err(error) => {
+            log::info!(error:% = error; "quarantined requests could not be read");
+            false
+        }
     }
 }
 
