Soak: replicas that lag, leafs that serve on after they have left, and DRAIN as written

The emulator's store has answered every call from the present, so no soak could meet a list with pages of different age; and leafs served on for 4 s after they had left, so daemons that had started meanwhile were never in touch again before the leaf's end.

Departures: up to three leafs leave together, announced or not, and serve on for 4 to 14 s while others take their places, up to all daemons start again at that time, and up to three replicas are up to 4 s behind.

The oracle checked DRAIN by another rule than the users': it counted requests that ran, not those that arrived; it knew no leafs whose entry goes without an announcement; and it counted arrivals whatever was disrupted, which the rule does not ("sent on by machines in touch", "the store gives the acknowledgement, and it does so while it is stable", "If the link between the sending machine and the leaf was cut or harmed in the last contact_ms, a request isn't counted as late at that leaf"). It is now checked as written, from the disruptions of each daemon, its link to the store, the store and the link to the leaf. Where queries may be sent by another daemon than the one that took them, all must be in touch. So it is stricter in the first two points.

--- a/crates/tansylead-emulator/src/caller.rs
+++ b/crates/tansylead-emulator/src/caller.rs
@@ -101,7 +101,7 @@
 
     /// Sends a request to a daemon and has the oracle check how it ended.
     pub async fn call(&mut self, daemon: SocketAddr, request: &CallerRequest) -> CallerEnd {
-        self.record(request);
+        self.record(daemon, request);
         let limit = request.deadline + LATE_ANSWER_WAIT;
         let answer = tokio::time::timeout(limit, self.exchange(daemon, request)).await;
         if !matches!(answer, Ok(Some(_))) {
@@ -126,7 +126,7 @@
         request: &CallerRequest,
         caller_timeout: Duration,
     ) {
-        self.record(request);
+        self.record(daemon, request);
         let _ = tokio::time::timeout(caller_timeout, self.exchange(daemon, request)).await;
         self.oracle.record_abandoned(&request.id);
         self.connection = None;
@@ -154,8 +154,9 @@
         self.send(daemon, built).await
     }
 
-    fn record(&self, request: &CallerRequest) {
+    fn record(&self, daemon: SocketAddr, request: &CallerRequest) {
         self.oracle.record_request(&request.id, &request.route);
+        self.oracle.record_daemon(&request.id, daemon);
         if is_fatal(&request.item) {
             let item = request.item.split('?').next().unwrap_or_default();
             let identity = format!("{}{item}", request.route.prefix());
--- a/crates/tansylead-emulator/src/daemon.rs
+++ b/crates/tansylead-emulator/src/daemon.rs
@@ -1,6 +1,7 @@
 //! A real daemon as a separate process.
 
 use crate::addresses::next_ip;
+use crate::disruptions::Disruptions;
 use crate::roll_out_rules::{EXPOSURE_SHARE, EXPOSURE_SLACK, ROLL_BACK_LIMIT};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -74,6 +75,7 @@
     process: Option<Child>,
     starts: u32,
     disturbance: Disturbance,
+    disruptions: Disruptions,
 }
 
 /// When a daemon's process was last killed or suspended; clones share it.
@@ -129,6 +131,7 @@
             process: None,
             starts: 0,
             disturbance: Disturbance::default(),
+            disruptions: Disruptions::default(),
         };
         daemon.write_settings()?;
         daemon.restart()?;
@@ -154,6 +157,7 @@
             .stderr(Stdio::from(errors))
             .spawn()?;
         self.process = Some(process);
+        self.disruptions.set_ongoing(false);
         Ok(())
     }
 
@@ -169,6 +173,11 @@
         self.disturbance.clone()
     }
 
+    /// Starts, stops, kills and suspensions of the process.
+    pub fn disruptions(&self) -> Disruptions {
+        self.disruptions.clone()
+    }
+
     /// Whether the process is suspended.
     pub fn is_frozen(&self) -> bool {
         self.disturbance.state.lock().is_frozen
@@ -176,6 +185,7 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.disruptions.record();
         self.signal(Signal::TERM);
     }
 
@@ -187,6 +197,7 @@
     /// Suspends the process with SIGSTOP.
     pub fn freeze(&self) {
         self.disturbance.record_frozen();
+        self.disruptions.set_ongoing(true);
         self.signal(Signal::STOP);
     }
 
@@ -194,10 +205,12 @@
     pub fn thaw(&self) {
         self.signal(Signal::CONT);
         self.disturbance.record_thawed();
+        self.disruptions.set_ongoing(false);
     }
 
     /// Kills the process.
     pub fn kill(&mut self) {
+        self.disruptions.set_ongoing(true);
         if let Some(mut process) = self.process.take() {
             // A process that has exited by itself was not disturbed.
             let is_running = !matches!(process.try_wait(), Ok(Some(_)));
--- a/crates/tansylead-emulator/src/deployment.rs
+++ b/crates/tansylead-emulator/src/deployment.rs
@@ -113,6 +113,8 @@
             next_leaf: 1,
             folder: tempfile::tempdir()?,
         };
+        let disruptions = deployment.store.disruptions();
+        deployment.oracle.add_store(disruptions);
         deployment.configure(&deployment.routes.all());
         for zone in &plan.zones {
             for shard in 0..plan.shards {
@@ -181,6 +183,8 @@
             work,
             version,
         };
+        let oracle = &self.oracle;
+        oracle.add_leaf_link(&plan.id, proxy.disruptions());
         let leaf = self.start_leaf(&plan).await?;
         let control = leaf.control();
         close_at_crash(&control, &proxy);
@@ -217,6 +221,8 @@
         leaf.leaf = None;
         leaf.plan.id = id;
         let plan = leaf.plan.clone();
+        let link = leaf.proxy.disruptions();
+        self.oracle.add_leaf_link(&plan.id, link);
         let started = self.start_leaf(&plan).await?;
         let leaf = &mut self.leafs[index];
         leaf.control = started.control();
--- a/crates/tansylead-emulator/src/deployment_daemons.rs
+++ b/crates/tansylead-emulator/src/deployment_daemons.rs
@@ -50,6 +50,9 @@
                     SMALL_CORES
                 },
             })?;
+            let disruptions = [daemon.disruptions(), store_link.disruptions()];
+            self.oracle
+                .add_daemon(daemon.plan().addresses.caller, disruptions);
             self.daemons.push(ProxiedDaemon { daemon, store_link });
         }
         Ok(())
--- a/crates/tansylead-emulator/src/leaf.rs
+++ b/crates/tansylead-emulator/src/leaf.rs
@@ -179,6 +179,7 @@
     pub fn unregister(&self) {
         *self.entry.lock() = None;
         self.store.delete("servers", &self.work.plan.id);
+        self.work.oracle.record_gone(&self.work.plan.id);
     }
 
     /// Whether it has an entry in the store, which it rewrites with each heartbeat.
--- a/crates/tansylead-emulator/src/lib.rs
+++ b/crates/tansylead-emulator/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod demo;
 pub mod deployment;
 mod deployment_daemons;
+pub mod disruptions;
+mod drain_rule;
 pub(crate) mod fatal_rule;
 pub mod leaf;
 mod leaf_registry;
--- a/crates/tansylead-emulator/src/proxy.rs
+++ b/crates/tansylead-emulator/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A TCP proxy on loopback that injects network faults.
 
 use crate::addresses::bind;
+use crate::disruptions::Disruptions;
 use parking_lot::Mutex;
 use std::io;
 use std::net::SocketAddr;
@@ -66,6 +67,7 @@
     accepting: JoinHandle<()>,
     connections: Arc<Mutex<Vec<Connection>>>,
     is_closed: Arc<watch::Sender<bool>>,
+    disruptions: Disruptions,
 }
 
 impl Proxy {
@@ -119,9 +121,15 @@
             accepting,
             connections,
             is_closed,
+            disruptions: Disruptions::default(),
         })
     }
 
+    /// Faults of the link, and resets and silences of its connections.
+    pub fn disruptions(&self) -> Disruptions {
+        self.disruptions.clone()
+    }
+
     /// Address it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -130,10 +138,12 @@
     /// Sets the fault of the link.
     pub fn set_fault(&self, fault: LinkFault) {
         *self.link.fault.lock() = fault;
+        self.disruptions.set_ongoing(fault != LinkFault::None);
     }
 
     /// Permanently silences all open connections in both directions; new ones work.
     pub fn silence_established(&self) {
+        self.disruptions.record();
         for connection in self.connections.lock().iter() {
             connection.is_silenced.store(true, Ordering::Relaxed);
         }
@@ -151,6 +161,7 @@
 
     /// Closes all connections.
     pub fn reset(&self) {
+        self.disruptions.record();
         for connection in self.connections.lock().drain(..) {
             connection.relay.abort();
         }
--- a/crates/tansylead-emulator/src/restored_store.rs
+++ b/crates/tansylead-emulator/src/restored_store.rs
@@ -65,6 +65,9 @@
             .map(|leaf| leaf.plan().id.as_str())
             .collect();
         let names = store.names("servers");
+        for name in &names {
+            self.oracle.record_restored_entry(name);
+        }
         let stale = names
             .into_iter()
             .filter(|name| !registered.contains(name.as_str()));
--- a/crates/tansylead-emulator/src/soak.rs
+++ b/crates/tansylead-emulator/src/soak.rs
@@ -4,6 +4,7 @@
 //! the machine's scheduling.
 
 pub(crate) mod churn;
+pub(crate) mod departures;
 pub(crate) mod draw;
 pub(crate) mod drills;
 pub(crate) mod fatal;
@@ -18,6 +19,7 @@
 use crate::seen_roll_out::SeenRollOut;
 use crate::traffic::Traffic;
 use churn::Churn;
+use departures::Departures;
 use draw::draw;
 use drills::Drills;
 use fatal::FatalCaller;
@@ -90,6 +92,7 @@
     let mut churn = Churn::draw(seed);
     let mut suspensions = Suspensions::draw(seed);
     let mut drills = Drills::draw(seed);
+    let mut departures = Departures::draw(seed);
     let mut schedule = RollOutSchedule::draw(seed, duration, &deployment.services());
     let end = Instant::now() + duration;
     while Instant::now() < end {
@@ -100,6 +103,7 @@
         deployment.restart_crashed_leafs().await?;
         faults.extend(suspensions.run_due(&mut deployment).await);
         faults.extend(drills.run_due(&mut deployment).await?);
+        faults.extend(departures.run_due(&mut deployment).await?);
         faults.extend(churn.run_due(&mut deployment, &mut violations).await?);
         let pause = Duration::from_millis(random.random_range(200..1_500));
         tokio::time::sleep(pause).await;
--- a/crates/tansylead-emulator/src/soak/pinned.rs
+++ b/crates/tansylead-emulator/src/soak/pinned.rs
@@ -97,6 +97,7 @@
         let is_kept = caller.is_connected_to(self.daemon);
         let began = Instant::now();
         self.oracle.record_request(&request.id, route);
+        self.oracle.record_daemon(&request.id, self.daemon);
         let exchange = caller.exchange(self.daemon, &request);
         let answer = tokio::time::timeout(deadline + LATE_ANSWER_WAIT, exchange).await;
         let is_cut = matches!(answer, Ok(None)) && is_kept;
--- a/crates/tansylead-emulator/src/store/server.rs
+++ b/crates/tansylead-emulator/src/store/server.rs
@@ -2,6 +2,7 @@
 
 use super::calls::{Call, empty, handle};
 use super::objects::{ObjectStore, StoreCopy, StoredObject};
+use crate::disruptions::Disruptions;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -68,6 +69,7 @@
     /// Number of calls by path, without the query string.
     calls: Mutex<HashMap<String, usize>>,
     pub(super) changed: watch::Sender<u64>,
+    disruptions: Disruptions,
 }
 
 /// State of one connection.
@@ -101,6 +103,7 @@
             fault: Mutex::default(),
             calls: Mutex::default(),
             changed: watch::Sender::new(0),
+            disruptions: Disruptions::default(),
         });
         let accepting = Arc::clone(&shared);
         tokio::spawn(async move {
@@ -119,6 +122,13 @@
     /// Sets the fault.
     pub fn set_fault(&self, fault: StoreFault) {
         *self.shared.fault.lock() = fault;
+        let disruptions = &self.shared.disruptions;
+        disruptions.set_ongoing(fault != StoreFault::None);
+    }
+
+    /// Its faults, and restores of copies.
+    pub fn disruptions(&self) -> Disruptions {
+        self.shared.disruptions.clone()
     }
 
     /// Sets how far each replica is behind from now on. They take turns in answering the calls that need not be
@@ -174,6 +184,7 @@
     /// Restores a copy.
     pub fn restore(&self, copy: StoreCopy) {
         self.shared.objects.lock().restore(copy);
+        self.shared.disruptions.record();
         self.notify();
     }
 
