Roll-outs: a version under trial that runs alone serves, and is rolled back only if it is bad

What callers saw: a roll-out completes, the old leafs stop, the store comes back from a copy in which the order is running, and all daemons are killed before they have written its end again.

Cause: a trial limits what its version gets in favour of another one, and never asked whether there is another one. Nothing is granted without requests that reach old leafs, so nothing is learned of the version, and what is not learned ends as a roll-back. Ruled out by the logs of the case: a store that is not read (`roll-out changed`, `running`), leafs that are not known (`leaf changed`), a judge that does not lead (`another stage of the trial`); the allowance stays at 50 with 0 requests counted.

The judge lets such a version shift without an allowance, and does not roll it back for lack of allowance, answers or time. One that is found to fail or to be slow is rolled back as before. Sends are counted as before, so a version that gets company again has used up its allowance and is not granted more.

`a_version_under_trial_that_runs_alone_is_the_last_resort`, `another_order_forgets_that_a_version_ran_alone`, `a_version_that_runs_alone_is_completed_although_its_sends_exceed_the_allowance`, `a_version_that_runs_alone_is_not_rolled_back_while_nothing_is_known_of_it`, `a_version_that_runs_alone_and_fails_is_rolled_back`.

--- a/crates/tansylead-gateway/src/leaf/service_state.rs
+++ b/crates/tansylead-gateway/src/leaf/service_state.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tansylead_route::{
-    BreakerVerdict, Candidate, Eligibility, ExtraAttempt, HomeRegions, LeafRun, RetryBudget, Stage,
-    choose_leaf,
+    BreakerVerdict, Candidate, Eligibility, ExtraAttempt, HomeRegions, LeafPhase, LeafRun,
+    RetryBudget, Stage, choose_leaf,
 };
 use tansylead_types::{LeafId, Moment, ServiceName};
 
@@ -68,6 +68,21 @@
         self.shares_version.set(version);
     }
 
+    /// Notes which versions its ready leafs run, after leafs or orders have changed.
+    pub(crate) fn note_versions(&self, now: Moment) {
+        if !self.versions.is_under_trial() {
+            return;
+        }
+        let leafs = self.leafs.borrow();
+        let ready = leafs.iter().filter(|leaf| leaf.is_listed());
+        let ready: Vec<_> = ready
+            .map(|leaf| leaf.entry())
+            .filter(|entry| entry.phase == LeafPhase::Ready)
+            .collect();
+        let versions = ready.iter().map(|entry| entry.version.as_ref());
+        self.versions.note_ready(now, versions);
+    }
+
     /// Adds a leaf.
     pub fn add(&self, leaf: Rc<LeafState>) {
         self.remove_expired();
--- a/crates/tansylead-gateway/src/roll_out/judge.rs
+++ b/crates/tansylead-gateway/src/roll_out/judge.rs
@@ -4,7 +4,7 @@
 //! ranked as its judges; only a ranked judge accepts reports and evaluates its trials.
 
 use super::message::GrantMessage;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use tansylead_route::{
     Conclusion, ConclusionReason, ExposureBounds, OrderId, RollOut, RollOutReport, RollOutState,
@@ -33,6 +33,8 @@
     pub members: &'a [NodeId],
     /// Whether the source has answered this daemon recently.
     pub is_source_fresh: bool,
+    /// Services of which only the version under trial runs.
+    pub alone: &'a BTreeSet<ServiceName>,
 }
 
 /// Result of the evaluation of one trial.
@@ -251,6 +253,7 @@
             members: context.members,
             rank,
             is_source_fresh: context.is_source_fresh || has_concluded,
+            is_alone: context.alone.contains(&self.roll_out.service),
         };
         let verdict = self.trial.evaluate(now, trial_context);
         let is_new_stage = self.stage.replace(verdict.stage) != Some(verdict.stage);
--- a/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
+++ b/crates/tansylead-gateway/src/roll_out/roll_out_task.rs
@@ -214,9 +214,11 @@
     /// Evaluates the trials.
     fn evaluate_trials(&mut self, now: Moment) {
         let members = self.ranked.members();
+        let alone = self.gateway.services_with_one_version(now);
         let context = JudgeContext {
             members: &members,
             is_source_fresh: self.calls.is_fresh(),
+            alone: &alone,
         };
         self.complete_settled();
         let (ranked, node, gateway) = (&mut self.ranked, self.node, &self.gateway);
--- a/crates/tansylead-gateway/src/roll_out/service_versions.rs
+++ b/crates/tansylead-gateway/src/roll_out/service_versions.rs
@@ -230,6 +230,38 @@
         self.gate.borrow().is_settled()
     }
 
+    /// Whether there is an order that has not ended.
+    pub(crate) fn is_under_trial(&self) -> bool {
+        self.is_under_trial.get()
+    }
+
+    /// Notes which versions the ready leafs of a service under trial run now.
+    pub(crate) fn note_ready<'a>(
+        &self,
+        now: Moment,
+        mut versions: impl Iterator<Item = Option<&'a SoftwareVersion>> + Clone,
+    ) {
+        let mut gate = self.gate.borrow_mut();
+        let was_noted = gate.is_alone_so_far();
+        let is_alone = versions.clone().next().is_some()
+            && versions.all(|version| gate.is_under_trial(version));
+        gate.note_alone(now, is_alone);
+        let Some(trial) = gate.trial().filter(|_| is_alone != was_noted) else {
+            return;
+        };
+        let (service, target) = (trial.service.as_str(), trial.target.as_str());
+        if is_alone {
+            log::info!(service = service, target = target; "version under trial runs alone");
+        } else {
+            log::info!(service = service, target = target; "version under trial no longer runs alone");
+        }
+    }
+
+    /// Whether the version under trial is the only one that runs.
+    pub fn is_alone(&self, now: Moment) -> bool {
+        self.is_under_trial.get() && self.gate.borrow().is_alone(now)
+    }
+
     /// Wakes the reporter of any service; see [`RollOutContext::changed`].
     pub fn changed(&self) -> &Notify {
         self.context.changed()
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -16,7 +16,7 @@
     ConnectionShare, DirectoryChange, DirectoryDelta, EvacuatedZones, LeafDirectory, LeafEntry,
     LeafReport, ListPosition, Service, SharedLeaf, cold_share,
 };
-use tansylead_types::{LeafId, PlaceName, ServiceName, ZoneName};
+use tansylead_types::{LeafId, Moment, PlaceName, ServiceName, ZoneName};
 
 /// Connections that a leaf of an unconfigured service is assumed to accept.
 const DEFAULT_CONNECTIONS: u32 = 16;
@@ -43,6 +43,7 @@
                 service.set_shares_version(None);
             }
         }
+        self.note_versions();
         let after = self.directory.borrow().position().cloned();
         if let Some(after) = after.as_ref().filter(|_| after != before) {
             log_evenness(before.as_ref(), after);
@@ -51,6 +52,23 @@
         }
     }
 
+    /// Notes in each service which versions its ready leafs run.
+    pub(super) fn note_versions(&self) {
+        let now = Clock.now();
+        for service in self.services.borrow().values() {
+            service.note_versions(now);
+        }
+    }
+
+    /// Services of which only the version under trial runs.
+    pub(crate) fn services_with_one_version(&self, now: Moment) -> BTreeSet<ServiceName> {
+        let services = self.services.borrow();
+        let alone = services
+            .values()
+            .filter(|service| service.versions().is_alone(now));
+        alone.map(|service| service.name().clone()).collect()
+    }
+
     /// Queues reports on leafs for the other daemons of the region.
     pub(crate) fn report(&self, reports: impl IntoIterator<Item = LeafReport>) {
         for report in reports {
@@ -140,6 +158,7 @@
         for entry in listed {
             self.put_leaf(entry.clone(), false);
         }
+        service.note_versions(Clock.now());
         service
     }
 
--- a/crates/tansylead-gateway/src/state/roll_outs.rs
+++ b/crates/tansylead-gateway/src/state/roll_outs.rs
@@ -124,6 +124,7 @@
             let order = current.get(service.name());
             service.versions().apply(now, order, current.at);
         }
+        self.note_versions();
         *self.current_roll_outs.borrow_mut() = current;
         *self.roll_outs.borrow_mut() = Some(reported);
     }
--- a/crates/tansylead-gateway/tests/roll_out_judge.rs
+++ b/crates/tansylead-gateway/tests/roll_out_judge.rs
@@ -3,12 +3,13 @@
 mod roll_out_world;
 
 use roll_out_world::faulty_source::{FaultySource, order, service};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tansylead_gateway::roll_out::{Judge, JudgeContext, PauseGuard, ReportRefusal};
 use tansylead_route::{
     ExposureBounds, OrderId, Revision, RollOutEvidence, RollOutReport, RollOutState, Stage,
 };
-use tansylead_types::{Moment, NodeId};
+use tansylead_types::{Moment, NodeId, ServiceName};
 
 const DURATION: Duration = Duration::from_secs(20);
 const BOUNDS: ExposureBounds = ExposureBounds {
@@ -72,10 +73,13 @@
     assert_eq!(refused, Err(ReportRefusal::UnknownOrder));
 }
 
+static NO_SERVICES: BTreeSet<ServiceName> = BTreeSet::new();
+
 fn context(members: &[NodeId]) -> JudgeContext<'_> {
     JudgeContext {
         members,
         is_source_fresh: false,
+        alone: &NO_SERVICES,
     }
 }
 
@@ -159,6 +163,7 @@
     let context = JudgeContext {
         members: &members,
         is_source_fresh: true,
+        alone: &NO_SERVICES,
     };
     for (sequence, running_on_old, is_held_back) in [(1, 1, true), (2, 0, false)] {
         assert_eq!(judge.is_completion_held_back(), sequence > 1);
--- a/crates/tansylead-route/src/roll_out/trial.rs
+++ b/crates/tansylead-route/src/roll_out/trial.rs
@@ -235,7 +235,7 @@
         match self.judgement.finding() {
             Finding::Failing => return self.roll_back(ConclusionReason::Failing),
             Finding::Slow => return self.roll_back(ConclusionReason::Slow),
-            Finding::NotEnough if self.progress.must_conclude() => {
+            Finding::NotEnough if self.progress.must_conclude() && !context.is_alone => {
                 return self.roll_back(self.insufficient_evidence_reason(now));
             }
             Finding::NotEnough => self.stage = Stage::Trial,
@@ -243,7 +243,7 @@
             Finding::GoodSoFar => self.begin_shift(now, context),
         }
         if matches!(self.stage, Stage::Trial | Stage::Shift) {
-            self.conclude_if_due(now);
+            self.conclude_if_due(now, context);
         }
     }
 
@@ -272,7 +272,10 @@
             return;
         }
         let used = self.exposure.used(now, &self.totals);
-        if self.has_shift_begun || self.progress.has_allowance_for_shift(&self.exposure, used) {
+        let is_allowed = self.has_shift_begun
+            || context.is_alone
+            || self.progress.has_allowance_for_shift(&self.exposure, used);
+        if is_allowed {
             self.enter_shift(now);
         }
     }
@@ -374,8 +377,9 @@
         known.filter(move |(_, reporter)| reporter.has_reported_within(now, SILENCE_LIMIT))
     }
 
-    /// Rolls back when it is time to conclude, unless the shift is in progress or an unavailable source has delayed it.
-    fn conclude_if_due(&mut self, now: Moment) {
+    /// Rolls back when it is time to conclude, unless the shift is in progress or an unavailable source has delayed it. A
+    /// version that runs alone is not rolled back for lack of allowance or time: no other one could take its requests.
+    fn conclude_if_due(&mut self, now: Moment, context: TrialContext<'_>) {
         let delayed_at = self.delayed_by_source;
         let was_delayed = delayed_at.is_some_and(|at| now.since(at) < SHIFT_OVERTIME);
         let is_waiting = was_delayed && self.stage == Stage::Trial;
@@ -387,7 +391,7 @@
         match self.judgement.suspicion(self.progress.rate) {
             Some(Finding::Slow) => self.roll_back(ConclusionReason::Slow),
             Some(_) => self.roll_back(ConclusionReason::Failing),
-            None if was_delayed || is_shifting => {}
+            None if was_delayed || is_shifting || context.is_alone => {}
             None => self.roll_back(ConclusionReason::NoRoom),
         }
     }
--- a/crates/tansylead-route/src/roll_out/verdict.rs
+++ b/crates/tansylead-route/src/roll_out/verdict.rs
@@ -13,6 +13,8 @@
     pub rank: usize,
     /// Whether the source has answered this daemon recently, so that a conclusion can be written.
     pub is_source_fresh: bool,
+    /// Whether the version under trial is the only one that runs.
+    pub is_alone: bool,
 }
 
 /// How a roll-out ends.
--- a/crates/tansylead-route/src/roll_out/version_gate.rs
+++ b/crates/tansylead-route/src/roll_out/version_gate.rs
@@ -7,8 +7,13 @@
 use super::order::{OrderId, RollOut, RollOutState};
 use super::version_memory::{MemoryVerdict, VersionMemory};
 use crate::revision::Revision;
+use std::time::Duration;
 use tansylead_types::{Moment, SoftwareVersion};
 
+/// Entries that lapsed while the source was away are back within two seconds of its return. A version without entries
+/// for longer no longer runs.
+const ALONE_TIME: Duration = Duration::from_secs(3);
+
 /// How a leaf may be used, given its version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionUse {
@@ -46,6 +51,8 @@
     sends: u64,
     /// Whether the service already ran only the target version when the order came, so that no trial is needed.
     is_settled: bool,
+    /// Since when the service has had ready leafs of the version under trial and of no other one; none if it has not.
+    alone_since: Option<Moment>,
     memory: VersionMemory,
 }
 
@@ -85,6 +92,26 @@
         self.memory.on_entry_without_version(changed_at);
     }
 
+    /// Notes whether the service has ready leafs of the version under trial and of no other one.
+    pub fn note_alone(&mut self, now: Moment, is_alone: bool) {
+        self.alone_since = match self.alone_since {
+            _ if !is_alone => None,
+            since => since.or(Some(now)),
+        };
+    }
+
+    /// Whether the last note said that no other version has ready leafs.
+    pub fn is_alone_so_far(&self) -> bool {
+        self.alone_since.is_some()
+    }
+
+    /// Whether the version under trial is the only one that runs: there is nothing to go back to, and requests that it does
+    /// not get are served by nobody.
+    pub fn is_alone(&self, now: Moment) -> bool {
+        let since = self.alone_since.filter(|_| self.trial().is_some());
+        since.is_some_and(|since| now.since(since) >= ALONE_TIME)
+    }
+
     /// Handles a grant. Returns the stage if it has changed.
     pub fn on_grant(&mut self, now: Moment, order: OrderId, grant: Grant) -> Option<Stage> {
         if self.trial().is_none_or(|trial| trial.order != order) {
@@ -183,7 +210,7 @@
         match self.stage() {
             Some(stage) if self.sends_left(now) > 0 => VersionUse::Granted(stage),
             // The order may have completed unnoticed.
-            _ if are_orders_stale => VersionUse::LastResort,
+            _ if are_orders_stale || self.is_alone(now) => VersionUse::LastResort,
             _ => VersionUse::NotGranted,
         }
     }
@@ -208,5 +235,6 @@
         self.conclusion = None;
         self.sends = 0;
         self.is_settled = false;
+        self.alone_since = None;
     }
 }
--- a/crates/tansylead-route/tests/roll_out_fleet/mod.rs
+++ b/crates/tansylead-route/tests/roll_out_fleet/mod.rs
@@ -65,6 +65,8 @@
     pub fails_new: bool,
     /// Latency of each answer of the target version.
     pub new_latency: Duration,
+    /// The target version is the only one that runs, and gets all requests.
+    pub is_alone: bool,
     /// Every daemon always has an attempt in progress on old leafs.
     pub runs_on_old: bool,
     /// A daemon that does not report.
@@ -112,6 +114,7 @@
             answers_new: true,
             fails_new: false,
             new_latency: LATENCY,
+            is_alone: false,
             runs_on_old: false,
             silent: None,
             reachable: daemons,
@@ -194,6 +197,7 @@
             members: &self.members[..self.listed],
             rank: self.rank,
             is_source_fresh: self.is_source_fresh,
+            is_alone: self.is_alone,
         }
     }
 
@@ -202,6 +206,7 @@
             members: &self.members[..self.listed],
             rank: self.rank,
             is_source_fresh: self.is_source_fresh,
+            is_alone: self.is_alone,
         };
         self.verdict = self.trial.evaluate(at(self.millis), context);
         self.verdict
@@ -276,7 +281,8 @@
         let route = &mut evidence.routes[0];
         let grant = self.grants[daemon];
         let is_granted = grant.is_some_and(|grant| evidence.new_sends < grant.limit);
-        let is_sent_anyway = self.sends_anyway && evidence.requests.is_multiple_of(10);
+        let is_sent_anyway =
+            self.is_alone || self.sends_anyway && evidence.requests.is_multiple_of(10);
         if !is_granted && !is_sent_anyway {
             route.old.good += 1;
             route.old.latencies.add(LATENCY);
--- a/crates/tansylead-route/tests/roll_out_trial.rs
+++ b/crates/tansylead-route/tests/roll_out_trial.rs
@@ -170,6 +170,40 @@
     assert_eq!(fleet.verdict().write, expected);
 }
 
+/// Guards against a roll-back that takes away the only version that runs, for lack of allowance.
+#[test]
+fn a_version_that_runs_alone_is_completed_although_its_sends_exceed_the_allowance() {
+    let mut fleet = Fleet::new(3);
+    fleet.set_state(RollOutState::Running);
+    fleet.is_alone = true;
+    fleet.run_until(DEADLINE);
+    let expected = Some((Conclusion::Complete, ConclusionReason::AsGood));
+    assert_eq!(fleet.verdict().write, expected);
+}
+
+/// Guards against a roll-back that takes away the only version that runs, for lack of answers.
+#[test]
+fn a_version_that_runs_alone_is_not_rolled_back_while_nothing_is_known_of_it() {
+    let mut fleet = Fleet::new(3);
+    fleet.is_alone = true;
+    fleet.answers_new = false;
+    fleet.run_until(DEADLINE * 2);
+    assert_eq!(fleet.verdict().stage, Stage::Trial);
+    fleet.answers_new = true;
+    fleet.run(5_000);
+    assert_eq!(fleet.verdict().stage, Stage::Commit);
+}
+
+/// A version that runs alone and fails is still rejected.
+#[test]
+fn a_version_that_runs_alone_and_fails_is_rolled_back() {
+    let mut fleet = Fleet::new(3);
+    fleet.is_alone = true;
+    fleet.fails_new = true;
+    fleet.run_until(DEADLINE);
+    assert_eq!(fleet.verdict().stage, Stage::RollBack);
+}
+
 #[test]
 fn the_deadline_counts_from_when_the_first_daemon_knew_of_the_order() {
     let mut fleet = Fleet::new(3);
--- a/crates/tansylead-route/tests/roll_out_world/mod.rs
+++ b/crates/tansylead-route/tests/roll_out_world/mod.rs
@@ -237,6 +237,7 @@
             members: &members,
             rank: judge - first,
             is_source_fresh: outage.is_none_or(|(from, to)| now < from || now >= to),
+            is_alone: false,
         };
         let verdict = self.judges[judge].evaluate(at(now), context);
         if self.scenario.are_stages_pushed {
--- a/crates/tansylead-route/tests/version_gate.rs
+++ b/crates/tansylead-route/tests/version_gate.rs
@@ -443,6 +443,37 @@
     assert_eq!(use_of(&gate, "old", BEFORE), VersionUse::Unrestricted);
 }
 
+/// Guards against requests that are refused while sound leafs are free, as their version is under trial.
+#[test]
+fn a_version_under_trial_that_runs_alone_is_the_last_resort() {
+    const SOON: Duration = Duration::from_secs(1);
+    const LATE: Duration = Duration::from_secs(10);
+    let mut gate = gate_under_trial();
+    let use_at = |gate: &VersionGate, now| gate.use_of(now, Some(&version("new")), LATER, false);
+    gate.note_alone(NOW, true);
+    // The other leafs may have crashed and start again.
+    assert_eq!(use_at(&gate, NOW + SOON), VersionUse::NotGranted);
+    gate.note_alone(NOW + SOON, true);
+    assert_eq!(use_at(&gate, NOW + LATE), VersionUse::LastResort);
+    gate.note_alone(NOW + LATE, false);
+    assert_eq!(use_at(&gate, NOW + LATE * 2), VersionUse::NotGranted);
+    gate.note_alone(NOW, true);
+    gate.on_grant(NOW, OrderId(1), grant(Stage::RollBack, 0));
+    assert_eq!(use_at(&gate, NOW + LATE), VersionUse::Excluded);
+}
+
+/// Guards against a later order that begins as if its version had run alone for long.
+#[test]
+fn another_order_forgets_that_a_version_ran_alone() {
+    const LATE: Duration = Duration::from_secs(10);
+    let mut gate = gate_under_trial();
+    gate.note_alone(NOW, true);
+    assert!(gate.is_alone(NOW + LATE));
+    let other = order(2, "newer", RollOutState::Running, ENDED);
+    gate.apply(Some(&other), ENDED);
+    assert!(!gate.is_alone(NOW + LATE));
+}
+
 #[test]
 fn an_order_back_to_an_older_version_is_a_trial() {
     let mut gate = gate_under_trial();
