--- a/crates/tansylead-route/src/directory.rs
+++ b/crates/tansylead-route/src/directory.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// Takes those entries of a list, and misses those of its gaps, that are not older than this replica's.
+    /// Applies a list: takes each entry, or its absence, unless this replica knows it up to a later revision.
     fn apply_list(&mut self, at: ListPosition, entries: Vec<LeafEntry>) -> Vec<DirectoryChange> {
         let held = self.position.clone();
         if held.as_ref().is_some_and(|held| at.era() < held.era()) {
--- a/crates/tansylead-route/tests/directory.rs
+++ b/crates/tansylead-route/tests/directory.rs
@@ -1,30 +1,13 @@
 //! Directory replicas at the same revision agree, whatever the order of deltas.
 
+mod directory_entries;
+
+use directory_entries::{entry, leaf};
 use proptest::prelude::*;
-use std::time::Duration;
 use tansylead_route::{
     DirectoryChange, DirectoryDelta, Era, LeafDirectory, LeafEntry, LeafPhase, Revision, RunStart,
 };
-use tansylead_types::{LeafId, ServiceName, SoftwareVersion, ZoneName};
-
-fn leaf(number: u8) -> LeafId {
-    LeafId::new(format!("leaf-{number}")).expect("valid name")
-}
-
-fn entry(number: u8, slots: u32) -> LeafEntry {
-    LeafEntry {
-        leaf: leaf(number),
-        started: None,
-        service: ServiceName::new("service").expect("valid name"),
-        address: ([127, 0, 0, 1], 1_000 + u16::from(number)).into(),
-        zone: ZoneName::new("zone").expect("valid name"),
-        slots,
-        phase: LeafPhase::Ready,
-        warmup_left: Duration::ZERO,
-        version: None,
-        changed_at: Revision::default(),
-    }
-}
+use tansylead_types::SoftwareVersion;
 
 fn entries(directory: &LeafDirectory) -> Vec<LeafEntry> {
     directory.entries().cloned().collect()
--- a/crates/tansylead-route/tests/directory_pages.rs
+++ b/crates/tansylead-route/tests/directory_pages.rs
@@ -1,14 +1,16 @@
 //! Replicas of the directory that begin with lists whose pages are of different age.
 
+mod directory_entries;
+
+use directory_entries::{entry, leaf};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
-use std::time::Duration;
 use tansylead_route::{
     DirectoryChange, DirectoryDelta, Era, LeafDirectory, LeafEntry, LeafPhase, ListPosition,
     Revision,
 };
-use tansylead_types::{LeafId, ServiceName, ZoneName};
+use tansylead_types::LeafId;
 
 /// Leafs have the numbers below this one, and a page of a list has two of them.
 const LEAFS: u8 = 6;
@@ -16,27 +18,7 @@
 const PAGES: usize = 3;
 const REPLICAS: usize = 3;
 
-fn leaf(number: u8) -> LeafId {
-    LeafId::new(format!("leaf-{number}")).expect("valid name")
-}
-
-/// The entry of a leaf; no two writes have the same number of slots.
-fn entry(number: u8, slots: u32) -> LeafEntry {
-    LeafEntry {
-        leaf: leaf(number),
-        started: None,
-        service: ServiceName::new("service").expect("valid name"),
-        address: ([127, 0, 0, 1], 1_000 + u16::from(number)).into(),
-        zone: ZoneName::new("zone").expect("valid name"),
-        slots,
-        phase: LeafPhase::Ready,
-        warmup_left: Duration::ZERO,
-        version: None,
-        changed_at: Revision::default(),
-    }
-}
-
-/// The slots of each leaf that has an entry.
+/// The slots of each leaf that has an entry; no two writes have the same number.
 type State = BTreeMap<LeafId, u32>;
 
 fn state(directory: &LeafDirectory) -> State {
