Feed: the position that a poll states is named apart from the changes that a reply brings

Names only: a request's position of the directory and a reply's delta had one name, and a uniform position had a second one in the log function.

--- a/crates/tansylead-gateway/src/cluster/feed_client.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_client.rs
@@ -96,7 +96,7 @@
         let request = FeedRequest {
             cluster: self.gateway.settings.cluster.clone(),
             version: self.gateway.version(),
-            directory: self.gateway.directory().position().cloned(),
+            directory_position: self.gateway.directory().position().cloned(),
             evacuated: self.gateway.evacuated(),
             roll_outs: self.gateway.roll_outs_mark(),
             roll_outs_needed_up_to: self.gateway.needed_roll_outs(),
--- a/crates/tansylead-gateway/src/cluster/feed_message.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_message.rs
@@ -91,7 +91,7 @@
     /// Version of the configuration.
     pub(super) version: Option<u64>,
     /// Position of the leaf directory.
-    pub(super) directory: Option<ListPosition>,
+    pub(super) directory_position: Option<ListPosition>,
     /// Zones that are being emptied.
     pub(super) evacuated: Option<EvacuatedZones>,
     /// Orders to roll out.
--- a/crates/tansylead-gateway/src/cluster/feed_server.rs
+++ b/crates/tansylead-gateway/src/cluster/feed_server.rs
@@ -98,7 +98,9 @@
     let held = active.as_ref().map(|active| &active.configuration);
     let newer = held.filter(|held| request.version.is_none_or(|version| held.version > version));
     let configuration = newer.map(|held| Configuration::clone(held));
-    let directory = gateway.directory().delta_for(request.directory.as_ref());
+    let directory = gateway
+        .directory()
+        .delta_for(request.directory_position.as_ref());
     let directory = directory.filter(|delta| {
         let is_large = matches!(delta, DirectoryDelta::Everything { entries, .. } if entries.len() > SMALL_DIRECTORY_ENTRIES);
         !is_large || request.wants_whole_directory
--- a/crates/tansylead-gateway/src/state/leafs.rs
+++ b/crates/tansylead-gateway/src/state/leafs.rs
@@ -46,7 +46,7 @@
         self.note_versions();
         let after = self.directory.borrow().position().cloned();
         if let Some(after) = after.as_ref().filter(|_| after != before) {
-            log_evenness(before.as_ref(), after);
+            log_uniformity(before.as_ref(), after);
             self.record_era(after.era());
             self.notify();
         }
@@ -373,13 +373,13 @@
 const MAXIMUM_LOGGED: usize = 50;
 
 /// Logs when some entries begin to be known up to a later revision than others, and when they no longer are.
-fn log_evenness(before: Option<&ListPosition>, after: &ListPosition) {
-    let was_even = before.is_none_or(|before| before.uniform().is_some());
+fn log_uniformity(before: Option<&ListPosition>, after: &ListPosition) {
+    let was_uniform = before.is_none_or(|before| before.uniform().is_some());
     match after.uniform() {
-        Some(at) if !was_even => {
+        Some(at) if !was_uniform => {
             log::info!(revision = at.number; "all leafs known up to one revision");
         }
-        None if was_even => {
+        None if was_uniform => {
             log::info!(revision = after.lowest().number, highest = after.highest().number; "leafs known up to different revisions");
         }
         _ => {}
