Review case 6: a planned stop cuts answers that are being written

Four seconds after SIGTERM the daemon drops connections on which an answer is being written, two seconds before the end of the grace period.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in wrong_bytes; do
+for source in cut_at_stop wrong_bytes; do
     rustc --edition 2024 -O -o "target/review-2/$source" "review/stand_ins_2/$source.rs"
 done
