--- a/review/stand_ins_2/platform.rs
+++ b/review/stand_ins_2/platform.rs
@@ -5,7 +5,6 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
-use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -141,28 +140,43 @@
     spec: String,
 }
 
-#[derive(Debug, Default)]
-struct StoreState {
+/// What the store holds at one moment; a copy of it may be restored.
+#[derive(Debug, Default, Clone)]
+pub struct StoreCopy {
     revision: u64,
     /// Objects by kind and name.
     objects: BTreeMap<(String, String), Object>,
+    /// Objects that were removed: revision, kind and name.
+    removed: Vec<(u64, String, String)>,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    now: StoreCopy,
+    /// `Store-Era`; none as long as no drill was held.
+    era: Option<u64>,
+    /// Whether the store is away: it closes connections without an answer.
+    is_away: bool,
+    /// What a replica still shows to reads with `stale` = 1.
+    replica: Option<StoreCopy>,
 }
 
-/// The platform's metadata store: lists, watches, and objects made by daemons.
+/// The platform's metadata store: lists, watches, objects made by daemons, and drills in which it comes back from a copy.
 #[derive(Clone)]
 pub struct Store {
     address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
+/// An answer of the store: status and body.
+type StoreAnswer = (&'static str, String);
+
 impl Store {
     /// Starts the store.
     pub fn start() -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let state = StoreState {
-            revision: 100,
-            ..StoreState::default()
-        };
+        let mut state = StoreState::default();
+        state.now.revision = 100;
         let store = Self {
             address: listener.local_addr()?,
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -182,19 +196,65 @@
         self.address
     }
 
+    /// Its revision.
+    pub fn revision(&self) -> u64 {
+        self.state.0.lock().unwrap().now.revision
+    }
+
     /// Writes an object, as the operator and the leafs do.
     pub fn put(&self, kind: &str, name: &str, spec: impl Into<String>) {
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
-        state.revision += 1;
+        let mut state = self.state.0.lock().unwrap();
+        let now = &mut state.now;
+        now.revision += 1;
         let object = Object {
-            revision: state.revision,
+            revision: now.revision,
             spec: spec.into(),
         };
-        state
-            .objects
+        now.objects
             .insert((kind.to_owned(), name.to_owned()), object);
-        changed.notify_all();
+        self.state.1.notify_all();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        let now = &mut state.now;
+        now.revision += 1;
+        now.objects.remove(&(kind.to_owned(), name.to_owned()));
+        now.removed
+            .push((now.revision, kind.to_owned(), name.to_owned()));
+        self.state.1.notify_all();
+    }
+
+    /// A copy of what it holds.
+    pub fn copy(&self) -> StoreCopy {
+        self.state.0.lock().unwrap().now.clone()
+    }
+
+    /// Sets `Store-Era`, the header of all answers.
+    pub fn set_era(&self, era: u64) {
+        self.state.0.lock().unwrap().era = Some(era);
+    }
+
+    /// Goes away, until it is restored.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era. A replica still shows what the store held before.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.0.lock().unwrap();
+        let before = std::mem::replace(&mut state.now, copy);
+        state.replica = Some(before);
+        state.era = state.era.map(|era| era + 1);
+        state.is_away = false;
+        self.state.1.notify_all();
+    }
+
+    /// The replica has caught up.
+    pub fn catch_up_replica(&self) {
+        self.state.0.lock().unwrap().replica = None;
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -204,9 +264,13 @@
         };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader) {
-            let (status, body) = self.answer(&request);
+            let Some((status, body)) = self.answer(&request) else {
+                return;
+            };
+            let era = self.state.0.lock().unwrap().era;
+            let era = era.map_or(String::new(), |era| format!("Store-Era: {era}\r\n"));
             let head = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{era}Content-Length: {}\r\n\r\n",
                 body.len()
             );
             if writer.write_all((head + &body).as_bytes()).is_err() {
@@ -215,76 +279,103 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> (&'static str, String) {
+    /// The answer to a call; none while the store is away.
+    fn answer(&self, request: &Message) -> Option<StoreAnswer> {
         let method = request.start.split(' ').next().unwrap_or_default();
-        let (path, query) = request
-            .target()
-            .split_once('?')
-            .unwrap_or((request.target(), ""));
+        let target = request.target();
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let mut parts = path.trim_start_matches("/objects/").split('/');
         let kind = parts.next().unwrap_or_default();
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs
-                .find(|(key, _)| *key == name)
-                .and_then(|(_, value)| value.parse::<u64>().ok())
+            let found = pairs.find(|(key, _)| *key == name);
+            found.and_then(|(_, value)| value.parse::<u64>().ok())
         };
-        match (method, parameter("watch")) {
-            ("GET", None) => ("200 OK", self.list(kind)),
+        if self.state.0.lock().unwrap().is_away {
+            return None;
+        }
+        Some(match (method, parameter("watch")) {
+            ("GET", None) => ("200 OK", self.list(kind, parameter("stale") == Some(1))),
             ("GET", Some(after)) => {
                 let wait = Duration::from_millis(parameter("wait_ms").unwrap_or(0));
-                ("200 OK", self.watch(kind, after, wait))
-            }
-            ("POST", _) => {
-                // Daemons register themselves; nothing reads these objects back here.
-                ("200 OK", "{}".to_owned())
+                return self.watch(kind, after, wait);
             }
+            // Daemons register themselves; nothing reads these objects back here.
+            ("POST", _) => ("200 OK", "{}".to_owned()),
             _ => ("404 Not Found", "{}".to_owned()),
-        }
+        })
     }
 
-    fn list(&self, kind: &str) -> String {
+    fn list(&self, kind: &str, is_stale: bool) -> String {
         let state = self.state.0.lock().unwrap();
-        let of_kind = state.objects.iter().filter(|((of, _), _)| of == kind);
+        let replica = state.replica.as_ref().filter(|_| is_stale);
+        let shown = replica.unwrap_or(&state.now);
+        let of_kind = shown.objects.iter().filter(|((of, _), _)| of == kind);
         let items: Vec<String> = of_kind
             .map(|((_, name), object)| document(name, object))
             .collect();
         format!(
             "{{\"items\":[{}],\"more\":false,\"at\":{}}}",
             items.join(","),
-            state.revision
+            shown.revision
         )
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration) -> String {
+    /// Waits for changes after a revision; 410 if the store doesn't have that revision.
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> Option<StoreAnswer> {
         let until = Instant::now() + wait;
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
+        let mut state = self.state.0.lock().unwrap();
+        let era = state.era;
         loop {
-            let newer = state
-                .objects
-                .iter()
-                .filter(|((of, _), object)| of == kind && object.revision > after);
-            let mut newer: Vec<_> = newer.collect();
-            newer.sort_by_key(|(_, object)| object.revision);
+            // A watch that waits is cut when the store goes away.
+            if state.is_away || state.era != era {
+                return None;
+            }
+            if after > state.now.revision {
+                return Some(("410 Gone", "{}".to_owned()));
+            }
+            let events = changes(&state.now, kind, after);
             let left = until.saturating_duration_since(Instant::now());
-            if !newer.is_empty() || left.is_zero() {
-                let mut events = String::new();
-                for ((_, name), object) in newer {
-                    let comma = if events.is_empty() { "" } else { "," };
-                    let _ = write!(
-                        events,
-                        "{comma}{{\"gone\":false,\"object\":{}}}",
-                        document(name, object)
-                    );
-                }
-                return format!("{{\"events\":[{events}],\"at\":{}}}", state.revision);
+            if !events.is_empty() || left.is_zero() {
+                let (events, at) = (events.join(","), state.now.revision);
+                return Some(("200 OK", format!("{{\"events\":[{events}],\"at\":{at}}}")));
             }
-            state = changed.wait_timeout(state, left).unwrap().0;
+            state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
     }
 }
 
+/// The changes of a kind after a revision, in their order.
+fn changes(now: &StoreCopy, kind: &str, after: u64) -> Vec<String> {
+    let present = now.objects.iter();
+    let present = present
+        .filter(|((of, _), object)| of == kind && object.revision > after)
+        .map(|((_, name), object)| {
+            let object_text = document(name, object);
+            (
+                object.revision,
+                format!("{{\"gone\":false,\"object\":{object_text}}}"),
+            )
+        });
+    let removed = now.removed.iter();
+    let removed = removed
+        .filter(|(revision, of, _)| of == kind && *revision > after)
+        .map(|(revision, _, name)| {
+            let object = Object {
+                revision: *revision,
+                spec: "null".to_owned(),
+            };
+            let object_text = document(name, &object);
+            (
+                *revision,
+                format!("{{\"gone\":true,\"object\":{object_text}}}"),
+            )
+        });
+    let mut events: Vec<(u64, String)> = present.chain(removed).collect();
+    events.sort_unstable();
+    events.into_iter().map(|(_, event)| event).collect()
+}
+
 fn document(name: &str, object: &Object) -> String {
     let Object { revision, spec } = object;
     format!(
@@ -294,13 +385,51 @@
 
 /// The entry that a leaf keeps in the store.
 pub fn leaf_entry(service: &str, address: SocketAddr, zone: &str, slots: usize) -> String {
-    let born = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap()
-        .as_millis();
-    format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":1,\"born\":{born}}}"
-    )
+    let entry = LeafEntry {
+        service: service.to_owned(),
+        address,
+        zone: zone.to_owned(),
+        slots,
+        born: unix_millis(),
+    };
+    entry.text("ready", 0)
+}
+
+/// What a leaf says of itself in each of its entries.
+#[derive(Debug, Clone)]
+pub struct LeafEntry {
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its slots.
+    pub slots: usize,
+    /// Unix time of its start, in milliseconds.
+    pub born: u128,
+}
+
+impl LeafEntry {
+    /// The entry with a state and the time for which the leaf stays slow.
+    pub fn text(&self, state: &str, warmup_left_ms: u64) -> String {
+        let Self {
+            service,
+            address,
+            zone,
+            slots,
+            born,
+        } = self;
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":{warmup_left_ms},\"seq\":1,\"born\":{born}}}"
+        )
+    }
+}
+
+/// The time of day in milliseconds.
+pub fn unix_millis() -> u128 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap().as_millis()
 }
 
 /// The operator's configuration: one route to one service.
@@ -319,6 +448,7 @@
 /// A daemon process; it is killed when dropped.
 pub struct Daemon {
     process: Child,
+    settings: PathBuf,
     /// Where clients connect.
     pub front: SocketAddr,
     ready: SocketAddr,
@@ -356,6 +486,7 @@
             let process = spawn(&path, &folder.join(format!("{zone}.log")))?;
             daemons.push(Self {
                 process,
+                settings: path,
                 front,
                 ready,
             });
@@ -375,6 +506,18 @@
         false
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Starts the process again, with the same settings.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.process = spawn(&self.settings, &self.settings.with_extension("again.log"))?;
+        Ok(())
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         const SIGTERM: i32 = 15;
@@ -397,14 +540,19 @@
 /// Starts the role of `deploy/system.toml`. The working folder is the root of the repository.
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
     let log = File::create(log)?;
-    Command::new("target/lean/tansylead-platform")
+    let process = Command::new("target/lean/tansylead-platform")
         .arg("gateway")
         .env_clear()
         .env("TANSYLEAD_NODE_FILE", settings)
         .stdin(Stdio::null())
         .stderr(Stdio::from(log.try_clone()?))
         .stdout(Stdio::from(log))
-        .spawn()
+        .spawn()?;
+    // `run.sh` ends these if this program is ended itself.
+    let ids = settings.with_file_name("processes");
+    let mut ids = File::options().create(true).append(true).open(ids)?;
+    writeln!(ids, "{}", process.id())?;
+    Ok(process)
 }
 
 fn is_ready(address: SocketAddr) -> bool {
--- a/review/stand_ins_2/wrong_bytes.rs
+++ b/review/stand_ins_2/wrong_bytes.rs
@@ -1,4 +1,4 @@
-//! Cases 4 and 5: some leafs hand out wrong bytes for a few seconds. The second argument names the fault.
+//! Cases 4 and 6: some leafs hand out wrong bytes for a few seconds. The second argument names the fault.
 
 #[path = "platform.rs"]
 mod platform;
@@ -37,8 +37,8 @@
 /// What a faulty leaf does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
-    /// It sends the answer by which it shed a request a second time, where the next answer is due.
-    ExtraShed,
+    /// After a whole answer it sends another one, a refusal without an id, where the next answer is due.
+    StrayRefusal,
     /// It spoils a byte in the head of a success: the one with the signature.
     SpoiledHead,
 }
@@ -47,7 +47,7 @@
     /// How many of the leafs are faulty: shares of 0.6 and of 0.4.
     fn faulty_leafs(self) -> usize {
         match self {
-            Self::ExtraShed => 3,
+            Self::StrayRefusal => 3,
             Self::SpoiledHead => 2,
         }
     }
@@ -55,7 +55,7 @@
     /// A faulty leaf spoils one in this many of the answers that the fault applies to: shares of 0.029 and of 0.02.
     fn one_in(self) -> u64 {
         match self {
-            Self::ExtraShed => 34,
+            Self::StrayRefusal => 34,
             Self::SpoiledHead => 50,
         }
     }
@@ -91,7 +91,7 @@
 
 fn run(record: &Record) -> io::Result<i32> {
     let fault = match std::env::args().nth(2).as_deref() {
-        Some("extra-shed") => Fault::ExtraShed,
+        Some("stray-refusal") => Fault::StrayRefusal,
         Some("spoiled-head") => Fault::SpoiledHead,
         _ => return Err(io::Error::other("the second argument names no fault")),
     };
@@ -104,7 +104,7 @@
         record: record.clone(),
     });
     // Payments may not be repeated, look-ups may.
-    let kind = if fault == Fault::ExtraShed {
+    let kind = if fault == Fault::StrayRefusal {
         "unsafe"
     } else {
         "safe"
@@ -181,7 +181,7 @@
         seen.len()
     ));
     let broken = match world.fault {
-        Fault::ExtraShed => {
+        Fault::StrayRefusal => {
             let twice: Vec<_> = runs.iter().filter(|(_, leafs)| leafs.len() > 1).collect();
             for (id, leafs) in &twice {
                 world
@@ -321,32 +321,37 @@
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
-        const SHED: &str =
+        const STRAY_REFUSAL: &str =
             "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
-        let mut owes_extra = false;
+        let mut owes_stray = false;
         while let Some(request) = read_message(&mut reader) {
             let id = request.header("request-id").unwrap_or_default().to_owned();
-            if std::mem::take(&mut owes_extra) {
+            if std::mem::take(&mut owes_stray) {
                 self.world.record.line(format!(
-                    "leaf {} sends the extra answer while {id} waits for its own",
+                    "leaf {} sends the stray refusal while {id} waits for its own",
                     self.id
                 ));
-                stream.write_all(SHED.as_bytes())?;
+                stream.write_all(STRAY_REFUSAL.as_bytes())?;
             }
             if request
                 .header("target-instance")
                 .is_some_and(|target| target != self.id)
             {
-                stream
-                    .write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")?;
+                let text = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                );
+                stream.write_all(text.as_bytes())?;
                 continue;
             }
             if self.held.fetch_add(1, Ordering::Relaxed) >= SLOTS + QUEUE {
                 self.held.fetch_sub(1, Ordering::Relaxed);
-                stream.write_all(SHED.as_bytes())?;
-                owes_extra = self.world.fault == Fault::ExtraShed && self.spoils_answer();
+                let text = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                stream.write_all(text.as_bytes())?;
+                owes_stray = self.world.fault == Fault::StrayRefusal && self.spoils_answer();
                 continue;
             }
             self.work(&id);
@@ -366,6 +371,7 @@
                 body.len(),
             );
             stream.write_all(text.as_bytes())?;
+            owes_stray = self.world.fault == Fault::StrayRefusal && self.spoils_answer();
         }
         Ok(())
     }
